--- /dev/null
+++ b/packages/magnoliabay/src/node/clock/index.ts
@@ -0,0 +1,71 @@
+/**
+ * Time as an interface, so that every decision can be tested under a clock that the test moves.
+ */
+
+/** Cancels a pending callback. Calling it twice is harmless. */
+export type CancelTimer = () => void
+
+export interface Clock {
+  /** Wall-clock time in milliseconds since the Unix epoch. May step; never use it to measure a span. */
+  now (): number
+  /** Monotonic time in milliseconds from an arbitrary origin. Never steps back. */
+  monotonic (): number
+  /** Runs `callback` once after `delayMs` milliseconds. */
+  schedule (delayMs: number, callback: () => void): CancelTimer
+}
+
+/** The clock of the running process. */
+export function createSystemClock (): Clock {
+  return {
+    now: () => Date.now(),
+    monotonic: () => performance.now(),
+    schedule: (delayMs, callback) => {
+      const timer = setTimeout(callback, delayMs)
+      return () => clearTimeout(timer)
+    }
+  }
+}
+
+/** Resolves after `delayMs` milliseconds, or at once when `signal` aborts. Never rejects. */
+export function sleep (clock: Clock, delayMs: number, signal?: AbortSignal): Promise<void> {
+  return new Promise(resolve => {
+    if (signal?.aborted) return resolve()
+    const onAbort = (): void => {
+      cancel()
+      resolve()
+    }
+    const cancel = clock.schedule(delayMs, () => {
+      signal?.removeEventListener('abort', onAbort)
+      resolve()
+    })
+    signal?.addEventListener('abort', onAbort, { once: true })
+  })
+}
+
+/** Runs `task` every `periodMs` milliseconds, never two at once, until `signal` aborts. */
+export async function repeat (clock: Clock, periodMs: number, signal: AbortSignal, task: () => unknown): Promise<void> {
+  while (!signal.aborted) {
+    await task()
+    await sleep(clock, periodMs, signal)
+  }
+}
+
+/** Marks a `withDeadline` that ran out. */
+export const TIMED_OUT = Symbol('timed out')
+
+/** Resolves to what `promise` resolves to, or to `TIMED_OUT` after `delayMs` milliseconds. */
+export function withDeadline<T> (clock: Clock, delayMs: number, promise: Promise<T>): Promise<T | typeof TIMED_OUT> {
+  return new Promise((resolve, reject) => {
+    const cancel = clock.schedule(delayMs, () => resolve(TIMED_OUT))
+    promise.then(
+      value => {
+        cancel()
+        resolve(value)
+      },
+      (err: unknown) => {
+        cancel()
+        reject(err)
+      }
+    )
+  })
+}
