--- /dev/null
+++ b/packages/standins/src/node/engine/faults.ts
@@ -0,0 +1,60 @@
+/**
+ * Faults of the model engine stand-in.
+ */
+import { createFaultSwitches } from '../faults'
+import type { FaultSwitches } from '../faults'
+
+export type OrderAnswer = 'normal' | 'late' | 'twice' | 'never'
+
+export interface EngineFaults {
+  /** True kills the process: connections drop and are refused, loaded models are lost. False starts it anew. */
+  crash: boolean
+  /** A prompt that contains this text kills the process; '' for none. */
+  crashOnPrompt: string
+  /** Time until a process killed by a prompt starts anew, milliseconds; 0 for never. */
+  restartAfterMs: number
+  /** Headers are sent, tokens stop. */
+  stall: boolean
+  /** Setting it makes the connections open at that moment silent for good; later ones work. */
+  silentConnections: boolean
+  /** Delay of every answer to a request, milliseconds. */
+  lateAnswerMs: number
+  /** Answers carry the id and the tokens of another request. */
+  crossedAnswers: boolean
+  /** Every answer is sent twice on its connection. */
+  doubleAnswer: boolean
+  /** Connections break after the first token. */
+  dieAfterFirstByte: boolean
+  /** Connections break after the last token, before the end mark. */
+  dieBeforeEnd: boolean
+  /** Delay before an order is carried out, milliseconds. */
+  orderDelayMs: number
+  /** `late`: carried out at once, answered after `orderAnswerDelayMs`. */
+  orderAnswer: OrderAnswer
+  /** @see orderAnswer */
+  orderAnswerDelayMs: number
+  /** Factor by which loads on this engine take longer. */
+  slowLoads: number
+  /** Loads end in the outcome `failed`. */
+  failLoads: boolean
+}
+
+export function createEngineFaults (): FaultSwitches<EngineFaults> {
+  return createFaultSwitches<EngineFaults>({
+    crash: false,
+    crashOnPrompt: '',
+    restartAfterMs: 3000,
+    stall: false,
+    silentConnections: false,
+    lateAnswerMs: 0,
+    crossedAnswers: false,
+    doubleAnswer: false,
+    dieAfterFirstByte: false,
+    dieBeforeEnd: false,
+    orderDelayMs: 0,
+    orderAnswer: 'normal',
+    orderAnswerDelayMs: 3000,
+    slowLoads: 1,
+    failLoads: false
+  })
+}
--- /dev/null
+++ b/packages/standins/src/node/engine/run.ts
@@ -0,0 +1,64 @@
+/**
+ * One request on the engine: its answer, how far it has come, and how it ended.
+ */
+import type { Answer } from './generate'
+import type { EngineRequestRecord, GenerateRequest, RequestOutcome } from './types'
+
+/** `token`: it has been generated. `end`: the answer is whole without it. `cut`: it will never come. */
+export type RunProgress = 'token' | 'end' | 'cut'
+
+export type RunEnd = Exclude<RequestOutcome, 'waiting' | 'running' | 'refused'>
+
+export interface Run {
+  readonly request: GenerateRequest
+  readonly record: EngineRequestRecord
+  readonly answer: Answer
+  /** Base model. */
+  readonly model: string
+  /** Aborts when the run has ended. */
+  readonly signal: AbortSignal
+  readonly ended: Promise<void>
+  /** Resolves once token `index` is there or will never be. */
+  reach (index: number): Promise<RunProgress>
+  produce (): void
+  /** The first call counts. */
+  end (outcome: RunEnd, atMs: number): void
+}
+
+export function createRun (request: GenerateRequest, record: EngineRequestRecord, model: string, answer: Answer): Run {
+  const abort = new AbortController()
+  let waiters: Array<() => void> = []
+  const wake = (): void => {
+    const woken = waiters
+    waiters = []
+    woken.forEach(resolve => resolve())
+  }
+  const ended = new Promise<void>(resolve => abort.signal.addEventListener('abort', () => resolve(), { once: true }))
+  return {
+    request,
+    record,
+    answer,
+    model,
+    signal: abort.signal,
+    ended,
+    reach: async index => {
+      while (record.tokens <= index && !abort.signal.aborted) {
+        await new Promise<void>(resolve => { waiters.push(resolve) })
+      }
+      if (record.tokens > index) return 'token'
+      return record.completed ? 'end' : 'cut'
+    },
+    produce: () => {
+      record.tokens += 1
+      wake()
+    },
+    end: (outcome, atMs) => {
+      if (abort.signal.aborted) return
+      record.outcome = outcome
+      record.completed = outcome === 'completed'
+      record.endedAtMs = atMs
+      abort.abort()
+      wake()
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/node/engine/server.ts
@@ -0,0 +1,162 @@
+/**
+ * The engines' published protocol over an {@link EngineStandIn}.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { NOT_RUN_HEADER } from 'magnoliabay/backend/protocol'
+import type { OrderReply } from 'magnoliabay/backend/protocol'
+import { sleep } from 'magnoliabay/clock/index'
+import type { Clock } from 'magnoliabay/clock/index'
+import { createAdminTarget, handleAdmin } from '../admin'
+import type { AdminTarget } from '../admin'
+import { asText, parseObject, readText, sendJson } from '../http/json'
+import { createListener } from '../http/listener'
+import { sendStream, sendWhole } from './delivery'
+import type { AnswerShape, Shown } from './delivery'
+import { readGenerateRequest, readOrder } from './requests'
+import type { Run } from './run'
+import type { EngineStandIn } from './state'
+import type { RefusalKind } from './types'
+
+export interface EngineServerOptions {
+  engine: EngineStandIn
+  clock: Clock
+  host?: string
+  port?: number
+}
+
+export interface EngineServer {
+  readonly address: string
+  readonly admin: AdminTarget
+  close (): Promise<void>
+}
+
+type Handler = (req: IncomingMessage, res: ServerResponse, url: URL) => void | Promise<void>
+
+const REFUSAL_STATUS: Readonly<Record<RefusalKind, number>> = { 'unknown-model': 404, invalid: 400, leaving: 503, down: 503 }
+/** How long a run whose connection broke goes on, for a resume, milliseconds. */
+const RESUME_WAIT_MS = 10_000
+const BASE_URL = 'http://engine'
+
+export async function createEngineServer (options: EngineServerOptions): Promise<EngineServer> {
+  const { engine, clock } = options
+  const { faults } = engine
+  const admin = createAdminTarget(faults, () => engine.records())
+  const attached = new Map<Run, number>()
+
+  /** Ends a run that nobody reads any more, at once or after the time for a resume. */
+  const abandonWithoutReader = (run: Run): void => {
+    const abandon = (): void => {
+      if ((attached.get(run) ?? 0) === 0) run.end('abandoned', clock.now())
+    }
+    if (!engine.state().canResume) return abandon()
+    const cancel = clock.schedule(RESUME_WAIT_MS, abandon)
+    run.signal.addEventListener('abort', cancel, { once: true })
+  }
+
+  const attach = (run: Run, res: ServerResponse): void => {
+    attached.set(run, (attached.get(run) ?? 0) + 1)
+    res.on('close', () => {
+      const left = (attached.get(run) ?? 1) - 1
+      if (left > 0) {
+        attached.set(run, left)
+        return
+      }
+      attached.delete(run)
+      if (!run.signal.aborted) abandonWithoutReader(run)
+    })
+  }
+
+  const shownFor = (run: Run): Shown => {
+    if (!faults.now.crossedAnswers) return { requestId: run.request.requestId, answer: run.answer }
+    const other = engine.otherThan(run)
+    return { requestId: other?.request.requestId ?? `crossed-${run.request.requestId}`, answer: other?.answer ?? run.answer }
+  }
+
+  const complete = (shape: AnswerShape): Handler => async (req, res) => {
+    const body = parseObject(await readText(req))
+    const submitted = engine.submit(readGenerateRequest(shape, body, req.headers))
+    if (submitted.err) {
+      const { kind } = submitted.val
+      return sendJson(res, REFUSAL_STATUS[kind], { error: { type: kind } }, { [NOT_RUN_HEADER]: 'true' })
+    }
+    const run = submitted.val
+    attach(run, res)
+    await sleep(clock, faults.now.lateAnswerMs, run.signal.aborted ? undefined : run.signal)
+    const delivery = { run, shown: shownFor(run), shape, res, faults: faults.now }
+    if (body.stream === true) return sendStream(delivery, 0)
+    return sendWhole(delivery)
+  }
+
+  const resume: Handler = (_req, res, url) => {
+    const run = engine.held(url.searchParams.get('request') ?? '')
+    if (run === undefined || !engine.state().canResume) return sendJson(res, 404, { error: { type: 'not-held' } })
+    attach(run, res)
+    const from = Number(url.searchParams.get('from') ?? 0)
+    return sendStream({ run, shown: shownFor(run), shape: 'chat', res, faults: faults.now }, from)
+  }
+
+  const order: Handler = async (req, res) => {
+    const read = readOrder(parseObject(await readText(req)))
+    if (read === undefined) return sendJson(res, 400, { error: { type: 'invalid' } })
+    const reply = await engine.carryOut(read)
+    if (reply === undefined) {
+      res.destroy()
+      return
+    }
+    return answerOrder(res, reply)
+  }
+
+  const answerOrder = async (res: ServerResponse, reply: OrderReply): Promise<void> => {
+    const { orderAnswer, orderAnswerDelayMs } = faults.now
+    if (orderAnswer === 'never') return
+    if (orderAnswer === 'late') await sleep(clock, orderAnswerDelayMs)
+    const { socket } = res
+    sendJson(res, 200, reply)
+    if (orderAnswer !== 'twice') return
+    const body = JSON.stringify(reply)
+    socket?.write(`HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`)
+  }
+
+  const handlers: Readonly<Record<string, Handler>> = {
+    'POST /v1/chat/completions': complete('chat'),
+    'POST /v1/completions': complete('text'),
+    'POST /control/cancel': async (req, res) => {
+      const cancelled = engine.cancel(asText(parseObject(await readText(req)).requestId))
+      sendJson(res, cancelled ? 200 : 404, { cancelled })
+    },
+    'GET /control/resume': resume,
+    'POST /control/orders': order,
+    'GET /control/state': (_req, res) => sendJson(res, 200, engine.state()),
+    'GET /control/load': (_req, res) => sendJson(res, 200, engine.load()),
+    'GET /control/events': (_req, res, url) => sendJson(res, 200, engine.cacheEvents(Number(url.searchParams.get('after') ?? 0)))
+  }
+
+  const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const url = new URL(req.url ?? '/', BASE_URL)
+    if (handleAdmin(admin, url.pathname, req, res)) return
+    const handler = handlers[`${req.method} ${url.pathname}`]
+    if (handler === undefined) return sendJson(res, 404, { error: { type: 'not-found' } }, { [NOT_RUN_HEADER]: 'true' })
+    await handler(req, res, url)
+  }
+
+  const listener = await createListener({
+    host: options.host,
+    port: options.port,
+    handler: (req, res) => { serve(req, res).catch(() => res.destroy()) }
+  })
+  engine.onLife(event => {
+    const step = event === 'crashed' ? listener.refuse() : listener.accept()
+    step.catch(() => {})
+  })
+  faults.onChange((_now, changed) => {
+    if (changed.silentConnections === true) listener.silenceConnections()
+  })
+  return {
+    address: listener.address,
+    admin,
+    close: async () => {
+      engine.close()
+      await listener.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/node/faults.ts
@@ -0,0 +1,31 @@
+/**
+ * Switches for faults, changed while a stand-in runs. `set` takes a partial object, as the admin interface does.
+ */
+export type FaultListener<T> = (now: T, changed: Partial<T>) => void
+
+export interface FaultSwitches<T extends object> {
+  /** The faults in force now. */
+  readonly now: Readonly<T>
+  set (changes: Partial<T>): void
+  reset (): void
+  onChange (listener: FaultListener<T>): void
+}
+
+/** `refused`: connections are refused. `status`: every call is answered 503. */
+export type DownMode = 'no' | 'refused' | 'status'
+
+/** Creates switches that start at `defaults`, which `reset` returns to. */
+export function createFaultSwitches<T extends object> (defaults: T): FaultSwitches<T> {
+  const now = { ...defaults }
+  const listeners: Array<FaultListener<T>> = []
+  const set = (changes: Partial<T>): void => {
+    Object.assign(now, changes)
+    listeners.forEach(listener => listener(now, changes))
+  }
+  return {
+    now,
+    set,
+    reset: () => set({ ...defaults }),
+    onChange: listener => { listeners.push(listener) }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/node/index.ts
@@ -0,0 +1,12 @@
+/**
+ * Small stand-ins for the systems outside: key-value service, instance list, weight store, engines, plain services.
+ */
+export * from './admin'
+export * from './engine'
+export * from './faults'
+export * from './fleet'
+export * from './kv'
+export * from './list'
+export * from './random'
+export * from './service'
+export * from './weights'
--- /dev/null
+++ b/packages/standins/src/node/kv/index.ts
@@ -0,0 +1,5 @@
+export * from './direct'
+export * from './faults'
+export * from './server'
+export * from './state'
+export * from './types'
--- /dev/null
+++ b/packages/standins/src/node/kv/state.ts
@@ -0,0 +1,162 @@
+/**
+ * The key-value stand-in's state: revisions, transactions, leases that lapse by the clock, and watches.
+ */
+import type { Clock } from 'magnoliabay/clock/index'
+import { Err, Ok } from 'magnoliabay/result'
+import type { Result } from 'magnoliabay/result'
+import { createKvHistory } from './history'
+import { createKvLeases } from './leases'
+import { NO_LEASE, inRange } from './types'
+import type {
+  KvCompare, KvEntry, KvError, KvEvent, KvEventListener, KvLease, KvOperation, KvOperationResult, KvRange,
+  KvTransaction, KvTransactionResult, KvWatch
+} from './types'
+
+export interface KvStateOptions {
+  clock: Clock
+  /** Events kept for watches that begin in the past. @default 10000 */
+  historyEvents?: number
+  /** Greatest length of a value. @default 1048576 */
+  maxValueBytes?: number
+}
+
+export interface KvState {
+  revision (): number
+  range (range: KvRange): readonly KvEntry[]
+  transact (transaction: KvTransaction): Result<KvTransactionResult, KvError>
+  /** Watches from `startRevision`, or from the next change when it is 0. */
+  watch (range: KvRange, startRevision: number, listener: KvEventListener): KvWatch
+  /** Grants a lease under `id`, or under a new one. */
+  grantLease (ttlSeconds: number, id?: string): Result<KvLease, KvError>
+  renewLease (id: string): Result<KvLease, KvError>
+  /** Deletes the lease and every key on it; also how a check lets a lease lapse early. */
+  revokeLease (id: string): Result<void, KvError>
+  leases (): readonly KvLease[]
+  /** Forgets events up to `revision`. */
+  compact (revision: number): void
+  /** Stops the timers of all leases; nothing lapses any more. */
+  close (): void
+}
+
+const HISTORY_EVENTS = 10_000
+const MAX_VALUE_BYTES = 1_048_576
+/** Revision of an empty store, as in etcd. */
+const FIRST_REVISION = 1
+
+export function createKvState (options: KvStateOptions): KvState {
+  const maxValueBytes = options.maxValueBytes ?? MAX_VALUE_BYTES
+  const entries = new Map<string, KvEntry>()
+  const history = createKvHistory(options.historyEvents ?? HISTORY_EVENTS)
+  let revision = FIRST_REVISION
+
+  const range = (wanted: KvRange): readonly KvEntry[] => {
+    if (wanted.end === undefined || wanted.end === '') {
+      const entry = entries.get(wanted.key)
+      return entry === undefined ? [] : [entry]
+    }
+    return [...entries.values()]
+      .filter(entry => inRange(wanted, entry.key))
+      .sort((a, b) => a.key < b.key ? -1 : 1)
+  }
+
+  const leases = createKvLeases(options.clock, keys => {
+    const events = keys.flatMap(key => deleteKey(key, revision + 1))
+    publish(events)
+  })
+
+  const publish = (events: readonly KvEvent[]): void => {
+    if (events.length === 0) return
+    revision += 1
+    history.publish(revision, events)
+  }
+
+  const deleteKey = (key: string, at: number): KvEvent[] => {
+    const entry = entries.get(key)
+    if (entry === undefined) return []
+    entries.delete(key)
+    leases.detach(entry.leaseId, key)
+    return [{ kind: 'delete', entry: { ...entry, value: '', modRevision: at } }]
+  }
+
+  const putKey = (key: string, value: string, leaseId: string, at: number): KvEvent => {
+    const before = entries.get(key)
+    const entry: KvEntry = {
+      key,
+      value,
+      leaseId,
+      createRevision: before?.createRevision ?? at,
+      modRevision: at,
+      version: (before?.version ?? 0) + 1
+    }
+    entries.set(key, entry)
+    if (before !== undefined) leases.detach(before.leaseId, key)
+    leases.attach(leaseId, key)
+    return { kind: 'put', entry }
+  }
+
+  const check = (operations: readonly KvOperation[]): KvError | undefined => {
+    const puts = operations.filter(operation => operation.kind === 'put')
+    if (puts.some(put => put.key === '')) return { kind: 'empty-key' }
+    if (new Set(puts.map(put => put.key)).size < puts.length) return { kind: 'duplicate-key' }
+    if (puts.some(put => Buffer.byteLength(put.value) > maxValueBytes)) return { kind: 'too-large' }
+    if (puts.some(put => !leases.has(put.leaseId ?? NO_LEASE))) return { kind: 'lease-not-found' }
+    return undefined
+  }
+
+  const run = (operation: KvOperation, at: number, events: KvEvent[]): KvOperationResult => {
+    if (operation.kind === 'range') return { kind: 'range', entries: range(operation.range) }
+    if (operation.kind === 'put') {
+      events.push(putKey(operation.key, operation.value, operation.leaseId ?? NO_LEASE, at))
+      return { kind: 'put' }
+    }
+    const deleted = range(operation.range).flatMap(entry => deleteKey(entry.key, at))
+    events.push(...deleted)
+    return { kind: 'delete', deleted: deleted.length }
+  }
+
+  return {
+    revision: () => revision,
+    range,
+    transact: transaction => {
+      const succeeded = transaction.compares.every(compare => holds(compare, entries.get(compare.key)))
+      const operations = succeeded ? transaction.success : transaction.failure
+      const err = check(operations)
+      if (err !== undefined) return Err(err)
+      const events: KvEvent[] = []
+      const results = operations.map(operation => run(operation, revision + 1, events))
+      publish(events)
+      return Ok({ succeeded, revision, results })
+    },
+    watch: (wanted, startRevision, listener) => history.watch(wanted, startRevision, listener),
+    grantLease: leases.grant,
+    renewLease: leases.renew,
+    revokeLease: leases.revoke,
+    leases: leases.list,
+    compact: history.compact,
+    close: leases.close
+  }
+}
+
+function holds (compare: KvCompare, entry: KvEntry | undefined): boolean {
+  // etcd: a comparison of the value of an absent key never holds.
+  if (compare.target === 'value' && entry === undefined) return false
+  const actual = COMPARE_FIELDS[compare.target](entry)
+  return COMPARE_RESULTS[compare.result](actual, compare.operand)
+}
+
+type Comparable = number | string
+
+const COMPARE_FIELDS: Readonly<Record<KvCompare['target'], (entry: KvEntry | undefined) => Comparable>> = {
+  version: entry => entry?.version ?? 0,
+  create: entry => entry?.createRevision ?? 0,
+  mod: entry => entry?.modRevision ?? 0,
+  value: entry => entry?.value ?? '',
+  lease: entry => entry?.leaseId ?? NO_LEASE
+}
+
+const COMPARE_RESULTS: Readonly<Record<KvCompare['result'], (actual: Comparable, operand: Comparable) => boolean>> = {
+  equal: (actual, operand) => actual === operand,
+  'not-equal': (actual, operand) => actual !== operand,
+  greater: (actual, operand) => actual > operand,
+  less: (actual, operand) => actual < operand
+}
