--- a/packages/standins/src/node/admin.ts
+++ b/packages/standins/src/node/admin.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { parseObject, readText, sendJson } from './http/json'
+import type { JsonObject } from './http/json'
 import { createListener } from './http/listener'
 import type { Listener } from './http/listener'
 import type { FaultSwitches } from './faults'
@@ -11,17 +12,20 @@
 /** What the admin endpoints show of one stand-in. */
 export interface AdminTarget {
   faults (): object
-  setFaults (changes: object): void
+  /** Changes nothing and returns the fields at fault when one is unknown or of the wrong type. */
+  setFaults (changes: object): Promise<readonly string[]>
   records (): unknown
 }
 
-/** Sees a stand-in's typed switches as an {@link AdminTarget}. Unknown fields are left out. */
+/** Sees a stand-in's typed switches as an {@link AdminTarget}. */
 export function createAdminTarget<T extends object> (switches: FaultSwitches<T>, records: () => unknown): AdminTarget {
   return {
     faults: () => switches.now,
-    setFaults: changes => {
-      const known = Object.entries(changes).filter(([name]) => name in switches.now)
-      switches.set(Object.fromEntries(known) as Partial<T>)
+    setFaults: async changes => {
+      const known: JsonObject = { ...switches.now }
+      const wrong = Object.entries(changes).filter(([name, value]) => typeof value !== typeof known[name])
+      if (wrong.length === 0) await switches.set(changes as Partial<T>)
+      return wrong.map(([name]) => name)
     },
     records
   }
@@ -33,7 +37,8 @@
   'GET /faults': (target, _req, res) => sendJson(res, 200, target.faults()),
   'GET /records': (target, _req, res) => sendJson(res, 200, target.records()),
   'POST /faults': async (target, req, res) => {
-    target.setFaults(parseObject(await readText(req)))
+    const wrong = await target.setFaults(parseObject(await readText(req)))
+    if (wrong.length > 0) return sendJson(res, 400, { wrong, faults: target.faults() })
     sendJson(res, 200, target.faults())
   }
 }
@@ -42,7 +47,6 @@
 export function handleAdmin (target: AdminTarget, path: string, req: IncomingMessage, res: ServerResponse): boolean {
   const handler = ADMIN_HANDLERS[`${req.method} ${path}`]
   if (handler === undefined) return false
-  // The answer is written before the fault takes hold of the connection that asked for it.
   Promise.resolve(handler(target, req, res)).catch(() => res.destroy())
   return true
 }
--- a/packages/standins/src/node/engine/checkpoints.ts
+++ b/packages/standins/src/node/engine/checkpoints.ts
@@ -8,6 +8,8 @@
   /** Notes that a checkpoint was read: it is in memory from now on. */
   touch (model: string): void
   list (): readonly CheckpointLocation[]
+  /** The process started anew: what was in memory is on disk only. */
+  forgetMemory (): void
 }
 
 const IN_MEMORY = 2
@@ -29,6 +31,10 @@
       const demoted = recent.slice(IN_MEMORY)
       onDisk = [...demoted, ...onDisk.filter(other => other !== model && !demoted.includes(other))].slice(0, ON_DISK)
     },
+    forgetMemory: () => {
+      onDisk = [...inMemory, ...onDisk]
+      inMemory = []
+    },
     list: () => [
       ...inMemory.map((model): CheckpointLocation => ({ model, tier: 'memory' })),
       ...onDisk.map((model): CheckpointLocation => ({ model, tier: 'disk' }))
--- a/packages/standins/src/node/engine/faults.ts
+++ b/packages/standins/src/node/engine/faults.ts
@@ -13,6 +13,8 @@
   crashOnPrompt: string
   /** Time until a process killed by a prompt starts anew, milliseconds; 0 for never. */
   restartAfterMs: number
+  /** New requests are refused as not run. */
+  refuse: boolean
   /** Headers are sent, tokens stop. */
   stall: boolean
   /** Setting it makes the connections open at that moment silent for good; later ones work. */
@@ -44,6 +46,7 @@
     crash: false,
     crashOnPrompt: '',
     restartAfterMs: 3000,
+    refuse: false,
     stall: false,
     silentConnections: false,
     lateAnswerMs: 0,
--- a/packages/standins/src/node/engine/requests.ts
+++ b/packages/standins/src/node/engine/requests.ts
@@ -6,8 +6,7 @@
 import type { EngineRole, Order, OrderAction } from 'magnoliabay/backend/protocol'
 import { asList, asObject, asText } from '../http/json'
 import type { JsonObject } from '../http/json'
-import type { AnswerShape } from './delivery'
-import type { GenerateRequest } from './types'
+import type { AnswerShape, GenerateRequest } from './types'
 
 const DEFAULT_PRIORITY = 1
 const ACTIONS: readonly OrderAction[] = [
@@ -19,6 +18,7 @@
   const maxTokens = body.max_completion_tokens ?? body.max_tokens
   return {
     requestId: asText(headers[REQUEST_ID_HEADER]),
+    shape,
     model: asText(body.model),
     adapter: asText(body.adapter) || undefined,
     prompt: shape === 'chat' ? promptOf(body.messages) : asText(body.prompt),
--- a/packages/standins/src/node/engine/types.ts
+++ b/packages/standins/src/node/engine/types.ts
@@ -43,9 +43,14 @@
   catalog: Readonly<Record<string, number>> | undefined
 }
 
+/** `chat`: `/v1/chat/completions`. `text`: `/v1/completions`. */
+export type AnswerShape = 'chat' | 'text'
+
 /** What a request asks for. */
 export interface GenerateRequest {
+  /** '' lets the engine give one of its own. */
   requestId: string
+  shape: AnswerShape
   /** Model as named by the caller: a loaded model, or a loaded adapter. */
   model: string
   adapter?: string
@@ -80,7 +85,7 @@
   outcome: RequestOutcome
 }
 
-export type RefusalKind = 'unknown-model' | 'leaving' | 'down' | 'invalid'
+export type RefusalKind = 'unknown-model' | 'leaving' | 'down' | 'refusing' | 'invalid'
 
 /** A request that ran nothing. */
 export interface Refusal {
--- a/packages/standins/src/node/faults.ts
+++ b/packages/standins/src/node/faults.ts
@@ -1,13 +1,14 @@
 /**
  * Switches for faults, changed while a stand-in runs. `set` takes a partial object, as the admin interface does.
  */
-export type FaultListener<T> = (now: T, changed: Partial<T>) => void
+export type FaultListener<T> = (now: T, changed: Partial<T>) => void | Promise<void>
 
 export interface FaultSwitches<T extends object> {
   /** The faults in force now. */
   readonly now: Readonly<T>
-  set (changes: Partial<T>): void
-  reset (): void
+  /** Takes hold at once, but for sockets that open or close; those have when the promise resolves. */
+  set (changes: Partial<T>): Promise<void>
+  reset (): Promise<void>
   onChange (listener: FaultListener<T>): void
 }
 
@@ -18,9 +19,9 @@
 export function createFaultSwitches<T extends object> (defaults: T): FaultSwitches<T> {
   const now = { ...defaults }
   const listeners: Array<FaultListener<T>> = []
-  const set = (changes: Partial<T>): void => {
+  const set = async (changes: Partial<T>): Promise<void> => {
     Object.assign(now, changes)
-    listeners.forEach(listener => listener(now, changes))
+    await Promise.allSettled(listeners.map(listener => listener(now, changes)))
   }
   return {
     now,
--- a/packages/standins/src/node/fleet.ts
+++ b/packages/standins/src/node/fleet.ts
@@ -83,6 +83,8 @@
   readonly adminAddress: string
   /** An engine or service takes nothing new, and the list says so after its lag. */
   leave (id: string): void
+  /** An instance is taken away at once; the list says so after its lag. */
+  reclaim (id: string): Promise<void>
   close (): Promise<void>
 }
 
@@ -151,6 +153,10 @@
       engines.find(engine => engine.id === id)?.state.leave()
       services.find(service => service.id === id)?.state.leave()
     },
+    reclaim: async id => {
+      listState.remove(id)
+      await [...engines, ...services].find(instance => instance.id === id)?.close()
+    },
     close: async () => {
       const servers = [...engines, ...services, kv, list, admin]
       await Promise.all(servers.map(server => server.close()))
--- a/packages/standins/src/node/kv/faults.ts
+++ b/packages/standins/src/node/kv/faults.ts
@@ -13,6 +13,8 @@
   loseAnswers: boolean
   /** Setting it makes the watches open at that moment silent for good; later ones work. */
   watchSilent: boolean
+  /** Setting it makes every connection open at that moment silent for good; later ones work. */
+  silentConnections: boolean
 }
 
 export type KvCallKind = 'reads' | 'writes' | 'watches' | 'leases'
@@ -29,7 +31,7 @@
 const CALL_KINDS: readonly KvCallKind[] = ['reads', 'writes', 'watches', 'leases']
 
 export function createKvFaults (): FaultSwitches<KvFaults> {
-  return createFaultSwitches<KvFaults>({ down: 'no', slowMs: 0, loseAnswers: false, watchSilent: false })
+  return createFaultSwitches<KvFaults>({ down: 'no', slowMs: 0, loseAnswers: false, watchSilent: false, silentConnections: false })
 }
 
 export function createKvCallCounter (): KvCallCounter {
