--- a/packages/standins/src/node/__tests__/fleet.spec.ts
+++ b/packages/standins/src/node/__tests__/fleet.spec.ts
@@ -120,6 +120,34 @@
     expect(whole.endsWith(contentOf(text))).to.equal(true)
   })
 
+  // The connection breaks after the first token. The engine goes on, and hands out the rest on a new connection.
+  it('engine: resumes a stream that broke while it ran', async () => {
+    await load()
+    await setFaults('engine-1', { dieAfterFirstByte: true })
+    expect(await ask()).to.equal(undefined)
+    await setFaults('engine-1', { dieAfterFirstByte: false })
+    const res = await httpRequest(`http://${engineAddress()}/control/resume?request=r1&from=1`)
+    const text = await res.body.text()
+    expect(contentOf(text)).to.equal(whole.slice(whole.indexOf(' ') + 1))
+    expect(dataOf(text).at(-1)).to.equal('[DONE]')
+  })
+
+  it('engine: carries an order out once, answered twice or never', async () => {
+    await setFaults('engine-1', { orderAnswer: 'never' })
+    const stop = new AbortController()
+    const order = JSON.stringify({ orderId: 'o1', fence: 1, action: 'load', model: 'm', memoryMiB: 64 })
+    const unanswered = httpRequest(`http://${engineAddress()}/control/orders`, { method: 'POST', body: order, signal: stop.signal })
+      .catch(() => undefined)
+    const state = fleet.engines[0]?.state
+    while (state?.state().models[0]?.state !== 'loaded') await new Promise(setImmediate)
+    stop.abort()
+    expect(await unanswered).to.equal(undefined)
+    await setFaults('engine-1', { orderAnswer: 'twice' })
+    expect(JSON.parse((await load()).text)).to.deep.equal({ orderId: 'o1', outcome: 'done' })
+    expect(state?.records().orders.map(record => record.arrivals)).to.deep.equal([2])
+    expect(fleet.weights.records().length).to.equal(1)
+  })
+
   // What the caller of a faulty engine sees: a connection that breaks, or an answer that must not be believed.
   const ENGINE_FAULTS: ReadonlyArray<{ faults: Partial<EngineFaults>, sees: (answer: Answer | undefined) => unknown, expected: unknown }> = [
     { faults: { dieAfterFirstByte: true }, sees: answer => answer, expected: undefined },
