--- /dev/null
+++ b/packages/magnoliabay/src/node/admission/keys.ts
@@ -0,0 +1,58 @@
+/**
+ * Callers' keys. A key reads `mb_<id>_<secret>`; only the secret's digest is ever stored.
+ */
+import { createHash, randomBytes, timingSafeEqual } from 'node:crypto'
+import { STORE_ROOT } from '../constants'
+
+export const KEYS_PREFIX = `${STORE_ROOT}/keys/`
+
+/** Bytes of a key's public id and of its secret. */
+const ID_BYTES = 6
+const SECRET_BYTES = 24
+const KEY_FORM = /^mb_([A-Za-z0-9]+)_([A-Za-z0-9_-]+)$/
+
+export interface KeyRecord {
+  id: string
+  team: string
+  /** SHA-256 of the secret, in hex. */
+  digest: string
+  createdAtMs: number
+  withdrawnAtMs?: number
+}
+
+export interface KeyParts {
+  id: string
+  secret: string
+}
+
+export interface NewKey {
+  /** Shown once, to whoever made it. */
+  key: string
+  record: KeyRecord
+}
+
+export function createKey (team: string, nowMs: number): NewKey {
+  const id = randomBytes(ID_BYTES).toString('hex')
+  const secret = randomBytes(SECRET_BYTES).toString('base64url')
+  return {
+    key: `mb_${id}_${secret}`,
+    record: { id, team, digest: digestOf(secret), createdAtMs: nowMs }
+  }
+}
+
+export function digestOf (secret: string): string {
+  return createHash('sha256').update(secret).digest('hex')
+}
+
+export function splitKey (key: string): KeyParts | undefined {
+  const match = KEY_FORM.exec(key)
+  if (match === null) return undefined
+  return { id: match[1]!, secret: match[2]! }
+}
+
+/** Compares in constant time, so that the time taken tells nothing about the secret. */
+export function secretMatches (record: Pick<KeyRecord, 'digest'>, secret: string): boolean {
+  const expected = Buffer.from(record.digest, 'hex')
+  const actual = Buffer.from(digestOf(secret), 'hex')
+  return expected.length === actual.length && timingSafeEqual(expected, actual)
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/bin.ts
@@ -0,0 +1,4 @@
+/** Entry of the program. */
+import { runCli } from './cli'
+
+runCli(process.argv.slice(2)).then(code => process.exit(code))
--- /dev/null
+++ b/packages/magnoliabay/src/node/cells/replicas.ts
@@ -0,0 +1,38 @@
+/**
+ * The replica tables that this instance has heard of: what may be called, and where.
+ */
+import { createListeners } from '../members/dispatch'
+import type { Disposer } from '../members/peers'
+import type { ReplicaEntry, ReplicaTable } from './records'
+
+export interface Replicas {
+  of (model: string): readonly ReplicaEntry[]
+  all (): readonly ReplicaEntry[]
+  tables (): readonly ReplicaTable[]
+  /** Takes a table unless a newer one of the cell is known. */
+  take (table: ReplicaTable): void
+  onChanged (listener: () => void): Disposer
+}
+
+export function createReplicas (): Replicas {
+  const tables = new Map<string, ReplicaTable>()
+  const changed = createListeners<[]>()
+  const all = (): ReplicaEntry[] => [...tables.values()].flatMap(table => table.replicas)
+  return {
+    all,
+    of: model => all().filter(replica => replica.model === model),
+    tables: () => [...tables.values()],
+    take: table => {
+      const known = tables.get(table.cell)
+      if (known !== undefined && !isNewer(table, known)) return
+      tables.set(table.cell, table)
+      changed.emit()
+    },
+    onChanged: changed.add
+  }
+}
+
+function isNewer (table: ReplicaTable, known: ReplicaTable): boolean {
+  if (table.fence !== known.fence) return table.fence > known.fence
+  return table.version > known.version
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/cli.ts
@@ -0,0 +1,89 @@
+/** The command line: finds the command, checks its options, runs it. */
+import { parseArgs } from 'node:util'
+import { devCommand } from './commands/dev'
+import { serveCommand } from './commands/serve'
+import { EXIT_DONE, EXIT_FAILED, EXIT_USAGE } from './commands/types'
+import type { Command, ExitCode, OptionDescription } from './commands/types'
+import { VERSION } from './constants'
+import { createLogger } from './logger'
+import { messageOf } from './utils'
+
+const print = (text: string): void => { process.stdout.write(`${text}\n`) }
+const printError = (text: string): void => { process.stderr.write(`${text}\n`) }
+
+export const productCommands: readonly Command[] = [serveCommand, devCommand]
+
+/** Runs the command line and returns the exit code. */
+export async function runCli (args: readonly string[], commands: readonly Command[] = productCommands): Promise<ExitCode> {
+  const [name, ...rest] = args
+  if (name === '--version') {
+    print(VERSION)
+    return EXIT_DONE
+  }
+  if (name === undefined || name === '--help') {
+    print(formatOverview(commands))
+    return name === undefined ? EXIT_USAGE : EXIT_DONE
+  }
+  const command = commands.find(candidate => candidate.name === name)
+  if (command === undefined) {
+    printError(`There is no command ${name}. magnoliabay --help lists those there are.`)
+    return EXIT_USAGE
+  }
+  return await runCommand(command, rest)
+}
+
+async function runCommand (command: Command, args: string[]): Promise<ExitCode> {
+  const parsed = parse(command, args)
+  if ('problem' in parsed) {
+    printError(`${parsed.problem}\n\n${formatUsage(command)}`)
+    return EXIT_USAGE
+  }
+  if (parsed.values.help === true) {
+    print(formatUsage(command))
+    return EXIT_DONE
+  }
+  try {
+    return await command.run({ ...parsed, logger: createLogger(), print, printError })
+  } catch (err) {
+    printError(`magnoliabay ${command.name} failed: ${messageOf(err)}`)
+    return EXIT_FAILED
+  }
+}
+
+interface ParsedArgs {
+  values: Record<string, string | boolean | undefined>
+  positionals: string[]
+}
+
+function parse (command: Command, args: string[]): ParsedArgs | { problem: string } {
+  const described = Object.entries(command.options).map(([name, option]) => [name, { type: option.type, default: option.default }] as const)
+  const options = Object.fromEntries([...described, ['help', { type: 'boolean' as const, default: undefined }] as const])
+  try {
+    const { values, positionals } = parseArgs({ args, options: withoutUndefined(options), allowPositionals: command.positionals !== undefined })
+    return { values: values as ParsedArgs['values'], positionals }
+  } catch (err) {
+    return { problem: messageOf(err) }
+  }
+}
+
+type ParseOption = { type: 'string' | 'boolean', default?: string | boolean }
+
+function withoutUndefined (options: Record<string, ParseOption>): Record<string, ParseOption> {
+  return Object.fromEntries(Object.entries(options).map(([name, option]) =>
+    [name, option.default === undefined ? { type: option.type } : option]))
+}
+
+function formatOverview (commands: readonly Command[]): string {
+  const width = Math.max(...commands.map(command => command.name.length))
+  const lines = commands.map(command => `  ${command.name.padEnd(width)}  ${command.summary}`)
+  return ['magnoliabay serves models that are rarely used.', '', 'Usage: magnoliabay <command> [options]', '', ...lines, '', 'magnoliabay <command> --help tells more; --version tells the version.'].join('\n')
+}
+
+function formatUsage (command: Command): string {
+  const all: Array<[string, OptionDescription]> = [...Object.entries(command.options), ['help', { type: 'boolean', description: 'Show this text.' }]]
+  const labelOf = ([name, option]: [string, OptionDescription]): string => option.value === undefined ? `--${name}` : `--${name} ${option.value}`
+  const width = Math.max(...all.map(entry => labelOf(entry).length))
+  const lines = all.map(entry => `  ${labelOf(entry).padEnd(width)}  ${entry[1].description}`)
+  const positionals = command.positionals === undefined ? '' : ` ${command.positionals}`
+  return [`Usage: magnoliabay ${command.name}${positionals} [options]`, '', command.summary, '', ...lines].join('\n')
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/commands/embedded.ts
@@ -0,0 +1,132 @@
+/**
+ * The embedded default: stand-ins for the platform and the engines, and a few instances, in one process.
+ */
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { createStandInFleet } from '@magnoliabay/standins'
+import type { StandInFleet } from '@magnoliabay/standins'
+import { createSystemClock, sleep } from '../clock'
+import type { Clock } from '../clock'
+import { resolveSettings } from '../config'
+import { createInstance } from '../instance'
+import type { Instance } from '../instance'
+import type { Logger } from '../logger'
+import { operatorKeyDigest } from '../operators'
+import { createOperatorClient } from '../operators/client'
+import type { OperatorClient } from '../operators/client'
+import { createEtcdStore, createInstanceListClient } from '../platform'
+import { createId } from '../utils'
+import { EMBEDDED_DOMAINS, EMBEDDED_FLEET, EMBEDDED_MODELS, EMBEDDED_REGION, EMBEDDED_TEAM } from './embeddedFleet'
+
+export interface EmbeddedOptions {
+  /** @default 3 */
+  instances?: number
+  /** First of the entry ports; 0 takes any free ones. @default 0 */
+  port?: number
+  /** First of the stand-ins' ports; 0 takes any free ones. @default 0 */
+  standInPort?: number
+  logger: Logger
+}
+
+export interface Embedded {
+  standIns: StandInFleet
+  instances: readonly Instance[]
+  entries: readonly string[]
+  storeUrl: string
+  listUrl: string
+  callerKey: string
+  callerKeyId: string
+  operatorKey: string
+  operators: OperatorClient
+  models: readonly string[]
+  close (): Promise<void>
+}
+
+const HOST = '127.0.0.1'
+const READY_POLL_MS = 50
+
+export async function startEmbedded (options: EmbeddedOptions): Promise<Embedded> {
+  const { logger } = options
+  const clock = createSystemClock()
+  const standIns = await createStandInFleet({
+    failureDomains: EMBEDDED_DOMAINS,
+    region: EMBEDDED_REGION,
+    ports: standInPorts(options.standInPort ?? 0)
+  })
+  const storeUrl = `http://${standIns.kv.address}`
+  const listUrl = `http://${standIns.list.address}/instances`
+  const operatorKey = createId('op')
+  const store = createEtcdStore({ endpoints: [storeUrl], clock, logger })
+  const list = createInstanceListClient(listUrl)
+
+  const count = options.instances ?? 3
+  const ports = await choosePorts(options.port ?? 0, count * 3)
+  const instances = Array.from({ length: count }, (_, index) => createInstance({
+    settings: resolveSettings({
+      instance: {
+        id: `entry-${index + 1}`,
+        site: 'embedded',
+        region: EMBEDDED_REGION,
+        failureDomain: EMBEDDED_DOMAINS[index % EMBEDDED_DOMAINS.length]!,
+        entryAddress: `${HOST}:${ports[index]}`,
+        peerAddress: `${HOST}:${ports[count + index]}`,
+        operatorAddress: `${HOST}:${ports[2 * count + index]}`
+      },
+      platform: { store: [storeUrl], instanceList: listUrl },
+      operators: { keyDigests: [operatorKeyDigest(operatorKey)] }
+    }),
+    store,
+    list,
+    clock,
+    logger
+  }))
+  await Promise.all(instances.map(instance => instance.start()))
+  const operators = createOperatorClient({ address: instances[0]!.member.operatorAddress, key: operatorKey })
+  await operators.applyConfig(EMBEDDED_FLEET)
+  const created = await operators.createKey(EMBEDDED_TEAM)
+  await untilReady(clock, instances)
+
+  return {
+    standIns,
+    instances,
+    entries: instances.map(instance => `http://${instance.member.entryAddress}`),
+    storeUrl,
+    listUrl,
+    callerKey: created.key,
+    callerKeyId: created.id,
+    operatorKey,
+    operators,
+    models: EMBEDDED_MODELS,
+    close: async () => {
+      await Promise.all(instances.map(instance => instance.shutdown()))
+      await store.close()
+      await standIns.close()
+    }
+  }
+}
+
+function standInPorts (first: number): { kv: number, list: number, admin: number, firstEngine: number, firstService: number } {
+  if (first === 0) return { kv: 0, list: 0, admin: 0, firstEngine: 0, firstService: 0 }
+  return { kv: first, list: first + 1, admin: first + 2, firstEngine: first + 10, firstService: first + 50 }
+}
+
+async function untilReady (clock: Clock, instances: readonly Instance[]): Promise<void> {
+  while (!instances.every(instance => instance.isReady())) {
+    await sleep(clock, READY_POLL_MS)
+  }
+}
+
+async function choosePorts (first: number, count: number): Promise<number[]> {
+  if (first !== 0) return Array.from({ length: count }, (_, index) => first + index)
+  const servers = await Promise.all(Array.from({ length: count }, listenAnywhere))
+  const ports = servers.map(server => (server.address() as AddressInfo).port)
+  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
+  return ports
+}
+
+function listenAnywhere (): Promise<ReturnType<typeof createServer>> {
+  return new Promise(resolve => {
+    const server = createServer()
+    server.listen(0, HOST, () => resolve(server))
+  })
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/commands/serve.ts
@@ -0,0 +1,46 @@
+/** `magnoliabay serve`: one instance as its own process. */
+import { readFile } from 'node:fs/promises'
+import { createSystemClock } from '../clock'
+import { formatProblem, parseSettings } from '../config'
+import { createInstance } from '../instance'
+import { createLogger } from '../logger'
+import { createEtcdStore, createInstanceListClient } from '../platform'
+import { messageOf } from '../utils'
+import { EXIT_DONE, EXIT_USAGE } from './types'
+import type { Command } from './types'
+import { untilSignal } from './untilSignal'
+
+export const serveCommand: Command = {
+  name: 'serve',
+  summary: 'Run one instance against the store, list and engines that its settings name.',
+  options: {
+    settings: { type: 'string', value: 'FILE', description: 'Settings of the instance, in TOML. Required.' }
+  },
+  run: async ({ values, printError }) => {
+    const file = values.settings
+    if (typeof file !== 'string') {
+      printError('Say which settings to use: magnoliabay serve --settings FILE')
+      return EXIT_USAGE
+    }
+    const text = await readFile(file, 'utf8').catch((err: unknown) => ({ problem: messageOf(err) }))
+    if (typeof text !== 'string') {
+      printError(`${file} cannot be read: ${text.problem}`)
+      return EXIT_USAGE
+    }
+    const settings = parseSettings(file, text)
+    if (settings.err) {
+      settings.val.problems.forEach(problem => printError(formatProblem(problem)))
+      return EXIT_USAGE
+    }
+    const clock = createSystemClock()
+    const logger = createLogger({ level: settings.val.log.level })
+    const store = createEtcdStore({ endpoints: settings.val.platform.store, clock, logger })
+    const list = createInstanceListClient(settings.val.platform.instanceList)
+    const instance = createInstance({ settings: settings.val, store, list, clock, logger })
+    await instance.start()
+    await untilSignal()
+    await instance.shutdown()
+    await store.close()
+    return EXIT_DONE
+  }
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/commands/types.ts
@@ -0,0 +1,34 @@
+/** What every command of the command line has. */
+import type { Logger } from '../logger'
+
+/** Exit codes of the program. */
+export const EXIT_DONE = 0
+export const EXIT_FAILED = 1
+export const EXIT_USAGE = 2
+
+export type ExitCode = typeof EXIT_DONE | typeof EXIT_FAILED | typeof EXIT_USAGE
+
+export interface OptionDescription {
+  type: 'string' | 'boolean'
+  /** Shown in the usage, such as `FILE`. */
+  value?: string
+  description: string
+  default?: string | boolean
+}
+
+export interface CommandContext {
+  values: Readonly<Record<string, string | boolean | undefined>>
+  positionals: readonly string[]
+  logger: Logger
+  print: (text: string) => void
+  printError: (text: string) => void
+}
+
+export interface Command {
+  name: string
+  summary: string
+  /** Positional arguments, as shown in the usage. */
+  positionals?: string
+  options: Readonly<Record<string, OptionDescription>>
+  run (context: CommandContext): Promise<ExitCode>
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/config/settings.ts
@@ -0,0 +1,61 @@
+/**
+ * Settings of one instance: who it is, where it listens, where the platform is. Read once at start.
+ */
+import * as v from 'valibot'
+import type { Result } from '../result'
+import { parseConfig } from './schema'
+import type { ConfigError } from './schema'
+
+const address = v.pipe(v.string(), v.regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, 'an address ip:port'))
+const url = v.pipe(v.string(), v.url('a URL'))
+const positive = v.pipe(v.number(), v.integer(), v.minValue(1))
+
+export const settingsSchema = v.strictObject({
+  instance: v.strictObject({
+    /** Name of the instance, unique in the fleet. */
+    id: v.pipe(v.string(), v.regex(/^[a-z0-9][a-z0-9-]*$/, 'lower-case letters, digits and dashes')),
+    /** Site whose overlay holds here. */
+    site: v.string(),
+    region: v.string(),
+    failureDomain: v.string(),
+    entryAddress: address,
+    peerAddress: address,
+    operatorAddress: address
+  }),
+  platform: v.strictObject({
+    /** Origins of the key-value service. */
+    store: v.pipe(v.array(url), v.minLength(1)),
+    /** URL of the instance list. */
+    instanceList: url
+  }),
+  operators: v.optional(v.strictObject({
+    /** SHA-256 digests, in hex, of the operator keys that hold from the first start on. @default [] */
+    keyDigests: v.optional(v.array(v.string()), [])
+  }), {}),
+  limits: v.optional(v.strictObject({
+    /** Largest body taken from a caller, in bytes. @default 1 MiB */
+    maxBodyBytes: v.optional(positive, 1_048_576),
+    /** A caller that takes longer than this to send its body is refused, in milliseconds. @default 10000 */
+    bodyTimeoutMs: v.optional(positive, 10_000),
+    /** Deadline of a request that names none, in milliseconds. @default 60000 */
+    deadlineMs: v.optional(positive, 60_000),
+    /** Tokens an answer may have when the request names no limit. @default 256 */
+    defaultMaxTokens: v.optional(positive, 256)
+  }), {}),
+  log: v.optional(v.strictObject({
+    /** @default 'info' */
+    level: v.optional(v.picklist(['debug', 'info', 'warn', 'error']), 'info')
+  }), {})
+})
+
+export type ResolvedSettings = v.InferOutput<typeof settingsSchema>
+export type Settings = v.InferInput<typeof settingsSchema>
+
+export function parseSettings (file: string, text: string): Result<ResolvedSettings, ConfigError> {
+  return parseConfig(file, text, settingsSchema)
+}
+
+/** Settings given in code, with defaults filled in. Throws on wrong ones: that is a fault of the program. */
+export function resolveSettings (settings: Settings): ResolvedSettings {
+  return v.parse(settingsSchema, settings)
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/entry/completionRequest.ts
@@ -0,0 +1,53 @@
+/** Reads an OpenAI-compatible completion request as far as routing and limits need it. */
+import * as v from 'valibot'
+import { refusal } from '../failures'
+import type { Failure } from '../failures'
+import { Err, Ok } from '../result'
+import type { Result } from '../result'
+
+/** Rough length of a token, for the reservation that is settled to what was used. */
+const BYTES_PER_TOKEN = 4
+
+const completionSchema = v.looseObject({
+  model: v.string(),
+  stream: v.optional(v.boolean(), false),
+  max_tokens: v.optional(v.nullable(v.pipe(v.number(), v.integer(), v.minValue(1)))),
+  max_completion_tokens: v.optional(v.nullable(v.pipe(v.number(), v.integer(), v.minValue(1))))
+})
+
+export interface CompletionRequest {
+  model: string
+  isStream: boolean
+  maxTokens: number
+  /** Prompt and answer at most: what is reserved of the team's allowance. */
+  reservedTokens: number
+  body: Buffer
+}
+
+export function parseCompletion (body: Buffer, defaultMaxTokens: number): Result<CompletionRequest, Failure> {
+  const json = parseJson(body)
+  if (json === undefined) return Err(refusal('bad_request', 'The body is not valid JSON.'))
+  const checked = v.safeParse(completionSchema, json)
+  if (!checked.success) {
+    const issue = checked.issues[0]
+    const path = issue.path?.map(item => String(item.key)).join('.') ?? 'body'
+    return Err(refusal('bad_request', `${path}: found ${issue.received}, allowed is ${issue.expected ?? issue.message}.`))
+  }
+  const maxTokens = checked.output.max_completion_tokens ?? checked.output.max_tokens ?? defaultMaxTokens
+  const promptTokens = Math.ceil(body.length / BYTES_PER_TOKEN)
+  return Ok({
+    model: checked.output.model,
+    isStream: checked.output.stream,
+    maxTokens,
+    reservedTokens: promptTokens + maxTokens,
+    body: Buffer.from(JSON.stringify({ ...checked.output, max_tokens: maxTokens }))
+  })
+}
+
+function parseJson (body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString('utf8'))
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/failures.ts
@@ -0,0 +1,92 @@
+/**
+ * Every way in which a request is refused or fails, with what the caller is told.
+ */
+
+export type FailureCode =
+  | 'bad_request'
+  | 'body_too_large'
+  | 'body_timeout'
+  | 'missing_key'
+  | 'invalid_key'
+  | 'key_withdrawn'
+  | 'forbidden_model'
+  | 'unknown_model'
+  | 'unknown_service'
+  | 'not_found'
+  | 'over_allowance'
+  | 'overloaded'
+  | 'deadline_exceeded'
+  | 'no_capacity'
+  | 'shutting_down'
+  | 'idempotency_conflict'
+  | 'idempotency_in_progress'
+  | 'may_have_run'
+  | 'store_unavailable'
+  | 'crashes_backend'
+  | 'backend_failed'
+  | 'answer_cut'
+  | 'internal'
+
+/** A failure as the caller sees it. */
+export interface Failure {
+  code: FailureCode
+  message: string
+  /** True only when nothing of the request ran on any backend server. */
+  notRun: boolean
+  /** When a repeat makes sense, in seconds. */
+  retryAfterSeconds?: number
+}
+
+const HTTP_STATUS: Record<FailureCode, number> = {
+  bad_request: 400,
+  body_too_large: 413,
+  body_timeout: 408,
+  missing_key: 401,
+  invalid_key: 401,
+  key_withdrawn: 401,
+  forbidden_model: 403,
+  unknown_model: 404,
+  unknown_service: 404,
+  not_found: 404,
+  over_allowance: 429,
+  overloaded: 503,
+  deadline_exceeded: 504,
+  no_capacity: 503,
+  shutting_down: 503,
+  idempotency_conflict: 422,
+  idempotency_in_progress: 409,
+  may_have_run: 409,
+  store_unavailable: 503,
+  crashes_backend: 422,
+  backend_failed: 502,
+  answer_cut: 502,
+  internal: 500
+}
+
+export function httpStatusOf (failure: Failure): number {
+  return HTTP_STATUS[failure.code]
+}
+
+/** A refusal before anything was sent to a backend server. */
+export function refusal (code: FailureCode, message: string, retryAfterSeconds?: number): Failure {
+  return { code, message, notRun: true, retryAfterSeconds }
+}
+
+/** A failure after the request may have reached a backend server. */
+export function mayHaveRun (code: FailureCode, message: string): Failure {
+  return { code, message, notRun: false }
+}
+
+/** The typed JSON body of a failure. OpenAI-compatible clients find `error.message` and `error.code`. */
+export function failureBody (failure: Failure, requestId: string): object {
+  return {
+    error: {
+      code: failure.code,
+      type: failure.code,
+      message: failure.message,
+      not_run: failure.notRun,
+      request_id: requestId,
+      retry_after: failure.retryAfterSeconds
+    }
+  }
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/index.ts
@@ -0,0 +1,10 @@
+/** What the package offers to programs that embed an instance. */
+export { createSystemClock } from './clock'
+export type { Clock } from './clock'
+export { parseSettings, resolveSettings } from './config'
+export type { ResolvedSettings, Settings } from './config'
+export { createInstance } from './instance'
+export type { Instance, InstanceOptions } from './instance'
+export { createLogger } from './logger'
+export type { Logger } from './logger'
+export { createEtcdStore, createInstanceListClient } from './platform'
--- /dev/null
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -0,0 +1,110 @@
+/**
+ * One instance of the system: every subsystem, joined.
+ */
+import { createKeyring } from './admission'
+import { createAllowance } from './allowance'
+import { createDirectory, createEngineClient, createPools } from './backend'
+import { createCells } from './cells'
+import type { Clock } from './clock'
+import { sleep } from './clock'
+import { createConfigHolder } from './config'
+import type { ResolvedSettings } from './config'
+import { createEntry } from './entry'
+import type { Logger } from './logger'
+import { createMembership, createPeerNetwork } from './members'
+import type { MemberRecord } from './members'
+import { createMetrics } from './metrics'
+import { createOnce } from './once'
+import { createOperators } from './operators'
+import { createOperatorCommands } from './operators/commands'
+import type { InstanceList, Store } from './platform'
+import { createRouting } from './routing'
+import { createId } from './utils'
+
+/** Callers keep an answer of locate for up to this long; an instance that leaves serves them until then. */
+const LOCATE_RUN_OUT_MS = 1000
+
+export interface InstanceOptions {
+  settings: ResolvedSettings
+  store: Store
+  list: InstanceList
+  clock: Clock
+  logger: Logger
+}
+
+export interface Instance {
+  readonly member: MemberRecord
+  start (): Promise<void>
+  isReady (): boolean
+  /** Ends in order: nothing is cut. */
+  shutdown (): Promise<void>
+}
+
+export function createInstance (options: InstanceOptions): Instance {
+  const { settings, store, clock } = options
+  const { id, region, failureDomain, peerAddress, entryAddress, operatorAddress } = settings.instance
+  const logger = options.logger.with({ instance: id })
+  const self: MemberRecord = {
+    id,
+    incarnation: createId(id),
+    startedAtMs: clock.now(),
+    region,
+    failureDomain,
+    peerAddress,
+    entryAddress,
+    operatorAddress,
+    leaving: false
+  }
+  const stop = new AbortController()
+  const metrics = createMetrics()
+  const pools = createPools(null)
+  const engines = createEngineClient()
+  const peers = createPeerNetwork({ self, clock, logger })
+  const membership = createMembership({ store, network: peers, clock, logger })
+  const cfg = createConfigHolder({ store, logger })
+  const keyring = createKeyring({ store, peers, clock })
+  const directory = createDirectory({ list: options.list, clock, logger })
+  const allowance = createAllowance({ cfg, peers, clock, logger })
+  const once = createOnce({ store, holder: self.incarnation })
+  const cells = createCells({ store, peers, membership, directory, engines, cfg, clock, logger })
+  const routing = createRouting({ cells, clock })
+  const isReady = (): boolean => cfg.inForce().version > 0 && membership.leaseId() !== undefined && !self.leaving
+  const entry = createEntry({ settings, cfg, keyring, allowance, routing, directory, once, pools, peers, clock, logger, metrics, isReady })
+  const commands = createOperatorCommands({ store, keyring, clock })
+  const status = (): object => ({
+    instance: self,
+    members: peers.members(),
+    config: cfg.inForce().version,
+    replicas: cells.replicas.all()
+  })
+  const operators = createOperators({ settings, commands, status, clock })
+
+  return {
+    member: self,
+    isReady,
+    start: async () => {
+      await peers.start()
+      membership.start(stop.signal)
+      cfg.start(stop.signal)
+      keyring.start(stop.signal)
+      directory.start(stop.signal)
+      cells.start(stop.signal)
+      await entry.start()
+      await operators.start()
+      logger.info('instance-started', { entry: entryAddress, peer: peerAddress, operator: operatorAddress })
+    },
+    shutdown: async () => {
+      logger.info('instance-leaving')
+      await membership.announceLeaving()
+      await cells.handOver()
+      await sleep(clock, LOCATE_RUN_OUT_MS)
+      await entry.close()
+      await operators.close()
+      stop.abort()
+      await membership.deregister()
+      await peers.close()
+      await Promise.all([pools.close(), engines.close()])
+      logger.info('instance-stopped')
+    }
+  }
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/members/dispatch.ts
@@ -0,0 +1,56 @@
+/** Handlers of calls and notices by kind, and listeners; shared by every carrier of {@link Peers}. */
+import { Err, Ok } from '../result'
+import type { Result } from '../result'
+import { messageOf } from '../utils'
+import type { Disposer, PeerCall, PeerCallHandler, PeerError, PeerNotice, PeerNoticeHandler } from './peers'
+import type { MemberRecord } from './record'
+
+export interface Dispatch {
+  serve<Req, Res> (call: PeerCall<Req, Res>, handler: PeerCallHandler<Req, Res>): void
+  listen<Body> (notice: PeerNotice<Body>, handler: PeerNoticeHandler<Body>): void
+  handleCall (kind: string, body: unknown, from: MemberRecord): Promise<Result<unknown, PeerError>>
+  handleNotice (kind: string, body: unknown, from: MemberRecord): void
+}
+
+export function createDispatch (): Dispatch {
+  const calls = new Map<string, PeerCallHandler<unknown, unknown>>()
+  const notices = new Map<string, PeerNoticeHandler<unknown>[]>()
+  return {
+    serve: (call, handler) => {
+      calls.set(call.kind, handler as PeerCallHandler<unknown, unknown>)
+    },
+    listen: (notice, handler) => {
+      const handlers = notices.get(notice.kind) ?? []
+      notices.set(notice.kind, [...handlers, handler as PeerNoticeHandler<unknown>])
+    },
+    handleCall: async (kind, body, from) => {
+      const handler = calls.get(kind)
+      if (handler === undefined) return Err({ kind: 'no-handler', message: `No handler for calls of kind ${kind}.` })
+      try {
+        return Ok(await handler(body, from))
+      } catch (err) {
+        return Err({ kind: 'handler-failed', message: messageOf(err) })
+      }
+    },
+    handleNotice: (kind, body, from) => {
+      const handlers = notices.get(kind) ?? []
+      handlers.forEach(handler => handler(body, from))
+    }
+  }
+}
+
+export interface Listeners<Args extends unknown[]> {
+  add (listener: (...args: Args) => void): Disposer
+  emit (...args: Args): void
+}
+
+export function createListeners<Args extends unknown[]> (): Listeners<Args> {
+  const listeners = new Set<(...args: Args) => void>()
+  return {
+    add: listener => {
+      listeners.add(listener)
+      return () => listeners.delete(listener)
+    },
+    emit: (...args) => [...listeners].forEach(listener => listener(...args))
+  }
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/members/index.ts
@@ -0,0 +1,8 @@
+/** Membership and the links between members. */
+export { createMembership } from './membership'
+export type { Membership } from './membership'
+export { createPeerNetwork } from './network'
+export type { PeerNetwork } from './network'
+export { definePeerCall, definePeerNotice } from './peers'
+export type { Peers, PeerCall, PeerError, PeerNotice } from './peers'
+export type { MemberRecord } from './record'
--- /dev/null
+++ b/packages/magnoliabay/src/node/members/membership.ts
@@ -0,0 +1,93 @@
+/**
+ * Keeps this instance's record in the store under one lease, and the network's members up to date.
+ */
+import type { Clock } from '../clock'
+import { repeat } from '../clock'
+import type { Logger } from '../logger'
+import type { KeyValue, Store } from '../platform'
+import type { PeerNetwork } from './network'
+import { MEMBERS_PREFIX, memberKey } from './record'
+import type { MemberRecord } from './record'
+
+/** Seconds after which the store drops what hangs on a lease that nobody renews. */
+const LEASE_TTL_SECONDS = 10
+const RENEW_PERIOD_MS = 3000
+
+export interface MembershipOptions {
+  store: Store
+  network: PeerNetwork
+  clock: Clock
+  logger: Logger
+}
+
+export interface Membership {
+  /** The process's one lease, or undefined while none stands. */
+  leaseId (): string | undefined
+  /** Registers and keeps registering until `signal` aborts. */
+  start (signal: AbortSignal): void
+  /** Tells everybody that no new callers should come here. */
+  announceLeaving (): Promise<void>
+  /** Gives the lease back, and with it the record. */
+  deregister (): Promise<void>
+}
+
+export function createMembership (options: MembershipOptions): Membership {
+  const { store, network, clock, logger } = options
+  const self = network.self
+  const records = new Map<string, MemberRecord>()
+  let leaseId: string | undefined
+
+  const register = async (): Promise<void> => {
+    const lease = await store.grantLease(LEASE_TTL_SECONDS)
+    if (lease.err) return logger.warn('lease-not-granted', { reason: lease.val.message })
+    const put = await putRecord(lease.val)
+    if (put.err) return logger.warn('member-not-registered', { reason: put.val.message })
+    leaseId = lease.val
+    logger.info('member-registered', { lease: leaseId })
+  }
+  const putRecord = async (lease: string): ReturnType<Store['transact']> =>
+    await store.transact({
+      compares: [],
+      writes: [{ kind: 'put', key: memberKey(self.id), value: JSON.stringify(self), leaseId: lease }]
+    }, { priority: 'ownership' })
+  const renewOrRegister = async (): Promise<void> => {
+    if (leaseId === undefined) return await register()
+    const renewed = await store.renewLease(leaseId)
+    if (renewed.ok || renewed.val.kind !== 'lease-lost') return
+    logger.warn('lease-lapsed', { lease: leaseId })
+    leaseId = undefined
+    await register()
+  }
+  const apply = (): void => network.setMembers([...records.values()])
+  const addRecord = (entry: Pick<KeyValue, 'key' | 'value'>): void => {
+    const record = JSON.parse(entry.value) as MemberRecord
+    records.set(record.id, record)
+  }
+
+  return {
+    leaseId: () => leaseId,
+    start: signal => {
+      store.watch(MEMBERS_PREFIX, {
+        onSnapshot: snapshot => {
+          records.clear()
+          snapshot.entries.forEach(addRecord)
+          apply()
+        },
+        onEvent: event => {
+          if (event.kind === 'put') addRecord(event)
+          else records.delete(event.key.slice(MEMBERS_PREFIX.length))
+          apply()
+        }
+      }, signal)
+      repeat(clock, RENEW_PERIOD_MS, signal, renewOrRegister)
+    },
+    announceLeaving: async () => {
+      self.leaving = true
+      if (leaseId !== undefined) await putRecord(leaseId)
+    },
+    deregister: async () => {
+      if (leaseId !== undefined) await store.revokeLease(leaseId)
+      leaseId = undefined
+    }
+  }
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/members/record.ts
@@ -0,0 +1,27 @@
+/** What a member tells the others about itself, kept in the store under its lease. */
+import { STORE_ROOT } from '../constants'
+
+export interface MemberRecord {
+  /** Instance id, stable over restarts of the same instance. */
+  id: string
+  /** Unique for each process that ever ran under this id. */
+  incarnation: string
+  /** Wall-clock start of the process, Unix epoch milliseconds; orders incarnations of one id. */
+  startedAtMs: number
+  region: string
+  failureDomain: string
+  /** `ip:port` where peers connect. */
+  peerAddress: string
+  /** `ip:port` where callers connect. */
+  entryAddress: string
+  /** `ip:port` of the operators' interface. */
+  operatorAddress: string
+  /** Set once the instance shuts down: callers are no longer sent to it. */
+  leaving: boolean
+}
+
+export const MEMBERS_PREFIX = `${STORE_ROOT}/members/`
+
+export function memberKey (id: string): string {
+  return `${MEMBERS_PREFIX}${id}`
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/metrics/index.ts
@@ -0,0 +1,37 @@
+/** Metrics by `prom-client`, one registry for each instance. */
+import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
+
+const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.83, 1, 2.5, 5, 10, 30, 60]
+
+export interface Metrics {
+  registry: Registry
+  requests: Counter<'outcome' | 'code' | 'team'>
+  firstToken: Histogram<'start'>
+  openRequests: Gauge
+}
+
+export function createMetrics (): Metrics {
+  const registry = new Registry()
+  collectDefaultMetrics({ register: registry, prefix: 'magnoliabay_' })
+  return {
+    registry,
+    requests: new Counter({
+      name: 'magnoliabay_requests_total',
+      help: 'Requests by how they ended.',
+      labelNames: ['outcome', 'code', 'team'],
+      registers: [registry]
+    }),
+    firstToken: new Histogram({
+      name: 'magnoliabay_first_token_seconds',
+      help: 'Time from the request to the first byte of its answer.',
+      labelNames: ['start'],
+      buckets: LATENCY_BUCKETS_SECONDS,
+      registers: [registry]
+    }),
+    openRequests: new Gauge({
+      name: 'magnoliabay_open_requests',
+      help: 'Requests being waited for or answered.',
+      registers: [registry]
+    })
+  }
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/utils.ts
@@ -0,0 +1,42 @@
+/** Small helpers without a subsystem of their own. */
+import { createHash, randomBytes } from 'node:crypto'
+
+const ID_BYTES = 9
+
+/** A random identifier, unique for all practical purposes; URL-safe. */
+export function createId (prefix: string): string {
+  return `${prefix}-${randomBytes(ID_BYTES).toString('base64url')}`
+}
+
+/** First 48 bits of SHA-256, as a number: the same on every instance and in every version. */
+export function stableHash (text: string): number {
+  return createHash('sha256').update(text).digest().readUIntBE(0, 6)
+}
+
+/**
+ * Candidates in the order that rendezvous hashing gives for `key`: a member that comes or goes moves
+ * only the keys that it wins or held.
+ */
+export function rankByRendezvous<T> (key: string, candidates: readonly T[], idOf: (candidate: T) => string): T[] {
+  return candidates
+    .map(candidate => ({ candidate, weight: stableHash(`${key}\0${idOf(candidate)}`) }))
+    .sort((left, right) => right.weight - left.weight)
+    .map(ranked => ranked.candidate)
+}
+
+export interface HostPort {
+  host: string
+  port: number
+}
+
+/** Splits `ip:port`; IPv6 addresses stand in brackets. */
+export function parseHostPort (address: string): HostPort {
+  const split = address.lastIndexOf(':')
+  const host = address.slice(0, split).replace(/^\[|\]$/g, '')
+  return { host, port: Number(address.slice(split + 1)) }
+}
+
+/** Text of anything thrown. */
+export function messageOf (err: unknown): string {
+  return err instanceof Error ? err.message : String(err)
+}
--- /dev/null
+++ b/scripts/checkBinary.ts
@@ -0,0 +1,38 @@
+/** Starts the binary itself and makes it answer a streamed call: a bundle can fail where the sources work. */
+import { spawn } from 'node:child_process'
+import { createInterface } from 'node:readline'
+import { request } from 'undici'
+
+const READY_WITHIN_MS = 30_000
+
+const child = spawn('dist/magnoliabay', ['dev', '--port', '0'], { stdio: ['ignore', 'pipe', 'inherit'] })
+const tooLate = setTimeout(() => fail('the binary was not ready in time'), READY_WITHIN_MS)
+
+function fail (why: string): never {
+  child.kill('SIGKILL')
+  process.stderr.write(`check-binary: ${why}\n`)
+  process.exit(1)
+}
+
+async function exercise (line: string): Promise<void> {
+  const fields = Object.fromEntries(line.split(' ').map(pair => pair.split(/=(.*)/s, 2) as [string, string]))
+  const entry = fields.entries!.split(',')[0]!
+  const model = fields.models!.split(',')[0]!
+  const res = await request(`${entry}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${fields.key}`, 'content-type': 'application/json' },
+    body: JSON.stringify({ model, stream: true, max_tokens: 8, messages: [{ role: 'user', content: 'is the binary alive' }] })
+  })
+  const text = await res.body.text()
+  if (res.statusCode !== 200 || !text.trimEnd().endsWith('data: [DONE]')) fail(`the streamed call ended with ${res.statusCode}: ${text.slice(0, 300)}`)
+  process.stdout.write(`check-binary: streamed ${text.split('\n\n').length} events\n`)
+}
+
+createInterface({ input: child.stdout }).on('line', async line => {
+  if (!line.includes(' event=ready ')) return
+  clearTimeout(tooLate)
+  await exercise(line)
+  child.on('exit', code => process.exit(code === 0 ? 0 : 1))
+  child.kill('SIGTERM')
+})
+child.on('exit', code => { if (code !== 0) fail(`the binary ended with ${code}`) })
--- /dev/null
+++ b/scripts/demo.ts
@@ -0,0 +1,97 @@
+/**
+ * The main job against the embedded default, over real HTTP: every step is checked, and the program
+ * ends with 0 only if every check held.
+ */
+import { request } from 'undici'
+import { startEmbedded } from '../packages/magnoliabay/src/node/commands/embedded'
+import type { Embedded } from '../packages/magnoliabay/src/node/commands/embedded'
+import { EMBEDDED_SERVICE, EMBEDDED_SMALL_TEAM } from '../packages/magnoliabay/src/node/commands/embeddedFleet'
+import { createLogger } from '../packages/magnoliabay/src/node/logger'
+
+const BURST_PER_ENTRY = 4
+const KEY_IN_FORCE_MS = 500
+
+interface Answer {
+  status: number
+  text: string
+}
+
+let failures = 0
+
+function check (what: string, holds: boolean, seen: string): void {
+  process.stdout.write(`${holds ? 'ok  ' : 'FAIL'} ${what}: ${seen}\n`)
+  if (!holds) failures += 1
+}
+
+async function call (url: string, key: string, body?: object, headers: Record<string, string> = {}): Promise<Answer> {
+  const res = await request(url, {
+    method: body === undefined ? 'GET' : 'POST',
+    headers: { authorization: `Bearer ${key}`, 'content-type': 'application/json', ...headers },
+    body: body === undefined ? undefined : JSON.stringify(body)
+  })
+  return { status: res.statusCode, text: await res.body.text() }
+}
+
+const pause = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms))
+const isWhole = (answer: Answer): boolean => answer.status === 200 && answer.text.trimEnd().endsWith('data: [DONE]')
+const codeOf = (answer: Answer): string => (JSON.parse(answer.text) as { error: { code: string } }).error.code
+
+async function coldStart ({ entries, callerKey, models, standIns }: Embedded): Promise<void> {
+  const located = await call(`${entries[0]}/v1/locate?model=${models[0]}`, callerKey)
+  const { addresses } = JSON.parse(located.text) as { addresses: Array<{ address: string, failure_domain: string }> }
+  const domains = new Set(addresses.map(address => address.failure_domain))
+  check('locate names entries in different failure domains', addresses.length === domains.size && domains.size > 1, addresses.map(address => address.address).join(', '))
+
+  const body = { model: models[0], stream: true, max_tokens: 16, messages: [{ role: 'user', content: 'where is my lorry' }] }
+  const burst = entries.flatMap(entry => Array.from({ length: BURST_PER_ENTRY }, () => call(`${entry}/v1/chat/completions`, callerKey, body)))
+  const answers = await Promise.all(burst)
+  const broken = answers.find(answer => !isWhole(answer))
+  check('a burst for a cold model is answered whole at every entry', broken === undefined, `${answers.filter(isWhole).length} of ${answers.length} ${broken?.text ?? ''}`)
+  const loaded = standIns.engines.flatMap(engine => engine.state.state().models.filter(model => model.model === models[0]))
+  check('the model was loaded once', loaded.length === 1, `${loaded.length} replica(s)`)
+}
+
+async function onceOnly ({ entries, callerKey, standIns }: Embedded): Promise<void> {
+  const headers = { 'idempotency-key': 'note-17' }
+  const note = { tins: 12, residueKg: 3.5 }
+  const first = await call(`${entries[0]}/v1/services/${EMBEDDED_SERVICE}/transfer-notes`, callerKey, note, headers)
+  const second = await call(`${entries[1]}/v1/services/${EMBEDDED_SERVICE}/transfer-notes`, callerKey, note, headers)
+  const ran = standIns.services[0]!.state.total()
+  check('a repeated transfer note runs once', ran === 1 && first.status === 200, `ran ${ran} time(s)`)
+  check('the repeat gets the same answer at another instance', first.text === second.text, second.text.slice(0, 60))
+}
+
+async function overAllowance ({ entries, operators, models }: Embedded): Promise<void> {
+  const { key } = await operators.createKey(EMBEDDED_SMALL_TEAM)
+  await pause(KEY_IN_FORCE_MS)
+  const body = { model: models[0], max_tokens: 5000, messages: [{ role: 'user', content: 'everything, please' }] }
+  const answer = await call(`${entries[0]}/v1/chat/completions`, key, body)
+  check('a request over the allowance is refused, not run', answer.status === 429 && answer.text.includes('"not_run":true'), codeOf(answer))
+}
+
+async function withdrawnKey ({ entries, callerKey, callerKeyId, operators, models }: Embedded): Promise<void> {
+  await operators.withdrawKey(callerKeyId)
+  await pause(KEY_IN_FORCE_MS)
+  const body = { model: models[0], messages: [{ role: 'user', content: 'let me in' }] }
+  const answers = await Promise.all(entries.map(entry => call(`${entry}/v1/chat/completions`, callerKey, body)))
+  check('a withdrawn key works nowhere', answers.every(answer => answer.status === 401), answers.map(codeOf).join(', '))
+}
+
+function keyStaysInside ({ standIns, callerKey }: Embedded): void {
+  const seen = JSON.stringify(standIns.engines.flatMap(engine => engine.state.records()))
+  check('no backend server saw the key', !seen.includes(callerKey), `${standIns.engines.length} engines`)
+}
+
+async function main (): Promise<void> {
+  const embedded = await startEmbedded({ logger: createLogger({ level: 'warn' }) })
+  await coldStart(embedded)
+  await onceOnly(embedded)
+  await overAllowance(embedded)
+  await withdrawnKey(embedded)
+  keyStaysInside(embedded)
+  await embedded.close()
+  process.stdout.write(failures === 0 ? 'demo: every check held\n' : `demo: ${failures} check(s) failed\n`)
+  process.exit(failures === 0 ? 0 : 1)
+}
+
+main()
