--- /dev/null
+++ b/bench/index.ts
@@ -0,0 +1,21 @@
+/** `npm run bench -- <name>`: each bench is a module of its own, with a `run` that takes the rest of the arguments. */
+
+interface Bench {
+  run (args: readonly string[]): Promise<void>
+}
+
+const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
+}
+
+async function main (): Promise<void> {
+  const [name = '', ...args] = process.argv.slice(2)
+  const load = BENCHES[name]
+  if (load === undefined) {
+    process.stderr.write(`Say which bench to run: ${Object.keys(BENCHES).join(', ')}\n`)
+    process.exit(2)
+  }
+  const bench = await load()
+  await bench.run(args)
+}
+
+main()
--- /dev/null
+++ b/packages/magnoliabay/src/node/members/memoryNetwork.ts
@@ -0,0 +1,129 @@
+/**
+ * {@link Peers} in memory, for tests and benches in virtual time: every message takes a delay, and a
+ * `fate` decides what becomes of it.
+ */
+import type { Clock } from '../clock'
+import { Err, Ok } from '../result'
+import type { Result } from '../result'
+import { createDispatch, createListeners } from './dispatch'
+import type { Dispatch, Listeners } from './dispatch'
+import type { PeerError, Peers } from './peers'
+import type { MemberRecord } from './record'
+
+export type MessageLeg = 'call' | 'reply' | 'notice'
+
+export interface Message {
+  from: string
+  to: string
+  kind: string
+  leg: MessageLeg
+  body: unknown
+}
+
+/** Delays in milliseconds at which copies arrive: none means lost, two mean doubled. */
+export type Fate = (message: Message) => readonly number[]
+
+export interface MemoryNetworkOptions {
+  clock: Clock
+  /** @default every message arrives once, after 1 ms */
+  fate?: Fate
+}
+
+export interface MemoryNetwork {
+  join (member: MemberRecord): Peers
+  /** The member's process is gone: nothing reaches it or comes from it any more. */
+  kill (memberId: string): void
+  /** Messages between the two are lost until `heal`. */
+  cut (one: string, other: string): void
+  heal (one: string, other: string): void
+  /** Replaces what decides about messages. */
+  setFate (fate: Fate): void
+}
+
+const DEFAULT_DELAY_MS = 1
+const DEFAULT_CALL_TIMEOUT_MS = 1000
+
+interface Node {
+  member: MemberRecord
+  dispatch: Dispatch
+  changed: Listeners<[]>
+  connected: Listeners<[MemberRecord]>
+}
+
+export function createMemoryNetwork (options: MemoryNetworkOptions): MemoryNetwork {
+  const { clock } = options
+  const nodes = new Map<string, Node>()
+  const cuts = new Set<string>()
+  let fate: Fate = options.fate ?? (() => [DEFAULT_DELAY_MS])
+
+  const pairOf = (one: string, other: string): string => [one, other].sort().join(' ')
+  const isConnected = (from: string, to: string): boolean => from === to || (nodes.has(to) && !cuts.has(pairOf(from, to)))
+  const records = (): MemberRecord[] => [...nodes.values()].map(node => node.member).sort((left, right) => left.id < right.id ? -1 : 1)
+  /** Bodies are copied, as they would be on a wire. */
+  const carry = (message: Message, sender: Node, deliver: (receiver: Node, body: unknown) => void): void => {
+    if (!isConnected(message.from, message.to)) return
+    fate(message).forEach(delayMs => clock.schedule(delayMs, () => {
+      const receiver = nodes.get(message.to)
+      if (receiver === undefined || nodes.get(message.from) !== sender || cuts.has(pairOf(message.from, message.to))) return
+      deliver(receiver, structuredClone(message.body))
+    }))
+  }
+  const callOver = (sender: Node, to: string, kind: string, body: unknown, timeoutMs: number): Promise<Result<unknown, PeerError>> => new Promise(resolve => {
+    if (!isConnected(sender.member.id, to)) return resolve(Err({ kind: 'not-connected', message: `No link to ${to}.` }))
+    const cancel = clock.schedule(timeoutMs, () => resolve(Err({ kind: 'timeout', message: `No answer to ${kind} in time.` })))
+    carry({ from: sender.member.id, to, kind, leg: 'call', body }, sender, async (receiver, received) => {
+      const result = await receiver.dispatch.handleCall(kind, received, sender.member)
+      const reply: Message = { from: to, to: sender.member.id, kind, leg: 'reply', body: { ok: result.ok, value: result.val } }
+      carry(reply, receiver, (_sender, answer) => {
+        cancel()
+        const { ok, value } = answer as { ok: boolean, value: unknown }
+        resolve(ok ? Ok(value) : Err(value as PeerError))
+      })
+    })
+  })
+  const peersOf = (node: Node): Peers => {
+    const self = node.member
+    type Answer = Result<never, PeerError>
+    return {
+      self,
+      members: records,
+      isConnected: memberId => isConnected(self.id, memberId),
+      call: async (to, call, body, callOptions) => {
+        if (to === self.id) return await node.dispatch.handleCall(call.kind, body, self) as Answer
+        return await callOver(node, to, call.kind, body, callOptions?.timeoutMs ?? DEFAULT_CALL_TIMEOUT_MS) as Answer
+      },
+      notify: (to, notice, body) => carry({ from: self.id, to, kind: notice.kind, leg: 'notice', body }, node, (receiver, received) =>
+        receiver.dispatch.handleNotice(notice.kind, received, self)),
+      notifyAll: (notice, body) => records()
+        .filter(member => member.id !== self.id)
+        .forEach(member => carry({ from: self.id, to: member.id, kind: notice.kind, leg: 'notice', body }, node, (receiver, received) =>
+          receiver.dispatch.handleNotice(notice.kind, received, self))),
+      serve: node.dispatch.serve,
+      listen: node.dispatch.listen,
+      onMembersChanged: node.changed.add,
+      onConnected: node.connected.add
+    }
+  }
+  const announce = (): void => nodes.forEach(node => node.changed.emit())
+
+  return {
+    join: member => {
+      const node: Node = { member, dispatch: createDispatch(), changed: createListeners(), connected: createListeners() }
+      nodes.set(member.id, node)
+      announce()
+      nodes.forEach(other => { if (other !== node) other.connected.emit(member) })
+      return peersOf(node)
+    },
+    kill: memberId => {
+      nodes.delete(memberId)
+      announce()
+    },
+    cut: (one, other) => { cuts.add(pairOf(one, other)) },
+    heal: (one, other) => {
+      cuts.delete(pairOf(one, other))
+      nodes.get(one)?.connected.emit(nodes.get(other)!.member)
+      nodes.get(other)?.connected.emit(nodes.get(one)!.member)
+    },
+    setFate: next => { fate = next }
+  }
+}
