--- /dev/null
+++ b/packages/magnoliabay/src/node/allowance/__tests__/testFleet.ts
@@ -0,0 +1,166 @@
+/** Members with real allowances over a network, a store and a clock in memory. */
+import { createDirectStore, createKvCallCounter, createKvFaults, createKvState } from '@magnoliabay/standins'
+import type { Clock } from '../../clock'
+import { createVirtualClock } from '../../clock/virtual'
+import { EMPTY_FLEET } from '../../config/fleet'
+import type { TeamConfig } from '../../config/fleet'
+import { createSilentLogger } from '../../logger'
+import { createListeners } from '../../members/dispatch'
+import { createMemoryNetwork } from '../../members/memoryNetwork'
+import type { GoneProofs, ProcessName } from '../../members/proof'
+import type { MemberRecord } from '../../members'
+import { createAllowance } from '../allowance'
+import type { Allowance, Reservation } from '../allowance'
+import type { TeamsInForce } from '../shares'
+
+export const TEAM = 'depot'
+
+export interface Spending {
+  atMs: number
+  /** Reserved, until settled to what was used. */
+  tokens: number
+}
+
+export interface TestMember {
+  record: MemberRecord
+  allowance: Allowance
+  cfg: TeamsInForce & { apply: (rate: number, burst: number) => void }
+  pause: () => void
+  resume: () => void
+  stop: AbortController
+}
+
+export interface TestFleetOptions {
+  rate?: number
+  burst?: number
+  regionOf?: (id: string) => string
+}
+
+function teamOf (rate: number, burst: number): TeamConfig {
+  return { name: TEAM, tokensPerSecond: rate, burstTokens: burst, weight: 1, allow: ['*'] } as TeamConfig
+}
+
+function createTeamsInForce (rate: number, burst: number): TestMember['cfg'] {
+  const changed = createListeners<[]>()
+  let team = teamOf(rate, burst)
+  return {
+    inForce: () => ({ version: 1, fleet: { ...EMPTY_FLEET, team: [team] } }),
+    onChanged: changed.add,
+    apply: (nextRate, nextBurst) => {
+      team = teamOf(nextRate, nextBurst)
+      changed.emit()
+    }
+  }
+}
+
+/** A clock whose callbacks wait while its process is paused; time goes on. */
+function createPausableClock (clock: Clock) {
+  const held: Array<() => void> = []
+  let isPaused = false
+  return {
+    now: clock.now,
+    monotonic: clock.monotonic,
+    schedule: (delayMs: number, callback: () => void) => clock.schedule(delayMs, () => {
+      if (isPaused) held.push(callback)
+      else callback()
+    }),
+    pause: () => { isPaused = true },
+    resume: () => {
+      isPaused = false
+      held.splice(0).forEach(callback => callback())
+    }
+  }
+}
+
+export function createTestFleet (options: TestFleetOptions = {}) {
+  const clock = createVirtualClock()
+  const network = createMemoryNetwork({ clock })
+  const kv = createKvState({ clock })
+  const faults = createKvFaults()
+  const counter = createKvCallCounter()
+  const proven = new Map<string, 'listed-gone'>()
+  const onProven = createListeners<[ProcessName, 'listed-gone']>()
+  const proofs: GoneProofs = { proofFor: process => proven.get(process.incarnation), onProven: onProven.add }
+  const members = new Map<string, TestMember>()
+  const spendings: Spending[] = []
+  const rate = options.rate ?? 100
+  const burst = options.burst ?? 1000
+  let spawned = 0
+
+  const spawn = (id: string): TestMember => {
+    spawned += 1
+    const record: MemberRecord = {
+      id,
+      incarnation: `${id}#${spawned}`,
+      startedAtMs: spawned,
+      region: options.regionOf?.(id) ?? 'r',
+      failureDomain: 'd',
+      peerAddress: '',
+      entryAddress: '',
+      operatorAddress: '',
+      leaving: false
+    }
+    const own = createPausableClock(clock)
+    const cfg = createTeamsInForce(rate, burst)
+    const store = createDirectStore(kv, { clock, faults, counter, caller: id })
+    const stop = new AbortController()
+    const allowance = createAllowance({ cfg, peers: network.join(record), store, clock: own, logger: createSilentLogger(), proofs })
+    const member = { record, allowance, cfg, stop, pause: own.pause, resume: own.resume }
+    members.set(id, member)
+    allowance.start(stop.signal)
+    return member
+  }
+  const kill = (id: string): ProcessName => {
+    const member = members.get(id)!
+    member.stop.abort()
+    member.pause()
+    network.kill(id)
+    members.delete(id)
+    return { member: id, incarnation: member.record.incarnation }
+  }
+  const prove = (process: ProcessName): void => {
+    proven.set(process.incarnation, 'listed-gone')
+    onProven.emit(process, 'listed-gone')
+  }
+  const cutOff = (id: string): void => members.forEach((_member, other) => { if (other !== id) network.cut(id, other) })
+  const rejoin = (id: string): void => members.forEach((_member, other) => { if (other !== id) network.heal(id, other) })
+  /** Reserves and notes the spending; what it resolves to can be settled. */
+  const reserve = async (id: string, tokens: number): Promise<{ reservation: Reservation, spending: Spending, incarnation: string } | undefined> => {
+    const member = members.get(id)!
+    const result = await member.allowance.reserve(TEAM, tokens)
+    if (result.err) return undefined
+    const spending = { atMs: clock.monotonic(), tokens }
+    spendings.push(spending)
+    return { reservation: result.val, spending, incarnation: member.record.incarnation }
+  }
+  /** As `reserve`, letting time go on until there is an answer. */
+  const reserved = async (id: string, tokens: number): Promise<boolean> => {
+    const answers: boolean[] = []
+    reserve(id, tokens).then(done => answers.push(done !== undefined))
+    for (let ms = 0; answers.length === 0 && ms < 5000; ms += 1) await clock.advance(1)
+    return answers[0] ?? false
+  }
+  const unitsOf = (id: string): number => members.get(id)?.allowance.holdings()[0]?.units ?? 0
+  const sumOfUnits = (): number => [...members.keys()].reduce((sum, id) => sum + unitsOf(id), 0)
+  const sumOfLevels = (): number => [...members.values()].reduce((sum, member) => sum + (member.allowance.holdings()[0]?.level ?? 0), 0)
+  const holder = (): string => [...members.keys()].sort((left, right) => unitsOf(right) - unitsOf(left))[0]!
+  const others = (...ids: string[]): string[] => [...members.keys()].filter(id => !ids.includes(id))
+
+  return { clock, network, faults, counter, members, spendings, spawn, kill, prove, cutOff, rejoin, reserve, reserved, unitsOf, sumOfUnits, sumOfLevels, holder, others }
+}
+
+export type TestFleet = ReturnType<typeof createTestFleet>
+
+/** Most tokens by which the spendings exceed a naive central bucket that was full at the start. */
+export function overspend (spendings: readonly Spending[], rate: number, burst: number): number {
+  const inOrder = [...spendings].sort((left, right) => left.atMs - right.atMs)
+  let level = burst
+  let atMs = 0
+  let most = 0
+  inOrder.forEach(spending => {
+    level = Math.min(burst, level + rate * (spending.atMs - atMs) / 1000) - spending.tokens
+    atMs = spending.atMs
+    most = Math.max(most, -level)
+  })
+  return most
+}
--- a/packages/magnoliabay/src/node/allowance/allowance.ts
+++ b/packages/magnoliabay/src/node/allowance/allowance.ts
@@ -1,106 +1,151 @@
 /**
- * One home member holds a team's bucket; the others ask it for tokens.
+ * Teams' allowances, counted over the fleet by shares that members hold and hand to each other.
+ * `docs/design/allowance.md` tells why it is strict without a referee.
  */
 import type { Clock } from '../clock'
-import type { ConfigHolder, TeamConfig } from '../config'
+import { repeat, sleep } from '../clock'
 import { refusal } from '../failures'
 import type { Failure } from '../failures'
 import type { Logger } from '../logger'
-import { definePeerCall } from '../members'
-import type { Peers } from '../members'
+import type { MemberRecord, Peers } from '../members'
+import type { GoneProofs } from '../members/proof'
+import type { Store } from '../platform'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
-import { rankByRendezvous } from '../utils'
-import { createBucket } from './bucket'
-import type { Bucket } from './bucket'
+import { MS_PER_SECOND, TEND_PERIOD_MS } from './constants'
+import { createExchange } from './exchange'
+import { isIdle } from './giving'
+import { createHomes } from './homes'
+import { holdingNotice } from './messages'
+import { createPairs } from './pairs'
+import { createReclaim } from './reclaim'
+import { createRegistry } from './registry'
+import type { Ticket } from './share'
+import { createShares } from './shares'
+import type { TeamShare, TeamsInForce } from './shares'
 
 export interface Reservation {
   team: string
   tokens: number
+  ticket: Ticket
+}
+
+export interface TeamHolding {
+  team: string
+  /** Part of the team's allowance held here, 0 to {@link TOTAL_UNITS}. */
+  units: number
+  /** Tokens at hand. */
+  level: number
+  /** Tokens of reservations not settled yet. */
+  outstanding: number
 }
 
 export interface Allowance {
   /** Takes `tokens` from the team's allowance, or tells when they will be there. */
   reserve (team: string, tokens: number): Promise<Result<Reservation, Failure>>
-  /** Gives back what a request didn't use. */
+  /** Ends a reservation: what it didn't use comes back; what it used beyond is owed. */
   settle (reservation: Reservation, usedTokens: number): void
   /** Members at which the team's tokens are held, best first. */
   homes (team: string): readonly string[]
+  /** What this process holds of each team. */
+  holdings (): readonly TeamHolding[]
+  start (signal: AbortSignal): void
+  /** Gives all shares to members that stay. To be called when the last request has ended. */
+  handOver (): Promise<void>
 }
 
-interface TakeRequest {
-  team: string
-  tokens: number
-}
-
-interface TakeReply {
-  taken: boolean
-  /** Until the tokens will be there, in milliseconds. */
-  waitMs: number
-}
-
-const takeTokens = definePeerCall<TakeRequest, TakeReply>('allowance.take')
-const giveTokens = definePeerCall<TakeRequest, boolean>('allowance.give')
-
-const RETRY_AFTER_UNREACHABLE_S = 1
-const MS_PER_SECOND = 1000
-
 export interface AllowanceOptions {
-  cfg: ConfigHolder
+  cfg: TeamsInForce
   peers: Peers
+  store: Store
   clock: Clock
   logger: Logger
+  /** Without proofs nothing is reclaimed. @default nobody is ever proven gone */
+  proofs?: GoneProofs
 }
 
+const RETRY_AFTER_UNREACHABLE_S = 1
+const HAND_OVER_MS = 2000
+const HAND_OVER_POLL_MS = 50
+
+const NO_PROOFS: GoneProofs = { proofFor: () => undefined, onProven: () => () => {} }
+
 export function createAllowance (options: AllowanceOptions): Allowance {
-  const { cfg, peers, clock } = options
-  const buckets = new Map<string, Bucket>()
+  const { cfg, peers, store, clock, logger } = options
+  const self = peers.self
+  const monotonic = (): number => clock.monotonic()
+  const shares = createShares(cfg, clock)
+  const homes = createHomes(peers)
+  const pairs = createPairs({ process: self.incarnation, shares, monotonic })
+  const name = { member: self.id, incarnation: self.incarnation }
+  const registry = createRegistry({ store, self: name, shares, clock, logger })
+  const exchange = createExchange({ peers, shares, pairs, homes, clock, logger, mayHold: registry.isRegistered })
+  const reclaim = createReclaim({ store, peers, pairs, registry, proofs: options.proofs ?? NO_PROOFS, clock, logger })
 
-  const sizeOf = (team: TeamConfig): { rate: number, burst: number } => ({ rate: team.tokensPerSecond, burst: team.burstTokens })
-  const bucketOf = (team: TeamConfig): Bucket => {
-    const existing = buckets.get(team.name)
-    if (existing !== undefined) return existing
-    const created = createBucket(sizeOf(team), clock.monotonic())
-    buckets.set(team.name, created)
-    return created
+  const grantFirst = async (): Promise<void> => {
+    if (!registry.isRegistered()) return
+    const isMine = (team: string): boolean => homes.global(team)?.id === self.id
+    const unknown = shares.all().map(own => own.team).filter(team => !registry.hasLedger(team) && isMine(team))
+    await Promise.all([...unknown, ...registry.doubted()].map(registry.grantFirst))
   }
-  const homes = (team: string): string[] => {
-    const ids = peers.members().filter(member => !member.leaving).map(member => member.id)
-    return rankByRendezvous(team, ids, id => id)
+  /** Tells the home what is held here, so that it knows whom to collect from, and what to take home. */
+  const tellHome = (own: TeamShare, home: MemberRecord | undefined): void => {
+    if (home === undefined || home.id === self.id || own.share.units() === 0) return
+    peers.notify(home.id, holdingNotice, {
+      team: own.team,
+      units: own.share.units(),
+      isIdle: isIdle(own, self.leaving, monotonic())
+    })
+  }
+  const stayingHome = (team: string): MemberRecord | undefined =>
+    homes.ranked(team).find(member => member.id !== self.id && !member.leaving && peers.isConnected(member.id))
+  const tend = async (): Promise<void> => {
+    if (!registry.isRegistered()) await registry.register()
+    await grantFirst()
+    await exchange.heal()
+    shares.all().forEach(own => tellHome(own, homes.regional(own.team)))
+    await reclaim.tend()
+  }
+  const refuse = (tokens: number, waitMs: number): Failure => {
+    const waitSeconds = Math.max(1, Math.ceil(waitMs / MS_PER_SECOND))
+    return refusal('over_allowance', `The team's allowance is spent. ${tokens} tokens will be there in ${waitSeconds} s.`, waitSeconds)
   }
-
-  peers.serve(takeTokens, req => {
-    const team = cfg.team(req.team)
-    if (team === undefined) return { taken: false, waitMs: MS_PER_SECOND }
-    const bucket = bucketOf(team)
-    const taken = bucket.take(req.tokens, clock.monotonic())
-    return { taken, waitMs: taken ? 0 : bucket.waitFor(req.tokens, clock.monotonic()) }
-  })
-  peers.serve(giveTokens, req => {
-    const team = cfg.team(req.team)
-    if (team !== undefined) bucketOf(team).give(req.tokens, clock.monotonic())
-    return true
-  })
-  cfg.onChanged(() => {
-    const teams = cfg.inForce().fleet.team
-    teams.forEach(team => bucketOf(team).resize(sizeOf(team), clock.monotonic()))
-  })
 
   return {
-    homes,
+    homes: team => homes.ranked(team).map(member => member.id),
+    holdings: () => shares.all().map(({ team, share }) => ({
+      team,
+      units: share.units(),
+      level: share.level(monotonic()),
+      outstanding: share.outstanding()
+    })),
     reserve: async (team, tokens) => {
-      const home = homes(team)[0]!
-      const reply = await peers.call(home, takeTokens, { team, tokens })
-      if (reply.err) return Err(refusal('over_allowance', 'The allowance cannot be checked just now.', RETRY_AFTER_UNREACHABLE_S))
-      if (reply.val.taken) return Ok({ team, tokens })
-      if (!Number.isFinite(reply.val.waitMs)) return Err(refusal('over_allowance', `The request needs ${tokens} tokens, more than the team's burst.`))
-      const waitSeconds = Math.max(1, Math.ceil(reply.val.waitMs / MS_PER_SECOND))
-      return Err(refusal('over_allowance', `The team's allowance is spent. ${tokens} tokens will be there in ${waitSeconds} s.`, waitSeconds))
+      const own = shares.of(team)
+      if (own === undefined) return Err(refusal('over_allowance', `Team ${team} has no allowance here yet.`, RETRY_AFTER_UNREACHABLE_S))
+      const { burst } = own.share.size()
+      if (tokens > burst) return Err(refusal('over_allowance', `The request needs ${tokens} tokens, more than the team's burst of ${burst}.`))
+      own.demand.note(tokens, monotonic())
+      const ticket = own.share.take(tokens, monotonic())
+      if (ticket !== undefined) return Ok({ team, tokens, ticket })
+      const waitMs = await exchange.fetch(own, tokens)
+      const later = own.share.take(tokens, monotonic())
+      return later === undefined ? Err(refuse(tokens, waitMs)) : Ok({ team, tokens, ticket: later })
     },
     settle: (reservation, usedTokens) => {
-      const unused = reservation.tokens - usedTokens
-      const home = homes(reservation.team)[0]
-      if (unused > 0 && home !== undefined) peers.call(home, giveTokens, { team: reservation.team, tokens: unused })
+      shares.of(reservation.team)?.share.settle(reservation.ticket, usedTokens, monotonic())
+    },
+    start: signal => {
+      cfg.onChanged(() => { if (!signal.aborted) grantFirst() })
+      repeat(clock, TEND_PERIOD_MS, signal, tend)
+    },
+    handOver: async () => {
+      const endMs = monotonic() + HAND_OVER_MS
+      const held = (): readonly TeamShare[] => shares.all().filter(own => own.share.units() > 0)
+      while (held().length > 0 && monotonic() < endMs && held().some(own => stayingHome(own.team) !== undefined)) {
+        held().forEach(own => tellHome(own, stayingHome(own.team)))
+        await sleep(clock, HAND_OVER_POLL_MS)
+      }
+      logger.info('shares-handed-over', { left: held().map(own => own.team) })
     }
   }
 }
--- /dev/null
+++ b/packages/magnoliabay/src/node/allowance/constants.ts
@@ -0,0 +1,22 @@
+/** Sizes and periods of the allowances. */
+import { STORE_ROOT } from '../constants'
+
+/** A team's whole allowance, in units. Shares are whole numbers of units, so that no rounding can make one. */
+export const TOTAL_UNITS = 2 ** 20
+
+export const PROCESSES_PREFIX = `${STORE_ROOT}/allowance/processes/`
+export const LEDGERS_PREFIX = `${STORE_ROOT}/allowance/ledgers/`
+
+/** How often idle shares are offered, lost transfers healed and pending store work retried, in milliseconds. */
+export const TEND_PERIOD_MS = 1000
+/** A share away from home without a request for this long goes home, in milliseconds. */
+export const IDLE_SHARE_MS = 2000
+/** For how long a team is refused on what the last collection brought, without asking again, in milliseconds. */
+export const KNOWN_TOTAL_MS = 100
+/** Members asked at once when tokens are collected. */
+export const MAX_COLLECTED_FROM = 16
+/** Homes that are asked in turn when the first can't be reached. */
+export const HOMES_ASKED = 2
+export const ASK_TIMEOUT_MS = 500
+
+export const MS_PER_SECOND = 1000
--- /dev/null
+++ b/packages/magnoliabay/src/node/allowance/shares.ts
@@ -0,0 +1,40 @@
+/** The shares of all teams at this process, in step with the configuration in force. */
+import type { Clock } from '../clock'
+import type { ConfigHolder, TeamConfig } from '../config'
+import { createDemand } from './demand'
+import type { Demand } from './demand'
+import { createShare } from './share'
+import type { AllowanceSize, Share } from './share'
+
+export interface TeamShare {
+  team: string
+  share: Share
+  demand: Demand
+}
+
+/** What the allowances need of the configuration. */
+export type TeamsInForce = Pick<ConfigHolder, 'inForce' | 'onChanged'>
+
+export interface Shares {
+  /** The share of a team, or undefined for a team that was never configured. */
+  of (team: string): TeamShare | undefined
+  all (): readonly TeamShare[]
+}
+
+export function createShares (cfg: TeamsInForce, clock: Clock): Shares {
+  const shares = new Map<string, TeamShare>()
+
+  const sizeOf = (team: TeamConfig): AllowanceSize => ({ rate: team.tokensPerSecond, burst: team.burstTokens })
+  /** A team that is no longer configured keeps its units: they are needed when it comes back. */
+  const follow = (): void => cfg.inForce().fleet.team.forEach(team => {
+    const existing = shares.get(team.name)
+    if (existing !== undefined) return existing.share.resize(sizeOf(team), clock.monotonic())
+    shares.set(team.name, { team: team.name, share: createShare(sizeOf(team), clock.monotonic()), demand: createDemand() })
+  })
+  follow()
+  cfg.onChanged(follow)
+  return {
+    of: team => shares.get(team),
+    all: () => [...shares.values()]
+  }
+}
