--- /dev/null
+++ b/packages/magnoliabay/src/node/commands/__tests__/openaiClient.spec.ts
@@ -0,0 +1,105 @@
+import { expect } from 'chai'
+import OpenAI, { APIError } from 'openai'
+import { createSilentLogger } from '../../logger'
+import { startEmbedded } from '../embedded'
+import type { Embedded } from '../embedded'
+import { EMBEDDED_FLEET } from '../embeddedFleet'
+
+/** Its rate is so low that a request within its burst is refused for hours after the start. */
+const SLOW_TEAM = 'trickle'
+const FLEET = `${EMBEDDED_FLEET}
+[[team]]
+name = "${SLOW_TEAM}"
+tokensPerSecond = 1
+burstTokens = 100000
+`
+const MESSAGES = [{ role: 'user' as const, content: 'which day is the lorry due' }]
+
+describe('the official openai client, unchanged', () => {
+  let embedded: Embedded
+  const model = (): string => embedded.models[0]!
+  const clientOf = (apiKey: string): OpenAI => new OpenAI({ apiKey, baseURL: `${embedded.entries[0]}/v1`, maxRetries: 0 })
+  const client = (): OpenAI => clientOf(embedded.callerKey)
+  const chat = (openai: OpenAI, body: object = {}): Promise<unknown> =>
+    openai.chat.completions.create({ model: model(), messages: MESSAGES, max_tokens: 16, ...body })
+  const errorOf = async (call: Promise<unknown>): Promise<APIError> => {
+    const err = await call.then(() => undefined, (thrown: unknown) => thrown)
+    expect(err).to.be.instanceOf(APIError)
+    return err as APIError
+  }
+  /** Calls again for as long as `code` is the answer: the state waited for has not come yet. */
+  const whileRefused = async (code: string, call: () => Promise<unknown>): Promise<unknown> => {
+    for (;;) {
+      const err = await call().then(() => undefined, (thrown: unknown) => thrown)
+      if (!(err instanceof APIError) || err.code !== code) return err
+    }
+  }
+
+  before(async () => {
+    embedded = await startEmbedded({ fleet: FLEET, weights: { loadMsPerGiB: 1 }, logger: createSilentLogger() })
+    await whileRefused('invalid_key', () => client().models.list())
+    // A team's allowance starts empty.
+    const err = await whileRefused('over_allowance', () => chat(client()))
+    expect(err).to.equal(undefined)
+  })
+  after(() => embedded.close())
+
+  it('lists the models', async () => {
+    const listed = await client().models.list()
+    expect(listed.data.map(item => item.id)).to.include.members([...embedded.models])
+  })
+
+  it('gets a chat completion', async () => {
+    const answer = await client().chat.completions.create({ model: model(), messages: MESSAGES, max_tokens: 16 })
+    expect(answer.object).to.equal('chat.completion')
+    expect(answer.choices[0]!.message.role).to.equal('assistant')
+    expect(answer.choices[0]!.message.content).to.be.a('string').that.is.not.empty
+    expect(answer.usage!.total_tokens).to.equal(answer.usage!.prompt_tokens + answer.usage!.completion_tokens)
+  })
+
+  it('gets the same text streamed, to its end', async () => {
+    const whole = await client().chat.completions.create({ model: model(), messages: MESSAGES, max_tokens: 16 })
+    const stream = await client().chat.completions.create({ model: model(), messages: MESSAGES, max_tokens: 16, stream: true })
+    const chunks: OpenAI.ChatCompletionChunk[] = []
+    for await (const chunk of stream) chunks.push(chunk)
+    const text = chunks.map(chunk => chunk.choices[0]?.delta.content ?? '').join('')
+    expect(text).to.equal(whole.choices[0]!.message.content)
+    expect(chunks.map(chunk => chunk.choices[0]?.finish_reason).find(reason => typeof reason === 'string')).to.be.oneOf(['stop', 'length'])
+  })
+
+  it('takes no broken stream for a whole answer', async () => {
+    // Every engine cuts its connection after the first token. The caller gets some text, and then an
+    // error: a stream that merely ended would look like a short answer.
+    const engines = embedded.standIns.engines
+    await Promise.all(engines.map(engine => engine.state.faults.set({ dieAfterFirstByte: true })))
+    const read = async (): Promise<void> => {
+      const stream = await client().chat.completions.create({ model: model(), messages: MESSAGES, max_tokens: 16, stream: true })
+      for await (const chunk of stream) expect(chunk.object).to.equal('chat.completion.chunk')
+    }
+    const err = await errorOf(read())
+    await Promise.all(engines.map(engine => engine.state.faults.reset()))
+    expect(err.error).to.include({ not_run: false })
+  })
+
+  const failures: Array<{ title: string, call: () => Promise<unknown>, status: number, code: string, type: unknown }> = [
+    { title: 'an unknown key', call: () => chat(clientOf('mb-nobody.secret')), status: 401, code: 'invalid_key', type: OpenAI.AuthenticationError },
+    { title: 'an unknown model', call: () => chat(client(), { model: 'nobody-has-this' }), status: 404, code: 'unknown_model', type: OpenAI.NotFoundError },
+    { title: 'a wrong field', call: () => chat(client(), { max_tokens: -1 }), status: 400, code: 'bad_request', type: OpenAI.BadRequestError }
+  ]
+  failures.forEach(({ title, call, status, code, type }) => it(`sees ${title} as its own error class`, async () => {
+    const err = await errorOf(call())
+    expect(err).to.be.instanceOf(type)
+    expect({ status: err.status, code: err.code }).to.deep.equal({ status, code })
+    expect(err.error).to.include({ not_run: true })
+  }))
+
+  it('sees an allowance that is spent as a rate limit, with retry-after', async () => {
+    const { key } = await embedded.operators.createKey(SLOW_TEAM)
+    const slow = clientOf(key)
+    await whileRefused('invalid_key', () => slow.models.list())
+    const err = await errorOf(chat(slow, { max_tokens: 50000 }))
+    expect(err).to.be.instanceOf(OpenAI.RateLimitError)
+    expect({ status: err.status, code: err.code }).to.deep.equal({ status: 429, code: 'over_allowance' })
+    expect(Number(err.headers!.get('retry-after'))).to.be.greaterThan(0)
+  })
+})
--- a/packages/magnoliabay/src/node/commands/embedded.ts
+++ b/packages/magnoliabay/src/node/commands/embedded.ts
@@ -4,7 +4,7 @@
 import { createServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { createStandInFleet } from '@magnoliabay/standins'
-import type { StandInFleet } from '@magnoliabay/standins'
+import type { StandInFleet, StandInFleetOptions } from '@magnoliabay/standins'
 import { createSystemClock, sleep } from '../clock'
 import type { Clock } from '../clock'
 import { resolveSettings } from '../config'
@@ -25,6 +25,10 @@
   port?: number
   /** First of the stand-ins' ports; 0 takes any free ones. @default 0 */
   standInPort?: number
+  /** Configuration that is applied, in TOML. @default the one in embeddedFleet.ts */
+  fleet?: string
+  /** Speed of the weight store. @default that of its stand-in */
+  weights?: StandInFleetOptions['weights']
   logger: Logger
 }
 
@@ -51,7 +55,8 @@
   const standIns = await createStandInFleet({
     failureDomains: EMBEDDED_DOMAINS,
     region: EMBEDDED_REGION,
-    ports: standInPorts(options.standInPort ?? 0)
+    ports: standInPorts(options.standInPort ?? 0),
+    weights: options.weights
   })
   const storeUrl = `http://${standIns.kv.address}`
   const listUrl = `http://${standIns.list.address}/instances`
@@ -82,7 +87,7 @@
   }))
   await Promise.all(instances.map(instance => instance.start()))
   const operators = createOperatorClient({ address: instances[0]!.member.operatorAddress, key: operatorKey })
-  await operators.applyConfig(EMBEDDED_FLEET)
+  await operators.applyConfig(options.fleet ?? EMBEDDED_FLEET)
   const created = await operators.createKey(EMBEDDED_TEAM)
   await untilReady(clock, instances)
 
