--- /dev/null
+++ b/packages/magnoliabay/src/node/__tests__/instanceFixture.ts
@@ -0,0 +1,100 @@
+/** One instance over the stand-ins' state, in virtual time, with real sockets: for tests of its edges. */
+import { createDirectInstanceList, createDirectStore, createInstanceListState, createKvState } from '@magnoliabay/standins'
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { createVirtualClock } from '../clock/virtual'
+import type { VirtualClock } from '../clock/virtual'
+import { EMBEDDED_FLEET } from '../commands/embeddedFleet'
+import { resolveSettings } from '../config'
+import type { Settings } from '../config'
+import { createInstance } from '../instance'
+import type { Instance } from '../instance'
+import { createLogger } from '../logger'
+import { operatorKeyDigest } from '../operators'
+import { createOperatorClient } from '../operators/client'
+
+export interface InstanceFixture {
+  clock: VirtualClock
+  instance: Instance
+  /** A key of a team that may call everything. */
+  key: string
+  /** Lines of its log so far. */
+  logLines: readonly string[]
+  /** Moves time on in small steps until `done`; sockets get their turn after each step. */
+  passUntil (done: () => boolean): Promise<void>
+  close (): Promise<void>
+}
+
+const STEP_MS = 250
+const OPERATOR_KEY = 'op-test'
+const TEAM = 'depot'
+
+export async function startInstanceFixture (limits: Settings['limits'] = {}): Promise<InstanceFixture> {
+  const clock = createVirtualClock()
+  const logLines: string[] = []
+  const kv = createKvState({ clock })
+  const list = createInstanceListState({ clock })
+  const [entry, peer, operator] = await Promise.all([freeAddress(), freeAddress(), freeAddress()])
+  const instance = createInstance({
+    settings: resolveSettings({
+      instance: {
+        id: 'entry-1',
+        site: 'test',
+        region: 'ie-south',
+        failureDomain: 'ie-south-a',
+        entryAddress: entry,
+        peerAddress: peer,
+        operatorAddress: operator
+      },
+      platform: { store: ['http://127.0.0.1:1'], instanceList: 'http://127.0.0.1:1/instances' },
+      operators: { keyDigests: [operatorKeyDigest(OPERATOR_KEY)] },
+      limits
+    }),
+    store: createDirectStore(kv, { clock }),
+    list: createDirectInstanceList(list),
+    clock,
+    logger: createLogger({ write: line => { logLines.push(line) } })
+  })
+  const passUntil = async (done: () => boolean): Promise<void> => {
+    while (!done()) {
+      await clock.advance(STEP_MS)
+      await new Promise(resolve => setImmediate(resolve))
+    }
+  }
+  /** Runs `task` while time passes. */
+  const during = async <T>(task: Promise<T>): Promise<T> => {
+    let isOver = false
+    const over = (): void => { isOver = true }
+    task.then(over, over)
+    await passUntil(() => isOver)
+    return await task
+  }
+
+  await during(instance.start())
+  const operators = createOperatorClient({ address: operator, key: OPERATOR_KEY })
+  await during(operators.applyConfig(EMBEDDED_FLEET))
+  const { key } = await during(operators.createKey(TEAM))
+  await passUntil(() => instance.isReady())
+  return {
+    clock,
+    instance,
+    key,
+    logLines,
+    passUntil,
+    close: async () => {
+      await during(instance.shutdown())
+      kv.close()
+      list.close()
+    }
+  }
+}
+
+function freeAddress (): Promise<string> {
+  return new Promise(resolve => {
+    const server = createServer()
+    server.listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo
+      server.close(() => resolve(`127.0.0.1:${port}`))
+    })
+  })
+}
--- a/packages/magnoliabay/src/node/commands/embedded.ts
+++ b/packages/magnoliabay/src/node/commands/embedded.ts
@@ -1,8 +1,8 @@
 /**
  * The embedded default: stand-ins for the platform and the engines, and a few instances, in one process.
  */
+import { randomInt } from 'node:crypto'
 import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
 import { createStandInFleet } from '@magnoliabay/standins'
 import type { StandInFleet, StandInFleetOptions } from '@magnoliabay/standins'
 import { createSystemClock, sleep } from '../clock'
@@ -48,6 +48,8 @@
 
 const HOST = '127.0.0.1'
 const READY_POLL_MS = 50
+const FREE_PORTS_FROM = 15_000
+const FREE_PORTS_TO = 32_000
 
 export async function startEmbedded (options: EmbeddedOptions): Promise<Embedded> {
   const { logger } = options
@@ -121,17 +123,24 @@
   }
 }
 
+/**
+ * Free ports, each bound once to see that it is. They lie below those that the system gives to outgoing
+ * connections: else a connection may take one before its instance binds it, and the start fails.
+ */
 async function choosePorts (first: number, count: number): Promise<number[]> {
   if (first !== 0) return Array.from({ length: count }, (_, index) => first + index)
-  const servers = await Promise.all(Array.from({ length: count }, listenAnywhere))
-  const ports = servers.map(server => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
-  return ports
+  const chosen = new Set<number>()
+  while (chosen.size < count) {
+    const port = randomInt(FREE_PORTS_FROM, FREE_PORTS_TO)
+    if (!chosen.has(port) && await isFree(port)) chosen.add(port)
+  }
+  return [...chosen]
 }
 
-function listenAnywhere (): Promise<ReturnType<typeof createServer>> {
+function isFree (port: number): Promise<boolean> {
   return new Promise(resolve => {
     const server = createServer()
-    server.listen(0, HOST, () => resolve(server))
+    server.once('error', () => resolve(false))
+    server.listen(port, HOST, () => server.close(() => resolve(true)))
   })
 }
--- a/packages/magnoliabay/src/node/entry/index.ts
+++ b/packages/magnoliabay/src/node/entry/index.ts
@@ -14,6 +14,7 @@
 import type { Once } from '../once'
 import type { Routing } from '../routing'
 import { messageOf, parseHostPort } from '../utils'
+import { answerBadInput } from './badInput'
 import { completionHandler } from './completions'
 import { authenticateMiddleware } from './middleware/authenticate'
 import { bodyMiddleware } from './middleware/body'
@@ -50,6 +51,7 @@
   const { settings, metrics } = options
   const { limits } = settings
   const server = createServer()
+  answerBadInput(server, options.clock)
   const app = polka({
     server,
     onError: (err, req, res) => {
@@ -57,7 +59,12 @@
       sendFailure(res as ServerResponse, refusal('internal', 'Something went wrong here, before the request was sent.'), (req as unknown as EntryRequest).requestId)
     },
     onNoMatch: (req, res) => {
-      sendFailure(res, refusal('not_found', `Nothing is served at ${req.method} ${req.path}.`), (req as unknown as EntryRequest).requestId)
+      const allowed = routes.filter(route => servesPath(route.path, req.path)).map(route => route.method)
+      const failure = allowed.length === 0
+        ? refusal('not_found', `Nothing is served at ${req.path}.`)
+        : refusal('method_not_allowed', `${req.path} takes ${allowed.join(', ')}, not ${req.method}.`)
+      if (allowed.length > 0) res.setHeader('allow', allowed.join(', '))
+      sendFailure(res, failure, (req as unknown as EntryRequest).requestId)
     }
   })
   const callers = [authenticateMiddleware(options.keyring)]
@@ -90,6 +97,11 @@
 
 const SERVICE_METHODS: Method[] = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE']
 
+/** Route paths end in `*` or stand as they are. */
+function servesPath (routePath: string, path: string): boolean {
+  return routePath.endsWith('*') ? path.startsWith(routePath.slice(0, -1)) : routePath === path
+}
+
 function metricsHandler (metrics: Metrics): Handler {
   return async function serveMetrics (_req, res) {
     res.writeHead(200, { 'content-type': metrics.registry.contentType })
--- a/packages/magnoliabay/src/node/entry/middleware/body.ts
+++ b/packages/magnoliabay/src/node/entry/middleware/body.ts
@@ -17,11 +17,9 @@
     const body = await withDeadline(clock, limits.bodyTimeoutMs, readWithin(req, limits.maxBodyBytes))
     if (body === 'broken-off') return
     if (body === TIMED_OUT || body === 'too-large') {
-      res.setHeader('connection', 'close')
       const failure = body === TIMED_OUT
         ? refusal('body_timeout', `The body did not arrive within ${limits.bodyTimeoutMs} ms.`)
         : refusal('body_too_large', `A body may have ${limits.maxBodyBytes} bytes at most.`)
-      res.on('finish', () => req.destroy())
       return sendFailure(res, failure, req.requestId)
     }
     req.rawBody = body
--- a/packages/magnoliabay/src/node/entry/respond.ts
+++ b/packages/magnoliabay/src/node/entry/respond.ts
@@ -1,12 +1,11 @@
 /** Answers that every handler gives the same way. */
-import type { ServerResponse } from 'node:http'
+import type { OutgoingHttpHeaders, ServerResponse } from 'node:http'
 import { REQUEST_ID_HEADER } from '../backend/protocol'
 import { failureBody, httpStatusOf } from '../failures'
 import type { Failure } from '../failures'
 
 export function sendJson (res: ServerResponse, status: number, body: unknown): void {
-  res.writeHead(status, { 'content-type': 'application/json' })
-  res.end(JSON.stringify(body))
+  endJson(res, status, {}, body)
 }
 
 /**
@@ -20,6 +19,11 @@
     return
   }
   const retryAfter = failure.retryAfterSeconds === undefined ? {} : { 'retry-after': String(failure.retryAfterSeconds) }
-  res.writeHead(httpStatusOf(failure), { 'content-type': 'application/json', [REQUEST_ID_HEADER]: requestId, ...retryAfter })
-  res.end(JSON.stringify(failureBody(failure, requestId)))
+  endJson(res, httpStatusOf(failure), { [REQUEST_ID_HEADER]: requestId, ...retryAfter }, failureBody(failure, requestId))
+}
+
+function endJson (res: ServerResponse, status: number, headers: OutgoingHttpHeaders, body: unknown): void {
+  const text = JSON.stringify(body)
+  res.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text), ...headers })
+  res.end(text)
 }
--- a/packages/magnoliabay/src/node/failures.ts
+++ b/packages/magnoliabay/src/node/failures.ts
@@ -6,6 +6,8 @@
   | 'bad_request'
   | 'body_too_large'
   | 'body_timeout'
+  | 'headers_too_large'
+  | 'method_not_allowed'
   | 'missing_key'
   | 'invalid_key'
   | 'key_withdrawn'
@@ -41,6 +43,8 @@
   bad_request: 400,
   body_too_large: 413,
   body_timeout: 408,
+  headers_too_large: 431,
+  method_not_allowed: 405,
   missing_key: 401,
   invalid_key: 401,
   key_withdrawn: 401,
