--- /dev/null
+++ b/packages/magnoliabay/src/node/config/__tests__/fakes.ts
@@ -0,0 +1,62 @@
+/** A few instances' configuration, joined in memory, in virtual time. */
+import { createDirectStore, createKvCallCounter, createKvFaults, createKvState } from '@magnoliabay/standins'
+import { createVirtualClock } from '../../clock/virtual'
+import { createSilentLogger } from '../../logger'
+import { createMemoryNetwork } from '../../members/memoryNetwork'
+import type { MemberRecord } from '../../members'
+import { auditWrite } from '../../operators/audit'
+import { createAcceptor } from '../accept'
+import type { Acceptor, ApplyRequest } from '../accept'
+import { prepareDocument } from '../body'
+import { createConfigHolder } from '../holder'
+import type { ConfigHolder } from '../holder'
+import { parseTomlText } from '../schema'
+
+export interface ConfigNode {
+  id: string
+  holder: ConfigHolder
+  acceptor: Acceptor
+  stop: () => void
+}
+
+export function createConfigFleet () {
+  const clock = createVirtualClock()
+  const state = createKvState({ clock })
+  const faults = createKvFaults()
+  const counter = createKvCallCounter()
+  const network = createMemoryNetwork({ clock })
+  const logger = createSilentLogger()
+
+  const add = (id: string, site = 'tin'): ConfigNode => {
+    const peers = network.join(memberOf(id))
+    const store = createDirectStore(state, { clock, faults, counter, caller: id })
+    const holder = createConfigHolder({ store, peers, site, clock, logger })
+    const audit = () => auditWrite({ atMs: clock.now(), operator: 'ann', action: 'config-applied', subject: '', detail: '', instance: id })
+    const acceptor = createAcceptor({ store, peers, holder, audit, clock, logger })
+    const controller = new AbortController()
+    holder.start(controller.signal)
+    return { id, holder, acceptor, stop: () => controller.abort() }
+  }
+  return { clock, state, faults, counter, network, add }
+}
+
+export function change (document: string, expectedVersion: number, text: string, changeId = `change-${expectedVersion}`): ApplyRequest {
+  const prepared = prepareDocument(document, parseTomlText(`${document}.toml`, text).unwrap()).unwrap()
+  return { ...prepared, document, expectedVersion, changeId, operator: 'ann', note: '' }
+}
+
+export function teamToml (name: string, tokensPerSecond: number): string {
+  return `[[team]]\nname = "${name}"\ntokensPerSecond = ${tokensPerSecond}\nburstTokens = 100\n`
+}
+
+/** Adapters enough for several buckets that do not fit into a head. */
+export function adaptersToml (count: number): string {
+  const adapters = Array.from({ length: count }, (_, index) => `[[adapter]]\nname = "a-${index}"\nmodel = "m"\nmemoryMiB = ${1 + index % 97}`)
+  return ['[[model]]\nname = "m"\nmemoryMiB = 8000', ...adapters].join('\n')
+}
+
+function memberOf (id: string): MemberRecord {
+  return {
+    id, incarnation: `${id}-1`, startedAtMs: 0, region: 'r', failureDomain: 'a', peerAddress: '127.0.0.1:1', entryAddress: '127.0.0.1:2', operatorAddress: '127.0.0.1:3', leaving: false
+  }
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/config/accept.ts
@@ -0,0 +1,255 @@
+/**
+ * Accepting a change: one compare-and-swap against the version that the operator saw, and against
+ * every document that the change was checked with.
+ */
+import type { Clock } from '../clock'
+import { sleep } from '../clock'
+import { MAX_STORE_VALUE_BYTES } from '../constants'
+import type { Logger } from '../logger'
+import type { Peers } from '../members'
+import type { Compare, PutOperation, Store, StoreError } from '../platform'
+import { Err, Ok } from '../result'
+import type { Result } from '../result'
+import type { DocumentBody } from './body'
+import { BASE_DOCUMENT, chunkKey, digestsOf, fileOf, headKey, historyKey, parseManifest } from './documents'
+import type { ChunkContents, Head, Manifest } from './documents'
+import { dropOldVersions } from './dropOldVersions'
+import { headOf } from './held'
+import type { ConfigHolder } from './holder'
+import { readHeads, readVersion } from './queries'
+import type { ReadError, StoredHead } from './queries'
+import { resolveFleet } from './resolveFleet'
+import type { ConfigError } from './schema'
+
+export interface ApplyRequest {
+  document: string
+  /** Version that the operator saw; 0 for none yet. */
+  expectedVersion: number
+  /** Chosen by the operator's program: the same change sent again is the same change. */
+  changeId: string
+  operator: string
+  note: string
+  core: string
+  adapters: readonly string[]
+  /** Chunks that the operator's program did not find here. */
+  chunks: ChunkContents
+}
+
+/**
+ * `conflict`: somebody else's version is there. `unknown`: the store answered nothing we could go by
+ * until the time ran out; the same change may be sent again. `store`: certainly not accepted.
+ */
+export type ApplyError =
+  | { kind: 'conflict', expectedVersion: number, current: Manifest }
+  | { kind: 'config', cause: ConfigError }
+  | { kind: 'missing-chunks', digests: readonly string[] }
+  | { kind: 'unknown', changeId: string, cause: StoreError }
+  | { kind: 'store', cause: StoreError }
+
+export interface Acceptor {
+  apply (req: ApplyRequest): Promise<Result<Manifest, ApplyError>>
+}
+
+export interface AcceptorOptions {
+  store: Store
+  peers: Peers
+  holder: ConfigHolder
+  /** Written together with the change: who made it. */
+  audit: (manifest: Manifest) => PutOperation
+  clock: Clock
+  logger: Logger
+}
+
+/** A change that is not through by then is answered, one way or the other, in milliseconds. */
+const APPLY_DEADLINE_MS = 8000
+const RETRY_MS = 250
+/** Bytes written in one transaction: the platform's service takes little more than one value. */
+const MAX_TRANSACTION_BYTES = MAX_STORE_VALUE_BYTES
+
+/** What one try found: done, or why another one may help. */
+type Attempt =
+  | { kind: 'settled', result: Result<Manifest, ApplyError> }
+  | { kind: 'again', mayHaveWritten: boolean, cause: StoreError }
+
+export function createAcceptor (options: AcceptorOptions): Acceptor {
+  const { store, holder, clock, logger } = options
+
+  /**
+   * Tries until the deadline. A try whose answer was lost may take effect at any time later; the next
+   * one looks for the change's id first and writes under the same comparisons, so that of all tries
+   * of one change at most one takes effect, and once another version is there none can any more.
+   */
+  const apply = async (req: ApplyRequest): Promise<Result<Manifest, ApplyError>> => {
+    const startedMs = clock.monotonic()
+    let mayHaveWritten = false
+    let cause: StoreError = { kind: 'unavailable', message: 'not tried' }
+    while (clock.monotonic() - startedMs < APPLY_DEADLINE_MS) {
+      const attempt = await attemptOnce(req)
+      if (attempt.kind === 'settled') return attempt.result
+      mayHaveWritten ||= attempt.mayHaveWritten
+      cause = attempt.cause
+      await sleep(clock, RETRY_MS)
+    }
+    logger.warn('config-not-accepted', { document: req.document, change: req.changeId, reason: cause.message })
+    return Err(mayHaveWritten ? { kind: 'unknown', changeId: req.changeId, cause } : { kind: 'store', cause })
+  }
+
+  const attemptOnce = async (req: ApplyRequest): Promise<Attempt> => {
+    const heads = await readHeads(store)
+    if (heads.err) return again(heads.val, false)
+    const current = heads.val.get(req.document)
+    const earlier = await findChange(req, current?.head)
+    if (earlier.err) return again(earlier.val, false)
+    if (earlier.val !== undefined) return settled(Ok(accepted(earlier.val, req, current)))
+    // A damaged head is nobody's version: writing over it is the way to mend it.
+    const currentVersion = current?.head?.manifest.version ?? 0
+    if (current?.head !== undefined && currentVersion !== req.expectedVersion) {
+      return settled(Err({ kind: 'conflict', expectedVersion: req.expectedVersion, current: current.head.manifest }))
+    }
+    const checked = await check(req, heads.val)
+    if (checked.err) return checked.val
+    return await write(req, heads.val, checked.val)
+  }
+
+  const findChange = async (req: ApplyRequest, head: Head | undefined): Promise<Result<Manifest | undefined, StoreError>> => {
+    if (head === undefined || head.manifest.version <= req.expectedVersion) return Ok(undefined)
+    if (head.manifest.changeId === req.changeId) return Ok(head.manifest)
+    const entry = await store.get(historyKey(req.document, req.expectedVersion + 1), { priority: 'config' })
+    if (entry.err) return entry
+    const manifest = entry.val === undefined ? undefined : parseManifest(entry.val.value)
+    return Ok(manifest?.changeId === req.changeId ? manifest : undefined)
+  }
+
+  /** Resolves the changed document with each one that it holds together with. */
+  const check = async (req: ApplyRequest, heads: ReadonlyMap<string, StoredHead>): Promise<Result<CheckedChange, Attempt>> => {
+    const known = heads.get(req.document)?.head
+    const manifest = manifestOf(req, nextVersion(req, known))
+    const changed = await readVersion({ store, holder, clock }, manifest, req.chunks)
+    if (changed.err) return Err(attemptOf(changed.val))
+    const others = [...heads.values()].flatMap(({ head }) => head === undefined || head.manifest.document === req.document ? [] : [head])
+    const partners = others.filter(head => req.document === BASE_DOCUMENT || head.manifest.document === BASE_DOCUMENT)
+    const bodies: DocumentBody[] = []
+    for (const head of partners) {
+      const partner = await readVersion({ store, holder, clock }, head.manifest, head.inline)
+      if (partner.err) return Err(attemptOf(partner.val))
+      bodies.push(partner.val.body)
+    }
+    const problems = checkTogether(req.document, changed.val.body, bodies)
+    if (problems.length > 0) return Err(settled(Err({ kind: 'config', cause: { kind: 'schema', problems } })))
+    return Ok({ manifest, contents: changed.val.contents, partners: partners.map(head => head.manifest.document) })
+  }
+
+  const write = async (req: ApplyRequest, heads: ReadonlyMap<string, StoredHead>, change: CheckedChange): Promise<Attempt> => {
+    const { manifest, contents } = change
+    const stored = new Set([...heads.values()].flatMap(({ head }) => head === undefined ? [] : digestsOf(head.manifest)))
+    const fresh = [...new Set(digestsOf(manifest))].filter(digest => !stored.has(digest))
+    const puts = fresh.map((digest): PutOperation => ({ kind: 'put', key: chunkKey(digest), value: contents.get(digest)! }))
+    const head = headOf(manifest, contents, heads.get(req.document)?.head?.manifest)
+    const text = JSON.stringify(head)
+    const headPuts: PutOperation[] = [
+      { kind: 'put', key: headKey(req.document), value: text },
+      { kind: 'put', key: historyKey(req.document, manifest.version), value: JSON.stringify(manifest) },
+      options.audit(manifest)
+    ]
+    const compares = [req.document, ...change.partners].map((document): Compare => {
+      const seen = heads.get(document)
+      return { key: headKey(document), target: 'mod', equals: seen?.modRevision ?? 0 }
+    })
+    const fitsInOne = sizeOf([...puts, ...headPuts]) <= MAX_TRANSACTION_BYTES
+    if (!fitsInOne) {
+      const chunks = await writeChunks(puts)
+      if (chunks.err) return again(chunks.val, false)
+      // Whoever clears away old versions may take a chunk that no version names yet for one of them.
+      // The head is then not written, and the next try writes the chunk again.
+      compares.push(...chunks.val)
+    }
+    const written = await store.transact({ compares, writes: fitsInOne ? [...puts, ...headPuts] : headPuts }, { priority: 'config' })
+    if (written.err) return again(written.val, written.val.kind === 'unknown')
+    if (!written.val.succeeded) return again({ kind: 'unavailable', message: 'The configuration changed meanwhile.' }, false)
+    logger.info('config-accepted', { document: req.document, version: manifest.version, change: req.changeId, operator: req.operator })
+    holder.offer(head)
+    dropOldVersions({ store, logger }, req.document)
+    return settled(Ok(manifest))
+  }
+
+  const writeChunks = async (puts: readonly PutOperation[]): Promise<Result<Compare[], StoreError>> => {
+    const compares: Compare[] = []
+    for (const batch of batchesOf(puts)) {
+      const written = await store.transact({ compares: [], writes: batch }, { priority: 'config' })
+      if (written.err) return written
+      compares.push(...batch.map((put): Compare => ({ key: put.key, target: 'mod', equals: written.val.revision })))
+    }
+    return Ok(compares)
+  }
+
+  const accepted = (manifest: Manifest, req: ApplyRequest, current: StoredHead | undefined): Manifest => {
+    logger.info('config-accepted-before', { document: req.document, version: manifest.version, change: req.changeId })
+    if (current?.head !== undefined) holder.offer(current.head)
+    return manifest
+  }
+  const nextVersion = (req: ApplyRequest, head: Head | undefined): number =>
+    // Above what is in force here as well: a store that came back with less must not cause a version twice.
+    Math.max(head?.manifest.version ?? 0, holder.held(req.document)?.manifest.version ?? 0, req.expectedVersion) + 1
+  const manifestOf = (req: ApplyRequest, version: number): Manifest => ({
+    document: req.document,
+    version,
+    changeId: req.changeId,
+    core: req.core,
+    adapters: [...req.adapters],
+    operator: req.operator,
+    acceptedBy: options.peers.self.id,
+    acceptedAtMs: clock.now(),
+    fromVersion: req.expectedVersion,
+    note: req.note
+  })
+  return { apply }
+}
+
+interface CheckedChange {
+  manifest: Manifest
+  contents: ReadonlyMap<string, string>
+  /** Documents that the change was checked with. */
+  partners: readonly string[]
+}
+
+function checkTogether (document: string, changed: DocumentBody, partners: readonly DocumentBody[]): ConfigError['problems'] {
+  if (document !== BASE_DOCUMENT) {
+    const base = partners[0]
+    if (base === undefined) return [{ file: fileOf(document), path: '', found: 'an overlay without a base', allowed: `an accepted ${fileOf(BASE_DOCUMENT)} first` }]
+    const resolved = resolveFleet(base, changed)
+    return resolved.err ? resolved.val.problems : []
+  }
+  const all = [undefined, ...partners].map(overlay => resolveFleet(changed, overlay))
+  return all.flatMap(resolved => resolved.err ? resolved.val.problems : [])
+}
+
+function settled (result: Result<Manifest, ApplyError>): Attempt {
+  return { kind: 'settled', result }
+}
+
+function again (cause: StoreError, mayHaveWritten: boolean): Attempt {
+  return { kind: 'again', cause, mayHaveWritten }
+}
+
+const ATTEMPT_OF_READ_ERROR: { [Kind in ReadError['kind']]: (err: Extract<ReadError, { kind: Kind }>) => Attempt } = {
+  store: err => again(err.cause, false),
+  config: err => settled(Err({ kind: 'config', cause: err.cause })),
+  'missing-chunks': err => settled(Err({ kind: 'missing-chunks', digests: err.digests }))
+}
+
+function attemptOf (err: ReadError): Attempt {
+  return (ATTEMPT_OF_READ_ERROR[err.kind] as (err: ReadError) => Attempt)(err)
+}
+
+function sizeOf (puts: readonly PutOperation[]): number {
+  return puts.reduce((sum, put) => sum + put.key.length + put.value.length, 0)
+}
+
+function batchesOf (puts: readonly PutOperation[]): PutOperation[][] {
+  return puts.reduce<PutOperation[][]>((batches, put) => {
+    const last = batches.at(-1)
+    if (last === undefined || sizeOf([...last, put]) > MAX_TRANSACTION_BYTES) return [...batches, [put]]
+    last.push(put)
+    return batches
+  }, [])
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/config/body.ts
@@ -0,0 +1,151 @@
+/**
+ * A document's content: what operators wrote, checked for form, in the shape in which it is kept.
+ */
+import * as v from 'valibot'
+import { Err, Ok } from '../result'
+import type { Result } from '../result'
+import { bucketOf, encodeChunk, decodeChunk, splitIntoBuckets } from './chunks'
+import type { Chunk } from './chunks'
+import { BASE_DOCUMENT, fileOf } from './documents'
+import type { ChunkContents, Manifest } from './documents'
+import { adapterSchema, baseSchema, overlayAdapterSchema, overlaySchema } from './fleet'
+import type { AdapterConfig, FleetConfig, ModelConfig, ServiceConfig, TeamConfig } from './fleet'
+import { checkConfig } from './schema'
+import type { ConfigError, ConfigProblem } from './schema'
+
+type Partly<T extends { name: string }> = Partial<T> & { name: string }
+
+/** Everything of a document but its adapters, as written: defaults are filled in when it is resolved. */
+export interface DocumentCore {
+  cells?: number
+  capacityTokensPerSecond?: number
+  objective?: Partial<FleetConfig['objective']>
+  without?: Partial<Record<EntryKind, string[]>>
+  team?: Array<Partly<TeamConfig>>
+  model?: Array<Partly<ModelConfig>>
+  service?: Array<Partly<ServiceConfig>>
+}
+
+export type EntryKind = 'team' | 'model' | 'adapter' | 'service'
+export const ENTRY_KINDS: readonly EntryKind[] = ['team', 'model', 'adapter', 'service']
+
+export type AdapterEntry = Partly<AdapterConfig>
+
+export interface AdapterBucket {
+  digest: string
+  byName: ReadonlyMap<string, AdapterEntry>
+}
+
+export interface DocumentBody {
+  document: string
+  core: DocumentCore
+  adapters: readonly AdapterBucket[]
+}
+
+export interface PreparedDocument {
+  core: string
+  adapters: string[]
+  chunks: ChunkContents
+}
+
+/** Checks a whole file as parsed from TOML and cuts it into chunks. */
+export function prepareDocument (document: string, value: Record<string, unknown>): Result<PreparedDocument, ConfigError> {
+  const file = fileOf(document)
+  const { adapter, ...rest } = value
+  const core = checkConfig(file, rest, coreSchemaOf(document))
+  const adapters = checkConfig(file, { adapter }, v.strictObject({ adapter: v.optional(v.array(adapterSchemaOf(document)), []) }))
+  const problems = [core, adapters].flatMap(checked => checked.err ? checked.val.problems : [])
+  if (problems.length > 0) return Err({ kind: 'schema', problems })
+  const written = adapter as AdapterEntry[] | undefined ?? []
+  const duplicates = [...duplicatesOf(file, rest as DocumentCore), ...duplicateNames(file, 'adapter', written)]
+  if (duplicates.length > 0) return Err({ kind: 'schema', problems: duplicates })
+  return toChunks(file, rest as DocumentCore, written)
+}
+
+function toChunks (file: string, core: DocumentCore, adapters: readonly AdapterEntry[]): Result<PreparedDocument, ConfigError> {
+  const encoded = [core, ...splitIntoBuckets(adapters)].map(encodeChunk)
+  const chunks: Chunk[] = []
+  for (const chunk of encoded) {
+    if (chunk.err) return Err({ kind: 'schema', problems: [{ file, path: '', found: 'a file too large to keep', allowed: 'at most 1 MB, compressed, without the adapters' }] })
+    chunks.push(chunk.val)
+  }
+  const [first, ...others] = chunks
+  return Ok({
+    core: first!.digest,
+    adapters: others.map(chunk => chunk.digest),
+    chunks: Object.fromEntries(chunks.map(chunk => [chunk.digest, chunk.content]))
+  })
+}
+
+/** Reads and checks one chunk with everything but the adapters. */
+export function readCore (document: string, chunk: Chunk): Result<DocumentCore, ConfigError> {
+  const file = fileOf(document)
+  const value = decodeChunk(chunk)
+  if (value.err) return Err(damaged(file, chunk.digest, value.val.kind))
+  const checked = checkConfig(file, value.val, coreSchemaOf(document))
+  if (checked.err) return checked
+  const problems = duplicatesOf(file, value.val as DocumentCore)
+  return problems.length > 0 ? Err({ kind: 'schema', problems }) : Ok(value.val as DocumentCore)
+}
+
+export interface BucketPosition {
+  index: number
+  count: number
+}
+
+/** Reads and checks one bucket of adapters. A name in the wrong bucket would never be found again. */
+export function readBucket (document: string, chunk: Chunk, position: BucketPosition): Result<AdapterBucket, ConfigError> {
+  const file = fileOf(document)
+  const value = decodeChunk(chunk)
+  if (value.err) return Err(damaged(file, chunk.digest, value.val.kind))
+  const checked = checkConfig(file, value.val, v.array(adapterSchemaOf(document)))
+  if (checked.err) return checked
+  const items = (checked.val as AdapterEntry[]).map(compact)
+  const astray = items.some(item => bucketOf(item.name, position.count) !== position.index)
+  const problems = duplicateNames(file, 'adapter', items)
+  if (astray) return Err(damaged(file, chunk.digest, 'wrong bucket'))
+  if (problems.length > 0) return Err({ kind: 'schema', problems })
+  return Ok({ digest: chunk.digest, byName: new Map(items.map(item => [item.name, item])) })
+}
+
+export function chunkOf (manifest: Manifest, digest: string, contents: ReadonlyMap<string, string>): Chunk | undefined {
+  const content = contents.get(digest)
+  return content === undefined ? undefined : { digest, content }
+}
+
+/** Names of models repeat many times: one string for all keeps 80,000 adapters small. */
+const internedNames = new Map<string, string>()
+
+function compact (item: AdapterEntry): AdapterEntry {
+  if (item.model === undefined) return item
+  const known = internedNames.get(item.model)
+  if (known === undefined) internedNames.set(item.model, item.model)
+  return { ...item, model: known ?? item.model }
+}
+
+function coreSchemaOf (document: string): v.GenericSchema {
+  return document === BASE_DOCUMENT ? baseSchema : overlaySchema
+}
+
+function adapterSchemaOf (document: string): v.GenericSchema {
+  return document === BASE_DOCUMENT ? adapterSchema : overlayAdapterSchema
+}
+
+function duplicatesOf (file: string, core: DocumentCore): ConfigProblem[] {
+  return (['team', 'model', 'service'] as const).flatMap(kind => duplicateNames(file, kind, core[kind] ?? []))
+}
+
+function duplicateNames (file: string, kind: EntryKind, items: readonly { name: string }[]): ConfigProblem[] {
+  const seen = new Set<string>()
+  return items.flatMap(({ name }, index) => {
+    if (!seen.has(name)) {
+      seen.add(name)
+      return []
+    }
+    return [{ file, path: `${kind}.${index}.name`, found: `${name} a second time`, allowed: `one ${kind} of each name` }]
+  })
+}
+
+function damaged (file: string, digest: string, found: string): ConfigError {
+  return { kind: 'schema', problems: [{ file, path: `chunk ${digest}`, found, allowed: 'the chunk as it was written' }] }
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/config/documents.ts
@@ -0,0 +1,110 @@
+/**
+ * The documents that make up the configuration, and how they lie in the store: the base and one
+ * overlay for each site, each with versions of its own.
+ *
+ * A version is a {@link Manifest} that names chunks by the digest of their content. It comes into
+ * being with one compare-and-swap of the document's head; chunks written before that are invisible.
+ */
+import * as v from 'valibot'
+import { STORE_ROOT } from '../constants'
+import { parseJson } from '../utils'
+
+export const BASE_DOCUMENT = 'base'
+const SITE_PREFIX = 'sites/'
+const DOCUMENT_FORM = /^(base|sites\/[a-z0-9][a-z0-9._-]*)$/
+
+export const CONFIG_ROOT = `${STORE_ROOT}/config/`
+export const HEADS_PREFIX = `${CONFIG_ROOT}heads/`
+const CHUNKS_PREFIX = `${CONFIG_ROOT}chunks/`
+const HISTORY_PREFIX = `${CONFIG_ROOT}history/`
+/** Versions sort as text, up to the largest safe integer. */
+const VERSION_DIGITS = 16
+
+const digest = v.pipe(v.string(), v.regex(/^[A-Za-z0-9_-]{43}$/))
+
+export const manifestSchema = v.strictObject({
+  document: v.pipe(v.string(), v.regex(DOCUMENT_FORM)),
+  version: v.pipe(v.number(), v.integer(), v.minValue(1)),
+  /** Unique for each change: tells after a lost answer whether this change is the accepted one. */
+  changeId: v.string(),
+  /** Digest of the chunk with everything but the adapters. */
+  core: digest,
+  /** Digests of the adapters' buckets, in order; their count is a power of two, or none. */
+  adapters: v.array(digest),
+  /** Name of the operator key that the change came with. */
+  operator: v.string(),
+  /** Instance that accepted it. */
+  acceptedBy: v.string(),
+  acceptedAtMs: v.number(),
+  /** The version that the operator saw. */
+  fromVersion: v.number(),
+  /** What the operator said about the change. */
+  note: v.optional(v.string(), '')
+})
+
+export type Manifest = v.InferOutput<typeof manifestSchema>
+
+const headSchema = v.strictObject({
+  manifest: manifestSchema,
+  /** Small new chunks, by digest, so that whoever hears of the version need not ask for them. */
+  inline: v.record(v.string(), v.string())
+})
+
+/** The value of a document's head, and what peers send each other. */
+export type Head = v.InferOutput<typeof headSchema>
+
+/** Contents of chunks by digest. */
+export type ChunkContents = Readonly<Record<string, string>>
+
+export interface DocumentVersion {
+  document: string
+  version: number
+}
+
+export function siteDocument (site: string): string {
+  return SITE_PREFIX + site
+}
+
+export function isDocumentName (text: string): boolean {
+  return DOCUMENT_FORM.test(text)
+}
+
+/** File name of a document, as operators know it. */
+export function fileOf (document: string): string {
+  return `${document}.toml`
+}
+
+export function headKey (document: string): string {
+  return HEADS_PREFIX + document
+}
+
+export function chunkKey (chunkDigest: string): string {
+  return CHUNKS_PREFIX + chunkDigest
+}
+
+export function historyPrefix (document: string): string {
+  return `${HISTORY_PREFIX}${document}/`
+}
+
+export function historyKey (document: string, version: number): string {
+  return historyPrefix(document) + String(version).padStart(VERSION_DIGITS, '0')
+}
+
+export function digestsOf (manifest: Manifest): string[] {
+  return [manifest.core, ...manifest.adapters]
+}
+
+/** The head in `text`, or undefined when the record is damaged. */
+export function parseHead (text: string): Head | undefined {
+  return checkHead(parseJson(text))
+}
+
+export function checkHead (value: unknown): Head | undefined {
+  const checked = v.safeParse(headSchema, value)
+  return checked.success ? checked.output : undefined
+}
+
+export function parseManifest (text: string): Manifest | undefined {
+  const checked = v.safeParse(manifestSchema, parseJson(text))
+  return checked.success ? checked.output : undefined
+}
--- a/packages/magnoliabay/src/node/config/fleet.ts
+++ b/packages/magnoliabay/src/node/config/fleet.ts
@@ -1,12 +1,31 @@
 /**
  * The fleet's configuration, as operators write it: teams, models, adapters, plain services.
+ * The base file and each site's overlay are checked apart ({@link baseSchema}, {@link overlaySchema});
+ * an instance acts on the two resolved into one {@link FleetConfig}.
  */
 import * as v from 'valibot'
 
-const name = v.pipe(v.string(), v.regex(/^[a-z0-9][a-z0-9._-]*$/, 'lower-case letters, digits, dots, dashes and underscores'))
+export const name = v.pipe(v.string(), v.regex(/^[a-z0-9][a-z0-9._-]*$/, 'lower-case letters, digits, dots, dashes and underscores'))
 const positive = v.pipe(v.number(), v.minValue(1))
+const share = v.pipe(v.number(), v.minValue(0.5), v.maxValue(0.999999))
 
-const teamSchema = v.strictObject({
+/** Service-level objectives; a team's own ones stand over the fleet's. */
+export const objectiveSchema = v.strictObject({
+  /** Share of requests that are answered in full. @default 0.999 */
+  availability: v.optional(share, 0.999),
+  /** Time to the first token when a replica is loaded, in milliseconds. @default 830 */
+  firstTokenMs: v.optional(positive, 830),
+  /** Share of requests whose first token comes in that time. @default 0.95 */
+  firstTokenShare: v.optional(share, 0.95),
+  /** Time to the first token when a model has to be loaded first, in milliseconds. @default 60000 */
+  coldStartMs: v.optional(positive, 60_000),
+  /** Share of cold starts that keep to it. @default 0.95 */
+  coldStartShare: v.optional(share, 0.95),
+  /** Share of requests within the team's rate that are not refused. @default 0.999 */
+  withinRateShare: v.optional(share, 0.999)
+})
+
+export const teamSchema = v.strictObject({
   name,
   /** Tokens a second, counted over the whole fleet. */
   tokensPerSecond: positive,
@@ -15,10 +34,12 @@
   /** Share in a queue, beside other teams'. @default 1 */
   weight: v.optional(positive, 1),
   /** Models, adapters and services that the team may call; `*` for all. @default ['*'] */
-  allow: v.optional(v.array(v.string()), ['*'])
+  allow: v.optional(v.array(v.string()), ['*']),
+  /** Objectives in which the team differs from the fleet. */
+  objective: v.optional(v.partial(objectiveSchema))
 })
 
-const modelSchema = v.strictObject({
+export const modelSchema = v.strictObject({
   name,
   memoryMiB: positive,
   /** @default '1' */
@@ -27,32 +48,68 @@
   maxReplicas: v.optional(positive, 2)
 })
 
-const adapterSchema = v.strictObject({
+export const adapterSchema = v.strictObject({
   name,
   /** Model that the adapter changes. */
   model: name,
   memoryMiB: positive
 })
 
-const serviceSchema = v.strictObject({
+export const serviceSchema = v.strictObject({
   name,
   /** Methods whose calls may not be repeated. @default ['POST', 'PATCH'] */
   nonIdempotent: v.optional(v.array(v.picklist(['GET', 'PUT', 'POST', 'PATCH', 'DELETE'])), ['POST', 'PATCH'])
 })
 
-export const fleetSchema = v.strictObject({
+const fleetWide = {
   /** Number of cells that the engines are spread over. @default 1 */
   cells: v.optional(v.pipe(positive, v.integer()), 1),
+  /** Tokens a second that the engines can give; `plan` warns when the teams' rates add up to more. */
+  capacityTokensPerSecond: v.optional(positive),
+  /** Objectives of every team. */
+  objective: v.optional(objectiveSchema, {})
+}
+
+/** The base file as a whole, and the resolved configuration. */
+export const fleetSchema = v.strictObject({
+  ...fleetWide,
   team: v.optional(v.array(teamSchema), []),
   model: v.optional(v.array(modelSchema), []),
   adapter: v.optional(v.array(adapterSchema), []),
   service: v.optional(v.array(serviceSchema), [])
 })
 
+/** Everything of a file but its adapters, which are kept apart (see `chunks.ts`). */
+export const baseSchema = v.omit(fleetSchema, ['adapter'])
+
+/** An overlay names an entry of the base to change some of its fields, or a new one in full. */
+export const overlaySchema = v.strictObject({
+  cells: v.optional(v.pipe(positive, v.integer())),
+  capacityTokensPerSecond: v.optional(positive),
+  objective: v.optional(v.partial(objectiveSchema)),
+  /** Entries of the base that do not hold at this site. */
+  without: v.optional(v.strictObject({
+    /** @default [] */
+    team: v.optional(v.array(name), []),
+    /** @default [] */
+    model: v.optional(v.array(name), []),
+    /** @default [] */
+    adapter: v.optional(v.array(name), []),
+    /** @default [] */
+    service: v.optional(v.array(name), [])
+  })),
+  team: v.optional(v.array(v.strictObject({ ...v.partial(teamSchema).entries, name })), []),
+  model: v.optional(v.array(v.strictObject({ ...v.partial(modelSchema).entries, name })), []),
+  service: v.optional(v.array(v.strictObject({ ...v.partial(serviceSchema).entries, name })), [])
+})
+
+export const overlayAdapterSchema = v.strictObject({ ...v.partial(adapterSchema).entries, name })
+
 export type FleetConfig = v.InferOutput<typeof fleetSchema>
+export type ObjectiveConfig = v.InferOutput<typeof objectiveSchema>
 export type TeamConfig = v.InferOutput<typeof teamSchema>
 export type ModelConfig = v.InferOutput<typeof modelSchema>
 export type AdapterConfig = v.InferOutput<typeof adapterSchema>
 export type ServiceConfig = v.InferOutput<typeof serviceSchema>
 
-export const EMPTY_FLEET: FleetConfig = { cells: 1, team: [], model: [], adapter: [], service: [] }
+export const EMPTY_FLEET: FleetConfig = v.parse(fleetSchema, {})
--- a/packages/magnoliabay/src/node/config/holder.ts
+++ b/packages/magnoliabay/src/node/config/holder.ts
@@ -1,20 +1,32 @@
 /**
- * The configuration in force on this instance: the newest accepted one that it has heard of.
+ * The configuration in force on this instance: the newest accepted one that it has heard of, by the
+ * store's watch or from a peer, whichever comes first. It never goes back to an older version.
  */
-import { STORE_ROOT } from '../constants'
+import type { Clock } from '../clock'
+import { repeat, sleep } from '../clock'
 import type { Logger } from '../logger'
-import type { Disposer } from '../members/peers'
+import type { Peers } from '../members'
 import { createListeners } from '../members/dispatch'
+import type { Disposer } from '../members/peers'
 import type { Store } from '../platform'
-import { checkConfig } from './schema'
-import { EMPTY_FLEET, fleetSchema } from './fleet'
+import { isWhole } from './chunks'
+import { BASE_DOCUMENT, HEADS_PREFIX, checkHead, parseHead, siteDocument } from './documents'
+import type { DocumentVersion, Head } from './documents'
+import { fetchChunks } from './fetchChunks'
+import { EMPTY_FLEET } from './fleet'
 import type { AdapterConfig, FleetConfig, ModelConfig, ServiceConfig, TeamConfig } from './fleet'
-
-export const FLEET_KEY = `${STORE_ROOT}/config/fleet`
+import { headOf, missingChunks, pickContents, readHeld } from './held'
+import type { HeldDocument } from './held'
+import { resolveFleet } from './resolveFleet'
+import type { ResolvedFleet } from './resolveFleet'
+import { formatProblem } from './schema'
+import { MAX_CHUNK_ANSWER_BYTES, configAccepted, configChunks, configHead, configInForce, configVersions } from './spread'
 
 export interface ConfigInForce {
-  /** Store revision that accepted it; 0 before the first. */
+  /** Grows with every change in force; 0 before the first. The sum of the documents' versions. */
   version: number
+  /** Versions of the base and of the site's overlay. */
+  documents: readonly DocumentVersion[]
   fleet: FleetConfig
 }
 
@@ -26,59 +38,176 @@
   service (name: string): ServiceConfig | undefined
   /** Called after a newer configuration came into force. */
   onChanged (listener: () => void): Disposer
+  /** The newest version of a document held in full, in force or not. */
+  held (document: string): HeldDocument | undefined
+  /** Takes a version that this instance has accepted itself, and tells the peers. */
+  offer (head: Head): void
   start (signal: AbortSignal): void
 }
 
 export interface ConfigHolderOptions {
   store: Store
+  peers: Peers
+  /** Site whose overlay holds here. */
+  site: string
+  clock: Clock
   logger: Logger
 }
 
+/** Who told of a version: the store, this instance itself, or a peer. */
+type Source = { kind: 'store' } | { kind: 'self' } | { kind: 'peer', id: string }
+
+interface WantedVersion {
+  head: Head
+  source: Source
+}
+
+/** Between tries to get the chunks of a version, in milliseconds. */
+const FETCH_RETRY_MS = 500
+/** Every so often one peer in turn is told what is held here: what a lost notice costs at most. */
+const VERSIONS_PERIOD_MS = 2000
+
 export function createConfigHolder (options: ConfigHolderOptions): ConfigHolder {
-  const { store, logger } = options
+  const { store, peers, clock, logger } = options
+  const documents = [BASE_DOCUMENT, siteDocument(options.site)]
   const changed = createListeners<[]>()
-  let inForce: ConfigInForce = { version: 0, fleet: EMPTY_FLEET }
-  let index = indexOf(EMPTY_FLEET)
+  const held = new Map<string, HeldDocument>()
+  const wanted = new Map<string, WantedVersion>()
+  const fetching = new Set<string>()
+  const stopped = new AbortController()
+  let inForce: ConfigInForce = { version: 0, documents: [], fleet: EMPTY_FLEET }
+  let resolved: ResolvedFleet | undefined
+  let nextPeer = 0
+
+  const heldVersion = (document: string): number => held.get(document)?.manifest.version ?? 0
+  const versions = (): DocumentVersion[] => documents
+    .map(document => ({ document, version: heldVersion(document) }))
+    .filter(({ version }) => version > 0)
 
-  const offer = (version: number, text: string): void => {
-    if (version <= inForce.version) return
-    const checked = checkConfig('fleet', JSON.parse(text), fleetSchema)
-    if (checked.err) return logger.error('config-refused', { version, problem: checked.val.problems[0]?.path })
-    inForce = { version, fleet: checked.val }
-    index = indexOf(checked.val)
-    logger.info('config-in-force', { version })
+  /**
+   * The one gate for versions. An older one (a snapshot from a store that lags, a late event, a slow
+   * peer) would take effect as a change that nobody made; versions only grow, so comparing is enough.
+   */
+  const take = (head: Head, source: Source): void => {
+    const { document, version } = head.manifest
+    if (!documents.includes(document)) return
+    const known = Math.max(heldVersion(document), wanted.get(document)?.head.manifest.version ?? 0)
+    if (version < known) logger.debug('config-older-ignored', { document, version, known, source: source.kind })
+    if (version <= known) return
+    wanted.set(document, { head, source })
+    if (!fetching.has(document)) fetchWanted(document)
+  }
+  const fetchWanted = async (document: string): Promise<void> => {
+    fetching.add(document)
+    const found = new Map<string, string>()
+    for (let next = wanted.get(document); next !== undefined && !stopped.signal.aborted; next = wanted.get(document)) {
+      const { head, source } = next
+      addInline(head, found)
+      const missing = missingChunks(head.manifest, held.get(document), found)
+      if (missing.length > 0) await fetchChunks({ store, peers }, missing, found, source.kind === 'peer' ? source.id : undefined)
+      const lacking = missingChunks(head.manifest, held.get(document), found).length
+      if (lacking > 0) {
+        logger.warn('config-incomplete', { document, version: head.manifest.version, missing: lacking })
+        await sleep(clock, FETCH_RETRY_MS, stopped.signal)
+        continue
+      }
+      await adopt(head, source, found)
+    }
+    fetching.delete(document)
+  }
+  const adopt = async (head: Head, source: Source, found: ReadonlyMap<string, string>): Promise<void> => {
+    const { document, version } = head.manifest
+    const before = held.get(document)
+    const read = await readHeld(head.manifest, before, found, () => sleep(clock, 0))
+    if (wanted.get(document)?.head === head) wanted.delete(document)
+    if (read.err) {
+      return logger.error('config-refused', { document, version, reason: read.val.problems.slice(0, 1).map(formatProblem)[0] })
+    }
+    held.set(document, read.val)
+    logger.info('config-held', { document, version, source: source.kind, from: source.kind === 'peer' ? source.id : undefined })
+    peers.notifyAll(configAccepted, headOf(head.manifest, read.val.contents, before?.manifest))
+    bringIntoForce()
+  }
+  /** Two documents may arrive in the other order than they were accepted: the old pair holds until the new one fits. */
+  const bringIntoForce = (): void => {
+    const base = held.get(BASE_DOCUMENT)
+    if (base === undefined) return
+    const next = resolveFleet(base.body, held.get(documents[1]!)?.body, resolved)
+    if (next.err) {
+      return logger.warn('config-held-back', { reason: next.val.problems.slice(0, 1).map(formatProblem)[0] })
+    }
+    resolved = next.val
+    const pair = versions()
+    inForce = { version: pair.reduce((sum, { version }) => sum + version, 0), documents: pair, fleet: next.val.fleet }
+    logger.info('config-in-force', { version: inForce.version, documents: pair.map(({ document, version }) => `${document}:${version}`) })
     changed.emit()
   }
+  const takeRecord = (record: { key: string, value: string }): void => {
+    const head = parseHead(record.value)
+    if (head === undefined || record.key !== HEADS_PREFIX + head.manifest.document) {
+      return logger.error('config-record-damaged', { key: record.key })
+    }
+    take(head, { kind: 'store' })
+  }
+  const headHeld = (document: string): Head | undefined => {
+    const own = held.get(document)
+    return own === undefined ? undefined : headOf(own.manifest, own.contents, undefined)
+  }
+  const tellVersions = (): void => {
+    const others = peers.members().filter(member => member.id !== peers.self.id && peers.isConnected(member.id))
+    const partner = others[nextPeer++ % Math.max(1, others.length)]
+    if (partner !== undefined) peers.notify(partner.id, configVersions, { versions: versions() })
+  }
+  const compareVersions = async (theirs: readonly DocumentVersion[], from: string): Promise<void> => {
+    const theirVersion = (document: string): number => theirs.find(one => one.document === document)?.version ?? 0
+    documents
+      .filter(document => theirVersion(document) < heldVersion(document))
+      .forEach(document => peers.notify(from, configAccepted, headHeld(document)!))
+    for (const document of documents.filter(document => theirVersion(document) > heldVersion(document))) {
+      const answer = await peers.call(from, configHead, { document })
+      const head = answer.ok ? checkHead(answer.val.head) : undefined
+      if (head !== undefined) take(head, { kind: 'peer', id: from })
+    }
+  }
+
+  peers.listen(configAccepted, (body, from) => {
+    const head = checkHead(body)
+    if (head !== undefined) take(head, { kind: 'peer', id: from.id })
+  })
+  peers.listen(configVersions, (body, from) => { compareVersions(body.versions, from.id) })
+  peers.serve(configHead, ({ document }) => ({ head: headHeld(document) }))
+  peers.serve(configChunks, ({ digests }) => ({
+    contents: pickContents(digests, digest => contentHeld(held, digest), MAX_CHUNK_ANSWER_BYTES)
+  }))
+  peers.serve(configInForce, () => ({ versions: [...inForce.documents] }))
+  peers.onConnected(member => peers.notify(member.id, configVersions, { versions: versions() }))
+
   return {
     inForce: () => inForce,
-    team: name => index.teams.get(name),
-    model: name => index.models.get(name),
-    adapter: name => index.adapters.get(name),
-    service: name => index.services.get(name),
+    team: name => resolved?.teams.get(name),
+    model: name => resolved?.models.get(name),
+    adapter: name => resolved?.adapter(name),
+    service: name => resolved?.services.get(name),
     onChanged: changed.add,
-    start: signal => store.watch(FLEET_KEY, {
-      onSnapshot: snapshot => snapshot.entries.forEach(entry => offer(entry.modRevision, entry.value)),
-      onEvent: event => { if (event.kind === 'put') offer(event.modRevision, event.value) }
-    }, signal)
+    held: document => held.get(document),
+    offer: head => take(head, { kind: 'self' }),
+    start: signal => {
+      signal.addEventListener('abort', () => stopped.abort(), { once: true })
+      store.watch(HEADS_PREFIX, {
+        onSnapshot: snapshot => snapshot.entries.forEach(takeRecord),
+        onEvent: event => { if (event.kind === 'put') takeRecord(event) }
+      }, signal)
+      repeat(clock, VERSIONS_PERIOD_MS, signal, tellVersions)
+    }
   }
 }
 
-interface FleetIndex {
-  teams: Map<string, TeamConfig>
-  models: Map<string, ModelConfig>
-  adapters: Map<string, AdapterConfig>
-  services: Map<string, ServiceConfig>
-}
-
-function indexOf (fleet: FleetConfig): FleetIndex {
-  return {
-    teams: byName(fleet.team),
-    models: byName(fleet.model),
-    adapters: byName(fleet.adapter),
-    services: byName(fleet.service)
-  }
+function contentHeld (held: ReadonlyMap<string, HeldDocument>, digest: string): string | undefined {
+  return [...held.values()].map(document => document.contents.get(digest)).find(content => content !== undefined)
 }
 
-function byName<T extends { name: string }> (items: readonly T[]): Map<string, T> {
-  return new Map(items.map(item => [item.name, item]))
+function addInline (head: Head, found: Map<string, string>): void {
+  Object.entries(head.inline)
+    .filter(([digest, content]) => isWhole(digest, content))
+    .forEach(([digest, content]) => found.set(digest, content))
 }
--- /dev/null
+++ b/packages/magnoliabay/src/node/config/resolveFleet.ts
@@ -0,0 +1,180 @@
+/**
+ * The base and a site's overlay, resolved into what an instance acts on, and checked as a whole.
+ */
+import type * as v from 'valibot'
+import { Err, Ok } from '../result'
+import type { Result } from '../result'
+import { bucketOf } from './chunks'
+import { fileOf } from './documents'
+import { ENTRY_KINDS } from './body'
+import type { AdapterBucket, AdapterEntry, DocumentBody, EntryKind } from './body'
+import { fleetSchema, modelSchema, serviceSchema, teamSchema, adapterSchema } from './fleet'
+import type { AdapterConfig, FleetConfig, ModelConfig, ServiceConfig, TeamConfig } from './fleet'
+import { checkConfig } from './schema'
+import type { ConfigError, ConfigProblem } from './schema'
+
+export interface ResolvedFleet {
+  fleet: FleetConfig
+  teams: ReadonlyMap<string, TeamConfig>
+  models: ReadonlyMap<string, ModelConfig>
+  services: ReadonlyMap<string, ServiceConfig>
+  adapter (name: string): AdapterConfig | undefined
+  /** What the adapters were made from: equal buckets need no second look. */
+  adapterSource: AdapterSource
+}
+
+interface AdapterSource {
+  base: readonly AdapterBucket[]
+  overlay: readonly AdapterBucket[]
+  without: string
+}
+
+interface Named { name: string }
+
+/** An entry with the place that operators look at when it is wrong. */
+interface Placed<T extends Named> {
+  entry: T
+  file: string
+  path: string
+}
+
+const ANY = '*'
+
+/** `previous` is what was resolved before: what has not changed since is taken from there. */
+export function resolveFleet (base: DocumentBody, overlay: DocumentBody | undefined, previous?: ResolvedFleet): Result<ResolvedFleet, ConfigError> {
+  const problems: ConfigProblem[] = []
+  const teams = resolveKind<TeamConfig>('team', teamSchema, base, overlay, problems)
+  const models = resolveKind<ModelConfig>('model', modelSchema, base, overlay, problems)
+  const services = resolveKind<ServiceConfig>('service', serviceSchema, base, overlay, problems)
+  const { adapter: withoutAdapters = [] } = overlay?.core.without ?? {}
+  const adapterSource: AdapterSource = { base: base.adapters, overlay: overlay?.adapters ?? [], without: withoutAdapters.join(' ') }
+  const adapters = previous !== undefined && sameSource(previous.adapterSource, adapterSource)
+    ? { list: previous.fleet.adapter, find: previous.adapter }
+    : resolveAdapters(base, overlay, new Set(withoutAdapters), problems)
+
+  problems.push(
+    ...checkWithout(base, overlay),
+    ...checkModelsOfAdapters(base, overlay, models, adapters.list),
+    ...checkCallNames(base, overlay, models, services, adapters.find),
+    ...checkAllowed(base, overlay)
+  )
+  if (problems.length > 0) return Err({ kind: 'schema', problems })
+  const wide = checkConfig(fileOf(base.document), {
+    cells: overlay?.core.cells ?? base.core.cells,
+    capacityTokensPerSecond: overlay?.core.capacityTokensPerSecond ?? base.core.capacityTokensPerSecond,
+    objective: { ...base.core.objective, ...overlay?.core.objective }
+  }, fleetSchema)
+  if (wide.err) return wide
+  const fleet: FleetConfig = {
+    ...wide.val,
+    team: [...teams.values()],
+    model: [...models.values()],
+    service: [...services.values()],
+    adapter: adapters.list
+  }
+  return Ok({ fleet, teams, models, services, adapter: adapters.find, adapterSource })
+}
+
+function resolveKind<T extends Named> (kind: 'team' | 'model' | 'service', schema: v.GenericSchema, base: DocumentBody, overlay: DocumentBody | undefined, problems: ConfigProblem[]): Map<string, T> {
+  const without = new Set(overlay?.core.without?.[kind] ?? [])
+  const merged = new Map<string, Placed<Named>>()
+  placed(base, kind).filter(({ entry }) => !without.has(entry.name)).forEach(item => merged.set(item.entry.name, item))
+  placed(overlay, kind).forEach(item => {
+    const below = merged.get(item.entry.name)?.entry
+    merged.set(item.entry.name, { ...item, entry: { ...below, ...item.entry } })
+  })
+  const resolved = [...merged.values()].flatMap(item => {
+    const checked = checkConfig(item.file, item.entry, schema)
+    if (checked.ok) return [checked.val as T]
+    problems.push(...checked.val.problems.map(problem => ({ ...problem, path: `${item.path}.${problem.path}` })))
+    return []
+  })
+  return new Map(resolved.map(item => [item.name, item]))
+}
+
+function placed (body: DocumentBody | undefined, kind: 'team' | 'model' | 'service'): Array<Placed<Named>> {
+  if (body === undefined) return []
+  return (body.core[kind] ?? []).map((entry, index) => ({ entry, file: fileOf(body.document), path: `${kind}.${index}` }))
+}
+
+interface ResolvedAdapters {
+  list: AdapterConfig[]
+  find: (name: string) => AdapterConfig | undefined
+}
+
+function resolveAdapters (base: DocumentBody, overlay: DocumentBody | undefined, without: ReadonlySet<string>, problems: ConfigProblem[]): ResolvedAdapters {
+  const inBase = (name: string): AdapterConfig | undefined => without.has(name) ? undefined : findAdapter(base.adapters, name) as AdapterConfig | undefined
+  const changed = new Map<string, AdapterConfig>()
+  entriesOf(overlay?.adapters ?? []).forEach(entry => {
+    const checked = checkConfig(fileOf(overlay!.document), { ...inBase(entry.name), ...entry }, adapterSchema)
+    if (checked.ok) changed.set(entry.name, checked.val)
+    else problems.push(...checked.val.problems.map(problem => ({ ...problem, path: `adapter ${entry.name}.${problem.path}` })))
+  })
+  const kept = entriesOf(base.adapters) as AdapterConfig[]
+  const isKept = changed.size === 0 && without.size === 0
+    ? () => true
+    : (entry: AdapterConfig) => !changed.has(entry.name) && !without.has(entry.name)
+  return {
+    list: [...kept.filter(isKept), ...changed.values()],
+    find: name => changed.get(name) ?? inBase(name)
+  }
+}
+
+export function entriesOf (buckets: readonly AdapterBucket[]): AdapterEntry[] {
+  return buckets.flatMap(bucket => [...bucket.byName.values()])
+}
+
+function findAdapter (buckets: readonly AdapterBucket[], name: string): AdapterEntry | undefined {
+  if (buckets.length === 0) return undefined
+  return buckets[bucketOf(name, buckets.length)]!.byName.get(name)
+}
+
+function sameSource (left: AdapterSource, right: AdapterSource): boolean {
+  return left.without === right.without && sameBuckets(left.base, right.base) && sameBuckets(left.overlay, right.overlay)
+}
+
+function sameBuckets (left: readonly AdapterBucket[], right: readonly AdapterBucket[]): boolean {
+  return left.length === right.length && left.every((bucket, index) => bucket.digest === right[index]!.digest)
+}
+
+function checkWithout (base: DocumentBody, overlay: DocumentBody | undefined): ConfigProblem[] {
+  if (overlay === undefined) return []
+  const file = fileOf(overlay.document)
+  return ENTRY_KINDS.flatMap(kind => (overlay.core.without?.[kind] ?? []).flatMap((name, index): ConfigProblem[] => {
+    const path = `without.${kind}.${index}`
+    if (!has(base, kind, name)) return [{ file, path, found: name, allowed: `a ${kind} of ${fileOf(base.document)}` }]
+    if (has(overlay, kind, name)) return [{ file, path, found: `${name}, which this file also names as ${kind}`, allowed: 'one of the two' }]
+    return []
+  }))
+}
+
+function has (body: DocumentBody, kind: EntryKind, name: string): boolean {
+  if (kind === 'adapter') return findAdapter(body.adapters, name) !== undefined
+  return (body.core[kind] ?? []).some(entry => entry.name === name)
+}
+
+function checkModelsOfAdapters (base: DocumentBody, overlay: DocumentBody | undefined, models: ReadonlyMap<string, ModelConfig>, adapters: readonly AdapterConfig[]): ConfigProblem[] {
+  const withoutModels = new Set(overlay?.core.without?.model ?? [])
+  return adapters.filter(adapter => !models.has(adapter.model)).map(adapter => {
+    const owner = overlay !== undefined && (withoutModels.has(adapter.model) || has(overlay, 'adapter', adapter.name)) ? overlay : base
+    return { file: fileOf(owner.document), path: `adapter ${adapter.name}.model`, found: adapter.model, allowed: 'a model that holds at this site' }
+  })
+}
+
+/** Callers name models, adapters and services the same way, so no two of them may share a name. */
+function checkCallNames (base: DocumentBody, overlay: DocumentBody | undefined, models: ReadonlyMap<string, ModelConfig>, services: ReadonlyMap<string, ServiceConfig>, adapter: ResolvedAdapters['find']): ConfigProblem[] {
+  const file = fileOf((overlay ?? base).document)
+  const taken = [...models.keys(), ...services.keys()].filter(name => adapter(name) !== undefined)
+  const twice = [...services.keys()].filter(name => models.has(name))
+  return [...taken, ...twice].map(name => ({ file, path: name, found: 'two of model, adapter and service with this name', allowed: 'one' }))
+}
+
+/** A name that stands in neither file is a slip of the pen; one that this site goes without is not. */
+function checkAllowed (base: DocumentBody, overlay: DocumentBody | undefined): ConfigProblem[] {
+  const bodies = overlay === undefined ? [base] : [base, overlay]
+  const isKnown = (name: string): boolean => name === ANY ||
+    bodies.some(body => (['model', 'adapter', 'service'] as const).some(kind => has(body, kind, name)))
+  return bodies.flatMap(body => (body.core.team ?? []).flatMap((team, index) => (team.allow ?? [])
+    .filter(name => !isKnown(name))
+    .map(name => ({ file: fileOf(body.document), path: `team.${index}.allow`, found: name, allowed: 'a model, an adapter, a service, or *' }))))
+}
--- a/packages/magnoliabay/src/node/config/settings.ts
+++ b/packages/magnoliabay/src/node/config/settings.ts
@@ -9,6 +9,7 @@
 const address = v.pipe(v.string(), v.regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, 'an address ip:port'))
 const url = v.pipe(v.string(), v.url('a URL'))
 const positive = v.pipe(v.number(), v.integer(), v.minValue(1))
+const sha256Hex = v.pipe(v.string(), v.regex(/^[0-9a-f]{64}$/, '64 hex digits'))
 
 export const settingsSchema = v.strictObject({
   instance: v.strictObject({
@@ -30,7 +31,13 @@
   }),
   operators: v.optional(v.strictObject({
     /** SHA-256 digests, in hex, of the operator keys that hold from the first start on. @default [] */
-    keyDigests: v.optional(v.array(v.string()), [])
+    keyDigests: v.optional(v.array(sha256Hex), []),
+    /** Operators' keys with the names under which their changes are recorded. @default [] */
+    key: v.optional(v.array(v.strictObject({
+      name: v.string(),
+      /** SHA-256 of the key, in hex. */
+      digest: sha256Hex
+    })), [])
   }), {}),
   limits: v.optional(v.strictObject({
     /** Largest body taken from a caller, in bytes. @default 1 MiB */
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -7,8 +7,8 @@
 import { createCells } from './cells'
 import type { Clock } from './clock'
 import { sleep } from './clock'
-import { createConfigHolder } from './config'
-import type { ResolvedSettings } from './config'
+import { createAcceptor, createConfigHolder } from './config'
+import type { Manifest, ResolvedSettings } from './config'
 import { createEntry } from './entry'
 import type { Logger } from './logger'
 import { createMembership, createPeerNetwork } from './members'
@@ -16,8 +16,10 @@
 import { createMetrics } from './metrics'
 import { createOnce } from './once'
 import { createOperators } from './operators'
+import { auditWrite } from './operators/audit'
 import { createOperatorCommands } from './operators/commands'
-import type { InstanceList, Store } from './platform'
+import { createOperatorQueries } from './operators/queries'
+import type { InstanceList, PutOperation, Store } from './platform'
 import { createRouting } from './routing'
 import { createId } from './utils'
 
@@ -61,7 +63,7 @@
   const engines = createEngineClient()
   const peers = createPeerNetwork({ self, clock, logger })
   const membership = createMembership({ store, network: peers, clock, logger })
-  const cfg = createConfigHolder({ store, logger })
+  const cfg = createConfigHolder({ store, peers, site: settings.instance.site, clock, logger })
   const keyring = createKeyring({ store, peers, clock })
   const directory = createDirectory({ list: options.list, clock, logger })
   const allowance = createAllowance({ cfg, peers, clock, logger })
@@ -70,14 +72,24 @@
   const routing = createRouting({ cells, clock })
   const isReady = (): boolean => cfg.inForce().version > 0 && membership.leaseId() !== undefined && !self.leaving
   const entry = createEntry({ settings, cfg, keyring, allowance, routing, directory, once, pools, peers, clock, logger, metrics, isReady })
-  const commands = createOperatorCommands({ store, keyring, clock })
+  const audit = (manifest: Manifest): PutOperation => auditWrite({
+    atMs: manifest.acceptedAtMs,
+    operator: manifest.operator,
+    action: 'config-applied',
+    subject: manifest.document,
+    detail: `version ${manifest.fromVersion} -> ${manifest.version} ${manifest.note}`.trim(),
+    instance: id
+  })
+  const acceptor = createAcceptor({ store, peers, holder: cfg, audit, clock, logger })
+  const commands = createOperatorCommands({ store, keyring, cfg, acceptor, peers, clock })
+  const queries = createOperatorQueries({ store, cfg, peers, clock })
   const status = (): object => ({
     instance: self,
     members: peers.members(),
     config: cfg.inForce().version,
     replicas: cells.replicas.all()
   })
-  const operators = createOperators({ settings, commands, status, clock })
+  const operators = createOperators({ settings, commands, queries, status, clock, logger })
 
   return {
     member: self,
--- a/packages/magnoliabay/src/node/operators/commands.ts
+++ b/packages/magnoliabay/src/node/operators/commands.ts
@@ -2,55 +2,73 @@
 import { createKey, KEYS_PREFIX } from '../admission'
 import type { KeyRecord, Keyring, NewKey } from '../admission'
 import type { Clock } from '../clock'
-import { FLEET_KEY, fleetSchema, parseConfig } from '../config'
-import type { ConfigError } from '../config'
+import type { Acceptor, ApplyError, ApplyRequest, ConfigHolder, Manifest } from '../config'
+import type { Peers } from '../members'
 import type { Store, StoreError } from '../platform'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
+import { parseJson } from '../utils'
+import { auditWrite, dropOldAudit } from './audit'
+import type { AuditAction } from './audit'
 
 export type OperatorError =
   | { kind: 'store', cause: StoreError }
-  | { kind: 'unknown-key' }
-  | { kind: 'config', cause: ConfigError }
+  | { kind: 'unknown-key', keyId: string }
+  | { kind: 'unknown-team', team: string }
+  | { kind: 'unknown-version', document: string, version: number }
+  | { kind: 'bad-request', message: string }
+  | ApplyError
 
 export interface OperatorCommands {
-  createKey (team: string): Promise<Result<NewKey, OperatorError>>
-  withdrawKey (keyId: string): Promise<Result<KeyRecord, OperatorError>>
-  /** Accepts a configuration and returns its version. */
-  applyConfig (file: string, text: string): Promise<Result<number, OperatorError>>
+  createKey (team: string, operator: string): Promise<Result<NewKey, OperatorError>>
+  /** Takes effect on every reachable instance at once, also while the store is dark; then the store is told. */
+  withdrawKey (keyId: string, operator: string): Promise<Result<KeyRecord, OperatorError>>
+  applyConfig (req: ApplyRequest): Promise<Result<Manifest, OperatorError>>
 }
 
 export interface OperatorCommandsOptions {
   store: Store
   keyring: Keyring
+  cfg: ConfigHolder
+  acceptor: Acceptor
+  peers: Peers
   clock: Clock
 }
 
 export function createOperatorCommands (options: OperatorCommandsOptions): OperatorCommands {
   const { store, keyring, clock } = options
-  const put = async (key: string, value: string): Promise<Result<number, OperatorError>> => {
-    const written = await store.transact({ compares: [], writes: [{ kind: 'put', key, value }] }, { priority: 'config' })
-    return written.ok ? Ok(written.val.revision) : Err({ kind: 'store', cause: written.val })
+
+  const record = (operator: string, action: AuditAction, subject: string, detail: string) =>
+    auditWrite({ atMs: clock.now(), operator, action, subject, detail, instance: options.peers.self.id })
+  const putKey = async (key: KeyRecord, audit: ReturnType<typeof record>): Promise<Result<KeyRecord, OperatorError>> => {
+    const written = await store.transact({
+      compares: [],
+      writes: [{ kind: 'put', key: KEYS_PREFIX + key.id, value: JSON.stringify(key) }, audit]
+    }, { priority: 'config' })
+    if (written.err) return Err({ kind: 'store', cause: written.val })
+    dropOldAudit(store)
+    return Ok(key)
   }
   return {
-    createKey: async team => {
+    createKey: async (team, operator) => {
+      if (options.cfg.team(team) === undefined) return Err({ kind: 'unknown-team', team })
       const created = createKey(team, clock.now())
-      const written = await put(KEYS_PREFIX + created.record.id, JSON.stringify(created.record))
+      const written = await putKey(created.record, record(operator, 'key-created', created.record.id, `team ${team}`))
       return written.map(() => created)
     },
-    withdrawKey: async keyId => {
+    withdrawKey: async (keyId, operator) => {
       keyring.withdraw({ keyId, atMs: clock.now() })
       const found = await store.get(KEYS_PREFIX + keyId, { priority: 'config' })
       if (found.err) return Err({ kind: 'store', cause: found.val })
-      if (found.val === undefined) return Err({ kind: 'unknown-key' })
-      const record: KeyRecord = { ...JSON.parse(found.val.value) as KeyRecord, withdrawnAtMs: clock.now() }
-      const written = await put(KEYS_PREFIX + keyId, JSON.stringify(record))
-      return written.map(() => record)
+      const before = parseJson(found.val?.value ?? '') as KeyRecord | undefined
+      if (before === undefined) return Err({ kind: 'unknown-key', keyId })
+      const withdrawn = { ...before, withdrawnAtMs: before.withdrawnAtMs ?? clock.now() }
+      return await putKey(withdrawn, record(operator, 'key-withdrawn', keyId, `team ${before.team}`))
     },
-    applyConfig: async (file, text) => {
-      const checked = parseConfig(file, text, fleetSchema)
-      if (checked.err) return Err({ kind: 'config', cause: checked.val })
-      return await put(FLEET_KEY, JSON.stringify(checked.val))
+    applyConfig: async req => {
+      const applied = await options.acceptor.apply(req)
+      if (applied.ok) dropOldAudit(store)
+      return applied
     }
   }
 }
--- a/packages/magnoliabay/src/node/operators/index.ts
+++ b/packages/magnoliabay/src/node/operators/index.ts
@@ -1,29 +1,30 @@
 /** The operators' interface, apart from the callers': its own address, its own keys. */
-import { createHash, timingSafeEqual } from 'node:crypto'
 import { createServer } from 'node:http'
 import type { ServerResponse } from 'node:http'
 import polka from 'polka'
 import type { Clock } from '../clock'
 import type { ResolvedSettings } from '../config'
-import { refusal } from '../failures'
 import { bodyMiddleware } from '../entry/middleware/body'
 import { requestIdMiddleware } from '../entry/middleware/requestId'
-import { sendFailure, sendJson } from '../entry/respond'
-import type { EntryRequest, Handler } from '../entry/types'
-import type { Result } from '../result'
-import { parseHostPort } from '../utils'
-import type { OperatorCommands, OperatorError } from './commands'
+import { sendFailure } from '../entry/respond'
+import type { EntryRequest } from '../entry/types'
+import { refusal } from '../failures'
+import type { Logger } from '../logger'
+import { messageOf, parseHostPort } from '../utils'
+import { operatorMiddleware } from './authenticate'
+import type { OperatorRequest } from './authenticate'
+import { operatorRoutes } from './routes'
+import type { OperatorRoute, RouteOptions } from './routes'
 
-const BEARER = /^Bearer +(\S+)$/i
+export { operatorKeyDigest } from './authenticate'
 
-const STATUS_OF_ERROR: Record<OperatorError['kind'], number> = { store: 503, 'unknown-key': 404, config: 422 }
+/** A change may bring all chunks of 80,000 adapters. */
+const MAX_OPERATOR_BODY_BYTES = 16 * 1024 * 1024
 
-export interface OperatorsOptions {
+export interface OperatorsOptions extends RouteOptions {
   settings: ResolvedSettings
-  commands: OperatorCommands
-  /** Facts for `status`, as JSON. */
-  status: () => object
   clock: Clock
+  logger: Logger
 }
 
 export interface Operators {
@@ -32,21 +33,22 @@
 }
 
 export function createOperators (options: OperatorsOptions): Operators {
-  const { settings, commands } = options
+  const { settings, logger } = options
   const server = createServer()
-  const app = polka({ server })
-  const guards = [requestIdMiddleware(), operatorMiddleware(settings.operators.keyDigests), bodyMiddleware(options.clock, settings.limits)]
-  const handle = (handler: Handler): never[] => [...guards, handler] as never[]
-
-  app.post('/operator/keys', ...handle(async (req, res) => {
-    const { team } = JSON.parse(req.rawBody.toString()) as { team: string }
-    reply(res, await commands.createKey(team))
-  }))
-  app.post('/operator/keys/:id/withdraw', ...handle(async (req, res) => reply(res, await commands.withdrawKey(req.params.id!))))
-  app.put('/operator/config', ...handle(async (req, res) => {
-    reply(res, (await commands.applyConfig('fleet.toml', req.rawBody.toString())).map(version => ({ version })))
-  }))
-  app.get('/operator/status', ...handle((_req, res) => sendJson(res, 200, options.status())))
+  const app = polka({
+    server,
+    onError: (err, req, res) => {
+      logger.error('operators-fault', { reason: messageOf(err) })
+      sendFailure(res as ServerResponse, refusal('internal', 'Something went wrong here.'), (req as unknown as EntryRequest).requestId)
+    }
+  })
+  const limits = { maxBodyBytes: MAX_OPERATOR_BODY_BYTES, bodyTimeoutMs: settings.limits.bodyTimeoutMs }
+  const guards = [requestIdMiddleware(), operatorMiddleware(settings.operators), bodyMiddleware(options.clock, limits)]
+  const logged = (route: OperatorRoute): OperatorRoute['handle'] => async (req: OperatorRequest, res) => {
+    await route.handle(req, res)
+    logger.info('operator-call', { operator: req.operator, method: route.method, path: req.path, status: res.statusCode })
+  }
+  operatorRoutes(options).forEach(route => app.add(route.method, route.path, ...[...guards, logged(route)] as never[]))
 
   return {
     start: () => new Promise((resolve, reject) => {
@@ -60,23 +62,3 @@
     })
   }
 }
-
-function reply<T> (res: ServerResponse, result: Result<T, OperatorError>): void {
-  if (result.ok) return sendJson(res, 200, result.val)
-  sendJson(res, STATUS_OF_ERROR[result.val.kind], { error: result.val })
-}
-
-export function operatorKeyDigest (key: string): string {
-  return createHash('sha256').update(key).digest('hex')
-}
-
-function operatorMiddleware (digests: readonly string[]): Handler {
-  const known = digests.map(digest => Buffer.from(digest, 'hex'))
-  return function authenticateOperator (req: EntryRequest, res, next) {
-    const shown = BEARER.exec(req.headers.authorization ?? '')?.[1] ?? ''
-    const digest = Buffer.from(operatorKeyDigest(shown), 'hex')
-    const isKnown = known.some(candidate => candidate.length === digest.length && timingSafeEqual(candidate, digest))
-    if (!isKnown) return sendFailure(res, refusal('invalid_key', 'This needs an operator key.'), req.requestId)
-    next()
-  }
-}
--- a/packages/magnoliabay/src/node/utils.ts
+++ b/packages/magnoliabay/src/node/utils.ts
@@ -40,3 +40,12 @@
 export function messageOf (err: unknown): string {
   return err instanceof Error ? err.message : String(err)
 }
+
+/** The value of a JSON text, or undefined when it is none: records of others may be damaged. */
+export function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown
+  } catch {
+    return undefined
+  }
+}
