--- /dev/null
+++ b/scripts/fleet/callers.ts
@@ -0,0 +1,245 @@
+/** Open-loop callers: they ask which entry instance to use, keep the answer, connect there, and record what came. */
+import { Agent, request } from 'undici'
+import { expectedText, serviceAnswer } from '@magnoliabay/standins'
+import type { Random } from './random'
+import type { CallRecord, Observations } from './records'
+import { MODELS, SERVICE, TEAMS } from './site'
+import type { SiteTeam } from './site'
+
+export interface TeamKey {
+  id: string
+  key: string
+}
+
+export interface CallersOptions {
+  random: Random
+  observations: Observations
+  /** Entry addresses that callers know from the start. */
+  seeds: () => readonly string[]
+  instanceAt: (address: string) => string
+  keyOf: (team: string) => TeamKey
+  /** Arrivals a second. */
+  rate: number
+}
+
+export interface Callers {
+  /** Sends arrivals until `stop`. */
+  start (): void
+  stop (): void
+  /** Resolves when every call has ended. */
+  drained (): Promise<void>
+  /** A team sends this many times its rate. */
+  flood (team: string, factor: number): void
+  /** Sends one completion whose prompt holds `text`. */
+  complete (text: string): Promise<CallRecord>
+}
+
+interface Located {
+  addresses: readonly string[]
+  untilMs: number
+}
+
+const CALL_DEADLINE_MS = 15_000
+/** Well after the deadline: a caller that hears nothing until then was dropped. */
+const GIVE_UP_MS = 25_000
+const MAX_TOKENS = 32
+const SERVICE_SHARE = 0.12
+const REPEAT_SHARE = 0.3
+const BURST_SHARE = 0.02
+const BURST_SIZE = 6
+const CONNECT_TIMEOUT_MS = 1000
+
+export function createCallers (options: CallersOptions): Callers {
+  const { random, observations } = options
+  const agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, headersTimeout: GIVE_UP_MS, bodyTimeout: GIVE_UP_MS })
+  const located = new Map<string, Located>()
+  const open = new Set<Promise<unknown>>()
+  const floods = new Map<string, number>()
+  const totalPopularity = MODELS.reduce((sum, model) => sum + model.popularity, 0)
+  let isRunning = false
+  let nextId = 1
+
+  const track = <T>(promise: Promise<T>): Promise<T> => {
+    open.add(promise)
+    promise.finally(() => open.delete(promise))
+    return promise
+  }
+  const pickTeam = (): SiteTeam => {
+    let left = random.next()
+    return TEAMS.find(team => (left -= team.share) < 0) ?? TEAMS[0]!
+  }
+  const pickModel = (): string => {
+    let left = random.next() * totalPopularity
+    return (MODELS.find(model => (left -= model.popularity) < 0) ?? MODELS[0]!).name
+  }
+
+  const locate = async (team: string, key: string): Promise<readonly string[]> => {
+    const known = located.get(team)
+    if (known !== undefined && known.untilMs > Date.now()) return known.addresses
+    const asked = [...(known?.addresses ?? []), ...options.seeds()]
+    for (const address of asked) {
+      const answer = await ask(address, key)
+      if (answer === undefined || answer.addresses.length === 0) continue
+      located.set(team, answer)
+      return answer.addresses
+    }
+    return options.seeds()
+  }
+  const ask = async (address: string, key: string): Promise<Located | undefined> => {
+    try {
+      const res = await request(`http://${address}/v1/locate`, {
+        headers: { authorization: `Bearer ${key}` }, dispatcher: agent, headersTimeout: CONNECT_TIMEOUT_MS
+      })
+      const body = await res.body.json() as { addresses?: Array<{ address: string }>, keep_seconds?: number }
+      if (body.addresses === undefined) return undefined
+      return { addresses: body.addresses.map(item => item.address), untilMs: Date.now() + (body.keep_seconds ?? 1) * 1000 }
+    } catch {
+      return undefined
+    }
+  }
+
+  /** Sends to the first address that takes the connection; nothing was sent to the others. */
+  const send = async (record: CallRecord, path: string, body: object, headers: Record<string, string>, addresses: readonly string[]): Promise<CallRecord> => {
+    for (const address of addresses) {
+      record.instance = options.instanceAt(address)
+      const isSent = await attempt(record, address, path, body, headers)
+      if (isSent) break
+      located.delete(record.team)
+    }
+    record.endedAtMs = Date.now()
+    observations.calls.push(record)
+    return record
+  }
+  const attempt = async (record: CallRecord, address: string, path: string, body: object, headers: Record<string, string>): Promise<boolean> => {
+    const text: string[] = []
+    try {
+      const res = await request(`http://${address}${path}`, {
+        method: 'POST',
+        body: JSON.stringify(body),
+        headers: { authorization: `Bearer ${record.key}`, 'content-type': 'application/json', 'x-deadline-ms': String(CALL_DEADLINE_MS), ...headers },
+        dispatcher: agent
+      })
+      for await (const chunk of res.body) {
+        record.firstByteAtMs ??= Date.now()
+        text.push(String(chunk))
+      }
+      judge(record, res.statusCode, text.join(''), body)
+      return true
+    } catch (err) {
+      const code = (err as { code?: string }).code ?? ''
+      if (code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT') {
+        record.result = 'no-connection'
+        return false
+      }
+      if (text.join('').includes('event: error')) judgeTyped(record, text.join(''))
+      else record.result = code.startsWith('UND_ERR_HEADERS') || code.startsWith('UND_ERR_BODY') ? 'unanswered' : 'cut'
+      record.detail ??= code
+      return true
+    }
+  }
+
+  const newRecord = (kind: CallRecord['kind'], team: string): CallRecord => {
+    const { id, key } = options.keyOf(team)
+    const now = Date.now()
+    return { id: `call-${nextId++}`, kind, team, keyId: id, key, instance: '', startedAtMs: now, endedAtMs: now, result: 'no-connection' }
+  }
+  const complete = async (team: string, model: string, text: string): Promise<CallRecord> => {
+    const record = newRecord('completion', team)
+    record.model = model
+    record.prompt = `${record.id} ${text}`
+    const body = { model, stream: true, max_tokens: MAX_TOKENS, messages: [{ role: 'user', content: record.prompt }] }
+    return await send(record, '/v1/chat/completions', body, {}, await locate(team, record.key))
+  }
+  const book = async (team: string, idempotencyKey: string): Promise<CallRecord> => {
+    const record = newRecord('service', team)
+    record.idempotencyKey = idempotencyKey
+    return await send(record, `/v1/services/${SERVICE}/bookings`, { note: idempotencyKey }, { 'idempotency-key': idempotencyKey }, await locate(team, record.key))
+  }
+  /** A booking; some callers send it again, at another instance, whatever came of the first. */
+  const bookAndRepeat = async (team: string): Promise<void> => {
+    const idempotencyKey = `${team}-${nextId}-${random.below(1_000_000)}`
+    const isRepeated = random.next() < REPEAT_SHARE
+    const first = book(team, idempotencyKey)
+    if (!isRepeated) {
+      await first
+      return
+    }
+    const seeds = options.seeds()
+    const again = newRecord('service', team)
+    again.idempotencyKey = idempotencyKey
+    await send(again, `/v1/services/${SERVICE}/bookings`, { note: idempotencyKey }, { 'idempotency-key': idempotencyKey }, [random.pick(seeds), ...seeds])
+    await first
+  }
+  const arrive = (): void => {
+    const team = pickTeam().name
+    if (random.next() < SERVICE_SHARE) {
+      track(bookAndRepeat(team))
+      return
+    }
+    const isBurst = random.next() < BURST_SHARE
+    const model = isBurst ? random.pick(MODELS).name : pickModel()
+    Array.from({ length: isBurst ? BURST_SIZE : 1 }, () => track(complete(team, model, 'where is my lorry')))
+  }
+  const floodOnce = (team: string): void => {
+    track(complete(team, pickModel(), 'again and again and again'))
+  }
+  const run = (meanGapMs: () => number, act: () => void): void => {
+    const next = (): void => {
+      if (!isRunning) return
+      act()
+      setTimeout(next, random.gap(meanGapMs()))
+    }
+    setTimeout(next, random.gap(meanGapMs()))
+  }
+
+  return {
+    start: () => {
+      isRunning = true
+      run(() => 1000 / options.rate, arrive)
+    },
+    stop: () => { isRunning = false },
+    drained: async () => {
+      while (open.size > 0) await Promise.allSettled([...open])
+      await agent.destroy()
+    },
+    flood: (team, factor) => {
+      if (floods.has(team)) return
+      floods.set(team, factor)
+      const { tokensPerSecond } = TEAMS.find(known => known.name === team)!
+      const callsPerSecond = tokensPerSecond / MAX_TOKENS * factor
+      run(() => 1000 / callsPerSecond, () => floodOnce(team))
+    },
+    complete: text => track(complete(TEAMS[0]!.name, MODELS[0]!.name, text))
+  }
+}
+
+function judge (record: CallRecord, status: number, text: string, body: object): void {
+  if (status !== 200) return judgeTyped(record, text)
+  const isWhole = record.kind === 'service' ? isWholeService(text, body) : isWholeStream(record, text)
+  if (!isWhole && text.includes('event: error')) return judgeTyped(record, text)
+  record.result = isWhole ? 'whole' : 'wrong'
+  if (!isWhole) record.detail = text.slice(0, 300)
+}
+
+function isWholeService (text: string, body: object): boolean {
+  const expected = serviceAnswer(SERVICE, { method: 'POST', path: '/bookings', body: JSON.stringify(body) })
+  return text === JSON.stringify(expected)
+}
+
+function isWholeStream (record: CallRecord, text: string): boolean {
+  const events = text.split('\n\n').map(block => block.replace(/^data: /, '')).filter(data => data.length > 0)
+  if (events.at(-1) !== '[DONE]') return false
+  const content = events.slice(0, -1)
+    .map(data => (JSON.parse(data) as { choices: Array<{ delta?: { content?: string } }> }).choices[0]?.delta?.content ?? '')
+    .join('')
+  return content === expectedText({ model: record.model!, prompt: record.prompt!, maxTokens: MAX_TOKENS })
+}
+
+function judgeTyped (record: CallRecord, text: string): void {
+  const json = /\{"error":\{.*?\}\}/s.exec(text)?.[0]
+  const typed = json === undefined ? undefined : (JSON.parse(json) as { error: { code?: string, not_run?: boolean } }).error
+  record.result = typed?.code === undefined ? 'wrong' : 'refused'
+  record.code = typed?.code
+  record.notRun = typed?.not_run
+  if (record.result === 'wrong') record.detail = text.slice(0, 300)
+}
--- /dev/null
+++ b/scripts/fleet/measures.ts
@@ -0,0 +1,133 @@
+/** The four measures of the brief, from callers' and stand-ins' records. */
+import { countTokens } from '@magnoliabay/standins'
+import { build } from 'hdr-histogram-js'
+import type { Histogram } from 'hdr-histogram-js'
+import type { CallRecord } from './records'
+import { TEAMS } from './site'
+import type { World } from './world'
+
+export interface Quantiles {
+  count: number
+  p50Ms: number
+  p95Ms: number
+  p99Ms: number
+  maxMs: number
+}
+
+export interface TeamMeasure {
+  team: string
+  firstByte: Quantiles
+  answeredShare: number
+}
+
+export interface Measures {
+  calls: number
+  byResult: Record<string, number>
+  byCode: Record<string, number>
+  /** First byte of calls whose model was loaded nowhere when they began. */
+  coldStart: Quantiles
+  warmStart: Quantiles
+  /** Accelerator time for which a model was loaded and nothing ran, in hours, and its share of the loaded time. */
+  idleAcceleratorHours: number
+  idleShare: number
+  teams: TeamMeasure[]
+  worstTeam: string
+  /** Refused for the allowance although one central bucket would have had the tokens. */
+  wrongfulRefusals: number
+  wrongfulShare: number
+}
+
+const MS_PER_HOUR = 3_600_000
+const MAX_TOKENS = 32
+
+export function takeMeasures (world: World): Measures {
+  const { calls } = world.observations
+  const completions = calls.filter(call => call.kind === 'completion')
+  const cold = completions.filter(call => !isLoadedAt(world, call))
+  const coldIds = new Set(cold.map(call => call.id))
+  const teams = TEAMS.map(team => measureTeam(team.name, completions))
+  const worst = [...teams].filter(team => team.firstByte.count > 0).sort((left, right) => right.firstByte.p95Ms - left.firstByte.p95Ms)[0]
+  const idle = idleTime(world)
+  const wrongful = TEAMS.reduce((sum, team) => sum + wrongfulRefusals(team, completions), 0)
+  return {
+    calls: calls.length,
+    byResult: countBy(calls, call => call.result),
+    byCode: countBy(calls.filter(call => call.code !== undefined), call => call.code!),
+    coldStart: quantiles(cold),
+    warmStart: quantiles(completions.filter(call => !coldIds.has(call.id))),
+    idleAcceleratorHours: idle.idleMs / MS_PER_HOUR,
+    idleShare: idle.loadedMs === 0 ? 0 : idle.idleMs / idle.loadedMs,
+    teams,
+    worstTeam: worst?.team ?? '-',
+    wrongfulRefusals: wrongful,
+    wrongfulShare: completions.length === 0 ? 0 : wrongful / completions.length
+  }
+}
+
+function countBy<T> (items: readonly T[], keyOf: (item: T) => string): Record<string, number> {
+  return items.reduce<Record<string, number>>((counts, item) => {
+    counts[keyOf(item)] = (counts[keyOf(item)] ?? 0) + 1
+    return counts
+  }, {})
+}
+
+export function quantiles (calls: readonly CallRecord[]): Quantiles {
+  const histogram = build({ numberOfSignificantValueDigits: 3 }) as Histogram
+  calls.filter(call => call.result === 'whole' && call.firstByteAtMs !== undefined)
+    .forEach(call => histogram.recordValue(Math.max(0, call.firstByteAtMs! - call.startedAtMs)))
+  return {
+    count: histogram.totalCount,
+    p50Ms: histogram.getValueAtPercentile(50),
+    p95Ms: histogram.getValueAtPercentile(95),
+    p99Ms: histogram.getValueAtPercentile(99),
+    maxMs: histogram.maxValue
+  }
+}
+
+function isLoadedAt (world: World, call: CallRecord): boolean {
+  const before = world.observations.held.findLast(sample => sample.atMs <= call.startedAtMs)
+  if (before === undefined) return false
+  return world.observations.held.some(sample => sample.atMs === before.atMs && sample.loaded.includes(call.model!))
+}
+
+function measureTeam (team: string, completions: readonly CallRecord[]): TeamMeasure {
+  const own = completions.filter(call => call.team === team)
+  const answered = own.filter(call => call.result === 'whole').length
+  return { team, firstByte: quantiles(own), answeredShare: own.length === 0 ? 1 : answered / own.length }
+}
+
+function idleTime (world: World): { idleMs: number, loadedMs: number } {
+  const byEngine = new Map<string, World['observations']['held']>()
+  world.observations.held.forEach(sample => {
+    const samples = byEngine.get(sample.engine) ?? []
+    samples.push(sample)
+    byEngine.set(sample.engine, samples)
+  })
+  return [...byEngine.values()].reduce((sum, samples) => {
+    samples.slice(1).forEach((sample, index) => {
+      const previous = samples[index]!
+      if (previous.loaded.length === 0) return
+      const spanMs = sample.atMs - previous.atMs
+      sum.loadedMs += spanMs
+      if (previous.running === 0) sum.idleMs += spanMs
+    })
+    return sum
+  }, { idleMs: 0, loadedMs: 0 })
+}
+
+/** Replays a team's calls against one central bucket that starts full. */
+function wrongfulRefusals (team: typeof TEAMS[number], completions: readonly CallRecord[]): number {
+  const own = completions.filter(call => call.team === team.name).sort((left, right) => left.startedAtMs - right.startedAtMs)
+  let level = team.burstTokens
+  let atMs = own[0]?.startedAtMs ?? 0
+  return own.filter(call => {
+    level = Math.min(team.burstTokens, level + team.tokensPerSecond * (call.startedAtMs - atMs) / 1000)
+    atMs = call.startedAtMs
+    const reserved = countTokens(call.prompt!) * 2 + MAX_TOKENS
+    if (call.result !== 'refused') {
+      level -= countTokens(call.prompt!) + MAX_TOKENS
+      return false
+    }
+    return call.code === 'over_allowance' && level >= reserved
+  }).length
+}
