--- a/packages/magnoliabay/src/node/allowance/__tests__/testFleet.ts
+++ b/packages/magnoliabay/src/node/allowance/__tests__/testFleet.ts
@@ -2,8 +2,6 @@
 import { createDirectStore, createKvCallCounter, createKvFaults, createKvState } from '@magnoliabay/standins'
 import type { Clock } from '../../clock'
 import { createVirtualClock } from '../../clock/virtual'
-import { EMPTY_FLEET } from '../../config/fleet'
-import type { TeamConfig } from '../../config/fleet'
 import { createSilentLogger } from '../../logger'
 import { createListeners } from '../../members/dispatch'
 import { createMemoryNetwork } from '../../members/memoryNetwork'
@@ -11,7 +9,7 @@
 import type { MemberRecord } from '../../members'
 import { createAllowance } from '../allowance'
 import type { Allowance, Reservation } from '../allowance'
-import type { TeamsInForce } from '../shares'
+import type { TeamAllowance, TeamsInForce } from '../shares'
 
 export const TEAM = 'depot'
 
@@ -36,18 +34,15 @@
   regionOf?: (id: string) => string
 }
 
-function teamOf (rate: number, burst: number): TeamConfig {
-  return { name: TEAM, tokensPerSecond: rate, burstTokens: burst, weight: 1, allow: ['*'] } as TeamConfig
-}
-
 function createTeamsInForce (rate: number, burst: number): TestMember['cfg'] {
   const changed = createListeners<[]>()
-  let team = teamOf(rate, burst)
+  const sized = (tokensPerSecond: number, burstTokens: number): TeamAllowance => ({ name: TEAM, tokensPerSecond, burstTokens })
+  let team = sized(rate, burst)
   return {
-    inForce: () => ({ version: 1, fleet: { ...EMPTY_FLEET, team: [team] } }),
+    inForce: () => ({ fleet: { team: [team] } }),
     onChanged: changed.add,
     apply: (nextRate, nextBurst) => {
-      team = teamOf(nextRate, nextBurst)
+      team = sized(nextRate, nextBurst)
       changed.emit()
     }
   }
--- a/packages/magnoliabay/src/node/allowance/shares.ts
+++ b/packages/magnoliabay/src/node/allowance/shares.ts
@@ -12,8 +12,12 @@
   demand: Demand
 }
 
+export type TeamAllowance = Pick<TeamConfig, 'name' | 'tokensPerSecond' | 'burstTokens'>
+
 /** What the allowances need of the configuration. */
-export type TeamsInForce = Pick<ConfigHolder, 'inForce' | 'onChanged'>
+export interface TeamsInForce extends Pick<ConfigHolder, 'onChanged'> {
+  inForce (): { fleet: { team: readonly TeamAllowance[] } }
+}
 
 export interface Shares {
   /** The share of a team, or undefined for a team that was never configured. */
@@ -24,7 +28,7 @@
 export function createShares (cfg: TeamsInForce, clock: Clock): Shares {
   const shares = new Map<string, TeamShare>()
 
-  const sizeOf = (team: TeamConfig): AllowanceSize => ({ rate: team.tokensPerSecond, burst: team.burstTokens })
+  const sizeOf = (team: TeamAllowance): AllowanceSize => ({ rate: team.tokensPerSecond, burst: team.burstTokens })
   /** A team that is no longer configured keeps its units: they are needed when it comes back. */
   const follow = (): void => cfg.inForce().fleet.team.forEach(team => {
     const existing = shares.get(team.name)
