--- a/packages/magnoliabay/src/node/backend/engineClient.ts
+++ b/packages/magnoliabay/src/node/backend/engineClient.ts
@@ -1,7 +1,7 @@
 /**
  * Orders to engines and questions to them, by their published protocol.
  */
-import { Pool } from 'undici'
+import { Client, Pool } from 'undici'
 import type { Dispatcher } from 'undici'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
@@ -30,6 +30,7 @@
 
 const QUERY_TIMEOUT_MS = 2000
 const CONTROL_CONNECTIONS = 8
+const CONNECT_TIMEOUT_MS = 2000
 const NEVER_SENT = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
 export function createEngineClient (): EngineClient {
@@ -70,6 +71,8 @@
 
 export interface Pools {
   of (address: string): Pool
+  /** A connection that nobody has used before, and that closes when the caller destroys it. */
+  fresh (address: string): Client
   close (): Promise<void>
 }
 
@@ -80,10 +83,11 @@
     of: address => {
       const existing = pools.get(address)
       if (existing !== undefined) return existing
-      const created = new Pool(`http://${address}`, { connections })
+      const created = new Pool(`http://${address}`, { connections, connectTimeout: CONNECT_TIMEOUT_MS })
       pools.set(address, created)
       return created
     },
+    fresh: address => new Client(`http://${address}`, { connectTimeout: CONNECT_TIMEOUT_MS }),
     close: async () => {
       await Promise.all([...pools.values()].map(pool => pool.destroy()))
       pools.clear()
--- a/packages/magnoliabay/src/node/commands/embedded.ts
+++ b/packages/magnoliabay/src/node/commands/embedded.ts
@@ -44,6 +44,8 @@
 
 const HOST = '127.0.0.1'
 const READY_POLL_MS = 50
+/** Nobody keeps addresses of an embedded fleet: it ends as a whole. */
+const EMBEDDED_LOCATE_KEEP_MS = 200
 
 export async function startEmbedded (options: EmbeddedOptions): Promise<Embedded> {
   const { logger } = options
@@ -73,7 +75,8 @@
         operatorAddress: `${HOST}:${ports[2 * count + index]}`
       },
       platform: { store: [storeUrl], instanceList: listUrl },
-      operators: { keyDigests: [operatorKeyDigest(operatorKey)] }
+      operators: { keyDigests: [operatorKeyDigest(operatorKey)] },
+      shutdown: { locateKeepMs: EMBEDDED_LOCATE_KEEP_MS }
     }),
     store,
     list,
--- a/packages/magnoliabay/src/node/config/settings.ts
+++ b/packages/magnoliabay/src/node/config/settings.ts
@@ -40,7 +40,31 @@
     /** Deadline of a request that names none, in milliseconds. @default 60000 */
     deadlineMs: v.optional(positive, 60_000),
     /** Tokens an answer may have when the request names no limit. @default 256 */
-    defaultMaxTokens: v.optional(positive, 256)
+    defaultMaxTokens: v.optional(positive, 256),
+    /** Requests open at once; more are refused at once. @default 2000 */
+    maxOpenRequests: v.optional(positive, 2000),
+    /** Bytes of bodies held for open requests together. @default 64 MiB */
+    maxHeldBodyBytes: v.optional(positive, 67_108_864),
+    /** Longest silence of an engine before the first byte of a streamed answer, in milliseconds. @default 15000 */
+    engineFirstByteMs: v.optional(positive, 15_000),
+    /** Longest wait for an answer that an engine sends in one body, in milliseconds. @default 40000 */
+    engineWholeMs: v.optional(positive, 40_000),
+    /** Longest silence of an engine within an answer, in milliseconds. @default 10000 */
+    engineGapMs: v.optional(positive, 10_000),
+    /** Longest wait for the answer of a plain service, in milliseconds. @default 30000 */
+    serviceAnswerMs: v.optional(positive, 30_000),
+    /** A caller that takes nothing of its answer for this long is cut, in milliseconds. @default 30000 */
+    callerStallMs: v.optional(positive, 30_000)
+  }), {}),
+  once: v.optional(v.strictObject({
+    /** How long a claim and its answer are kept, in seconds. @default one day */
+    retentionSeconds: v.optional(positive, 86_400)
+  }), {}),
+  shutdown: v.optional(v.strictObject({
+    /** Callers may keep an answer of locate for this long, in milliseconds; they are served until then. @default 30000 */
+    locateKeepMs: v.optional(positive, 30_000),
+    /** Answers still open after that get this long to end, in milliseconds. @default 60000 */
+    drainMs: v.optional(positive, 60_000)
   }), {}),
   log: v.optional(v.strictObject({
     /** @default 'info' */
--- a/packages/magnoliabay/src/node/entry/deadline.ts
+++ b/packages/magnoliabay/src/node/entry/deadline.ts
@@ -2,7 +2,7 @@
 import type { ServerResponse } from 'node:http'
 import type { Clock } from '../clock'
 
-export type AbortReason = 'deadline' | 'caller-gone' | 'key-withdrawn'
+export type AbortReason = 'deadline' | 'caller-gone' | 'key-withdrawn' | 'shutting-down'
 
 export interface AbortableDeadline {
   /** Monotonic milliseconds. */
--- a/packages/magnoliabay/src/node/entry/index.ts
+++ b/packages/magnoliabay/src/node/entry/index.ts
@@ -4,26 +4,38 @@
 import polka from 'polka'
 import type { Keyring } from '../admission'
 import type { Allowance } from '../allowance'
-import type { Directory, Pools } from '../backend'
+import type { Directory, EngineClient, Pools } from '../backend'
+import { createDepartures } from '../backend/departures'
 import type { Clock } from '../clock'
+import { TIMED_OUT, withDeadline } from '../clock'
 import type { ConfigHolder, ResolvedSettings } from '../config'
 import { refusal } from '../failures'
 import type { Logger } from '../logger'
 import type { Peers } from '../members'
 import type { Metrics } from '../metrics'
 import type { Once } from '../once'
+import { createCrashCheck, createRetryBudget, createSuspects } from '../outcomes'
 import type { Routing } from '../routing'
 import { messageOf, parseHostPort } from '../utils'
 import { completionHandler } from './completions'
 import { authenticateMiddleware } from './middleware/authenticate'
 import { bodyMiddleware } from './middleware/body'
-import { deadlineMiddleware } from './middleware/deadline'
+import { deadlineMiddleware, withdrawalMiddleware } from './middleware/deadline'
+import { leavingMiddleware } from './middleware/leaving'
 import { requestIdMiddleware } from './middleware/requestId'
+import { createOpenRequests } from './openRequests'
 import { locateHandler, modelsHandler } from './queries'
 import { sendFailure, sendJson } from './respond'
 import { serviceHandler } from './services'
 import type { EntryRequest, Handler } from './types'
 
+/** For the failures of requests that outlast a shutdown to reach their callers, milliseconds. */
+const LAST_WORDS_MS = 1000
+/** Longer than callers' own, so that a caller never sends into a connection that is just being closed. */
+const KEEP_ALIVE_MS = 75_000
+/** After this much silence the system probes whether a caller is still there, milliseconds. */
+const PROBE_DELAY_MS = 15_000
+
 export interface EntryOptions {
   settings: ResolvedSettings
   cfg: ConfigHolder
@@ -33,6 +45,7 @@
   directory: Directory
   once: Once
   pools: Pools
+  engines: EngineClient
   peers: Peers
   clock: Clock
   logger: Logger
@@ -42,46 +55,69 @@
 
 export interface Entry {
   start (): Promise<void>
-  /** Stops taking connections and resolves when every open request has ended. */
-  close (): Promise<void>
+  /**
+   * Stops taking connections and resolves when every open request has ended; those still open after
+   * `drainMs` milliseconds are ended with a typed failure.
+   */
+  close (drainMs: number): Promise<void>
 }
 
 export function createEntry (options: EntryOptions): Entry {
   const { settings, metrics } = options
   const { limits } = settings
-  const server = createServer()
+  const server = createServer({ keepAlive: true, keepAliveInitialDelay: PROBE_DELAY_MS, keepAliveTimeout: KEEP_ALIVE_MS })
   const app = polka({
     server,
     onError: (err, req, res) => {
+      const { requestId, trail } = req as unknown as EntryRequest
       options.logger.error('entry-fault', { reason: messageOf(err) })
-      sendFailure(res as ServerResponse, refusal('internal', 'Something went wrong here, before the request was sent.'), (req as unknown as EntryRequest).requestId)
+      const outcome = trail.conclude(refusal('internal', 'Something went wrong here.'))
+      if (outcome.kind !== 'answered') sendFailure(res as ServerResponse, outcome.failure, requestId)
     },
     onNoMatch: (req, res) => {
       sendFailure(res, refusal('not_found', `Nothing is served at ${req.method} ${req.path}.`), (req as unknown as EntryRequest).requestId)
     }
   })
+  const { clock, peers, pools, engines } = options
+  const open = createOpenRequests(limits)
+  const departures = createDepartures({ peers, clock })
+  const suspects = createSuspects({ peers, clock, logger: options.logger, hasDied: createCrashCheck(engines) })
+  const shared = { ...options, retryBudget: createRetryBudget(), suspects, departures, relay: { pools, engines, clock, limits } }
   const callers = [authenticateMiddleware(options.keyring)]
-  const calls = [...callers, deadlineMiddleware(options.clock, limits.deadlineMs), bodyMiddleware(options.clock, limits)]
-  const completion = completionHandler({ ...options, defaultMaxTokens: limits.defaultMaxTokens })
+  const calls = [
+    open.admit,
+    ...callers,
+    deadlineMiddleware(clock, limits.deadlineMs, open),
+    withdrawalMiddleware(options.keyring),
+    bodyMiddleware(clock, limits, open)
+  ]
+  const completion = completionHandler({ ...shared, defaultMaxTokens: limits.defaultMaxTokens })
+  const service = serviceHandler({ ...shared, serviceAnswerMs: limits.serviceAnswerMs })
   const routes: RouteTable = [
     { method: 'GET', path: '/healthz', handlers: [(_req, res) => sendJson(res, 200, { status: 'ok' })] },
     { method: 'GET', path: '/readyz', handlers: [(_req, res) => sendJson(res, options.isReady() ? 200 : 503, { ready: options.isReady() })] },
     { method: 'GET', path: '/metrics', handlers: [metricsHandler(metrics)] },
     { method: 'GET', path: '/v1/models', handlers: [...callers, modelsHandler(options.cfg)] },
-    { method: 'GET', path: '/v1/locate', handlers: [...callers, locateHandler(options.peers, options.allowance)] },
+    { method: 'GET', path: '/v1/locate', handlers: [...callers, locateHandler(peers, options.allowance, settings.shutdown.locateKeepMs)] },
     { method: 'POST', path: '/v1/chat/completions', handlers: [...calls, completion] },
     { method: 'POST', path: '/v1/completions', handlers: [...calls, completion] },
-    ...SERVICE_METHODS.map(method => ({ method, path: '/v1/services/*', handlers: [...calls, serviceHandler(options)] }))
+    ...SERVICE_METHODS.map(method => ({ method, path: '/v1/services/*', handlers: [...calls, service] }))
   ]
-  app.use(requestIdMiddleware() as never)
+  app.use(requestIdMiddleware() as never, leavingMiddleware(() => peers.self.leaving) as never)
   routes.forEach(route => app.add(route.method, route.path, ...route.handlers as never[]))
 
   return {
     start: () => startServer(server, app, settings.instance.entryAddress),
-    close: () => new Promise(resolve => {
-      server.close(() => resolve())
+    close: async drainMs => {
+      const closed = new Promise<void>(resolve => { server.close(() => resolve()) })
       server.closeIdleConnections()
-    })
+      if (await withDeadline(clock, drainMs, closed) !== TIMED_OUT) return
+      // A caller that never reads, or an engine that never ends, would keep the process for good.
+      options.logger.warn('requests-ended-by-shutdown', { open: open.count() })
+      open.abortAll('shutting-down')
+      if (await withDeadline(clock, LAST_WORDS_MS, closed) === TIMED_OUT) server.closeAllConnections()
+      await closed
+    }
   }
 }
 
--- a/packages/magnoliabay/src/node/entry/middleware/body.ts
+++ b/packages/magnoliabay/src/node/entry/middleware/body.ts
@@ -1,6 +1,9 @@
+import type { ServerResponse } from 'node:http'
 import type { Clock } from '../../clock'
 import { TIMED_OUT, withDeadline } from '../../clock'
 import { refusal } from '../../failures'
+import type { Failure } from '../../failures'
+import type { OpenRequests } from '../openRequests'
 import { sendFailure } from '../respond'
 import type { EntryRequest, Handler } from '../types'
 
@@ -9,39 +12,52 @@
   bodyTimeoutMs: number
 }
 
-type ReadOutcome = Buffer | 'too-large' | 'broken-off'
+/** What the bodies of all open requests may hold together. */
+type BodyRoom = Pick<OpenRequests, 'hold'>
 
-/** Reads the whole body, within a size and a time. */
-export function bodyMiddleware (clock: Clock, limits: BodyLimits): Handler {
+const UNSHARED: BodyRoom = { hold: () => true }
+
+type Problem = 'too-large' | 'no-room' | 'broken-off' | 'late'
+
+const RETRY_AFTER_SECONDS = 1
+
+/** Reads the whole body, within a size and a time, and within what all open requests may hold together. */
+export function bodyMiddleware (clock: Clock, limits: BodyLimits, room: BodyRoom = UNSHARED): Handler {
+  const failures: Record<Exclude<Problem, 'broken-off'>, Failure> = {
+    'too-large': refusal('body_too_large', `A body may have ${limits.maxBodyBytes} bytes at most.`),
+    'no-room': refusal('overloaded', 'This instance holds as many bodies as it can.', RETRY_AFTER_SECONDS),
+    late: refusal('body_timeout', `The body did not arrive within ${limits.bodyTimeoutMs} ms.`)
+  }
   return async function readBody (req, res, next) {
-    const body = await withDeadline(clock, limits.bodyTimeoutMs, readWithin(req, limits.maxBodyBytes))
+    const read = await withDeadline(clock, limits.bodyTimeoutMs, readWithin(req, res, limits.maxBodyBytes, room))
+    const body = read === TIMED_OUT ? 'late' : read
     if (body === 'broken-off') return
-    if (body === TIMED_OUT || body === 'too-large') {
+    if (typeof body === 'string') {
+      req.removeAllListeners('data')
       res.setHeader('connection', 'close')
-      const failure = body === TIMED_OUT
-        ? refusal('body_timeout', `The body did not arrive within ${limits.bodyTimeoutMs} ms.`)
-        : refusal('body_too_large', `A body may have ${limits.maxBodyBytes} bytes at most.`)
-      res.on('finish', () => req.destroy())
-      return sendFailure(res, failure, req.requestId)
+      // What is left of the body isn't read: the connection goes once the refusal is out.
+      res.once('finish', () => req.destroy())
+      return sendFailure(res, failures[body], req.requestId)
     }
     req.rawBody = body
     next()
   }
 }
 
-async function readWithin (req: EntryRequest, maxBytes: number): Promise<ReadOutcome> {
+async function readWithin (req: EntryRequest, res: ServerResponse, maxBytes: number, room: BodyRoom): Promise<Buffer | Problem> {
   if (Number(req.headers['content-length'] ?? 0) > maxBytes) return 'too-large'
   return await new Promise(resolve => {
     const chunks: Buffer[] = []
     let size = 0
+    const giveUp = (problem: Problem): void => {
+      req.removeAllListeners('data')
+      req.resume()
+      resolve(problem)
+    }
     req.on('data', (chunk: Buffer) => {
       size += chunk.length
-      if (size > maxBytes) {
-        req.removeAllListeners('data')
-        req.resume()
-        resolve('too-large')
-        return
-      }
+      if (size > maxBytes) return giveUp('too-large')
+      if (!room.hold(res, chunk.length)) return giveUp('no-room')
       chunks.push(chunk)
     })
     req.on('end', () => resolve(Buffer.concat(chunks)))
--- a/packages/magnoliabay/src/node/entry/middleware/requestId.ts
+++ b/packages/magnoliabay/src/node/entry/middleware/requestId.ts
@@ -1,3 +1,4 @@
+import { createTrail } from '../../outcomes'
 import { createId } from '../../utils'
 import type { Handler } from '../types'
 
@@ -5,6 +6,7 @@
 export function requestIdMiddleware (): Handler {
   return function assignRequestId (req, _res, next) {
     req.requestId = createId('req')
+    req.trail = createTrail()
     next()
   }
 }
--- a/packages/magnoliabay/src/node/entry/queries.ts
+++ b/packages/magnoliabay/src/node/entry/queries.ts
@@ -7,8 +7,7 @@
 import { sendJson } from './respond'
 import type { Handler } from './types'
 
-/** How long callers keep an answer of locate, in seconds. */
-const LOCATE_KEEP_SECONDS = 30
+const MS_PER_SECOND = 1000
 const LOCATE_ADDRESSES = 3
 
 export function modelsHandler (cfg: ConfigHolder): Handler {
@@ -21,15 +20,18 @@
   }
 }
 
-/** Ranks entry instances for the caller's team, the first ones in different failure domains. */
-export function locateHandler (peers: Peers, allowance: Allowance): Handler {
+/**
+ * Ranks entry instances for the caller's team, the first ones in different failure domains; leaving ones are
+ * left out. Callers may keep the answer for `keepMs` milliseconds, for which a leaving instance serves on.
+ */
+export function locateHandler (peers: Peers, allowance: Allowance, keepMs: number): Handler {
   return function locate (req, res) {
-    const byId = new Map(peers.members().map(member => [member.id, member]))
-    const ranked = allowance.homes(req.caller.team).map(id => byId.get(id)!)
+    const byId = new Map(peers.members().filter(member => !member.leaving).map(member => [member.id, member]))
+    const ranked = allowance.homes(req.caller.team).flatMap(id => byId.get(id) ?? [])
     const addresses = spreadOverDomains(ranked)
       .slice(0, LOCATE_ADDRESSES)
       .map(member => ({ address: member.entryAddress, failure_domain: member.failureDomain }))
-    sendJson(res, 200, { addresses, keep_seconds: LOCATE_KEEP_SECONDS })
+    sendJson(res, 200, { addresses, keep_seconds: Math.floor(keepMs / MS_PER_SECOND) })
   }
 }
 
--- /dev/null
+++ b/packages/magnoliabay/src/node/entry/serviceAttempts.ts
@@ -0,0 +1,114 @@
+/** The attempts that one call of a plain service is allowed. */
+import type { IncomingHttpHeaders } from 'node:http'
+import type { Directory, Pools } from '../backend'
+import type { HttpMethod } from '../backend/exchange'
+import { callPlainService } from '../backend/serviceCall'
+import type { ServiceAnswer, ServiceCallResult } from '../backend/serviceCall'
+import type { Departures } from '../backend/departures'
+import type { Clock } from '../clock'
+import { mayHaveRun, refusal } from '../failures'
+import type { Failure } from '../failures'
+import type { Logger } from '../logger'
+import type { RetryBudget } from '../outcomes'
+import type { ListedInstance } from '../platform'
+import { Err, Ok } from '../result'
+import type { Result } from '../result'
+import type { EntryRequest } from './types'
+
+const MAX_ATTEMPTS = 3
+const FORWARDED_HEADERS: readonly string[] = ['content-type', 'accept', 'idempotency-key']
+
+export interface ServiceAttemptOptions {
+  directory: Directory
+  departures: Departures
+  pools: Pools
+  clock: Clock
+  logger: Logger
+  retryBudget: RetryBudget
+  serviceAnswerMs: number
+}
+
+export interface ServiceTarget {
+  name: string
+  /** With the query. */
+  path: string
+  isIdempotent: boolean
+}
+
+export interface ServiceAttempts {
+  run (req: EntryRequest, target: ServiceTarget, signal: AbortSignal): Promise<Result<ServiceAnswer, Failure>>
+}
+
+export function createServiceAttempts (options: ServiceAttemptOptions): ServiceAttempts {
+  const { directory, departures, logger, retryBudget } = options
+  let turn = 0
+
+  /** Another failure domain than those tried, if there is one; else another server; in turn. */
+  const choose = (name: string, tried: readonly ListedInstance[]): ListedInstance | undefined => {
+    const open = directory.services(name)
+      .filter(server => server.status === 'live' && !departures.isLeaving(server.address))
+      .filter(server => !tried.some(other => other.address === server.address))
+    const elsewhere = open.filter(server => !tried.some(other => other.failureDomain === server.failureDomain))
+    const candidates = elsewhere.length > 0 ? elsewhere : open
+    turn += 1
+    return candidates[turn % Math.max(1, candidates.length)]
+  }
+  const callAt = async (server: ListedInstance, req: EntryRequest, target: ServiceTarget, signal: AbortSignal): Promise<ServiceCallResult> => {
+    req.trail.note('send')
+    const result = await callPlainService(options, {
+      address: server.address,
+      method: req.method as HttpMethod,
+      path: target.path,
+      headers: forwardedHeaders(req.headers, req.caller.team),
+      body: req.rawBody,
+      requestId: req.requestId,
+      answerMs: options.serviceAnswerMs,
+      isIdempotent: target.isIdempotent,
+      signal
+    })
+    const isDisclaimed = result.kind === 'not-run' || (result.kind === 'stopped' && !result.isSent)
+    req.trail.note(isDisclaimed ? 'disclaim' : 'lose')
+    if (result.kind === 'not-run' && result.isLeaving) departures.note(server.address)
+    return result
+  }
+  /** What certainly didn't run may go to another server; what may have run only if it may be repeated. */
+  const mayTryAgain = (result: ServiceCallResult, target: ServiceTarget): boolean =>
+    result.kind === 'not-run' || (result.kind === 'lost' && target.isIdempotent)
+
+  return {
+    run: async (req, target, signal) => {
+      const tried: ListedInstance[] = []
+      let last: Failure = refusal('no_capacity', `No server of ${target.name} is live.`, 1)
+      retryBudget.noteFirstAttempt()
+      while (tried.length < MAX_ATTEMPTS && !signal.aborted) {
+        const server = choose(target.name, tried)
+        if (server === undefined) break
+        if (tried.length > 0 && !retryBudget.take()) {
+          logger.info('retry-withheld', { request: req.requestId, reason: 'retry budget spent' })
+          break
+        }
+        tried.push(server)
+        const result = await callAt(server, req, target, signal)
+        if (result.kind === 'answered') return Ok(result.answer)
+        last = failureOf(result)
+        logger.info('service-call-failed', { request: req.requestId, server: server.id, result: result.kind, reason: last.message })
+        if (!mayTryAgain(result, target)) break
+      }
+      return Err(last)
+    }
+  }
+}
+
+function failureOf (result: Exclude<ServiceCallResult, { kind: 'answered' }>): Failure {
+  if (result.kind === 'not-run') return refusal('backend_failed', result.message, 1)
+  if (result.kind === 'lost') return mayHaveRun('may_have_run', `The service did not answer in full: ${result.message}`)
+  return result.isSent
+    ? mayHaveRun('may_have_run', 'The call was given up before its answer came.')
+    : refusal('deadline_exceeded', 'The call was given up before it was sent.', 1)
+}
+
+/** Only what a service needs: the caller's key, cookies and connection headers stay here. */
+function forwardedHeaders (headers: IncomingHttpHeaders, team: string): Record<string, string> {
+  const kept = FORWARDED_HEADERS.flatMap(name => typeof headers[name] === 'string' ? [[name, headers[name] as string]] : [])
+  return { ...Object.fromEntries(kept), 'x-team': team }
+}
--- a/packages/magnoliabay/src/node/entry/types.ts
+++ b/packages/magnoliabay/src/node/entry/types.ts
@@ -1,6 +1,7 @@
 /** What the entry's middleware adds to a request. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Caller } from '../admission'
+import type { Trail } from '../outcomes'
 import type { AbortableDeadline } from './deadline'
 
 export interface EntryRequest extends IncomingMessage {
@@ -8,9 +9,13 @@
   caller: Caller
   rawBody: Buffer
   deadline: AbortableDeadline
+  /** What became of the request so far. */
+  trail: Trail
   /** Set by polka. */
   params: Record<string, string>
   path: string
+  /** Query with its question mark, or empty. */
+  search: string | null
   query: Record<string, string | undefined>
 }
 
--- a/packages/magnoliabay/src/node/failures.ts
+++ b/packages/magnoliabay/src/node/failures.ts
@@ -16,6 +16,7 @@
   | 'over_allowance'
   | 'overloaded'
   | 'deadline_exceeded'
+  | 'caller_gone'
   | 'no_capacity'
   | 'shutting_down'
   | 'idempotency_conflict'
@@ -51,6 +52,7 @@
   over_allowance: 429,
   overloaded: 503,
   deadline_exceeded: 504,
+  caller_gone: 499,
   no_capacity: 503,
   shutting_down: 503,
   idempotency_conflict: 422,
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -6,7 +6,6 @@
 import { createDirectory, createEngineClient, createPools } from './backend'
 import { createCells } from './cells'
 import type { Clock } from './clock'
-import { sleep } from './clock'
 import { createConfigHolder } from './config'
 import type { ResolvedSettings } from './config'
 import { createEntry } from './entry'
@@ -14,16 +13,14 @@
 import { createMembership, createPeerNetwork } from './members'
 import type { MemberRecord } from './members'
 import { createMetrics } from './metrics'
-import { createOnce } from './once'
+import { createGroupWriter, createOnce, createRetentionLease, createSharedWriter } from './once'
 import { createOperators } from './operators'
 import { createOperatorCommands } from './operators/commands'
 import type { InstanceList, Store } from './platform'
 import { createRouting } from './routing'
+import { createShutdown } from './shutdown'
 import { createId } from './utils'
 
-/** Callers keep an answer of locate for up to this long; an instance that leaves serves them until then. */
-const LOCATE_RUN_OUT_MS = 1000
-
 export interface InstanceOptions {
   settings: ResolvedSettings
   store: Store
@@ -65,11 +62,14 @@
   const keyring = createKeyring({ store, peers, clock })
   const directory = createDirectory({ list: options.list, clock, logger })
   const allowance = createAllowance({ cfg, peers, clock, logger })
-  const once = createOnce({ store, holder: self.incarnation })
+  const lease = createRetentionLease({ store, clock, retentionSeconds: settings.once.retentionSeconds })
+  const writer = createSharedWriter({ peers, local: createGroupWriter({ store, lease, clock }) })
+  const inProgressMs = settings.limits.deadlineMs + settings.limits.serviceAnswerMs
+  const once = createOnce({ store, writer, holder: self.incarnation, clock, logger, inProgressMs })
   const cells = createCells({ store, peers, membership, directory, engines, cfg, clock, logger })
   const routing = createRouting({ cells, clock })
   const isReady = (): boolean => cfg.inForce().version > 0 && membership.leaseId() !== undefined && !self.leaving
-  const entry = createEntry({ settings, cfg, keyring, allowance, routing, directory, once, pools, peers, clock, logger, metrics, isReady })
+  const entry = createEntry({ settings, cfg, keyring, allowance, routing, directory, once, pools, engines, peers, clock, logger, metrics, isReady })
   const commands = createOperatorCommands({ store, keyring, clock })
   const status = (): object => ({
     instance: self,
@@ -93,18 +93,23 @@
       await operators.start()
       logger.info('instance-started', { entry: entryAddress, peer: peerAddress, operator: operatorAddress })
     },
-    shutdown: async () => {
-      logger.info('instance-leaving')
-      await membership.announceLeaving()
-      await cells.handOver()
-      await sleep(clock, LOCATE_RUN_OUT_MS)
-      await entry.close()
-      await operators.close()
-      stop.abort()
-      await membership.deregister()
-      await peers.close()
-      await Promise.all([pools.close(), engines.close()])
-      logger.info('instance-stopped')
-    }
+    shutdown: createShutdown({
+      clock,
+      logger,
+      ...settings.shutdown,
+      steps: {
+        leave: membership.announceLeaving,
+        handOver: cells.handOver,
+        drain: entry.close,
+        finish: async () => {
+          await once.settled()
+          await operators.close()
+          stop.abort()
+          await membership.deregister()
+          await peers.close()
+          await Promise.all([pools.close(), engines.close()])
+        }
+      }
+    })
   }
 }
--- a/packages/magnoliabay/src/node/once/index.ts
+++ b/packages/magnoliabay/src/node/once/index.ts
@@ -1,110 +1,148 @@
 /**
- * Claims for non-idempotent requests: whoever holds the claim may send, everybody else gets the stored answer.
+ * Claims for non-idempotent requests: whoever holds the claim may send, everybody else gets the kept answer.
+ * Nobody but its holder ever sends under a claim, and a claim is never taken over: when its holder dies, the
+ * request stays *may have run* until the claim's retention runs out.
  */
-import { createHash } from 'node:crypto'
-import { MAX_STORE_VALUE_BYTES, STORE_ROOT } from '../constants'
+import type { ServiceAnswer } from '../backend/serviceCall'
+import type { Clock } from '../clock'
+import { sleep } from '../clock'
 import { mayHaveRun, refusal } from '../failures'
 import type { Failure } from '../failures'
+import type { Logger } from '../logger'
 import type { Store } from '../platform'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
 import { createId } from '../utils'
+import { readAnswer, writeAnswer } from './answers'
+import type { StoredClaim } from './answers'
+import { claimKeyOf, requestDigestOf } from './record'
+import type { ClaimRecord, ClaimRequest } from './record'
+import type { ClaimWriter } from './writes'
 
-const ONCE_PREFIX = `${STORE_ROOT}/once/`
-const RETRY_AFTER_SECONDS = 1
-
-export interface StoredAnswer {
-  status: number
-  contentType: string
-  /** Body in base64. */
-  body: string
-}
-
-interface ClaimRecord {
-  /** Unique for each attempt to claim: tells after a lost answer whether the claim is ours. */
-  claimId: string
-  /** Instance and incarnation that hold the claim. */
-  holder: string
-  bodyDigest: string
-  answer?: StoredAnswer
-}
-
-export interface ClaimRequest {
-  team: string
-  service: string
-  idempotencyKey: string
-  body: Buffer
-}
+export { createGroupWriter } from './groupWriter'
+export { createRetentionLease } from './retentionLease'
+export { createSharedWriter } from './sharedWriter'
+export type { ClaimRequest } from './record'
+export type Claim = StoredClaim
 
-export interface Claim {
-  key: string
-  record: ClaimRecord
-}
+const RETRY_AFTER_SECONDS = 1
+const RETRY_MS = 1000
+/** Answers that wait for the store to come back, over all requests. */
+const MAX_WAITING_ANSWERS = 1000
+const ANSWER_TRIES = 300
+const RELEASE_TRIES = 60
+const ONCE = { priority: 'once' } as const
 
 /** `claimed`: send it, once. `answered`: it ran before, this is its answer. */
 export type ClaimOutcome =
   | { kind: 'claimed', claim: Claim }
-  | { kind: 'answered', answer: StoredAnswer }
+  | { kind: 'answered', answer: ServiceAnswer }
 
 export interface Once {
   claim (req: ClaimRequest): Promise<Result<ClaimOutcome, Failure>>
-  /** Keeps the answer with the claim, for repeats at any instance. */
-  storeAnswer (claim: Claim, answer: StoredAnswer): Promise<void>
+  /** Keeps the answer with the claim, in the background, through an outage of the store. */
+  storeAnswer (claim: Claim, answer: ServiceAnswer): void
   /** Gives the claim back: certainly nothing was sent. */
   release (claim: Claim): Promise<void>
+  /** Resolves when no answer waits to be kept any more. */
+  settled (): Promise<void>
 }
 
 export interface OnceOptions {
   store: Store
+  writer: ClaimWriter
   holder: string
+  clock: Clock
+  logger: Logger
+  /** After this long, a claim without an answer is taken to have lost its holder. Milliseconds. */
+  inProgressMs: number
 }
 
 export function createOnce (options: OnceOptions): Once {
-  const { store } = options
-  const compareMine = (claim: Claim) => ({ key: claim.key, target: 'value' as const, equals: JSON.stringify(claim.record) })
+  const { store, writer, clock, logger } = options
+  const waiting = new Set<Promise<void>>()
 
   const resolveExisting = async (key: string, mine: ClaimRecord): Promise<Result<ClaimOutcome, Failure>> => {
-    const found = await store.get(key, { priority: 'once' })
-    if (found.err) return Err(storeDark())
-    if (found.val === undefined) return Err(storeDark())
+    const found = await store.get(key, ONCE)
+    if (found.err || found.val === undefined) return Err(storeDark())
     const record = JSON.parse(found.val.value) as ClaimRecord
-    if (record.claimId === mine.claimId) return Ok({ kind: 'claimed', claim: { key, record } })
-    if (record.bodyDigest !== mine.bodyDigest) {
-      return Err(refusal('idempotency_conflict', 'This Idempotency-Key was used before with another body. Use a new key for a new request.'))
+    if (record.claimId === mine.claimId) return Ok({ kind: 'claimed', claim: { key, record: mine } })
+    if (record.digest !== mine.digest) {
+      return Err(refusal('idempotency_conflict', 'This Idempotency-Key was used before with another request. Use a new key for a new request.'))
+    }
+    if (record.answer === undefined) return Err(withoutAnswer(record, clock.now(), options.inProgressMs))
+    const answer = await readAnswer(store, record.answer)
+    if (answer === undefined) return Err(answerUnread())
+    return Ok({ kind: 'answered', answer })
+  }
+  const keepAnswer = async (claim: Claim, answer: ServiceAnswer): Promise<void> => {
+    for (let tries = 0; tries < ANSWER_TRIES; tries += 1) {
+      if (await writeAnswer(writer, claim, answer)) return
+      await sleep(clock, RETRY_MS)
+    }
+    logger.warn('answer-not-kept', { claim: claim.record.claimId, reason: 'store unavailable for too long' })
+  }
+  const removeClaim = async (claim: Claim): Promise<boolean> => {
+    const outcome = await writer.write({ kind: 'remove', key: claim.key, expected: JSON.stringify(claim.record) })
+    return outcome === 'done' || outcome === 'lost'
+  }
+  /** Left standing, the claim would refuse for its whole retention what never ran. */
+  const retryRelease = async (claim: Claim): Promise<void> => {
+    for (let tries = 0; tries < RELEASE_TRIES; tries += 1) {
+      await sleep(clock, RETRY_MS)
+      if (await removeClaim(claim)) return
     }
-    if (record.answer !== undefined) return Ok({ kind: 'answered', answer: record.answer })
-    return Err({
-      ...mayHaveRun('idempotency_in_progress', 'The same request is being carried out, or was and its answer is not known.'),
-      retryAfterSeconds: RETRY_AFTER_SECONDS
-    })
+    logger.warn('claim-not-released', { claim: claim.record.claimId, reason: 'store unavailable for too long' })
+  }
+  const runInBackground = (task: Promise<void>): void => {
+    const tracked = task.finally(() => waiting.delete(tracked))
+    waiting.add(tracked)
   }
   return {
     claim: async req => {
-      const key = `${ONCE_PREFIX}${req.team}/${req.service}/${digest(req.idempotencyKey)}`
-      const record: ClaimRecord = { claimId: createId('claim'), holder: options.holder, bodyDigest: digest(req.body) }
-      const claimed = await store.transact({
-        compares: [{ key, target: 'create', equals: 0 }],
-        writes: [{ kind: 'put', key, value: JSON.stringify(record) }]
-      }, { priority: 'once' })
-      if (claimed.ok && claimed.val.succeeded) return Ok({ kind: 'claimed', claim: { key, record } })
-      if (claimed.err && claimed.val.kind !== 'unknown') return Err(storeDark())
+      const key = claimKeyOf(req)
+      const record: ClaimRecord = {
+        claimId: createId('claim'),
+        holder: options.holder,
+        digest: requestDigestOf(req),
+        claimedAtMs: clock.now()
+      }
+      const outcome = await writer.write({ kind: 'claim', key, value: JSON.stringify(record) })
+      if (outcome === 'done') return Ok({ kind: 'claimed', claim: { key, record } })
+      if (outcome === 'unavailable') return Err(storeDark())
       return await resolveExisting(key, record)
     },
-    storeAnswer: async (claim, answer) => {
-      const value = JSON.stringify({ ...claim.record, answer })
-      if (value.length > MAX_STORE_VALUE_BYTES) return
-      await store.transact({ compares: [compareMine(claim)], writes: [{ kind: 'put', key: claim.key, value }] }, { priority: 'once' })
+    storeAnswer: (claim, answer) => {
+      if (waiting.size >= MAX_WAITING_ANSWERS) {
+        return logger.warn('answer-not-kept', { claim: claim.record.claimId, reason: 'too many answers wait for the store' })
+      }
+      runInBackground(keepAnswer(claim, answer))
     },
     release: async claim => {
-      await store.transact({ compares: [compareMine(claim)], writes: [{ kind: 'delete', key: claim.key }] }, { priority: 'once' })
-    }
+      if (await removeClaim(claim)) return
+      runInBackground(retryRelease(claim))
+    },
+    settled: async () => { await Promise.all([...waiting]) }
   }
 }
 
-function digest (content: string | Buffer): string {
-  return createHash('sha256').update(content).digest('base64url')
-}
-
 function storeDark (): Failure {
   return refusal('store_unavailable', 'The claim for this request cannot be recorded just now, so it was not sent.', RETRY_AFTER_SECONDS)
 }
+
+function answerUnread (): Failure {
+  return {
+    ...mayHaveRun('store_unavailable', 'The request has run; its answer cannot be read just now. Ask again with the same key.'),
+    retryAfterSeconds: RETRY_AFTER_SECONDS
+  }
+}
+
+function withoutAnswer (record: ClaimRecord, nowMs: number, inProgressMs: number): Failure {
+  if (nowMs - record.claimedAtMs > inProgressMs) {
+    return mayHaveRun('may_have_run', 'The request may have run, and its answer was lost. It will not be run again under this key.')
+  }
+  return {
+    ...mayHaveRun('idempotency_in_progress', 'The same request is being carried out. Ask again with the same key for its answer.'),
+    retryAfterSeconds: RETRY_AFTER_SECONDS
+  }
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/once/sharedWriter.ts
@@ -0,0 +1,43 @@
+/**
+ * Lets one instance write the claims of all, so that few large groups reach the store in place of many
+ * small ones. It is chosen by rank among those connected, and holds nothing: whoever writes, the store
+ * decides, and any instance may write for itself.
+ */
+import { definePeerCall } from '../members'
+import type { MemberRecord, Peers } from '../members'
+import { rankByRendezvous } from '../utils'
+import { sizeOf } from './writes'
+import type { ClaimWrite, ClaimWriter, WriteOutcome } from './writes'
+
+const writeClaim = definePeerCall<ClaimWrite, WriteOutcome>('once.write')
+
+const RANKING = 'once-writer'
+const CALL_TIMEOUT_MS = 2000
+/** Longer writes would hold up the link to the writer; they go to the store straight. */
+const MAX_CARRIED_BYTES = 32_768
+
+export interface SharedWriterOptions {
+  peers: Pick<Peers, 'self' | 'members' | 'isConnected' | 'call' | 'serve'>
+  /** Writes to the store from here. */
+  local: ClaimWriter
+}
+
+export function createSharedWriter (options: SharedWriterOptions): ClaimWriter {
+  const { peers, local } = options
+  peers.serve(writeClaim, async write => await local.write(write))
+
+  const chooseWriter = (): MemberRecord | undefined => {
+    const candidates = peers.members().filter(member => !member.leaving && peers.isConnected(member.id))
+    return rankByRendezvous(RANKING, candidates, member => member.id)[0]
+  }
+  return {
+    write: async write => {
+      const writer = chooseWriter()
+      if (writer === undefined || writer.id === peers.self.id || sizeOf(write) > MAX_CARRIED_BYTES) return await local.write(write)
+      const answer = await peers.call(writer.id, writeClaim, write, { timeoutMs: CALL_TIMEOUT_MS })
+      if (answer.ok) return answer.val
+      // Only an undelivered write may be sent again: another could take effect long after this one was refused.
+      return answer.val.kind === 'not-connected' || answer.val.kind === 'no-handler' ? await local.write(write) : 'unknown'
+    }
+  }
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/outcomes/retryBudget.ts
@@ -0,0 +1,36 @@
+/**
+ * Retries as a share of traffic. Without it, retries multiply the load just when backend servers fail from
+ * it, and keep them down.
+ */
+
+export interface RetryBudgetOptions {
+  /** Retries allowed for each first attempt. @default 0.1 */
+  share?: number
+  /** Retries allowed at once after a calm time, so that a rarely used fleet can retry at all. @default 10 */
+  reserve?: number
+}
+
+export interface RetryBudget {
+  noteFirstAttempt (): void
+  /** Takes one retry, or says that there is none left. */
+  take (): boolean
+  left (): number
+}
+
+const SHARE = 0.1
+const RESERVE = 10
+
+export function createRetryBudget (options: RetryBudgetOptions = {}): RetryBudget {
+  const share = options.share ?? SHARE
+  const reserve = options.reserve ?? RESERVE
+  let left = reserve
+  return {
+    noteFirstAttempt: () => { left = Math.min(reserve, left + share) },
+    take: () => {
+      if (left < 1) return false
+      left -= 1
+      return true
+    },
+    left: () => left
+  }
+}
