--- a/packages/magnoliabay/src/node/entry/middleware/body.ts
+++ b/packages/magnoliabay/src/node/entry/middleware/body.ts
@@ -33,10 +33,8 @@
     const body = read === TIMED_OUT ? 'late' : read
     if (body === 'broken-off') return
     if (typeof body === 'string') {
+      // What still comes of it is dropped, not held.
       req.removeAllListeners('data')
-      res.setHeader('connection', 'close')
-      // What is left of the body isn't read: the connection goes once the refusal is out.
-      res.once('finish', () => req.destroy())
       return sendFailure(res, failures[body], req.requestId)
     }
     req.rawBody = body
