--- a/packages/magnoliabay/src/node/commands/embedded.ts
+++ b/packages/magnoliabay/src/node/commands/embedded.ts
@@ -48,6 +48,8 @@
 
 const HOST = '127.0.0.1'
 const READY_POLL_MS = 50
+/** Nobody keeps addresses of an embedded fleet: it ends as a whole. */
+const EMBEDDED_LOCATE_KEEP_MS = 200
 const FREE_PORTS_FROM = 15_000
 const FREE_PORTS_TO = 32_000
 
@@ -80,7 +82,8 @@
         operatorAddress: `${HOST}:${ports[2 * count + index]}`
       },
       platform: { store: [storeUrl], instanceList: listUrl },
-      operators: { keyDigests: [operatorKeyDigest(operatorKey)] }
+      operators: { keyDigests: [operatorKeyDigest(operatorKey)] },
+      shutdown: { locateKeepMs: EMBEDDED_LOCATE_KEEP_MS }
     }),
     store,
     list,
