--- /dev/null
+++ b/packages/magnoliabay/src/node/members/__tests__/link.spec.ts
@@ -0,0 +1,247 @@
+import { expect } from 'chai'
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
+import { createVirtualClock } from '../../clock/virtual'
+import type { VirtualClock } from '../../clock/virtual'
+import { createLogger } from '../../logger'
+import type { Result } from '../../result'
+import { createDispatch } from '../dispatch'
+import type { Dispatch } from '../dispatch'
+import { MAX_FRAME_BYTES, encodeFrame, readFrames } from '../frames'
+import type { Frame } from '../frames'
+import { BEAT_PERIOD_MS, SILENT_LINK_MS, runLink } from '../link'
+import type { Link } from '../link'
+import { definePeerCall, definePeerNotice } from '../peers'
+import type { PeerError } from '../peers'
+import type { MemberRecord } from '../record'
+
+const memberOf = (id: string): MemberRecord => ({
+  id, incarnation: `${id}-1`, startedAtMs: 1, region: 'r', failureDomain: 'd', peerAddress: '', entryAddress: '', operatorAddress: '', leaving: false
+})
+const HELLO: Frame = { type: 'hello', member: memberOf('peer') }
+const echo = definePeerCall<string, string>('echo')
+const note = definePeerNotice<string>('note')
+
+/** A link of ours over loopback; the peer's side is a bare socket that the test writes to. */
+interface Setting {
+  peer: Socket
+  link: () => Link
+  /** Why the link ended; undefined while it stands. */
+  ended: () => string | undefined
+  goodbyes: string[]
+  /** Frames that the peer has received. */
+  received: Frame[]
+}
+
+describe('link to a peer, over loopback in virtual time', () => {
+  let clock: VirtualClock
+  let server: Server
+  let dispatch: Dispatch
+  const sockets: Socket[] = []
+  const log: string[] = []
+  const logger = createLogger({ write: line => { log.push(line) } })
+
+  /** Lets sockets and promises go on until `done`, without moving time. */
+  const until = async (done: () => boolean): Promise<void> => {
+    while (!done()) {
+      await new Promise(resolve => setImmediate(resolve))
+      await clock.settle()
+    }
+  }
+  const open = async ({ hello = true, reads = true } = {}): Promise<Setting> => {
+    const accepted = new Promise<Socket>(resolve => server.once('connection', resolve))
+    const peer = connect((server.address() as AddressInfo).port, '127.0.0.1')
+    const socket = await accepted
+    sockets.push(peer, socket)
+    let link: Link | undefined
+    let reason: string | undefined
+    const goodbyes: string[] = []
+    const received: Frame[] = []
+    runLink({
+      socket,
+      self: memberOf('self'),
+      clock,
+      logger,
+      dispatch,
+      onHello: established => {
+        link = established
+        return true
+      },
+      onGoodbye: member => { goodbyes.push(member.id) }
+    }).then(why => { reason = why })
+    peer.on('error', () => {})
+    const collect = async (): Promise<void> => {
+      for await (const frame of readFrames(peer)) received.push(frame)
+    }
+    if (reads) collect().catch(() => {})
+    if (hello) {
+      peer.write(encodeFrame(HELLO))
+      await until(() => link !== undefined)
+    }
+    return { peer, link: () => link!, ended: () => reason, goodbyes, received }
+  }
+  const write = (setting: Setting, ...frames: Frame[]): boolean => setting.peer.write(Buffer.concat(frames.map(encodeFrame)))
+  const callOf = (setting: Setting): Extract<Frame, { type: 'call' }> | undefined =>
+    setting.received.find((frame): frame is Extract<Frame, { type: 'call' }> => frame.type === 'call')
+  const outcomeOf = (result: Result<unknown, PeerError>): string => result.ok ? `ok ${result.val}` : result.val.kind
+
+  beforeEach(async () => {
+    clock = createVirtualClock()
+    dispatch = createDispatch()
+    server = createServer()
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  })
+  afterEach(() => {
+    sockets.splice(0).forEach(socket => socket.destroy())
+    server.close()
+    log.splice(0)
+  })
+
+  it('is kept while beats come, and cut once none has come for too long', async () => {
+    // Something between the two ends loses track of the connection: it stays open, and nothing comes.
+    // The beats that do come before keep it; after the last one it is cut, and the caller may dial anew.
+    const setting = await open()
+    for (let elapsed = 0; elapsed < 3 * SILENT_LINK_MS; elapsed += BEAT_PERIOD_MS) {
+      const before = setting.received.length
+      await clock.advance(BEAT_PERIOD_MS)
+      write(setting, { type: 'beat' })
+      // The answer to a call sent behind the beat shows that the beat has been read.
+      write(setting, { type: 'call', id: elapsed, kind: 'none', body: 0 })
+      await until(() => setting.received.slice(before).some(frame => frame.type === 'reply'))
+    }
+    expect(setting.ended()).to.equal(undefined)
+    await clock.advance(SILENT_LINK_MS + 2 * BEAT_PERIOD_MS)
+    await until(() => setting.ended() !== undefined)
+    expect(setting.ended()).to.equal('silent')
+  })
+
+  it('is cut when the peer says nothing at all after connecting', async () => {
+    const setting = await open({ hello: false })
+    await clock.advance(SILENT_LINK_MS + 2 * BEAT_PERIOD_MS)
+    await until(() => setting.ended() !== undefined)
+    expect(setting.ended()).to.equal('silent')
+  })
+
+  const endings: Array<{ title: string, act: (setting: Setting) => unknown, reason: RegExp, hello?: boolean }> = [
+    { title: 'the first frame is no hello', act: setting => write(setting, { type: 'beat' }), reason: /^no hello$/, hello: false },
+    { title: 'the peer closes its side only', act: setting => setting.peer.end(), reason: /^closed by the peer$/ },
+    { title: 'the peer resets the connection', act: setting => setting.peer.resetAndDestroy(), reason: /ECONNRESET|aborted|closed/ },
+    { title: 'bytes are no frame', act: setting => setting.peer.write(Buffer.from([0, 0, 0, 1, 0xff])), reason: /^bad frame: / },
+    { title: 'a length is over the limit', act: setting => setting.peer.write(Buffer.alloc(8, 0xff)), reason: /^bad frame: too-long$/ }
+  ]
+  endings.forEach(({ title, act, reason, hello }) => it(`ends, and its calls with it, when ${title}`, async () => {
+    const setting = await open({ hello })
+    const call = hello === false ? undefined : setting.link().call(echo.kind, 'x')
+    act(setting)
+    await until(() => setting.ended() !== undefined)
+    expect(setting.ended()).to.match(reason)
+    if (call !== undefined) expect(outcomeOf(await call)).to.equal('link-lost')
+  }))
+
+  it('cuts a peer that reads too slowly, before its backlog fills the memory', async () => {
+    // The peer is paused and its socket stays open. Every notice to it waits in our memory. At the
+    // limit the link is cut, calls on it end at once, and the backlog is dropped.
+    const setting = await open({ reads: false })
+    setting.peer.pause()
+    const call = setting.link().call(echo.kind, 'x')
+    const body = 'x'.repeat(1024 * 1024)
+    let sent = 0
+    while (setting.ended() === undefined && sent < 64) {
+      setting.link().notify(note.kind, body)
+      sent += 1
+      await new Promise(resolve => setImmediate(resolve))
+    }
+    expect(setting.ended()).to.equal('peer reads too slowly')
+    expect(outcomeOf(await call)).to.equal('link-lost')
+  })
+
+  it('gives a call up after its timeout, and ignores the answer that comes late or twice', async () => {
+    const setting = await open()
+    const given = setting.link().call(echo.kind, 'first', { timeoutMs: 300 })
+    await until(() => callOf(setting) !== undefined)
+    await clock.advance(300)
+    expect(outcomeOf(await given)).to.equal('timeout')
+    const { id } = callOf(setting)!
+    const next = setting.link().call(echo.kind, 'second')
+    write(setting, { type: 'reply', id, ok: true, body: 'late' }, { type: 'reply', id: id + 1, ok: true, body: 'right' }, { type: 'reply', id: id + 1, ok: true, body: 'again' })
+    expect(outcomeOf(await next)).to.equal('ok right')
+    expect(setting.ended()).to.equal(undefined)
+  })
+
+  it('answers of calls that cross go to their own callers', async () => {
+    const setting = await open()
+    const calls = ['a', 'b', 'c'].map(text => setting.link().call(echo.kind, text))
+    await until(() => setting.received.filter(frame => frame.type === 'call').length === calls.length)
+    const asked = setting.received.filter((frame): frame is Extract<Frame, { type: 'call' }> => frame.type === 'call')
+    write(setting, ...asked.reverse().map((frame): Frame => ({ type: 'reply', id: frame.id, ok: true, body: frame.body })))
+    expect((await Promise.all(calls)).map(outcomeOf)).to.deep.equal(['ok a', 'ok b', 'ok c'])
+  })
+
+  it('a call whose answer comes after the link was replaced ends as lost, and the answer reaches nobody', async () => {
+    // The peer dials anew while a call is open on the old link. The old one is closed: the call may
+    // have been carried out, and says so. Its answer on the new link belongs to no call there.
+    const old = await open()
+    const first = old.link().call(echo.kind, 'x')
+    await until(() => callOf(old) !== undefined)
+    const { id } = callOf(old)!
+    const fresh = await open()
+    old.link().close('replaced by a newer link')
+    expect(outcomeOf(await first)).to.equal('link-lost')
+    write(fresh, { type: 'reply', id: id + 40, ok: true, body: 'stray' })
+    const second = fresh.link().call(echo.kind, 'y')
+    await until(() => callOf(fresh) !== undefined)
+    write(fresh, { type: 'reply', id: callOf(fresh)!.id, ok: true, body: 'y' })
+    expect(outcomeOf(await second)).to.equal('ok y')
+    expect(old.ended()).to.equal('replaced by a newer link')
+  })
+
+  it('a call on a link that has ended says that nothing was sent', async () => {
+    const setting = await open()
+    setting.link().close('test')
+    expect(outcomeOf(await setting.link().call(echo.kind, 'x'))).to.equal('not-connected')
+  })
+
+  it('a call too large for a frame is refused here, and the link stands', async () => {
+    const setting = await open()
+    expect(outcomeOf(await setting.link().call(echo.kind, 'x'.repeat(MAX_FRAME_BYTES)))).to.equal('too-large')
+    setting.link().notify(note.kind, 'x'.repeat(MAX_FRAME_BYTES))
+    expect(log.filter(line => line.includes('event=peer-notice-not-sent'))).to.have.length(1)
+    expect(setting.ended()).to.equal(undefined)
+  })
+
+  const answers: Array<{ title: string, handler?: () => unknown, kind: string }> = [
+    { title: 'an answer too large for a frame', handler: () => 'x'.repeat(MAX_FRAME_BYTES), kind: 'handler-failed' },
+    { title: 'a handler that fails', handler: () => { throw new TypeError('wrong body') }, kind: 'handler-failed' },
+    { title: 'no handler', kind: 'no-handler' }
+  ]
+  answers.forEach(({ title, handler, kind }) => it(`tells the caller of ${title}, and the link stands`, async () => {
+    if (handler !== undefined) dispatch.serve(echo, handler as () => string)
+    const setting = await open()
+    write(setting, { type: 'call', id: 9, kind: echo.kind, body: 'x' })
+    await until(() => setting.received.some(frame => frame.type === 'reply'))
+    const reply = setting.received.find(frame => frame.type === 'reply') as Extract<Frame, { type: 'reply' }>
+    expect({ id: reply.id, ok: reply.ok, kind: (reply.body as PeerError).kind }).to.deep.equal({ id: 9, ok: false, kind })
+    expect(setting.ended()).to.equal(undefined)
+  }))
+
+  it('a notice whose handler fails is logged, and the link stands', async () => {
+    const seen: string[] = []
+    dispatch.listen(note, body => {
+      if (body === 'bad') throw new TypeError('wrong body')
+      seen.push(body)
+    })
+    const setting = await open()
+    write(setting, { type: 'notice', kind: note.kind, body: 'bad' }, { type: 'notice', kind: note.kind, body: 'good' })
+    await until(() => seen.length > 0)
+    expect(log.filter(line => line.includes('event=peer-notice-failed'))).to.have.length(1)
+    expect(setting.ended()).to.equal(undefined)
+  })
+
+  it('a goodbye is passed on once, and the link ends with it', async () => {
+    const setting = await open()
+    write(setting, { type: 'goodbye' })
+    setting.peer.end()
+    await until(() => setting.ended() !== undefined)
+    expect(setting.goodbyes).to.deep.equal(['peer'])
+  })
+})
--- a/packages/magnoliabay/src/node/members/frames.ts
+++ b/packages/magnoliabay/src/node/members/frames.ts
@@ -2,7 +2,8 @@
  * Frames between members: four bytes of length, then one CBOR value.
  */
 import { Decoder, Encoder } from 'cbor-x'
-import type { Socket } from 'node:net'
+import type { Readable } from 'node:stream'
+import { createByteQueue } from './byteQueue'
 import type { MemberRecord } from './record'
 
 export type Frame =
@@ -17,8 +18,6 @@
 /** Above any message of ours (a configuration of 1 MB), so that a damaged length can't exhaust memory. */
 export const MAX_FRAME_BYTES = 4 * 1024 * 1024
 
-const FRAME_TYPES: ReadonlySet<string> = new Set<Frame['type']>(['hello', 'beat', 'call', 'reply', 'notice', 'goodbye'])
-
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true })
 const decoder = new Decoder({ useRecords: false, mapsAsObjects: true })
 
@@ -26,21 +25,55 @@
 
 export class FrameError extends Error {
   constructor (readonly kind: FrameErrorKind) {
-    super(`Bad frame from a peer: ${kind}.`)
+    super(`bad frame: ${kind}`)
   }
 }
 
+type Fields = Readonly<Record<string, unknown>>
+type FieldType = 'string' | 'number' | 'boolean'
+
+const MEMBER_FIELDS: Readonly<Record<keyof MemberRecord, FieldType>> = {
+  id: 'string',
+  incarnation: 'string',
+  startedAtMs: 'number',
+  region: 'string',
+  failureDomain: 'string',
+  peerAddress: 'string',
+  entryAddress: 'string',
+  operatorAddress: 'string',
+  leaving: 'boolean'
+}
+
+const isFields = (value: unknown): value is Fields => typeof value === 'object' && value !== null
+const typeOf = (value: unknown): string => typeof value
+const isMember = (value: unknown): boolean =>
+  isFields(value) && Object.entries(MEMBER_FIELDS).every(([name, type]) => typeOf(value[name]) === type)
+
+/** What each type of frame must hold, so that nothing behind {@link decodeFrame} meets a wrong type. Bodies are the handlers' to check. */
+const CHECKS: Readonly<Record<Frame['type'], (fields: Fields) => boolean>> = {
+  hello: fields => isMember(fields.member),
+  beat: () => true,
+  call: fields => Number.isSafeInteger(fields.id) && typeof fields.kind === 'string',
+  reply: fields => Number.isSafeInteger(fields.id) && typeof fields.ok === 'boolean',
+  notice: fields => typeof fields.kind === 'string',
+  goodbye: () => true
+}
+
+/** Throws a {@link FrameError} of kind `too-long` for a frame that the peer would not take. */
 export function encodeFrame (frame: Frame): Buffer {
   const payload = encoder.encode(frame)
+  if (payload.length > MAX_FRAME_BYTES) throw new FrameError('too-long')
   const head = Buffer.allocUnsafe(LENGTH_BYTES)
   head.writeUInt32BE(payload.length)
   return Buffer.concat([head, payload])
 }
 
+/** Throws a {@link FrameError} on anything but a frame. */
 export function decodeFrame (payload: Buffer): Frame {
   const value = decodePayload(payload)
-  if (typeof value !== 'object' || value === null) throw new FrameError('not-a-frame')
-  if (!FRAME_TYPES.has((value as Frame).type)) throw new FrameError('not-a-frame')
+  if (!isFields(value) || typeof value.type !== 'string') throw new FrameError('not-a-frame')
+  if (!Object.hasOwn(CHECKS, value.type)) throw new FrameError('not-a-frame')
+  if (!CHECKS[value.type as Frame['type']](value)) throw new FrameError('not-a-frame')
   return value as Frame
 }
 
@@ -53,17 +86,20 @@
 }
 
 /** Yields the frames of a connection until its end. Throws {@link FrameError} on a bad one. */
-export async function * readFrames (socket: Socket): AsyncGenerator<Frame> {
-  let pending: Buffer = Buffer.alloc(0)
+export async function * readFrames (socket: Readable): AsyncGenerator<Frame> {
+  const pending = createByteQueue()
+  let wanted: number | undefined
   for await (const chunk of socket) {
-    pending = pending.length === 0 ? chunk as Buffer : Buffer.concat([pending, chunk as Buffer])
-    while (pending.length >= LENGTH_BYTES) {
-      const length = pending.readUInt32BE(0)
-      if (length > MAX_FRAME_BYTES) throw new FrameError('too-long')
-      const end = LENGTH_BYTES + length
-      if (pending.length < end) break
-      yield decodeFrame(pending.subarray(LENGTH_BYTES, end))
-      pending = pending.subarray(end)
+    pending.push(chunk as Buffer)
+    for (;;) {
+      if (wanted === undefined) {
+        if (pending.size() < LENGTH_BYTES) break
+        wanted = pending.take(LENGTH_BYTES).readUInt32BE(0)
+        if (wanted > MAX_FRAME_BYTES) throw new FrameError('too-long')
+      }
+      if (pending.size() < wanted) break
+      yield decodeFrame(pending.take(wanted))
+      wanted = undefined
     }
   }
 }
--- a/packages/magnoliabay/src/node/members/link.ts
+++ b/packages/magnoliabay/src/node/members/link.ts
@@ -5,8 +5,10 @@
 import type { Clock } from '../clock'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
+import type { Logger } from '../logger'
+import { messageOf } from '../utils'
 import type { Dispatch } from './dispatch'
-import { encodeFrame, readFrames } from './frames'
+import { FrameError, encodeFrame, readFrames } from './frames'
 import type { Frame } from './frames'
 import type { PeerCallOptions, PeerError } from './peers'
 import type { MemberRecord } from './record'
@@ -40,6 +42,7 @@
   socket: Socket
   self: MemberRecord
   clock: Clock
+  logger: Logger
   dispatch: Dispatch
   /** The peer has said hello. Answer false to refuse it. */
   onHello: (link: Link) => boolean
@@ -48,16 +51,27 @@
 
 /** Runs a link until it ends and tells why. Never rejects. */
 export async function runLink (run: LinkRun): Promise<string> {
-  const { socket, clock } = run
+  const { socket, clock, logger } = run
   const pending = new Map<number, PendingCall>()
   let nextCallId = 1
   let endReason = 'closed by the peer'
   let lastHeardMs = clock.monotonic()
   let member: MemberRecord | undefined
 
-  const send = (frame: Frame): void => {
-    if (socket.writable) socket.write(encodeFrame(frame))
+  /**
+   * Tells what hindered it. A frame that is too long for the peer is not sent: the peer would cut the
+   * link, the caller would try again on the next one, and every other call would be lost with it.
+   */
+  const send = (frame: Frame): PeerError | undefined => {
+    if (!socket.writable) return { kind: 'not-connected', message: 'The link to the peer has ended.' }
+    try {
+      socket.write(encodeFrame(frame))
+    } catch (err) {
+      if (err instanceof FrameError) return { kind: 'too-large', message: err.message }
+      throw err
+    }
     if (socket.writableLength > MAX_UNSENT_BYTES) close('peer reads too slowly')
+    return undefined
   }
   const close = (reason: string): void => {
     endReason = reason
@@ -72,12 +86,16 @@
       resolve(result)
     }
     pending.set(id, { settle })
-    send({ type: 'call', id, kind, body })
+    const hindrance = send({ type: 'call', id, kind, body })
+    if (hindrance !== undefined) settle(Err(hindrance))
   })
   const linkTo = (peer: MemberRecord): Link => ({
     member: peer,
     call,
-    notify: (kind, body) => send({ type: 'notice', kind, body }),
+    notify: (kind, body) => {
+      const hindrance = send({ type: 'notice', kind, body })
+      if (hindrance !== undefined) logger.warn('peer-notice-not-sent', { peer: peer.id, kind, reason: hindrance.message })
+    },
     close,
     goodbye: () => {
       send({ type: 'goodbye' })
@@ -86,14 +104,25 @@
   })
   const answerCall = async (frame: Extract<Frame, { type: 'call' }>, from: MemberRecord): Promise<void> => {
     const result = await run.dispatch.handleCall(frame.kind, frame.body, from)
-    send({ type: 'reply', id: frame.id, ok: result.ok, body: result.val })
+    const hindrance = send({ type: 'reply', id: frame.id, ok: result.ok, body: result.val })
+    if (hindrance?.kind !== 'too-large') return
+    const tooLarge: PeerError = { kind: 'handler-failed', message: 'The answer is too large for a frame.' }
+    send({ type: 'reply', id: frame.id, ok: false, body: tooLarge })
+  }
+  /** A handler that fails on what a peer sent must not end the link: each new one would end the same way. */
+  const takeNotice = (frame: Extract<Frame, { type: 'notice' }>, from: MemberRecord): void => {
+    try {
+      run.dispatch.handleNotice(frame.kind, frame.body, from)
+    } catch (err) {
+      logger.warn('peer-notice-failed', { peer: from.id, kind: frame.kind, reason: messageOf(err) })
+    }
   }
   const handlers: { [Type in Frame['type']]: (frame: Extract<Frame, { type: Type }>, from: MemberRecord) => void } = {
     hello: () => {},
     beat: () => {},
     call: (frame, from) => { answerCall(frame, from) },
     reply: frame => pending.get(frame.id)?.settle(frame.ok ? Ok(frame.body) : Err(frame.body as PeerError)),
-    notice: (frame, from) => run.dispatch.handleNotice(frame.kind, frame.body, from),
+    notice: takeNotice,
     goodbye: (_frame, from) => run.onGoodbye(from)
   }
 
--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -49,6 +49,7 @@
       socket,
       self,
       clock,
+      logger,
       dispatch,
       onHello: established => {
         links.get(established.member.id)?.close('replaced by a newer link')
--- a/packages/magnoliabay/src/node/members/peers.ts
+++ b/packages/magnoliabay/src/node/members/peers.ts
@@ -26,10 +26,10 @@
 }
 
 /**
- * `not-connected`: certainly not delivered. `timeout`, `link-lost`: may have been delivered and
+ * `not-connected`, `too-large`: certainly not delivered. `timeout`, `link-lost`: may have been delivered and
  * carried out. `no-handler`, `handler-failed`: delivered, and answered so.
  */
-export type PeerErrorKind = 'not-connected' | 'timeout' | 'link-lost' | 'no-handler' | 'handler-failed'
+export type PeerErrorKind = 'not-connected' | 'timeout' | 'link-lost' | 'no-handler' | 'handler-failed' | 'too-large'
 
 export interface PeerError {
   kind: PeerErrorKind
