--- a/packages/magnoliabay/src/node/backend/directory.ts
+++ b/packages/magnoliabay/src/node/backend/directory.ts
@@ -24,6 +24,8 @@
   list: InstanceList
   clock: Clock
   logger: Logger
+  /** Called with every list that was read. */
+  onRead?: (listed: readonly ListedInstance[]) => void
 }
 
 export function createDirectory (options: DirectoryOptions): Directory {
@@ -34,6 +36,7 @@
   const read = async (): Promise<void> => {
     const answer = await options.list.read()
     if (answer.err) return options.logger.debug('instance-list-unread', { reason: answer.val.message })
+    options.onRead?.(answer.val)
     const next = JSON.stringify(answer.val)
     if (next === fingerprint) return
     fingerprint = next
--- a/packages/magnoliabay/src/node/cells/account.ts
+++ b/packages/magnoliabay/src/node/cells/account.ts
@@ -2,29 +2,122 @@
  * The memory account of one engine. Memory is charged before an order to load is sent, and freed only
  * when the engine has confirmed that the model is gone.
  */
+import type { CheckpointTier, EngineRole } from '../backend/protocol'
+import { createReplicaLife } from './replicaLife'
+import type { ReplicaLife } from './replicaLife'
 
-export type ChargeState = 'loading' | 'loaded' | 'unloading'
-
-export interface Charge {
+export interface Replica {
+  engine: string
   model: string
+  version: string
   memoryMiB: number
-  state: ChargeState
+  /** The last order about it. */
   orderId: string
-  /** When the model was last used or loaded, monotonic milliseconds. */
+  life: ReplicaLife
+  /** An order about it is under way: its answer, not the engine's state, tells what comes next. */
+  hasOpenOrder: boolean
+  /** Monotonic milliseconds. */
+  lastUsedMs: number
+  /** When it was last confirmed as loaded, monotonic milliseconds. */
+  loadedAtMs: number
+  /** Whether any request has used it. */
+  wasUsed: boolean
+}
+
+export interface AdapterCharge {
+  adapter: string
+  model: string
+  memoryMiB: number
+  isLoaded: boolean
   lastUsedMs: number
 }
 
 export interface EngineAccount {
   engine: string
+  /** Changes when the engine's process starts anew. */
+  incarnation: string
   memoryMiB: number
-  charges: Map<string, Charge>
+  checksFence: boolean
+  role: EngineRole
+  isLeaving: boolean
+  /** Whether the last question for its state was answered. */
+  isReachable: boolean
+  /** Since when it has been neither listed nor reachable, monotonic milliseconds. */
+  missingSinceMs: number | undefined
+  replicas: Map<string, Replica>
+  adapters: Map<string, AdapterCharge>
+  tiers: Map<string, CheckpointTier>
+  /** When the last answer to an order arrived, monotonic milliseconds: a state read before that may be old. */
+  lastAnswerMs: number
+  /** Requests that run or wait there, by its last load report. */
+  load: number
 }
 
 export function createEngineAccount (engine: string, memoryMiB: number): EngineAccount {
-  return { engine, memoryMiB, charges: new Map() }
+  return {
+    engine,
+    incarnation: '',
+    memoryMiB,
+    checksFence: false,
+    role: 'serve',
+    isLeaving: false,
+    isReachable: true,
+    missingSinceMs: undefined,
+    replicas: new Map(),
+    adapters: new Map(),
+    tiers: new Map(),
+    lastAnswerMs: 0,
+    load: 0
+  }
+}
+
+export interface ReplicaOptions {
+  engine: string
+  model: string
+  version?: string
+  memoryMiB: number
+  orderId: string
+  nowMs: number
+  /** @default a life that begins at `decided` */
+  from?: 'loaded' | 'unknown'
+}
+
+/** Adds a replica to the account, which charges its memory from now on. */
+export function addReplica (account: EngineAccount, options: ReplicaOptions): Replica {
+  const replica: Replica = {
+    engine: options.engine,
+    model: options.model,
+    version: options.version ?? '1',
+    memoryMiB: options.memoryMiB,
+    orderId: options.orderId,
+    life: createReplicaLife(options.from),
+    hasOpenOrder: false,
+    lastUsedMs: options.nowMs,
+    loadedAtMs: options.nowMs,
+    wasUsed: false
+  }
+  account.replicas.set(replica.model, replica)
+  return replica
+}
+
+/** Frees a replica's memory once its life has ended. */
+export function dropIfGone (account: EngineAccount, replica: Replica): void {
+  if (replica.life.state() !== 'gone') return
+  if (account.replicas.get(replica.model) === replica) account.replicas.delete(replica.model)
+  const adapters = [...account.adapters.values()].filter(adapter => adapter.model === replica.model)
+  adapters.forEach(adapter => account.adapters.delete(adapter.adapter))
+}
+
+export function chargedMiB (account: EngineAccount): number {
+  const replicas = [...account.replicas.values()].reduce((sum, replica) => sum + replica.memoryMiB, 0)
+  const adapters = [...account.adapters.values()].reduce((sum, adapter) => sum + adapter.memoryMiB, 0)
+  return replicas + adapters
 }
 
 export function freeMiB (account: EngineAccount): number {
-  const charged = [...account.charges.values()].reduce((sum, charge) => sum + charge.memoryMiB, 0)
-  return account.memoryMiB - charged
+  return account.memoryMiB - chargedMiB(account)
+}
+
+export function loadedReplicas (account: EngineAccount): Replica[] {
+  return [...account.replicas.values()].filter(replica => replica.life.state() === 'loaded')
 }
--- a/packages/magnoliabay/src/node/cells/cells.ts
+++ b/packages/magnoliabay/src/node/cells/cells.ts
@@ -1,5 +1,5 @@
 /**
- * Cells on this instance: claims stewardship where nobody holds it, and passes demand to stewards.
+ * Cells on this instance: claims stewardship where it may, and passes demand to stewards.
  */
 import type { Directory } from '../backend/directory'
 import type { EngineClient } from '../backend/engineClient'
@@ -7,23 +7,31 @@
 import { repeat } from '../clock'
 import type { ConfigHolder } from '../config'
 import type { Logger } from '../logger'
-import type { Membership, Peers } from '../members'
+import type { MemberRecord, Membership, Peers, ProofKeeper } from '../members'
 import type { Store } from '../platform'
 import { rankByRendezvous } from '../utils'
-import { CELLS_PREFIX, cellNames, demandCall, stewardKey, tableNotice, tablesCall, usageNotice } from './records'
-import type { DemandReply, StewardRecord } from './records'
+import { NOBODY, createClaimer, decideClaim } from './claim'
+import type { Holding } from './claim'
+import { createHeldIntents } from './intents'
+import { cellsOfModel, quotaOfCell } from './quota'
+import { CELLS_PREFIX, cellNames, cellOf, demandCall, loadNotice, releaseCall, tableNotice, tablesCall, usageNotice } from './records'
+import type { Demand, DemandReply, FormerHolder, ReleaseReply, ReleaseRequest, StewardRecord } from './records'
 import { createReplicas } from './replicas'
 import type { Replicas } from './replicas'
 import { createSteward } from './steward'
 import type { Steward } from './steward'
+import { createUsage } from './usage'
 
 const TEND_PERIOD_MS = 500
-const USAGE_PERIOD_MS = 5000
+const USAGE_PERIOD_MS = 1000
+/** The member ranked next for a cell waits this much longer before it claims it. */
+const RANK_DELAY_MS = 2000
 
 export interface CellsOptions {
   store: Store
   peers: Peers
-  membership: Membership
+  membership: Pick<Membership, 'leaseId'>
+  proofs: ProofKeeper
   directory: Directory
   engines: EngineClient
   cfg: ConfigHolder
@@ -31,87 +39,164 @@
   logger: Logger
 }
 
+/** What waits at this instance for one model. */
+export type LocalDemand = Omit<Demand, 'cell'>
+
 export interface Cells {
   readonly replicas: Replicas
-  /** Tells the stewards that requests wait for `model`. Any number of calls leads to one load. */
-  demand (model: string, waiting: number): Promise<DemandReply>
-  /** Notes that `model` was used, for the stewards' idle decisions. */
-  noteUsed (model: string): void
+  /** Tells the stewards what requests wait for. Any number of calls leads to one load. */
+  demand (req: LocalDemand): Promise<DemandReply>
+  /** Notes that a model, and an adapter of it, was used, for the stewards' idle decisions. */
+  noteUsed (model: string, adapter?: string): void
   stewardOf (cell: string): string | undefined
+  /** The stewards that run here. */
+  stewards (): readonly Steward[]
+  /** Load of an engine as its steward last told, requests. */
+  loadOf (engine: string): number
   start (signal: AbortSignal): void
   /** Gives up what this instance is steward of. */
   handOver (): Promise<void>
 }
 
 export function createCells (options: CellsOptions): Cells {
-  const { store, peers, membership, cfg, clock, logger } = options
+  const { store, peers, membership, proofs, cfg, clock, logger, directory } = options
   const replicas = createReplicas()
-  const holders = new Map<string, StewardRecord>()
+  const holdings = new Map<string, Holding>()
+  const claimableSinceMs = new Map<string, number>()
   const mine = new Map<string, Steward>()
-  const usedSinceReport = new Set<string>()
+  /** Holdings of others that will send nothing any more, by their own word. */
+  const released = new Set<string>()
+  /** Up to which fencing number this process has given a cell away: a claim that it learns of late is not taken up. */
+  const givenAway = new Map<string, number>()
+  const loads = new Map<string, Readonly<Record<string, number>>>()
+  const claimer = createClaimer(store, peers.self)
+  const heldIntents = createHeldIntents(peers)
+  const usage = createUsage({ peers, replicas, stewardOf: cell => holdings.get(cell)?.record?.holder?.id })
+  let hasSnapshot = false
   let givingUp = false
 
-  const names = (): string[] => cellNames(cfg.inForce().fleet.cells)
-  const isPreferred = (cell: string): boolean => {
+  const cellCount = (): number => cfg.inForce().fleet.cells
+  const rankOfSelf = (cell: string): number => {
     const candidates = peers.members().filter(member => !member.leaving).map(member => member.id)
-    return rankByRendezvous(cell, candidates, id => id)[0] === peers.self.id
+    return rankByRendezvous(cell, candidates, id => id).indexOf(peers.self.id)
+  }
+  const releaseName = (cell: string, fence: number): string => `${cell} ${fence}`
+  const isAccountedFor = (cell: string, holder: FormerHolder): boolean =>
+    released.has(releaseName(cell, holder.fence)) || holder.incarnation === peers.self.incarnation || proofs.proofFor(holder) !== undefined
+  const takeOffice = (cell: string, holding: Holding): void => {
+    const { record, modRevision: fence } = holding
+    if (record === undefined || mine.has(cell) || givingUp || fence <= (givenAway.get(cell) ?? 0)) return
+    logger.info('steward-claimed', { cell, fence, unproven: record.unproven.map(process => process.incarnation) })
+    mine.set(cell, createSteward({
+      ...options,
+      cell,
+      fence,
+      before: replicas.tables().find(table => table.cell === cell),
+      areAllAccountedFor: () => record.unproven.every(former => isAccountedFor(cell, former)),
+      onTable: replicas.take,
+      onSuperseded: () => { mine.delete(cell) }
+    }))
   }
-  const claim = async (cell: string): Promise<void> => {
-    const leaseId = membership.leaseId()
-    if (leaseId === undefined) return
-    const record: StewardRecord = { member: peers.self.id, incarnation: peers.self.incarnation }
-    const claimed = await store.transact({
-      compares: [{ key: stewardKey(cell), target: 'create', equals: 0 }],
-      writes: [{ kind: 'put', key: stewardKey(cell), value: JSON.stringify(record), leaseId }]
-    }, { priority: 'ownership' })
-    if (claimed.err || !claimed.val.succeeded) return
-    const fence = claimed.val.revision
-    logger.info('steward-claimed', { cell, fence })
-    mine.set(cell, createSteward({ ...options, cell, fence, onTable: replicas.take }))
+  const askRelease = async (cell: string, holder: FormerHolder): Promise<boolean> => {
+    if (!peers.isConnected(holder.member)) return false
+    const reply = await peers.call(holder.member, releaseCall, { cell, incarnation: holder.incarnation, fence: holder.fence })
+    if (reply.err || !reply.val.released) return false
+    released.add(releaseName(cell, holder.fence))
+    return true
+  }
+  const tryClaim = async (cell: string): Promise<void> => {
+    const holding = holdings.get(cell) ?? NOBODY
+    const right = decideClaim({
+      holding,
+      self: peers.self,
+      proofs,
+      isRegistered: process => peers.members().some(member => member.incarnation === process.incarnation),
+      hasFencedEngines: directory.engines().some(engine => engine.checksFence === true && cellOf(engine.id, cellCount()) === cell)
+    })
+    if (right.kind === 'held') {
+      claimableSinceMs.delete(cell)
+      return
+    }
+    const sinceMs = claimableSinceMs.get(cell) ?? clock.monotonic()
+    claimableSinceMs.set(cell, sinceMs)
+    if (clock.monotonic() - sinceMs < rankOfSelf(cell) * RANK_DELAY_MS) return
+    if (right.kind === 'ask' && !await askRelease(cell, formerOf(right.holder, holding.modRevision))) return
+    const unproven = right.kind === 'ask' ? holding.record?.unproven ?? [] : right.unproven
+    const claimed = await claimer.claim(cell, holding, unproven)
+    if (claimed !== undefined) setHolding(cell, claimed)
   }
+  /** Former holders that were only paused say themselves that they act no more. */
+  const askUnproven = (cell: string): void => (holdings.get(cell)?.record?.unproven ?? [])
+    .filter(former => !isAccountedFor(cell, former))
+    .forEach(former => { askRelease(cell, former) })
   const tend = async (): Promise<void> => {
     if (givingUp || cfg.inForce().version === 0) return
-    const unheld = names().filter(cell => !holders.has(cell) && !mine.has(cell) && isPreferred(cell))
-    await Promise.all(unheld.map(claim))
-    await Promise.all([...mine.values()].map(steward => steward.tend()))
+    if (hasSnapshot && membership.leaseId() !== undefined && !peers.self.leaving) {
+      const others = cellNames(cellCount()).filter(cell => !mine.has(cell))
+      await Promise.all(others.map(tryClaim))
+    }
+    mine.forEach(steward => {
+      askUnproven(steward.cell)
+      steward.tend()
+    })
   }
-  const loseTo = (cell: string, record: StewardRecord | undefined): void => {
+  const setHolding = (cell: string, holding: Holding): void => {
+    const known = holdings.get(cell)
+    if (known !== undefined && known.modRevision > holding.modRevision) return
+    holdings.set(cell, holding)
+    heldIntents.noteFence(cell, holding.modRevision)
+    const { record } = holding
+    if (record?.holder !== undefined) proofs.learn(record.holder)
     const steward = mine.get(cell)
-    if (steward === undefined || record?.incarnation === peers.self.incarnation) return
-    logger.warn('steward-lost', { cell, to: record?.member })
-    steward.stop()
-    mine.delete(cell)
+    if (steward !== undefined && steward.fence !== holding.modRevision) {
+      logger.warn('steward-lost', { cell, to: record?.holder?.id })
+      steward.stop()
+      mine.delete(cell)
+    }
+    if (record !== undefined && claimer.isOwn(record)) takeOffice(cell, holding)
   }
-  const setHolder = (key: string, value: string | undefined): void => {
-    const [cell, kind] = key.slice(CELLS_PREFIX.length).split('/')
+  const noteEntry = (entry: { key: string, value: string, modRevision: number }): void => {
+    const [cell, kind] = entry.key.slice(CELLS_PREFIX.length).split('/')
     if (cell === undefined || kind !== 'steward') return
-    const record = value === undefined ? undefined : JSON.parse(value) as StewardRecord
-    if (record === undefined) holders.delete(cell)
-    else holders.set(cell, record)
-    loseTo(cell, record)
+    setHolding(cell, { record: JSON.parse(entry.value) as StewardRecord, modRevision: entry.modRevision })
   }
-  const reportUsage = (): void => {
-    if (usedSinceReport.size === 0) return
-    const models = [...usedSinceReport]
-    usedSinceReport.clear()
-    mine.forEach(steward => steward.noteUsed(models))
-    peers.notifyAll(usageNotice, { models })
+  const demand = async (req: LocalDemand): Promise<DemandReply> => {
+    const model = cfg.model(req.model)
+    if (model === undefined) return { status: 'unknown-model', reason: 'not in the configuration' }
+    const cells = cellsOfModel(req.model, cellCount()).filter(cell => quotaOfCell(model, cell, cellCount()) > 0)
+    let last: DemandReply = { status: 'not-steward', reason: 'no cell has a steward yet' }
+    for (const cell of cells) {
+      const holder = holdings.get(cell)?.record?.holder
+      if (holder === undefined) continue
+      const reply = await peers.call(holder.id, demandCall, { cell, ...req })
+      last = reply.ok ? reply.val : { status: 'not-steward', reason: reply.val.message }
+      if (last.table !== undefined) replicas.take(last.table)
+      if (last.status !== 'not-steward' && last.status !== 'no-room') return last
+    }
+    return last
   }
-  const demand = async (model: string, waiting: number): Promise<DemandReply> => {
-    const cell = rankByRendezvous(model, names(), name => name)[0]!
-    const holder = holders.get(cell)
-    if (holder === undefined) return { status: 'not-steward', reason: `${cell} has no steward yet` }
-    const reply = await peers.call(holder.member, demandCall, { cell, model, waiting })
-    return reply.ok ? reply.val : { status: 'not-steward', reason: reply.val.message }
+  const release = ({ cell, incarnation, fence }: ReleaseRequest): ReleaseReply => {
+    // A process that has been restarted since is not the one that is asked.
+    if (incarnation !== peers.self.incarnation) return { released: false, open: [] }
+    const steward = mine.get(cell)
+    const holds = steward !== undefined && steward.fence === fence
+    // Its lease stands again, so it goes on: whoever asked has an old view.
+    if (holds && membership.leaseId() !== undefined && isStillHeldHere(cell)) return { released: false, open: [] }
+    givenAway.set(cell, Math.max(fence, givenAway.get(cell) ?? 0))
+    if (!holds) return { released: true, open: [] }
+    const open = steward.open()
+    steward.stop()
+    mine.delete(cell)
+    return { released: true, open }
   }
+  const isStillHeldHere = (cell: string): boolean => holdings.get(cell)?.record?.holder?.incarnation === peers.self.incarnation
 
-  peers.serve(demandCall, async req => {
-    const steward = mine.get(req.cell)
-    return steward === undefined ? { status: 'not-steward', reason: 'not steward here' } : await steward.demand(req.model)
-  })
+  peers.serve(demandCall, req => mine.get(req.cell)?.demand(req) ?? { status: 'not-steward', reason: 'not steward here' })
+  peers.serve(releaseCall, release)
   peers.serve(tablesCall, () => replicas.tables())
   peers.listen(tableNotice, replicas.take)
-  peers.listen(usageNotice, report => mine.forEach(steward => steward.noteUsed(report.models)))
+  peers.listen(loadNotice, notice => { loads.set(notice.cell, notice.loads) })
+  peers.listen(usageNotice, report => mine.forEach(steward => steward.noteUsed(report)))
   peers.onConnected(async member => {
     const tables = await peers.call(member.id, tablesCall, null)
     if (tables.ok) tables.val.forEach(replicas.take)
@@ -120,25 +205,32 @@
   return {
     replicas,
     demand,
-    noteUsed: model => { usedSinceReport.add(model) },
-    stewardOf: cell => holders.get(cell)?.member,
+    noteUsed: usage.note,
+    stewardOf: cell => holdings.get(cell)?.record?.holder?.id,
+    stewards: () => [...mine.values()],
+    loadOf: engine => [...loads.values()].find(cell => cell[engine] !== undefined)?.[engine] ?? 0,
     start: signal => {
       store.watch(CELLS_PREFIX, {
         onSnapshot: snapshot => {
-          holders.clear()
-          snapshot.entries.forEach(entry => setHolder(entry.key, entry.value))
+          hasSnapshot = true
+          snapshot.entries.forEach(noteEntry)
         },
-        onEvent: event => setHolder(event.key, event.kind === 'put' ? event.value : undefined)
+        onEvent: event => { if (event.kind === 'put') noteEntry(event) }
       }, signal)
+      signal.addEventListener('abort', () => mine.forEach(steward => steward.stop()), { once: true })
       repeat(clock, TEND_PERIOD_MS, signal, tend)
-      repeat(clock, USAGE_PERIOD_MS, signal, reportUsage)
+      repeat(clock, USAGE_PERIOD_MS, signal, () => usage.report(mine.values()))
     },
     handOver: async () => {
       givingUp = true
-      const cells = [...mine.keys()]
-      mine.forEach(steward => steward.stop())
+      const stewards = [...mine.values()]
+      stewards.forEach(steward => steward.stop())
       mine.clear()
-      await Promise.all(cells.map(cell => store.transact({ compares: [], writes: [{ kind: 'delete', key: stewardKey(cell) }] })))
+      await Promise.all(stewards.map(steward => claimer.giveUp(steward.cell, steward.fence, holdings.get(steward.cell)?.record?.unproven ?? [])))
     }
   }
 }
+
+function formerOf (holder: MemberRecord, fence: number): FormerHolder {
+  return { member: holder.id, incarnation: holder.incarnation, fence }
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/cells/context.ts
@@ -0,0 +1,30 @@
+/** What the parts of one steward share. */
+import type { Directory } from '../backend/directory'
+import type { EngineClient } from '../backend/engineClient'
+import type { Clock } from '../clock'
+import type { ConfigHolder } from '../config'
+import type { Logger } from '../logger'
+import type { EngineAccount } from './account'
+import type { Intents } from './intents'
+import type { LoadTimes } from './loadTimes'
+import type { OrderSender } from './orders'
+
+export interface StewardContext {
+  readonly cell: string
+  /** Modification revision of the steward key when it was claimed. */
+  readonly fence: number
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly cfg: ConfigHolder
+  readonly directory: Directory
+  readonly engines: EngineClient
+  readonly intents: Intents
+  readonly sender: OrderSender
+  readonly times: LoadTimes
+  readonly accounts: Map<string, EngineAccount>
+  isStopped (): boolean
+  /** Something says that another steward holds the cell: this one ends at once. */
+  supersede (reason: string): void
+  /** Tells everybody what is loaded. */
+  publish (): void
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/cells/idleCare.ts
@@ -0,0 +1,98 @@
+/** Lets go of what nobody calls, and wakes ahead what is about to be called. */
+import type { ModelConfig } from '../config/fleet'
+import { freeMiB, loadedReplicas } from './account'
+import type { EngineAccount, Replica } from './account'
+import type { StewardContext } from './context'
+import { decideKeepMs, predictNextUse } from './idle'
+import type { GapHistory } from './idle'
+import type { ReplicaOps } from './replicaOps'
+import type { Wants } from './wants'
+
+export interface IdleCareOptions {
+  ctx: StewardContext
+  ops: ReplicaOps
+  history: GapHistory
+  wants: Wants
+  targetOf: (model: string) => number
+}
+
+export interface IdleCare {
+  tend (): void
+}
+
+/** Accelerator time that sparing one cold start is worth, as a multiple of how long the cold start takes. */
+const COLD_START_WORTH = 25
+/** An adapter unused for this long is unloaded: loading it again takes milliseconds. */
+const ADAPTER_IDLE_MS = 120_000
+/** A replica beyond what the load needs is kept for this long. */
+const SURPLUS_MS = 60_000
+/** Woken this much before it is needed, beyond the time of the load. */
+const AHEAD_MARGIN_MS = 1000
+const PATIENCE_AHEAD_MS = 60_000
+
+export function createIdleCare (options: IdleCareOptions): IdleCare {
+  const { ctx, ops, history, wants } = options
+  const { clock, accounts } = ctx
+
+  const keepMs = (replica: Replica): number => {
+    const coldStartMs = ctx.times.expectedMs('remote', replica.memoryMiB)
+    return decideKeepMs(history.gaps(replica.model), { coldStartWorthMs: COLD_START_WORTH * coldStartMs })
+  }
+  const isAwaited = (replica: Replica): boolean => {
+    const nextUse = predictionOf(replica.model)
+    return nextUse !== undefined && isNear(nextUse.atMs, nextUse.spreadMs, replica.memoryMiB)
+  }
+  const predictionOf = (model: string): ReturnType<typeof predictNextUse> => {
+    const lastUseMs = history.lastUseMs(model)
+    return lastUseMs === undefined ? undefined : predictNextUse(lastUseMs, history.gaps(model))
+  }
+  const isNear = (atMs: number, spreadMs: number, memoryMiB: number): boolean => {
+    const leadMs = ctx.times.expectedMs('remote', memoryMiB) + spreadMs + AHEAD_MARGIN_MS
+    return clock.monotonic() >= atMs - leadMs && clock.monotonic() <= atMs + spreadMs + AHEAD_MARGIN_MS
+  }
+  const isIdle = (replica: Replica): boolean => {
+    const idleMs = clock.monotonic() - replica.lastUsedMs
+    return idleMs > keepMs(replica) && wants.get(replica.model) === undefined && !isAwaited(replica)
+  }
+  const loaded = (): Array<{ account: EngineAccount, replica: Replica }> =>
+    [...accounts.values()].flatMap(account => loadedReplicas(account).map(replica => ({ account, replica })))
+  const surplusOf = (all: ReturnType<typeof loaded>): ReturnType<typeof loaded> => {
+    const counts = new Map<string, number>()
+    return all.filter(({ replica }) => {
+      const count = (counts.get(replica.model) ?? 0) + 1
+      counts.set(replica.model, count)
+      return count > Math.max(1, options.targetOf(replica.model)) && clock.monotonic() - replica.loadedAtMs > SURPLUS_MS
+    })
+  }
+  const unloadIdle = (): void => {
+    const all = loaded().filter(({ account, replica }) => !replica.hasOpenOrder && account.isReachable)
+    const idle = all.filter(({ replica }) => isIdle(replica))
+    idle.forEach(({ account, replica }) => {
+      const idleSeconds = Math.round((clock.monotonic() - replica.lastUsedMs) / 1000)
+      ops.unload(account, replica, `unused for ${idleSeconds} s`)
+    })
+    const surplus = surplusOf(all.filter(({ replica }) => replica.life.state() === 'loaded'))
+    surplus.forEach(({ account, replica }) => { ops.unload(account, replica, 'more replicas than its load needs') })
+  }
+  const unloadAdapters = (): void => [...accounts.values()].forEach(account => {
+    const idle = [...account.adapters.values()].filter(adapter => adapter.isLoaded && clock.monotonic() - adapter.lastUsedMs > ADAPTER_IDLE_MS)
+    idle.forEach(adapter => { ops.unloadAdapter(account, adapter.adapter) })
+  })
+  /** Only into free memory: nobody who is there now has to go for a guess. */
+  const wakeAhead = (model: ModelConfig): void => {
+    const prediction = predictionOf(model.name)
+    if (prediction === undefined || !isNear(prediction.atMs, prediction.spreadMs, model.memoryMiB)) return
+    const isThere = [...accounts.values()].some(account => account.replicas.has(model.name))
+    const hasRoom = [...accounts.values()].some(account => freeMiB(account) >= model.memoryMiB)
+    if (!isThere && hasRoom) wants.add({ model: model.name, waiting: 0, patienceMs: PATIENCE_AHEAD_MS, weight: 1, isAhead: true }, clock.monotonic())
+  }
+
+  return {
+    tend: () => {
+      unloadIdle()
+      unloadAdapters()
+      const known = history.models().map(ctx.cfg.model).filter(model => model !== undefined)
+      known.forEach(wakeAhead)
+    }
+  }
+}
--- a/packages/magnoliabay/src/node/cells/placement.ts
+++ b/packages/magnoliabay/src/node/cells/placement.ts
@@ -1,36 +1,88 @@
 /**
- * Which engine should load a model, and what has to go for it.
+ * Which engine should load a model, and what has to go for it: the engine where it is expected to be ready
+ * first, counting what evicting others will cost those who call them next.
  */
-import { freeMiB } from './account'
-import type { Charge, EngineAccount } from './account'
+import type { CheckpointTier } from '../backend/protocol'
+import { freeMiB, loadedReplicas } from './account'
+import type { EngineAccount, Replica } from './account'
+import type { LoadTimes } from './loadTimes'
 
 export type Placement =
-  | { kind: 'load', engine: string, reason: string }
-  | { kind: 'evict', engine: string, model: string, reason: string }
+  | { kind: 'load', engine: string, tier: CheckpointTier, victims: readonly Replica[], expectedMs: number, reason: string }
   | { kind: 'none', reason: string }
 
 export interface PlacementRequest {
   model: string
   memoryMiB: number
   accounts: readonly EngineAccount[]
+  times: LoadTimes
+  /** Wait for a turn at the weight store, milliseconds. */
+  storeWaitMs: number
+  /** Whether a model may go now, such as one that nobody waits for or uses. */
+  isEvictable: (replica: Replica) => boolean
+  /** Expected cost of evicting it, milliseconds of somebody's cold start. */
+  evictionCostMs: (replica: Replica) => number
+  /** Failure domains that hold a replica already. */
+  usedDomains: ReadonlySet<string>
+  domainOf: (engine: string) => string | undefined
+}
+
+/** Penalty for a second replica in the same failure domain, milliseconds. */
+const SAME_DOMAIN_MS = 5000
+const UNLOAD_MS = 50
+
+interface Candidate {
+  account: EngineAccount
+  tier: CheckpointTier
+  victims: readonly Replica[]
+  costMs: number
+  expectedMs: number
 }
 
-/** The emptiest engine with room; else the least recently used model of any engine goes. */
 export function decidePlacement (req: PlacementRequest): Placement {
   const candidates = req.accounts
-    .filter(account => !account.charges.has(req.model))
-    .sort((left, right) => freeMiB(right) - freeMiB(left))
-  const roomy = candidates.find(account => freeMiB(account) >= req.memoryMiB)
-  if (roomy !== undefined) return { kind: 'load', engine: roomy.engine, reason: `${freeMiB(roomy)} MiB free` }
-  const victims = candidates
-    .filter(account => account.memoryMiB >= req.memoryMiB)
-    .flatMap(account => loadedCharges(account).map(charge => ({ account, charge })))
-    .sort((left, right) => left.charge.lastUsedMs - right.charge.lastUsedMs)
-  const victim = victims[0]
-  if (victim === undefined) return { kind: 'none', reason: 'no engine has room, and nothing can be evicted' }
-  return { kind: 'evict', engine: victim.account.engine, model: victim.charge.model, reason: 'least recently used' }
+    .filter(account => !account.replicas.has(req.model) && account.memoryMiB >= req.memoryMiB)
+    .map(account => candidateOf(req, account))
+    .filter(candidate => candidate !== undefined)
+    .sort((left, right) => left.costMs - right.costMs || freeMiB(right.account) - freeMiB(left.account))
+  const best = candidates[0]
+  if (best === undefined) return { kind: 'none', reason: 'no engine has room, and nothing can be evicted' }
+  const reason = `${best.tier} checkpoint, ${Math.round(best.expectedMs)} ms expected, ${best.victims.length} evicted`
+  return { kind: 'load', engine: best.account.engine, tier: best.tier, victims: best.victims, expectedMs: best.expectedMs, reason }
+}
+
+function candidateOf (req: PlacementRequest, account: EngineAccount): Candidate | undefined {
+  const victims = chooseVictims(req, account)
+  if (victims === undefined) return undefined
+  const tier = account.tiers.get(req.model) ?? 'remote'
+  const storeWaitMs = tier === 'remote' ? req.storeWaitMs : 0
+  const evictMs = victims.length > 0 ? UNLOAD_MS : 0
+  const expectedMs = req.times.expectedMs(tier, req.memoryMiB) + storeWaitMs + evictMs
+  const evictionCostMs = victims.reduce((sum, victim) => sum + req.evictionCostMs(victim), 0)
+  const domain = req.domainOf(account.engine)
+  const domainMs = domain !== undefined && req.usedDomains.has(domain) ? SAME_DOMAIN_MS : 0
+  return { account, tier, victims, expectedMs, costMs: expectedMs + evictionCostMs + domainMs }
 }
 
-function loadedCharges (account: EngineAccount): Charge[] {
-  return [...account.charges.values()].filter(charge => charge.state === 'loaded')
+/** The cheapest models that make room, and none more than needed; undefined when they can't. */
+function chooseVictims (req: PlacementRequest, account: EngineAccount): Replica[] | undefined {
+  const missingMiB = req.memoryMiB - freeMiB(account)
+  if (missingMiB <= 0) return []
+  const evictable = loadedReplicas(account)
+    .filter(req.isEvictable)
+    .sort((left, right) => req.evictionCostMs(left) / left.memoryMiB - req.evictionCostMs(right) / right.memoryMiB)
+  const chosen: Replica[] = []
+  let gainedMiB = 0
+  for (const replica of evictable) {
+    if (gainedMiB >= missingMiB) break
+    chosen.push(replica)
+    gainedMiB += replica.memoryMiB
+  }
+  if (gainedMiB < missingMiB) return undefined
+  // The greedy choice may hold one that a later, larger one has made unnecessary.
+  return chosen.filter(replica => {
+    if (gainedMiB - replica.memoryMiB < missingMiB) return true
+    gainedMiB -= replica.memoryMiB
+    return false
+  })
 }
--- /dev/null
+++ b/packages/magnoliabay/src/node/cells/replicaLife.ts
@@ -0,0 +1,47 @@
+/**
+ * The life of a replica: decided -> recorded -> ordered -> loaded -> unloading -> gone, with `unknown` while an
+ * order has been sent and not been answered. Memory is charged in every state but `gone`.
+ */
+import { createMachine, interpret, state, transition } from 'robot3'
+
+export type ReplicaState = 'decided' | 'recorded' | 'ordered' | 'loaded' | 'unloading' | 'unknown' | 'gone'
+
+/**
+ * `abandon`: given up before any order was sent. `fail`: the engine answered that it did not load.
+ * `lose`: the engine's own account shows that the replica is not there.
+ */
+export type ReplicaEvent = 'record' | 'order' | 'confirm' | 'fail' | 'silence' | 'unload' | 'remove' | 'lose' | 'abandon'
+
+const machine = createMachine('decided', {
+  decided: state(transition('record', 'recorded'), transition('abandon', 'gone')),
+  recorded: state(transition('order', 'ordered'), transition('abandon', 'gone')),
+  ordered: state(transition('confirm', 'loaded'), transition('fail', 'gone'), transition('silence', 'unknown')),
+  unknown: state(transition('confirm', 'loaded'), transition('fail', 'gone'), transition('remove', 'gone'), transition('lose', 'gone')),
+  loaded: state(transition('unload', 'unloading'), transition('lose', 'gone')),
+  unloading: state(transition('remove', 'gone'), transition('silence', 'unknown'), transition('confirm', 'loaded')),
+  gone: state()
+})
+
+/** Events that lead a new life to where an engine's state shows that a replica is. */
+const PATHS: Readonly<Record<'loaded' | 'unknown', readonly ReplicaEvent[]>> = {
+  loaded: ['record', 'order', 'confirm'],
+  unknown: ['record', 'order', 'silence']
+}
+
+export interface ReplicaLife {
+  state (): ReplicaState
+  /** Moves on; false when the event does not apply to the present state, which then stays. */
+  send (event: ReplicaEvent): boolean
+}
+
+export function createReplicaLife (from?: 'loaded' | 'unknown'): ReplicaLife {
+  const service = interpret(machine, () => {})
+  const current = (): ReplicaState => service.machine.current as ReplicaState
+  const send = (event: ReplicaEvent): boolean => {
+    const before = current()
+    service.send(event)
+    return current() !== before
+  }
+  if (from !== undefined) PATHS[from].forEach(send)
+  return { state: current, send }
+}
--- a/packages/magnoliabay/src/node/config/fleet.ts
+++ b/packages/magnoliabay/src/node/config/fleet.ts
@@ -40,9 +40,20 @@
   nonIdempotent: v.optional(v.array(v.picklist(['GET', 'PUT', 'POST', 'PATCH', 'DELETE'])), ['POST', 'PATCH'])
 })
 
+const weightStoreSchema = v.strictObject({
+  /** Loads begun a second at most, over all engines. @default 2 */
+  loadsPerSecond: v.optional(v.pipe(v.number(), v.minValue(0.01)), 2),
+  /** Loads at once at full speed, over all engines. @default 4 */
+  fullSpeedLoads: v.optional(positive, 4),
+  /** Adapters loading at once at full speed, over all engines. @default 30 */
+  adaptersInFlight: v.optional(positive, 30)
+})
+
 export const fleetSchema = v.strictObject({
   /** Number of cells that the engines are spread over. @default 1 */
   cells: v.optional(v.pipe(positive, v.integer()), 1),
+  /** What all engines share when they load. */
+  weightStore: v.optional(weightStoreSchema, () => ({ loadsPerSecond: 2, fullSpeedLoads: 4, adaptersInFlight: 30 })),
   team: v.optional(v.array(teamSchema), []),
   model: v.optional(v.array(modelSchema), []),
   adapter: v.optional(v.array(adapterSchema), []),
@@ -55,4 +66,4 @@
 export type AdapterConfig = v.InferOutput<typeof adapterSchema>
 export type ServiceConfig = v.InferOutput<typeof serviceSchema>
 
-export const EMPTY_FLEET: FleetConfig = { cells: 1, team: [], model: [], adapter: [], service: [] }
+export const EMPTY_FLEET: FleetConfig = v.parse(fleetSchema, {})
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -11,7 +11,7 @@
 import type { ResolvedSettings } from './config'
 import { createEntry } from './entry'
 import type { Logger } from './logger'
-import { createMembership, createPeerNetwork } from './members'
+import { createMembership, createPeerNetwork, createProofKeeper } from './members'
 import type { MemberRecord } from './members'
 import { createMetrics } from './metrics'
 import { createOnce } from './once'
@@ -59,15 +59,16 @@
   const metrics = createMetrics()
   const pools = createPools(null)
   const engines = createEngineClient()
-  const peers = createPeerNetwork({ self, clock, logger })
+  const peers = createPeerNetwork({ self, clock, logger, onGoodbye: member => proofs.noteGoodbye(member) })
+  const proofs = createProofKeeper({ peers, clock, logger })
   const membership = createMembership({ store, network: peers, clock, logger })
   const cfg = createConfigHolder({ store, logger })
   const keyring = createKeyring({ store, peers, clock })
-  const directory = createDirectory({ list: options.list, clock, logger })
+  const directory = createDirectory({ list: options.list, clock, logger, onRead: proofs.noteList })
   const allowance = createAllowance({ cfg, peers, clock, logger })
   const once = createOnce({ store, holder: self.incarnation })
-  const cells = createCells({ store, peers, membership, directory, engines, cfg, clock, logger })
-  const routing = createRouting({ cells, clock })
+  const cells = createCells({ store, peers, membership, proofs, directory, engines, cfg, clock, logger })
+  const routing = createRouting({ cells, directory, clock })
   const isReady = (): boolean => cfg.inForce().version > 0 && membership.leaseId() !== undefined && !self.leaving
   const entry = createEntry({ settings, cfg, keyring, allowance, routing, directory, once, pools, peers, clock, logger, metrics, isReady })
   const commands = createOperatorCommands({ store, keyring, clock })
