--- /dev/null
+++ b/packages/magnoliabay/src/node/cells/__tests__/support/directEngines.ts
@@ -0,0 +1,41 @@
+/** Orders and questions straight to the stand-ins' states, with their faults of answering. */
+import { sleep } from '../../../clock'
+import type { Clock } from '../../../clock'
+import type { EngineClient } from '../../../backend/engineClient'
+import { Err, Ok } from '../../../result'
+import type { EngineStandIn } from '@magnoliabay/standins'
+
+const UNREACHABLE = { kind: 'not-sent' as const, message: 'unreachable' }
+const NO_ANSWER = { kind: 'no-answer' as const, message: 'no answer' }
+
+/** An engine's address is its id. */
+export function createDirectEngineClient (engines: readonly EngineStandIn[], clock: Clock): EngineClient {
+  const of = (address: string): EngineStandIn | undefined => engines.find(engine => engine.id === address && !engine.isDown())
+  return {
+    order: async (address, order, timeoutMs) => {
+      const engine = of(address)
+      if (engine === undefined) return Err(UNREACHABLE)
+      const { orderAnswer, orderAnswerDelayMs } = engine.faults.now
+      const carriedOut = engine.carryOut(order)
+      if (orderAnswer === 'twice') engine.carryOut(order)
+      const answer = carriedOut.then(async reply => {
+        if (orderAnswer === 'late') await sleep(clock, orderAnswerDelayMs)
+        if (orderAnswer === 'never') await sleep(clock, timeoutMs)
+        return orderAnswer === 'never' ? undefined : reply
+      })
+      const reply = await Promise.race([answer, sleep(clock, timeoutMs).then(() => undefined)])
+      return reply === undefined ? Err(NO_ANSWER) : Ok(reply)
+    },
+    state: async address => {
+      const engine = of(address)
+      return engine === undefined ? Err(UNREACHABLE) : Ok(engine.state())
+    },
+    loadReport: async address => {
+      const engine = of(address)
+      return engine === undefined ? Err(UNREACHABLE) : Ok(engine.load())
+    },
+    cacheEvents: async () => Ok({ oldest: 0, events: [] }),
+    cancel: async () => {},
+    close: async () => {}
+  }
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/cells/__tests__/support/world.ts
@@ -0,0 +1,214 @@
+/**
+ * A small fleet in virtual time for tests and benches: the product's own cells and routing on several instances,
+ * over the stand-ins' states, with peers in memory. Any instance can be paused, killed and replaced.
+ */
+import {
+  createDirectInstanceList, createDirectStore, createEngineState, createInstanceListState, createKvFaults, createKvState, createWeightStore
+} from '@magnoliabay/standins'
+import type {
+  EngineOptions, EngineStandIn, FaultSwitches, InstanceListState, KvFaults, KvState, WeightStore, WeightStoreOptions
+} from '@magnoliabay/standins'
+import * as v from 'valibot'
+import { createCells } from '../..'
+import type { Cells } from '../..'
+import { createDirectory } from '../../../backend/directory'
+import { createVirtualClock } from '../../../clock/virtual'
+import type { VirtualClock } from '../../../clock/virtual'
+import { createConfigHolder } from '../../../config'
+import { fleetSchema } from '../../../config/fleet'
+import { FLEET_KEY } from '../../../config/holder'
+import type { Logger } from '../../../logger'
+import { createProofKeeper } from '../../../members'
+import type { MemberRecord, ProofKeeper } from '../../../members'
+import { createMemoryNetwork } from '../../../members/memoryNetwork'
+import type { MemoryNetwork } from '../../../members/memoryNetwork'
+import { createRouting } from '../../../routing'
+import type { Routing } from '../../../routing'
+import { createDirectEngineClient } from './directEngines'
+import { createPausable } from './pausable'
+
+export interface WorldOptions {
+  /** @default 3 */
+  instances?: number
+  /** @default 3 */
+  engines?: number
+  engine?: Partial<EngineOptions>
+  /** Options of engine number `index`, over those of all. */
+  engineOf?: (index: number) => Partial<EngineOptions>
+  weights?: Partial<WeightStoreOptions>
+  fleet: v.InferInput<typeof fleetSchema>
+  logger?: Logger
+}
+
+export interface WorldInstance {
+  readonly id: string
+  readonly member: MemberRecord
+  readonly cells: Cells
+  readonly routing: Routing
+  readonly proofs: ProofKeeper
+  /** Stops the process where it is; its lease lapses. */
+  pause (): void
+  /** Lets it go on, and register anew. */
+  resume (): void
+  /** Ends it without a word. */
+  kill (): void
+  /** Ends it in order. */
+  leave (): Promise<void>
+}
+
+export interface World {
+  readonly clock: VirtualClock
+  readonly network: MemoryNetwork
+  readonly kv: KvState
+  readonly store: FaultSwitches<KvFaults>
+  readonly list: InstanceListState
+  readonly weights: WeightStore
+  readonly engines: readonly EngineStandIn[]
+  instances (): readonly WorldInstance[]
+  instance (id: string): WorldInstance
+  add (id: string): WorldInstance
+  /** The instance with the newest steward, by its own account. */
+  steward (): WorldInstance | undefined
+  /** The engine is taken away: it dies, and the list says so after its lag. */
+  reclaim (engine: string): void
+  close (): void
+}
+
+export const DOMAINS: readonly string[] = ['a', 'b', 'c']
+const LIST_LAG_MS = 2000
+const STEP_MS = 100
+const ENGINE_MIB = 40_000
+const silent = (): void => {}
+const QUIET: Logger = { debug: silent, info: silent, warn: silent, error: silent, with: () => QUIET }
+
+export function createWorld (options: WorldOptions): World {
+  const { logger = QUIET } = options
+  const clock = createVirtualClock()
+  const kv = createKvState({ clock })
+  const store = createKvFaults()
+  const list = createInstanceListState({ clock, lagMs: LIST_LAG_MS })
+  const network = createMemoryNetwork({ clock })
+  const weights = createWeightStore({ clock, ...options.weights })
+  const running = new Map<string, WorldInstance>()
+  const domainOf = (index: number): string => DOMAINS[index % DOMAINS.length]!
+  const engines = Array.from({ length: options.engines ?? 3 }, (_, index) => createEngineState({
+    id: `engine-${index + 1}`, clock, weights, memoryMiB: ENGINE_MIB, ...options.engine, ...options.engineOf?.(index)
+  }))
+  engines.forEach((engine, index) => {
+    const { checksFence, memoryMiB } = engine.state()
+    list.set({ id: engine.id, role: 'engine', address: engine.id, failureDomain: domainOf(index), region: 'r', status: 'live', checksFence, memoryMiB })
+  })
+  kv.transact({ compares: [], success: [{ kind: 'put', key: FLEET_KEY, value: JSON.stringify(v.parse(fleetSchema, options.fleet)) }], failure: [] })
+  let started = 0
+
+  const others = (id: string): string[] => [...running.keys()].filter(other => other !== id)
+  const add = (id: string): WorldInstance => {
+    const index = started++
+    const pausable = createPausable(clock)
+    const member: MemberRecord = {
+      id,
+      incarnation: `${id}-${index}`,
+      startedAtMs: clock.now(),
+      region: 'r',
+      failureDomain: domainOf(index),
+      peerAddress: `${id}:1`,
+      entryAddress: `${id}:2`,
+      operatorAddress: `${id}:3`,
+      leaving: false
+    }
+    list.set({ id, role: 'entry', address: member.entryAddress, failureDomain: member.failureDomain, region: 'r', status: 'live' })
+    const peers = network.join(member)
+    const stop = new AbortController()
+    const ownStore = pausable.store(createDirectStore(kv, { clock, faults: store, caller: id }))
+    const proofs = createProofKeeper({ peers, clock: pausable.clock, logger })
+    const directory = createDirectory({ list: createDirectInstanceList(list), clock: pausable.clock, logger, onRead: proofs.noteList })
+    const cfg = createConfigHolder({ store: ownStore, logger })
+    let isRegistered = true
+    const cells = createCells({
+      store: ownStore,
+      peers,
+      membership: { leaseId: () => isRegistered ? id : undefined },
+      proofs,
+      directory,
+      engines: pausable.engines(createDirectEngineClient(engines, clock)),
+      cfg,
+      clock: pausable.clock,
+      logger: logger.with({ instance: id })
+    })
+    cfg.start(stop.signal)
+    directory.start(stop.signal)
+    cells.start(stop.signal)
+    const end = (): void => {
+      pausable.stop()
+      stop.abort()
+      network.kill(id)
+      running.delete(id)
+      list.remove(id)
+    }
+    const instance: WorldInstance = {
+      id,
+      member,
+      cells,
+      routing: createRouting({ cells, directory, clock: pausable.clock }),
+      proofs,
+      pause: () => {
+        pausable.pause()
+        isRegistered = false
+        network.setRegistered(id, false)
+        others(id).forEach(other => network.cut(id, other))
+      },
+      resume: () => {
+        others(id).forEach(other => network.heal(id, other))
+        network.setRegistered(id, true)
+        pausable.resume()
+        isRegistered = true
+      },
+      kill: end,
+      leave: async () => {
+        member.leaving = true
+        await cells.handOver()
+        others(id).forEach(other => running.get(other)?.proofs.noteGoodbye(member))
+        end()
+      }
+    }
+    running.set(id, instance)
+    return instance
+  }
+  const fenceOf = (instance: WorldInstance): number => Math.max(...instance.cells.stewards().map(steward => steward.fence))
+  Array.from({ length: options.instances ?? 3 }, (_, index) => add(`entry-${index + 1}`))
+  list.catchUp()
+
+  return {
+    clock,
+    network,
+    kv,
+    store,
+    list,
+    weights,
+    engines,
+    add,
+    instances: () => [...running.values()],
+    instance: id => running.get(id)!,
+    steward: () => [...running.values()]
+      .filter(instance => instance.cells.stewards().length > 0)
+      .sort((left, right) => fenceOf(right) - fenceOf(left))[0],
+    reclaim: id => {
+      list.remove(id)
+      engines.find(engine => engine.id === id)!.faults.set({ crash: true })
+    },
+    close: () => {
+      const all = [...running.values()]
+      all.forEach(instance => instance.kill())
+      kv.close()
+      list.close()
+    }
+  }
+}
+
+/** Moves time on in small steps, checking after each. */
+export async function advance (world: World, ms: number, check: () => void = () => {}, stepMs = STEP_MS): Promise<void> {
+  for (let passedMs = 0; passedMs < ms; passedMs += stepMs) {
+    await world.clock.advance(stepMs)
+    check()
+  }
+}
--- a/packages/magnoliabay/src/node/cells/engineCare.ts
+++ b/packages/magnoliabay/src/node/cells/engineCare.ts
@@ -72,6 +72,7 @@
     const restarted = state.incarnation !== account.incarnation
     if (restarted) logger.warn('engine-restarted', { engine: account.engine, incarnation: state.incarnation })
     noteState(account, state)
+    state.models.filter(held => held.state === 'loaded').forEach(held => ctx.sender.settle(held.orderId))
     if (restarted) account.adapters.clear()
     // An answer that came in meanwhile is newer than this state.
     if (account.lastAnswerMs >= startedMs && !restarted) return false
--- a/packages/magnoliabay/src/node/cells/orders.ts
+++ b/packages/magnoliabay/src/node/cells/orders.ts
@@ -32,6 +32,8 @@
 export interface OrderSender {
   /** `onSilence` is called when a copy went unanswered, perhaps several times. */
   carryOut (engine: string, order: Order, onSilence: () => void): Promise<OrderEnd>
+  /** The engine's state shows that the order has been carried out, whether or not an answer ever comes. */
+  settle (orderId: string): void
 }
 
 /** An answer to an order may take as long as a slow load; a copy unanswered for this long is sent again. */
@@ -47,23 +49,31 @@
     if (listed !== undefined) addresses.set(engine, listed.address)
     return addresses.get(engine)
   }
+  const settled = new Map<string, (end: OrderEnd) => void>()
+  const sendUntilAnswered: OrderSender['carryOut'] = async (engine, order, onSilence) => {
+    while (!options.isStopped() && (settled.has(order.orderId))) {
+      if (!options.isKept(engine)) return { kind: 'engine-gone' }
+      const address = addressOf(engine)
+      const reply = address === undefined ? undefined : await engines.order(address, order, ORDER_TIMEOUT_MS)
+      if (options.isStopped()) return { kind: 'stopped' }
+      if (reply?.ok) {
+        logger.info('order-answered', { order: order.orderId, action: order.action, engine, outcome: reply.val.outcome })
+        return { kind: 'answered', outcome: reply.val.outcome }
+      }
+      logger.warn('order-unanswered', { order: order.orderId, action: order.action, engine, reason: reply?.val.message ?? 'no address' })
+      onSilence()
+      if (address !== undefined && await isVisiblyDone(engines, address, order)) return { kind: 'answered', outcome: 'already-done' }
+      await sleep(clock, RESEND_MS)
+    }
+    return { kind: 'stopped' }
+  }
   return {
+    settle: orderId => settled.get(orderId)?.({ kind: 'answered', outcome: 'already-done' }),
     carryOut: async (engine, order, onSilence) => {
-      while (!options.isStopped()) {
-        if (!options.isKept(engine)) return { kind: 'engine-gone' }
-        const address = addressOf(engine)
-        const reply = address === undefined ? undefined : await engines.order(address, order, ORDER_TIMEOUT_MS)
-        if (options.isStopped()) return { kind: 'stopped' }
-        if (reply?.ok) {
-          logger.info('order-answered', { order: order.orderId, action: order.action, engine, outcome: reply.val.outcome })
-          return { kind: 'answered', outcome: reply.val.outcome }
-        }
-        logger.warn('order-unanswered', { order: order.orderId, action: order.action, engine, reason: reply?.val.message ?? 'no address' })
-        onSilence()
-        if (address !== undefined && await isVisiblyDone(engines, address, order)) return { kind: 'answered', outcome: 'already-done' }
-        await sleep(clock, RESEND_MS)
-      }
-      return { kind: 'stopped' }
+      const seen = new Promise<OrderEnd>(resolve => settled.set(order.orderId, resolve))
+      const end = await Promise.race([sendUntilAnswered(engine, order, onSilence), seen])
+      settled.delete(order.orderId)
+      return end
     }
   }
 }
--- a/packages/magnoliabay/src/node/cells/takeUp.ts
+++ b/packages/magnoliabay/src/node/cells/takeUp.ts
@@ -31,11 +31,13 @@
 export async function takeUpEngine (req: TakeUpRequest): Promise<TakeUp> {
   const { listed, engines } = req
   const raised = await engines.order(listed.address, { orderId: createId('order'), fence: req.fence, action: 'raise-fence' }, RAISE_TIMEOUT_MS)
-  if (raised.err) return { kind: 'refused', reason: raised.val.message }
-  if (raised.val.outcome === 'stale-fence') return { kind: 'superseded' }
+  if (raised.ok && raised.val.outcome === 'stale-fence') return { kind: 'superseded' }
   const state = await engines.state(listed.address)
   if (state.err) return { kind: 'refused', reason: state.val.message }
+  // Where the answer was lost, the state shows whether the fence is up; where fences are ignored, it need not be.
+  if (raised.err && state.val.checksFence && state.val.fence < req.fence) return { kind: 'refused', reason: raised.val.message }
   const account = accountOfState(state.val, req.nowMs)
+  if (state.val.checksFence && state.val.fence > req.fence) return { kind: 'superseded' }
   if (state.val.checksFence) return { kind: 'taken', account, unresolved: [] }
   return await takeUpUnfenced(req, account)
 }
--- a/packages/magnoliabay/src/node/members/memoryNetwork.ts
+++ b/packages/magnoliabay/src/node/members/memoryNetwork.ts
@@ -33,6 +33,8 @@
   join (member: MemberRecord): Peers
   /** The member's process is gone: nothing reaches it or comes from it any more. */
   kill (memberId: string): void
+  /** Whether the member's record stands in the store: without it, others don't count it among the members. */
+  setRegistered (memberId: string, isRegistered: boolean): void
   /** Messages between the two are lost until `heal`. */
   cut (one: string, other: string): void
   heal (one: string, other: string): void
@@ -54,11 +56,12 @@
   const { clock } = options
   const nodes = new Map<string, Node>()
   const cuts = new Set<string>()
+  const unregistered = new Set<string>()
   let fate: Fate = options.fate ?? (() => [DEFAULT_DELAY_MS])
 
   const pairOf = (one: string, other: string): string => [one, other].sort().join(' ')
   const isConnected = (from: string, to: string): boolean => from === to || (nodes.has(to) && !cuts.has(pairOf(from, to)))
-  const records = (): MemberRecord[] => [...nodes.values()].map(node => node.member).sort((left, right) => left.id < right.id ? -1 : 1)
+  const records = (): MemberRecord[] => [...nodes.values()].map(node => node.member).filter(member => !unregistered.has(member.id)).sort((left, right) => left.id < right.id ? -1 : 1)
   /** Bodies are copied, as they would be on a wire. */
   const carry = (message: Message, sender: Node, deliver: (receiver: Node, body: unknown) => void): void => {
     if (!isConnected(message.from, message.to)) return
@@ -118,6 +121,11 @@
       nodes.delete(memberId)
       announce()
     },
+    setRegistered: (memberId, isRegistered) => {
+      if (isRegistered) unregistered.delete(memberId)
+      else unregistered.add(memberId)
+      announce()
+    },
     cut: (one, other) => { cuts.add(pairOf(one, other)) },
     heal: (one, other) => {
       cuts.delete(pairOf(one, other))
