--- a/packages/magnoliabay/src/node/cells/cells.ts
+++ b/packages/magnoliabay/src/node/cells/cells.ts
@@ -5,13 +5,13 @@
 import type { EngineClient } from '../backend/engineClient'
 import type { Clock } from '../clock'
 import { repeat } from '../clock'
-import type { ConfigHolder } from '../config'
 import type { Logger } from '../logger'
 import type { MemberRecord, Membership, Peers, ProofKeeper } from '../members'
 import type { Store } from '../platform'
 import { rankByRendezvous } from '../utils'
 import { NOBODY, createClaimer, decideClaim } from './claim'
 import type { Holding } from './claim'
+import type { CellsConfig } from './context'
 import { createHeldIntents } from './intents'
 import { cellsOfModel, quotaOfCell } from './quota'
 import { CELLS_PREFIX, cellNames, cellOf, demandCall, loadNotice, releaseCall, tableNotice, tablesCall, usageNotice } from './records'
@@ -34,7 +34,7 @@
   proofs: ProofKeeper
   directory: Directory
   engines: EngineClient
-  cfg: ConfigHolder
+  cfg: CellsConfig
   clock: Clock
   logger: Logger
 }
--- a/packages/magnoliabay/src/node/cells/context.ts
+++ b/packages/magnoliabay/src/node/cells/context.ts
@@ -9,13 +9,16 @@
 import type { LoadTimes } from './loadTimes'
 import type { OrderSender } from './orders'
 
+/** What cells need of the configuration in force. */
+export type CellsConfig = Pick<ConfigHolder, 'inForce' | 'model' | 'adapter'>
+
 export interface StewardContext {
   readonly cell: string
   /** Modification revision of the steward key when it was claimed. */
   readonly fence: number
   readonly clock: Clock
   readonly logger: Logger
-  readonly cfg: ConfigHolder
+  readonly cfg: CellsConfig
   readonly directory: Directory
   readonly engines: EngineClient
   readonly intents: Intents
--- a/packages/magnoliabay/src/node/cells/steward.ts
+++ b/packages/magnoliabay/src/node/cells/steward.ts
@@ -4,14 +4,13 @@
 import type { Directory } from '../backend/directory'
 import type { EngineClient } from '../backend/engineClient'
 import type { Clock } from '../clock'
-import type { ConfigHolder } from '../config'
 import type { Logger } from '../logger'
 import type { Peers } from '../members'
 import type { ListedInstance, Store } from '../platform'
 import type { EngineAccount } from './account'
 import { loadedReplicas } from './account'
 import { createAdapterCare } from './adapterCare'
-import type { StewardContext } from './context'
+import type { CellsConfig, StewardContext } from './context'
 import { createEngineCare, isUsable } from './engineCare'
 import { createGapHistory } from './idle'
 import type { SavedHistory } from './idle'
@@ -36,7 +35,7 @@
   store: Store
   directory: Directory
   engines: EngineClient
-  cfg: ConfigHolder
+  cfg: CellsConfig
   peers: Peers
   clock: Clock
   logger: Logger
--- a/packages/magnoliabay/src/node/config/settings.ts
+++ b/packages/magnoliabay/src/node/config/settings.ts
@@ -9,6 +9,7 @@
 const address = v.pipe(v.string(), v.regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, 'an address ip:port'))
 const url = v.pipe(v.string(), v.url('a URL'))
 const positive = v.pipe(v.number(), v.integer(), v.minValue(1))
+const sha256Hex = v.pipe(v.string(), v.regex(/^[0-9a-f]{64}$/, '64 hex digits'))
 
 export const settingsSchema = v.strictObject({
   instance: v.strictObject({
@@ -30,7 +31,13 @@
   }),
   operators: v.optional(v.strictObject({
     /** SHA-256 digests, in hex, of the operator keys that hold from the first start on. @default [] */
-    keyDigests: v.optional(v.array(v.string()), [])
+    keyDigests: v.optional(v.array(sha256Hex), []),
+    /** Operators' keys with the names under which their changes are recorded. @default [] */
+    key: v.optional(v.array(v.strictObject({
+      name: v.string(),
+      /** SHA-256 of the key, in hex. */
+      digest: sha256Hex
+    })), [])
   }), {}),
   limits: v.optional(v.strictObject({
     /** Largest body taken from a caller, in bytes. @default 1 MiB */
@@ -40,7 +47,31 @@
     /** Deadline of a request that names none, in milliseconds. @default 60000 */
     deadlineMs: v.optional(positive, 60_000),
     /** Tokens an answer may have when the request names no limit. @default 256 */
-    defaultMaxTokens: v.optional(positive, 256)
+    defaultMaxTokens: v.optional(positive, 256),
+    /** Requests open at once; more are refused at once. @default 2000 */
+    maxOpenRequests: v.optional(positive, 2000),
+    /** Bytes of bodies held for open requests together. @default 64 MiB */
+    maxHeldBodyBytes: v.optional(positive, 67_108_864),
+    /** Longest silence of an engine before the first byte of a streamed answer, in milliseconds. @default 15000 */
+    engineFirstByteMs: v.optional(positive, 15_000),
+    /** Longest wait for an answer that an engine sends in one body, in milliseconds. @default 40000 */
+    engineWholeMs: v.optional(positive, 40_000),
+    /** Longest silence of an engine within an answer, in milliseconds. @default 10000 */
+    engineGapMs: v.optional(positive, 10_000),
+    /** Longest wait for the answer of a plain service, in milliseconds. @default 30000 */
+    serviceAnswerMs: v.optional(positive, 30_000),
+    /** A caller that takes nothing of its answer for this long is cut, in milliseconds. @default 30000 */
+    callerStallMs: v.optional(positive, 30_000)
+  }), {}),
+  once: v.optional(v.strictObject({
+    /** How long a claim and its answer are kept, in seconds. @default one day */
+    retentionSeconds: v.optional(positive, 86_400)
+  }), {}),
+  shutdown: v.optional(v.strictObject({
+    /** Callers may keep an answer of locate for this long, in milliseconds; they are served until then. @default 30000 */
+    locateKeepMs: v.optional(positive, 30_000),
+    /** Answers still open after that get this long to end, in milliseconds. @default 60000 */
+    drainMs: v.optional(positive, 60_000)
   }), {}),
   log: v.optional(v.strictObject({
     /** @default 'info' */
