--- /dev/null
+++ b/packages/magnoliabay/src/node/admission/__tests__/keyring.spec.ts
@@ -0,0 +1,135 @@
+import { createDirectStore, createKvFaults, createKvState } from '@magnoliabay/standins'
+import { expect } from 'chai'
+import { createVirtualClock } from '../../clock/virtual'
+import { createSilentLogger } from '../../logger'
+import { createMemoryNetwork } from '../../members/memoryNetwork'
+import type { MemberRecord } from '../../members'
+import { CUT_OFF_MS } from '../contact'
+import { createKeyring } from '../keyring'
+import { KEYS_PREFIX, createKey } from '../keys'
+
+function setUp () {
+  const clock = createVirtualClock()
+  const network = createMemoryNetwork({ clock })
+  const kv = createKvState({ clock })
+  const faults = createKvFaults()
+  const store = createDirectStore(kv, { clock, faults })
+  const spawn = (id: string) => {
+    const record: MemberRecord = { id, incarnation: `${id}#1`, startedAtMs: 0, region: 'r', failureDomain: 'd', peerAddress: '', entryAddress: '', operatorAddress: '', leaving: false }
+    const keyring = createKeyring({ store, peers: network.join(record), clock, logger: createSilentLogger() })
+    keyring.start(new AbortController().signal)
+    return keyring
+  }
+  const put = async (key: string, value: string) => await store.transact({ compares: [], writes: [{ kind: 'put', key: KEYS_PREFIX + key, value }] })
+  return { clock, network, kv, faults, store, spawn, put }
+}
+
+async function setUpWithKey () {
+  const rig = setUp()
+  const made = createKey('depot', 0)
+  await rig.put(made.record.id, JSON.stringify(made.record))
+  const a = rig.spawn('a')
+  const b = rig.spawn('b')
+  await rig.clock.advance(100)
+  const codeAt = (keyring: typeof a): string => {
+    const result = keyring.authenticate(`Bearer ${made.key}`)
+    return result.ok ? `team ${result.val.team}` : result.val.code
+  }
+  const storedAtMs = (): number | undefined => JSON.parse(rig.kv.range({ key: KEYS_PREFIX + made.record.id })[0]!.value).withdrawnAtMs
+  return { ...rig, a, b, keyId: made.record.id, key: made.key, record: made.record, codeAt, storedAtMs }
+}
+
+describe('keyring', () => {
+  it('lets in by digest, and only whole keys', async () => {
+    const { a, key, keyId, codeAt } = await setUpWithKey()
+    expect(codeAt(a)).to.equal('team depot')
+    const wrong = [undefined, 'Bearer', `Bearer ${key}x`, `Bearer mb_${keyId}_x`, `Basic ${key}`, key]
+    const codes = wrong.map(header => a.authenticate(header)).map(result => result.err && result.val.code)
+    expect(codes).to.deep.equal(['missing_key', ...Array.from({ length: 5 }, () => 'invalid_key')])
+  })
+
+  // A key is withdrawn at one instance. The others hear of it from that peer or, where the notice is lost, from the
+  // next exchange with any peer, or from the store. Nobody hears of it only where all of them are dark.
+  const WAYS: ReadonlyArray<{ name: string, storeDown: boolean, noticesLost: boolean, withinMs: number }> = [
+    { name: 'peers and store', storeDown: false, noticesLost: false, withinMs: 10 },
+    { name: 'store down', storeDown: true, noticesLost: false, withinMs: 10 },
+    { name: 'store down and the notice lost', storeDown: true, noticesLost: true, withinMs: 4100 }
+  ]
+  WAYS.forEach(({ name, storeDown, noticesLost, withinMs }) => it(`a withdrawal is in force everywhere: ${name}`, async () => {
+    const { clock, network, faults, a, b, keyId, codeAt } = await setUpWithKey()
+    if (storeDown) faults.set({ down: 'refused' })
+    if (noticesLost) network.setFate(({ leg }) => leg === 'notice' ? [] : [1])
+    a.withdraw({ keyId, atMs: 5 })
+    await clock.advance(withinMs)
+    expect([codeAt(a), codeAt(b)]).to.deep.equal(['key_withdrawn', 'key_withdrawn'])
+  }))
+
+  // The store is dark when the key is withdrawn. A member that joins then learns it from a peer; once the store
+  // is back, it is written there, so that it outlives everybody who heard of it.
+  it('a withdrawal during an outage reaches new members, and the store after it', async () => {
+    const { clock, faults, a, keyId, spawn, codeAt, storedAtMs } = await setUpWithKey()
+    faults.set({ down: 'refused' })
+    a.withdraw({ keyId, atMs: 5 })
+    const late = spawn('late')
+    await clock.advance(1000)
+    faults.set({ down: 'no' })
+    await clock.advance(500)
+    expect(codeAt(late)).to.equal('key_withdrawn')
+    await clock.advance(20_000)
+    expect(storedAtMs()).to.equal(5)
+  })
+
+  // The operator's record of a withdrawn key is overwritten by an old one without the withdrawal: it stays withdrawn.
+  it('a withdrawal is never taken back', async () => {
+    const { clock, a, b, keyId, record, put, codeAt } = await setUpWithKey()
+    await put(keyId, JSON.stringify({ ...record, withdrawnAtMs: 7 }))
+    await clock.advance(100)
+    await put(keyId, JSON.stringify(record))
+    await clock.advance(100)
+    expect([codeAt(a), codeAt(b)]).to.deep.equal(['key_withdrawn', 'key_withdrawn'])
+  })
+
+  // The instance reaches neither store nor peers. It can't hear of withdrawals, so after the bound it refuses, not run,
+  // and sends callers elsewhere. When a peer answers again, it first learns what it missed.
+  it('an instance cut off from store and peers stops admitting, and catches up first', async () => {
+    const { clock, network, faults, a, b, keyId, codeAt } = await setUpWithKey()
+    network.cut('a', 'b')
+    faults.set({ down: 'refused' })
+    await clock.advance(CUT_OFF_MS - 3000)
+    expect(codeAt(b)).to.equal('team depot')
+    a.withdraw({ keyId, atMs: 5 })
+    await clock.advance(6000)
+    expect(codeAt(b)).to.equal('store_unavailable')
+    network.heal('a', 'b')
+    const seen: string[] = []
+    for (let step = 0; step < 50; step += 1) {
+      seen.push(codeAt(b))
+      await clock.advance(100)
+    }
+    expect(new Set(seen)).to.deep.equal(new Set(['store_unavailable', 'key_withdrawn']))
+  })
+
+  const MALFORMED: readonly string[] = ['', '{', 'null', '[]', '{"id":"x"}', '{"id":"other","team":"t","digest":"00","createdAtMs":1}', '{"id":1,"team":{},"digest":[]}']
+  MALFORMED.forEach(value => it(`a malformed record changes nothing: ${value}`, async () => {
+    const { clock, a, keyId, put, codeAt } = await setUpWithKey()
+    await put(keyId, value)
+    await put('nobody', value)
+    await clock.advance(100)
+    expect(codeAt(a)).to.equal('team depot')
+    expect(a.authenticate('Bearer mb_nobody_x').err).to.equal(true)
+  }))
+
+  // 100 streams of one key are open at two instances when it is withdrawn at one of them. Each is told once, so
+  // that its stream ends with a typed error; a record deleted from the store ends them as well.
+  const ENDS = ['withdrawn', 'deleted'] as const
+  ENDS.forEach(end => it(`open streams of a key that is ${end} are told once`, async () => {
+    const { clock, a, b, keyId, store, codeAt } = await setUpWithKey()
+    const told: string[] = []
+    Array.from({ length: 50 }, () => [a, b]).flat().forEach(keyring => keyring.onWithdrawn(id => told.push(id)))
+    if (end === 'withdrawn') a.withdraw({ keyId, atMs: 5 })
+    else await store.transact({ compares: [], writes: [{ kind: 'delete', key: KEYS_PREFIX + keyId }] })
+    await clock.advance(30_000)
+    expect(told).to.deep.equal(Array.from({ length: 100 }, () => keyId))
+    expect(codeAt(b)).to.equal(end === 'withdrawn' ? 'key_withdrawn' : 'invalid_key')
+  }))
+})
--- a/packages/magnoliabay/src/node/admission/keyring.ts
+++ b/packages/magnoliabay/src/node/admission/keyring.ts
@@ -4,23 +4,19 @@
 import type { Clock } from '../clock'
 import { refusal } from '../failures'
 import type { Failure } from '../failures'
+import type { Logger } from '../logger'
 import { createListeners } from '../members/dispatch'
-import { definePeerNotice } from '../members'
 import type { Peers } from '../members'
 import type { Disposer } from '../members/peers'
-import type { Store } from '../platform'
+import type { RangeResult, Store } from '../platform'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
-import { KEYS_PREFIX, secretMatches, splitKey } from './keys'
+import { createContact } from './contact'
+import { KEYS_PREFIX, parseKeyRecord, secretMatches, splitKey } from './keys'
 import type { KeyRecord } from './keys'
-
-/** A withdrawal only ever grows, so peers can spread it with the store dark. */
-export interface Withdrawal {
-  keyId: string
-  atMs: number
-}
-
-export const keyWithdrawn = definePeerNotice<Withdrawal>('admission.key-withdrawn')
+import { persistWithdrawals } from './persist'
+import { createWithdrawals } from './withdrawals'
+import type { Withdrawal } from './withdrawals'
 
 export interface Caller {
   team: string
@@ -29,8 +25,9 @@
 
 export interface Keyring {
   authenticate (authorization: string | undefined): Result<Caller, Failure>
-  /** Takes a withdrawal at once and spreads it to the peers. */
+  /** Takes a withdrawal at once and spreads it to the peers; the store is told when it can be. */
   withdraw (withdrawal: Withdrawal): void
+  /** Called when a key stops working: withdrawn, or gone from the store. */
   onWithdrawn (listener: (keyId: string) => void): Disposer
   start (signal: AbortSignal): void
 }
@@ -39,48 +36,68 @@
   store: Store
   peers: Peers
   clock: Clock
+  logger: Logger
 }
 
 const BEARER = /^Bearer +(\S+)$/i
+const RETRY_ELSEWHERE_S = 1
 
 export function createKeyring (options: KeyringOptions): Keyring {
-  const { store, peers } = options
+  const { store, peers, clock, logger } = options
   const records = new Map<string, KeyRecord>()
-  const withdrawn = new Set<string>()
-  const withdrawals = createListeners<[string]>()
+  const stopped = createListeners<[string]>()
+  const withdrawals = createWithdrawals(peers)
+  withdrawals.onNoted(stopped.emit)
 
-  const take = (entry: { value: string }): void => {
-    const record = JSON.parse(entry.value) as KeyRecord
+  const take = (entry: { key: string, value: string }): void => {
+    const record = parseKeyRecord(entry.value)
+    const isItsKey = record !== undefined && KEYS_PREFIX + record.id === entry.key
+    // What is known of the key stays in force: a damaged record neither lets anybody in nor shuts anybody out.
+    if (!isItsKey) return logger.error('key-record-refused', { key: entry.key, reason: 'not a key record' })
     records.set(record.id, record)
-    if (record.withdrawnAtMs !== undefined) markWithdrawn(record.id)
+    if (record.withdrawnAtMs !== undefined) withdrawals.note({ keyId: record.id, atMs: record.withdrawnAtMs })
   }
-  const markWithdrawn = (keyId: string): void => {
-    if (withdrawn.has(keyId)) return
-    withdrawn.add(keyId)
-    withdrawals.emit(keyId)
+  const drop = (keyId: string): void => {
+    if (records.delete(keyId)) stopped.emit(keyId)
   }
-
-  peers.listen(keyWithdrawn, withdrawal => markWithdrawn(withdrawal.keyId))
+  const takeAll = (snapshot: RangeResult): void => {
+    const present = new Set(snapshot.entries.map(entry => entry.key))
+    snapshot.entries.forEach(take)
+    const gone = [...records.keys()].filter(keyId => !present.has(KEYS_PREFIX + keyId))
+    gone.forEach(drop)
+    contact.noteHeard()
+  }
+  const readStore = async (): Promise<boolean> => {
+    const range = await store.range(KEYS_PREFIX, { priority: 'config' })
+    if (range.ok) takeAll(range.val)
+    return range.ok
+  }
+  const contact = createContact({ peers, clock, syncWith: withdrawals.syncWith, readStore })
 
   return {
     authenticate: authorization => {
       if (authorization === undefined) return Err(refusal('missing_key', 'Send your key as `Authorization: Bearer <key>`.'))
+      if (!contact.isRecent()) return Err(refusal('store_unavailable', 'This instance cannot check keys just now. Use another one.', RETRY_ELSEWHERE_S))
       const parts = splitKey(BEARER.exec(authorization)?.[1] ?? '')
       const record = parts === undefined ? undefined : records.get(parts.id)
       if (parts === undefined || record === undefined || !secretMatches(record, parts.secret)) {
         return Err(refusal('invalid_key', 'This key is not known here. Check it, or ask your operator for a new one.'))
       }
-      if (withdrawn.has(record.id)) return Err(refusal('key_withdrawn', 'This key has been withdrawn. Ask your operator for a new one.'))
+      if (withdrawals.has(record.id)) return Err(refusal('key_withdrawn', 'This key has been withdrawn. Ask your operator for a new one.'))
       return Ok({ team: record.team, keyId: record.id })
     },
-    withdraw: withdrawal => {
-      markWithdrawn(withdrawal.keyId)
-      peers.notifyAll(keyWithdrawn, withdrawal)
-    },
-    onWithdrawn: withdrawals.add,
-    start: signal => store.watch(KEYS_PREFIX, {
-      onSnapshot: snapshot => snapshot.entries.forEach(take),
-      onEvent: event => { if (event.kind === 'put') take(event) }
-    }, signal)
+    withdraw: withdrawals.announce,
+    onWithdrawn: stopped.add,
+    start: signal => {
+      store.watch(KEYS_PREFIX, {
+        onSnapshot: takeAll,
+        onEvent: event => {
+          if (event.kind === 'put') take(event)
+          else drop(event.key.slice(KEYS_PREFIX.length))
+        }
+      }, signal)
+      contact.start(signal)
+      persistWithdrawals({ store, peers, withdrawals, recordOf: keyId => records.get(keyId), clock, logger }, signal)
+    }
   }
 }
--- a/packages/magnoliabay/src/node/admission/keys.ts
+++ b/packages/magnoliabay/src/node/admission/keys.ts
@@ -2,7 +2,9 @@
  * Callers' keys. A key reads `mb_<id>_<secret>`; only the secret's digest is ever stored.
  */
 import { createHash, randomBytes, timingSafeEqual } from 'node:crypto'
+import * as v from 'valibot'
 import { STORE_ROOT } from '../constants'
+import { parseJson } from '../utils'
 
 export const KEYS_PREFIX = `${STORE_ROOT}/keys/`
 
@@ -11,14 +13,16 @@
 const SECRET_BYTES = 24
 const KEY_FORM = /^mb_([A-Za-z0-9]+)_([A-Za-z0-9_-]+)$/
 
-export interface KeyRecord {
-  id: string
-  team: string
+const keySchema = v.object({
+  id: v.pipe(v.string(), v.regex(/^[A-Za-z0-9]+$/)),
+  team: v.string(),
   /** SHA-256 of the secret, in hex. */
-  digest: string
-  createdAtMs: number
-  withdrawnAtMs?: number
-}
+  digest: v.pipe(v.string(), v.regex(/^[0-9a-f]{64}$/)),
+  createdAtMs: v.number(),
+  withdrawnAtMs: v.optional(v.number())
+})
+
+export type KeyRecord = v.InferOutput<typeof keySchema>
 
 export interface KeyParts {
   id: string
@@ -56,3 +60,9 @@
   const actual = Buffer.from(digestOf(secret), 'hex')
   return expected.length === actual.length && timingSafeEqual(expected, actual)
 }
+
+/** The record, or undefined when the text isn't one. */
+export function parseKeyRecord (text: string): KeyRecord | undefined {
+  const checked = v.safeParse(keySchema, parseJson(text))
+  return checked.success ? checked.output : undefined
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/admission/persist.ts
@@ -0,0 +1,55 @@
+/**
+ * Brings withdrawals that peers spread while the store was dark into the store once it is back. Else a
+ * withdrawal would be forgotten when the last instance that heard of it is replaced.
+ */
+import type { Clock } from '../clock'
+import { repeat } from '../clock'
+import type { Logger } from '../logger'
+import type { Peers } from '../members'
+import type { Store } from '../platform'
+import { rankByRendezvous } from '../utils'
+import { KEYS_PREFIX, parseKeyRecord } from './keys'
+import type { KeyRecord } from './keys'
+import type { Withdrawals } from './withdrawals'
+
+const PERSIST_PERIOD_MS = 2000
+
+export interface PersistOptions {
+  store: Store
+  peers: Peers
+  withdrawals: Withdrawals
+  /** The store's record of a key, as last heard. */
+  recordOf: (keyId: string) => KeyRecord | undefined
+  clock: Clock
+  logger: Logger
+}
+
+export function persistWithdrawals (options: PersistOptions, signal: AbortSignal): void {
+  const { store, peers, withdrawals, recordOf, clock, logger } = options
+  const waitedTurns = new Map<string, number>()
+
+  const isUnwritten = (keyId: string): boolean => recordOf(keyId)?.withdrawnAtMs === undefined && recordOf(keyId) !== undefined
+  /** Members take turns, so that a fleet that wakes with the store doesn't write each key as often as it has members. */
+  const isMyTurn = (keyId: string): boolean => {
+    const waited = waitedTurns.get(keyId) ?? 0
+    waitedTurns.set(keyId, waited + 1)
+    const ranked = rankByRendezvous(keyId, peers.members(), member => member.id)
+    return ranked[waited % ranked.length]?.id === peers.self.id
+  }
+  const write = async (keyId: string, atMs: number): Promise<void> => {
+    const found = await store.get(KEYS_PREFIX + keyId, { priority: 'config' })
+    if (found.err || found.val === undefined) return
+    const record = parseKeyRecord(found.val.value)
+    if (record === undefined || record.withdrawnAtMs !== undefined) return
+    const written = await store.transact({
+      compares: [{ key: KEYS_PREFIX + keyId, target: 'mod', equals: found.val.modRevision }],
+      writes: [{ kind: 'put', key: KEYS_PREFIX + keyId, value: JSON.stringify({ ...record, withdrawnAtMs: atMs }) }]
+    }, { priority: 'config' })
+    if (written.ok && written.val.succeeded) logger.info('withdrawal-written', { key: keyId, reason: 'known to peers only' })
+  }
+  repeat(clock, PERSIST_PERIOD_MS, signal, async () => {
+    const unwritten = withdrawals.all().filter(({ keyId }) => isUnwritten(keyId))
+    const mine = unwritten.filter(({ keyId }) => isMyTurn(keyId))
+    await Promise.all(mine.map(({ keyId, atMs }) => write(keyId, atMs)))
+  })
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/admission/withdrawals.ts
@@ -0,0 +1,80 @@
+/**
+ * Which keys are withdrawn, as far as this instance has heard from the store or any peer. The set only ever
+ * grows, so it can be merged in any order, and works while the store is dark.
+ */
+import { createListeners } from '../members/dispatch'
+import { definePeerCall, definePeerNotice } from '../members'
+import type { Peers } from '../members'
+import type { Disposer } from '../members/peers'
+import { stableHash } from '../utils'
+
+export interface Withdrawal {
+  keyId: string
+  /** Unix epoch, milliseconds. */
+  atMs: number
+}
+
+interface SyncRequest {
+  digest: string
+}
+
+interface SyncReply {
+  /** Empty when the digests are the same. */
+  withdrawals: readonly Withdrawal[]
+}
+
+const keyWithdrawn = definePeerNotice<Withdrawal>('admission.key-withdrawn')
+const syncCall = definePeerCall<SyncRequest, SyncReply>('admission.withdrawals')
+
+const SYNC_TIMEOUT_MS = 1000
+/** Digests are sums in this range, so that their order doesn't matter. */
+const DIGEST_RANGE = 2 ** 48
+
+export interface Withdrawals {
+  has (keyId: string): boolean
+  all (): readonly Withdrawal[]
+  /** Notes a withdrawal that the store holds, or that came from a peer. */
+  note (withdrawal: Withdrawal): void
+  /** Notes a withdrawal made here, and tells every peer at once. */
+  announce (withdrawal: Withdrawal): void
+  /** Gets from a peer what is missing here. False when the peer doesn't answer. */
+  syncWith (memberId: string): Promise<boolean>
+  /** Called once for each key that is withdrawn. */
+  onNoted (listener: (keyId: string) => void): Disposer
+}
+
+export function createWithdrawals (peers: Peers): Withdrawals {
+  const known = new Map<string, Withdrawal>()
+  const noted = createListeners<[string]>()
+  let sum = 0
+
+  const digest = (): string => `${known.size}:${sum}`
+  const note = (withdrawal: Withdrawal): void => {
+    if (known.has(withdrawal.keyId)) return
+    known.set(withdrawal.keyId, withdrawal)
+    sum = (sum + stableHash(withdrawal.keyId)) % DIGEST_RANGE
+    noted.emit(withdrawal.keyId)
+  }
+  const syncWith = async (memberId: string): Promise<boolean> => {
+    const reply = await peers.call(memberId, syncCall, { digest: digest() }, { timeoutMs: SYNC_TIMEOUT_MS })
+    if (reply.ok) reply.val.withdrawals.forEach(note)
+    return reply.ok
+  }
+
+  peers.listen(keyWithdrawn, note)
+  peers.serve(syncCall, req => ({ withdrawals: req.digest === digest() ? [] : [...known.values()] }))
+  // A member that was away or cut off while a key was withdrawn has missed the notice.
+  peers.onConnected(member => { syncWith(member.id) })
+
+  return {
+    note,
+    syncWith,
+    has: keyId => known.has(keyId),
+    all: () => [...known.values()],
+    announce: withdrawal => {
+      note(withdrawal)
+      peers.notifyAll(keyWithdrawn, withdrawal)
+    },
+    onNoted: noted.add
+  }
+}
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -62,7 +62,7 @@
   const proofs = createProofKeeper({ peers, clock, logger })
   const membership = createMembership({ store, network: peers, clock, logger })
   const cfg = createConfigHolder({ store, peers, site: settings.instance.site, clock, logger })
-  const keyring = createKeyring({ store, peers, clock })
+  const keyring = createKeyring({ store, peers, clock, logger })
   const directory = createDirectory({ list: options.list, clock, logger, onRead: proofs.noteList })
   const allowance = createAllowance({ cfg, peers, store, clock, logger, proofs })
   const lease = createRetentionLease({ store, clock, retentionSeconds: settings.once.retentionSeconds })
