--- a/packages/magnoliabay/src/node/config/settings.ts
+++ b/packages/magnoliabay/src/node/config/settings.ts
@@ -27,7 +27,11 @@
     /** Origins of the key-value service. */
     store: v.pipe(v.array(url), v.minLength(1)),
     /** URL of the instance list. */
-    instanceList: url
+    instanceList: url,
+    /** Calls a second to the key-value service that this instance may make, on average. @default 40 */
+    callsPerSecond: v.optional(positive, 40),
+    /** Calls at once after a pause. @default 200 */
+    burstCalls: v.optional(positive, 200)
   }),
   operators: v.optional(v.strictObject({
     /** SHA-256 digests, in hex, of the operator keys that hold from the first start on. @default [] */
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -19,7 +19,8 @@
 import { auditWrite } from './operators/audit'
 import { createOperatorCommands } from './operators/commands'
 import { createOperatorQueries } from './operators/queries'
-import type { InstanceList, PutOperation, Store } from './platform'
+import { createBudgetedStore } from './platform'
+import type { InstanceList, PutOperation, Store, StoreCallReport } from './platform'
 import { createRouting } from './routing'
 import { createId } from './utils'
 
@@ -43,7 +44,7 @@
 }
 
 export function createInstance (options: InstanceOptions): Instance {
-  const { settings, store, clock } = options
+  const { settings, clock } = options
   const { id, region, failureDomain, peerAddress, entryAddress, operatorAddress } = settings.instance
   const logger = options.logger.with({ instance: id })
   const self: MemberRecord = {
@@ -59,11 +60,15 @@
   }
   const stop = new AbortController()
   const metrics = createMetrics()
+  const { callsPerSecond, burstCalls } = settings.platform
+  const onCall = ({ priority, outcome }: StoreCallReport): void => metrics.storeCalls.inc({ priority, outcome })
+  const store = createBudgetedStore(options.store, { callsPerSecond, burstCalls, clock, onCall })
   const pools = createPools(null)
   const engines = createEngineClient()
   const peers = createPeerNetwork({ self, clock, logger })
   const membership = createMembership({ store, network: peers, clock, logger })
   const cfg = createConfigHolder({ store, peers, site: settings.instance.site, clock, logger })
+  cfg.onChanged(() => cfg.inForce().documents.forEach(({ document, version }) => metrics.configVersion.set({ document }, version)))
   const keyring = createKeyring({ store, peers, clock })
   const directory = createDirectory({ list: options.list, clock, logger })
   const allowance = createAllowance({ cfg, peers, clock, logger })
--- a/packages/magnoliabay/src/node/metrics/index.ts
+++ b/packages/magnoliabay/src/node/metrics/index.ts
@@ -8,6 +8,8 @@
   requests: Counter<'outcome' | 'code' | 'team'>
   firstToken: Histogram<'start'>
   openRequests: Gauge
+  storeCalls: Counter<'priority' | 'outcome'>
+  configVersion: Gauge<'document'>
 }
 
 export function createMetrics (): Metrics {
@@ -32,6 +34,18 @@
       name: 'magnoliabay_open_requests',
       help: 'Requests being waited for or answered.',
       registers: [registry]
+    }),
+    storeCalls: new Counter({
+      name: 'magnoliabay_store_calls_total',
+      help: 'Calls to the key-value service by what they were for and how they ended; over-budget ones were not sent.',
+      labelNames: ['priority', 'outcome'],
+      registers: [registry]
+    }),
+    configVersion: new Gauge({
+      name: 'magnoliabay_config_version',
+      help: 'Version in force of the base and of the site overlay.',
+      labelNames: ['document'],
+      registers: [registry]
     })
   }
 }
--- a/packages/magnoliabay/src/node/platform/etcd.ts
+++ b/packages/magnoliabay/src/node/platform/etcd.ts
@@ -7,11 +7,12 @@
 import type { Logger } from '../logger'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
-import { messageOf } from '../utils'
 import { decodeKeyValue, encodeRange, encodeTransaction } from './etcdCodec'
 import type { EtcdHeader, EtcdRangeResponse, EtcdTxnResponse } from './etcdCodec'
+import { errorOfAnswer, errorOfThrown } from './etcdErrors'
+import type { EtcdErrorBody } from './etcdErrors'
 import { runWatch } from './etcdWatch'
-import type { Store, StoreError, StoreErrorKind } from './store'
+import type { Store, StoreError } from './store'
 
 export interface EtcdStoreOptions {
   /** Origins, such as `http://127.0.0.1:2379`. Tried in turn when one cannot be reached. */
@@ -20,46 +21,60 @@
   callTimeoutMs?: number
   /** Connections to an endpoint, watches apart. @default 4 */
   connections?: number
+  /** For `https:` endpoints. @default the system's authorities, no certificate of our own */
+  tls?: StoreTls
+  /** Spreads instances that retry after the same outage; gives 0 to 1. @default Math.random */
+  random?: () => number
   clock: Clock
   logger: Logger
 }
 
-const RETRY_WATCH_MS = 500
-
-/** Errors after which the call certainly had no effect: no connection was ever made. */
-const NEVER_SENT = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
-/** gRPC status codes that the gateway passes on. */
-const GRPC_NOT_FOUND = 5
-const GRPC_UNAVAILABLE = 14
-
-interface EtcdErrorBody {
-  code?: number
-  message?: string
+/** PEM texts. */
+export interface StoreTls {
+  ca?: string
+  cert?: string
+  key?: string
 }
 
+const CONNECT_TIMEOUT_MS = 1000
+const FIRST_RETRY_WATCH_MS = 250
+const LAST_RETRY_WATCH_MS = 8000
+
 export function createEtcdStore (options: EtcdStoreOptions): Store & { close: () => Promise<void> } {
+  const { clock } = options
   const callTimeoutMs = options.callTimeoutMs ?? 3000
-  const pools = options.endpoints.map(endpoint => new Pool(endpoint, { connections: options.connections ?? 4 }))
-  const watchPools = options.endpoints.map(endpoint => new Pool(endpoint, { connections: null, bodyTimeout: 0 }))
+  const connect = { timeout: CONNECT_TIMEOUT_MS, ...options.tls }
+  const pools = options.endpoints.map(endpoint => new Pool(endpoint, { connections: options.connections ?? 4, connect }))
+  const watchPools = options.endpoints.map(endpoint => new Pool(endpoint, { connections: null, bodyTimeout: 0, connect }))
   let current = 0
 
+  /** Calls that failed together move on by one endpoint together, not past the next one that works. */
+  const moveOn = (failed: number): void => {
+    if (current === failed) current = (failed + 1) % pools.length
+  }
+
   const call = async <T>(path: string, body: object): Promise<Result<T, StoreError>> => {
-    const pool = pools[current % pools.length]!
+    const endpoint = current
+    const timeout = new AbortController()
+    // One bound over connecting, headers and body: an answer that trickles in must not hold its caller up.
+    const cancelTimeout = clock.schedule(callTimeoutMs, () => timeout.abort())
     try {
-      const res = await pool.request({
+      const res = await pools[endpoint]!.request({
         method: 'POST',
         path,
         body: JSON.stringify(body),
         headers: { 'content-type': 'application/json' },
-        headersTimeout: callTimeoutMs,
-        bodyTimeout: callTimeoutMs
+        signal: timeout.signal
       })
       const answer = await res.body.json()
       if (res.statusCode === 200) return Ok(answer as T)
+      if (res.statusCode >= 500) moveOn(endpoint)
       return Err(errorOfAnswer(res.statusCode, answer as EtcdErrorBody))
     } catch (err) {
-      current += 1
+      moveOn(endpoint)
       return Err(errorOfThrown(err))
+    } finally {
+      cancelTimeout()
     }
   }
 
@@ -94,8 +109,8 @@
       return answer.map(() => undefined)
     },
     watch: (prefix, handlers, signal) => {
-      const poolOf = (): Pool => watchPools[current % watchPools.length]!
-      keepWatching(options, signal, () => runWatch({ store, pool: poolOf(), prefix, handlers, signal, clock: options.clock }))
+      const poolOf = (): Pool => watchPools[current]!
+      keepWatching(options, signal, () => runWatch({ store, pool: poolOf(), prefix, handlers, signal, clock, logger: options.logger }))
     }
   }
   const close = async (): Promise<void> => {
@@ -104,24 +119,21 @@
   return { ...store, close }
 }
 
+/**
+ * Begins a watch anew whenever it ends. Waits longer after each failure, and a random part of it: when
+ * an outage ends, all watches of all instances would otherwise come back in the same half second, and
+ * be an outage themselves.
+ */
 async function keepWatching (options: EtcdStoreOptions, signal: AbortSignal, once: () => Promise<string>): Promise<void> {
+  const { clock, logger, random = Math.random } = options
+  let waitMs = FIRST_RETRY_WATCH_MS
   while (!signal.aborted) {
+    const startedMs = clock.monotonic()
     const reason = await once()
     if (signal.aborted) return
-    options.logger.debug('store-watch-ended', { reason })
-    await sleep(options.clock, RETRY_WATCH_MS, signal)
+    logger.debug('store-watch-ended', { reason })
+    if (clock.monotonic() - startedMs > LAST_RETRY_WATCH_MS) waitMs = FIRST_RETRY_WATCH_MS
+    await sleep(clock, waitMs * (0.5 + random() / 2), signal)
+    waitMs = Math.min(LAST_RETRY_WATCH_MS, waitMs * 2)
   }
 }
-
-function errorOfAnswer (status: number, body: EtcdErrorBody): StoreError {
-  const message = body.message ?? `The store answered with status ${status}.`
-  if (body.code === GRPC_NOT_FOUND) return { kind: 'lease-lost', message }
-  if (body.code === GRPC_UNAVAILABLE || status >= 500) return { kind: 'unavailable', message }
-  return { kind: 'invalid', message }
-}
-
-function errorOfThrown (err: unknown): StoreError {
-  const code = (err as { code?: string }).code ?? ''
-  const kind: StoreErrorKind = NEVER_SENT.has(code) ? 'unavailable' : 'unknown'
-  return { kind, message: messageOf(err) }
-}
--- a/packages/magnoliabay/src/node/platform/etcdWatch.ts
+++ b/packages/magnoliabay/src/node/platform/etcdWatch.ts
@@ -3,7 +3,8 @@
  */
 import type { Pool } from 'undici'
 import type { Clock } from '../clock'
-import { messageOf } from '../utils'
+import type { Logger } from '../logger'
+import { messageOf, parseJson } from '../utils'
 import { decodeEvent, prefixEnd, toBase64 } from './etcdCodec'
 import type { EtcdWatchMessage } from './etcdCodec'
 import type { Store, WatchHandlers } from './store'
@@ -14,7 +15,7 @@
  * and this instance would go on with an old configuration. A new watch starts with a snapshot, so
  * nothing that was missed stays missed.
  */
-const SILENT_WATCH_MS = 20_000
+export const SILENT_WATCH_MS = 20_000
 
 export interface WatchRun {
   store: Store
@@ -23,25 +24,31 @@
   handlers: WatchHandlers
   signal: AbortSignal
   clock: Clock
+  logger: Logger
 }
 
 /** Runs until the watch ends, and tells why. Never rejects. */
 export async function runWatch (run: WatchRun): Promise<string> {
   const snapshot = await run.store.range(run.prefix, { priority: 'config' })
   if (snapshot.err) return snapshot.val.message
-  run.handlers.onSnapshot(snapshot.val)
-  const silence = new AbortController()
-  let cancelSilence = run.clock.schedule(SILENT_WATCH_MS, () => silence.abort())
+  if (run.signal.aborted) return 'no longer wanted'
+  guarded(run, run.prefix, () => run.handlers.onSnapshot(snapshot.val))
+  const over = new AbortController()
+  const listenOn = (): (() => void) => run.clock.schedule(SILENT_WATCH_MS, () => over.abort('silent'))
+  let cancelSilence = listenOn()
   const onLine = (line: string): void => {
     cancelSilence()
-    cancelSilence = run.clock.schedule(SILENT_WATCH_MS, () => silence.abort())
-    deliver(JSON.parse(line) as EtcdWatchMessage, run.handlers)
+    cancelSilence = listenOn()
+    const message = parseJson(line) as EtcdWatchMessage | undefined
+    const end = message === undefined ? 'not JSON' : endOf(message)
+    if (end !== undefined) return over.abort(end)
+    deliver(run, message!)
   }
   try {
-    await readWatch(run, snapshot.val.revision + 1, AbortSignal.any([run.signal, silence.signal]), onLine)
+    await readWatch(run, snapshot.val.revision + 1, AbortSignal.any([run.signal, over.signal]), onLine)
     return 'ended by the store'
   } catch (err) {
-    return silence.signal.aborted ? 'silent' : messageOf(err)
+    return over.signal.aborted ? String(over.signal.reason) : messageOf(err)
   } finally {
     cancelSilence()
   }
@@ -70,7 +77,28 @@
   }
 }
 
-function deliver (message: EtcdWatchMessage, handlers: WatchHandlers): void {
+/**
+ * Why a message ends the watch. The gateway keeps the connection open after it has cancelled a watch
+ * (its start was compacted away), so without this the watch would hear nothing until it counts as silent.
+ */
+function endOf (message: EtcdWatchMessage): string | undefined {
+  if (message.error !== undefined) return message.error.message ?? 'refused'
+  return message.result?.canceled === true ? 'cancelled by the store' : undefined
+}
+
+function deliver (run: WatchRun, message: EtcdWatchMessage): void {
   const events = message.result?.events ?? []
-  events.map(decodeEvent).forEach(handlers.onEvent)
+  events.map(decodeEvent).forEach(event => guarded(run, event.key, () => run.handlers.onEvent(event)))
+}
+
+/**
+ * A record that its reader chokes on would end the watch, be in the next snapshot as well, and so keep
+ * every later change of that prefix from this instance. It is logged and passed over instead.
+ */
+function guarded (run: WatchRun, key: string, handle: () => void): void {
+  try {
+    handle()
+  } catch (err) {
+    run.logger.error('store-record-failed', { key, reason: messageOf(err) })
+  }
 }
