--- a/packages/magnoliabay/src/node/cli.ts
+++ b/packages/magnoliabay/src/node/cli.ts
@@ -1,6 +1,9 @@
 /** The command line: finds the command, checks its options, runs it. */
 import { parseArgs } from 'node:util'
+import { configCommand } from './commands/config'
+import { UsageError } from './commands/connection'
 import { devCommand } from './commands/dev'
+import { operatorCommands } from './commands/operatorCommands'
 import { serveCommand } from './commands/serve'
 import { EXIT_DONE, EXIT_FAILED, EXIT_USAGE } from './commands/types'
 import type { Command, ExitCode, OptionDescription } from './commands/types'
@@ -11,7 +14,7 @@
 const print = (text: string): void => { process.stdout.write(`${text}\n`) }
 const printError = (text: string): void => { process.stderr.write(`${text}\n`) }
 
-export const productCommands: readonly Command[] = [serveCommand, devCommand]
+export const productCommands: readonly Command[] = [serveCommand, devCommand, configCommand, ...operatorCommands]
 
 /** Runs the command line and returns the exit code. */
 export async function runCli (args: readonly string[], commands: readonly Command[] = productCommands): Promise<ExitCode> {
@@ -43,8 +46,12 @@
     return EXIT_DONE
   }
   try {
-    return await command.run({ ...parsed, logger: createLogger(), print, printError })
+    return await command.run({ ...parsed, env: process.env, logger: createLogger(), print, printError })
   } catch (err) {
+    if (err instanceof UsageError) {
+      printError(err.message)
+      return EXIT_USAGE
+    }
     printError(`magnoliabay ${command.name} failed: ${messageOf(err)}`)
     return EXIT_FAILED
   }
--- /dev/null
+++ b/packages/magnoliabay/src/node/commands/config.ts
@@ -0,0 +1,134 @@
+/** `magnoliabay config …`: the base file and the sites' overlays. */
+import { formatProblem } from '../config'
+import { planChange } from '../config/plan'
+import { ConfigFileError, OperatorCallError } from '../operators/client'
+import { applyFiles, describeConflict } from './configApply'
+import type { AppliedDocument } from './configApply'
+import { prepareFile, readCurrent } from './configDocuments'
+import { readConfigFiles, writeConfigFile, formatDocument } from './configFiles'
+import { formatPlan, planDirectory } from './configPlan'
+import { CONNECTION_OPTIONS, JSON_OPTION, UsageError, connect } from './connection'
+import { formatTable } from './table'
+import { EXIT_DONE, EXIT_FAILED } from './types'
+import type { Command, CommandContext, ExitCode } from './types'
+
+const DEFAULT_WAIT_SECONDS = '18'
+const NO_FACTS = { replicasOf: () => 0, keysOf: () => [] }
+
+type Action = 'check' | 'plan' | 'apply' | 'status' | 'history' | 'export'
+
+/** Each takes what stands after its name on the command line. */
+const ACTIONS: Record<Action, (context: CommandContext, rest: readonly string[]) => Promise<ExitCode>> = {
+  check: async ({ print, printError }, [directory = '.']) => {
+    const files = await Promise.all((await readConfigFiles(directory)).map(prepareFile))
+    const after = new Map(files.map(file => [file.document, file.body]))
+    const { problems } = planChange({ before: new Map(), after }, NO_FACTS)
+    problems.forEach(problem => printError(formatProblem(problem)))
+    if (problems.length > 0) return EXIT_FAILED
+    print(`${files.length} files hold together: ${files.map(file => file.document).join(', ')}`)
+    return EXIT_DONE
+  },
+  plan: async (context, [directory = '.']) => {
+    const plan = await planDirectory(await connect(context), directory)
+    context.print(context.values.json === true
+      ? formatJson({ documents: plan.changed.map(file => file.document), sites: plan.sites, problems: plan.problems })
+      : formatPlan(plan))
+    return plan.problems.length === 0 ? EXIT_DONE : EXIT_FAILED
+  },
+  apply: async (context, [directory = '.']) => {
+    const { values, print, printError } = context
+    const client = await connect(context)
+    const plan = await planDirectory(client, directory)
+    print(formatPlan(plan))
+    if (plan.problems.length > 0) return EXIT_FAILED
+    if (plan.changed.length === 0) return EXIT_DONE
+    const changeId = typeof values.change === 'string' ? values.change : undefined
+    try {
+      const applied = await applyFiles({ client, plan, note: String(values.note ?? ''), changeId, waitMs: Number(values.wait) * 1000 })
+      print(values.json === true ? formatJson(applied) : formatApplied(applied))
+      return applied.every(({ spread }) => spread.every(one => one.isInForce)) ? EXIT_DONE : EXIT_FAILED
+    } catch (err) {
+      if (!(err instanceof OperatorCallError)) throw err
+      printError(await describeConflict(client, plan, err) ?? describeRefusal(err))
+      return EXIT_FAILED
+    }
+  },
+  status: async context => {
+    const client = await connect(context)
+    const { documents, damaged } = await client.config()
+    const spreads = await Promise.all(documents.map(async manifest => ({ manifest, spread: await client.spread(manifest.document, manifest.version, 0) })))
+    context.print(context.values.json === true ? formatJson({ documents: spreads, damaged }) : formatApplied(spreads))
+    if (damaged.length > 0) context.printError(`The store's record of ${damaged.join(', ')} is damaged. What is in force stays; apply it again to mend the record.`)
+    return EXIT_DONE
+  },
+  history: async (context, [document = 'base']) => {
+    const history = await (await connect(context)).history(document)
+    const rows = history.map(manifest => [String(manifest.version), new Date(manifest.acceptedAtMs).toISOString(), manifest.operator, manifest.acceptedBy, String(manifest.fromVersion), manifest.note])
+    context.print(context.values.json === true ? formatJson(history) : formatTable(['version', 'accepted', 'operator', 'at', 'from', 'note'], rows))
+    return EXIT_DONE
+  },
+  export: async (context, [directory = '.']) => {
+    const client = await connect(context)
+    const { documents } = await client.config()
+    const only = typeof context.values.document === 'string' ? context.values.document : undefined
+    const version = context.values.version === undefined ? undefined : Number(context.values.version)
+    for (const { document } of documents.filter(manifest => only === undefined || manifest.document === only)) {
+      const { manifest, body } = await readCurrent(client, document, version)
+      if (context.values.print === true) context.print(formatDocument(body, manifest.version))
+      else context.print(await writeConfigFile(directory, body, manifest.version))
+    }
+    return EXIT_DONE
+  }
+}
+
+export const configCommand: Command = {
+  name: 'config',
+  summary: `Check, change and follow the configuration: ${Object.keys(ACTIONS).join(', ')}.`,
+  positionals: '<action> [directory | document]',
+  options: {
+    ...CONNECTION_OPTIONS,
+    ...JSON_OPTION,
+    note: { type: 'string', value: 'TEXT', description: 'apply: what the change is for; kept with the version.' },
+    change: { type: 'string', value: 'ID', description: 'apply: id of the change. After an answer that did not come, the same id applies it once.' },
+    wait: { type: 'string', value: 'SECONDS', description: `apply: how long to wait until it is in force everywhere. Default ${DEFAULT_WAIT_SECONDS}.`, default: DEFAULT_WAIT_SECONDS },
+    document: { type: 'string', value: 'NAME', description: 'export: only base, or sites/<site>.' },
+    version: { type: 'string', value: 'N', description: 'export: an earlier version.' },
+    print: { type: 'boolean', description: 'export: to the terminal instead of files.' }
+  },
+  run: async context => {
+    const [name = '', ...rest] = context.positionals
+    const action = ACTIONS[name as Action]
+    if (action === undefined) throw new UsageError(`Say what to do: magnoliabay config ${Object.keys(ACTIONS).join(' | ')}`)
+    try {
+      return await action(context, rest)
+    } catch (err) {
+      if (!(err instanceof ConfigFileError)) throw err
+      context.printError(err.message)
+      return EXIT_FAILED
+    }
+  }
+}
+
+function formatApplied (applied: readonly AppliedDocument[]): string {
+  return applied.map(({ manifest, spread }) => {
+    const inForce = spread.filter(one => one.isInForce)
+    const notYet = spread.filter(one => !one.isInForce)
+    return [
+      `${manifest.document} version ${manifest.version}, by ${manifest.operator}, change ${manifest.changeId}`,
+      `  in force on ${inForce.length} of ${spread.length}: ${inForce.map(one => one.instance).join(', ')}`,
+      ...notYet.map(one => `  not on ${one.instance} (${one.failureDomain}): ${one.reason ?? 'unknown'}`)
+    ].join('\n')
+  }).join('\n')
+}
+
+function describeRefusal (err: OperatorCallError): string {
+  const { error } = err
+  if (error?.kind === 'config') return ['Refused:', ...error.cause.problems.map(formatProblem)].join('\n')
+  if (error?.kind === 'unknown') return `The store did not answer. The change may be in force: apply again with --change ${error.changeId.replace(/-(base|sites\/.*)$/, '')}`
+  if (error?.kind === 'store') return `Not applied: ${error.cause.message}`
+  return err.message
+}
+
+function formatJson (value: unknown): string {
+  return JSON.stringify(value, null, 2)
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/commands/configApply.ts
@@ -0,0 +1,109 @@
+/** Applying the files of a directory: the changed ones, each against the version that the operator saw. */
+import { BASE_DOCUMENT } from '../config'
+import type { Manifest } from '../config'
+import { changesBetween, formatChange } from '../config/plan'
+import { resolveFleet } from '../config/resolveFleet'
+import type { ResolvedFleet } from '../config/resolveFleet'
+import type { DocumentBody } from '../config/body'
+import { OperatorCallError } from '../operators/client'
+import type { OperatorClient } from '../operators/client'
+import type { InstanceSpread } from '../operators/queries'
+import { createId } from '../utils'
+import { readCurrent } from './configDocuments'
+import type { PreparedFile } from './configDocuments'
+import type { DirectoryPlan } from './configPlan'
+
+export interface AppliedDocument {
+  manifest: Manifest
+  /** Where it is in force, and where not. */
+  spread: InstanceSpread[]
+}
+
+export interface ApplyOptions {
+  client: OperatorClient
+  plan: DirectoryPlan
+  note: string
+  /** Sent again with the same id, a change is accepted once. @default a new one for each document */
+  changeId?: string
+  /** How long to wait until the change is in force everywhere. */
+  waitMs: number
+}
+
+export async function applyFiles (options: ApplyOptions): Promise<AppliedDocument[]> {
+  const accepted = await acceptInOrder(options, options.plan.changed)
+  return await Promise.all(accepted.map(async manifest => ({
+    manifest,
+    spread: await options.client.spread(manifest.document, manifest.version, options.waitMs)
+  })))
+}
+
+/**
+ * The base goes first, since overlays name what it has. A base that takes away what an overlay still names
+ * is refused there, and goes after the overlays.
+ */
+async function acceptInOrder (options: ApplyOptions, files: readonly PreparedFile[]): Promise<Manifest[]> {
+  const base = files.filter(file => file.document === BASE_DOCUMENT)
+  const overlays = files.filter(file => file.document !== BASE_DOCUMENT)
+  try {
+    return await acceptAll(options, [...base, ...overlays])
+  } catch (err) {
+    const isContradiction = err instanceof OperatorCallError && err.error?.kind === 'config'
+    if (!isContradiction || base.length === 0 || overlays.length === 0) throw err
+    return await acceptAll(options, [...overlays, ...base])
+  }
+}
+
+async function acceptAll (options: ApplyOptions, files: readonly PreparedFile[]): Promise<Manifest[]> {
+  const accepted: Manifest[] = []
+  for (const file of files) {
+    accepted.push(await options.client.apply({
+      ...file.prepared,
+      document: file.document,
+      expectedVersion: expectedVersion(options.plan, file),
+      changeId: options.changeId === undefined ? createId('change') : `${options.changeId}-${file.document}`,
+      note: options.note
+    }))
+  }
+  return accepted
+}
+
+/** What the file says that it was exported from, else what the plan was worked out against. */
+export function expectedVersion (plan: DirectoryPlan, file: PreparedFile): number {
+  return file.version ?? plan.current.get(file.document)?.manifest.version ?? 0
+}
+
+/** Both sides of a conflict, each as what it changes in the version that the operator saw. */
+export async function describeConflict (client: OperatorClient, plan: DirectoryPlan, err: OperatorCallError): Promise<string | undefined> {
+  if (err.error?.kind !== 'conflict') return undefined
+  const { current, expectedVersion: seen } = err.error
+  const file = plan.changed.find(changed => changed.document === current.document)
+  const theirs = await readCurrent(client, current.document, current.version)
+  const before = seen === 0 ? undefined : await readCurrent(client, current.document, seen).catch(() => undefined)
+  const base = plan.current.get(BASE_DOCUMENT)?.body
+  const changes = (body: DocumentBody | undefined): string[] => describeChanges(base, before?.body, body)
+  return [
+    `Conflict on ${current.document}: you saw version ${seen}, version ${current.version} is there now.`,
+    '',
+    `Theirs, by ${current.operator} at ${new Date(current.acceptedAtMs).toISOString()}${current.note === '' ? '' : ` (${current.note})`}:`,
+    ...changes(theirs.body),
+    '',
+    'Yours:',
+    ...changes(file?.body),
+    '',
+    'Nothing of yours was applied. Export the newest version, make your change again, and apply.'
+  ].join('\n')
+}
+
+function describeChanges (base: DocumentBody | undefined, before: DocumentBody | undefined, after: DocumentBody | undefined): string[] {
+  const next = resolveBody(base, after)
+  if (after === undefined || next === undefined) return ['  not to be told']
+  const isFirstOverlay = before === undefined && after.document !== BASE_DOCUMENT
+  const changes = changesBetween(resolveBody(base, isFirstOverlay ? base : before), next)
+  return changes.length === 0 ? ['  no change'] : changes.map(change => `  ${formatChange(change)}`)
+}
+
+function resolveBody (base: DocumentBody | undefined, body: DocumentBody | undefined): ResolvedFleet | undefined {
+  if (base === undefined || body === undefined) return undefined
+  const resolved = body.document === BASE_DOCUMENT ? resolveFleet(body, undefined) : resolveFleet(base, body)
+  return resolved.ok ? resolved.val : undefined
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/commands/configDocuments.ts
@@ -0,0 +1,53 @@
+/** Documents of the fleet and of files, decoded for comparing. */
+import { sleep, createSystemClock } from '../clock'
+import type { Manifest } from '../config'
+import type { DocumentBody, PreparedDocument } from '../config/body'
+import type { ChunkContents } from '../config/documents'
+import { readHeld } from '../config/held'
+import { formatProblem } from '../config'
+import { ConfigFileError, prepareText } from '../operators/client'
+import type { OperatorClient } from '../operators/client'
+import type { ConfigFile } from './configFiles'
+
+export interface PreparedFile {
+  document: string
+  prepared: PreparedDocument
+  body: DocumentBody
+  version?: number
+}
+
+export interface CurrentDocument {
+  manifest: Manifest
+  body: DocumentBody
+}
+
+/** Checks a file. Throws {@link ConfigFileError} with all that is wrong with it. */
+export async function prepareFile ({ document, text, version }: ConfigFile): Promise<PreparedFile> {
+  const prepared = prepareText(document, text)
+  return { document, prepared, version, body: await bodyOf(document, prepared, prepared.chunks) }
+}
+
+export async function readCurrent (client: OperatorClient, document: string, version?: number): Promise<CurrentDocument> {
+  const { manifest, contents } = await client.document(document, version)
+  return { manifest, body: await bodyOf(document, manifest, contents) }
+}
+
+/** The newest version of every document. */
+export async function readAllCurrent (client: OperatorClient): Promise<Map<string, CurrentDocument>> {
+  const { documents } = await client.config()
+  const all = await Promise.all(documents.map(({ document }) => readCurrent(client, document)))
+  return new Map(all.map(current => [current.manifest.document, current]))
+}
+
+async function bodyOf (document: string, { core, adapters }: Pick<Manifest, 'core' | 'adapters'>, contents: ChunkContents): Promise<DocumentBody> {
+  const clock = createSystemClock()
+  const manifest: Manifest = { document, core, adapters, version: 1, changeId: '', operator: '', acceptedBy: '', acceptedAtMs: 0, fromVersion: 0, note: '' }
+  const held = await readHeld(manifest, undefined, new Map(Object.entries(contents)), () => sleep(clock, 0))
+  if (held.err) throw new ConfigFileError(held.val.problems.map(formatProblem).join('\n'))
+  return held.val.body
+}
+
+export function sameContent (file: PreparedFile, current: CurrentDocument | undefined): boolean {
+  if (current === undefined) return false
+  return [file.prepared.core, ...file.prepared.adapters].join() === [current.manifest.core, ...current.manifest.adapters].join()
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/commands/configFiles.ts
@@ -0,0 +1,57 @@
+/** The configuration as files: `base.toml`, and `sites/<site>.toml` beside it. */
+import { mkdir, readFile, readdir, writeFile } from 'node:fs/promises'
+import { dirname, join } from 'node:path'
+import { stringify } from 'smol-toml'
+import { BASE_DOCUMENT, fileOf, siteDocument } from '../config'
+import { entriesOf } from '../config/resolveFleet'
+import type { DocumentBody } from '../config/body'
+import { ConfigFileError } from '../operators/client'
+
+export interface ConfigFile {
+  document: string
+  text: string
+  /** The version that the file was exported from, if it says so. */
+  version?: number
+}
+
+const TOML_FILE = /^(.+)\.toml$/
+const VERSION_LINE = /^# magnoliabay version (\d+)$/m
+
+/** Every file there is under `directory`, the base first. */
+export async function readConfigFiles (directory: string): Promise<ConfigFile[]> {
+  const sites = (await readdir(join(directory, 'sites')).catch(() => []))
+    .flatMap(file => TOML_FILE.exec(file)?.[1] ?? [])
+    .sort()
+    .map(siteDocument)
+  return await Promise.all([BASE_DOCUMENT, ...sites].map(document => readConfigFile(directory, document)))
+}
+
+async function readConfigFile (directory: string, document: string): Promise<ConfigFile> {
+  const bytes = await readFile(join(directory, fileOf(document)))
+  const text = decodeText(document, bytes)
+  const version = VERSION_LINE.exec(text)?.[1]
+  return { document, text, version: version === undefined ? undefined : Number(version) }
+}
+
+/** Bytes that are no text would come out as other names than were meant. */
+function decodeText (document: string, bytes: Buffer): string {
+  try {
+    return new TextDecoder('utf-8', { fatal: true }).decode(bytes)
+  } catch {
+    throw new ConfigFileError(`${fileOf(document)}: found bytes that are not UTF-8, allowed is UTF-8 text`)
+  }
+}
+
+/** Writes one document; the version in its first line is what a later `apply` is compared with. */
+export async function writeConfigFile (directory: string, body: DocumentBody, version: number): Promise<string> {
+  const file = join(directory, fileOf(body.document))
+  await mkdir(dirname(file), { recursive: true })
+  await writeFile(file, formatDocument(body, version))
+  return file
+}
+
+export function formatDocument (body: DocumentBody, version: number): string {
+  const adapter = entriesOf(body.adapters)
+  const content = { ...body.core, ...(adapter.length > 0 && { adapter }) }
+  return `# magnoliabay version ${version}\n${stringify(content)}\n`
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/commands/connection.ts
@@ -0,0 +1,55 @@
+/** How the operators' commands find an instance and their key: flags, else the environment, else a file. */
+import { readFile } from 'node:fs/promises'
+import * as v from 'valibot'
+import { formatProblem, parseConfig } from '../config'
+import { createOperatorClient } from '../operators/client'
+import type { OperatorClient } from '../operators/client'
+import type { CommandContext, OptionDescription } from './types'
+
+export const CONNECTION_OPTIONS: Readonly<Record<string, OptionDescription>> = {
+  instance: { type: 'string', value: 'IP:PORT', description: "Operators' address of an instance; several with commas. Else MAGNOLIABAY_INSTANCE." },
+  'operator-key': { type: 'string', value: 'KEY', description: 'Your operator key. Else MAGNOLIABAY_OPERATOR_KEY.' },
+  ca: { type: 'string', value: 'FILE', description: "Authority of the instances' certificates, PEM; calls then go by TLS." },
+  client: { type: 'string', value: 'FILE', description: 'TOML with instances, operatorKey and ca. Else MAGNOLIABAY_CLIENT.' }
+}
+
+export const JSON_OPTION: Readonly<Record<string, OptionDescription>> = {
+  json: { type: 'boolean', description: 'Print JSON.' }
+}
+
+export const clientSchema = v.strictObject({
+  /** Operators' addresses, asked in turn when one cannot be reached. @default [] */
+  instances: v.optional(v.array(v.string()), []),
+  /** Your operator key. */
+  operatorKey: v.optional(v.string()),
+  /** File with the authority of the instances' certificates, PEM. */
+  ca: v.optional(v.string())
+})
+
+type ClientSettings = v.InferOutput<typeof clientSchema>
+
+/** What the user left out or got wrong; its message says how to give it. */
+export class UsageError extends Error {}
+
+export async function connect ({ values, env }: Pick<CommandContext, 'values' | 'env'>): Promise<OperatorClient> {
+  const fromFile = await readClientFile(textOf(values.client) ?? env.MAGNOLIABAY_CLIENT)
+  const instances = textOf(values.instance) ?? env.MAGNOLIABAY_INSTANCE
+  const addresses = instances === undefined ? fromFile.instances : instances.split(',')
+  const key = textOf(values['operator-key']) ?? env.MAGNOLIABAY_OPERATOR_KEY ?? fromFile.operatorKey
+  const caFile = textOf(values.ca) ?? fromFile.ca
+  if (addresses.length === 0) throw new UsageError('Say which instance to ask: --instance IP:PORT, or MAGNOLIABAY_INSTANCE.')
+  if (key === undefined) throw new UsageError('Give your operator key: --operator-key KEY, or MAGNOLIABAY_OPERATOR_KEY.')
+  const ca = caFile === undefined ? undefined : await readFile(caFile, 'utf8')
+  return createOperatorClient({ address: addresses, key, ca })
+}
+
+async function readClientFile (file: string | undefined): Promise<ClientSettings> {
+  if (file === undefined) return { instances: [] }
+  const parsed = parseConfig(file, await readFile(file, 'utf8'), clientSchema)
+  if (parsed.err) throw new UsageError(parsed.val.problems.map(formatProblem).join('\n'))
+  return parsed.val
+}
+
+function textOf (value: string | boolean | undefined): string | undefined {
+  return typeof value === 'string' ? value : undefined
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/commands/operatorCommands.ts
@@ -0,0 +1,183 @@
+/** The operators' commands on keys and instances, and what they can ask. */
+import { writeFile } from 'node:fs/promises'
+import type { EntryKind } from '../config/body'
+import { formatLogFields } from '../logger'
+import { SUBJECT_KINDS } from '../operators/decisionLog'
+import { isSubjectKind } from '../operators/explain'
+import type { Explanation } from '../operators/explain'
+import type { ConfigEntry, KeySummary } from '../operators/queries'
+import type { FleetStatus } from '../operators/status'
+import { renderReport } from '../report/html'
+import { formatReport } from '../report/table'
+import { CONNECTION_OPTIONS, JSON_OPTION, UsageError, connect } from './connection'
+import { formatTable } from './table'
+import { EXIT_DONE } from './types'
+import type { Command, CommandContext, ExitCode } from './types'
+
+const QUERY_OPTIONS = { ...CONNECTION_OPTIONS, ...JSON_OPTION }
+
+const KEY_ACTIONS: Readonly<Record<string, (context: CommandContext, argument: string | undefined) => Promise<ExitCode>>> = {
+  create: async (context, team) => {
+    if (team === undefined) throw new UsageError('Say for which team: magnoliabay key create TEAM')
+    const created = await (await connect(context)).createKey(team)
+    show(context, created, () => `key ${created.id} for ${created.team}, shown this once: ${created.key}`)
+    return EXIT_DONE
+  },
+  list: async (context, team) => {
+    const keys = await (await connect(context)).keys(team)
+    show(context, keys, () => formatTable(['key', 'team', 'created', 'withdrawn'], keys.map(keyRow)))
+    return EXIT_DONE
+  },
+  withdraw: async (context, keyId) => {
+    if (keyId === undefined) throw new UsageError('Say which key: magnoliabay key withdraw ID')
+    await (await connect(context)).withdrawKey(keyId)
+    show(context, { withdrawn: keyId }, () => `key ${keyId} is withdrawn`)
+    return EXIT_DONE
+  }
+}
+
+const keyCommand: Command = {
+  name: 'key',
+  summary: "Create, list or withdraw callers' keys.",
+  positionals: 'create TEAM | list [TEAM] | withdraw ID',
+  options: QUERY_OPTIONS,
+  run: async context => {
+    const [name = '', argument] = context.positionals
+    const action = KEY_ACTIONS[name]
+    if (action === undefined) throw new UsageError(`Say what to do: magnoliabay key ${Object.keys(KEY_ACTIONS).join(' | ')}`)
+    return await action(context, argument)
+  }
+}
+
+function entryCommand (kind: EntryKind): Command {
+  return {
+    name: kind,
+    summary: `Show the ${kind}s of the configuration in force, or one of them.`,
+    positionals: '[name]',
+    options: QUERY_OPTIONS,
+    run: async context => {
+      const list = await (await connect(context)).entries(kind, context.positionals[0])
+      const more = list.total > list.entries.length ? [`and ${list.total - list.entries.length} more`] : []
+      show(context, list, () => [formatEntries(list.entries), ...more].join('\n'))
+      return EXIT_DONE
+    }
+  }
+}
+
+const statusCommand: Command = {
+  name: 'status',
+  summary: 'Show instances, replicas, teams and the store, as one instance sees them.',
+  options: QUERY_OPTIONS,
+  run: async context => {
+    const status = await (await connect(context)).status()
+    show(context, status, () => formatStatus(status))
+    return EXIT_DONE
+  }
+}
+
+const explainCommand: Command = {
+  name: 'explain',
+  summary: 'Tell what was decided about a request, a model, a team or an order, and why.',
+  positionals: `${SUBJECT_KINDS.join('|')} ID`,
+  options: QUERY_OPTIONS,
+  run: async context => {
+    const [kind = '', id] = context.positionals
+    if (!isSubjectKind(kind) || id === undefined) throw new UsageError(`Say what to explain: magnoliabay explain ${SUBJECT_KINDS.join('|')} ID`)
+    const explanation = await (await connect(context)).explain(kind, id)
+    show(context, explanation, () => formatExplanation(explanation))
+    return EXIT_DONE
+  }
+}
+
+const auditCommand: Command = {
+  name: 'audit',
+  summary: 'Show who changed what, when, from which version.',
+  options: QUERY_OPTIONS,
+  run: async context => {
+    const records = await (await connect(context)).audit()
+    const rows = records.map(record => [new Date(record.atMs).toISOString(), record.operator, record.action, record.subject, record.detail, record.instance])
+    show(context, records, () => formatTable(['time', 'operator', 'action', 'subject', 'detail', 'at'], rows))
+    return EXIT_DONE
+  }
+}
+
+const drainCommand: Command = {
+  name: 'drain',
+  summary: 'Take an instance out of service: callers go elsewhere and what it holds goes to others. Then stop it.',
+  positionals: 'INSTANCE',
+  options: CONNECTION_OPTIONS,
+  run: async context => {
+    const [instance] = context.positionals
+    if (instance === undefined) throw new UsageError('Say which instance: magnoliabay drain INSTANCE')
+    await (await connect(context)).drain(instance)
+    context.print(`${instance} is drained; its open requests end by themselves. It may be stopped.`)
+    return EXIT_DONE
+  }
+}
+
+const reportCommand: Command = {
+  name: 'report',
+  summary: 'Show how fast service-level budgets burn, for each team and objective.',
+  options: { ...QUERY_OPTIONS, html: { type: 'string', value: 'FILE', description: 'Write a page with charts instead.' } },
+  run: async context => {
+    const report = await (await connect(context)).report()
+    const { html } = context.values
+    if (typeof html === 'string') {
+      await writeFile(html, renderReport(report))
+      context.print(html)
+      return EXIT_DONE
+    }
+    show(context, report, () => formatReport(report))
+    return EXIT_DONE
+  }
+}
+
+export const operatorCommands: readonly Command[] = [
+  keyCommand, entryCommand('team'), entryCommand('service'), entryCommand('model'), entryCommand('adapter'),
+  statusCommand, explainCommand, reportCommand, drainCommand, auditCommand
+]
+
+function show (context: CommandContext, value: unknown, format: () => string): void {
+  context.print(context.values.json === true ? JSON.stringify(value, null, 2) : format())
+}
+
+function keyRow ({ id, team, createdAtMs, withdrawnAtMs }: KeySummary): string[] {
+  const time = (ms: number | undefined): string => ms === undefined ? '' : new Date(ms).toISOString()
+  return [id, team, time(createdAtMs), time(withdrawnAtMs)]
+}
+
+function formatEntries (entries: readonly ConfigEntry[]): string {
+  if (entries.length === 0) return 'none'
+  const fields = Object.keys(entries[0]!)
+  const cellOf = (value: unknown): string => Array.isArray(value) ? value.join(' ') : typeof value === 'object' ? JSON.stringify(value) : String(value ?? '')
+  return formatTable(fields, entries.map(entry => fields.map(field => cellOf((entry as Record<string, unknown>)[field]))))
+}
+
+function formatStatus (status: FleetStatus): string {
+  const members = status.members.map(member => [
+    member.id, member.failureDomain, member.entryAddress, member.leaving ? 'leaving' : member.isConnected ? 'connected' : 'not reached'
+  ])
+  const replicas = status.replicas.map(replica => [replica.model, replica.engine, replica.address])
+  const teams = status.teams.map(team => [team.name, String(team.tokensPerSecond), String(team.burstTokens)])
+  const { answeredSecondsAgo, lastOutcome } = status.store
+  const answered = answeredSecondsAgo === undefined ? 'not answered yet' : `answered ${answeredSecondsAgo} s ago`
+  return [
+    `As seen by ${status.instance.id}; configuration ${status.documents.map(({ document, version }) => `${document} ${version}`).join(', ')}; store ${answered}, last call ${lastOutcome ?? 'none'}.`,
+    '',
+    formatTable(['instance', 'domain', 'entry', 'link'], members),
+    '',
+    formatTable(['model', 'engine', 'address'], replicas),
+    '',
+    formatTable(['team', 'tokens/s', 'burst'], teams)
+  ].join('\n')
+}
+
+function formatExplanation ({ kind, id, events, unheard }: Explanation): string {
+  const lines = events.map(({ atMs, instance, event, fields }) => {
+    const { instance: _own, ...others } = fields
+    return `${new Date(atMs).toISOString()} ${instance} ${event} ${formatLogFields(others)}`
+  })
+  const none = events.length === 0 ? [`No instance remembers anything about ${kind} ${id}; each keeps its last few thousand decisions.`] : []
+  const missing = unheard.length === 0 ? [] : [`Not asked, since they did not answer: ${unheard.join(', ')}`]
+  return [...lines, ...none, ...missing].join('\n')
+}
--- a/packages/magnoliabay/src/node/commands/types.ts
+++ b/packages/magnoliabay/src/node/commands/types.ts
@@ -19,6 +19,8 @@
 export interface CommandContext {
   values: Readonly<Record<string, string | boolean | undefined>>
   positionals: readonly string[]
+  /** Environment of the process. */
+  env: Readonly<Record<string, string | undefined>>
   logger: Logger
   print: (text: string) => void
   printError: (text: string) => void
--- a/packages/magnoliabay/src/node/entry/attempts.ts
+++ b/packages/magnoliabay/src/node/entry/attempts.ts
@@ -29,6 +29,9 @@
   metrics: Metrics
 }
 
+/** A request that waited longer than this for a replica counts as a cold start. */
+const COLD_WAIT_MS = 200
+
 export interface Attempts {
   run (req: EntryRequest, res: ServerResponse, completion: CompletionRequest): Promise<Outcome>
 }
@@ -38,6 +41,7 @@
 
   const attemptAt = async (attempt: Attempt): Promise<Result> => {
     const { tries, avoid, req, res, completion, onFirstByte } = attempt
+    const askedMs = clock.monotonic()
     const route = await routing.acquire({
       model: completion.model,
       deadlineMs: req.deadline.atMs,
@@ -45,6 +49,7 @@
       signal: req.deadline.signal
     })
     if (route.err) return { kind: 'no-route', failure: route.val }
+    req.seen.wasCold ||= clock.monotonic() - askedMs > COLD_WAIT_MS
     const { replica, release } = route.val
     const result = await relayCompletion(options.relay, {
       address: replica.address,
@@ -79,7 +84,10 @@
       const fingerprint = fingerprintOf(req.caller.team, completion.model, completion.body)
       const avoid = new Set<string>()
       const startedMs = clock.monotonic()
-      const onFirstByte = (): void => metrics.firstToken.observe({ start: 'any' }, (clock.monotonic() - startedMs) / MS_PER_SECOND)
+      const onFirstByte = (): void => {
+        req.seen.firstTokenMs = clock.monotonic() - req.seen.startedMs
+        metrics.firstToken.observe({ start: req.seen.wasCold ? 'cold' : 'warm' }, (clock.monotonic() - startedMs) / MS_PER_SECOND)
+      }
       let last: Failure = refusal('no_capacity', 'No engine could take the request.', 1)
       retryBudget.noteFirstAttempt()
       for (let tries = 0; tries < MAX_ATTEMPTS; tries += 1) {
--- a/packages/magnoliabay/src/node/entry/completions.ts
+++ b/packages/magnoliabay/src/node/entry/completions.ts
@@ -33,6 +33,7 @@
     const { conclude } = req.trail
     const parsed = parseCompletion(req.rawBody, options.defaultMaxTokens)
     if (parsed.err) return conclude(parsed.val)
+    req.seen.model = parsed.val.model
     const refused = check(req, parsed.val)
     if (refused !== undefined) return conclude(refused)
     const reservation = await allowance.reserve(req.caller.team, parsed.val.reservedTokens)
--- a/packages/magnoliabay/src/node/entry/conclude.ts
+++ b/packages/magnoliabay/src/node/entry/conclude.ts
@@ -9,6 +9,7 @@
 import type { LogFields, Logger } from '../logger'
 import type { Metrics } from '../metrics'
 import type { Outcome } from '../outcomes'
+import type { Report } from '../report'
 import { messageOf } from '../utils'
 import type { AbortReason } from './deadline'
 import { sendFailure } from './respond'
@@ -18,6 +19,7 @@
   clock: Clock
   logger: Logger
   metrics: Metrics
+  report: Pick<Report, 'observe'>
 }
 
 /** Carries a request out. A returned `answered` means that the handler has sent the whole answer. */
@@ -51,17 +53,21 @@
   }
   return async function conclude (req, res) {
     const startedMs = clock.monotonic()
+    req.seen = { startedMs, wasCold: false }
     metrics.openRequests.inc()
     const outcome = asTold(req, await runSafely(req, res))
     metrics.openRequests.dec()
     const code = outcome.kind === 'answered' ? 'ok' : outcome.failure.code
     if (outcome.kind !== 'answered') sendFailure(res, outcome.failure, req.requestId)
+    options.report.observe({ ...req.seen, team: req.caller.team, outcome: outcome.kind, code })
     metrics.requests.inc({ outcome: outcome.kind, code, team: req.caller.team })
     logger.info('request-ended', {
       request: req.requestId,
       team: req.caller.team,
+      model: req.seen.model,
       outcome: outcome.kind,
       code,
+      cold: req.seen.wasCold || undefined,
       reason: outcome.kind === 'answered' ? undefined : outcome.failure.message,
       tookMs: Math.round(clock.monotonic() - startedMs),
       ...describe(req)
--- a/packages/magnoliabay/src/node/entry/index.ts
+++ b/packages/magnoliabay/src/node/entry/index.ts
@@ -15,6 +15,7 @@
 import type { Metrics } from '../metrics'
 import type { Once } from '../once'
 import { createCrashCheck, createRetryBudget, createSuspects } from '../outcomes'
+import type { Report } from '../report'
 import type { Routing } from '../routing'
 import { messageOf, parseHostPort } from '../utils'
 import { answerBadInput } from './badInput'
@@ -51,6 +52,7 @@
   clock: Clock
   logger: Logger
   metrics: Metrics
+  report: Pick<Report, 'observe'>
   isReady: () => boolean
 }
 
--- a/packages/magnoliabay/src/node/entry/types.ts
+++ b/packages/magnoliabay/src/node/entry/types.ts
@@ -4,6 +4,16 @@
 import type { Trail } from '../outcomes'
 import type { AbortableDeadline } from './deadline'
 
+export interface RequestSeen {
+  /** Monotonic, milliseconds. */
+  startedMs: number
+  model?: string
+  /** From the start to the first byte of the answer. */
+  firstTokenMs?: number
+  /** Whether it had to wait for a replica to be loaded. */
+  wasCold: boolean
+}
+
 export interface EntryRequest extends IncomingMessage {
   requestId: string
   caller: Caller
@@ -11,6 +21,8 @@
   deadline: AbortableDeadline
   /** What became of the request so far. */
   trail: Trail
+  /** What the report and `explain` are told when the request ends. */
+  seen: RequestSeen
   /** Set by polka. */
   params: Record<string, string>
   path: string
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -17,9 +17,14 @@
 import { createOperators } from './operators'
 import { auditWrite } from './operators/audit'
 import { createOperatorCommands } from './operators/commands'
+import { createDecisionLog } from './operators/decisionLog'
+import { createDrain } from './operators/drain'
+import { createExplain } from './operators/explain'
 import { createOperatorQueries } from './operators/queries'
 import { createBudgetedStore } from './platform'
+import { createStatus, createStoreWatch } from './operators/status'
 import type { InstanceList, PutOperation, Store, StoreCallReport } from './platform'
+import { createReport } from './report'
 import { createRouting } from './routing'
 import { createShutdown } from './shutdown'
 import { createId } from './utils'
@@ -43,7 +48,8 @@
 export function createInstance (options: InstanceOptions): Instance {
   const { settings, clock } = options
   const { id, region, failureDomain, peerAddress, entryAddress, operatorAddress } = settings.instance
-  const logger = options.logger.with({ instance: id })
+  const decisions = createDecisionLog({ instance: id, clock })
+  const logger = decisions.wrap(options.logger.with({ instance: id }))
   const self: MemberRecord = {
     id,
     incarnation: createId(id),
@@ -58,7 +64,11 @@
   const stop = new AbortController()
   const metrics = createMetrics()
   const { callsPerSecond, burstCalls } = settings.platform
-  const onCall = ({ priority, outcome }: StoreCallReport): void => metrics.storeCalls.inc({ priority, outcome })
+  const storeWatch = createStoreWatch(clock)
+  const onCall = (call: StoreCallReport): void => {
+    storeWatch.note(call)
+    metrics.storeCalls.inc({ priority: call.priority, outcome: call.outcome })
+  }
   const store = createBudgetedStore(options.store, { callsPerSecond, burstCalls, clock, onCall })
   const pools = createPools(null)
   const engines = createEngineClient()
@@ -76,7 +86,8 @@
   const cells = createCells({ store, peers, membership, directory, engines, cfg, clock, logger })
   const routing = createRouting({ cells, clock })
   const isReady = (): boolean => cfg.inForce().version > 0 && membership.leaseId() !== undefined && !self.leaving
-  const entry = createEntry({ settings, cfg, keyring, allowance, routing, directory, once, pools, engines, peers, clock, logger, metrics, isReady })
+  const report = createReport({ cfg, peers, registry: metrics.registry, clock })
+  const entry = createEntry({ report, settings, cfg, keyring, allowance, routing, directory, once, pools, engines, peers, clock, logger, metrics, isReady })
   const audit = (manifest: Manifest): PutOperation => auditWrite({
     atMs: manifest.acceptedAtMs,
     operator: manifest.operator,
@@ -86,15 +97,20 @@
     instance: id
   })
   const acceptor = createAcceptor({ store, peers, holder: cfg, audit, clock, logger })
-  const commands = createOperatorCommands({ store, keyring, cfg, acceptor, peers, clock })
+  const handOver = async (): Promise<void> => {
+    report.handOver()
+    await cells.handOver()
+  }
+  const leave = async (): Promise<void> => {
+    await membership.announceLeaving()
+    await handOver()
+  }
+  const drain = createDrain({ peers, logger, leave })
+  const commands = createOperatorCommands({ store, keyring, cfg, acceptor, drain, peers, clock })
   const queries = createOperatorQueries({ store, cfg, peers, clock })
-  const status = (): object => ({
-    instance: self,
-    members: peers.members(),
-    config: cfg.inForce().version,
-    replicas: cells.replicas.all()
-  })
-  const operators = createOperators({ settings, commands, queries, status, clock, logger })
+  const { explain } = createExplain({ peers, decisions })
+  const status = createStatus({ peers, cfg, replicas: cells.replicas, store: storeWatch })
+  const operators = createOperators({ settings, commands, queries, status, explain, report, clock, logger })
 
   return {
     member: self,
@@ -116,7 +132,7 @@
       ...settings.shutdown,
       steps: {
         leave: membership.announceLeaving,
-        handOver: cells.handOver,
+        handOver,
         drain: entry.close,
         finish: async () => {
           await once.settled()
--- a/packages/magnoliabay/src/node/operators/client.ts
+++ b/packages/magnoliabay/src/node/operators/client.ts
@@ -1,17 +1,24 @@
 /** Client of the operators' interface, for the command line and the embedded default. */
-import { request } from 'undici'
+import { Agent, request } from 'undici'
+import type { Dispatcher } from 'undici'
 import { BASE_DOCUMENT, formatProblem, parseTomlText, prepareDocument } from '../config'
 import type { Manifest } from '../config'
-import type { PreparedDocument } from '../config/body'
+import type { EntryKind, PreparedDocument } from '../config/body'
+import type { BurnReport } from '../report'
 import { createId } from '../utils'
 import type { AuditRecord } from './audit'
 import type { OperatorError } from './commands'
-import type { ConfigOverview, DocumentContents, InstanceSpread, KeySummary } from './queries'
+import type { SubjectKind } from './decisionLog'
+import type { Explanation } from './explain'
+import type { ConfigOverview, DocumentContents, EntryList, InstanceSpread, KeySummary } from './queries'
+import type { FleetStatus } from './status'
 
 export interface OperatorClientOptions {
-  /** `ip:port` of any instance's operators' interface. */
-  address: string
+  /** `ip:port` of the operators' interface of an instance, or of several: the next is asked when one cannot be reached. */
+  address: string | readonly string[]
   key: string
+  /** PEM of the authority of the instances' certificates; given, calls go by TLS. */
+  ca?: string
 }
 
 export interface CreatedKey {
@@ -28,12 +35,20 @@
   }
 }
 
+/** No instance could be reached. */
+export class NoInstanceError extends Error {
+  constructor (readonly addresses: readonly string[], cause: unknown) {
+    super(`No instance can be reached at ${addresses.join(', ')}.`, { cause })
+  }
+}
+
 /** A file that does not pass its check; nothing was sent. */
 export class ConfigFileError extends Error {}
 
 export interface PreparedChange extends PreparedDocument {
   document: string
   expectedVersion: number
+  /** The same change sent again, to any instance, is accepted once. */
   changeId: string
   note: string
 }
@@ -46,24 +61,54 @@
   applyConfig (text: string): Promise<number>
   apply (change: PreparedChange): Promise<Manifest>
   config (): Promise<ConfigOverview>
+  /** The newest version, or the one given. */
   document (document: string, version?: number): Promise<DocumentContents>
   history (document: string): Promise<Manifest[]>
   spread (document: string, version: number, timeoutMs: number): Promise<InstanceSpread[]>
+  entries (kind: EntryKind, name?: string): Promise<EntryList>
+  explain (kind: SubjectKind, id: string): Promise<Explanation>
+  report (): Promise<BurnReport>
+  drain (instance: string): Promise<void>
   audit (): Promise<AuditRecord[]>
-  status (): Promise<unknown>
+  status (): Promise<FleetStatus>
 }
 
+type Method = 'GET' | 'POST' | 'PUT'
+
+/** Failures after which the next instance may be asked: this one never got the call. */
+const NEVER_REACHED = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+/** Calls that may be sent twice: queries, and a change, which carries its id. */
+const REPEATABLE: ReadonlySet<Method> = new Set(['GET', 'PUT'])
+
 export function createOperatorClient (options: OperatorClientOptions): OperatorClient {
-  const call = async <T>(method: 'GET' | 'POST' | 'PUT', path: string, body?: object): Promise<T> => {
-    const res = await request(`http://${options.address}${path}`, {
+  const addresses = [options.address].flat()
+  const scheme = options.ca === undefined ? 'http' : 'https'
+  const dispatcher: Dispatcher | undefined = options.ca === undefined ? undefined : new Agent({ connect: { ca: options.ca } })
+
+  const callAt = async <T>(address: string, method: Method, path: string, body?: object): Promise<T> => {
+    const res = await request(`${scheme}://${address}${path}`, {
       method,
       body: body === undefined ? undefined : JSON.stringify(body),
-      headers: { authorization: `Bearer ${options.key}`, 'content-type': 'application/json' }
+      headers: { authorization: `Bearer ${options.key}`, 'content-type': 'application/json' },
+      dispatcher
     })
     const answer = await res.body.json()
     if (res.statusCode !== 200) throw new OperatorCallError(res.statusCode, (answer as { error?: OperatorError }).error, answer)
     return answer as T
   }
+  const call = async <T>(method: Method, path: string, body?: object): Promise<T> => {
+    let cause: unknown
+    for (const address of addresses) {
+      try {
+        return await callAt<T>(address, method, path, body)
+      } catch (err) {
+        const isSafe = REPEATABLE.has(method) || NEVER_REACHED.has((err as { code?: string }).code ?? '')
+        if (err instanceof OperatorCallError || !isSafe) throw err
+        cause = err
+      }
+    }
+    throw new NoInstanceError(addresses, cause)
+  }
   const get = <T>(path: string, query: Record<string, string | number | undefined> = {}): Promise<T> =>
     call<T>('GET', withQuery(path, query))
 
@@ -87,6 +132,10 @@
     document: (document, version) => get('/operator/config/document', { document, version }),
     history: document => get('/operator/config/history', { document }),
     spread: (document, version, timeoutMs) => get('/operator/config/spread', { document, version, timeoutMs }),
+    entries: (kind, name) => get(`/operator/entries/${kind}`, { name }),
+    explain: (kind, id) => get(`/operator/explain/${kind}/${encodeURIComponent(id)}`),
+    report: () => get('/operator/report'),
+    drain: async instance => { await call('POST', `/operator/drain/${encodeURIComponent(instance)}`) },
     audit: () => get('/operator/audit'),
     status: () => get('/operator/status')
   }
--- a/packages/magnoliabay/src/node/operators/commands.ts
+++ b/packages/magnoliabay/src/node/operators/commands.ts
@@ -2,14 +2,16 @@
 import { createKey, KEYS_PREFIX } from '../admission'
 import type { KeyRecord, Keyring, NewKey } from '../admission'
 import type { Clock } from '../clock'
+import { sleep } from '../clock'
 import type { Acceptor, ApplyError, ApplyRequest, ConfigHolder, Manifest } from '../config'
-import type { Peers } from '../members'
+import type { PeerError, Peers } from '../members'
 import type { Store, StoreError } from '../platform'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
 import { parseJson } from '../utils'
 import { auditWrite, dropOldAudit } from './audit'
 import type { AuditAction } from './audit'
+import type { Drain } from './drain'
 
 export type OperatorError =
   | { kind: 'store', cause: StoreError }
@@ -17,6 +19,7 @@
   | { kind: 'unknown-team', team: string }
   | { kind: 'unknown-version', document: string, version: number }
   | { kind: 'bad-request', message: string }
+  | { kind: 'not-drained', instance: string, cause: PeerError }
   | ApplyError
 
 export interface OperatorCommands {
@@ -24,6 +27,8 @@
   /** Takes effect on every reachable instance at once, also while the store is dark; then the store is told. */
   withdrawKey (keyId: string, operator: string): Promise<Result<KeyRecord, OperatorError>>
   applyConfig (req: ApplyRequest): Promise<Result<Manifest, OperatorError>>
+  /** The instance leaves `locate` and hands over what it holds; its process goes on. */
+  drain (instance: string, operator: string): Promise<Result<{ instance: string }, OperatorError>>
 }
 
 export interface OperatorCommandsOptions {
@@ -31,10 +36,14 @@
   keyring: Keyring
   cfg: ConfigHolder
   acceptor: Acceptor
+  drain: Drain
   peers: Peers
   clock: Clock
 }
 
+const TEAM_WAIT_MS = 2000
+const TEAM_POLL_MS = 50
+
 export function createOperatorCommands (options: OperatorCommandsOptions): OperatorCommands {
   const { store, keyring, clock } = options
 
@@ -49,9 +58,15 @@
     dropOldAudit(store)
     return Ok(key)
   }
+  /** A team may have been accepted at another instance a moment ago. */
+  const isTeamInForce = async (team: string): Promise<boolean> => {
+    const startedMs = clock.monotonic()
+    while (options.cfg.team(team) === undefined && clock.monotonic() - startedMs < TEAM_WAIT_MS) await sleep(clock, TEAM_POLL_MS)
+    return options.cfg.team(team) !== undefined
+  }
   return {
     createKey: async (team, operator) => {
-      if (options.cfg.team(team) === undefined) return Err({ kind: 'unknown-team', team })
+      if (!await isTeamInForce(team)) return Err({ kind: 'unknown-team', team })
       const created = createKey(team, clock.now())
       const written = await putKey(created.record, record(operator, 'key-created', created.record.id, `team ${team}`))
       return written.map(() => created)
@@ -65,6 +80,12 @@
       const withdrawn = { ...before, withdrawnAtMs: before.withdrawnAtMs ?? clock.now() }
       return await putKey(withdrawn, record(operator, 'key-withdrawn', keyId, `team ${before.team}`))
     },
+    drain: async (instance, operator) => {
+      const drained = await options.drain.drain(instance, operator)
+      if (drained.err) return Err({ kind: 'not-drained', instance, cause: drained.val })
+      await store.transact({ compares: [], writes: [record(operator, 'drained', instance, '')] }, { priority: 'config' })
+      return Ok(drained.val)
+    },
     applyConfig: async req => {
       const applied = await options.acceptor.apply(req)
       if (applied.ok) dropOldAudit(store)
--- a/packages/magnoliabay/src/node/operators/queries.ts
+++ b/packages/magnoliabay/src/node/operators/queries.ts
@@ -3,7 +3,8 @@
 import type { KeyRecord } from '../admission'
 import type { Clock } from '../clock'
 import { sleep } from '../clock'
-import type { ConfigHolder, DocumentVersion, Manifest } from '../config'
+import type { AdapterConfig, ConfigHolder, DocumentVersion, Manifest, ModelConfig, ServiceConfig, TeamConfig } from '../config'
+import type { EntryKind } from '../config/body'
 import { readHeads, readHistory, readManifest, readVersion } from '../config/queries'
 import { configInForce } from '../config/spread'
 import type { Peers } from '../members'
@@ -42,6 +43,25 @@
 /** A key as operators may see it: without its digest. */
 export type KeySummary = Omit<KeyRecord, 'digest'>
 
+export type ConfigEntry = TeamConfig | ModelConfig | AdapterConfig | ServiceConfig
+
+export interface EntryList {
+  version: number
+  /** Entries there are, also those left out. */
+  total: number
+  entries: readonly ConfigEntry[]
+}
+
+/** 80,000 adapters are no answer to anybody. */
+const MAX_ENTRIES = 1000
+
+const FINDERS: Record<EntryKind, (cfg: ConfigHolder, name: string) => ConfigEntry | undefined> = {
+  team: (cfg, name) => cfg.team(name),
+  model: (cfg, name) => cfg.model(name),
+  adapter: (cfg, name) => cfg.adapter(name),
+  service: (cfg, name) => cfg.service(name)
+}
+
 export interface OperatorQueries {
   config (): Promise<Result<ConfigOverview, OperatorError>>
   /** Version 0 stands for the newest. */
@@ -50,6 +70,8 @@
   /** Where the version is in force; waits for that up to `timeoutMs`. */
   spread (document: string, version: number, timeoutMs: number): Promise<InstanceSpread[]>
   keys (team: string | undefined): Promise<Result<KeySummary[], OperatorError>>
+  /** Entries in force on the instance that answers; of one name, or the first ones. */
+  entries (kind: EntryKind, name: string | undefined): EntryList
   audit (): Promise<Result<AuditRecord[], OperatorError>>
 }
 
@@ -125,6 +147,11 @@
         .filter(record => team === undefined || record.team === team)
         .map(({ digest, ...summary }) => summary))
     },
+    entries: (kind, name) => {
+      const { version, fleet } = cfg.inForce()
+      const all: readonly ConfigEntry[] = name === undefined ? fleet[kind] : [FINDERS[kind](cfg, name) ?? []].flat()
+      return { version, total: all.length, entries: all.slice(0, MAX_ENTRIES) }
+    },
     audit: async () => (await readAudit(store)).mapErr(storeError)
   }
 }
--- a/packages/magnoliabay/src/node/operators/routes.ts
+++ b/packages/magnoliabay/src/node/operators/routes.ts
@@ -2,12 +2,17 @@
 import type { ServerResponse } from 'node:http'
 import * as v from 'valibot'
 import { isDocumentName } from '../config'
+import { ENTRY_KINDS } from '../config/body'
 import { sendJson } from '../entry/respond'
+import type { Report } from '../report'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
 import { parseJson } from '../utils'
 import type { OperatorRequest } from './authenticate'
 import type { OperatorCommands, OperatorError } from './commands'
+import { SUBJECT_KINDS } from './decisionLog'
+import { isSubjectKind } from './explain'
+import type { Explain } from './explain'
 import type { OperatorQueries } from './queries'
 
 const STATUS_OF_ERROR: Record<OperatorError['kind'], number> = {
@@ -19,7 +24,8 @@
   'unknown-key': 404,
   'unknown-team': 404,
   'unknown-version': 404,
-  'bad-request': 400
+  'bad-request': 400,
+  'not-drained': 502
 }
 
 const DEFAULT_SPREAD_TIMEOUT_MS = 10_000
@@ -47,9 +53,11 @@
   commands: OperatorCommands
   queries: OperatorQueries
   status: () => object
+  explain: Explain['explain']
+  report: Pick<Report, 'read'>
 }
 
-export function operatorRoutes ({ commands, queries, status }: RouteOptions): OperatorRoute[] {
+export function operatorRoutes ({ commands, queries, status, explain, report }: RouteOptions): OperatorRoute[] {
   return [
     {
       method: 'POST',
@@ -74,6 +82,26 @@
         sendJson(res, 200, await queries.spread(documentOf(req), versionOf(req), timeoutMs))
       }
     },
+    {
+      method: 'GET',
+      path: '/operator/explain/:kind/:id',
+      handle: async (req, res) => {
+        const { kind = '', id = '' } = req.params
+        if (isSubjectKind(kind)) return sendJson(res, 200, await explain(kind, decodeURIComponent(id)))
+        reply(res, Err({ kind: 'bad-request', message: `explain takes one of ${SUBJECT_KINDS.join(', ')}` }))
+      }
+    },
+    { method: 'POST', path: '/operator/drain/:instance', handle: async (req, res) => reply(res, await commands.drain(req.params.instance!, req.operator)) },
+    {
+      method: 'GET',
+      path: '/operator/entries/:kind',
+      handle: (req, res) => {
+        const kind = ENTRY_KINDS.find(candidate => candidate === req.params.kind)
+        if (kind !== undefined) return sendJson(res, 200, queries.entries(kind, req.query.name))
+        reply(res, Err({ kind: 'bad-request', message: `entries are of one of ${ENTRY_KINDS.join(', ')}` }))
+      }
+    },
+    { method: 'GET', path: '/operator/report', handle: async (_req, res) => sendJson(res, 200, await report.read()) },
     { method: 'GET', path: '/operator/audit', handle: async (_req, res) => reply(res, await queries.audit()) },
     { method: 'GET', path: '/operator/status', handle: (_req, res) => sendJson(res, 200, status()) }
   ]
--- /dev/null
+++ b/packages/magnoliabay/src/node/operators/status.ts
@@ -0,0 +1,75 @@
+/** What `status` shows: this instance's view of the fleet. */
+import type { ReplicaEntry } from '../cells'
+import type { ConfigHolder, DocumentVersion } from '../config'
+import type { MemberRecord, Peers } from '../members'
+import type { StoreCallReport } from '../platform'
+import type { Clock } from '../clock'
+
+export interface MemberStatus {
+  id: string
+  failureDomain: string
+  entryAddress: string
+  operatorAddress: string
+  leaving: boolean
+  /** Whether the instance that answers has a link to it. */
+  isConnected: boolean
+}
+
+export interface StoreStatus {
+  /** Seconds since a call was answered; undefined before the first. */
+  answeredSecondsAgo?: number
+  /** Outcome of the last call. */
+  lastOutcome?: string
+}
+
+export interface FleetStatus {
+  instance: MemberRecord
+  members: MemberStatus[]
+  config: number
+  documents: readonly DocumentVersion[]
+  replicas: readonly ReplicaEntry[]
+  teams: Array<{ name: string, tokensPerSecond: number, burstTokens: number }>
+  store: StoreStatus
+}
+
+export interface StoreWatch {
+  note (call: StoreCallReport): void
+  read (): StoreStatus
+}
+
+export function createStoreWatch (clock: Clock): StoreWatch {
+  let answeredMs: number | undefined
+  let lastOutcome: string | undefined
+  return {
+    note: ({ outcome }) => {
+      lastOutcome = outcome
+      if (outcome === 'ok') answeredMs = clock.monotonic()
+    },
+    read: () => ({
+      answeredSecondsAgo: answeredMs === undefined ? undefined : Math.round((clock.monotonic() - answeredMs) / 1000),
+      lastOutcome
+    })
+  }
+}
+
+export interface StatusOptions {
+  peers: Peers
+  cfg: ConfigHolder
+  replicas: { all (): readonly ReplicaEntry[] }
+  store: StoreWatch
+}
+
+export function createStatus (options: StatusOptions): () => FleetStatus {
+  const { peers, cfg } = options
+  return () => ({
+    instance: peers.self,
+    members: peers.members().map(({ id, failureDomain, entryAddress, operatorAddress, leaving }) => ({
+      id, failureDomain, entryAddress, operatorAddress, leaving, isConnected: peers.isConnected(id)
+    })),
+    config: cfg.inForce().version,
+    documents: cfg.inForce().documents,
+    replicas: options.replicas.all(),
+    teams: cfg.inForce().fleet.team.map(({ name, tokensPerSecond, burstTokens }) => ({ name, tokensPerSecond, burstTokens })),
+    store: options.store.read()
+  })
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/report/counts.ts
@@ -0,0 +1,124 @@
+/**
+ * Good and bad requests in buckets of time, for each team and objective: by minute for six hours, by half
+ * hour for three days. 8 KB for each pair that was ever seen here, whatever the load.
+ */
+import type { ObjectiveName } from './objectives'
+
+export const MINUTE_MS = 60_000
+export const HOUR_MS = 60 * MINUTE_MS
+export const FINE_BUCKET_MS = MINUTE_MS
+export const COARSE_BUCKET_MS = 30 * MINUTE_MS
+const FINE_BUCKETS = 360
+const COARSE_BUCKETS = 144
+
+export interface Tally {
+  good: number
+  bad: number
+}
+
+/** A bucket by its number since the epoch, so that counts of several instances add up. */
+export type BucketTally = readonly [bucket: number, good: number, bad: number]
+
+export interface SeriesCounts {
+  team: string
+  objective: ObjectiveName
+  fine: BucketTally[]
+  coarse: BucketTally[]
+}
+
+export interface Counts {
+  add (team: string, objective: ObjectiveName, isGood: boolean): void
+  /** Adds counts of another instance. */
+  merge (series: readonly SeriesCounts[]): void
+  /** Sum over the last `windowMs`. */
+  sum (team: string, objective: ObjectiveName, windowMs: number): Tally
+  /** Half hours, the oldest first; empty ones are left out. */
+  coarse (team: string, objective: ObjectiveName): BucketTally[]
+  series (): SeriesCounts[]
+}
+
+interface Ring {
+  bucketMs: number
+  good: Uint32Array
+  bad: Uint32Array
+  /** Number of the newest bucket. */
+  newest: number
+}
+
+interface Series {
+  team: string
+  objective: ObjectiveName
+  fine: Ring
+  coarse: Ring
+}
+
+export function createCounts (now: () => number): Counts {
+  const all = new Map<string, Series>()
+
+  const seriesOf = (team: string, objective: ObjectiveName): Series => {
+    const key = `${objective} ${team}`
+    const known = all.get(key)
+    if (known !== undefined) return known
+    const series = { team, objective, fine: createRing(FINE_BUCKET_MS, FINE_BUCKETS), coarse: createRing(COARSE_BUCKET_MS, COARSE_BUCKETS) }
+    all.set(key, series)
+    return series
+  }
+  const find = (team: string, objective: ObjectiveName): Series | undefined => all.get(`${objective} ${team}`)
+
+  return {
+    add: (team, objective, isGood) => {
+      const { fine, coarse } = seriesOf(team, objective)
+      const atMs = now()
+      for (const ring of [fine, coarse]) {
+        addTo(ring, Math.floor(atMs / ring.bucketMs), isGood ? 1 : 0, isGood ? 0 : 1)
+      }
+    },
+    merge: series => series.forEach(({ team, objective, fine, coarse }) => {
+      const own = seriesOf(team, objective)
+      fine.forEach(([bucket, good, bad]) => addTo(own.fine, bucket, good, bad))
+      coarse.forEach(([bucket, good, bad]) => addTo(own.coarse, bucket, good, bad))
+    }),
+    sum: (team, objective, windowMs) => {
+      const series = find(team, objective)
+      if (series === undefined) return { good: 0, bad: 0 }
+      return sumOf(windowMs <= FINE_BUCKET_MS * FINE_BUCKETS ? series.fine : series.coarse, now(), windowMs)
+    },
+    coarse: (team, objective) => {
+      const series = find(team, objective)
+      return series === undefined ? [] : tallies(series.coarse)
+    },
+    series: () => [...all.values()].map(({ team, objective, fine, coarse }) => ({ team, objective, fine: tallies(fine), coarse: tallies(coarse) }))
+  }
+}
+
+function createRing (bucketMs: number, buckets: number): Ring {
+  return { bucketMs, good: new Uint32Array(buckets), bad: new Uint32Array(buckets), newest: 0 }
+}
+
+function addTo (ring: Ring, bucket: number, good: number, bad: number): void {
+  const size = ring.good.length
+  if (bucket <= ring.newest - size) return
+  for (let next = Math.max(ring.newest + 1, bucket - size + 1); next <= bucket; next += 1) {
+    ring.good[next % size] = 0
+    ring.bad[next % size] = 0
+  }
+  ring.newest = Math.max(ring.newest, bucket)
+  ring.good[bucket % size]! += good
+  ring.bad[bucket % size]! += bad
+}
+
+function sumOf (ring: Ring, nowMs: number, windowMs: number): Tally {
+  const current = Math.floor(nowMs / ring.bucketMs)
+  const oldest = current - Math.ceil(windowMs / ring.bucketMs) + 1
+  return tallies(ring)
+    .filter(([bucket]) => bucket >= oldest && bucket <= current)
+    .reduce((sum, [, good, bad]) => ({ good: sum.good + good, bad: sum.bad + bad }), { good: 0, bad: 0 })
+}
+
+function tallies (ring: Ring): BucketTally[] {
+  const size = ring.good.length
+  return Array.from({ length: Math.min(size, ring.newest) }, (_, age) => ring.newest - age)
+    .reverse()
+    .map((bucket): BucketTally => [bucket, ring.good[bucket % size]!, ring.bad[bucket % size]!])
+    .filter(([, good, bad]) => good + bad > 0)
+}
