--- /dev/null
+++ b/bench/decusum/index.ts
@@ -0,0 +1,132 @@
+/**
+ * Finding a backend server that has become slow, where each probe costs: DE-CuSum against simpler ways,
+ * at equal false alarms and, before the change, equal probes. The conclusion is in docs/decusum.md.
+ */
+import { createRandom } from '@magnoliabay/standins'
+import { createCorrelatedNormal, createLogLikelihoodRatio, createNormal, latencyOf } from './latency'
+import type { LatencyModel } from './latency'
+import { byCoin, createCusum, createDeCusum, createDeadline, createFollowUpCusum, everyNth } from './policies'
+import type { Detector } from './policies'
+import { runChange, runQuiet, solve } from './simulate'
+import type { Detection, LatencySource } from './simulate'
+
+const SEED = 2920
+const MODEL: LatencyModel = { medianMs: 20, sigma: 0.5 }
+/** The slowdown that the likelihood ratio is made for. */
+const ASSUMED_SLOWDOWN = 2
+const SLOWDOWNS = [1.5, 2, 4]
+const SLOTS_PER_FALSE_ALARM = 20_000
+const CALIBRATION_SLOTS = 1_500_000
+const SOLVE_STEPS = 11
+const CHANGE_RUNS = 2_000
+/** Slots before the change: a fixed part to settle, and a random one. */
+const SETTLE_SLOTS = 200
+const CHANGE_LIMIT = 20_000
+const FLOOR = 10
+const LOAD_CORRELATION = 0.6
+const PROBED_SHARES = [0.5, 0.2, 0.05]
+
+interface Policy {
+  name: string
+  /** A rising setting means rarer alarms. */
+  create: (setting: number, random: () => number) => Detector
+  range: [number, number]
+}
+
+const ratio = createLogLikelihoodRatio(MODEL, ASSUMED_SLOWDOWN)
+const CUSUM_RANGE: [number, number] = [0.5, 16]
+const DEADLINE_RANGE: [number, number] = [MODEL.medianMs, 40 * MODEL.medianMs]
+
+const quietSource = (random: () => number): LatencySource => {
+  const normal = createNormal(random)
+  return () => latencyOf(MODEL, 1, normal())
+}
+const slowSource = (random: () => number, slowdown: number): LatencySource => {
+  const normal = createNormal(random)
+  return () => latencyOf(MODEL, slowdown, normal())
+}
+const burstySource = (random: () => number): LatencySource => {
+  const normal = createCorrelatedNormal(createNormal(random), LOAD_CORRELATION)
+  return () => latencyOf(MODEL, 1, normal())
+}
+
+/** The rise at which DE-CuSum probes `share` of the slots before a change; the threshold hardly matters to it. */
+function riseFor (share: number): number {
+  const never = 1e9
+  return solve(0.0005, 8, share, SOLVE_STEPS + 3, rise =>
+    runQuiet(() => createDeCusum({ ratio, threshold: never, rise, floor: FLOOR }), quietSource(createRandom(SEED)), CALIBRATION_SLOTS / 5).probed)
+}
+
+/** The period at which the interval with follow-up probes `share` of the slots before a change. */
+function periodFor (share: number): number {
+  const never = 1e9
+  const probed = (period: number): number =>
+    runQuiet(() => createFollowUpCusum({ ratio, threshold: never, period }), quietSource(createRandom(SEED)), CALIBRATION_SLOTS / 5).probed
+  return Math.round(solve(1, 4 / share, 1 - share, SOLVE_STEPS + 3, period => 1 - probed(period)))
+}
+
+function policiesFor (share: number): Policy[] {
+  const period = Math.round(1 / share)
+  const rise = riseFor(share)
+  const followUpPeriod = periodFor(share)
+  return [
+    { name: 'deadline, 1 late', range: DEADLINE_RANGE, create: deadlineMs => createDeadline({ schedule: everyNth(period), deadlineMs, inARow: 1 }) },
+    { name: 'deadline, 3 in a row', range: DEADLINE_RANGE, create: deadlineMs => createDeadline({ schedule: everyNth(period), deadlineMs, inARow: 3 }) },
+    { name: 'coin + CuSum', range: CUSUM_RANGE, create: (threshold, random) => createCusum({ schedule: byCoin(share, random), ratio, threshold }) },
+    { name: 'fixed interval + CuSum', range: CUSUM_RANGE, create: threshold => createCusum({ schedule: everyNth(period), ratio, threshold }) },
+    { name: 'interval with follow-up + CuSum', range: CUSUM_RANGE, create: threshold => createFollowUpCusum({ period: followUpPeriod, ratio, threshold }) },
+    { name: 'DE-CuSum', range: CUSUM_RANGE, create: threshold => createDeCusum({ ratio, threshold, rise, floor: FLOOR }) }
+  ]
+}
+
+function calibrate (policy: Policy): number {
+  return solve(...policy.range, SLOTS_PER_FALSE_ALARM, SOLVE_STEPS, setting => {
+    const random = createRandom(SEED)
+    return runQuiet(() => policy.create(setting, random), quietSource(random), CALIBRATION_SLOTS).slotsPerAlarm
+  })
+}
+
+interface DelayRow {
+  mean: number
+  p95: number
+  probes: number
+}
+
+function measureChange (create: (random: () => number) => Detector, slowdown: number): DelayRow {
+  const random = createRandom(SEED + 1)
+  const quiet = quietSource(random)
+  const slow = slowSource(random, slowdown)
+  const runs = Array.from({ length: CHANGE_RUNS }, () => {
+    const before = SETTLE_SLOTS + Math.floor(random() * SETTLE_SLOTS)
+    return runChange(create(random), quiet, slow, before, CHANGE_LIMIT)
+  }).filter((run): run is Detection => run !== undefined)
+  const delays = runs.map(run => run.delaySlots).sort((left, right) => left - right)
+  const meanOf = (values: number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length
+  return { mean: meanOf(delays), p95: delays[Math.floor(delays.length * 0.95)]!, probes: meanOf(runs.map(run => run.probes)) }
+}
+
+function print (cells: ReadonlyArray<string | number>): void {
+  process.stdout.write(`| ${cells.map(cell => typeof cell === 'number' ? cell.toFixed(cell < 10 ? 1 : 0) : cell).join(' | ')} |\n`)
+}
+
+function printPolicy (share: string, policy: Policy): void {
+  const setting = calibrate(policy)
+  const random = createRandom(SEED + 2)
+  const quiet = runQuiet(() => policy.create(setting, random), quietSource(random), CALIBRATION_SLOTS)
+  const bursty = runQuiet(() => policy.create(setting, random), burstySource(random), CALIBRATION_SLOTS / 5)
+  const rows = SLOWDOWNS.map(slowdown => measureChange(own => policy.create(setting, own), slowdown))
+  print([
+    share, policy.name, quiet.probed.toFixed(3), quiet.slotsPerAlarm, bursty.slotsPerAlarm,
+    ...rows.flatMap(row => [row.mean, row.p95]),
+    rows[1]!.probes
+  ])
+}
+
+export async function run (): Promise<void> {
+  process.stdout.write(`seed ${SEED}; log-normal, median ${MODEL.medianMs} ms, sigma ${MODEL.sigma}; ratio made for x${ASSUMED_SLOWDOWN}; ${CHANGE_RUNS} changes each\n`)
+  const delays = SLOWDOWNS.flatMap(slowdown => [`x${slowdown} mean`, 'p95'])
+  print(['share', 'way', 'probed', 'slots per false alarm', 'the same, bursty load', ...delays, 'probes to alarm at x2'])
+  print(Array.from({ length: 6 + delays.length }, () => '---'))
+  printPolicy('1', { name: 'CuSum on every slot (passive, one request a slot)', range: CUSUM_RANGE, create: threshold => createCusum({ schedule: everyNth(1), ratio, threshold }) })
+  PROBED_SHARES.forEach(share => policiesFor(share).forEach(policy => printPolicy(String(share), policy)))
+}
--- a/bench/index.ts
+++ b/bench/index.ts
@@ -5,6 +5,7 @@
 }
 
 const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
+  decusum: async () => await import('./decusum'),
 }
 
 async function main (): Promise<void> {
