--- a/packages/magnoliabay/src/node/config/settings.ts
+++ b/packages/magnoliabay/src/node/config/settings.ts
@@ -54,6 +54,10 @@
     defaultMaxTokens: v.optional(positive, 256),
     /** Requests open at once; more are refused at once. @default 2000 */
     maxOpenRequests: v.optional(positive, 2000),
+    /** Requests that wait for their turn at once; then the team with the most is refused some. @default 1000 */
+    maxWaiting: v.optional(positive, 1000),
+    /** Requests that an engine runs at full pace; more wait here, where they wait fairly. @default 16 */
+    requestsPerEngine: v.optional(positive, 16),
     /** Bytes of bodies held for open requests together. @default 64 MiB */
     maxHeldBodyBytes: v.optional(positive, 67_108_864),
     /** Longest silence of an engine before the first byte of a streamed answer, in milliseconds. @default 15000 */
--- a/packages/magnoliabay/src/node/entry/attempts.ts
+++ b/packages/magnoliabay/src/node/entry/attempts.ts
@@ -9,13 +9,13 @@
 import type { Metrics } from '../metrics'
 import { fingerprintOf } from '../outcomes'
 import type { Outcome, RetryBudget, Suspects } from '../outcomes'
+import { CLASS_HEADER, ENGINE_PRIORITIES, workClassOf } from '../queue'
 import type { Routing } from '../routing'
 import type { CompletionRequest } from './completionRequest'
 import type { EntryRequest } from './types'
 
 /** Engines that one request may be tried at. */
 const MAX_ATTEMPTS = 3
-const DEFAULT_PRIORITY = 1
 const MS_PER_SECOND = 1000
 const CRASHES_BACKEND = refusal('crashes_backend', 'Engines died while they ran this request. It is not sent to any more of them; change it before you send it again.')
 
@@ -57,7 +57,7 @@
       requestId: req.requestId,
       engineRequestId: tries === 0 ? req.requestId : `${req.requestId}.${tries}`,
       team: req.caller.team,
-      priority: DEFAULT_PRIORITY,
+      priority: ENGINE_PRIORITIES[workClassOf(req.headers[CLASS_HEADER])],
       body: completion.body,
       isStream: completion.isStream,
       signal: req.deadline.signal,
--- a/packages/magnoliabay/src/node/entry/completions.ts
+++ b/packages/magnoliabay/src/node/entry/completions.ts
@@ -5,6 +5,8 @@
 import { refusal } from '../failures'
 import type { Failure } from '../failures'
 import type { Outcome } from '../outcomes'
+import { CLASS_HEADER, workClassOf } from '../queue'
+import type { Queue } from '../queue'
 import { mayCall } from './access'
 import { createAttempts } from './attempts'
 import type { AttemptOptions } from './attempts'
@@ -17,11 +19,12 @@
 export interface CompletionOptions extends ConcludeOptions, AttemptOptions {
   cfg: ConfigHolder
   allowance: Allowance
+  queue: Queue
   defaultMaxTokens: number
 }
 
 export function completionHandler (options: CompletionOptions): Handler {
-  const { cfg, allowance } = options
+  const { cfg, allowance, queue } = options
   const attempts = createAttempts(options)
 
   const check = (req: EntryRequest, completion: CompletionRequest): Failure | undefined => {
@@ -38,9 +41,28 @@
     if (refused !== undefined) return conclude(refused)
     const reservation = await allowance.reserve(req.caller.team, parsed.val.reservedTokens)
     if (reservation.err) return conclude(reservation.val)
-    const outcome = await attempts.run(req, res, parsed.val)
-    allowance.settle(reservation.val, usedTokensOf(outcome, reservation.val.tokens))
-    return outcome
+    const turn = await queue.enter({
+      team: req.caller.team,
+      model: parsed.val.model,
+      workClass: workClassOf(req.headers[CLASS_HEADER]),
+      tokens: parsed.val.reservedTokens,
+      deadlineMs: req.deadline.atMs,
+      signal: req.deadline.signal
+    })
+    if (turn.err) {
+      allowance.settle(reservation.val, 0)
+      return conclude(turn.val)
+    }
+    let usedTokens = reservation.val.tokens
+    try {
+      const outcome = await attempts.run(req, res, parsed.val)
+      usedTokens = usedTokensOf(outcome, reservation.val.tokens)
+      return outcome
+    } finally {
+      // Also after a fault of ours: else the turn and the reservation would be held for good.
+      turn.val.done(usedTokens)
+      allowance.settle(reservation.val, usedTokens)
+    }
   }
   return concludeHandler(options, run)
 }
--- a/packages/magnoliabay/src/node/entry/index.ts
+++ b/packages/magnoliabay/src/node/entry/index.ts
@@ -16,6 +16,7 @@
 import type { Once } from '../once'
 import { createCrashCheck, createRetryBudget, createSuspects } from '../outcomes'
 import type { Report } from '../report'
+import type { Queue } from '../queue'
 import type { Routing } from '../routing'
 import { messageOf, parseHostPort } from '../utils'
 import { answerBadInput } from './badInput'
@@ -43,6 +44,7 @@
   cfg: ConfigHolder
   keyring: Keyring
   allowance: Allowance
+  queue: Queue
   routing: Routing
   directory: Directory
   once: Once
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -25,6 +25,7 @@
 import { createStatus, createStoreWatch } from './operators/status'
 import type { InstanceList, PutOperation, Store, StoreCallReport } from './platform'
 import { createReport } from './report'
+import { createCapacity, createQueue } from './queue'
 import { createRouting } from './routing'
 import { createShutdown } from './shutdown'
 import { createId } from './utils'
@@ -86,9 +87,23 @@
   const once = createOnce({ store, writer, holder: self.incarnation, clock, logger, inProgressMs })
   const cells = createCells({ store, peers, membership, proofs, directory, engines, cfg, clock, logger })
   const routing = createRouting({ cells, directory, clock })
+  const queue = createQueue({
+    capacity: createCapacity({
+      enginesOf: model => cells.replicas.of(model).map(replica => replica.engine),
+      loadOf: cells.loadOf,
+      inFlight: routing.inFlight,
+      instances: () => peers.members().filter(member => !member.leaving).length,
+      slotsPerEngine: settings.limits.requestsPerEngine
+    }),
+    weightOf: team => cfg.team(team)?.weight ?? 1,
+    maxWaiting: settings.limits.maxWaiting,
+    clock,
+    logger
+  })
+  cells.replicas.onChanged(queue.poke)
   const isReady = (): boolean => cfg.inForce().version > 0 && membership.leaseId() !== undefined && !self.leaving
   const report = createReport({ cfg, peers, registry: metrics.registry, clock })
-  const entry = createEntry({ report, settings, cfg, keyring, allowance, routing, directory, once, pools, engines, peers, clock, logger, metrics, isReady })
+  const entry = createEntry({ report, settings, cfg, keyring, allowance, queue, routing, directory, once, pools, engines, peers, clock, logger, metrics, isReady })
   const audit = (manifest: Manifest): PutOperation => auditWrite({
     atMs: manifest.acceptedAtMs,
     operator: manifest.operator,
--- /dev/null
+++ b/packages/magnoliabay/src/node/queue/__tests__/queue.spec.ts
@@ -0,0 +1,178 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { createVirtualClock } from '../../clock/virtual'
+import { createSilentLogger } from '../../logger'
+import type { WorkClass } from '../classes'
+import { createQueue } from '../queue'
+import type { Turn } from '../queue'
+
+interface Sent {
+  team: string
+  tokens?: number
+  workClass?: WorkClass
+  deadlineMs?: number
+  signal?: AbortSignal
+  model?: string
+}
+
+const SERVICE_MS = 100
+
+function setUp (slots: number, weights: Record<string, number> = {}, maxWaiting = 100) {
+  const clock = createVirtualClock()
+  const queue = createQueue({
+    capacity: { mayStart: (_model, started) => started < slots },
+    weightOf: team => weights[team] ?? 1,
+    maxWaiting,
+    clock,
+    logger: createSilentLogger()
+  })
+  const order: string[] = []
+  const served: Record<string, number> = {}
+  const codes: string[] = []
+  const open: Turn[] = []
+  /** Sends a request, notes how it ends, and if `hold` isn't set ends it after `SERVICE_MS`. */
+  const send = async ({ team, tokens = 100, workClass = 'interactive', deadlineMs = 60_000, signal, model = 'm' }: Sent, hold = false): Promise<void> => {
+    const { signal: own } = new AbortController()
+    const turn = await queue.enter({ team, tokens, workClass, model, deadlineMs: clock.monotonic() + deadlineMs, signal: signal ?? own })
+    if (turn.err) {
+      codes.push(`${team} ${turn.val.code}`)
+      return
+    }
+    order.push(team)
+    served[team] = (served[team] ?? 0) + tokens
+    if (hold) open.push(turn.val)
+    else clock.schedule(SERVICE_MS, () => turn.val.done(tokens))
+  }
+  const sendMany = (count: number, sent: Sent): void => Array.from({ length: count }, () => sent).forEach(one => { send(one) })
+  return { clock, queue, order, served, codes, open, send, sendMany }
+}
+
+describe('queue: fair across teams', () => {
+  // One team has sent a hundred requests when another sends its first. It doesn't wait for the hundred.
+  it('a flood does not delay a small team', async () => {
+    const { clock, order, sendMany, send } = setUp(1)
+    sendMany(90, { team: 'flood' })
+    await clock.advance(1000)
+    send({ team: 'small' })
+    await clock.advance(2 * SERVICE_MS)
+    expect(order).to.include('small')
+  })
+
+  const SHARES: ReadonlyArray<{ name: string, weights: Record<string, number>, a: Sent, b: Sent, ratio: number }> = [
+    { name: 'equal weights', weights: {}, a: { team: 'a' }, b: { team: 'b' }, ratio: 1 },
+    { name: 'weight 3 to 1', weights: { a: 3 }, a: { team: 'a' }, b: { team: 'b' }, ratio: 3 },
+    { name: 'by tokens, not by requests', weights: {}, a: { team: 'a', tokens: 400 }, b: { team: 'b', tokens: 100 }, ratio: 1 }
+  ]
+  SHARES.forEach(({ name, weights, a, b, ratio }) => it(name, async () => {
+    const { clock, served, sendMany } = setUp(2, weights, 1000)
+    sendMany(200, a)
+    sendMany(200, b)
+    await clock.advance(5000)
+    expect(served.a! / served.b!).to.be.closeTo(ratio, 0.15 * ratio)
+  }))
+
+  it('a team that was idle has saved nothing up', async () => {
+    const { clock, order, sendMany, send } = setUp(1, {}, 1000)
+    await send({ team: 'idle' })
+    sendMany(100, { team: 'busy' })
+    await clock.advance(5000)
+    sendMany(50, { team: 'idle' })
+    order.splice(0)
+    await clock.advance(2000)
+    expect(order.filter(team => team === 'idle').length).to.be.closeTo(order.length / 2, 2)
+  })
+
+  it('interactive work goes first, and patient work is not starved', async () => {
+    const { clock, served, sendMany } = setUp(1, {}, 1000)
+    sendMany(200, { team: 'families', workClass: 'patient' })
+    sendMany(200, { team: 'office' })
+    await clock.advance(10_000)
+    expect(served.office! / served.families!).to.be.closeTo(4, 0.6)
+  })
+
+  // Interactive requests were served for hours without a wait. Then both classes wait: none is owed for the past.
+  it('a class that was served without waiting is not behind later', async () => {
+    const { clock, order, sendMany } = setUp(1, {}, 1000)
+    for (let count = 0; count < 50; count += 1) {
+      sendMany(1, { team: 'office' })
+      await clock.advance(2 * SERVICE_MS)
+    }
+    sendMany(50, { team: 'families', workClass: 'patient' })
+    sendMany(50, { team: 'office' })
+    order.splice(0)
+    await clock.advance(2000)
+    expect(order.filter(team => team === 'office').length).to.be.greaterThan(order.length / 2)
+  })
+
+  it('within a team the earliest deadline goes first; a blocked model holds nobody else up', async () => {
+    const { clock, send, order } = setUp(1)
+    send({ team: 'x', model: 'other' })
+    send({ team: 'x' })
+    const deadlines = [9000, 3000, 6000]
+    deadlines.forEach(deadlineMs => send({ team: `t${deadlineMs}`, deadlineMs }))
+    deadlines.forEach(deadlineMs => send({ team: 'y', deadlineMs }))
+    await clock.advance(2000)
+    expect(order.slice(0, 2)).to.deep.equal(['x', 'x'])
+    expect(order.length).to.equal(8)
+  })
+})
+
+describe('queue: refusals', () => {
+  it('a request whose wait would outlast its deadline is refused at once, with the time after which it would not', async () => {
+    const { clock, queue, sendMany } = setUp(1, {}, 1000)
+    sendMany(150, { team: 'a', deadlineMs: 6900 })
+    await clock.advance(5000)
+    const refused = await queue.enter({ team: 'a', tokens: 100, workClass: 'interactive', model: 'm', deadlineMs: clock.monotonic() + 2000, signal: new AbortController().signal })
+    expect(refused.err && refused.val).to.include({ code: 'overloaded', notRun: true })
+    expect(refused.err && refused.val.retryAfterSeconds).to.be.within(6, 10)
+  })
+
+  // All places are taken by a team that floods. A request of another team gets a place: the flood's last one is refused.
+  it('a full queue takes the place from the team that holds most', async () => {
+    const { clock, codes, sendMany, order } = setUp(1, {}, 10)
+    sendMany(20, { team: 'flood' })
+    sendMany(2, { team: 'small' })
+    await clock.settle()
+    expect(codes).to.deep.equal(Array.from({ length: 11 }, () => 'flood overloaded'))
+    await clock.advance(1000)
+    expect(order.filter(team => team === 'small').length).to.equal(2)
+  })
+
+  // Requests come, end, are given up by their callers and reach their deadlines in any order. Each settles exactly
+  // once, at its deadline at the latest; no more than the capacity have their turn; nothing is left behind.
+  it('every request settles exactly once and in time', () => fc.assert(fc.asyncProperty(
+    fc.array(fc.oneof(
+      fc.record({ kind: fc.constant('send' as const), team: fc.constantFrom('a', 'b', 'c'), patient: fc.boolean(), tokens: fc.integer({ min: 1, max: 500 }), deadlineMs: fc.integer({ min: 1, max: 3000 }) }),
+      fc.record({ kind: fc.constant('done' as const), count: fc.integer({ min: 0, max: 5 }) }),
+      fc.record({ kind: fc.constant('abort' as const), count: fc.integer({ min: 0, max: 50 }) }),
+      fc.record({ kind: fc.constant('advance' as const), ms: fc.integer({ min: 0, max: 800 }) })
+    ), { minLength: 20, maxLength: 150 }),
+    async steps => {
+      const { clock, queue, open, send } = setUp(2, { a: 2 }, 8)
+      const aborts: AbortController[] = []
+      let sent = 0
+      let settled = 0
+      let late = 0
+      for (const step of steps) {
+        if (step.kind === 'send') {
+          const abort = new AbortController()
+          const dueMs = clock.monotonic() + step.deadlineMs
+          aborts.push(abort)
+          sent += 1
+          send({ team: step.team, tokens: step.tokens, deadlineMs: step.deadlineMs, workClass: step.patient ? 'patient' : 'interactive', signal: abort.signal }, true).then(() => {
+            settled += 1
+            if (clock.monotonic() > dueMs) late += 1
+          })
+        }
+        if (step.kind === 'done') open.splice(0, step.count).forEach(turn => { turn.done(1); turn.done(1) })
+        if (step.kind === 'abort') aborts[step.count]?.abort()
+        if (step.kind === 'advance') await clock.advance(step.ms)
+        await clock.settle()
+        expect(open.length).to.be.at.most(2)
+        expect(queue.waiting().reduce((sum, { waiting }) => sum + waiting, 0)).to.be.at.most(8).and.to.equal(sent - settled)
+      }
+      await clock.advance(3001)
+      expect({ settled, late, left: queue.waiting() }).to.deep.equal({ settled: sent, late: 0, left: [] })
+    }
+  ), { seed: 20_261_202, numRuns: 100 }))
+})
