--- /dev/null
+++ b/packages/magnoliabay/src/node/cells/__tests__/support/fastClock.ts
@@ -0,0 +1,82 @@
+/**
+ * A virtual clock for long runs: timers in a heap, and only promises, no real I/O, get their turn in between. A
+ * thousand times as fast as one that waits for a real timer after each virtual one.
+ */
+import type { VirtualClock } from '../../../clock/virtual'
+
+interface Timer {
+  atMs: number
+  order: number
+  callback: (() => void) | undefined
+}
+
+const START_MS = 1_700_000_000_000
+
+export function createFastClock (): VirtualClock {
+  const heap: Timer[] = []
+  let nowMs = 0
+  let orders = 0
+  let wallOffsetMs = 0
+
+  const isBefore = (left: Timer, right: Timer): boolean => left.atMs === right.atMs ? left.order < right.order : left.atMs < right.atMs
+  const swap = (one: number, other: number): void => {
+    const kept = heap[one]!
+    heap[one] = heap[other]!
+    heap[other] = kept
+  }
+  const push = (timer: Timer): void => {
+    heap.push(timer)
+    let at = heap.length - 1
+    while (at > 0) {
+      const parent = (at - 1) >> 1
+      if (!isBefore(heap[at]!, heap[parent]!)) return
+      swap(at, parent)
+      at = parent
+    }
+  }
+  const pop = (): Timer | undefined => {
+    const first = heap[0]
+    const last = heap.pop()
+    if (first === undefined || last === undefined || heap.length === 0) return first
+    heap[0] = last
+    let at = 0
+    while (true) {
+      const left = 2 * at + 1
+      const right = left + 1
+      let least = at
+      if (left < heap.length && isBefore(heap[left]!, heap[least]!)) least = left
+      if (right < heap.length && isBefore(heap[right]!, heap[least]!)) least = right
+      if (least === at) return first
+      swap(at, least)
+      at = least
+    }
+  }
+  const settle = (): Promise<void> => new Promise(resolve => setImmediate(resolve))
+  /** Runs all timers of the earliest time due. */
+  const runNext = async (): Promise<void> => {
+    const timer = pop()!
+    if (timer.callback === undefined) return
+    nowMs = Math.max(nowMs, timer.atMs)
+    timer.callback()
+    while (heap[0]?.atMs === timer.atMs) pop()?.callback?.()
+    await settle()
+  }
+  return {
+    now: () => START_MS + nowMs + wallOffsetMs,
+    monotonic: () => nowMs,
+    schedule: (delayMs, callback) => {
+      const timer: Timer = { atMs: nowMs + Math.max(0, delayMs), order: orders++, callback }
+      push(timer)
+      return () => { timer.callback = undefined }
+    },
+    advance: async ms => {
+      const endMs = nowMs + ms
+      await settle()
+      while (heap.length > 0 && heap[0]!.atMs <= endMs) await runNext()
+      nowMs = endMs
+    },
+    next: async () => { if (heap.length > 0) await runNext() },
+    settle,
+    stepWallClock: ms => { wallOffsetMs += ms }
+  }
+}
--- a/packages/magnoliabay/src/node/cells/__tests__/support/invariants.ts
+++ b/packages/magnoliabay/src/node/cells/__tests__/support/invariants.ts
@@ -22,12 +22,13 @@
 
 export interface Caller {
   outcome: string
+  readonly instance: string
   readonly deadlineMs: number
 }
 
 export function callAt (world: World, instance: string, model: string, patienceMs: number): Caller {
   const deadlineMs = world.clock.monotonic() + patienceMs
-  const caller: Caller = { outcome: 'open', deadlineMs }
+  const caller: Caller = { outcome: 'open', instance, deadlineMs }
   const settle = async (): Promise<void> => {
     const route = await world.instance(instance).routing.acquire({ model, deadlineMs, avoid: new Set(), signal: new AbortController().signal })
     caller.outcome = route.ok ? 'served' : route.val.code
--- a/packages/magnoliabay/src/node/cells/__tests__/support/world.ts
+++ b/packages/magnoliabay/src/node/cells/__tests__/support/world.ts
@@ -13,7 +13,6 @@
 import type { Cells } from '../..'
 import type { CellsConfig } from '../../context'
 import { createDirectory } from '../../../backend/directory'
-import { createVirtualClock } from '../../../clock/virtual'
 import type { VirtualClock } from '../../../clock/virtual'
 import { fleetSchema } from '../../../config/fleet'
 import type { Logger } from '../../../logger'
@@ -24,6 +23,7 @@
 import { createRouting } from '../../../routing'
 import type { Routing } from '../../../routing'
 import { createDirectEngineClient } from './directEngines'
+import { createFastClock } from './fastClock'
 import { createPausable } from './pausable'
 
 export interface WorldOptions {
@@ -82,7 +82,7 @@
 
 export function createWorld (options: WorldOptions): World {
   const { logger = QUIET } = options
-  const clock = createVirtualClock()
+  const clock = createFastClock()
   const kv = createKvState({ clock })
   const store = createKvFaults()
   const list = createInstanceListState({ clock, lagMs: LIST_LAG_MS })
--- a/packages/magnoliabay/src/node/cells/engineCare.ts
+++ b/packages/magnoliabay/src/node/cells/engineCare.ts
@@ -8,6 +8,7 @@
 import type { EngineAccount, Replica } from './account'
 import type { StewardContext } from './context'
 import type { ReplicaOps } from './replicaOps'
+import type { Intent } from './records'
 import { adopt, noteState, takeUpEngine } from './takeUp'
 
 /** How often an engine's state is read. */
@@ -26,6 +27,8 @@
   /** Engines of this cell that are listed. */
   listed: () => readonly ListedInstance[]
   earlier: () => ReturnType<Parameters<typeof takeUpEngine>[0]['earlier']>
+  /** Recorded by earlier stewards for the engine. */
+  inheritedOf: (engine: string) => readonly Intent[]
   areAllAccountedFor: () => boolean
 }
 
@@ -55,8 +58,12 @@
     accounts.set(listed.id, taken.account)
     logger.info('engine-taken-up', { engine: listed.id, models: [...taken.account.replicas.keys()], unresolved: taken.unresolved.length })
     ctx.publish()
+    // Behind the raised fence, nothing that was ordered before can begin any more.
+    if (taken.account.checksFence) forgetInherited(listed.id)
     taken.unresolved.forEach(intent => { ops.resolve(taken.account, intent) })
   }
+  const forgetInherited = (engine: string): void =>
+    options.inheritedOf(engine).forEach(intent => ctx.intents.forget(intent.orderId))
   const look = async (account: EngineAccount, address: string): Promise<void> => {
     const startedMs = clock.monotonic()
     nextLookMs.set(account.engine, startedMs + LOOK_PERIOD_MS)
@@ -100,6 +107,7 @@
     if (clock.monotonic() - account.missingSinceMs < GONE_AFTER_MS) return
     logger.warn('engine-gone', { engine: account.engine, models: [...account.replicas.keys()] })
     accounts.delete(account.engine)
+    forgetInherited(account.engine)
     addresses.delete(account.engine)
     ctx.publish()
   }
--- a/packages/magnoliabay/src/node/cells/steward.ts
+++ b/packages/magnoliabay/src/node/cells/steward.ts
@@ -131,7 +131,27 @@
   })
   const idleCare = createIdleCare({ ctx, ops, history, wants, targetOf: loadCare.targetOf })
   const adapterCare = createAdapterCare({ ctx, ops, wants, slots: adapterSlots })
-  const engineCare = createEngineCare({ ctx, ops, listed, earlier: intents.earlier, areAllAccountedFor: options.areAllAccountedFor })
+  /** What earlier stewards had recorded; undefined while not all of it is known, and nothing may be decided. */
+  let isInheriting = false
+  let inherited: readonly Intent[] | undefined
+  const inherit = async (): Promise<void> => {
+    if (isInheriting) return
+    isInheriting = true
+    const found = await intents.earlier()
+    isInheriting = false
+    if (found === undefined) return
+    inherited = found
+    remembered.addIntents(found)
+    logger.info('intents-inherited', { count: found.length })
+  }
+  const engineCare = createEngineCare({
+    ctx,
+    ops,
+    listed,
+    earlier: intents.earlier,
+    inheritedOf: engine => (inherited ?? []).filter(intent => intent.engine === engine),
+    areAllAccountedFor: options.areAllAccountedFor
+  })
 
   const wallOffsetMs = (): number => clock.now() - clock.monotonic()
   const restore = async (): Promise<void> => {
@@ -165,6 +185,7 @@
       if (cfg.model(req.model) === undefined) return { status: 'unknown-model', reason: 'not in the configuration' }
       wants.add(req, clock.monotonic())
       history.noteUse(req.model, clock.monotonic())
+      if (inherited === undefined) return { status: 'queued', reason: 'the steward is taking its cell up' }
       scheduler.run()
       adapterCare.run()
       return statusOf(req.model)
@@ -182,6 +203,10 @@
     },
     tend: () => {
       if (stopped) return
+      if (inherited === undefined) {
+        inherit()
+        return
+      }
       engineCare.tend()
       remembered.update(engine => accounts.has(engine), engine => directory.engine(engine) !== undefined)
       loadCare.tend()
