--- /dev/null
+++ b/bench/cold/fakes.ts
@@ -0,0 +1,40 @@
+/** Engines and weight store of a workload, for contenders that send their orders straight. */
+import { createEngineState, createWeightStore } from '@magnoliabay/standins'
+import type { EngineStandIn, WeightStore } from '@magnoliabay/standins'
+import { createFastClock } from 'magnoliabay/cells/__tests__/support/fastClock'
+import type { VirtualClock } from 'magnoliabay/clock/virtual'
+import { ENGINE_MIB, FULL_SPEED_LOADS } from './workload'
+import type { Workload } from './workload'
+
+export interface Fakes {
+  clock: VirtualClock
+  weights: WeightStore
+  engines: readonly EngineStandIn[]
+  sizeOf (model: string): number
+  /** Engine that has the model loaded. */
+  loadedAt (model: string): EngineStandIn | undefined
+  order (engine: EngineStandIn, action: 'load' | 'unload', model: string): Promise<boolean>
+}
+
+export function createFakes (workload: Workload): Fakes {
+  const clock = createFastClock()
+  const weights = createWeightStore({ clock, loadsPerSecond: workload.site.loadsPerSecond, fullSpeedLoads: FULL_SPEED_LOADS })
+  const engines = Array.from({ length: workload.site.engines }, (_, index) => createEngineState({
+    id: `engine-${index + 1}`, clock, weights, memoryMiB: ENGINE_MIB, checkpoints: workload.checkpoints[index]
+  }))
+  const sizes = new Map(workload.models.map(model => [model.name, model.memoryMiB]))
+  const sizeOf = (model: string): number => sizes.get(model)!
+  let orders = 0
+  return {
+    clock,
+    weights,
+    engines,
+    sizeOf,
+    loadedAt: model => engines.find(engine => engine.state().models.some(held => held.model === model && held.state === 'loaded')),
+    order: async (engine, action, model) => {
+      orders += 1
+      const reply = await engine.carryOut({ orderId: `order-${orders}`, fence: 1, action, model, memoryMiB: sizeOf(model) })
+      return reply?.outcome === 'done' || reply?.outcome === 'already-done'
+    }
+  }
+}
--- /dev/null
+++ b/bench/cold/naive.ts
@@ -0,0 +1,72 @@
+/**
+ * The naive version: first come first loaded, least recently used out, unloaded after ten idle minutes, and no
+ * word between instances. In its favour, it sees every engine's state and every last use at once.
+ */
+import type { EngineStandIn } from '@magnoliabay/standins'
+import { repeat, sleep } from 'magnoliabay/clock/index'
+import { createFakes } from './fakes'
+import type { Contender, Served } from './measure'
+import type { Arrival, Workload } from './workload'
+
+const IDLE_MS = 600_000
+const PATIENCE_MS = 60_000
+const POLL_MS = 100
+const IDLE_CHECK_MS = 1000
+
+export function createNaive (workload: Workload): Contender {
+  const fakes = createFakes(workload)
+  const { clock, engines } = fakes
+  const lastUsed = new Map<string, number>()
+  const inFlight = new Map<string, number>()
+  const loadingAt = new Set<string>()
+  const closed = new AbortController()
+
+  const freeOf = (engine: EngineStandIn): number => engine.state().memoryMiB - engine.state().usedMiB
+  const keyOf = (engine: EngineStandIn, model: string): string => `${engine.id} ${model}`
+  const leastRecentlyUsed = (): { engine: EngineStandIn, model: string } | undefined => engines
+    .flatMap(engine => engine.state().models.filter(held => held.state === 'loaded').map(held => ({ engine, model: held.model })))
+    .filter(({ engine, model }) => (inFlight.get(keyOf(engine, model)) ?? 0) === 0)
+    .sort((left, right) => (lastUsed.get(left.model) ?? 0) - (lastUsed.get(right.model) ?? 0))[0]
+  const load = async (instance: number, model: string): Promise<void> => {
+    const name = `${instance} ${model}`
+    if (loadingAt.has(name)) return
+    loadingAt.add(name)
+    const needed = fakes.sizeOf(model)
+    let target = engines.slice().sort((left, right) => freeOf(right) - freeOf(left))[0]!
+    while (freeOf(target) < needed) {
+      const victim = leastRecentlyUsed()
+      if (victim === undefined) break
+      await fakes.order(victim.engine, 'unload', victim.model)
+      target = engines.slice().sort((left, right) => freeOf(right) - freeOf(left))[0]!
+    }
+    await fakes.order(target, 'load', model)
+    loadingAt.delete(name)
+  }
+  const serve = async ({ instance, model }: Arrival): Promise<Served | undefined> => {
+    const deadlineMs = clock.monotonic() + PATIENCE_MS
+    while (clock.monotonic() < deadlineMs) {
+      const engine = fakes.loadedAt(model)
+      if (engine !== undefined) {
+        const key = keyOf(engine, model)
+        lastUsed.set(model, clock.monotonic())
+        inFlight.set(key, (inFlight.get(key) ?? 0) + 1)
+        return {
+          engine: engine.id,
+          release: () => {
+            inFlight.set(key, inFlight.get(key)! - 1)
+            lastUsed.set(model, clock.monotonic())
+          }
+        }
+      }
+      load(instance, model)
+      await sleep(clock, POLL_MS)
+    }
+    return undefined
+  }
+  const unloadIdle = (): void => engines
+    .flatMap(engine => engine.state().models.filter(model => model.state === 'loaded').map(({ model }) => ({ engine, model })))
+    .filter(({ engine, model }) => (inFlight.get(keyOf(engine, model)) ?? 0) === 0 && clock.monotonic() - (lastUsed.get(model) ?? 0) > IDLE_MS)
+    .forEach(({ engine, model }) => { fakes.order(engine, 'unload', model) })
+  repeat(clock, IDLE_CHECK_MS, closed.signal, unloadIdle)
+  return { ...fakes, serve, close: () => closed.abort() }
+}
--- /dev/null
+++ b/bench/cold/product.ts
@@ -0,0 +1,37 @@
+/** The product's own cells and routing, over the stand-ins. */
+import { advance, createWorld } from 'magnoliabay/cells/__tests__/support/world'
+import type { Contender } from './measure'
+import { ENGINE_MIB, FULL_SPEED_LOADS } from './workload'
+import type { Workload } from './workload'
+
+const PATIENCE_MS = 60_000
+const START_MS = 10_000
+
+export async function createProduct (workload: Workload): Promise<Contender> {
+  const { site, models } = workload
+  const world = createWorld({
+    instances: site.instances,
+    engines: site.engines,
+    engine: { memoryMiB: ENGINE_MIB },
+    engineOf: index => ({ checkpoints: workload.checkpoints[index] }),
+    weights: { loadsPerSecond: site.loadsPerSecond, fullSpeedLoads: FULL_SPEED_LOADS },
+    fleet: {
+      model: models.map(({ name, memoryMiB }) => ({ name, memoryMiB })),
+      weightStore: { loadsPerSecond: site.loadsPerSecond, fullSpeedLoads: FULL_SPEED_LOADS }
+    }
+  })
+  await advance(world, START_MS)
+  return {
+    clock: world.clock,
+    engines: world.engines,
+    weights: world.weights,
+    serve: async ({ instance, model }) => {
+      const { routing } = world.instance(`entry-${instance + 1}`)
+      const route = await routing.acquire({
+        model, deadlineMs: world.clock.monotonic() + PATIENCE_MS, avoid: new Set(), signal: new AbortController().signal
+      })
+      return route.ok ? { engine: route.val.replica.engine, release: route.val.release } : undefined
+    },
+    close: world.close
+  }
+}
--- a/bench/index.ts
+++ b/bench/index.ts
@@ -5,6 +5,7 @@
 }
 
 const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
+  cold: () => import('./cold')
 }
 
 async function main (): Promise<void> {
