--- a/packages/magnoliabay/src/node/cells/idleCare.ts
+++ b/packages/magnoliabay/src/node/cells/idleCare.ts
@@ -20,8 +20,6 @@
   tend (): void
 }
 
-/** Accelerator time that sparing one cold start is worth, as a multiple of how long the cold start takes. */
-const COLD_START_WORTH = 25
 /** An adapter unused for this long is unloaded: loading it again takes milliseconds. */
 const ADAPTER_IDLE_MS = 120_000
 /** A replica beyond what the load needs is kept for this long. */
@@ -36,7 +34,7 @@
 
   const keepMs = (replica: Replica): number => {
     const coldStartMs = ctx.times.expectedMs('remote', replica.memoryMiB)
-    return decideKeepMs(history.gaps(replica.model), { coldStartWorthMs: COLD_START_WORTH * coldStartMs })
+    return decideKeepMs(history.gaps(replica.model), { coldStartWorthMs: ctx.cfg.inForce().fleet.coldStartWorth * coldStartMs })
   }
   const isAwaited = (replica: Replica): boolean => {
     const nextUse = predictionOf(replica.model)
--- a/packages/magnoliabay/src/node/config/body.ts
+++ b/packages/magnoliabay/src/node/config/body.ts
@@ -19,6 +19,7 @@
 export interface DocumentCore {
   cells?: number
   capacityTokensPerSecond?: number
+  coldStartWorth?: number
   weightStore?: Partial<FleetConfig['weightStore']>
   objective?: Partial<FleetConfig['objective']>
   without?: Partial<Record<EntryKind, string[]>>
--- a/packages/magnoliabay/src/node/config/fleet.ts
+++ b/packages/magnoliabay/src/node/config/fleet.ts
@@ -73,6 +73,8 @@
 const fleetWide = {
   /** Number of cells that the engines are spread over. @default 1 */
   cells: v.optional(v.pipe(positive, v.integer()), 1),
+  /** Idle accelerator time that sparing one cold start is worth, as a multiple of how long that takes. @default 150 */
+  coldStartWorth: v.optional(positive, 150),
   /** What all engines share when they load. */
   weightStore: v.optional(weightStoreSchema, {}),
   /** Tokens a second that the engines can give; `plan` warns when the teams' rates add up to more. */
@@ -96,6 +98,7 @@
 /** An overlay names an entry of the base to change some of its fields, or a new one in full. */
 export const overlaySchema = v.strictObject({
   cells: v.optional(v.pipe(positive, v.integer())),
+  coldStartWorth: v.optional(positive),
   weightStore: v.optional(v.partial(weightStoreSchema)),
   capacityTokensPerSecond: v.optional(positive),
   objective: v.optional(v.partial(objectiveSchema)),
--- a/packages/magnoliabay/src/node/config/resolveFleet.ts
+++ b/packages/magnoliabay/src/node/config/resolveFleet.ts
@@ -62,6 +62,7 @@
   const wide = checkConfig(fileOf(base.document), {
     cells: overlay?.core.cells ?? base.core.cells,
     capacityTokensPerSecond: overlay?.core.capacityTokensPerSecond ?? base.core.capacityTokensPerSecond,
+    coldStartWorth: overlay?.core.coldStartWorth ?? base.core.coldStartWorth,
     weightStore: { ...base.core.weightStore, ...overlay?.core.weightStore },
     objective: { ...base.core.objective, ...overlay?.core.objective }
   }, fleetSchema)
