--- /dev/null
+++ b/bench/capacity/sample.ts
@@ -0,0 +1,62 @@
+/** What one process uses, read from the kernel's own counters. */
+import { readFileSync } from 'node:fs'
+
+export interface ProcessSample {
+  atMs: number
+  /** Processor time since its start, milliseconds. */
+  cpuMs: number
+  rssMiB: number
+  /** Bytes read and written by system calls since its start: sockets, and the log. */
+  bytes: number
+}
+
+const MS_PER_TICK = 10
+const KIB_PER_MIB = 1024
+
+export function sampleProcess (pid: number): ProcessSample {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8')
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ')
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8')
+  const io = readFileSync(`/proc/${pid}/io`, 'utf8')
+  return {
+    atMs: performance.now(),
+    cpuMs: (Number(fields[11]) + Number(fields[12])) * MS_PER_TICK,
+    rssMiB: numberAfter(status, 'VmRSS:') / KIB_PER_MIB,
+    bytes: numberAfter(io, 'rchar:') + numberAfter(io, 'wchar:')
+  }
+}
+
+function numberAfter (text: string, label: string): number {
+  return Number(new RegExp(`${label}\\s+(\\d+)`).exec(text)?.[1] ?? 0)
+}
+
+export interface Use {
+  /** Share of one core. */
+  core: number
+  rssMiB: number
+  bytesPerSecond: number
+}
+
+export function useBetween (before: ProcessSample, after: ProcessSample): Use {
+  const seconds = (after.atMs - before.atMs) / 1000
+  return {
+    core: (after.cpuMs - before.cpuMs) / 1000 / seconds,
+    rssMiB: after.rssMiB,
+    bytesPerSecond: (after.bytes - before.bytes) / seconds
+  }
+}
+
+/** Least-squares line through points. */
+export interface Line {
+  slope: number
+  intercept: number
+}
+
+export function fitLine (points: ReadonlyArray<{ x: number, y: number }>): Line {
+  const count = points.length
+  const meanX = points.reduce((sum, point) => sum + point.x, 0) / count
+  const meanY = points.reduce((sum, point) => sum + point.y, 0) / count
+  const spread = points.reduce((sum, point) => sum + (point.x - meanX) ** 2, 0)
+  const slope = spread === 0 ? 0 : points.reduce((sum, point) => sum + (point.x - meanX) * (point.y - meanY), 0) / spread
+  return { slope, intercept: meanY - slope * meanX }
+}
--- a/bench/index.ts
+++ b/bench/index.ts
@@ -5,6 +5,7 @@
 }
 
 const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
+  capacity: () => import('./capacity')
 }
 
 async function main (): Promise<void> {
