--- a/packages/magnoliabay/src/node/failures.ts
+++ b/packages/magnoliabay/src/node/failures.ts
@@ -6,6 +6,8 @@
   | 'bad_request'
   | 'body_too_large'
   | 'body_timeout'
+  | 'headers_too_large'
+  | 'method_not_allowed'
   | 'missing_key'
   | 'invalid_key'
   | 'key_withdrawn'
@@ -16,6 +18,7 @@
   | 'over_allowance'
   | 'overloaded'
   | 'deadline_exceeded'
+  | 'caller_gone'
   | 'no_capacity'
   | 'shutting_down'
   | 'idempotency_conflict'
@@ -41,6 +44,8 @@
   bad_request: 400,
   body_too_large: 413,
   body_timeout: 408,
+  headers_too_large: 431,
+  method_not_allowed: 405,
   missing_key: 401,
   invalid_key: 401,
   key_withdrawn: 401,
@@ -51,6 +56,7 @@
   over_allowance: 429,
   overloaded: 503,
   deadline_exceeded: 504,
+  caller_gone: 499,
   no_capacity: 503,
   shutting_down: 503,
   idempotency_conflict: 422,
