--- a/scripts/fleet/processes.ts
+++ b/scripts/fleet/processes.ts
@@ -178,6 +178,9 @@
 store = ["http://${standIns.kv.address}"]
 instanceList = "http://${standIns.list.address}/instances"
 
+[shutdown]
+locateKeepMs = 3000
+
 [operators]
 keyDigests = ["${createHash('sha256').update(values.operatorKey).digest('hex')}"]
 `
