--- a/bench/index.ts
+++ b/bench/index.ts
@@ -5,7 +5,8 @@
 }
 
 const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
-  capacity: () => import('./capacity')
+  capacity: () => import('./capacity'),
+  decusum: async () => await import('./decusum')
 }
 
 async function main (): Promise<void> {
