--- a/bench/index.ts
+++ b/bench/index.ts
@@ -5,7 +5,9 @@
 }
 
 const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
-  cold: () => import('./cold')
+  capacity: () => import('./capacity'),
+  cold: () => import('./cold'),
+  decusum: async () => await import('./decusum')
 }
 
 async function main (): Promise<void> {
