--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -1,6 +1,7 @@
 /**
  * One instance of the system: every subsystem, joined.
  */
+import { setMaxListeners } from 'node:events'
 import { createKeyring } from './admission'
 import { createAllowance } from './allowance'
 import { createDirectory, createEngineClient, createPools } from './backend'
@@ -62,6 +63,8 @@
     leaving: false
   }
   const stop = new AbortController()
+  // Every subsystem's loop waits on it; Node takes more than ten waiters for a leak.
+  setMaxListeners(0, stop.signal)
   const metrics = createMetrics()
   const { callsPerSecond, burstCalls } = settings.platform
   const storeWatch = createStoreWatch(clock)
--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -70,8 +70,11 @@
     while (!signal.aborted) {
       const socket = connect({ host, port, timeout: DIAL_TIMEOUT_MS })
       socket.on('timeout', () => { if (socket.connecting) socket.destroy() })
-      signal.addEventListener('abort', () => socket.destroy(), { once: true })
+      // Taken off again after each run: a peer that is down for long would otherwise leave a dead socket for every dial.
+      const cut = (): unknown => socket.destroy()
+      signal.addEventListener('abort', cut, { once: true })
       await run(socket)
+      signal.removeEventListener('abort', cut)
       await sleep(clock, REDIAL_MS, signal)
     }
   }
--- a/packages/magnoliabay/src/node/platform/etcd.ts
+++ b/packages/magnoliabay/src/node/platform/etcd.ts
@@ -44,7 +44,9 @@
   const { clock } = options
   const callTimeoutMs = options.callTimeoutMs ?? 3000
   const connect = { timeout: CONNECT_TIMEOUT_MS, ...options.tls }
-  const pools = options.endpoints.map(endpoint => new Pool(endpoint, { connections: options.connections ?? 4, connect }))
+  const openPool = (endpoint: string): Pool => new Pool(endpoint, { connections: options.connections ?? 4, connect })
+  const pools = options.endpoints.map(openPool)
+  const retired = new Set<Pool>()
   const watchPools = options.endpoints.map(endpoint => new Pool(endpoint, { connections: null, bodyTimeout: 0, connect }))
   let current = 0
 
@@ -53,13 +55,26 @@
     if (current === failed) current = (failed + 1) % pools.length
   }
 
+  /**
+   * After a call that nobody answered, later calls get new connections. Connections tend to go silent
+   * together (something between the two ends has lost track of them), and each old one that is kept
+   * would cost one more call its timeout.
+   */
+  const renewPool = (endpoint: number, stale: Pool): void => {
+    if (pools[endpoint] !== stale) return
+    pools[endpoint] = openPool(options.endpoints[endpoint]!)
+    retired.add(stale)
+    stale.close().finally(() => retired.delete(stale))
+  }
+
   const call = async <T>(path: string, body: object): Promise<Result<T, StoreError>> => {
     const endpoint = current
+    const pool = pools[endpoint]!
     const timeout = new AbortController()
     // One bound over connecting, headers and body: an answer that trickles in must not hold its caller up.
     const cancelTimeout = clock.schedule(callTimeoutMs, () => timeout.abort())
     try {
-      const res = await pools[endpoint]!.request({
+      const res = await pool.request({
         method: 'POST',
         path,
         body: JSON.stringify(body),
@@ -71,6 +86,7 @@
       if (res.statusCode >= 500) moveOn(endpoint)
       return Err(errorOfAnswer(res.statusCode, answer as EtcdErrorBody))
     } catch (err) {
+      if (timeout.signal.aborted) renewPool(endpoint, pool)
       moveOn(endpoint)
       return Err(errorOfThrown(err))
     } finally {
@@ -114,7 +130,7 @@
     }
   }
   const close = async (): Promise<void> => {
-    await Promise.all([...pools, ...watchPools].map(pool => pool.destroy()))
+    await Promise.all([...pools, ...retired, ...watchPools].map(pool => pool.destroy()))
   }
   return { ...store, close }
 }
