--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -80,7 +80,7 @@
   const membership = createMembership({ store, network: peers, clock, logger })
   const cfg = createConfigHolder({ store, peers, site: settings.instance.site, clock, logger })
   cfg.onChanged(() => cfg.inForce().documents.forEach(({ document, version }) => metrics.configVersion.set({ document }, version)))
-  const keyring = createKeyring({ store, peers, clock })
+  const keyring = createKeyring({ store, peers, clock, logger })
   const directory = createDirectory({ list: options.list, clock, logger, onRead: proofs.noteList })
   const allowance = createAllowance({ cfg, peers, store, clock, logger, proofs })
   const lease = createRetentionLease({ store, clock, retentionSeconds: settings.once.retentionSeconds })
