--- /dev/null
+++ b/bench/allowance/run.ts
@@ -0,0 +1,145 @@
+/** Runs one policy over one workload and judges it against one naive central bucket for each team. */
+import { createBenchClock, percentile } from '../virtualTime'
+import { POLICIES } from './policies'
+import type { PolicyName } from './policies'
+import { TEAMS, createWorkload } from './workload'
+import type { Arrival } from './workload'
+
+export interface Outcome {
+  policy: PolicyName
+  phase: string
+  requests: number
+  /** Refused although one central bucket, spent as this policy spent, had the tokens. */
+  wrongful: number
+  /** The same for teams within their rates. */
+  withinRate: number
+  wrongfulWithinRate: number
+  refused: number
+  /** Most tokens beyond rate * t + burst in any window. */
+  overspend: number
+  storeCalls: number
+  peerMessages: number
+  /** Time to the decision, milliseconds. */
+  p50Ms: number
+  p99Ms: number
+}
+
+export interface RunOptions {
+  policy: PolicyName
+  seed: number
+  healthyMs: number
+  downMs: number
+}
+
+const START_MS = 3000
+const MS_PER_SECOND = 1000
+
+interface Tally {
+  requests: number
+  refused: number
+  wrongful: number
+  withinRate: number
+  wrongfulWithinRate: number
+  decisionMs: number[]
+}
+
+export async function runPolicy ({ policy: name, seed, healthyMs, downMs }: RunOptions): Promise<readonly Outcome[]> {
+  const clock = createBenchClock()
+  const policy = POLICIES[name](clock)
+  const judges = new Map(TEAMS.map(team => [team.name, createJudge(team.rate, team.burst)]))
+  const phases = [
+    { phase: 'store healthy', untilMs: START_MS + healthyMs, tally: newTally() },
+    { phase: 'store down', untilMs: START_MS + healthyMs + downMs, tally: newTally() }
+  ]
+  const handle = async (arrival: Arrival): Promise<void> => {
+    const judge = judges.get(arrival.team.name)!
+    const startedMs = clock.monotonic()
+    const { tally } = phases.find(candidate => startedMs < candidate.untilMs)!
+    const settle = await policy.reserve(arrival)
+    const isWithinRate = arrival.team.load <= 1
+    tally.requests += 1
+    tally.withinRate += isWithinRate ? 1 : 0
+    tally.decisionMs.push(clock.monotonic() - startedMs)
+    if (settle === undefined) {
+      const isWrongful = judge.hasTokens(arrival.reserved, clock.monotonic())
+      tally.refused += 1
+      tally.wrongful += isWrongful ? 1 : 0
+      tally.wrongfulWithinRate += isWrongful && isWithinRate ? 1 : 0
+      return
+    }
+    const end = judge.spend(arrival, clock.monotonic())
+    clock.schedule(arrival.lastsMs, () => {
+      settle(arrival.used)
+      end(clock.monotonic())
+    })
+  }
+  await clock.runUntil(START_MS)
+  createWorkload(seed, healthyMs + downMs).forEach(arrival => clock.schedule(arrival.atMs, () => { handle(arrival) }))
+  const outcomes: Outcome[] = []
+  let calls = 0
+  let messages = 0
+  for (const { phase, untilMs, tally } of phases) {
+    policy.setStoreDown(phase === 'store down')
+    await clock.runUntil(untilMs)
+    const { decisionMs, ...counts } = tally
+    outcomes.push({
+      policy: name,
+      phase,
+      ...counts,
+      overspend: Math.max(...[...judges.values()].map(judge => judge.overspend())),
+      storeCalls: policy.storeCalls() - calls,
+      peerMessages: policy.peerMessages() - messages,
+      p50Ms: percentile(decisionMs, 0.5),
+      p99Ms: percentile(decisionMs, 0.99)
+    })
+    calls = policy.storeCalls()
+    messages = policy.peerMessages()
+  }
+  return outcomes
+}
+
+function newTally (): Tally {
+  return { requests: 0, refused: 0, wrongful: 0, withinRate: 0, wrongfulWithinRate: 0, decisionMs: [] }
+}
+
+interface Judge {
+  hasTokens (tokens: number, nowMs: number): boolean
+  /** Notes a spending and returns what ends it. */
+  spend (arrival: Arrival, nowMs: number): (nowMs: number) => void
+  overspend (): number
+}
+
+/** Keeps one naive central bucket beside the policy: spent as the policy spends, filled as one bucket is. */
+function createJudge (rate: number, burst: number): Judge {
+  const spendings: Array<{ atMs: number, tokens: number }> = []
+  let level = burst
+  let filledAtMs = 0
+  const fill = (now: number): void => {
+    level = Math.min(burst, level + rate * (now - filledAtMs) / MS_PER_SECOND)
+    filledAtMs = now
+  }
+  return {
+    hasTokens: (tokens, now) => {
+      fill(now)
+      return level >= tokens
+    },
+    spend: (arrival, now) => {
+      fill(now)
+      level -= arrival.reserved
+      spendings.push({ atMs: now, tokens: arrival.used })
+      return endMs => {
+        fill(endMs)
+        level = Math.min(burst, level + arrival.reserved - arrival.used)
+      }
+    },
+    overspend: () => {
+      let left = burst
+      let atMs = 0
+      return spendings.reduce((most, spending) => {
+        left = Math.min(burst, left + rate * (spending.atMs - atMs) / MS_PER_SECOND) - spending.tokens
+        atMs = spending.atMs
+        return Math.max(most, -left)
+      }, 0)
+    }
+  }
+}
--- a/bench/index.ts
+++ b/bench/index.ts
@@ -5,6 +5,7 @@
 }
 
 const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
+  allowance: () => import('./allowance'),
   capacity: () => import('./capacity'),
   cold: () => import('./cold'),
   decusum: async () => await import('./decusum')
--- a/packages/magnoliabay/src/node/allowance/allowance.ts
+++ b/packages/magnoliabay/src/node/allowance/allowance.ts
@@ -19,6 +19,8 @@
 import { holdingNotice } from './messages'
 import { createPairs } from './pairs'
 import { createReclaim } from './reclaim'
+import { createRemote } from './remote'
+import type { RemoteTicket } from './remote'
 import { createRegistry } from './registry'
 import type { Ticket } from './share'
 import { createShares } from './shares'
@@ -27,9 +29,14 @@
 export interface Reservation {
   team: string
   tokens: number
-  ticket: Ticket
+  held: HeldTicket
 }
 
+/** Where a reservation is held: in the own share, or at a home. */
+export type HeldTicket =
+  | { at: 'here', ticket: Ticket }
+  | { at: 'home', ticket: RemoteTicket }
+
 export interface TeamHolding {
   team: string
   /** Part of the team's allowance held here, 0 to {@link TOTAL_UNITS}. */
@@ -80,6 +87,7 @@
   const name = { member: self.id, incarnation: self.incarnation }
   const registry = createRegistry({ store, self: name, shares, clock, logger })
   const exchange = createExchange({ peers, shares, pairs, homes, clock, logger, mayHold: registry.isRegistered })
+  const remote = createRemote({ peers, shares, homes, exchange, clock })
   const reclaim = createReclaim({ store, peers, pairs, registry, proofs: options.proofs ?? NO_PROOFS, clock, logger })
 
   const grantFirst = async (): Promise<void> => {
@@ -97,19 +105,32 @@
       isIdle: isIdle(own, self.leaving, monotonic())
     })
   }
+  const isHomeOf = (team: string): boolean => homes.near(team).some(home => home.id === self.id)
   const stayingHome = (team: string): MemberRecord | undefined =>
     homes.ranked(team).find(member => member.id !== self.id && !member.leaving && peers.isConnected(member.id))
   const tend = async (): Promise<void> => {
     if (!registry.isRegistered()) await registry.register()
     await grantFirst()
     await exchange.heal()
-    shares.all().forEach(own => tellHome(own, homes.regional(own.team)))
+    shares.all().filter(own => !isHomeOf(own.team)).forEach(own => tellHome(own, homes.near(own.team)[0]))
     await reclaim.tend()
   }
   const refuse = (tokens: number, waitMs: number): Failure => {
     const waitSeconds = Math.max(1, Math.ceil(waitMs / MS_PER_SECOND))
     return refusal('over_allowance', `The team's allowance is spent. ${tokens} tokens will be there in ${waitSeconds} s.`, waitSeconds)
   }
+  const reserveHere = async (own: TeamShare, tokens: number): Promise<Result<Reservation, Failure>> => {
+    const waitMs = await exchange.fetch(own, tokens)
+    const ticket = own.share.take(tokens, monotonic())
+    if (ticket === undefined) return Err(refuse(tokens, waitMs))
+    return Ok({ team: own.team, tokens, held: { at: 'here', ticket } })
+  }
+  const reserveAtHome = async (team: string, tokens: number): Promise<Result<Reservation, Failure>> => {
+    const answer = await remote.reserve(team, tokens)
+    if (answer.kind === 'granted') return Ok({ team, tokens, held: { at: 'home', ticket: answer.ticket } })
+    if (answer.kind === 'refused') return Err(refuse(tokens, answer.waitMs))
+    return Err(refusal('over_allowance', 'The allowance cannot be checked here just now. Use another instance.', RETRY_AFTER_UNREACHABLE_S))
+  }
 
   return {
     homes: team => homes.ranked(team).map(member => member.id),
@@ -126,13 +147,12 @@
       if (tokens > burst) return Err(refusal('over_allowance', `The request needs ${tokens} tokens, more than the team's burst of ${burst}.`))
       own.demand.note(tokens, monotonic())
       const ticket = own.share.take(tokens, monotonic())
-      if (ticket !== undefined) return Ok({ team, tokens, ticket })
-      const waitMs = await exchange.fetch(own, tokens)
-      const later = own.share.take(tokens, monotonic())
-      return later === undefined ? Err(refuse(tokens, waitMs)) : Ok({ team, tokens, ticket: later })
+      if (ticket !== undefined) return Ok({ team, tokens, held: { at: 'here', ticket } })
+      return isHomeOf(team) ? await reserveHere(own, tokens) : await reserveAtHome(team, tokens)
     },
-    settle: (reservation, usedTokens) => {
-      shares.of(reservation.team)?.share.settle(reservation.ticket, usedTokens, monotonic())
+    settle: ({ team, held }, usedTokens) => {
+      if (held.at === 'home') return remote.settle(held.ticket, usedTokens)
+      shares.of(team)?.share.settle(held.ticket, usedTokens, monotonic())
     },
     start: signal => {
       cfg.onChanged(() => { if (!signal.aborted) grantFirst() })
--- a/packages/magnoliabay/src/node/allowance/constants.ts
+++ b/packages/magnoliabay/src/node/allowance/constants.ts
@@ -18,5 +18,7 @@
 /** Homes that are asked in turn when the first can't be reached. */
 export const HOMES_ASKED = 2
 export const ASK_TIMEOUT_MS = 500
+/** A home gives up on hearing what a request elsewhere used; all of it counts as used then. Longer than any request, in milliseconds. */
+export const REMOTE_RESERVATION_MS = 300_000
 
 export const MS_PER_SECOND = 1000
--- a/packages/magnoliabay/src/node/allowance/exchange.ts
+++ b/packages/magnoliabay/src/node/allowance/exchange.ts
@@ -5,8 +5,7 @@
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import type { MemberRecord, Peers } from '../members'
-import { createRecent } from './recent'
-import { ASK_TIMEOUT_MS, HOMES_ASKED, KNOWN_TOTAL_MS, MAX_COLLECTED_FROM, MS_PER_SECOND } from './constants'
+import { ASK_TIMEOUT_MS, KNOWN_TOTAL_MS, MAX_COLLECTED_FROM, MS_PER_SECOND } from './constants'
 import { NO_GIFT, giftFor, isIdle } from './giving'
 import type { Homes } from './homes'
 import { askCall, holdingNotice } from './messages'
@@ -16,8 +15,6 @@
 
 /** A second try meets tokens that another request here took in between. */
 const MAX_FETCH_TRIES = 2
-/** Asks remembered in order to know a doubled one. */
-const RECENT_ASKS = 256
 
 export interface ExchangeOptions {
   peers: Peers
@@ -45,25 +42,29 @@
   atMs: number
 }
 
+interface Wanted {
+  mode: AskMode
+  tokens: number
+}
+
 interface TeamState {
   known: KnownTotal
   /** Units held by others, as far as told; a member that never told is asked as well. */
   holdings: Map<string, number>
   collecting: Promise<void> | undefined
-  /** Requests that wait for tokens from elsewhere. */
-  fetching: number
 }
 
 export function createExchange (options: ExchangeOptions): Exchange {
   const { peers, shares, pairs, homes, clock, logger, mayHold } = options
   const states = new Map<string, TeamState>()
-  const answered = createRecent(RECENT_ASKS)
+  /** Number of the last ask of each process. */
+  const lastAsk = new Map<string, number>()
   let nextNumber = 0
   const unhealed = new Map<string, { team: string, memberId: string }>()
 
   const now = (): number => clock.monotonic()
   const stateOf = (team: string): TeamState => {
-    const state = states.get(team) ?? { known: { tokens: 0, atMs: -Infinity }, holdings: new Map(), collecting: undefined, fetching: 0 }
+    const state = states.get(team) ?? { known: { tokens: 0, atMs: -Infinity }, holdings: new Map(), collecting: undefined }
     states.set(team, state)
     return state
   }
@@ -76,10 +77,17 @@
     stateOf(own.team).known = { tokens, atMs: now() }
   }
 
-  const ask = async (own: TeamShare, memberId: string, mode: AskMode, tokens: number, missing = tokens): Promise<AskReply | undefined> => {
+  const ask = async (own: TeamShare, memberId: string, wanted: Wanted): Promise<AskReply | undefined> => {
     if (!mayHold()) return undefined
     nextNumber += 1
-    const req: AskRequest = { number: nextNumber, team: own.team, mode, tokens, missing, demand: own.demand.rate(now()), units: own.share.units() }
+    const req: AskRequest = {
+      number: nextNumber,
+      team: own.team,
+      mode: wanted.mode,
+      tokens: wanted.tokens,
+      demand: own.demand.rate(now()),
+      units: own.share.units()
+    }
     const reply = await peers.call(memberId, askCall, req, { timeoutMs: ASK_TIMEOUT_MS })
     const unhealedKey = `${own.team} ${memberId}`
     if (reply.err) {
@@ -94,8 +102,7 @@
   }
   const candidates = (team: string): string[] => {
     const { holdings } = stateOf(team)
-    const far = new Set(homes.far(team).map(home => home.id))
-    const mayHaveSome = (member: MemberRecord): boolean => far.has(member.id) || holdings.get(member.id) !== 0
+    const mayHaveSome = (member: MemberRecord): boolean => homes.isHome(team, member.id) || holdings.get(member.id) !== 0
     const isReachable = (member: MemberRecord): boolean => member.id !== peers.self.id && peers.isConnected(member.id)
     const held = (member: MemberRecord): number => holdings.get(member.id) ?? 0
     return peers.members()
@@ -105,12 +112,13 @@
       .slice(0, MAX_COLLECTED_FROM)
       .map(member => member.id)
   }
-  const regionOf = (memberId: string): string | undefined => peers.members().find(member => member.id === memberId)?.region
-  const collectModeFor = (memberId: string): AskMode => regionOf(memberId) === peers.self.region ? 'collect' : 'rebalance'
+  const collectModeFor = (team: string, memberId: string): AskMode => homes.isHome(team, memberId) ? 'rebalance' : 'collect'
   const collect = async (own: TeamShare, tokens: number): Promise<void> => {
-    const replies = await Promise.all(candidates(own.team).map(id => ask(own, id, collectModeFor(id), tokens)))
-    const elsewhere = replies.reduce((sum, reply) => sum + Math.max(0, reply?.total ?? 0), 0)
-    setKnown(own, own.share.level(now()) + elsewhere)
+    const asked = candidates(own.team)
+    const replies = await Promise.all(asked.map(id => ask(own, id, { mode: collectModeFor(own.team, id), tokens })))
+    const elsewhere = replies.reduce((sum, reply) => sum + Math.max(0, reply?.tokensLeft ?? 0), 0)
+    // What didn't answer may have enough: then it is worth another try.
+    if (!replies.includes(undefined)) setKnown(own, own.share.level(now()) + elsewhere)
   }
   /** Collects, but never twice at once for a team. */
   const gather = async (own: TeamShare, tokens: number): Promise<void> => {
@@ -120,21 +128,6 @@
     state.collecting ??= collect(own, tokens).finally(() => { state.collecting = undefined })
     await state.collecting
   }
-  /** What is here already counts only for a request that waits alone; two would count it twice. */
-  const missingFor = (own: TeamShare, tokens: number): number => {
-    const isAlone = stateOf(own.team).fetching === 1
-    return isAlone ? tokens - Math.max(0, own.share.level(now())) : tokens
-  }
-  /** Asks the homes in turn until one answers. */
-  const askHomes = async (own: TeamShare, tokens: number): Promise<void> => {
-    const ranked = homes.ranked(own.team).filter(member => member.id === peers.self.id || peers.isConnected(member.id))
-    for (const home of ranked.slice(0, HOMES_ASKED)) {
-      if (home.id === peers.self.id) return await gather(own, tokens)
-      const reply = await ask(own, home.id, 'need', tokens, missingFor(own, tokens))
-      if (reply === undefined) continue
-      return setKnown(own, Math.max(own.share.level(now()), reply.total))
-    }
-  }
   /** Tokens over the fleet as last collected, and what has grown since. */
   const totalKnown = (own: TeamShare): number => {
     const { known } = stateOf(own.team)
@@ -143,24 +136,24 @@
   }
   const answer = (own: TeamShare, req: AskRequest, from: MemberRecord): AskReply => {
     const isBusy = req.mode === 'return' && !isIdle(own, peers.self.leaving, now())
-    const isDoubled = !answered.add(`${from.incarnation} ${req.number}`)
-    const gift = isBusy || isDoubled ? NO_GIFT : giftFor(own, req, now())
+    // Doubled, or overtaken by a later ask, whose answer has told the taker all that it will be told.
+    const isStale = req.number <= (lastAsk.get(from.incarnation) ?? 0)
+    if (!isStale) lastAsk.set(from.incarnation, req.number)
+    const gift = isBusy || isStale ? NO_GIFT : giftFor(own, req, now())
     const transfer = pairs.give(req.team, from.incarnation, gift.units, gift.tokens)
     stateOf(req.team).holdings.set(from.id, req.units + gift.units)
-    return { transfer, unitsLeft: own.share.units(), total: req.mode === 'need' ? totalKnown(own) : own.share.level(now()) }
+    return { transfer, unitsLeft: own.share.units(), tokensLeft: own.share.level(now()) }
   }
 
-  peers.serve(askCall, async (req, from) => {
+  peers.serve(askCall, (req, from) => {
     const own = shares.of(req.team)
-    if (own === undefined) return { transfer: pairs.give(req.team, from.incarnation, 0, 0), unitsLeft: 0, total: 0 }
-    const isShort = req.mode === 'need' && own.share.level(now()) < req.missing
-    if (isShort) await gather(own, req.tokens)
+    if (own === undefined) return { transfer: pairs.give(req.team, from.incarnation, 0, 0), unitsLeft: 0, tokensLeft: 0 }
     return answer(own, req, from)
   })
   const takeHome: Exchange['takeHome'] = async (team, memberId) => {
     const own = shares.of(team)
     if (own === undefined) return
-    const reply = await ask(own, memberId, 'return', 0)
+    const reply = await ask(own, memberId, { mode: 'return', tokens: 0 })
     logger.debug('share-taken-home', { team, from: memberId, units: own.share.units(), reason: reply === undefined ? 'no answer' : 'idle there' })
   }
   peers.listen(holdingNotice, (notice, from) => {
@@ -171,20 +164,18 @@
   return {
     takeHome,
     fetch: async (own, tokens) => {
-      const state = stateOf(own.team)
-      state.fetching += 1
       for (let tries = 0; tries < MAX_FETCH_TRIES && own.share.level(now()) < tokens && !isKnownShort(own, tokens); tries += 1) {
-        await askHomes(own, tokens)
+        await gather(own, tokens)
       }
-      state.fetching -= 1
       if (own.share.level(now()) >= tokens) return 0
+      if (!isKnownShort(own, tokens)) setKnown(own, own.share.level(now()))
       return Math.max(1, (tokens - totalKnown(own)) / own.share.size().rate * MS_PER_SECOND)
     },
     heal: async () => {
       const lost = [...unhealed.values()]
       await Promise.all(lost.map(async ({ team, memberId }) => {
         const own = shares.of(team)
-        if (own !== undefined) await ask(own, memberId, 'heal', 0)
+        if (own !== undefined) await ask(own, memberId, { mode: 'heal', tokens: 0 })
       }))
     }
   }
--- a/packages/magnoliabay/src/node/allowance/giving.ts
+++ b/packages/magnoliabay/src/node/allowance/giving.ts
@@ -6,6 +6,7 @@
 
 export interface Gift {
   units: number
+  /** In the capacity of the units. */
   tokens: number
 }
 
@@ -14,10 +15,6 @@
 type GiftPolicy = (own: TeamShare, ask: AskRequest, nowMs: number) => Gift
 
 const GIFT_POLICIES: Readonly<Record<AskMode, GiftPolicy>> = {
-  need: (own, ask, now) => {
-    const tokens = [ask.tokens, ask.missing].find(wanted => wanted <= own.share.level(now))
-    return tokens === undefined ? NO_GIFT : withFairPart(own, ask, tokens, now)
-  },
   collect: (own, ask, now) => withLeastUnits(own, tokensFor(own, ask, now)),
   rebalance: (own, ask, now) => withFairPart(own, ask, tokensFor(own, ask, now), now),
   return: (own, _ask, now) => ({ units: own.share.units(), tokens: Math.max(0, own.share.level(now)) }),
--- a/packages/magnoliabay/src/node/allowance/messages.ts
+++ b/packages/magnoliabay/src/node/allowance/messages.ts
@@ -3,22 +3,19 @@
 import type { PairReport, Transfer } from './pairs'
 
 /**
- * `need`: all of the tokens or none, and a fair part of the units.
  * `collect`: as many of the tokens as are there.
- * `rebalance`: as `collect`, and a fair part of the units; between regions.
+ * `rebalance`: as `collect`, and a fair part of the units; between homes.
  * `return`: the whole share, if it is idle.
  * `heal`: nothing new; only what a lost transfer left out.
  */
-export type AskMode = 'need' | 'collect' | 'rebalance' | 'return' | 'heal'
+export type AskMode = 'collect' | 'rebalance' | 'return' | 'heal'
 
 export interface AskRequest {
-  /** Unique among the asks of a taker; a doubled ask is answered without giving again. */
+  /** Grows with every ask of a taker; one that comes doubled, or after a later one, is given nothing. */
   number: number
   team: string
   mode: AskMode
   tokens: number
-  /** Tokens that are enough if the giver has them at hand; the rest is with the taker already. */
-  missing: number
   /** Tokens a second that the taker is asked for. */
   demand: number
   /** Units that the taker holds. */
@@ -29,8 +26,28 @@
   transfer: Transfer
   /** Units that the giver still holds. */
   unitsLeft: number
-  /** Tokens that the giver knows of: for a refused need over the fleet, else its own. */
-  total: number
+  /** Tokens that the giver still holds. */
+  tokensLeft: number
+}
+
+/** A reservation at a home for a request elsewhere. */
+export interface ReserveRequest {
+  /** Unique among those of the member that asks. */
+  number: number
+  team: string
+  tokens: number
+}
+
+export interface ReserveReply {
+  isGranted: boolean
+  /** Until the tokens may be there, milliseconds; 0 when granted. */
+  waitMs: number
+}
+
+export interface SettleNotice {
+  /** Of the reservation. */
+  number: number
+  used: number
 }
 
 export interface HoldingNotice {
@@ -52,5 +69,7 @@
 }
 
 export const askCall = definePeerCall<AskRequest, AskReply>('allowance.ask')
+export const reserveCall = definePeerCall<ReserveRequest, ReserveReply>('allowance.reserve')
+export const settleNotice = definePeerNotice<SettleNotice>('allowance.settle')
 export const holdingNotice = definePeerNotice<HoldingNotice>('allowance.holding')
 export const closeCall = definePeerCall<CloseRequest, CloseReply>('allowance.close')
--- a/packages/magnoliabay/src/node/allowance/share.ts
+++ b/packages/magnoliabay/src/node/allowance/share.ts
@@ -3,10 +3,12 @@
  * that the units stand for.
  *
  * Over the fleet the units sum to at most {@link TOTAL_UNITS}, so rates sum to the team's rate and
- * capacities to its burst. Beside its level a share keeps credits: what each open reservation may still
- * bring back. Level and credits together never exceed the capacity. Were unused tokens simply put back, a
- * bucket that has filled up behind a long answer would hand the same burst out twice; with credits, what is
- * used by the requests let in within any time t stays within rate * t + burst.
+ * capacities to its burst.
+ *
+ * Were the unused tokens of a reservation simply put back, a bucket that has filled up behind a long answer would
+ * hand the same burst out twice. So for every moment since, what older reservations bring back stays within
+ * the room that the share had at that moment. Then what is used by the requests let in within any time t
+ * stays within rate * t + burst.
  */
 import { MS_PER_SECOND, TOTAL_UNITS } from './constants'
 
@@ -20,9 +22,11 @@
 /** A reservation at the share that granted it. */
 export interface Ticket {
   tokens: number
-  /** The reservation's part of all credits, in the epoch in which it was made. */
-  weight: number
-  epoch: number
+  /**
+   * Least room of the share between this reservation and the next open one, less what older reservations
+   * (this one included) have brought back since.
+   */
+  room: number
 }
 
 export interface Share {
@@ -33,7 +37,7 @@
   outstanding (): number
   /** Takes `tokens` if they are there. */
   take (tokens: number, nowMs: number): Ticket | undefined
-  /** Ends a reservation: unused tokens come back as far as its credit goes, what was used beyond is owed. */
+  /** Ends a reservation: unused tokens come back as far as there is room, what was used beyond is owed. */
   settle (ticket: Ticket, used: number, nowMs: number): void
   /** Lowers the share. `tokens` must fit into the capacity of `units`. */
   give (units: number, tokens: number, nowMs: number): void
@@ -46,8 +50,6 @@
 
 /** Rounding of sums of tokens that is overlooked; what is taken too much stays behind as a debt. */
 const ROUNDING_TOKENS = 1e-6
-/** Below this all credits count as nothing. */
-const LEAST_SCALE = 1e-6
 
 /** Fewest units whose capacity holds `tokens`. */
 export function unitsFor (tokens: number, burst: number): number {
@@ -58,24 +60,15 @@
   let size = initial
   let units = 0
   let level = 0
-  let outstanding = 0
   let filledAtMs = nowMs
-  // A credit is weight * scale, so that all credits shrink at once, in proportion. Once they have come to
-  // nothing a new epoch begins, and tickets of the old one have none.
-  let weights = 0
-  let scale = 1
-  let epoch = 0
+  /** Reservations not settled yet, oldest first. */
+  const open: Ticket[] = []
 
   const capacity = (): number => size.burst * units / TOTAL_UNITS
   const cut = (): void => {
     level = Math.min(level, capacity())
-    const room = capacity() - level
-    if (weights * scale <= room) return
-    scale = room / weights
-    if (scale > LEAST_SCALE) return
-    epoch += 1
-    weights = 0
-    scale = 1
+    const newest = open.at(-1)
+    if (newest !== undefined) newest.room = Math.min(newest.room, capacity() - level)
   }
   const fill = (now: number): void => {
     const elapsedMs = Math.max(0, now - filledAtMs)
@@ -83,9 +76,23 @@
     level += size.rate * units / TOTAL_UNITS * elapsedMs / MS_PER_SECOND
     cut()
   }
+  /** Ends a reservation and brings back `unused` as far as there was room all the time since. */
+  const close = (ticket: Ticket, unused: number): void => {
+    const index = open.indexOf(ticket)
+    if (index < 0) return
+    const since = open.slice(index)
+    const room = Math.min(...since.map(other => other.room))
+    const refund = Math.min(unused, Math.max(0, room))
+    level += refund
+    since.forEach(other => { other.room -= Math.max(0, refund) })
+    open.splice(index, 1)
+    const older = open[index - 1]
+    if (older !== undefined) older.room = Math.min(older.room, ticket.room)
+    cut()
+  }
   return {
     units: () => units,
-    outstanding: () => outstanding,
+    outstanding: () => open.reduce((sum, ticket) => sum + ticket.tokens, 0),
     size: () => size,
     level: now => {
       fill(now)
@@ -94,21 +101,15 @@
     take: (tokens, now) => {
       fill(now)
       if (tokens > level + ROUNDING_TOKENS) return undefined
-      const ticket = { tokens, weight: tokens / scale, epoch }
       level -= tokens
-      outstanding += tokens
-      weights += ticket.weight
+      const ticket = { tokens, room: Infinity }
+      open.push(ticket)
       cut()
       return ticket
     },
     settle: (ticket, used, now) => {
       fill(now)
-      const isCredited = ticket.epoch === epoch
-      const credit = isCredited ? ticket.weight * scale : 0
-      level += Math.min(ticket.tokens - used, credit)
-      outstanding = Math.max(0, outstanding - ticket.tokens)
-      if (isCredited) weights = Math.max(0, weights - ticket.weight)
-      cut()
+      close(ticket, ticket.tokens - used)
     },
     give: (givenUnits, tokens, now) => {
       fill(now)
