--- a/packages/magnoliabay/src/node/cells/__tests__/support/world.ts
+++ b/packages/magnoliabay/src/node/cells/__tests__/support/world.ts
@@ -130,7 +130,10 @@
     const cells = createCells({
       store: ownStore,
       peers,
-      membership: { leaseId: () => isRegistered ? id : undefined },
+      membership: {
+        leaseId: () => isRegistered ? id : undefined,
+        isRegistered: incarnation => peers.members().some(other => other.incarnation === incarnation)
+      },
       proofs,
       directory,
       engines: pausable.engines(createDirectEngineClient(engines, clock)),
--- a/packages/magnoliabay/src/node/cells/cells.ts
+++ b/packages/magnoliabay/src/node/cells/cells.ts
@@ -30,7 +30,7 @@
 export interface CellsOptions {
   store: Store
   peers: Peers
-  membership: Pick<Membership, 'leaseId'>
+  membership: Pick<Membership, 'leaseId' | 'isRegistered'>
   proofs: ProofKeeper
   directory: Directory
   engines: EngineClient
@@ -110,7 +110,7 @@
       holding,
       self: peers.self,
       proofs,
-      isRegistered: process => peers.members().some(member => member.incarnation === process.incarnation),
+      isRegistered: process => membership.isRegistered(process.incarnation),
       hasFencedEngines: directory.engines().some(engine => engine.checksFence === true && cellOf(engine.id, cellCount()) === cell)
     })
     if (right.kind === 'held') {
--- a/packages/magnoliabay/src/node/cells/intents.ts
+++ b/packages/magnoliabay/src/node/cells/intents.ts
@@ -35,6 +35,8 @@
 const PEER_COPIES = 2
 /** A copy is in two domains, so one whole domain may be silent and every intent is still seen. */
 const SILENT_DOMAINS_ALLOWED = 1
+/** Members of one domain that are asked before it counts as silent. */
+const DOMAIN_TRIES = 3
 const FORGET_BATCH = 64
 
 export function createIntents (options: IntentsOptions): Intents {
@@ -60,7 +62,7 @@
   }
   /** Asks the domain's members one after another until one holds it. */
   const holdInDomain = async (intent: Intent, members: readonly MemberRecord[]): Promise<boolean> => {
-    for (const member of members.filter(candidate => peers.isConnected(candidate.id))) {
+    for (const member of members.filter(candidate => peers.isConnected(candidate.id)).slice(0, DOMAIN_TRIES)) {
       const reply = await peers.call(member.id, holdIntentCall, intent)
       if (reply.ok && reply.val.held) return true
     }
--- /dev/null
+++ b/packages/magnoliabay/src/node/members/__tests__/neighbours.spec.ts
@@ -0,0 +1,76 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { createVirtualClock } from '../../clock/virtual'
+import { createGossip } from '../gossip'
+import type { GossipMessage } from '../gossip'
+import { FULL_MESH, mapNeighbours } from '../neighbours'
+import type { MemberRecord } from '../record'
+
+const idsOf = (count: number): string[] => Array.from({ length: count }, (_, index) => `member-${index}`)
+const MOST_LINKS = 28
+
+/** Members that can be reached from the first over links between members that are alive. */
+function reached (ids: readonly string[], dead: ReadonlySet<string>): number {
+  const neighbours = mapNeighbours(ids)
+  const alive = ids.filter(id => !dead.has(id))
+  const seen = new Set(alive.slice(0, 1))
+  const pending = [...seen]
+  while (pending.length > 0) {
+    const next = [...neighbours.get(pending.pop()!)!].filter(id => !dead.has(id) && !seen.has(id))
+    next.forEach(id => seen.add(id))
+    pending.push(...next)
+  }
+  return seen.size
+}
+
+describe('neighbours', () => {
+  [1, 2, FULL_MESH].forEach(count => it(`${count} members all hold links to one another`, () => {
+    mapNeighbours(idsOf(count)).forEach(set => expect(set.size).to.equal(count - 1))
+  }));
+
+  [FULL_MESH + 1, 60, 420].forEach(count => it(`${count} members hold few links each, both ways`, () => {
+    const neighbours = mapNeighbours(idsOf(count))
+    neighbours.forEach((set, id) => {
+      expect(set.size).to.be.within(4, MOST_LINKS)
+      set.forEach(other => expect(neighbours.get(other)!.has(id)).to.equal(true))
+    })
+  }))
+
+  /* One failure domain of four is lost at once, and nobody has noticed yet: a notice still reaches all who are left. */
+  it('stay connected when a quarter of the members is lost at once, seed 7', () => {
+    const ids = idsOf(120)
+    const dead = fc.uniqueArray(fc.constantFrom(...ids), { minLength: 30, maxLength: 30 })
+    fc.assert(fc.property(dead, lost => reached(ids, new Set(lost)) === ids.length - lost.length), { seed: 7, numRuns: 100 })
+  })
+})
+
+describe('gossip', () => {
+  /* Every member hands a notice on once, so it ends, and each handles it once however many copies reach it. */
+  it('brings a notice to each of 420 members once', () => {
+    const clock = createVirtualClock()
+    const neighbours = mapNeighbours(idsOf(420))
+    const gossips = new Map(idsOf(420).map(id => [id, createGossip(clock)]))
+    const handled = new Map<string, number>()
+    let copies = 0
+    const hand = (message: GossipMessage, from: string): void => neighbours.get(from)!.forEach(id => {
+      copies += 1
+      if (!gossips.get(id)!.isNew(message)) return
+      handled.set(id, (handled.get(id) ?? 0) + 1)
+      hand(message, id)
+    })
+    const origin = { id: 'member-0', incarnation: 'member-0-1' } as MemberRecord
+    hand(gossips.get('member-0')!.wrap(origin, 'note', 1), 'member-0')
+    expect(handled.size).to.equal(419)
+    expect([...handled.values()].every(count => count === 1)).to.equal(true)
+    expect(copies).to.be.below(420 * 12)
+  })
+
+  it('forgets a message only after it has long gone round', async () => {
+    const clock = createVirtualClock()
+    const gossip = createGossip(clock)
+    const message = createGossip(clock).wrap({ id: 'a', incarnation: 'a-1' } as MemberRecord, 'note', 1)
+    expect(gossip.isNew(message)).to.equal(true)
+    await clock.advance(50_000)
+    expect(gossip.isNew(message)).to.equal(false)
+  })
+})
--- /dev/null
+++ b/packages/magnoliabay/src/node/members/dialling.ts
@@ -0,0 +1,68 @@
+/** Keeps dialling the members that this one has to dial, and stops when it has not. */
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import { sleep } from '../clock'
+import type { Clock } from '../clock'
+import { parseHostPort } from '../utils'
+import type { MemberRecord } from './record'
+
+const REDIAL_MS = 500
+const DIAL_TIMEOUT_MS = 2000
+
+export interface Dialling {
+  /** Dials these from now on, and no others. */
+  setTargets (members: readonly MemberRecord[]): void
+  /** Dials once; resolves when the connection has ended. */
+  dialOnce (member: MemberRecord): Promise<void>
+  close (): void
+}
+
+export interface DiallingOptions {
+  clock: Clock
+  /** Runs a link until it ends. */
+  run: (socket: Socket) => Promise<void>
+}
+
+export function createDialling (options: DiallingOptions): Dialling {
+  const targets = new Map<string, AbortController>()
+  const closed = new AbortController()
+
+  const dial = async (member: MemberRecord, signal: AbortSignal): Promise<void> => {
+    const { host, port } = parseHostPort(member.peerAddress)
+    const socket = connect({ host, port, timeout: DIAL_TIMEOUT_MS })
+    socket.on('timeout', () => { if (socket.connecting) socket.destroy() })
+    // Taken off again after each run: a peer that is down for long would otherwise leave a dead socket for every dial.
+    const cut = (): unknown => socket.destroy()
+    signal.addEventListener('abort', cut, { once: true })
+    await options.run(socket)
+    signal.removeEventListener('abort', cut)
+  }
+  const keepDialling = async (member: MemberRecord, signal: AbortSignal): Promise<void> => {
+    while (!signal.aborted) {
+      await dial(member, signal)
+      await sleep(options.clock, REDIAL_MS, signal)
+    }
+  }
+  const keyOf = (member: MemberRecord): string => `${member.id} ${member.peerAddress} ${member.incarnation}`
+
+  return {
+    setTargets: members => {
+      const wanted = new Set(members.map(keyOf))
+      const stale = [...targets.keys()].filter(key => !wanted.has(key))
+      stale.forEach(key => {
+        targets.get(key)?.abort()
+        targets.delete(key)
+      })
+      members.filter(member => !targets.has(keyOf(member))).forEach(member => {
+        const controller = new AbortController()
+        targets.set(keyOf(member), controller)
+        keepDialling(member, controller.signal)
+      })
+    },
+    dialOnce: member => dial(member, closed.signal),
+    close: () => {
+      targets.forEach(controller => controller.abort())
+      targets.clear()
+    }
+  }
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/members/gossip.ts
@@ -0,0 +1,55 @@
+/**
+ * Notices to everybody where not everybody holds a link to everybody: each member hands a notice on to its
+ * neighbours the first time that it sees it. A notice reaches all as long as the links that stand connect them,
+ * whichever single member or link is lost on the way.
+ */
+import type { Clock } from '../clock'
+import type { MemberRecord } from './record'
+
+export interface GossipMessage {
+  /** Unique over the fleet. */
+  id: string
+  origin: MemberRecord
+  kind: string
+  body: unknown
+}
+
+export const GOSSIP_KIND = 'members.gossip'
+
+export interface Gossip {
+  /** A notice of this member's own, to be handed to all neighbours. */
+  wrap (origin: MemberRecord, kind: string, body: unknown): GossipMessage
+  /** True the first time that a message is seen. */
+  isNew (message: GossipMessage): boolean
+}
+
+/** Far longer than a notice takes to go round; a copy later than that would be handled again, which is harmless. */
+const REMEMBER_MS = 60_000
+
+export function createGossip (clock: Clock): Gossip {
+  let current = new Set<string>()
+  let previous = new Set<string>()
+  let turnedMs = clock.monotonic()
+  let counter = 0
+  const turn = (): void => {
+    if (clock.monotonic() - turnedMs < REMEMBER_MS) return
+    previous = current
+    current = new Set()
+    turnedMs = clock.monotonic()
+  }
+  const note = (id: string): boolean => {
+    turn()
+    if (current.has(id) || previous.has(id)) return false
+    current.add(id)
+    return true
+  }
+  return {
+    isNew: message => note(message.id),
+    wrap: (origin, kind, body) => {
+      counter += 1
+      const message: GossipMessage = { id: `${origin.incarnation} ${counter}`, origin, kind, body }
+      note(message.id)
+      return message
+    }
+  }
+}
--- a/packages/magnoliabay/src/node/members/membership.ts
+++ b/packages/magnoliabay/src/node/members/membership.ts
@@ -13,6 +13,15 @@
 const LEASE_TTL_SECONDS = 10
 const RENEW_PERIOD_MS = 3000
 
+/** How long a member without a record and without a link that would tell counts as there. */
+const LAPSED_GRACE_MS = 15_000
+
+interface LapsedRecord {
+  record: MemberRecord
+  /** Monotonic milliseconds. */
+  sinceMs: number
+}
+
 export interface MembershipOptions {
   store: Store
   network: PeerNetwork
@@ -23,6 +32,8 @@
 export interface Membership {
   /** The process's one lease, or undefined while none stands. */
   leaseId (): string | undefined
+  /** Whether the store holds the record of this very process, as far as is known here. */
+  isRegistered (incarnation: string): boolean
   /** Registers and keeps registering until `signal` aborts. */
   start (signal: AbortSignal): void
   /** Tells everybody that no new callers should come here. */
@@ -35,6 +46,8 @@
   const { store, network, clock, logger } = options
   const self = network.self
   const records = new Map<string, MemberRecord>()
+  /** Records that are gone from the store, of members that may be there all the same. */
+  const lapsed = new Map<string, LapsedRecord>()
   let leaseId: string | undefined
 
   const register = async (): Promise<void> => {
@@ -58,7 +71,25 @@
     leaseId = undefined
     await register()
   }
-  const apply = (): void => network.setMembers([...records.values()])
+  /**
+   * After a long outage of the store all leases have lapsed, and every record vanishes at once until each member
+   * has registered anew. Members whose links stand stay, so that nobody cuts the links that everything runs over.
+   */
+  const isStillThere = ({ record, sinceMs }: LapsedRecord): boolean => {
+    const evidence = network.evidenceOf(record.id)
+    if (evidence !== 'none') return evidence === 'linked'
+    return clock.monotonic() - sinceMs < LAPSED_GRACE_MS
+  }
+  const apply = (): void => {
+    lapsed.forEach((held, id) => { if (records.has(id) || !isStillThere(held)) lapsed.delete(id) })
+    network.setMembers([...records.values(), ...[...lapsed.values()].map(held => held.record)])
+  }
+  const dropRecord = (id: string): void => {
+    const record = records.get(id)
+    if (record === undefined) return
+    records.delete(id)
+    if (!record.leaving) lapsed.set(id, { record, sinceMs: clock.monotonic() })
+  }
   const addRecord = (entry: Pick<KeyValue, 'key' | 'value'>): void => {
     const record = JSON.parse(entry.value) as MemberRecord
     records.set(record.id, record)
@@ -66,20 +97,24 @@
 
   return {
     leaseId: () => leaseId,
+    isRegistered: incarnation => [...records.values()].some(record => record.incarnation === incarnation),
     start: signal => {
       store.watch(MEMBERS_PREFIX, {
         onSnapshot: snapshot => {
-          records.clear()
+          const present = new Set(snapshot.entries.map(entry => entry.key))
+          const missing = [...records.keys()].filter(id => !present.has(memberKey(id)))
+          missing.forEach(dropRecord)
           snapshot.entries.forEach(addRecord)
           apply()
         },
         onEvent: event => {
           if (event.kind === 'put') addRecord(event)
-          else records.delete(event.key.slice(MEMBERS_PREFIX.length))
+          else dropRecord(event.key.slice(MEMBERS_PREFIX.length))
           apply()
         }
       }, signal)
       repeat(clock, RENEW_PERIOD_MS, signal, renewOrRegister)
+      repeat(clock, RENEW_PERIOD_MS, signal, () => { if (lapsed.size > 0) apply() })
     },
     announceLeaving: async () => {
       self.leaving = true
--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -1,22 +1,28 @@
 /**
- * Links to all peers over TCP. Of two members, the one with the lesser id dials the other.
+ * Links to peers over TCP. Few members all hold links to one another; many hold links to their neighbours, and dial
+ * others while they have something to say to them. Of two neighbours, the one with the lesser id dials.
  */
-import { connect, createServer } from 'node:net'
+import { createServer } from 'node:net'
 import type { Server, Socket } from 'node:net'
 import type { Clock } from '../clock'
-import { sleep } from '../clock'
 import type { Logger } from '../logger'
 import { Err } from '../result'
 import type { Result } from '../result'
 import { parseHostPort } from '../utils'
+import { createDialling } from './dialling'
 import { createDispatch, createListeners } from './dispatch'
+import { GOSSIP_KIND, createGossip } from './gossip'
+import type { GossipMessage } from './gossip'
 import { runLink } from './link'
 import type { Link } from './link'
+import { mapNeighbours } from './neighbours'
 import type { PeerError, Peers } from './peers'
 import type { MemberRecord } from './record'
 
-const REDIAL_MS = 500
-const DIAL_TIMEOUT_MS = 2000
+/** A link outside the neighbourhood that has said nothing of ours for this long is closed. */
+const IDLE_LINK_MS = 60_000
+/** A member that could not be dialled counts as out of reach for this long. */
+const OUT_OF_REACH_MS = 5000
 
 export interface PeerNetworkOptions {
   self: MemberRecord
@@ -27,23 +33,45 @@
 }
 
 export interface PeerNetwork extends Peers {
-  /** Replaces the known members; links to those gone are closed, links to those new are dialled. */
+  /** Replaces the known members; links to those gone are closed, links to new neighbours are dialled. */
   setMembers (records: readonly MemberRecord[]): void
-  listen: Peers['listen']
+  /** What speaks for a member being there: a link, or the lack of one where one is kept. */
+  evidenceOf (memberId: string): LinkEvidence
   start (): Promise<void>
   close (): Promise<void>
 }
 
+/** `none`: not a neighbour, so no link is kept and its lack says nothing. */
+export type LinkEvidence = 'linked' | 'unlinked' | 'none'
+
+interface OpenLink {
+  link: Link
+  isDialledHere: boolean
+  lastUsedMs: number
+}
+
 export function createPeerNetwork (options: PeerNetworkOptions): PeerNetwork {
   const { self, clock, logger } = options
   const dispatch = createDispatch()
   const changed = createListeners<[]>()
   const connected = createListeners<[MemberRecord]>()
-  const links = new Map<string, Link>()
-  const dialling = new Map<string, AbortController>()
+  const links = new Map<string, OpenLink>()
+  const outOfReach = new Map<string, number>()
+  const dials = new Map<string, Promise<Link | undefined>>()
+  const gossip = createGossip(clock)
   let known: readonly MemberRecord[] = [self]
+  let neighbours: ReadonlySet<string> = new Set()
 
-  const run = async (socket: Socket): Promise<void> => {
+  /**
+   * Two members may dial each other at once. Each would close one of the two links, perhaps not the same one, and
+   * lose both. So the link that the lesser id dialled stays, and the other is refused.
+   */
+  const isSuperfluous = (memberId: string, isDialledHere: boolean): boolean => {
+    const existing = links.get(memberId)
+    if (existing === undefined || existing.isDialledHere === isDialledHere) return false
+    return isDialledHere ? memberId < self.id : self.id < memberId
+  }
+  const run = async (socket: Socket, isDialledHere: boolean): Promise<void> => {
     let link: Link | undefined
     const reason = await runLink({
       socket,
@@ -52,77 +80,112 @@
       logger,
       dispatch,
       onHello: established => {
-        links.get(established.member.id)?.close('replaced by a newer link')
+        const { member } = established
+        if (isSuperfluous(member.id, isDialledHere)) return false
+        links.get(member.id)?.link.close('replaced by a newer link')
         link = established
-        links.set(established.member.id, established)
-        logger.info('peer-link-up', { peer: established.member.id, incarnation: established.member.incarnation })
-        connected.emit(established.member)
+        links.set(member.id, { link: established, isDialledHere, lastUsedMs: clock.monotonic() })
+        outOfReach.delete(member.id)
+        logger.info('peer-link-up', { peer: member.id, incarnation: member.incarnation })
+        connected.emit(member)
         return true
       },
       onGoodbye: member => options.onGoodbye?.(member)
     })
     if (link === undefined) return
-    if (links.get(link.member.id) === link) links.delete(link.member.id)
+    if (links.get(link.member.id)?.link === link) links.delete(link.member.id)
     logger.info('peer-link-down', { peer: link.member.id, reason })
   }
-  const keepDialling = async (member: MemberRecord, signal: AbortSignal): Promise<void> => {
-    const { host, port } = parseHostPort(member.peerAddress)
-    while (!signal.aborted) {
-      const socket = connect({ host, port, timeout: DIAL_TIMEOUT_MS })
-      socket.on('timeout', () => { if (socket.connecting) socket.destroy() })
-      // Taken off again after each run: a peer that is down for long would otherwise leave a dead socket for every dial.
-      const cut = (): unknown => socket.destroy()
-      signal.addEventListener('abort', cut, { once: true })
-      await run(socket)
-      signal.removeEventListener('abort', cut)
-      await sleep(clock, REDIAL_MS, signal)
+  const dialling = createDialling({ clock, run: socket => run(socket, true) })
+
+  /** Waits until the dialled link stands, or has failed. */
+  const dial = (member: MemberRecord): Promise<Link | undefined> => new Promise(resolve => {
+    const settle = (): void => {
+      dispose()
+      const link = links.get(member.id)?.link
+      if (link === undefined) outOfReach.set(member.id, clock.monotonic())
+      dials.delete(member.id)
+      resolve(link)
+    }
+    const dispose = connected.add(up => { if (up.id === member.id) settle() })
+    dialling.dialOnce(member).then(settle)
+  })
+  const linkTo = async (memberId: string): Promise<Link | undefined> => {
+    const open = links.get(memberId)
+    if (open !== undefined) {
+      open.lastUsedMs = clock.monotonic()
+      return open.link
     }
+    const member = known.find(candidate => candidate.id === memberId)
+    // Neighbours are dialled all the time; a further dial would only race with that.
+    if (member === undefined || neighbours.has(memberId)) return undefined
+    const pending = dials.get(memberId) ?? dial(member)
+    dials.set(memberId, pending)
+    return await pending
+  }
+  const isInReach = (memberId: string): boolean => {
+    if (memberId === self.id || links.has(memberId)) return true
+    if (neighbours.has(memberId) || !known.some(member => member.id === memberId)) return false
+    return clock.monotonic() - (outOfReach.get(memberId) ?? -Infinity) > OUT_OF_REACH_MS
+  }
+  const closeIdle = (): void => [...links.values()]
+    .filter(({ link, isDialledHere }) => isDialledHere && !neighbours.has(link.member.id))
+    .filter(({ lastUsedMs }) => clock.monotonic() - lastUsedMs > IDLE_LINK_MS)
+    .forEach(({ link }) => link.close('idle'))
+  const spread = (message: GossipMessage, except?: string): void => [...links.values()]
+    .filter(({ link }) => neighbours.has(link.member.id) && link.member.id !== except)
+    .forEach(({ link }) => link.notify(GOSSIP_KIND, message))
+  dispatch.listen<GossipMessage>({ kind: GOSSIP_KIND }, (message, from) => {
+    if (message.origin.incarnation === self.incarnation || !gossip.isNew(message)) return
+    spread(message, from.id)
+    dispatch.handleNotice(message.kind, message.body, message.origin)
+  })
+  const isFullMesh = (): boolean => neighbours.size >= known.length - 1
+  const notifyAll: Peers['notifyAll'] = (notice, body) => {
+    closeIdle()
+    if (isFullMesh()) [...links.values()].forEach(({ link }) => link.notify(notice.kind, body))
+    else spread(gossip.wrap(self, notice.kind, body))
   }
-  const shouldDial = (member: MemberRecord): boolean => self.id < member.id
-  const dialKey = (member: MemberRecord): string => `${member.id} ${member.peerAddress} ${member.incarnation}`
-
   const setMembers = (records: readonly MemberRecord[]): void => {
     known = [...records.filter(record => record.id !== self.id), self].sort((left, right) => left.id < right.id ? -1 : 1)
-    const wanted = known.filter(shouldDial)
-    const wantedKeys = new Set(wanted.map(dialKey))
-    const stale = [...dialling.keys()].filter(key => !wantedKeys.has(key))
-    stale.forEach(key => {
-      dialling.get(key)?.abort()
-      dialling.delete(key)
-    })
-    wanted.filter(member => !dialling.has(dialKey(member))).forEach(member => {
-      const controller = new AbortController()
-      dialling.set(dialKey(member), controller)
-      keepDialling(member, controller.signal)
-    })
+    neighbours = mapNeighbours(known.map(member => member.id)).get(self.id) ?? new Set()
+    dialling.setTargets(known.filter(member => neighbours.has(member.id) && self.id < member.id))
     changed.emit()
   }
   const call: Peers['call'] = async (memberId, peerCall, body, callOptions) => {
     type Answer = Result<never, PeerError>
     if (memberId === self.id) return await dispatch.handleCall(peerCall.kind, body, self) as Answer
-    const link = links.get(memberId)
+    const link = await linkTo(memberId)
     if (link === undefined) return Err({ kind: 'not-connected', message: `No link to ${memberId}.` })
     return await link.call(peerCall.kind, body, callOptions) as Answer
   }
+  const notify: Peers['notify'] = async (memberId, notice, body) => {
+    const link = await linkTo(memberId)
+    link?.notify(notice.kind, body)
+  }
 
-  const server = createServer(socket => { run(socket) })
+  const server = createServer(socket => { run(socket, false) })
   return {
     self,
     members: () => known,
-    isConnected: memberId => memberId === self.id || links.has(memberId),
+    isConnected: isInReach,
     call,
-    notify: (memberId, notice, body) => links.get(memberId)?.notify(notice.kind, body),
-    notifyAll: (notice, body) => [...links.values()].forEach(link => link.notify(notice.kind, body)),
+    notify,
+    notifyAll,
     serve: dispatch.serve,
     listen: dispatch.listen,
     onMembersChanged: changed.add,
     onConnected: connected.add,
     setMembers,
+    evidenceOf: memberId => {
+      if (memberId === self.id || links.has(memberId)) return 'linked'
+      return neighbours.has(memberId) ? 'unlinked' : 'none'
+    },
     start: () => listenOn(server, self.peerAddress),
     close: async () => {
-      [...dialling.values()].forEach(controller => controller.abort())
+      dialling.close()
       const open = [...links.values()]
-      open.forEach(link => link.goodbye())
+      open.forEach(({ link }) => link.goodbye())
       server.close()
     }
   }
--- a/packages/magnoliabay/src/node/members/peers.ts
+++ b/packages/magnoliabay/src/node/members/peers.ts
@@ -51,11 +51,14 @@
   readonly self: MemberRecord
   /** Members known to be there, this one included, in order of id. */
   members (): readonly MemberRecord[]
-  /** Whether a link to the member stands and has been heard from lately. */
+  /**
+   * Whether the member can be called: a link to it stands, or it is one to which links are made on demand and
+   * none has failed lately.
+   */
   isConnected (memberId: string): boolean
   call<Req, Res> (memberId: string, call: PeerCall<Req, Res>, body: Req, options?: PeerCallOptions): Promise<Result<Res, PeerError>>
   notify<Body> (memberId: string, notice: PeerNotice<Body>, body: Body): void
-  /** Notifies every connected member but this one. */
+  /** Notifies every member but this one; in a large fleet by way of others. Perhaps lost, rarely doubled. */
   notifyAll<Body> (notice: PeerNotice<Body>, body: Body): void
   /** A call to this member itself is answered by its own handler. */
   serve<Req, Res> (call: PeerCall<Req, Res>, handler: PeerCallHandler<Req, Res>): void
