--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -82,7 +82,7 @@
   const cfg = createConfigHolder({ store, peers, site: settings.instance.site, clock, logger })
   cfg.onChanged(() => cfg.inForce().documents.forEach(({ document, version }) => metrics.configVersion.set({ document }, version)))
   const keyring = createKeyring({ store, peers, clock, logger })
-  const directory = createDirectory({ list: options.list, clock, logger, onRead: proofs.noteList })
+  const directory = createDirectory({ list: options.list, peers, clock, logger, onRead: proofs.noteList })
   const allowance = createAllowance({ cfg, peers, store, clock, logger, proofs })
   const lease = createRetentionLease({ store, clock, retentionSeconds: settings.once.retentionSeconds })
   const writer = createSharedWriter({ peers, local: createGroupWriter({ store, lease, clock }) })
--- a/packages/magnoliabay/src/node/members/neighbours.ts
+++ b/packages/magnoliabay/src/node/members/neighbours.ts
@@ -39,14 +39,30 @@
   at: number
 }
 
-/** Rendezvous hashing: one that comes or goes changes only the partners that it wins or held. */
+/**
+ * Rendezvous hashing: one that comes or goes changes only the partners that it wins or held. The best few are
+ * kept in one pass, since sorting all of 420 for each of 420 would hold up the event loop.
+ */
 function choosePartners (ring: readonly Place[], index: number): string[] {
   const own = ring[index]!
-  return ring
-    .map(place => ({ id: place.id, weight: place === own ? -1 : mix(own.at, place.at) }))
-    .sort((left, right) => right.weight - left.weight)
-    .slice(0, PARTNERS)
-    .map(place => place.id)
+  const best: Candidate[] = []
+  ring.forEach(place => {
+    if (place !== own) keepBest(best, { id: place.id, weight: mix(own.at, place.at) })
+  })
+  return best.map(candidate => candidate.id)
+}
+
+interface Candidate {
+  id: string
+  weight: number
+}
+
+/** `best` is kept in falling order of weight, at most {@link PARTNERS} long. */
+function keepBest (best: Candidate[], candidate: Candidate): void {
+  if (best.length === PARTNERS && best[PARTNERS - 1]!.weight >= candidate.weight) return
+  const place = best.findIndex(other => other.weight < candidate.weight)
+  best.splice(place < 0 ? best.length : place, 0, candidate)
+  best.length = Math.min(best.length, PARTNERS)
 }
 
 /** Mixes two hashes in a few instructions: a cryptographic hash for each of n^2 pairs would hold up the event loop. */
