--- a/packages/magnoliabay/src/node/__tests__/instanceFixture.ts
+++ b/packages/magnoliabay/src/node/__tests__/instanceFixture.ts
@@ -12,10 +12,12 @@
 import { createLogger } from '../logger'
 import { operatorKeyDigest } from '../operators'
 import { createOperatorClient } from '../operators/client'
+import type { OperatorClient } from '../operators/client'
 
 export interface InstanceFixture {
   clock: VirtualClock
   instance: Instance
+  operators: OperatorClient
   /** A key of a team that may call everything. */
   key: string
   /** Lines of its log so far. */
@@ -78,6 +80,7 @@
   return {
     clock,
     instance,
+    operators,
     key,
     logLines,
     passUntil,
--- a/packages/magnoliabay/src/node/commands/config.ts
+++ b/packages/magnoliabay/src/node/commands/config.ts
@@ -115,7 +115,9 @@
     const notYet = spread.filter(one => !one.isInForce)
     return [
       `${manifest.document} version ${manifest.version}, by ${manifest.operator}, change ${manifest.changeId}`,
-      `  in force on ${inForce.length} of ${spread.length}: ${inForce.map(one => one.instance).join(', ')}`,
+      spread.length === 0
+        ? '  no instance of that site is known'
+        : `  in force on ${inForce.length} of ${spread.length}: ${inForce.map(one => one.instance).join(', ')}`,
       ...notYet.map(one => `  not on ${one.instance} (${one.failureDomain}): ${one.reason ?? 'unknown'}`)
     ].join('\n')
   }).join('\n')
--- a/packages/magnoliabay/src/node/commands/dev.ts
+++ b/packages/magnoliabay/src/node/commands/dev.ts
@@ -1,43 +1,79 @@
-/** `magnoliabay dev`: the embedded default, up until it is stopped. */
+/** `magnoliabay dev`: the embedded default, or the stand-ins alone, up until it is stopped. */
 import { createLogger } from '../logger'
+import type { Logger } from '../logger'
 import { startEmbedded } from './embedded'
+import { EMBEDDED_REGION } from './embeddedFleet'
+import { addressesOf, startStandIns } from './standIns'
 import { EXIT_DONE, EXIT_USAGE } from './types'
 import type { Command } from './types'
 import { untilSignal } from './untilSignal'
 
 const DEFAULT_INSTANCES = '3'
 const DEFAULT_PORT = '8080'
+const DEFAULT_ENGINES = '3'
 /** Stand-ins listen this far above the entries. */
 const STAND_IN_PORT_OFFSET = 1000
 
+interface DevPlan {
+  instances: number
+  port: number
+  standInPort: number
+  engines: number
+  region: string
+  logger: Logger
+}
+
 export const devCommand: Command = {
   name: 'dev',
   summary: 'Start stand-ins and a few instances in one process, to try things out.',
   options: {
-    instances: { type: 'string', value: 'N', description: `Entry instances. Default ${DEFAULT_INSTANCES}.`, default: DEFAULT_INSTANCES },
-    port: { type: 'string', value: 'P', description: `First entry port; 0 takes any free ones. Default ${DEFAULT_PORT}.`, default: DEFAULT_PORT }
+    instances: { type: 'string', value: 'N', description: `Entry instances; 0 starts the stand-ins alone. Default ${DEFAULT_INSTANCES}.`, default: DEFAULT_INSTANCES },
+    port: { type: 'string', value: 'P', description: `First entry port; stand-ins are ${STAND_IN_PORT_OFFSET} above. 0 takes any free ones. Default ${DEFAULT_PORT}.`, default: DEFAULT_PORT },
+    engines: { type: 'string', value: 'N', description: `With --instances 0: engines. Default ${DEFAULT_ENGINES}.`, default: DEFAULT_ENGINES },
+    region: { type: 'string', value: 'NAME', description: `With --instances 0: region of engines and services. Default ${EMBEDDED_REGION}.`, default: EMBEDDED_REGION }
   },
   run: async ({ values, printError }) => {
     const instances = Number(values.instances)
     const port = Number(values.port)
-    if (!Number.isInteger(instances) || instances < 1 || !Number.isInteger(port) || port < 0) {
-      printError('--instances takes a whole number from 1, --port one from 0.')
+    const engines = Number(values.engines)
+    const isRight = [instances, port, engines].every(value => Number.isInteger(value) && value >= 0)
+    if (!isRight) {
+      printError('--instances, --port and --engines take whole numbers from 0.')
       return EXIT_USAGE
     }
-    const logger = createLogger()
-    const embedded = await startEmbedded({ instances, port, standInPort: port === 0 ? 0 : port + STAND_IN_PORT_OFFSET, logger })
-    logger.info('ready', {
-      entries: embedded.entries,
-      store: embedded.storeUrl,
-      list: embedded.listUrl,
-      faults: `http://${embedded.standIns.adminAddress}`,
-      key: embedded.callerKey,
-      operator_key: embedded.operatorKey,
-      operators: embedded.instances.map(instance => instance.member.operatorAddress),
-      models: embedded.models
-    })
+    const plan: DevPlan = {
+      instances,
+      port,
+      engines,
+      region: String(values.region),
+      standInPort: port === 0 ? 0 : port + STAND_IN_PORT_OFFSET,
+      logger: createLogger()
+    }
+    const close = instances === 0 ? await runStandIns(plan) : await runEmbedded(plan)
     await untilSignal()
-    await embedded.close()
+    await close()
     return EXIT_DONE
   }
 }
+
+async function runStandIns ({ engines, region, standInPort, logger }: DevPlan): Promise<() => Promise<void>> {
+  const standIns = await startStandIns({ firstPort: standInPort, engines, region })
+  const { storeUrl, listUrl, faultsUrl } = addressesOf(standIns)
+  logger.info('ready', { store: storeUrl, list: listUrl, faults: faultsUrl })
+  return standIns.close
+}
+
+async function runEmbedded ({ instances, port, standInPort, logger }: DevPlan): Promise<() => Promise<void>> {
+  const embedded = await startEmbedded({ instances, port, standInPort, logger })
+  logger.info('ready', {
+    entries: embedded.entries,
+    store: embedded.storeUrl,
+    list: embedded.listUrl,
+    faults: addressesOf(embedded.standIns).faultsUrl,
+    key: embedded.callerKey,
+    operator_key: embedded.operatorKey,
+    operators: embedded.instances.map(instance => instance.member.operatorAddress),
+    models: embedded.models
+  })
+  return embedded.close
+}
--- a/packages/magnoliabay/src/node/commands/embedded.ts
+++ b/packages/magnoliabay/src/node/commands/embedded.ts
@@ -3,7 +3,6 @@
  */
 import { randomInt } from 'node:crypto'
 import { createServer } from 'node:net'
-import { createStandInFleet } from '@magnoliabay/standins'
 import type { StandInFleet, StandInFleetOptions } from '@magnoliabay/standins'
 import { createSystemClock, sleep } from '../clock'
 import type { Clock } from '../clock'
@@ -17,6 +16,7 @@
 import { createEtcdStore, createInstanceListClient } from '../platform'
 import { createId } from '../utils'
 import { EMBEDDED_DOMAINS, EMBEDDED_FLEET, EMBEDDED_MODELS, EMBEDDED_REGION, EMBEDDED_TEAM } from './embeddedFleet'
+import { addressesOf, startStandIns } from './standIns'
 
 export interface EmbeddedOptions {
   /** @default 3 */
@@ -56,14 +56,8 @@
 export async function startEmbedded (options: EmbeddedOptions): Promise<Embedded> {
   const { logger } = options
   const clock = createSystemClock()
-  const standIns = await createStandInFleet({
-    failureDomains: EMBEDDED_DOMAINS,
-    region: EMBEDDED_REGION,
-    ports: standInPorts(options.standInPort ?? 0),
-    weights: options.weights
-  })
-  const storeUrl = `http://${standIns.kv.address}`
-  const listUrl = `http://${standIns.list.address}/instances`
+  const standIns = await startStandIns({ firstPort: options.standInPort, weights: options.weights })
+  const { storeUrl, listUrl } = addressesOf(standIns)
   const operatorKey = createId('op')
   const store = createEtcdStore({ endpoints: [storeUrl], clock, logger })
   const list = createInstanceListClient(listUrl)
@@ -115,11 +109,6 @@
   }
 }
 
-function standInPorts (first: number): { kv: number, list: number, admin: number, firstEngine: number, firstService: number } {
-  if (first === 0) return { kv: 0, list: 0, admin: 0, firstEngine: 0, firstService: 0 }
-  return { kv: first, list: first + 1, admin: first + 2, firstEngine: first + 10, firstService: first + 50 }
-}
-
 async function untilReady (clock: Clock, instances: readonly Instance[]): Promise<void> {
   while (!instances.every(instance => instance.isReady())) {
     await sleep(clock, READY_POLL_MS)
--- a/packages/magnoliabay/src/node/config/holder.ts
+++ b/packages/magnoliabay/src/node/config/holder.ts
@@ -179,7 +179,7 @@
   peers.serve(configChunks, ({ digests }) => ({
     contents: pickContents(digests, digest => contentHeld(held, digest), MAX_CHUNK_ANSWER_BYTES)
   }))
-  peers.serve(configInForce, () => ({ versions: [...inForce.documents] }))
+  peers.serve(configInForce, () => ({ versions: [...inForce.documents], follows: documents }))
   peers.onConnected(member => peers.notify(member.id, configVersions, { versions: versions() }))
 
   return {
--- a/packages/magnoliabay/src/node/config/spread.ts
+++ b/packages/magnoliabay/src/node/config/spread.ts
@@ -11,7 +11,8 @@
 export const configHead = definePeerCall<{ document: string }, { head?: Head }>('config.head')
 /** Answers with those of the chunks that it holds, up to a message's size. */
 export const configChunks = definePeerCall<{ digests: string[] }, { contents: ChunkContents }>('config.chunks')
-export const configInForce = definePeerCall<Record<string, never>, { versions: DocumentVersion[] }>('config.in-force')
+/** `follows`: the documents that the instance acts on, the base and its own site's overlay. */
+export const configInForce = definePeerCall<Record<string, never>, { versions: DocumentVersion[], follows: string[] }>('config.in-force')
 
 /** A chunk may have 1 MB; an answer holds at least one. */
 export const MAX_CHUNK_ANSWER_BYTES = 1_500_000
--- a/packages/magnoliabay/src/node/operators/queries.ts
+++ b/packages/magnoliabay/src/node/operators/queries.ts
@@ -103,15 +103,19 @@
     const head = heads.val.get(document)?.head
     return head === undefined ? Err(unknown) : Ok(head.manifest)
   }
-  const askInstance = async (id: string, failureDomain: string, document: string, version: number): Promise<InstanceSpread> => {
+  const askInstance = async (id: string, failureDomain: string, document: string, version: number): Promise<InstanceSpread | undefined> => {
     const answer = await peers.call(id, configInForce, {})
     if (answer.err) return { instance: id, failureDomain, isInForce: false, reason: answer.val.message }
+    if (!answer.val.follows.includes(document)) return undefined
     const found = answer.val.versions.find(one => one.document === document)?.version
     if (found !== undefined && found >= version) return { instance: id, failureDomain, isInForce: true, version: found }
     return { instance: id, failureDomain, isInForce: false, version: found ?? 0, reason: 'an older version is in force there' }
   }
-  const askAll = async (document: string, version: number): Promise<InstanceSpread[]> =>
-    await Promise.all(peers.members().map(member => askInstance(member.id, member.failureDomain, document, version)))
+  /** Another site's instances never take this site's overlay: waiting for them would always end as a failure. */
+  const askAll = async (document: string, version: number): Promise<InstanceSpread[]> => {
+    const asked = await Promise.all(peers.members().map(member => askInstance(member.id, member.failureDomain, document, version)))
+    return asked.filter(one => one !== undefined)
+  }
 
   return {
     config: async () => {
