--- a/bench/cold/product.ts
+++ b/bench/cold/product.ts
@@ -28,7 +28,7 @@
     serve: async ({ instance, model }) => {
       const { routing } = world.instance(`entry-${instance + 1}`)
       const route = await routing.acquire({
-        model, deadlineMs: world.clock.monotonic() + PATIENCE_MS, avoid: new Set(), signal: new AbortController().signal
+        name: model, deadlineMs: world.clock.monotonic() + PATIENCE_MS, avoid: new Set(), signal: new AbortController().signal
       })
       return route.ok ? { engine: route.val.replica.engine, release: route.val.release } : undefined
     },
--- /dev/null
+++ b/packages/magnoliabay/src/node/cells/__tests__/cells.spec.ts
@@ -0,0 +1,114 @@
+import { expect } from 'chai'
+import { callAt, checkInvariants } from './support/invariants'
+import { advance, createWorld } from './support/world'
+import type { World } from './support/world'
+
+const GIB = 1024
+const loadedOn = (world: World, model: string): string[] =>
+  world.engines.filter(engine => !engine.isDown() && engine.state().models.some(held => held.model === model)).map(engine => engine.id)
+
+describe('cells', () => {
+  it('loads a model once for a burst at every instance', async () => {
+    const world = createWorld({ instances: 8, engines: 9, fleet: { model: [{ name: 'm', memoryMiB: 8 * GIB }] } })
+    await advance(world, 8000)
+    const callers = world.instances().flatMap(instance => Array.from({ length: 10 }, () => callAt(world, instance.id, 'm', 10_000)))
+    await advance(world, 5000, () => checkInvariants(world, { m: 1 }))
+    expect(callers.every(caller => caller.outcome === 'served')).to.equal(true)
+    expect(world.weights.records().length).to.equal(1)
+    world.close()
+  })
+
+  it('lets go of a model that nobody calls, and loads it again', async () => {
+    const world = createWorld({ fleet: { coldStartWorth: 10, model: [{ name: 'm', memoryMiB: 8 * GIB }] } })
+    await advance(world, 8000)
+    for (const round of [1, 2]) {
+      const caller = callAt(world, 'entry-1', 'm', 10_000)
+      await advance(world, 5000)
+      expect(caller.outcome, `round ${round}`).to.equal('served')
+      await advance(world, 60_000, () => {}, 500)
+      expect(loadedOn(world, 'm')).to.deep.equal([])
+    }
+    world.close()
+  })
+
+  /*
+   * More models are called than fit. Whoever waits is served in turn: what nobody waits for or uses has to go, and
+   * nothing more than needed.
+   */
+  it('makes room for what is waited for', async () => {
+    const models = Array.from({ length: 6 }, (_, index) => `m${index}`)
+    const world = createWorld({ engines: 1, engine: { memoryMiB: 20 * GIB }, fleet: { model: models.map(name => ({ name, memoryMiB: 8 * GIB })) } })
+    await advance(world, 8000)
+    const callers = models.map(model => callAt(world, 'entry-2', model, 90_000))
+    await advance(world, 60_000, () => checkInvariants(world, {}))
+    expect(callers.map(caller => caller.outcome)).to.deep.equal(models.map(() => 'served'))
+    expect(world.weights.records().length).to.equal(6)
+    world.close()
+  })
+
+  it('loads an adapter where its model is, and lets it go after a while', async () => {
+    const world = createWorld({ fleet: { model: [{ name: 'm', memoryMiB: 8 * GIB }], adapter: [{ name: 'ad', model: 'm', memoryMiB: 128 }] } })
+    await advance(world, 8000)
+    const caller = callAt(world, 'entry-1', 'ad', 10_000)
+    await advance(world, 6000, () => checkInvariants(world, { m: 1 }))
+    expect(caller.outcome).to.equal('served')
+    expect(world.engines.flatMap(engine => engine.state().adapters.map(held => held.adapter))).to.deep.equal(['ad'])
+    await advance(world, 130_000, () => {}, 500)
+    expect(world.engines.flatMap(engine => engine.state().adapters)).to.deep.equal([])
+    world.close()
+  })
+
+  it('keeps no more than thirty adapters in flight', async () => {
+    const adapters = Array.from({ length: 100 }, (_, index) => ({ name: `ad-${index}`, model: 'm', memoryMiB: 64 }))
+    const world = createWorld({ fleet: { model: [{ name: 'm', memoryMiB: 8 * GIB }], adapter: adapters } })
+    await advance(world, 8000)
+    const first = callAt(world, 'entry-1', 'm', 10_000)
+    await advance(world, 4000)
+    expect(first.outcome).to.equal('served')
+    const callers = adapters.map(({ name }) => callAt(world, 'entry-1', name, 10_000))
+    let most = 0
+    for (let step = 0; step < 400; step += 1) {
+      await world.clock.advance(1)
+      most = Math.max(most, world.engines.flatMap(engine => engine.state().adapters.filter(held => held.state === 'loading')).length)
+    }
+    expect(callers.every(caller => caller.outcome === 'served')).to.equal(true)
+    expect(most).to.be.within(1, 30)
+    world.close()
+  })
+
+  /*
+   * Two cells, each of which may decide one of two replicas. The steward of the one that is asked first dies while the
+   * store is down, so nobody can follow it: the other cell serves the model.
+   */
+  it('brings demand to another cell when the first has no steward', async () => {
+    const world = createWorld({ instances: 6, engines: 6, fleet: { cells: 2, model: [{ name: 'm', memoryMiB: 8 * GIB, maxReplicas: 2 }] } })
+    await advance(world, 15_000)
+    const stewards = world.instances().filter(instance => instance.cells.stewards().length > 0)
+    const first = callAt(world, 'entry-1', 'm', 10_000)
+    await advance(world, 4000, () => checkInvariants(world, { m: 2 }))
+    expect(first.outcome).to.equal('served')
+    const [engine] = loadedOn(world, 'm')
+    const holder = stewards.find(instance => instance.cells.stewards().some(steward => steward.accounts().some(account => account.engine === engine)))!
+    world.store.set({ down: 'refused' })
+    holder.kill()
+    world.reclaim(engine!)
+    await advance(world, 5000)
+    const caller = callAt(world, world.instances()[0]!.id, 'm', 20_000)
+    await advance(world, 21_000, () => checkInvariants(world, { m: 2 }))
+    expect(caller.outcome).to.equal('served')
+    world.close()
+  })
+
+  /* An engine says that it leaves before the list does. Within seconds no instance sends it anything new. */
+  it('takes a leaving engine out of every table within three seconds', async () => {
+    const world = createWorld({ instances: 4, fleet: { model: [{ name: 'm', memoryMiB: 8 * GIB }] } })
+    await advance(world, 8000)
+    callAt(world, 'entry-1', 'm', 10_000)
+    await advance(world, 5000)
+    const [engine] = loadedOn(world, 'm')
+    world.engines.find(candidate => candidate.id === engine)!.leave()
+    await advance(world, 3000)
+    world.instances().forEach(instance => expect(instance.cells.replicas.of('m')).to.deep.equal([]))
+    world.close()
+  })
+})
--- /dev/null
+++ b/packages/magnoliabay/src/node/cells/__tests__/policy.spec.ts
@@ -0,0 +1,146 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { addReplica, createEngineAccount } from '../account'
+import type { EngineAccount } from '../account'
+import { createGapHistory, decideKeepMs, predictNextUse } from '../idle'
+import { createLoadTimes } from '../loadTimes'
+import { decidePlacement } from '../placement'
+import type { Placement, PlacementRequest } from '../placement'
+import { cellNames } from '../records'
+import { quotaOfCell } from '../quota'
+import { createReplicaLife } from '../replicaLife'
+import { shareOfSlots } from '../slots'
+import { createWants } from '../wants'
+
+const MINUTE = 60_000
+const WORTH_MS = 5 * MINUTE
+
+describe('how long an idle model is kept', () => {
+  const costOf = (gaps: readonly number[], keepMs: number): number =>
+    gaps.reduce((sum, gap) => sum + (gap <= keepMs ? gap : keepMs + WORTH_MS), 0)
+
+  it('as long as one cold start is worth, while nothing is known', () => {
+    expect(decideKeepMs([], { coldStartWorthMs: WORTH_MS })).to.equal(WORTH_MS)
+  })
+
+  const CASES: ReadonlyArray<{ habit: string, gaps: readonly number[], atLeast: number, atMost: number }> = [
+    { habit: 'called every two minutes: kept through the gap', gaps: [2, 2, 2, 2, 2].map(gap => gap * MINUTE), atLeast: 2 * MINUTE, atMost: 3 * MINUTE },
+    { habit: 'called every hour: let go at once', gaps: [60, 61, 59, 60].map(gap => gap * MINUTE), atLeast: 0, atMost: 20_000 },
+    { habit: 'short gaps and nights: kept through the short ones', gaps: [1, 1, 1, 700, 1, 1, 1, 700].map(gap => gap * MINUTE), atLeast: MINUTE, atMost: 2 * MINUTE }
+  ]
+  CASES.forEach(({ habit, gaps, atLeast, atMost }) => it(habit, () => {
+    expect(decideKeepMs(gaps, { coldStartWorthMs: WORTH_MS })).to.be.within(atLeast, atMost)
+  }))
+
+  it('costs no more than any fixed time over the gaps seen, but for its margin, seed 3', () => {
+    const gaps = fc.array(fc.integer({ min: 15_000, max: 20 * MINUTE }), { minLength: 4, maxLength: 30 })
+    const fixed = fc.integer({ min: 15_000, max: 20 * MINUTE })
+    fc.assert(fc.property(gaps, fixed, (seen, fixedMs) => {
+      const keepMs = decideKeepMs(seen, { coldStartWorthMs: WORTH_MS })
+      return costOf(seen, keepMs) <= 1.1 * costOf(seen, fixedMs) + 1
+    }), { seed: 3, numRuns: 300 })
+  })
+
+  it('predicts the next use of what is called like clockwork, and of nothing else', () => {
+    expect(predictNextUse(1000, [600, 605, 595, 600, 600])?.atMs).to.equal(1600)
+    expect(predictNextUse(1000, [600, 100, 900, 20, 600])).to.equal(undefined)
+  })
+
+  it('keeps its history over a change of steward, across clocks that began at other times', () => {
+    const old = createGapHistory();
+    [0, 60_000, 120_000].forEach(atMs => old.noteUse('m', atMs))
+    const next = createGapHistory()
+    next.restore(old.save(1_000_000), 1_000_000 - 5000)
+    expect(next.gaps('m')).to.deep.equal([60_000, 60_000])
+    expect(next.lastUseMs('m')).to.equal(125_000)
+  })
+})
+
+describe('placement', () => {
+  const accountOf = (engine: string, models: Record<string, number> = {}): EngineAccount => {
+    const account = createEngineAccount(engine, 100)
+    Object.entries(models).forEach(([model, memoryMiB]) => addReplica(account, { engine, model, memoryMiB, orderId: model, nowMs: 0, from: 'loaded' }))
+    return account
+  }
+  const place = (accounts: readonly EngineAccount[], changes: Partial<PlacementRequest> = {}): Placement => decidePlacement({
+    model: 'm', memoryMiB: 50, accounts, times: createLoadTimes(), storeWaitMs: 0, isEvictable: () => true, evictionCostMs: () => 100, usedDomains: new Set(), domainOf: engine => engine, ...changes
+  })
+  const summary = (placement: Placement): string =>
+    placement.kind === 'none' ? 'none' : `${placement.engine} ${placement.tier} ${placement.victims.map(victim => victim.model).join('+')}`
+
+  it('takes the nearest checkpoint before the emptiest engine', () => {
+    const near = accountOf('near', { a: 40 })
+    near.tiers.set('m', 'disk')
+    expect(summary(place([accountOf('empty'), near], { memoryMiB: 60 }))).to.equal('near disk ')
+  })
+
+  it('counts what evicting others will cost', () => {
+    const near = accountOf('near', { a: 80 })
+    near.tiers.set('m', 'disk')
+    expect(summary(place([accountOf('empty'), near], { evictionCostMs: () => 60_000 }))).to.equal('empty remote ')
+  })
+
+  it('evicts no more than it needs', () => {
+    const full = accountOf('full', { small: 10, other: 30, large: 60 })
+    expect(summary(place([full], { evictionCostMs: replica => replica.model === 'large' ? 500 : 1 }))).to.equal('full remote large')
+  })
+
+  it('evicts nothing that is in use, and then says that there is no room', () => {
+    expect(summary(place([accountOf('full', { a: 60, b: 40 })], { isEvictable: () => false }))).to.equal('none')
+  })
+
+  it('prefers another failure domain for a second replica', () => {
+    expect(summary(place([accountOf('one'), accountOf('two', { a: 40 })], { usedDomains: new Set(['one']) }))).to.equal('two remote ')
+  })
+})
+
+describe('shares of cells', () => {
+  it('add up to what is decided for the whole fleet, seed 5', () => {
+    const cellsOf = fc.integer({ min: 1, max: 60 })
+    fc.assert(fc.property(cellsOf, fc.integer({ min: 1, max: 9 }), fc.string(), (cells, maxReplicas, name) => {
+      const quotas = cellNames(cells).map(cell => quotaOfCell({ name, maxReplicas }, cell, cells))
+      return quotas.reduce((sum, quota) => sum + quota, 0) === maxReplicas
+    }), { seed: 5, numRuns: 100 })
+  })
+
+  it('give every cell a slot, and all slots away', () => {
+    expect([0, 1, 2].map(cell => shareOfSlots(4, 3, cell))).to.deep.equal([2, 1, 1])
+    expect([0, 59].map(cell => shareOfSlots(4, 60, cell))).to.deep.equal([1, 1])
+  })
+})
+
+describe('order of loads', () => {
+  it('by the time that is left, weight, and whether it can still be met', () => {
+    const wants = createWants()
+    const add = (model: string, patienceMs: number, weight = 1, isAhead = false): unknown => wants.add({ model, adapters: [], waiting: 1, patienceMs, weight, isAhead }, 0)
+    add('hopeless', 1000)
+    add('patient', 60_000)
+    add('weighty', 60_000, 10)
+    add('urgent', 8000)
+    add('ahead', 5000, 1, true)
+    expect(wants.ordered(0, () => 4000).map(want => want.model)).to.deep.equal(['weighty', 'urgent', 'patient', 'hopeless', 'ahead'])
+  })
+
+  it('forgets what nobody asks for any more', () => {
+    const wants = createWants()
+    wants.add({ model: 'm', adapters: [], waiting: 1, patienceMs: 60_000, weight: 1 }, 0)
+    expect(wants.ordered(2000, () => 0).length).to.equal(1)
+    expect(wants.ordered(4000, () => 0).length).to.equal(0)
+  })
+})
+
+describe('life of a replica', () => {
+  const LIVES: ReadonlyArray<{ events: ReadonlyArray<Parameters<ReturnType<typeof createReplicaLife>['send']>[0]>, ends: string }> = [
+    { events: ['record', 'order', 'confirm', 'unload', 'remove'], ends: 'gone' },
+    { events: ['record', 'order', 'silence', 'confirm'], ends: 'loaded' },
+    { events: ['record', 'order', 'fail', 'confirm'], ends: 'gone' },
+    { events: ['confirm'], ends: 'decided' },
+    { events: ['record', 'order', 'lose'], ends: 'ordered' },
+    { events: ['record', 'order', 'confirm', 'unload', 'lose'], ends: 'unloading' }
+  ]
+  LIVES.forEach(({ events, ends }) => it(`${events.join(', ')}: ${ends}`, () => {
+    const life = createReplicaLife()
+    events.forEach(life.send)
+    expect(life.state()).to.equal(ends)
+  }))
+})
--- a/packages/magnoliabay/src/node/cells/__tests__/support/invariants.ts
+++ b/packages/magnoliabay/src/node/cells/__tests__/support/invariants.ts
@@ -30,7 +30,7 @@
   const deadlineMs = world.clock.monotonic() + patienceMs
   const caller: Caller = { outcome: 'open', instance, deadlineMs }
   const settle = async (): Promise<void> => {
-    const route = await world.instance(instance).routing.acquire({ model, deadlineMs, avoid: new Set(), signal: new AbortController().signal })
+    const route = await world.instance(instance).routing.acquire({ name: model, deadlineMs, avoid: new Set(), signal: new AbortController().signal })
     caller.outcome = route.ok ? 'served' : route.val.code
     if (route.ok) route.val.release()
   }
--- a/packages/magnoliabay/src/node/cells/__tests__/support/world.ts
+++ b/packages/magnoliabay/src/node/cells/__tests__/support/world.ts
@@ -15,6 +15,7 @@
 import { createDirectory } from '../../../backend/directory'
 import type { VirtualClock } from '../../../clock/virtual'
 import { fleetSchema } from '../../../config/fleet'
+import type { ConfigHolder } from '../../../config'
 import type { Logger } from '../../../logger'
 import { createProofKeeper } from '../../../members'
 import type { MemberRecord, ProofKeeper } from '../../../members'
@@ -98,9 +99,10 @@
     list.set({ id: engine.id, role: 'engine', address: engine.id, failureDomain: domainOf(index), region: 'r', status: 'live', checksFence, memoryMiB })
   })
   const fleet = v.parse(fleetSchema, options.fleet)
-  const cfg: CellsConfig = {
+  const cfg: CellsConfig & Pick<ConfigHolder, 'team'> = {
     inForce: () => ({ version: 1, documents: [], fleet }),
     model: name => fleet.model.find(model => model.name === name),
+    team: name => fleet.team.find(team => team.name === name),
     adapter: name => fleet.adapter.find(adapter => adapter.name === name)
   }
   let started = 0
@@ -154,7 +156,7 @@
       id,
       member,
       cells,
-      routing: createRouting({ cells, directory, clock: pausable.clock }),
+      routing: createRouting({ cells, cfg, directory, clock: pausable.clock }),
       proofs,
       pause: () => {
         pausable.pause()
--- a/packages/magnoliabay/src/node/cells/idleCare.ts
+++ b/packages/magnoliabay/src/node/cells/idleCare.ts
@@ -82,7 +82,7 @@
     if (prediction === undefined || !isNear(prediction.atMs, prediction.spreadMs, model.memoryMiB)) return
     const isThere = [...accounts.values()].some(account => account.replicas.has(model.name))
     const hasRoom = [...accounts.values()].some(account => freeMiB(account) >= model.memoryMiB)
-    if (!isThere && hasRoom) wants.add({ model: model.name, waiting: 0, patienceMs: PATIENCE_AHEAD_MS, weight: 1, isAhead: true }, clock.monotonic())
+    if (!isThere && hasRoom) wants.add({ model: model.name, adapters: [], waiting: 0, patienceMs: PATIENCE_AHEAD_MS, weight: 1, isAhead: true }, clock.monotonic())
   }
 
   return {
--- a/packages/magnoliabay/src/node/cells/records.ts
+++ b/packages/magnoliabay/src/node/cells/records.ts
@@ -81,7 +81,8 @@
 export interface Demand {
   cell: string
   model: string
-  adapter?: string
+  /** Adapters of the model that are waited for. */
+  adapters: readonly string[]
   waiting: number
   /** Time that the most urgent of them still has, milliseconds. */
   patienceMs: number
--- a/packages/magnoliabay/src/node/cells/wants.ts
+++ b/packages/magnoliabay/src/node/cells/wants.ts
@@ -21,7 +21,7 @@
 
 export interface WantRequest {
   model: string
-  adapter?: string
+  adapters: readonly string[]
   waiting: number
   patienceMs: number
   weight: number
@@ -61,7 +61,7 @@
         notBeforeMs: known?.notBeforeMs ?? 0
       }
       if (want.deadlineMs <= nowMs) want.deadlineMs = nowMs + req.patienceMs
-      if (req.adapter !== undefined) want.adapters.add(req.adapter)
+      req.adapters.forEach(adapter => want.adapters.add(adapter))
       wants.set(req.model, want)
       return want
     },
--- a/packages/magnoliabay/src/node/entry/attempts.ts
+++ b/packages/magnoliabay/src/node/entry/attempts.ts
@@ -43,7 +43,9 @@
     const { tries, avoid, req, res, completion, onFirstByte } = attempt
     const askedMs = clock.monotonic()
     const route = await routing.acquire({
-      model: completion.model,
+      name: completion.model,
+      team: req.caller.team,
+      prefix: completion.prefix,
       deadlineMs: req.deadline.atMs,
       avoid,
       signal: req.deadline.signal
--- a/packages/magnoliabay/src/node/entry/completionRequest.ts
+++ b/packages/magnoliabay/src/node/entry/completionRequest.ts
@@ -4,10 +4,15 @@
 import type { Failure } from '../failures'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
+import { stableHash } from '../utils'
 
 /** Rough length of a token, for the reservation that is settled to what was used. */
 const BYTES_PER_TOKEN = 4
 
+/** Characters of the prompt, as JSON, that make its prefix: about what system prompts of one site share. */
+const PREFIX_LENGTH = 512
+const LEAST_PREFIX_LENGTH = 128
+
 const completionSchema = v.looseObject({
   model: v.string(),
   stream: v.optional(v.boolean(), false),
@@ -21,6 +26,8 @@
   maxTokens: number
   /** Prompt and answer at most: what is reserved of the team's allowance. */
   reservedTokens: number
+  /** Hash of the prompt's beginning, where it is long enough to be worth finding in an engine's cache. */
+  prefix?: string
   body: Buffer
 }
 
@@ -40,10 +47,16 @@
     isStream: checked.output.stream,
     maxTokens,
     reservedTokens: promptTokens + maxTokens,
+    prefix: prefixOf(checked.output.messages ?? checked.output.prompt),
     body: Buffer.from(JSON.stringify({ ...checked.output, max_tokens: maxTokens }))
   })
 }
 
+function prefixOf (prompt: unknown): string | undefined {
+  const text = JSON.stringify(prompt ?? '').slice(0, PREFIX_LENGTH)
+  return text.length < LEAST_PREFIX_LENGTH ? undefined : String(stableHash(text))
+}
+
 function parseJson (body: Buffer): unknown {
   try {
     return JSON.parse(body.toString('utf8'))
--- a/packages/magnoliabay/src/node/entry/completions.ts
+++ b/packages/magnoliabay/src/node/entry/completions.ts
@@ -25,7 +25,7 @@
   const attempts = createAttempts(options)
 
   const check = (req: EntryRequest, completion: CompletionRequest): Failure | undefined => {
-    if (cfg.model(completion.model) === undefined) return refusal('unknown_model', `No model is called ${completion.model}. GET /v1/models lists those there are.`)
+    if (cfg.model(completion.model) === undefined && cfg.adapter(completion.model) === undefined) return refusal('unknown_model', `No model is called ${completion.model}. GET /v1/models lists those there are.`)
     if (!mayCall(cfg, req.caller.team, completion.model)) return refusal('forbidden_model', `Team ${req.caller.team} may not call ${completion.model}.`)
     return undefined
   }
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -88,7 +88,7 @@
   const inProgressMs = settings.limits.deadlineMs + settings.limits.serviceAnswerMs
   const once = createOnce({ store, writer, holder: self.incarnation, clock, logger, inProgressMs })
   const cells = createCells({ store, peers, membership, proofs, directory, engines, cfg, clock, logger })
-  const routing = createRouting({ cells, directory, clock })
+  const routing = createRouting({ cells, cfg, directory, clock })
   const isReady = (): boolean => cfg.inForce().version > 0 && membership.leaseId() !== undefined && !self.leaving
   const report = createReport({ cfg, peers, registry: metrics.registry, clock })
   const entry = createEntry({ report, settings, cfg, keyring, allowance, routing, directory, once, pools, engines, peers, clock, logger, metrics, isReady })
--- /dev/null
+++ b/packages/magnoliabay/src/node/routing/__tests__/routing.spec.ts
@@ -0,0 +1,158 @@
+import { expect } from 'chai'
+import type { Cells, DemandReply, LocalDemand, ReplicaEntry } from '../../cells'
+import { createReplicas } from '../../cells/replicas'
+import { createVirtualClock } from '../../clock/virtual'
+import type { VirtualClock } from '../../clock/virtual'
+import { createRouting } from '..'
+import type { RouteRequest, Routing } from '..'
+import { chooseReplica } from '../choice'
+
+const replicaAt = (engine: string, failureDomain = 'a', adapters: string[] = []): ReplicaEntry =>
+  ({ engine, address: engine, failureDomain, model: 'm', version: '1', adapters })
+
+interface Setting {
+  clock: VirtualClock
+  routing: Routing
+  demands: LocalDemand[]
+  leaving: Set<string>
+  loads: Map<string, number>
+  show (replicas: readonly ReplicaEntry[]): void
+}
+
+function setUp (): Setting {
+  const clock = createVirtualClock()
+  const replicas = createReplicas()
+  const demands: LocalDemand[] = []
+  const leaving = new Set<string>()
+  const loads = new Map<string, number>()
+  let version = 0
+  const queued: DemandReply = { status: 'queued', reason: 'waits for its turn' }
+  const cells: Cells = {
+    replicas,
+    demand: async req => {
+      demands.push(req)
+      return queued
+    },
+    noteUsed: () => {},
+    stewardOf: () => undefined,
+    stewards: () => [],
+    loadOf: engine => loads.get(engine) ?? 0,
+    start: () => {},
+    handOver: async () => {}
+  }
+  const routing = createRouting({
+    cells,
+    clock,
+    cfg: { adapter: name => name === 'ad' ? { name, model: 'm', memoryMiB: 100 } : undefined, team: () => undefined },
+    directory: {
+      engine: id => ({ id, role: 'engine', address: id, failureDomain: 'a', region: 'r', status: leaving.has(id) ? 'leaving' : 'live' })
+    }
+  })
+  const show = (shown: readonly ReplicaEntry[]): void => {
+    version += 1
+    replicas.take({ cell: 'cell-0', fence: 1, version, replicas: shown })
+  }
+  return { clock, routing, demands, leaving, loads, show }
+}
+
+const request = (clock: VirtualClock, changes: Partial<RouteRequest> = {}): RouteRequest => ({
+  name: 'm', deadlineMs: clock.monotonic() + 10_000, avoid: new Set(), signal: new AbortController().signal, ...changes
+})
+
+const chosenAt = async (routing: Routing, req: RouteRequest): Promise<string> => {
+  const route = await routing.acquire(req)
+  return route.ok ? route.val.replica.engine : route.val.code
+}
+
+describe('waiting for a replica', () => {
+  it('tells the steward once a second for all that wait together, and stops with the last of them', async () => {
+    const { clock, routing, demands, show } = setUp()
+    const waiting = Array.from({ length: 50 }, () => chosenAt(routing, request(clock)))
+    await clock.advance(3500)
+    expect(demands.length).to.be.within(4, 5)
+    expect(demands.at(-1)!.waiting).to.equal(50)
+    show([replicaAt('e1')])
+    expect(new Set(await Promise.all(waiting))).to.deep.equal(new Set(['e1']))
+    const told = demands.length
+    await clock.advance(5000)
+    expect(demands.length).to.equal(told)
+  })
+
+  /* Nothing ever comes. Each caller is refused at its own deadline, with the steward's reason, and never before. */
+  it('refuses each at its deadline with the reason', async () => {
+    const { clock, routing } = setUp()
+    const refusals: string[] = []
+    const wait = async (patienceMs: number): Promise<void> => {
+      const route = await routing.acquire(request(clock, { deadlineMs: clock.monotonic() + patienceMs }))
+      refusals.push(route.err ? `${clock.monotonic()} ${route.val.notRun} ${route.val.message}` : 'served')
+    }
+    const all = Promise.all([wait(3000), wait(1000)])
+    await clock.advance(5000)
+    await all
+    expect(refusals).to.deep.equal([1000, 3000].map(atMs => `${atMs} true No replica of m became ready in time: waits for its turn.`))
+  })
+
+  it('lets a caller go that has hung up', async () => {
+    const { clock, routing, demands } = setUp()
+    const hangUp = new AbortController()
+    const waiting = chosenAt(routing, request(clock, { signal: hangUp.signal }))
+    await clock.advance(100)
+    hangUp.abort()
+    expect(await waiting).to.equal('deadline_exceeded')
+    const told = demands.length
+    await clock.advance(5000)
+    expect(demands.length).to.equal(told)
+  })
+
+  it('asks for an adapter where its model is, and takes no replica without it', async () => {
+    const { clock, routing, demands, show } = setUp()
+    show([replicaAt('e1')])
+    const waiting = chosenAt(routing, request(clock, { name: 'ad' }))
+    await clock.advance(100)
+    expect(demands[0]).to.deep.include({ model: 'm', adapters: ['ad'] })
+    show([replicaAt('e1'), replicaAt('e2', 'a', ['ad'])])
+    expect(await waiting).to.equal('e2')
+  })
+})
+
+describe('choosing a replica', () => {
+  /*
+   * A member that is cut off holds an old table, which still shows an engine that leaves. The platform's list, which
+   * it reads itself, takes the engine out within its lag.
+   */
+  it('sends nothing to a leaving engine, whatever an old table shows', async () => {
+    const { clock, routing, leaving, show } = setUp()
+    show([replicaAt('e1'), replicaAt('e2')])
+    leaving.add('e1')
+    const chosen = await Promise.all(Array.from({ length: 10 }, () => chosenAt(routing, request(clock))))
+    expect(new Set(chosen)).to.deep.equal(new Set(['e2']))
+  })
+
+  it('counts its own requests while the reported load lags', async () => {
+    const { clock, routing, show } = setUp()
+    show([replicaAt('e1'), replicaAt('e2')])
+    const chosen = await Promise.all(Array.from({ length: 10 }, () => chosenAt(routing, request(clock))))
+    expect(chosen.filter(engine => engine === 'e1').length).to.equal(5)
+  })
+
+  const three = ['e1', 'e2', 'e3'].map((engine, index) => replicaAt(engine, ['a', 'b', 'c'][index]))
+  const choose = (loads: Record<string, number>, prefix?: string, avoidDomains: string[] = []): string =>
+    chooseReplica({ replicas: three, prefix, loadOf: engine => loads[engine] ?? 0, avoidDomains: new Set(avoidDomains) })!.engine
+
+  it('brings one prefix to one replica, and many to all', () => {
+    const home = choose({}, 'p1')
+    expect(Array.from({ length: 5 }, () => choose({}, 'p1'))).to.deep.equal(Array.from({ length: 5 }, () => home))
+    expect(new Set(Array.from({ length: 30 }, (_, index) => choose({}, `p${index}`))).size).to.equal(3)
+  })
+
+  it('takes a prefix elsewhere when its replica is much busier than the others', () => {
+    const home = choose({}, 'p1')
+    expect(choose({ e1: 5, e2: 5, e3: 5 }, 'p1')).to.equal(home)
+    expect(choose({ e1: 5, e2: 5, e3: 5, [home]: 30 }, 'p1')).not.to.equal(home)
+  })
+
+  it('avoids the failure domain that failed the request, unless there is no other', () => {
+    expect(['e2', 'e3']).to.include(choose({}, undefined, ['a']))
+    expect(choose({ e1: 0, e2: 1, e3: 1 }, undefined, ['a', 'b', 'c'])).to.equal('e1')
+  })
+})
--- a/packages/magnoliabay/src/node/routing/index.ts
+++ b/packages/magnoliabay/src/node/routing/index.ts
@@ -4,6 +4,7 @@
 import type { Directory } from '../backend/directory'
 import type { Cells, ReplicaEntry } from '../cells'
 import type { Clock } from '../clock'
+import type { ConfigHolder } from '../config'
 import { refusal } from '../failures'
 import type { Failure } from '../failures'
 import { Err, Ok } from '../result'
@@ -12,13 +13,12 @@
 import { createWaitingRoom } from './waiting'
 
 export interface RouteRequest {
-  model: string
-  /** Adapter of the model that has to be loaded there as well. */
-  adapter?: string
+  /** A model, or an adapter, which needs its model at the same engine. */
+  name: string
+  /** Team that waits; its weight counts in the order of loads. */
+  team?: string
   /** Hash of the prompt's beginning, to bring alike prompts to one replica. */
   prefix?: string
-  /** Weight of the team that waits. @default 1 */
-  weight?: number
   /** Monotonic time by which the request has to be on its way. */
   deadlineMs: number
   /** Engines not to use again, such as one that has just failed this request. */
@@ -40,15 +40,21 @@
 
 export interface RoutingOptions {
   cells: Cells
+  cfg: Pick<ConfigHolder, 'adapter' | 'team'>
   /** What the platform's list says about engines, to leave out those that are leaving. */
   directory: Pick<Directory, 'engine'>
   clock: Clock
 }
 
+interface Target {
+  model: string
+  adapter?: string
+}
+
 const RETRY_AFTER_SECONDS = 5
 
 export function createRouting (options: RoutingOptions): Routing {
-  const { cells, clock, directory } = options
+  const { cells, cfg, clock, directory } = options
   const inFlight = new Map<string, number>()
   const waitingRoom = createWaitingRoom(cells, clock)
 
@@ -64,45 +70,49 @@
    * instance reads itself, takes leaving engines out all the same, so they get nothing new within its lag.
    */
   const isStaying = (replica: ReplicaEntry): boolean => directory.engine(replica.engine)?.status !== 'leaving'
-  const isUsable = (req: RouteRequest, replica: ReplicaEntry): boolean =>
-    !req.avoid.has(replica.engine) && isStaying(replica) && (req.adapter === undefined || replica.adapters.includes(req.adapter))
-  const choose = (req: RouteRequest): Route | undefined => {
-    const all = cells.replicas.of(req.model)
+  const targetOf = (name: string): Target => {
+    const adapter = cfg.adapter(name)
+    return adapter === undefined ? { model: name } : { model: adapter.model, adapter: name }
+  }
+  const isUsable = (req: RouteRequest, target: Target, replica: ReplicaEntry): boolean =>
+    !req.avoid.has(replica.engine) && isStaying(replica) && (target.adapter === undefined || replica.adapters.includes(target.adapter))
+  const choose = (req: RouteRequest, target: Target): Route | undefined => {
+    const all = cells.replicas.of(target.model)
     const avoidDomains = new Set(all.filter(replica => req.avoid.has(replica.engine)).map(replica => replica.failureDomain))
-    const replica = chooseReplica({ replicas: all.filter(candidate => isUsable(req, candidate)), prefix: req.prefix, loadOf, avoidDomains })
+    const replica = chooseReplica({ replicas: all.filter(candidate => isUsable(req, target, candidate)), prefix: req.prefix, loadOf, avoidDomains })
     if (replica === undefined) return undefined
     count(replica.engine, 1)
-    cells.noteUsed(req.model, req.adapter)
-    return { replica, release: releaseOnce(req, replica.engine) }
+    cells.noteUsed(target.model, target.adapter)
+    return { replica, release: releaseOnce(target, replica.engine) }
   }
-  const releaseOnce = (req: RouteRequest, engine: string): () => void => {
+  const releaseOnce = ({ model, adapter }: Target, engine: string): () => void => {
     let isReleased = false
     return () => {
       if (isReleased) return
       isReleased = true
       count(engine, -1)
       // A long answer is use until its end.
-      cells.noteUsed(req.model, req.adapter)
+      cells.noteUsed(model, adapter)
     }
   }
-  const refuse = (model: string): Failure => {
+  const refuse = (name: string, model: string): Failure => {
     const reason = waitingRoom.reasonFor(model)
-    return refusal('deadline_exceeded', `No replica of ${model} became ready in time${reason === undefined ? '' : `: ${reason}`}.`, RETRY_AFTER_SECONDS)
+    return refusal('deadline_exceeded', `No replica of ${name} became ready in time${reason === undefined ? '' : `: ${reason}`}.`, RETRY_AFTER_SECONDS)
   }
   return {
     inFlight: engine => inFlight.get(engine) ?? 0,
     acquire: async req => {
-      const immediate = choose(req)
+      const target = targetOf(req.name)
+      const immediate = choose(req, target)
       if (immediate !== undefined) return Ok(immediate)
       const route = await waitingRoom.wait({
-        model: req.model,
-        adapter: req.adapter,
+        ...target,
         deadlineMs: req.deadlineMs,
-        weight: req.weight ?? 1,
+        weight: cfg.team(req.team ?? '')?.weight ?? 1,
         signal: req.signal,
-        attempt: () => choose(req)
+        attempt: () => choose(req, target)
       })
-      return route === undefined ? Err(refuse(req.model)) : Ok(route)
+      return route === undefined ? Err(refuse(req.name, target.model)) : Ok(route)
     }
   }
 }
--- a/packages/magnoliabay/src/node/routing/waiting.ts
+++ b/packages/magnoliabay/src/node/routing/waiting.ts
@@ -8,6 +8,7 @@
 
 /** How often those who wait tell the steward again; it also meets a demand that got lost. */
 const DEMAND_PERIOD_MS = 1000
+const GATHER_MS = 5
 
 export interface WaitRequest<T> {
   model: string
@@ -35,50 +36,71 @@
   retry: () => void
 }
 
+/** Those who wait for one model. */
+interface Room {
+  standing: Set<Waiter>
+  /** Adapters that the steward has been told of in this round. */
+  told: Set<string>
+  isTellingSoon: boolean
+}
+
+function retryAll (standing: ReadonlySet<Waiter>): void {
+  const all = [...standing]
+  all.forEach(waiter => waiter.retry())
+}
+
 export function createWaitingRoom (cells: Cells, clock: Clock): WaitingRoom {
-  const waiters = new Map<string, Set<Waiter>>()
+  const rooms = new Map<string, Room>()
   const reasons = new Map<string, string>()
 
-  const tell = async (model: string, here: ReadonlySet<Waiter>): Promise<void> => {
-    const all = [...here]
+  const tell = async (model: string, { standing, told }: Room): Promise<void> => {
+    const all = [...standing]
+    if (all.length === 0) return
+    const adapters = [...new Set(all.flatMap(waiter => waiter.adapter ?? []))]
+    adapters.forEach(adapter => told.add(adapter))
     const deadlineMs = Math.min(...all.map(waiter => waiter.deadlineMs))
-    const adapters = new Set(all.map(waiter => waiter.adapter))
-    const common = {
+    const reply = await cells.demand({
       model,
+      adapters,
       waiting: all.length,
       patienceMs: Math.max(0, deadlineMs - clock.monotonic()),
       weight: Math.max(...all.map(waiter => waiter.weight))
-    }
-    const replies = await Promise.all([...adapters].map(adapter => cells.demand({ ...common, adapter })))
-    replies.forEach(reply => reasons.set(model, reply.reason))
+    })
+    reasons.set(model, reply.reason)
     // The reply may have brought a table that a lost notice should have brought.
-    const standing = [...here]
-    standing.forEach(waiter => waiter.retry())
+    retryAll(standing)
   }
   /** One loop for each model that is waited for, for as long as anybody waits. */
-  const keepTelling = async (model: string, here: ReadonlySet<Waiter>): Promise<void> => {
-    while (here.size > 0) {
-      await tell(model, here)
-      if (here.size > 0) await sleep(clock, DEMAND_PERIOD_MS)
+  const keepTelling = async (model: string, room: Room): Promise<void> => {
+    while (room.standing.size > 0) {
+      room.told.clear()
+      await tell(model, room)
+      if (room.standing.size > 0) await sleep(clock, DEMAND_PERIOD_MS)
     }
-    if (waiters.get(model) === here) waiters.delete(model)
+    if (rooms.get(model) === room) rooms.delete(model)
+  }
+  /** What the steward has not heard of yet is told at once, together with what else comes in the next moment. */
+  const tellSoon = (model: string, room: Room): void => {
+    if (room.isTellingSoon) return
+    room.isTellingSoon = true
+    clock.schedule(GATHER_MS, () => {
+      room.isTellingSoon = false
+      tell(model, room)
+    })
   }
   const add = (waiter: Waiter): void => {
-    const here = waiters.get(waiter.model)
-    if (here === undefined) {
-      const created = new Set([waiter])
-      waiters.set(waiter.model, created)
+    const room = rooms.get(waiter.model)
+    if (room === undefined) {
+      const created: Room = { standing: new Set([waiter]), told: new Set(), isTellingSoon: false }
+      rooms.set(waiter.model, created)
       keepTelling(waiter.model, created)
       return
     }
-    here.add(waiter)
-    // The loop is between two rounds, and nobody has been waiting since the last.
-    if (here.size === 1) tell(waiter.model, here)
+    room.standing.add(waiter)
+    const isNews = waiter.adapter !== undefined && !room.told.has(waiter.adapter)
+    if (isNews || room.standing.size === 1) tellSoon(waiter.model, room)
   }
-  cells.replicas.onChanged(() => waiters.forEach(here => {
-    const standing = [...here]
-    standing.forEach(waiter => waiter.retry())
-  }))
+  cells.replicas.onChanged(() => rooms.forEach(room => retryAll(room.standing)))
 
   return {
     reasonFor: model => reasons.get(model),
@@ -86,7 +108,7 @@
       if (req.signal.aborted) return resolve(undefined)
       let cancelTimer: CancelTimer = () => {}
       const settle = (value: T | undefined): void => {
-        waiters.get(req.model)?.delete(waiter)
+        rooms.get(req.model)?.standing.delete(waiter)
         cancelTimer()
         req.signal.removeEventListener('abort', giveUp)
         resolve(value)
