--- a/packages/magnoliabay/src/node/cells/__tests__/cells.spec.ts
+++ b/packages/magnoliabay/src/node/cells/__tests__/cells.spec.ts
@@ -111,4 +111,44 @@
     world.instances().forEach(instance => expect(instance.cells.replicas.of('m')).to.deep.equal([]))
     world.close()
   })
+
+  /*
+   * A member misses the notice that a model was unloaded. It sends a request to the engine, which refuses it as not
+   * run; its next report of use shows the steward that its table is old, and it is told the new one.
+   */
+  it('tells a member that goes by an old table the new one', async () => {
+    const world = createWorld({ instances: 4, fleet: { model: [{ name: 'm', memoryMiB: 8 * GIB }] } })
+    await advance(world, 8000)
+    callAt(world, 'entry-1', 'm', 10_000)
+    await advance(world, 5000)
+    const other = world.instances().find(instance => instance !== world.steward())!
+    world.network.setFate(message => message.kind === 'cells.table' && message.to === other.id ? [] : [1])
+    world.engines.find(engine => engine.id === loadedOn(world, 'm')[0])!.leave()
+    await advance(world, 3000)
+    expect(other.cells.replicas.of('m').length).to.equal(1)
+    world.network.setFate(() => [1])
+    callAt(world, other.id, 'm', 1000)
+    await advance(world, 2000)
+    expect(other.cells.replicas.of('m')).to.deep.equal([])
+    world.close()
+  })
+
+  /*
+   * The steward dies and its engines ignore fences, so the next one may not touch them before the proof. What is
+   * loaded there goes on serving: tables of the next steward still name it.
+   */
+  it('goes on serving what is loaded while a cell changes hands', async () => {
+    const world = createWorld({ instances: 4, engine: { checksFence: false }, fleet: { model: [{ name: 'm', memoryMiB: 8 * GIB }] } })
+    await advance(world, 8000)
+    callAt(world, 'entry-1', 'm', 10_000)
+    await advance(world, 5000)
+    world.steward()!.kill()
+    for (let second = 0; second < 50; second += 1) {
+      const callers = world.instances().map(instance => callAt(world, instance.id, 'm', 500))
+      await advance(world, 1000, () => checkInvariants(world, { m: 2 }))
+      expect(callers.map(caller => caller.outcome), `second ${second}`).to.deep.equal(callers.map(() => 'served'))
+    }
+    expect(world.steward()).not.to.equal(undefined)
+    world.close()
+  })
 })
--- a/packages/magnoliabay/src/node/cells/cells.ts
+++ b/packages/magnoliabay/src/node/cells/cells.ts
@@ -18,8 +18,10 @@
 import type { Demand, DemandReply, FormerHolder, ReleaseReply, ReleaseRequest, StewardRecord } from './records'
 import { createReplicas } from './replicas'
 import type { Replicas } from './replicas'
-import { createSteward } from './steward'
+import { createSteward, totalOf } from './steward'
 import type { Steward } from './steward'
+import { createShareKeeper, storeShareCall } from './storeShare'
+import type { StoreShare } from './storeShare'
 import { createUsage } from './usage'
 
 const TEND_PERIOD_MS = 500
@@ -83,6 +85,13 @@
   const releaseName = (cell: string, fence: number): string => `${cell} ${fence}`
   const isAccountedFor = (cell: string, holder: FormerHolder): boolean =>
     released.has(releaseName(cell, holder.fence)) || holder.incarnation === peers.self.incarnation || proofs.proofFor(holder) !== undefined
+  const shareKeeper = createShareKeeper(clock, totalOf(cfg))
+  const askStoreShare = async (cell: string): Promise<StoreShare | undefined> => {
+    const keeper = holdings.get(cellNames(1)[0]!)?.record?.holder
+    if (keeper === undefined) return undefined
+    const reply = await peers.call(keeper.id, storeShareCall, cell)
+    return reply.ok ? reply.val : undefined
+  }
   const takeOffice = (cell: string, holding: Holding): void => {
     const { record, modRevision: fence } = holding
     if (record === undefined || mine.has(cell) || givingUp || fence <= (givenAway.get(cell) ?? 0)) return
@@ -92,6 +101,7 @@
       cell,
       fence,
       before: replicas.tables().find(table => table.cell === cell),
+      askStoreShare: () => askStoreShare(cell),
       areAllAccountedFor: () => record.unproven.every(former => isAccountedFor(cell, former)),
       onTable: replicas.take,
       onSuperseded: () => { mine.delete(cell) }
@@ -196,7 +206,12 @@
   peers.serve(tablesCall, () => replicas.tables())
   peers.listen(tableNotice, replicas.take)
   peers.listen(loadNotice, notice => { loads.set(notice.cell, notice.loads) })
-  peers.listen(usageNotice, report => mine.forEach(steward => steward.noteUsed(report)))
+  peers.serve(storeShareCall, shareKeeper.shareOf)
+  /** A notice of a table may be lost, and an unload with it: whoever goes by an old table is told the new one. */
+  peers.listen(usageNotice, (report, from) => {
+    const steward = mine.get(report.cell)
+    if (steward !== undefined && !steward.noteUsed(report)) peers.notify(from.id, tableNotice, steward.table())
+  })
   peers.onConnected(async member => {
     const tables = await peers.call(member.id, tablesCall, null)
     if (tables.ok) tables.val.forEach(replicas.take)
@@ -219,7 +234,7 @@
       }, signal)
       signal.addEventListener('abort', () => mine.forEach(steward => steward.stop()), { once: true })
       repeat(clock, TEND_PERIOD_MS, signal, tend)
-      repeat(clock, USAGE_PERIOD_MS, signal, () => usage.report(mine.values()))
+      repeat(clock, USAGE_PERIOD_MS, signal, () => usage.report([...mine.values()]))
     },
     handOver: async () => {
       givingUp = true
--- a/packages/magnoliabay/src/node/cells/engineCare.ts
+++ b/packages/magnoliabay/src/node/cells/engineCare.ts
@@ -30,6 +30,7 @@
   /** Recorded by earlier stewards for the engine. */
   inheritedOf: (engine: string) => readonly Intent[]
   areAllAccountedFor: () => boolean
+  onGivenUp: (engine: string) => void
 }
 
 export interface EngineCare {
@@ -107,6 +108,7 @@
     if (clock.monotonic() - account.missingSinceMs < GONE_AFTER_MS) return
     logger.warn('engine-gone', { engine: account.engine, models: [...account.replicas.keys()] })
     accounts.delete(account.engine)
+    options.onGivenUp(account.engine)
     forgetInherited(account.engine)
     addresses.delete(account.engine)
     ctx.publish()
--- a/packages/magnoliabay/src/node/cells/records.ts
+++ b/packages/magnoliabay/src/node/cells/records.ts
@@ -97,8 +97,9 @@
   table?: ReplicaTable
 }
 
-/** What the sender has used since its last report, with the number of requests. */
+/** What the sender has used in a cell since its last report, with the number of requests. */
 export interface UsageReport {
+  cell: string
   models: Readonly<Record<string, number>>
   adapters: Readonly<Record<string, number>>
 }
@@ -146,8 +147,3 @@
 export function cellNames (cellCount: number): string[] {
   return Array.from({ length: cellCount }, (_, index) => `${CELL_NAME}${index}`)
 }
-
-/** Number of a cell, from 0. */
-export function cellIndex (cell: string): number {
-  return Number(cell.slice(CELL_NAME.length))
-}
--- a/packages/magnoliabay/src/node/cells/scheduler.ts
+++ b/packages/magnoliabay/src/node/cells/scheduler.ts
@@ -22,6 +22,8 @@
   history: GapHistory
   /** Loads from the weight store at once. */
   storeSlots: Slots
+  /** Called whenever a load from the weight store is under way or waited for. */
+  noteStoreWanted: () => void
   /** Most replicas of the model in this cell. */
   quotaOf: (model: ModelConfig) => number
   /** Replicas wanted now, at least one while anybody waits. */
@@ -109,6 +111,7 @@
     if (holders.length + options.rememberedOf(want.model) >= options.quotaOf(cfg)) return block(want.model, 'as many replicas as decided are still there')
     const isStoreOpen = options.storeSlots.isFree()
     const placement = place(want, cfg, isStoreOpen)
+    if (!isStoreOpen || (placement.kind === 'load' && placement.tier === 'remote')) options.noteStoreWanted()
     if (placement.kind === 'none') return block(want.model, isStoreOpen ? placement.reason : 'waits for its turn at the weight store')
     const needsSlot = placement.tier === 'remote'
     if (needsSlot) options.storeSlots.take()
--- a/packages/magnoliabay/src/node/cells/slots.ts
+++ b/packages/magnoliabay/src/node/cells/slots.ts
@@ -1,16 +1,12 @@
-/**
- * A cell's share of what all engines share: loads at the weight store, and adapters in flight. Going over it
- * breaks nothing, but makes everybody's loads slower; so the share is fixed by the number of cells and needs
- * no talk between them.
- */
+/** A cell's part of what all engines share: loads at the weight store, and adapters in flight. */
 import type { Clock } from '../clock'
 
 export interface SlotsOptions {
   clock: Clock
-  /** At once. */
-  slots: number
-  /** Begun a second; no limit when absent. */
-  perSecond?: number
+  /** At once, as of now. */
+  limit: () => number
+  /** Begun a second, as of now; no limit when absent. */
+  perSecond?: () => number
 }
 
 export interface Slots {
@@ -25,25 +21,21 @@
 const MS_PER_SECOND = 1000
 
 export function createSlots (options: SlotsOptions): Slots {
-  const { clock, slots, perSecond } = options
-  const spacingMs = perSecond === undefined ? 0 : MS_PER_SECOND / perSecond
+  const { clock, limit, perSecond } = options
   let inUse = 0
-  let nextStartMs = clock.monotonic()
-  const waitMs = (): number => Math.max(0, nextStartMs - clock.monotonic())
+  let lastStartMs = -Infinity
+  const waitMs = (): number => {
+    const spacingMs = perSecond === undefined ? 0 : MS_PER_SECOND / perSecond()
+    return Math.max(0, lastStartMs + spacingMs - clock.monotonic())
+  }
   return {
     waitMs,
     inUse: () => inUse,
-    isFree: () => inUse < slots && waitMs() === 0,
+    isFree: () => inUse < limit() && waitMs() === 0,
     take: () => {
       inUse += 1
-      nextStartMs = Math.max(clock.monotonic(), nextStartMs) + spacingMs
+      lastStartMs = clock.monotonic()
     },
     release: () => { inUse = Math.max(0, inUse - 1) }
   }
 }
-
-/** Share of cell number `index` of `total`, at least one. */
-export function shareOfSlots (total: number, cells: number, index: number): number {
-  const share = Math.floor(total / cells) + (index < total % cells ? 1 : 0)
-  return Math.max(1, share)
-}
--- a/packages/magnoliabay/src/node/cells/steward.ts
+++ b/packages/magnoliabay/src/node/cells/steward.ts
@@ -20,12 +20,14 @@
 import { createLoadTimes } from './loadTimes'
 import { createOrderSender } from './orders'
 import { quotaOfCell } from './quota'
-import { cellIndex, cellOf, historyKey, loadNotice, tableNotice } from './records'
+import { cellOf, historyKey, loadNotice, tableNotice } from './records'
 import type { Demand, DemandReply, Intent, ReplicaEntry, ReplicaTable, UsageReport } from './records'
 import { createRemembered } from './remembered'
 import { createReplicaOps } from './replicaOps'
 import { createScheduler } from './scheduler'
-import { createSlots, shareOfSlots } from './slots'
+import { createSlots } from './slots'
+import { createShareHolder } from './storeShare'
+import type { StoreShare } from './storeShare'
 import { createWants } from './wants'
 
 export interface StewardOptions {
@@ -43,6 +45,8 @@
   before: ReplicaTable | undefined
   /** Whether every earlier holder is proven gone or has given the cell up. */
   areAllAccountedFor: () => boolean
+  /** Asks for the cell's part of the weight store; undefined when nobody answered. */
+  askStoreShare: () => Promise<StoreShare | undefined>
   onTable: (table: ReplicaTable) => void
   onSuperseded: (reason: string) => void
 }
@@ -51,7 +55,8 @@
   readonly cell: string
   readonly fence: number
   demand (req: Omit<Demand, 'cell'>): DemandReply
-  noteUsed (report: UsageReport): void
+  /** False when the report names a model that is not loaded here: the sender has an old table. */
+  noteUsed (report: UsageReport): boolean
   table (): ReplicaTable
   accounts (): readonly EngineAccount[]
   /** Intents whose orders may still be under way. */
@@ -61,6 +66,14 @@
   stop (): void
 }
 
+/** What the weight store gives to all cells together. */
+export function totalOf (cfg: CellsConfig): () => StoreShare {
+  return () => {
+    const { fullSpeedLoads, loadsPerSecond } = cfg.inForce().fleet.weightStore
+    return { slots: fullSpeedLoads, perSecond: loadsPerSecond }
+  }
+}
+
 /** How often what was learned about gaps is saved. */
 const SAVE_PERIOD_MS = 60_000
 
@@ -68,12 +81,16 @@
   const { cell, fence, store, clock, peers, cfg, directory } = options
   const logger = options.logger.with({ cell, fence })
   const accounts = new Map<string, EngineAccount>()
+  const givenUp = new Set<string>()
   const history = createGapHistory()
   const wants = createWants()
   let tableVersion = 0
   let stopped = false
   let nextSaveMs = clock.monotonic() + SAVE_PERIOD_MS
 
+  /** Replicas on engines that are not taken up yet, as the steward before said: they go on serving meanwhile. */
+  const rememberedReplicas = (): ReplicaEntry[] => (options.before?.replicas ?? []).filter(({ engine }) =>
+    !accounts.has(engine) && !givenUp.has(engine) && directory.engine(engine)?.status === 'live')
   const replicasOf = (account: EngineAccount): ReplicaEntry[] => {
     const listed = directory.engine(account.engine)
     if (listed === undefined || listed.status === 'leaving' || !isUsable(account)) return []
@@ -87,7 +104,7 @@
       adapters: adapters.filter(adapter => adapter.model === model).map(adapter => adapter.adapter)
     }))
   }
-  const table = (): ReplicaTable => ({ cell, fence, version: tableVersion, replicas: [...accounts.values()].flatMap(replicasOf) })
+  const table = (): ReplicaTable => ({ cell, fence, version: tableVersion, replicas: [...rememberedReplicas(), ...[...accounts.values()].flatMap(replicasOf)] })
   const publish = (): void => {
     if (stopped) return
     tableVersion += 1
@@ -113,10 +130,11 @@
     cell, fence, clock, logger, cfg, directory, engines: options.engines, intents, sender, times: createLoadTimes(), accounts, isStopped, supersede, publish
   }
   const ops = createReplicaOps(ctx)
-  const { cells, weightStore } = cfg.inForce().fleet
-  const share = (total: number): number => shareOfSlots(total, cells, cellIndex(cell))
-  const storeSlots = createSlots({ clock, slots: share(weightStore.fullSpeedLoads), perSecond: weightStore.loadsPerSecond / cells })
-  const adapterSlots = createSlots({ clock, slots: share(weightStore.adaptersInFlight) })
+  const { cells } = cfg.inForce().fleet
+  const storeShare = createShareHolder({ clock, cells, total: totalOf(cfg), ask: options.askStoreShare })
+  const storeSlots = createSlots({ clock, limit: () => storeShare.current().slots, perSecond: () => storeShare.current().perSecond })
+  // Adapters load in milliseconds: no time to ask, and a fixed part is seldom full.
+  const adapterSlots = createSlots({ clock, limit: () => Math.max(1, Math.floor(cfg.inForce().fleet.weightStore.adaptersInFlight / cells)) })
   const loadCare = createLoadCare({ ctx, onLoads: loads => peers.notifyAll(loadNotice, { cell, loads }) })
   const scheduler = createScheduler({
     ctx,
@@ -124,6 +142,7 @@
     wants,
     history,
     storeSlots,
+    noteStoreWanted: storeShare.noteWanting,
     quotaOf: model => quotaOfCell(model, cell, cfg.inForce().fleet.cells),
     targetOf: loadCare.targetOf,
     rememberedOf: model => remembered.countOf(model),
@@ -150,7 +169,8 @@
     listed,
     earlier: intents.earlier,
     inheritedOf: engine => (inherited ?? []).filter(intent => intent.engine === engine),
-    areAllAccountedFor: options.areAllAccountedFor
+    areAllAccountedFor: options.areAllAccountedFor,
+    onGivenUp: engine => { givenUp.add(engine) }
   })
 
   const wallOffsetMs = (): number => clock.now() - clock.monotonic()
@@ -169,8 +189,8 @@
   const statusOf = (model: string): DemandReply => {
     const held = [...accounts.values()].flatMap(account => account.replicas.get(model) ?? [])
     if (held.some(replica => replica.life.state() === 'loaded')) return { status: 'loaded', reason: 'already loaded', table: table() }
-    if (held.some(replica => replica.life.state() !== 'unloading')) return { status: 'loading', reason: 'already decided' }
-    return { status: 'queued', reason: scheduler.blockedReason(model) ?? 'waits for its turn' }
+    if (held.some(replica => replica.life.state() !== 'unloading')) return { status: 'loading', reason: 'already decided', table: table() }
+    return { status: 'queued', reason: scheduler.blockedReason(model) ?? 'waits for its turn', table: table() }
   }
   const remembered = createRemembered(options.before, clock)
   restore()
@@ -200,6 +220,8 @@
         })
         account.adapters.forEach(adapter => { if (report.adapters[adapter.adapter] !== undefined) adapter.lastUsedMs = nowMs })
       })
+      const loaded = new Set(table().replicas.map(replica => replica.model))
+      return Object.keys(report.models).every(model => loaded.has(model))
     },
     tend: () => {
       if (stopped) return
--- a/packages/magnoliabay/src/node/cells/usage.ts
+++ b/packages/magnoliabay/src/node/cells/usage.ts
@@ -1,7 +1,7 @@
 /** Gathers what this instance uses, and reports it to the stewards that decide about it. */
 import type { Peers } from '../members'
 import { usageNotice } from './records'
-import type { UsageReport } from './records'
+import type { ReplicaTable, UsageReport } from './records'
 import type { Replicas } from './replicas'
 import type { Steward } from './steward'
 
@@ -14,16 +14,25 @@
 export interface Usage {
   note (model: string, adapter?: string): void
   /** Reports to the given stewards here, and to those elsewhere. */
-  report (here: Iterable<Steward>): void
+  report (here: readonly Steward[]): void
 }
 
 export function createUsage (options: UsageOptions): Usage {
   const { peers, replicas } = options
   let models: Record<string, number> = {}
   let adapters: Record<string, number> = {}
-  const holdersOf = (report: UsageReport): Set<string> => {
-    const tables = replicas.tables().filter(table => table.replicas.some(replica => report.models[replica.model] !== undefined))
-    return new Set(tables.map(table => options.stewardOf(table.cell)).filter(holder => holder !== undefined))
+  const pick = (used: Readonly<Record<string, number>>, names: readonly string[]): Record<string, number> =>
+    Object.fromEntries(names.filter(name => used[name] !== undefined).map(name => [name, used[name]!]))
+  const reportOf = ({ cell, replicas: held }: ReplicaTable): UsageReport => ({
+    cell,
+    models: pick(models, held.map(replica => replica.model)),
+    adapters: pick(adapters, held.flatMap(replica => replica.adapters))
+  })
+  const send = (report: UsageReport, here: readonly Steward[]): void => {
+    const holder = options.stewardOf(report.cell)
+    const local = here.find(steward => steward.cell === report.cell)
+    if (local !== undefined) local.noteUsed(report)
+    else if (holder !== undefined) peers.notify(holder, usageNotice, report)
   }
   return {
     note: (model, adapter) => {
@@ -31,13 +40,10 @@
       if (adapter !== undefined) adapters[adapter] = (adapters[adapter] ?? 0) + 1
     },
     report: here => {
-      const report: UsageReport = { models, adapters }
-      if (Object.keys(models).length === 0) return
+      const reports = replicas.tables().map(reportOf).filter(report => Object.keys(report.models).length > 0)
+      reports.forEach(report => send(report, here))
       models = {}
       adapters = {}
-      for (const steward of here) steward.noteUsed(report)
-      const holders = [...holdersOf(report)].filter(holder => holder !== peers.self.id)
-      holders.forEach(holder => peers.notify(holder, usageNotice, report))
     }
   }
 }
