--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -89,7 +89,7 @@
   const inProgressMs = settings.limits.deadlineMs + settings.limits.serviceAnswerMs
   const once = createOnce({ store, writer, holder: self.incarnation, clock, logger, inProgressMs })
   const cells = createCells({ store, peers, membership, proofs, directory, engines, cfg, clock, logger })
-  const routing = createRouting({ cells, directory, clock })
+  const routing = createRouting({ cells, cfg, directory, clock })
   const queue = createQueue({
     capacity: createCapacity({
       enginesOf: model => cells.replicas.of(model).map(replica => replica.engine),
