--- /dev/null
+++ b/packages/magnoliabay/src/node/entry/__tests__/rig.ts
@@ -0,0 +1,270 @@
+/**
+ * Entry instances over stand-in engines, services and store, on loopback. Short waits take real time; long
+ * ones (silence, deadlines) pass only when a test says so, so that a slow machine changes no verdict.
+ */
+import { createStandInFleet, createDirectStore, createKvFaults } from '@magnoliabay/standins'
+import type { FleetEngineOptions, KvFaults, StandInFleet } from '@magnoliabay/standins'
+import type { FaultSwitches } from '@magnoliabay/standins/faults'
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { request } from 'undici'
+import type { Caller } from '../../admission'
+import { createEngineClient, createPools } from '../../backend'
+import type { Clock } from '../../clock'
+import type { ServiceConfig } from '../../config'
+import { resolveSettings } from '../../config'
+import type { Settings } from '../../config'
+import { refusal } from '../../failures'
+import { createSilentLogger } from '../../logger'
+import { createListeners } from '../../members/dispatch'
+import { createMemoryNetwork } from '../../members/memoryNetwork'
+import type { MemoryNetwork } from '../../members/memoryNetwork'
+import type { MemberRecord } from '../../members'
+import { createMetrics } from '../../metrics'
+import { createGroupWriter, createOnce, createRetentionLease, createSharedWriter } from '../../once'
+import { Err, Ok } from '../../result'
+import { createEntry } from '..'
+import type { Entry, EntryOptions } from '..'
+
+const HELD_FROM_MS = 1000
+const HOST = '127.0.0.1'
+const MODEL = 'm'
+export const SERVICE = 'notes'
+export const TEAM = 'parish'
+
+export interface SteeredClock extends Clock {
+  /** Lets `ms` pass at once for everything that waits longer than a second. */
+  elapse (ms: number): void
+}
+
+export function createSteeredClock (): SteeredClock {
+  const held = new Set<{ atMs: number, callback: () => void }>()
+  let offsetMs = 0
+  const monotonic = (): number => performance.now() + offsetMs
+  return {
+    now: () => Date.now() + offsetMs,
+    monotonic,
+    schedule: (delayMs, callback) => {
+      if (delayMs < HELD_FROM_MS) {
+        const timer = setTimeout(callback, delayMs)
+        return () => clearTimeout(timer)
+      }
+      const entry = { atMs: monotonic() + delayMs, callback }
+      held.add(entry)
+      return () => held.delete(entry)
+    },
+    elapse: ms => {
+      offsetMs += ms
+      const due = [...held].filter(entry => entry.atMs <= monotonic())
+      due.forEach(entry => {
+        held.delete(entry)
+        entry.callback()
+      })
+    }
+  }
+}
+
+export interface Answer {
+  status: number
+  headers: Readonly<Record<string, unknown>>
+  text: string
+  /** The connection broke before the answer's end. */
+  isCut: boolean
+}
+
+export interface RigOptions {
+  /** @default 1 */
+  entries?: number
+  engines?: readonly FleetEngineOptions[]
+  services?: readonly string[]
+  limits?: Settings['limits']
+  shutdown?: Settings['shutdown']
+  /** Addresses that routing names in place of the stand-ins' engines. */
+  engineAddresses?: readonly string[]
+}
+
+export interface Rig {
+  clock: SteeredClock
+  fleet: StandInFleet
+  network: MemoryNetwork
+  storeFaults: FaultSwitches<KvFaults>
+  entries: ReadonlyArray<{ entry: Entry, address: string, member: MemberRecord }>
+  withdraw (keyId: string): void
+  /** Calls entry `index`. */
+  call (index: number, path: string, body: unknown, headers?: Record<string, string>, signal?: AbortSignal): Promise<Answer>
+  chat (index: number, prompt: string, more?: object, headers?: Record<string, string>): Promise<Answer>
+  close (): Promise<void>
+}
+
+export async function createRig (options: RigOptions = {}): Promise<Rig> {
+  const clock = createSteeredClock()
+  const fleet = await createStandInFleet({
+    engines: options.engines ?? [{}, {}],
+    engineDefaults: { firstTokenMs: 1, tokenMs: 0, checkpoints: { [MODEL]: 'memory' } },
+    services: options.services ?? [SERVICE, SERVICE],
+    weights: { loadMsPerGiB: 1 }
+  })
+  await Promise.all(fleet.engines.map(engine => engine.state.carryOut({ orderId: `load-${engine.id}`, fence: 1, action: 'load', model: MODEL, memoryMiB: 8 })))
+  const network = createMemoryNetwork({ clock })
+  const storeFaults = createKvFaults()
+  const withdrawals = createListeners<[string]>()
+  const shared = { clock, fleet, network, storeFaults, withdrawals, options }
+  const entries = await Promise.all(Array.from({ length: options.entries ?? 1 }, (_, index) => startEntry(shared, index)))
+  const call: Rig['call'] = (index, path, body, headers = {}, signal) => callAt(entries[index]!.address, path, body, headers, signal)
+  return {
+    clock,
+    fleet,
+    network,
+    storeFaults,
+    entries,
+    withdraw: withdrawals.emit,
+    call,
+    chat: (index, prompt, more = {}, headers = {}) =>
+      call(index, '/v1/chat/completions', { model: MODEL, messages: [{ role: 'user', content: prompt }], ...more }, headers),
+    close: async () => {
+      await Promise.all(entries.map(({ entry }) => entry.close(0)))
+      await Promise.all(entries.map(({ stop }) => stop()))
+      await fleet.close()
+    }
+  }
+}
+
+interface Shared {
+  clock: SteeredClock
+  fleet: StandInFleet
+  network: MemoryNetwork
+  storeFaults: FaultSwitches<KvFaults>
+  withdrawals: ReturnType<typeof createListeners<[string]>>
+  options: RigOptions
+}
+
+async function startEntry (shared: Shared, index: number): Promise<{ entry: Entry, address: string, member: MemberRecord, stop: () => Promise<void> }> {
+  const { clock, fleet, network, options } = shared
+  const [entryAddress, peerAddress, operatorAddress] = await Promise.all([freeAddress(), freeAddress(), freeAddress()])
+  const id = `entry-${index + 1}`
+  const settings = resolveSettings({
+    instance: { id, site: 's', region: 'r', failureDomain: `zone-${index % 3}`, entryAddress, peerAddress, operatorAddress },
+    platform: { store: ['http://127.0.0.1:1'], instanceList: 'http://127.0.0.1:1/' },
+    limits: options.limits,
+    shutdown: options.shutdown
+  })
+  const member: MemberRecord = { id, incarnation: id, startedAtMs: 0, region: 'r', failureDomain: `zone-${index % 3}`, peerAddress, entryAddress, operatorAddress, leaving: false }
+  const peers = network.join(member)
+  const store = createDirectStore(fleet.kv.state, { clock, faults: shared.storeFaults, caller: id })
+  const logger = createSilentLogger()
+  const lease = createRetentionLease({ store, clock, retentionSeconds: settings.once.retentionSeconds })
+  const writer = createSharedWriter({ peers, local: createGroupWriter({ store, lease, clock }) })
+  const pools = createPools(null)
+  const engines = createEngineClient()
+  const entry = createEntry({
+    settings,
+    cfg: createFakeConfig(),
+    keyring: createFakeKeyring(shared.withdrawals),
+    allowance: createFakeAllowance(network, peers),
+    routing: createFakeRouting(options.engineAddresses ?? fleet.engines.map(engine => engine.address)),
+    directory: createFakeDirectory(fleet),
+    once: createOnce({ store, writer, holder: id, clock, logger, inProgressMs: 90_000 }),
+    pools,
+    engines,
+    peers,
+    clock,
+    logger,
+    metrics: createMetrics(),
+    isReady: () => true
+  } as unknown as EntryOptions)
+  await entry.start()
+  return { entry, address: entryAddress, member, stop: async () => { await Promise.all([pools.close(), engines.close()]) } }
+}
+
+function createFakeConfig (): Partial<EntryOptions['cfg']> {
+  return {
+    model: name => name === MODEL ? { name, memoryMiB: 8, version: '1', maxReplicas: 2 } as never : undefined,
+    team: name => ({ name, allow: ['*'] }) as never,
+    service: name => name === SERVICE ? { name, nonIdempotent: ['POST'] } as ServiceConfig : undefined,
+    onChanged: () => () => {}
+  }
+}
+
+function createFakeKeyring (withdrawals: Shared['withdrawals']): Partial<EntryOptions['keyring']> {
+  const caller: Caller = { team: TEAM, keyId: 'key-1' }
+  return { authenticate: () => Ok(caller), onWithdrawn: withdrawals.add }
+}
+
+function createFakeAllowance (_network: MemoryNetwork, peers: EntryOptions['peers']): EntryOptions['allowance'] {
+  return {
+    reserve: async (team: string, tokens: number) => Ok({ team, tokens }),
+    settle: () => {},
+    homes: () => peers.members().map(member => member.id)
+  } as unknown as EntryOptions['allowance']
+}
+
+function createFakeRouting (addresses: readonly string[]): EntryOptions['routing'] {
+  const replicas = addresses.map((address, index) => ({ engine: `engine-${index + 1}`, address }))
+  return {
+    inFlight: () => 0,
+    acquire: async ({ avoid }: { avoid: ReadonlySet<string> }) => {
+      const replica = replicas.find(({ engine }) => !avoid.has(engine))
+      return replica === undefined ? Err(refusal('no_capacity', 'No engine is left.', 1)) : Ok({ replica, release: () => {} })
+    }
+  } as unknown as EntryOptions['routing']
+}
+
+function createFakeDirectory (fleet: StandInFleet): Partial<EntryOptions['directory']> {
+  return {
+    services: name => fleet.services
+      .filter(() => name === SERVICE)
+      .map(({ id, address, failureDomain }) => ({ id, role: 'service', address, failureDomain, region: 'r', status: 'live', service: name }))
+  }
+}
+
+async function callAt (address: string, path: string, body: unknown, headers: Record<string, string>, signal?: AbortSignal): Promise<Answer> {
+  const res = await request(`http://${address}${path}`, {
+    method: 'POST',
+    body: typeof body === 'string' ? body : JSON.stringify(body),
+    headers: { authorization: 'Bearer k', ...headers },
+    signal
+  })
+  let text = ''
+  try {
+    for await (const chunk of res.body) text += String(chunk)
+    return { status: res.statusCode, headers: res.headers, text, isCut: false }
+  } catch {
+    return { status: res.statusCode, headers: res.headers, text, isCut: true }
+  }
+}
+
+async function freeAddress (): Promise<string> {
+  const server = createServer()
+  await new Promise<void>(resolve => server.listen(0, HOST, resolve))
+  const { port } = server.address() as AddressInfo
+  await new Promise(resolve => server.close(resolve))
+  return `${HOST}:${port}`
+}
+
+/** Resolves when `condition` holds. */
+export async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setImmediate(resolve))
+}
+
+export interface ErrorBody {
+  error: { code: string, not_run: boolean, request_id: string, retry_after?: number }
+}
+
+/** The typed error of an answer: its body, or the last event of a stream that was cut. */
+export function errorOf (answer: Answer): ErrorBody['error'] | undefined {
+  const text = answer.text.includes('event: error\ndata: ') ? answer.text.split('event: error\ndata: ')[1]! : answer.text
+  try {
+    return (JSON.parse(text) as ErrorBody).error
+  } catch {
+    return undefined
+  }
+}
+
+/** Text that a streamed or whole answer gives. */
+export function contentOf (answer: Answer): string {
+  if (answer.headers['content-type'] === 'application/json') return (JSON.parse(answer.text) as { choices: Array<{ message: { content: string } }> }).choices[0]!.message.content
+  return answer.text.split('\n')
+    .filter(line => line.startsWith('data: {') && !line.includes('"error"'))
+    .map(line => (JSON.parse(line.slice('data: '.length)) as { choices: Array<{ delta: { content?: string } }> }).choices[0]?.delta.content ?? '')
+    .join('')
+}
