--- a/packages/magnoliabay/src/node/config/fleet.ts
+++ b/packages/magnoliabay/src/node/config/fleet.ts
@@ -61,9 +61,22 @@
   nonIdempotent: v.optional(v.array(v.picklist(['GET', 'PUT', 'POST', 'PATCH', 'DELETE'])), ['POST', 'PATCH'])
 })
 
+const weightStoreSchema = v.strictObject({
+  /** Loads begun a second at most, over all engines. @default 2 */
+  loadsPerSecond: v.optional(v.pipe(v.number(), v.minValue(0.01)), 2),
+  /** Loads at once at full speed, over all engines. @default 4 */
+  fullSpeedLoads: v.optional(positive, 4),
+  /** Adapters loading at once at full speed, over all engines. @default 30 */
+  adaptersInFlight: v.optional(positive, 30)
+})
+
 const fleetWide = {
   /** Number of cells that the engines are spread over. @default 1 */
   cells: v.optional(v.pipe(positive, v.integer()), 1),
+  /** Idle accelerator time that sparing one cold start is worth, as a multiple of how long that takes. @default 150 */
+  coldStartWorth: v.optional(positive, 150),
+  /** What all engines share when they load. */
+  weightStore: v.optional(weightStoreSchema, {}),
   /** Tokens a second that the engines can give; `plan` warns when the teams' rates add up to more. */
   capacityTokensPerSecond: v.optional(positive),
   /** Objectives of every team. */
@@ -85,6 +98,8 @@
 /** An overlay names an entry of the base to change some of its fields, or a new one in full. */
 export const overlaySchema = v.strictObject({
   cells: v.optional(v.pipe(positive, v.integer())),
+  coldStartWorth: v.optional(positive),
+  weightStore: v.optional(v.partial(weightStoreSchema)),
   capacityTokensPerSecond: v.optional(positive),
   objective: v.optional(v.partial(objectiveSchema)),
   /** Entries of the base that do not hold at this site. */
--- a/packages/magnoliabay/src/node/entry/index.ts
+++ b/packages/magnoliabay/src/node/entry/index.ts
@@ -15,6 +15,8 @@
 import type { Metrics } from '../metrics'
 import type { Once } from '../once'
 import { createCrashCheck, createRetryBudget, createSuspects } from '../outcomes'
+import type { Report } from '../report'
+import type { Queue } from '../queue'
 import type { Routing } from '../routing'
 import { messageOf, parseHostPort } from '../utils'
 import { answerBadInput } from './badInput'
@@ -42,6 +44,7 @@
   cfg: ConfigHolder
   keyring: Keyring
   allowance: Allowance
+  queue: Queue
   routing: Routing
   directory: Directory
   once: Once
@@ -51,6 +54,7 @@
   clock: Clock
   logger: Logger
   metrics: Metrics
+  report: Pick<Report, 'observe'>
   isReady: () => boolean
 }
 
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -1,6 +1,7 @@
 /**
  * One instance of the system: every subsystem, joined.
  */
+import { setMaxListeners } from 'node:events'
 import { createKeyring } from './admission'
 import { createAllowance } from './allowance'
 import { createDirectory, createEngineClient, createPools } from './backend'
@@ -10,15 +11,22 @@
 import type { Manifest, ResolvedSettings } from './config'
 import { createEntry } from './entry'
 import type { Logger } from './logger'
-import { createMembership, createPeerNetwork } from './members'
+import { createMembership, createPeerNetwork, createProofKeeper } from './members'
 import type { MemberRecord } from './members'
 import { createMetrics } from './metrics'
 import { createGroupWriter, createOnce, createRetentionLease, createSharedWriter } from './once'
 import { createOperators } from './operators'
 import { auditWrite } from './operators/audit'
 import { createOperatorCommands } from './operators/commands'
+import { createDecisionLog } from './operators/decisionLog'
+import { createDrain } from './operators/drain'
+import { createExplain } from './operators/explain'
 import { createOperatorQueries } from './operators/queries'
-import type { InstanceList, PutOperation, Store } from './platform'
+import { createBudgetedStore } from './platform'
+import { createStatus, createStoreWatch } from './operators/status'
+import type { InstanceList, PutOperation, Store, StoreCallReport } from './platform'
+import { createReport } from './report'
+import { createCapacity, createQueue } from './queue'
 import { createRouting } from './routing'
 import { createShutdown } from './shutdown'
 import { createId } from './utils'
@@ -40,9 +48,10 @@
 }
 
 export function createInstance (options: InstanceOptions): Instance {
-  const { settings, store, clock } = options
+  const { settings, clock } = options
   const { id, region, failureDomain, peerAddress, entryAddress, operatorAddress } = settings.instance
-  const logger = options.logger.with({ instance: id })
+  const decisions = createDecisionLog({ instance: id, clock })
+  const logger = decisions.wrap(options.logger.with({ instance: id }))
   const self: MemberRecord = {
     id,
     incarnation: createId(id),
@@ -55,23 +64,49 @@
     leaving: false
   }
   const stop = new AbortController()
+  // Every subsystem's loop waits on it; Node takes more than ten waiters for a leak.
+  setMaxListeners(0, stop.signal)
   const metrics = createMetrics()
+  const { callsPerSecond, burstCalls } = settings.platform
+  const storeWatch = createStoreWatch(clock)
+  const onCall = (call: StoreCallReport): void => {
+    storeWatch.note(call)
+    metrics.storeCalls.inc({ priority: call.priority, outcome: call.outcome })
+  }
+  const store = createBudgetedStore(options.store, { callsPerSecond, burstCalls, clock, onCall })
   const pools = createPools(null)
   const engines = createEngineClient()
-  const peers = createPeerNetwork({ self, clock, logger })
+  const peers = createPeerNetwork({ self, clock, logger, onGoodbye: member => proofs.noteGoodbye(member) })
+  const proofs = createProofKeeper({ peers, clock, logger })
   const membership = createMembership({ store, network: peers, clock, logger })
   const cfg = createConfigHolder({ store, peers, site: settings.instance.site, clock, logger })
-  const keyring = createKeyring({ store, peers, clock })
-  const directory = createDirectory({ list: options.list, clock, logger })
-  const allowance = createAllowance({ cfg, peers, clock, logger })
+  cfg.onChanged(() => cfg.inForce().documents.forEach(({ document, version }) => metrics.configVersion.set({ document }, version)))
+  const keyring = createKeyring({ store, peers, clock, logger })
+  const directory = createDirectory({ list: options.list, clock, logger, onRead: proofs.noteList })
+  const allowance = createAllowance({ cfg, peers, store, clock, logger, proofs })
   const lease = createRetentionLease({ store, clock, retentionSeconds: settings.once.retentionSeconds })
   const writer = createSharedWriter({ peers, local: createGroupWriter({ store, lease, clock }) })
   const inProgressMs = settings.limits.deadlineMs + settings.limits.serviceAnswerMs
   const once = createOnce({ store, writer, holder: self.incarnation, clock, logger, inProgressMs })
-  const cells = createCells({ store, peers, membership, directory, engines, cfg, clock, logger })
-  const routing = createRouting({ cells, clock })
+  const cells = createCells({ store, peers, membership, proofs, directory, engines, cfg, clock, logger })
+  const routing = createRouting({ cells, directory, clock })
+  const queue = createQueue({
+    capacity: createCapacity({
+      enginesOf: model => cells.replicas.of(model).map(replica => replica.engine),
+      loadOf: cells.loadOf,
+      inFlight: routing.inFlight,
+      instances: () => peers.members().filter(member => !member.leaving).length,
+      slotsPerEngine: settings.limits.requestsPerEngine
+    }),
+    weightOf: team => cfg.team(team)?.weight ?? 1,
+    maxWaiting: settings.limits.maxWaiting,
+    clock,
+    logger
+  })
+  cells.replicas.onChanged(queue.poke)
   const isReady = (): boolean => cfg.inForce().version > 0 && membership.leaseId() !== undefined && !self.leaving
-  const entry = createEntry({ settings, cfg, keyring, allowance, routing, directory, once, pools, engines, peers, clock, logger, metrics, isReady })
+  const report = createReport({ cfg, peers, registry: metrics.registry, clock })
+  const entry = createEntry({ report, settings, cfg, keyring, allowance, queue, routing, directory, once, pools, engines, peers, clock, logger, metrics, isReady })
   const audit = (manifest: Manifest): PutOperation => auditWrite({
     atMs: manifest.acceptedAtMs,
     operator: manifest.operator,
@@ -81,15 +116,20 @@
     instance: id
   })
   const acceptor = createAcceptor({ store, peers, holder: cfg, audit, clock, logger })
-  const commands = createOperatorCommands({ store, keyring, cfg, acceptor, peers, clock })
+  const handOver = async (): Promise<void> => {
+    report.handOver()
+    await cells.handOver()
+  }
+  const leave = async (): Promise<void> => {
+    await membership.announceLeaving()
+    await handOver()
+  }
+  const drain = createDrain({ peers, logger, leave })
+  const commands = createOperatorCommands({ store, keyring, cfg, acceptor, drain, peers, clock })
   const queries = createOperatorQueries({ store, cfg, peers, clock })
-  const status = (): object => ({
-    instance: self,
-    members: peers.members(),
-    config: cfg.inForce().version,
-    replicas: cells.replicas.all()
-  })
-  const operators = createOperators({ settings, commands, queries, status, clock, logger })
+  const { explain } = createExplain({ peers, decisions })
+  const status = createStatus({ peers, cfg, replicas: cells.replicas, store: storeWatch })
+  const operators = createOperators({ settings, commands, queries, status, explain, report, clock, logger })
 
   return {
     member: self,
@@ -101,6 +141,7 @@
       keyring.start(stop.signal)
       directory.start(stop.signal)
       cells.start(stop.signal)
+      allowance.start(stop.signal)
       await entry.start()
       await operators.start()
       logger.info('instance-started', { entry: entryAddress, peer: peerAddress, operator: operatorAddress })
@@ -111,10 +152,11 @@
       ...settings.shutdown,
       steps: {
         leave: membership.announceLeaving,
-        handOver: cells.handOver,
+        handOver,
         drain: entry.close,
         finish: async () => {
           await once.settled()
+          await allowance.handOver()
           await operators.close()
           stop.abort()
           await membership.deregister()
