--- a/packages/magnoliabay/src/node/cells/records.ts
+++ b/packages/magnoliabay/src/node/cells/records.ts
@@ -81,7 +81,8 @@
 export interface Demand {
   cell: string
   model: string
-  adapter?: string
+  /** Adapters of the model that are waited for. */
+  adapters: readonly string[]
   waiting: number
   /** Time that the most urgent of them still has, milliseconds. */
   patienceMs: number
@@ -96,8 +97,9 @@
   table?: ReplicaTable
 }
 
-/** What the sender has used since its last report, with the number of requests. */
+/** What the sender has used in a cell since its last report, with the number of requests. */
 export interface UsageReport {
+  cell: string
   models: Readonly<Record<string, number>>
   adapters: Readonly<Record<string, number>>
 }
@@ -145,8 +147,3 @@
 export function cellNames (cellCount: number): string[] {
   return Array.from({ length: cellCount }, (_, index) => `${CELL_NAME}${index}`)
 }
-
-/** Number of a cell, from 0. */
-export function cellIndex (cell: string): number {
-  return Number(cell.slice(CELL_NAME.length))
-}
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -82,14 +82,14 @@
   const cfg = createConfigHolder({ store, peers, site: settings.instance.site, clock, logger })
   cfg.onChanged(() => cfg.inForce().documents.forEach(({ document, version }) => metrics.configVersion.set({ document }, version)))
   const keyring = createKeyring({ store, peers, clock, logger })
-  const directory = createDirectory({ list: options.list, clock, logger, onRead: proofs.noteList })
+  const directory = createDirectory({ list: options.list, peers, clock, logger, onRead: proofs.noteList })
   const allowance = createAllowance({ cfg, peers, store, clock, logger, proofs })
   const lease = createRetentionLease({ store, clock, retentionSeconds: settings.once.retentionSeconds })
   const writer = createSharedWriter({ peers, local: createGroupWriter({ store, lease, clock }) })
   const inProgressMs = settings.limits.deadlineMs + settings.limits.serviceAnswerMs
   const once = createOnce({ store, writer, holder: self.incarnation, clock, logger, inProgressMs })
   const cells = createCells({ store, peers, membership, proofs, directory, engines, cfg, clock, logger })
-  const routing = createRouting({ cells, directory, clock })
+  const routing = createRouting({ cells, cfg, directory, clock })
   const queue = createQueue({
     capacity: createCapacity({
       enginesOf: model => cells.replicas.of(model).map(replica => replica.engine),
