--- a/bench/allowance/index.ts
+++ b/bench/allowance/index.ts
@@ -17,8 +17,8 @@
   const { values } = parseArgs({ args: [...args], options: { seeds: { type: 'string' } } })
   const seeds = values.seeds === undefined ? SEEDS : values.seeds.split(',').map(Number)
   print(`seeds ${seeds.join(', ')}; ${HEALTHY_MS / 1000} s with the store, ${DOWN_MS / 1000} s without`)
-  print('| policy | phase | requests | refused | wrongful | of teams within rate | overspend | store calls | peer messages | decision p50, p99 ms |')
-  print('|---|---|---|---|---|---|---|---|---|---|')
+  print('| policy | phase | requests | refused | wrongful | of teams within rate | flood got of its rate | overspend | store calls | peer messages | decision p50, p99 ms |')
+  print('|---|---|---|---|---|---|---|---|---|---|---|')
   for (const policy of Object.keys(POLICIES) as PolicyName[]) {
     const runs: Outcome[][] = []
     for (const seed of seeds) runs.push([...await runPolicy({ policy, seed, healthyMs: HEALTHY_MS, downMs: DOWN_MS })])
@@ -47,6 +47,7 @@
     sum(outcome => outcome.refused),
     share(sum(outcome => outcome.wrongful), requests),
     share(sum(outcome => outcome.wrongfulWithinRate), sum(outcome => outcome.withinRate)),
+    `${(100 * sum(outcome => outcome.floodPart) / outcomes.length).toFixed(1)} %`,
     most(outcome => outcome.overspend).toFixed(3),
     sum(outcome => outcome.storeCalls),
     sum(outcome => outcome.peerMessages),
