--- a/scripts/fleet/callers.ts
+++ b/scripts/fleet/callers.ts
@@ -1,6 +1,7 @@
 /** Open-loop callers: they ask which entry instance to use, keep the answer, connect there, and record what came. */
 import { Agent, request } from 'undici'
 import { expectedText, serviceAnswer } from '@magnoliabay/standins'
+import { messageOf } from '../../packages/magnoliabay/src/node/utils'
 import type { Random } from './random'
 import type { CallRecord, Observations } from './records'
 import { MODELS, SERVICE, TEAMS } from './site'
@@ -48,6 +49,8 @@
 const BURST_SHARE = 0.02
 const BURST_SIZE = 6
 const CONNECT_TIMEOUT_MS = 1000
+const NEVER_SENT: ReadonlySet<string> = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT'])
+const GIVEN_UP: ReadonlySet<string> = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT'])
 
 export function createCallers (options: CallersOptions): Callers {
   const { random, observations } = options
@@ -111,7 +114,8 @@
     return record
   }
   const attempt = async (record: CallRecord, address: string, path: string, body: object, headers: Record<string, string>): Promise<boolean> => {
-    const text: string[] = []
+    const received: string[] = []
+    let status = 0
     try {
       const res = await request(`http://${address}${path}`, {
         method: 'POST',
@@ -119,23 +123,16 @@
         headers: { authorization: `Bearer ${record.key}`, 'content-type': 'application/json', 'x-deadline-ms': String(CALL_DEADLINE_MS), ...headers },
         dispatcher: agent
       })
+      status = res.statusCode
       for await (const chunk of res.body) {
         record.firstByteAtMs ??= Date.now()
-        text.push(String(chunk))
+        received.push(String(chunk))
       }
-      judge(record, res.statusCode, text.join(''), body)
-      return true
     } catch (err) {
-      const code = (err as { code?: string }).code ?? ''
-      if (code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT') {
-        record.result = 'no-connection'
-        return false
-      }
-      if (text.join('').includes('event: error')) judgeTyped(record, text.join(''))
-      else record.result = code.startsWith('UND_ERR_HEADERS') || code.startsWith('UND_ERR_BODY') ? 'unanswered' : 'cut'
-      record.detail ??= code
-      return true
+      return noteBroken(record, (err as { code?: string }).code ?? messageOf(err), received.join(''))
     }
+    judge(record, status, received.join(''), body)
+    return true
   }
 
   const newRecord = (kind: CallRecord['kind'], team: string): CallRecord => {
@@ -216,7 +213,7 @@
 function judge (record: CallRecord, status: number, text: string, body: object): void {
   if (status !== 200) return judgeTyped(record, text)
   const isWhole = record.kind === 'service' ? isWholeService(text, body) : isWholeStream(record, text)
-  if (!isWhole && text.includes('event: error')) return judgeTyped(record, text)
+  if (!isWhole && hasTypedError(text)) return judgeTyped(record, text)
   record.result = isWhole ? 'whole' : 'wrong'
   if (!isWhole) record.detail = text.slice(0, 300)
 }
@@ -226,20 +223,61 @@
   return text === JSON.stringify(expected)
 }
 
+/** A connection that broke: false when nothing can have been sent. */
+function noteBroken (record: CallRecord, code: string, text: string): boolean {
+  record.detail = code
+  if (NEVER_SENT.has(code)) {
+    record.result = 'no-connection'
+    return false
+  }
+  if (hasTypedError(text)) judgeTyped(record, text)
+  else record.result = GIVEN_UP.has(code) ? 'unanswered' : 'cut'
+  return true
+}
+
 function isWholeStream (record: CallRecord, text: string): boolean {
-  const events = text.split('\n\n').map(block => block.replace(/^data: /, '')).filter(data => data.length > 0)
-  if (events.at(-1) !== '[DONE]') return false
+  const events = text.split('\n\n').filter(block => block.length > 0).map(parseEvent)
+  if (events.some(event => event.name === 'error') || events.at(-1)?.data !== '[DONE]') return false
   const content = events.slice(0, -1)
-    .map(data => (JSON.parse(data) as { choices: Array<{ delta?: { content?: string } }> }).choices[0]?.delta?.content ?? '')
+    .map(event => (JSON.parse(event.data) as { choices: Array<{ delta?: { content?: string } }> }).choices[0]?.delta?.content ?? '')
     .join('')
   return content === expectedText({ model: record.model!, prompt: record.prompt!, maxTokens: MAX_TOKENS })
 }
 
+interface StreamEvent {
+  name?: string
+  data: string
+}
+
+function parseEvent (block: string): StreamEvent {
+  const lines = block.split('\n')
+  const valueOf = (field: string): string | undefined => lines.find(line => line.startsWith(`${field}: `))?.slice(field.length + 2)
+  return { name: valueOf('event'), data: valueOf('data') ?? '' }
+}
+
+function hasTypedError (text: string): boolean {
+  return text.includes('event: error')
+}
+
+interface TypedError {
+  code?: string
+  not_run?: boolean
+}
+
 function judgeTyped (record: CallRecord, text: string): void {
-  const json = /\{"error":\{.*?\}\}/s.exec(text)?.[0]
-  const typed = json === undefined ? undefined : (JSON.parse(json) as { error: { code?: string, not_run?: boolean } }).error
+  const typed = typedErrorOf(text)
   record.result = typed?.code === undefined ? 'wrong' : 'refused'
   record.code = typed?.code
   record.notRun = typed?.not_run
   if (record.result === 'wrong') record.detail = text.slice(0, 300)
 }
+
+/** The typed failure: a whole JSON body, or the data of a stream's error event. */
+function typedErrorOf (text: string): TypedError | undefined {
+  const event = text.split('\n\n').map(parseEvent).find(candidate => candidate.name === 'error')
+  try {
+    return (JSON.parse(event?.data ?? text) as { error?: TypedError }).error
+  } catch {
+    return undefined
+  }
+}
