--- a/packages/magnoliabay/src/node/cells/cells.ts
+++ b/packages/magnoliabay/src/node/cells/cells.ts
@@ -8,6 +8,7 @@
 import type { Logger } from '../logger'
 import type { MemberRecord, Membership, Peers, ProofKeeper } from '../members'
 import type { Store } from '../platform'
+import { createReach } from '../members'
 import { rankByRendezvous } from '../utils'
 import { NOBODY, createClaimer, decideClaim } from './claim'
 import type { Holding } from './claim'
@@ -73,13 +74,15 @@
   const loads = new Map<string, Readonly<Record<string, number>>>()
   const claimer = createClaimer(store, peers.self)
   const heldIntents = createHeldIntents(peers)
+  const reach = createReach(peers)
   const usage = createUsage({ peers, replicas, stewardOf: cell => holdings.get(cell)?.record?.holder?.id })
   let hasSnapshot = false
   let givingUp = false
 
   const cellCount = (): number => cfg.inForce().fleet.cells
-  const rankOfSelf = (cell: string): number => {
-    const candidates = peers.members().filter(member => !member.leaving).map(member => member.id)
+  /** Among those that may claim the cell; the holder that is to be replaced is none of them. */
+  const rankOfSelf = (cell: string, holder: string | undefined): number => {
+    const candidates = peers.members().filter(member => !member.leaving && member.id !== holder).map(member => member.id)
     return rankByRendezvous(cell, candidates, id => id).indexOf(peers.self.id)
   }
   const releaseName = (cell: string, fence: number): string => `${cell} ${fence}`
@@ -114,14 +117,21 @@
     released.add(releaseName(cell, holder.fence))
     return true
   }
+  const suspects = async (holding: Holding): Promise<boolean> => {
+    const holder = holding.record?.holder
+    if (holder === undefined || holder.id === peers.self.id || peers.isConnected(holder.id)) return false
+    return await reach.isOutOfReach(holder.id)
+  }
   const tryClaim = async (cell: string): Promise<void> => {
     const holding = holdings.get(cell) ?? NOBODY
+    const isOutOfReach = await suspects(holding)
     const right = decideClaim({
       holding,
       self: peers.self,
       proofs,
       isRegistered: process => membership.isRegistered(process.incarnation),
-      hasFencedEngines: directory.engines().some(engine => engine.checksFence === true && cellOf(engine.id, cellCount()) === cell)
+      hasFencedEngines: directory.engines().some(engine => engine.checksFence === true && cellOf(engine.id, cellCount()) === cell),
+      isOutOfReach
     })
     if (right.kind === 'held') {
       claimableSinceMs.delete(cell)
@@ -129,7 +139,7 @@
     }
     const sinceMs = claimableSinceMs.get(cell) ?? clock.monotonic()
     claimableSinceMs.set(cell, sinceMs)
-    if (clock.monotonic() - sinceMs < rankOfSelf(cell) * RANK_DELAY_MS) return
+    if (clock.monotonic() - sinceMs < rankOfSelf(cell, holding.record?.holder?.id) * RANK_DELAY_MS) return
     if (right.kind === 'ask' && !await askRelease(cell, formerOf(right.holder, holding.modRevision))) return
     const unproven = right.kind === 'ask' ? holding.record?.unproven ?? [] : right.unproven
     const claimed = await claimer.claim(cell, holding, unproven)
--- a/packages/magnoliabay/src/node/cells/claim.ts
+++ b/packages/magnoliabay/src/node/cells/claim.ts
@@ -17,6 +17,9 @@
 export const NOBODY: Holding = { record: undefined, modRevision: 0 }
 
 /**
+ * `held`: leave it alone. Waiting for the lease of a holder that died costs every cold start of the cell ten
+ * seconds; where the engines check fencing numbers, that no member reaches it is reason enough, since a
+ * holder that lives after all is refused by the engines and sees the key change hands.
  * `free`: nobody can act for the cell any more. `fence`: the holder may be paused; a new steward may act on
  * engines that check fencing numbers, and leaves the others alone. `ask`: only the holder's consent helps.
  */
@@ -34,6 +37,8 @@
   isRegistered: (process: ProcessName) => boolean
   /** Whether any engine of the cell refuses orders with an old fencing number. */
   hasFencedEngines: boolean
+  /** Whether no member gets an answer from the holder. */
+  isOutOfReach: boolean
 }
 
 export function decideClaim (question: ClaimQuestion): ClaimRight {
@@ -45,8 +50,10 @@
   const process: ProcessName = { member: holder.id, incarnation: holder.incarnation }
   const proof = proofs.proofFor(process)
   if (proof !== undefined) return { kind: 'free', reason: `the holder is gone: ${proof}`, unproven }
-  if (question.isRegistered(process)) return { kind: 'held' }
-  if (question.hasFencedEngines) return { kind: 'fence', reason: 'the holder\'s lease has lapsed', unproven: [...unproven, { ...process, fence: holding.modRevision }] }
+  const isRegistered = question.isRegistered(process)
+  if (isRegistered && !(question.hasFencedEngines && question.isOutOfReach)) return { kind: 'held' }
+  const reason = isRegistered ? 'no member reaches the holder' : 'the holder\'s lease has lapsed'
+  if (question.hasFencedEngines) return { kind: 'fence', reason, unproven: [...unproven, { ...process, fence: holding.modRevision }] }
   return { kind: 'ask', holder }
 }
 
