--- a/bench/index.ts
+++ b/bench/index.ts
@@ -7,6 +7,7 @@
 const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
   capacity: () => import('./capacity'),
   cold: () => import('./cold'),
+  relay: () => import('./relay'),
   decusum: async () => await import('./decusum')
 }
 
--- /dev/null
+++ b/bench/relay/entryProcess.ts
@@ -0,0 +1,69 @@
+/**
+ * The product's entry in a process of its own, with its own relay, checks and outcomes; what stands around
+ * it (store, peers, routing) is fixed, so that the bench measures the way of the bytes alone.
+ */
+import { createEngineClient, createPools } from '../../packages/magnoliabay/src/node/backend'
+import { createSystemClock } from '../../packages/magnoliabay/src/node/clock'
+import { resolveSettings } from '../../packages/magnoliabay/src/node/config'
+import { createEntry } from '../../packages/magnoliabay/src/node/entry'
+import type { EntryOptions } from '../../packages/magnoliabay/src/node/entry'
+import { createLogger } from '../../packages/magnoliabay/src/node/logger'
+import { createMetrics } from '../../packages/magnoliabay/src/node/metrics'
+import { Ok } from '../../packages/magnoliabay/src/node/result'
+
+interface Start {
+  entryPort: number
+  engines: readonly string[]
+}
+
+export interface Usage {
+  cpuMicros: number
+  rss: number
+}
+
+async function start ({ entryPort, engines }: Start): Promise<void> {
+  const clock = createSystemClock()
+  const address = (port: number): string => `127.0.0.1:${port}`
+  const settings = resolveSettings({
+    instance: { id: 'bench', site: 's', region: 'r', failureDomain: 'z', entryAddress: address(entryPort), peerAddress: address(1), operatorAddress: address(2) },
+    platform: { store: ['http://127.0.0.1:1'], instanceList: 'http://127.0.0.1:1/' }
+  })
+  let turn = 0
+  const entry = createEntry({
+    settings,
+    cfg: { model: () => ({}), adapter: () => undefined, team: () => ({ allow: ['*'] }), service: () => undefined },
+    keyring: { authenticate: () => Ok({ team: 'bench', keyId: 'k' }), onWithdrawn: () => () => {} },
+    allowance: { reserve: async (team: string, tokens: number) => Ok({ team, tokens }), settle: () => {}, homes: () => [] },
+    queue: { enter: async () => Ok({ done: () => {} }) },
+    report: { observe: () => {} },
+    routing: {
+      inFlight: () => 0,
+      acquire: async () => {
+        turn += 1
+        return Ok({ replica: { engine: 'e', address: engines[turn % engines.length]! }, release: () => {} })
+      }
+    },
+    directory: { services: () => [] },
+    once: {},
+    pools: createPools(null),
+    engines: createEngineClient(),
+    peers: { self: { leaving: false }, members: () => [], listen: () => {}, notifyAll: () => {}, serve: () => {} },
+    clock,
+    logger: createLogger({ level: 'error' }),
+    metrics: createMetrics(),
+    isReady: () => true
+  } as unknown as EntryOptions)
+  await entry.start()
+  process.send?.({ ready: true })
+}
+
+function usage (): Usage {
+  (globalThis as { gc?: () => void }).gc?.()
+  const { user, system } = process.cpuUsage()
+  return { cpuMicros: user + system, rss: process.memoryUsage().rss }
+}
+
+process.on('message', (message: Start | 'usage') => {
+  if (message === 'usage') process.send?.(usage())
+  else start(message).catch(() => process.exit(1))
+})
--- /dev/null
+++ b/bench/relay/writes.ts
@@ -0,0 +1,77 @@
+/**
+ * Store writes of non-idempotent requests, in virtual time: the product's claims, groups and shared writer
+ * over the stand-in store and peers in memory. A request is claimed, answered, and its answer is kept.
+ */
+import { createDirectStore, createKvCallCounter, createKvState, createRandom } from '../../packages/standins/src/node'
+import { sleep } from '../../packages/magnoliabay/src/node/clock'
+import { createVirtualClock } from '../../packages/magnoliabay/src/node/clock/virtual'
+import type { VirtualClock } from '../../packages/magnoliabay/src/node/clock/virtual'
+import { createSilentLogger } from '../../packages/magnoliabay/src/node/logger'
+import { createMemoryNetwork } from '../../packages/magnoliabay/src/node/members/memoryNetwork'
+import { createGroupWriter, createOnce, createRetentionLease, createSharedWriter } from '../../packages/magnoliabay/src/node/once'
+import type { Once } from '../../packages/magnoliabay/src/node/once'
+
+interface WritesCase {
+  instances: number
+  requestsPerSecond: number
+  /** Share of requests that repeat an earlier key. */
+  repeats: number
+}
+
+const SEED = 6
+const SECONDS = 20
+const STORE_MS = 3
+const SERVICE_MS = 20
+const LINK_MS = 2
+const MS_PER_SECOND = 1000
+const CASES: readonly WritesCase[] = [
+  { instances: 1, requestsPerSecond: 100, repeats: 0 },
+  { instances: 9, requestsPerSecond: 10, repeats: 0 },
+  { instances: 9, requestsPerSecond: 100, repeats: 0 },
+  { instances: 9, requestsPerSecond: 100, repeats: 0.05 },
+  { instances: 420, requestsPerSecond: 100, repeats: 0.05 },
+  { instances: 420, requestsPerSecond: 1200, repeats: 0.05 }
+]
+
+async function runCase (clock: VirtualClock, { instances, requestsPerSecond, repeats }: WritesCase): Promise<string> {
+  const random = createRandom(SEED)
+  const counter = createKvCallCounter()
+  const state = createKvState({ clock })
+  const network = createMemoryNetwork({ clock, fate: () => [LINK_MS] })
+  const once = Array.from({ length: instances }, (_, index): Once => {
+    const id = `i-${index}`
+    const peers = network.join({ id, incarnation: id, startedAtMs: 0, region: 'r', failureDomain: 'z', peerAddress: '', entryAddress: '', operatorAddress: '', leaving: false })
+    const direct = createDirectStore(state, { clock, counter, caller: id })
+    const store: typeof direct = { ...direct, transact: async (transaction, options) => { await sleep(clock, STORE_MS); return await direct.transact(transaction, options) } }
+    const lease = createRetentionLease({ store, clock, retentionSeconds: 86_400 })
+    const writer = createSharedWriter({ peers, local: createGroupWriter({ store, lease, clock }) })
+    return createOnce({ store, writer, holder: id, clock, logger: createSilentLogger(), inProgressMs: 60_000 })
+  })
+  const total = requestsPerSecond * SECONDS
+  const waits: number[] = []
+  let ran = 0
+  const request = async (index: number): Promise<void> => {
+    const isRepeat = index > 200 && random() < repeats
+    const key = `key-${isRepeat ? index - 200 : index}`
+    const startedMs = clock.monotonic()
+    const at = once[Math.floor(random() * instances)]!
+    const claimed = await at.claim({ team: 't', service: 's', idempotencyKey: key, method: 'POST', path: '/', body: Buffer.from(key) })
+    waits.push(clock.monotonic() - startedMs)
+    if (claimed.err || claimed.val.kind !== 'claimed') return
+    ran += 1
+    await sleep(clock, SERVICE_MS)
+    at.storeAnswer(claimed.val.claim, { status: 200, contentType: 'application/json', body: Buffer.alloc(300) })
+  }
+  Array.from({ length: total }, (_, index) => clock.schedule(random() * SECONDS * MS_PER_SECOND, () => { request(index) }))
+  await clock.advance((SECONDS + 2) * MS_PER_SECOND)
+  const { writes, reads } = counter.total()
+  waits.sort((left, right) => left - right)
+  const at = (share: number): string => waits[Math.floor(share * (waits.length - 1))]!.toFixed(0)
+  return `| ${[instances, requestsPerSecond, repeats, ran, (writes / total).toFixed(3), (writes / SECONDS).toFixed(1), (reads / total).toFixed(3), at(0.5), at(0.95)].join(' | ')} |`
+}
+
+export async function runWrites (): Promise<void> {
+  process.stdout.write(`\nClaims, seed ${SEED}, ${SECONDS} s of virtual time, store ${STORE_MS} ms, link ${LINK_MS} ms\n\n`)
+  process.stdout.write('| instances | requests/s | repeats | ran | store writes a request | writes/s | reads a request | claim wait p50, ms | p95 |\n|---|---|---|---|---|---|---|---|---|\n')
+  for (const one of CASES) process.stdout.write(`${await runCase(createVirtualClock(), one)}\n`)
+}
