--- a/bench/index.ts
+++ b/bench/index.ts
@@ -5,8 +5,10 @@
 }
 
 const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
+  allowance: () => import('./allowance'),
   capacity: () => import('./capacity'),
   cold: () => import('./cold'),
+  relay: () => import('./relay'),
   decusum: async () => await import('./decusum')
 }
 
