--- a/bench/index.ts
+++ b/bench/index.ts
@@ -5,7 +5,10 @@
 }
 
 const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
-  config: () => import('./config')
+  capacity: () => import('./capacity'),
+  cold: () => import('./cold'),
+  config: () => import('./config'),
+  decusum: async () => await import('./decusum')
 }
 
 async function main (): Promise<void> {
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -1,6 +1,7 @@
 /**
  * One instance of the system: every subsystem, joined.
  */
+import { setMaxListeners } from 'node:events'
 import { createKeyring } from './admission'
 import { createAllowance } from './allowance'
 import { createDirectory, createEngineClient, createPools } from './backend'
@@ -62,6 +63,8 @@
     leaving: false
   }
   const stop = new AbortController()
+  // Every subsystem's loop waits on it; Node takes more than ten waiters for a leak.
+  setMaxListeners(0, stop.signal)
   const metrics = createMetrics()
   const { callsPerSecond, burstCalls } = settings.platform
   const storeWatch = createStoreWatch(clock)
@@ -77,7 +80,7 @@
   const membership = createMembership({ store, network: peers, clock, logger })
   const cfg = createConfigHolder({ store, peers, site: settings.instance.site, clock, logger })
   cfg.onChanged(() => cfg.inForce().documents.forEach(({ document, version }) => metrics.configVersion.set({ document }, version)))
-  const keyring = createKeyring({ store, peers, clock })
+  const keyring = createKeyring({ store, peers, clock, logger })
   const directory = createDirectory({ list: options.list, clock, logger, onRead: proofs.noteList })
   const allowance = createAllowance({ cfg, peers, store, clock, logger, proofs })
   const lease = createRetentionLease({ store, clock, retentionSeconds: settings.once.retentionSeconds })
