--- a/packages/magnoliabay/src/node/commands/serve.ts
+++ b/packages/magnoliabay/src/node/commands/serve.ts
@@ -5,6 +5,7 @@
 import { createInstance } from '../instance'
 import { createLogger } from '../logger'
 import { createEtcdStore, createInstanceListClient } from '../platform'
+import { createCertificates } from '../tls'
 import { messageOf } from '../utils'
 import { EXIT_DONE, EXIT_USAGE } from './types'
 import type { Command } from './types'
@@ -34,12 +35,17 @@
     }
     const clock = createSystemClock()
     const logger = createLogger({ level: settings.val.log.level })
-    const store = createEtcdStore({ endpoints: settings.val.platform.store, clock, logger })
+    const certificates = createCertificates({ use: 'store', files: settings.val.tls.store ?? {}, periodMs: settings.val.tls.reloadSeconds * 1000, clock, logger })
+    const stop = new AbortController()
+    await certificates.load()
+    certificates.start(stop.signal)
+    const store = createEtcdStore({ endpoints: settings.val.platform.store, tls: certificates.current, clock, logger })
     const list = createInstanceListClient(settings.val.platform.instanceList)
     const instance = createInstance({ settings: settings.val, store, list, clock, logger })
     await instance.start()
     await untilSignal()
     await instance.shutdown()
+    stop.abort()
     await store.close()
     return EXIT_DONE
   }
--- a/packages/magnoliabay/src/node/config/settings.ts
+++ b/packages/magnoliabay/src/node/config/settings.ts
@@ -2,14 +2,17 @@
  * Settings of one instance: who it is, where it listens, where the platform is. Read once at start.
  */
 import * as v from 'valibot'
+import { Err } from '../result'
 import type { Result } from '../result'
 import { parseConfig } from './schema'
-import type { ConfigError } from './schema'
+import type { ConfigError, ConfigProblem } from './schema'
 
 const address = v.pipe(v.string(), v.regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, 'an address ip:port'))
 const url = v.pipe(v.string(), v.url('a URL'))
 const positive = v.pipe(v.number(), v.integer(), v.minValue(1))
 const sha256Hex = v.pipe(v.string(), v.regex(/^[0-9a-f]{64}$/, '64 hex digits'))
+const file = v.pipe(v.string(), v.minLength(1))
+const pair = v.strictObject({ cert: file, key: file })
 
 export const settingsSchema = v.strictObject({
   instance: v.strictObject({
@@ -77,6 +80,20 @@
     /** Answers still open after that get this long to end, in milliseconds. @default 60000 */
     drainMs: v.optional(positive, 60_000)
   }), {}),
+  tls: v.optional(v.strictObject({
+    /** Certificate and key that callers are shown, PEM files. */
+    callers: v.optional(pair),
+    /** Certificate and key that operators are shown, PEM files. */
+    operators: v.optional(pair),
+    /** Certificate, key and authority for links between instances, PEM files; both sides show theirs. */
+    peers: v.optional(v.strictObject({ cert: file, key: file, ca: file })),
+    /** Authority of the key-value service, and a certificate of ours if it wants one, PEM files. */
+    store: v.optional(v.strictObject({ ca: v.optional(file), cert: v.optional(file), key: v.optional(file) })),
+    /** Between two looks at the files for renewed ones, in seconds. @default 30 */
+    reloadSeconds: v.optional(positive, 30),
+    /** Whether addresses beyond loopback may do without TLS. @default false */
+    allowPlainText: v.optional(v.boolean(), false)
+  }), {}),
   log: v.optional(v.strictObject({
     /** @default 'info' */
     level: v.optional(v.picklist(['debug', 'info', 'warn', 'error']), 'info')
@@ -87,9 +104,28 @@
 export type Settings = v.InferInput<typeof settingsSchema>
 
 export function parseSettings (file: string, text: string): Result<ResolvedSettings, ConfigError> {
-  return parseConfig(file, text, settingsSchema)
+  const parsed = parseConfig(file, text, settingsSchema)
+  if (parsed.err) return parsed
+  const problems = plainTextProblems(file, parsed.val)
+  return problems.length > 0 ? Err({ kind: 'schema', problems }) : parsed
+}
+
+/** Keys and answers must not cross a network readable unless somebody says that they may. */
+function plainTextProblems (file: string, { instance, platform, tls }: ResolvedSettings): ConfigProblem[] {
+  if (tls.allowPlainText) return []
+  const addresses = [
+    { path: 'instance.entryAddress', address: instance.entryAddress, isSafe: tls.callers !== undefined },
+    { path: 'instance.operatorAddress', address: instance.operatorAddress, isSafe: tls.operators !== undefined },
+    { path: 'instance.peerAddress', address: instance.peerAddress, isSafe: tls.peers !== undefined },
+    ...platform.store.map((origin, index) => ({ path: `platform.store.${index}`, address: new URL(origin).host, isSafe: origin.startsWith('https:') }))
+  ]
+  return addresses
+    .filter(({ address, isSafe }) => !isSafe && !LOOPBACK.test(address))
+    .map(({ path, address }) => ({ file, path, found: `${address} without TLS`, allowed: 'plain text on loopback only; set tls, or tls.allowPlainText' }))
 }
 
+const LOOPBACK = /^(127\.|\[::1\]|localhost(:|$))/
+
 /** Settings given in code, with defaults filled in. Throws on wrong ones: that is a fault of the program. */
 export function resolveSettings (settings: Settings): ResolvedSettings {
   return v.parse(settingsSchema, settings)
--- a/packages/magnoliabay/src/node/entry/index.ts
+++ b/packages/magnoliabay/src/node/entry/index.ts
@@ -1,5 +1,4 @@
 /** Where callers connect. */
-import { createServer } from 'node:http'
 import type { Server, ServerResponse } from 'node:http'
 import polka from 'polka'
 import type { Keyring } from '../admission'
@@ -17,6 +16,8 @@
 import { createCrashCheck, createRetryBudget, createSuspects } from '../outcomes'
 import type { Report } from '../report'
 import type { Routing } from '../routing'
+import { createHttpServer } from '../tls'
+import type { Certificates } from '../tls'
 import { messageOf, parseHostPort } from '../utils'
 import { answerBadInput } from './badInput'
 import { completionHandler } from './completions'
@@ -52,6 +53,8 @@
   clock: Clock
   logger: Logger
   metrics: Metrics
+  /** @default plain text */
+  certificates?: Certificates
   report: Pick<Report, 'observe'>
   isReady: () => boolean
 }
@@ -68,7 +71,7 @@
 export function createEntry (options: EntryOptions): Entry {
   const { settings, metrics } = options
   const { limits } = settings
-  const server = createServer({ keepAlive: true, keepAliveInitialDelay: PROBE_DELAY_MS, keepAliveTimeout: KEEP_ALIVE_MS })
+  const server = createHttpServer({ keepAlive: true, keepAliveInitialDelay: PROBE_DELAY_MS, keepAliveTimeout: KEEP_ALIVE_MS }, options.certificates)
   answerBadInput(server, options.clock)
   const app = polka({
     server,
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -28,6 +28,7 @@
 import { createReport } from './report'
 import { createRouting } from './routing'
 import { createShutdown } from './shutdown'
+import { createInstanceTls } from './tls'
 import { createId } from './utils'
 
 export interface InstanceOptions {
@@ -73,9 +74,10 @@
     metrics.storeCalls.inc({ priority: call.priority, outcome: call.outcome })
   }
   const store = createBudgetedStore(options.store, { callsPerSecond, burstCalls, clock, onCall })
+  const tls = createInstanceTls({ settings, clock, logger })
   const pools = createPools(null)
   const engines = createEngineClient()
-  const peers = createPeerNetwork({ self, clock, logger, onGoodbye: member => proofs.noteGoodbye(member) })
+  const peers = createPeerNetwork({ self, transport: tls.transport, clock, logger, onGoodbye: member => proofs.noteGoodbye(member) })
   const proofs = createProofKeeper({ peers, clock, logger })
   const membership = createMembership({ store, network: peers, clock, logger })
   const cfg = createConfigHolder({ store, peers, site: settings.instance.site, clock, logger })
@@ -91,7 +93,7 @@
   const routing = createRouting({ cells, directory, clock })
   const isReady = (): boolean => cfg.inForce().version > 0 && membership.leaseId() !== undefined && !self.leaving
   const report = createReport({ cfg, peers, registry: metrics.registry, clock })
-  const entry = createEntry({ report, settings, cfg, keyring, allowance, routing, directory, once, pools, engines, peers, clock, logger, metrics, isReady })
+  const entry = createEntry({ report, certificates: tls.callers, settings, cfg, keyring, allowance, routing, directory, once, pools, engines, peers, clock, logger, metrics, isReady })
   const audit = (manifest: Manifest): PutOperation => auditWrite({
     atMs: manifest.acceptedAtMs,
     operator: manifest.operator,
@@ -114,12 +116,14 @@
   const queries = createOperatorQueries({ store, cfg, peers, clock })
   const { explain } = createExplain({ peers, decisions })
   const status = createStatus({ peers, cfg, replicas: cells.replicas, store: storeWatch })
-  const operators = createOperators({ settings, commands, queries, status, explain, report, clock, logger })
+  const operators = createOperators({ settings, certificates: tls.operators, commands, queries, status, explain, report, clock, logger })
 
   return {
     member: self,
     isReady,
     start: async () => {
+      await tls.load()
+      tls.start(stop.signal)
       await peers.start()
       membership.start(stop.signal)
       cfg.start(stop.signal)
--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -1,7 +1,6 @@
 /**
  * Links to all peers over TCP. Of two members, the one with the lesser id dials the other.
  */
-import { connect, createServer } from 'node:net'
 import type { Server, Socket } from 'node:net'
 import type { Clock } from '../clock'
 import { sleep } from '../clock'
@@ -14,6 +13,8 @@
 import type { Link } from './link'
 import type { PeerError, Peers } from './peers'
 import type { MemberRecord } from './record'
+import { PLAIN_TRANSPORT } from './transport'
+import type { PeerTransport } from './transport'
 
 const REDIAL_MS = 500
 const DIAL_TIMEOUT_MS = 2000
@@ -22,6 +23,8 @@
   self: MemberRecord
   clock: Clock
   logger: Logger
+  /** @default TCP in plain text */
+  transport?: PeerTransport
   /** A peer said that its process ends. */
   onGoodbye?: (member: MemberRecord) => void
 }
@@ -35,7 +38,7 @@
 }
 
 export function createPeerNetwork (options: PeerNetworkOptions): PeerNetwork {
-  const { self, clock, logger } = options
+  const { self, clock, logger, transport = PLAIN_TRANSPORT } = options
   const dispatch = createDispatch()
   const changed = createListeners<[]>()
   const connected = createListeners<[MemberRecord]>()
@@ -68,7 +71,7 @@
   const keepDialling = async (member: MemberRecord, signal: AbortSignal): Promise<void> => {
     const { host, port } = parseHostPort(member.peerAddress)
     while (!signal.aborted) {
-      const socket = connect({ host, port, timeout: DIAL_TIMEOUT_MS })
+      const socket = transport.dial({ host, port, timeout: DIAL_TIMEOUT_MS })
       socket.on('timeout', () => { if (socket.connecting) socket.destroy() })
       // Taken off again after each run: a peer that is down for long would otherwise leave a dead socket for every dial.
       const cut = (): unknown => socket.destroy()
@@ -105,7 +108,7 @@
     return await link.call(peerCall.kind, body, callOptions) as Answer
   }
 
-  const server = createServer(socket => { run(socket) })
+  const server = transport.createServer(socket => { run(socket) })
   return {
     self,
     members: () => known,
--- a/packages/magnoliabay/src/node/operators/index.ts
+++ b/packages/magnoliabay/src/node/operators/index.ts
@@ -1,5 +1,4 @@
 /** The operators' interface, apart from the callers': its own address, its own keys. */
-import { createServer } from 'node:http'
 import type { ServerResponse } from 'node:http'
 import polka from 'polka'
 import type { Clock } from '../clock'
@@ -10,6 +9,8 @@
 import type { EntryRequest } from '../entry/types'
 import { refusal } from '../failures'
 import type { Logger } from '../logger'
+import { createHttpServer } from '../tls'
+import type { Certificates } from '../tls'
 import { messageOf, parseHostPort } from '../utils'
 import { operatorMiddleware } from './authenticate'
 import type { OperatorRequest } from './authenticate'
@@ -23,6 +24,8 @@
 
 export interface OperatorsOptions extends RouteOptions {
   settings: ResolvedSettings
+  /** @default plain text */
+  certificates?: Certificates
   clock: Clock
   logger: Logger
 }
@@ -34,7 +37,7 @@
 
 export function createOperators (options: OperatorsOptions): Operators {
   const { settings, logger } = options
-  const server = createServer()
+  const server = createHttpServer({}, options.certificates)
   const app = polka({
     server,
     onError: (err, req, res) => {
--- a/packages/magnoliabay/src/node/platform/etcd.ts
+++ b/packages/magnoliabay/src/node/platform/etcd.ts
@@ -1,7 +1,7 @@
 /**
  * Client of the platform's key-value service: the etcd v3 HTTP/JSON gateway, as published.
  */
-import { Pool } from 'undici'
+import { Pool, buildConnector } from 'undici'
 import type { Clock } from '../clock'
 import { sleep } from '../clock'
 import type { Logger } from '../logger'
@@ -21,8 +21,8 @@
   callTimeoutMs?: number
   /** Connections to an endpoint, watches apart. @default 4 */
   connections?: number
-  /** For `https:` endpoints. @default the system's authorities, no certificate of our own */
-  tls?: StoreTls
+  /** For `https:` endpoints, asked at each new connection. @default the system's authorities, no certificate of our own */
+  tls?: () => StoreTls
   /** Spreads instances that retry after the same outage; gives 0 to 1. @default Math.random */
   random?: () => number
   clock: Clock
@@ -43,7 +43,8 @@
 export function createEtcdStore (options: EtcdStoreOptions): Store & { close: () => Promise<void> } {
   const { clock } = options
   const callTimeoutMs = options.callTimeoutMs ?? 3000
-  const connect = { timeout: CONNECT_TIMEOUT_MS, ...options.tls }
+  const connect: buildConnector.connector = (target, done) =>
+    buildConnector({ timeout: CONNECT_TIMEOUT_MS, ...options.tls?.() })(target, done)
   const openPool = (endpoint: string): Pool => new Pool(endpoint, { connections: options.connections ?? 4, connect })
   const pools = options.endpoints.map(openPool)
   const retired = new Set<Pool>()
--- /dev/null
+++ b/packages/magnoliabay/src/node/tls/index.ts
@@ -0,0 +1,44 @@
+/** TLS by settings: callers, operators, peers and the store each have files of their own. */
+import type { Clock } from '../clock'
+import type { ResolvedSettings } from '../config'
+import type { Logger } from '../logger'
+import { PLAIN_TRANSPORT } from '../members/transport'
+import type { PeerTransport } from '../members/transport'
+import { createCertificates } from './certificates'
+import type { CertificateFiles, Certificates } from './certificates'
+import { createTlsTransport } from './peerTransport'
+
+export { createCertificates } from './certificates'
+export type { Certificates } from './certificates'
+export { createHttpServer } from './httpServer'
+
+export interface InstanceTls {
+  callers: Certificates | undefined
+  operators: Certificates | undefined
+  transport: PeerTransport
+  load (): Promise<void>
+  start (signal: AbortSignal): void
+}
+
+export interface InstanceTlsOptions {
+  settings: ResolvedSettings
+  clock: Clock
+  logger: Logger
+}
+
+export function createInstanceTls ({ settings, clock, logger }: InstanceTlsOptions): InstanceTls {
+  const { callers, operators, peers, reloadSeconds } = settings.tls
+  const read = (use: string, files: CertificateFiles | undefined): Certificates | undefined =>
+    files === undefined ? undefined : createCertificates({ use, files, periodMs: reloadSeconds * 1000, clock, logger })
+  const forCallers = read('callers', callers)
+  const forOperators = read('operators', operators)
+  const forPeers = read('peers', peers)
+  const all = [forCallers, forOperators, forPeers].filter(certificates => certificates !== undefined)
+  return {
+    callers: forCallers,
+    operators: forOperators,
+    transport: forPeers === undefined ? PLAIN_TRANSPORT : createTlsTransport({ certificates: forPeers, logger }),
+    load: async () => { await Promise.all(all.map(certificates => certificates.load())) },
+    start: signal => all.forEach(certificates => certificates.start(signal))
+  }
+}
