--- a/packages/magnoliabay/src/node/entry/index.ts
+++ b/packages/magnoliabay/src/node/entry/index.ts
@@ -15,6 +15,7 @@
 import type { Once } from '../once'
 import { createCrashCheck, createRetryBudget, createSuspects } from '../outcomes'
 import type { Report } from '../report'
+import type { Queue } from '../queue'
 import type { Routing } from '../routing'
 import { createHttpServer } from '../tls'
 import type { Certificates } from '../tls'
@@ -44,6 +45,7 @@
   cfg: ConfigHolder
   keyring: Keyring
   allowance: Allowance
+  queue: Queue
   routing: Routing
   directory: Directory
   once: Once
