--- a/bench/index.ts
+++ b/bench/index.ts
@@ -9,6 +9,7 @@
   capacity: () => import('./capacity'),
   cold: () => import('./cold'),
   config: () => import('./config'),
+  relay: () => import('./relay'),
   decusum: async () => await import('./decusum')
 }
 
