--- a/packages/magnoliabay/src/node/config/holder.ts
+++ b/packages/magnoliabay/src/node/config/holder.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../clock'
 import { repeat, sleep } from '../clock'
 import type { Logger } from '../logger'
-import type { Peers } from '../members'
+import type { MemberRecord, Peers } from '../members'
 import { createListeners } from '../members/dispatch'
 import type { Disposer } from '../members/peers'
 import type { Store } from '../platform'
@@ -40,6 +40,8 @@
   onChanged (listener: () => void): Disposer
   /** The newest version of a document held in full, in force or not. */
   held (document: string): HeldDocument | undefined
+  /** What is in force, for checks of a change that leaves most of it as it is. */
+  resolved (): ResolvedFleet | undefined
   /** Takes a version that this instance has accepted itself, and tells the peers. */
   offer (head: Head): void
   start (signal: AbortSignal): void
@@ -125,7 +127,8 @@
     }
     held.set(document, read.val)
     logger.info('config-held', { document, version, source: source.kind, from: source.kind === 'peer' ? source.id : undefined })
-    peers.notifyAll(configAccepted, headOf(head.manifest, read.val.contents, before?.manifest))
+    // Only the instance that accepted it tells everybody: were each to pass it on, 420 would send 420 times that.
+    if (source.kind === 'self') peers.notifyAll(configAccepted, headOf(head.manifest, read.val.contents, before?.manifest))
     bringIntoForce()
   }
   /** Two documents may arrive in the other order than they were accepted: the old pair holds until the new one fits. */
@@ -154,7 +157,7 @@
     return own === undefined ? undefined : headOf(own.manifest, own.contents, undefined)
   }
   const tellVersions = (): void => {
-    const others = peers.members().filter(member => member.id !== peers.self.id && peers.isConnected(member.id))
+    const others = partnersOf(peers)
     const partner = others[nextPeer++ % Math.max(1, others.length)]
     if (partner !== undefined) peers.notify(partner.id, configVersions, { versions: versions() })
   }
@@ -190,6 +193,7 @@
     service: name => resolved?.services.get(name),
     onChanged: changed.add,
     held: document => held.get(document),
+    resolved: () => resolved,
     offer: head => take(head, { kind: 'self' }),
     start: signal => {
       signal.addEventListener('abort', () => stopped.abort(), { once: true })
@@ -211,3 +215,13 @@
     .filter(([digest, content]) => isWhole(digest, content))
     .forEach(([digest, content]) => found.set(digest, content))
 }
+
+/**
+ * The members 1, 2, 4, 8 … places after this one: few links, and from any of them to any other it is a few steps.
+ */
+function partnersOf (peers: Peers): MemberRecord[] {
+  const all = peers.members()
+  const own = all.findIndex(member => member.id === peers.self.id)
+  const offsets = Array.from({ length: Math.ceil(Math.log2(Math.max(1, all.length))) }, (_, power) => 2 ** power)
+  return offsets.map(offset => all[(own + offset) % all.length]!).filter(member => peers.isConnected(member.id))
+}
