--- /dev/null
+++ b/scripts/docLinks.ts
@@ -0,0 +1,44 @@
+/** Finds links in the documents whose file or heading is not there. */
+import { existsSync, readFileSync, readdirSync } from 'node:fs'
+import { dirname, join, relative } from 'node:path'
+
+const SKIPPED = new Set(['node_modules', 'dist', '.git', 'coverage'])
+const LINK = /\[[^\]]*\]\(([^)\s]+)\)/g
+const CODE_BLOCK = /^```[\s\S]*?^```/gm
+const HEADING = /^#+\s+(.+)$/gm
+
+export interface BrokenLink {
+  file: string
+  target: string
+}
+
+/** Every Markdown file under `root`. */
+export function findDocuments (root: string): string[] {
+  return readdirSync(root, { withFileTypes: true }).flatMap(entry => {
+    const path = join(root, entry.name)
+    if (entry.isDirectory()) return SKIPPED.has(entry.name) ? [] : findDocuments(path)
+    return entry.name.endsWith('.md') ? [path] : []
+  })
+}
+
+/** Links to other places than files of the repository are left alone. */
+export function findBrokenLinks (root: string): BrokenLink[] {
+  return findDocuments(root).flatMap(file => {
+    const targets = [...readFileSync(file, 'utf8').replace(CODE_BLOCK, '').matchAll(LINK)].map(match => match[1]!)
+    return targets
+      .filter(target => !/^[a-z]+:/.test(target) && !resolves(file, target))
+      .map(target => ({ file: relative(root, file), target }))
+  })
+}
+
+function resolves (file: string, target: string): boolean {
+  const [path = '', anchor] = target.split('#', 2)
+  const wanted = path === '' ? file : join(dirname(file), path)
+  if (!existsSync(wanted)) return false
+  return anchor === undefined || anchorsOf(wanted).includes(anchor)
+}
+
+function anchorsOf (file: string): string[] {
+  const text = readFileSync(file, 'utf8').replace(CODE_BLOCK, '')
+  return [...text.matchAll(HEADING)].map(match => match[1]!.toLowerCase().replace(/[^\w\s-]/g, '').trim().replace(/\s/g, '-'))
+}
