--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -2,7 +2,6 @@
  * Links to peers over TCP. Few members all hold links to one another; many hold links to their neighbours, and dial
  * others while they have something to say to them. Of two neighbours, the one with the lesser id dials.
  */
-import { createServer } from 'node:net'
 import type { Server, Socket } from 'node:net'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
@@ -18,6 +17,8 @@
 import { mapNeighbours } from './neighbours'
 import type { PeerError, Peers } from './peers'
 import type { MemberRecord } from './record'
+import { PLAIN_TRANSPORT } from './transport'
+import type { PeerTransport } from './transport'
 
 /** A link outside the neighbourhood that has said nothing of ours for this long is closed. */
 const IDLE_LINK_MS = 60_000
@@ -28,6 +29,8 @@
   self: MemberRecord
   clock: Clock
   logger: Logger
+  /** @default TCP in plain text */
+  transport?: PeerTransport
   /** A peer said that its process ends. */
   onGoodbye?: (member: MemberRecord) => void
 }
@@ -51,7 +54,7 @@
 }
 
 export function createPeerNetwork (options: PeerNetworkOptions): PeerNetwork {
-  const { self, clock, logger } = options
+  const { self, clock, logger, transport = PLAIN_TRANSPORT } = options
   const dispatch = createDispatch()
   const changed = createListeners<[]>()
   const connected = createListeners<[MemberRecord]>()
@@ -96,7 +99,7 @@
     if (links.get(link.member.id)?.link === link) links.delete(link.member.id)
     logger.info('peer-link-down', { peer: link.member.id, reason })
   }
-  const dialling = createDialling({ clock, run: socket => run(socket, true) })
+  const dialling = createDialling({ transport, clock, run: socket => run(socket, true) })
 
   /** Waits until the dialled link stands, or has failed. */
   const dial = (member: MemberRecord): Promise<Link | undefined> => new Promise(resolve => {
@@ -164,7 +167,7 @@
     link?.notify(notice.kind, body)
   }
 
-  const server = createServer(socket => { run(socket, false) })
+  const server = transport.createServer(socket => { run(socket, false) })
   return {
     self,
     members: () => known,
