--- a/packages/magnoliabay/src/node/backend/directory.ts
+++ b/packages/magnoliabay/src/node/backend/directory.ts
@@ -7,7 +7,8 @@
 import { createListeners } from '../members/dispatch'
 import type { Disposer, Peers } from '../members/peers'
 import type { InstanceList, ListedInstance } from '../platform'
-import { READ_PERIOD_MS, SELDOM_PERIOD_MS, differenceOf, isEmpty, isReader, listChanged, withChange } from './listReaders'
+import { READ_PERIOD_MS, differenceOf, isEmpty, isTurnToRead, listChanged, withChange } from './listReaders'
+import type { ListChange } from './listReaders'
 
 export interface Directory {
   engines (): readonly ListedInstance[]
@@ -40,33 +41,42 @@
   const changed = createListeners<[]>()
   let listed: readonly ListedInstance[] = []
   let index = indexOf(listed)
-  let readAtMs = -Infinity
+  /** Time of the reading that each instance was last changed by, Unix epoch milliseconds. */
+  const changedAtMs = new Map<string, number>()
+  let hasRead = false
 
-  const take = (next: readonly ListedInstance[]): void => {
+  const take = (next: readonly ListedInstance[], change: ListChange): void => {
+    const ids = [...change.gone, ...change.changed.map(instance => instance.id)]
+    ids.forEach(id => changedAtMs.set(id, change.readAtMs))
     listed = next
     index = indexOf(next)
     changed.emit()
   }
-  const readsOften = (): boolean => peers === undefined || isReader(peers.self, peers.members())
-  const isDue = (): boolean => readsOften() || clock.monotonic() - readAtMs >= SELDOM_PERIOD_MS
+  const isDue = (): boolean => !hasRead || peers === undefined || isTurnToRead(peers.self.id, peers.members(), clock.now())
   const read = async (): Promise<void> => {
     if (!isDue()) return
+    const readAtMs = clock.now()
     const answer = await list.read()
     if (answer.err) return logger.debug('instance-list-unread', { reason: answer.val.message })
-    const isFirst = readAtMs === -Infinity
-    readAtMs = clock.monotonic()
     options.onRead?.(answer.val)
-    const change = differenceOf(listed, answer.val)
-    if (isEmpty(change)) return
-    take(answer.val)
+    const change = differenceOf(listed, answer.val, readAtMs)
     // The first reading differs from nothing; it is no news to the others.
-    if (!isFirst && readsOften()) peers?.notifyAll(listChanged, change)
+    const isNews = hasRead && !isEmpty(change)
+    hasRead = true
+    if (isEmpty(change)) return
+    take(answer.val, change)
+    if (isNews) peers?.notifyAll(listChanged, change)
+  }
+  /** Notices of two readings may overtake each other: an older one must not bring back what has gone since. */
+  const withoutOutdated = (change: ListChange): ListChange => {
+    const isNewer = (id: string): boolean => change.readAtMs > (changedAtMs.get(id) ?? -Infinity)
+    return { ...change, changed: change.changed.filter(instance => isNewer(instance.id)), gone: change.gone.filter(isNewer) }
   }
-  peers?.listen(listChanged, change => {
-    // One that reads often sees the change itself, and must still see it as one, to hand it on.
-    if (readsOften()) return
+  peers?.listen(listChanged, received => {
+    if (!hasRead) return
+    const change = withoutOutdated(received)
     const next = withChange(listed, change)
-    if (!isEmpty(differenceOf(listed, next))) take(next)
+    if (!isEmpty(differenceOf(listed, next, change.readAtMs))) take(next, change)
   })
 
   return {
