--- a/packages/magnoliabay/src/node/entry/__tests__/completions.spec.ts
+++ b/packages/magnoliabay/src/node/entry/__tests__/completions.spec.ts
@@ -1,6 +1,8 @@
 import { expect } from 'chai'
+import { connect } from 'node:net'
 import { expectedText } from '@magnoliabay/standins'
 import type { EngineFaults } from '@magnoliabay/standins'
+import { parseHostPort } from '../../utils'
 import { contentOf, createRig, errorOf, until } from './rig'
 import type { Answer, Rig } from './rig'
 
@@ -119,6 +121,26 @@
     await until(() => outcomes()[0] === 'cancelled')
   }))
 
+  // The caller stops reading, and its connection stays open. The engine's answer is held back, not gathered;
+  // after the longest wait the caller is cut, and sees no end mark.
+  it('cuts a caller that reads nothing any more', async () => {
+    rig = await createRig({ engines: [{}], limits: { deadlineMs: 600_000, engineGapMs: 600_000 } })
+    const socket = connect(parseHostPort(rig.entries[0]!.address))
+    const body = JSON.stringify({ model: 'm', stream: true, max_tokens: 100_000, messages: [{ role: 'user', content: LONG }] })
+    socket.write(`POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer k\r\ncontent-length: ${body.length}\r\n\r\n${body}`)
+    await until(() => outcomes()[0] === 'completed')
+    // The wait begins once the buffers between are full, whenever that is.
+    for (let turn = 0; turn < 10; turn += 1) {
+      await new Promise(resolve => setTimeout(resolve, 100))
+      rig.clock.elapse(31_000)
+    }
+    let text = ''
+    socket.on('data', chunk => { text = (text + String(chunk)).slice(-100) })
+    socket.on('error', () => {})
+    await new Promise(resolve => socket.on('close', resolve))
+    expect(text.includes('[DONE]')).to.equal(false)
+  })
+
   // One request is open and as many are allowed: the next one is told at once, with a time to come again.
   it('sheds beyond the limit at once, as not run', async () => {
     rig = await createRig({ engines: [{ tokenMs: 1 }], limits: { maxOpenRequests: 1 } })
