--- a/packages/magnoliabay/src/node/members/dialling.ts
+++ b/packages/magnoliabay/src/node/members/dialling.ts
@@ -1,10 +1,10 @@
 /** Keeps dialling the members that this one has to dial, and stops when it has not. */
-import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import { sleep } from '../clock'
 import type { Clock } from '../clock'
 import { parseHostPort } from '../utils'
 import type { MemberRecord } from './record'
+import type { PeerTransport } from './transport'
 
 const REDIAL_MS = 500
 const DIAL_TIMEOUT_MS = 2000
@@ -18,6 +18,7 @@
 }
 
 export interface DiallingOptions {
+  transport: PeerTransport
   clock: Clock
   /** Runs a link until it ends. */
   run: (socket: Socket) => Promise<void>
@@ -29,7 +30,7 @@
 
   const dial = async (member: MemberRecord, signal: AbortSignal): Promise<void> => {
     const { host, port } = parseHostPort(member.peerAddress)
-    const socket = connect({ host, port, timeout: DIAL_TIMEOUT_MS })
+    const socket = options.transport.dial({ host, port, timeout: DIAL_TIMEOUT_MS })
     socket.on('timeout', () => { if (socket.connecting) socket.destroy() })
     // Taken off again after each run: a peer that is down for long would otherwise leave a dead socket for every dial.
     const cut = (): unknown => socket.destroy()
