--- /dev/null
+++ b/packages/magnoliabay/src/node/config/__tests__/reference.spec.ts
@@ -0,0 +1,9 @@
+import { readFileSync } from 'node:fs'
+import { expect } from 'chai'
+import { renderPages } from '../../../../../../scripts/reference'
+
+describe('reference pages', () => {
+  renderPages().forEach(({ path, text }) => it(`${path} says what the schema says (else run npm run reference)`, () => {
+    expect(readFileSync(path, 'utf8')).to.equal(text)
+  }))
+})
--- a/packages/magnoliabay/src/node/config/plan.ts
+++ b/packages/magnoliabay/src/node/config/plan.ts
@@ -4,6 +4,7 @@
 import { ENTRY_KINDS } from './body'
 import type { DocumentBody, EntryKind } from './body'
 import { BASE_DOCUMENT } from './documents'
+import type { FleetConfig } from './fleet'
 import type { ConfigProblem } from './schema'
 
 export type ChangeKind = 'added' | 'changed' | 'removed'
@@ -84,13 +85,16 @@
 }
 
 export function changesBetween (before: ResolvedFleet | undefined, after: ResolvedFleet): EntryChange[] {
-  const { cells, capacityTokensPerSecond, objective } = after.fleet
   const old = before?.fleet
-  const wide = fieldChanges({ cells: old?.cells, capacityTokensPerSecond: old?.capacityTokensPerSecond, ...old?.objective }, { cells, capacityTokensPerSecond, ...objective })
-  const fleetWide: EntryChange[] = old === undefined || wide.length === 0 ? [] : [{ kind: 'fleet', name: 'fleet', change: 'changed', fields: wide }]
+  const wide = old === undefined ? [] : fieldChanges(wideFields(old), wideFields(after.fleet))
+  const fleetWide: EntryChange[] = wide.length === 0 ? [] : [{ kind: 'fleet', name: 'fleet', change: 'changed', fields: wide }]
   return [...fleetWide, ...ENTRY_KINDS.flatMap(kind => changesOfKind(kind, old?.[kind] ?? [], after.fleet[kind]))]
 }
 
+function wideFields ({ team, model, adapter, service, ...wide }: FleetConfig): Record<string, unknown> {
+  return wide
+}
+
 function changesOfKind (kind: EntryKind, before: readonly Entry[], after: readonly Entry[]): EntryChange[] {
   const old = new Map(before.map(entry => [entry.name, entry]))
   const names = new Set(after.map(entry => entry.name))
