--- a/packages/magnoliabay/src/node/allowance/allowance.ts
+++ b/packages/magnoliabay/src/node/allowance/allowance.ts
@@ -12,7 +12,7 @@
 import type { Store } from '../platform'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
-import { MS_PER_SECOND, TEND_PERIOD_MS } from './constants'
+import { KEPT_BY_EACH_HOME, MS_PER_SECOND, TEND_PERIOD_MS } from './constants'
 import { createExchange } from './exchange'
 import { isIdle } from './giving'
 import { createHomes } from './homes'
@@ -94,7 +94,7 @@
     if (!registry.isRegistered()) return
     const isMine = (team: string): boolean => homes.global(team)?.id === self.id
     const unknown = shares.all().map(own => own.team).filter(team => !registry.hasLedger(team) && isMine(team))
-    await Promise.all([...unknown, ...registry.doubted()].map(registry.grantFirst))
+    if (unknown.length + registry.doubted().length > 0) await registry.grantFirst(unknown)
   }
   /** Tells the home what is held here, so that it knows whom to collect from, and what to take home. */
   const tellHome = (own: TeamShare, home: MemberRecord | undefined): void => {
@@ -105,6 +105,7 @@
       isIdle: isIdle(own, self.leaving, monotonic())
     })
   }
+  const isThin = (own: TeamShare): boolean => !self.leaving && own.share.units() < KEPT_BY_EACH_HOME / 2
   const isHomeOf = (team: string): boolean => homes.near(team).some(home => home.id === self.id)
   const stayingHome = (team: string): MemberRecord | undefined =>
     homes.ranked(team).find(member => member.id !== self.id && !member.leaving && peers.isConnected(member.id))
@@ -112,6 +113,7 @@
     if (!registry.isRegistered()) await registry.register()
     await grantFirst()
     await exchange.heal()
+    await Promise.all(shares.all().filter(own => isHomeOf(own.team) && isThin(own)).map(exchange.even))
     shares.all().filter(own => !isHomeOf(own.team)).forEach(own => tellHome(own, homes.near(own.team)[0]))
     await reclaim.tend()
   }
--- a/packages/magnoliabay/src/node/allowance/constants.ts
+++ b/packages/magnoliabay/src/node/allowance/constants.ts
@@ -4,6 +4,12 @@
 /** A team's whole allowance, in units. Shares are whole numbers of units, so that no rounding can make one. */
 export const TOTAL_UNITS = 2 ** 20
 
+/**
+ * What each home of a region holds of a team that doesn't need it elsewhere. Callers come to one home, and its
+ * share would hold nearly all: were it killed, the team would be refused everything until the death is proven.
+ */
+export const KEPT_BY_EACH_HOME = TOTAL_UNITS / 4
+
 export const PROCESSES_PREFIX = `${STORE_ROOT}/allowance/processes/`
 export const LEDGERS_PREFIX = `${STORE_ROOT}/allowance/ledgers/`
 
--- a/packages/magnoliabay/src/node/allowance/exchange.ts
+++ b/packages/magnoliabay/src/node/allowance/exchange.ts
@@ -32,6 +32,8 @@
   fetch (own: TeamShare, tokens: number): Promise<number>
   /** Takes over what another member holds without use. */
   takeHome (team: string, memberId: string): Promise<void>
+  /** Asks another home for a part, so that no home holds nearly all. */
+  even (own: TeamShare): Promise<void>
   /** Asks again those whose answers were lost. */
   heal (): Promise<void>
 }
@@ -60,6 +62,8 @@
   /** Number of the last ask of each process. */
   const lastAsk = new Map<string, number>()
   let nextNumber = 0
+  /** Homes are asked in turn: which of them holds the most may have changed with the members. */
+  let evenTurn = 0
   const unhealed = new Map<string, { team: string, memberId: string }>()
 
   const now = (): number => clock.monotonic()
@@ -171,6 +175,12 @@
       if (!isKnownShort(own, tokens)) setKnown(own, own.share.level(now()))
       return Math.max(1, (tokens - totalKnown(own)) / own.share.size().rate * MS_PER_SECOND)
     },
+    even: async own => {
+      const others = homes.near(own.team).filter(home => home.id !== peers.self.id && peers.isConnected(home.id))
+      evenTurn += 1
+      const giver = others[evenTurn % others.length]
+      if (giver !== undefined) await ask(own, giver.id, { mode: 'even', tokens: 0 })
+    },
     heal: async () => {
       const lost = [...unhealed.values()]
       await Promise.all(lost.map(async ({ team, memberId }) => {
--- a/packages/magnoliabay/src/node/allowance/giving.ts
+++ b/packages/magnoliabay/src/node/allowance/giving.ts
@@ -1,5 +1,5 @@
 /** How much of a share is given to a member that asks. */
-import { IDLE_SHARE_MS, TOTAL_UNITS } from './constants'
+import { IDLE_SHARE_MS, KEPT_BY_EACH_HOME, TOTAL_UNITS } from './constants'
 import type { AskMode, AskRequest } from './messages'
 import { unitsFor } from './share'
 import type { TeamShare } from './shares'
@@ -17,6 +17,7 @@
 const GIFT_POLICIES: Readonly<Record<AskMode, GiftPolicy>> = {
   collect: (own, ask, now) => withLeastUnits(own, tokensFor(own, ask, now)),
   rebalance: (own, ask, now) => withFairPart(own, ask, tokensFor(own, ask, now), now),
+  even: (own, ask, now) => evenPart(own, ask, now),
   return: (own, _ask, now) => ({ units: own.share.units(), tokens: Math.max(0, own.share.level(now)) }),
   heal: () => NO_GIFT
 }
@@ -41,6 +42,18 @@
   return { units: Math.min(own.share.units(), unitsFor(tokens, own.share.size().burst)), tokens }
 }
 
+/** A team that uses more than half of its tokens here needs them here. */
+const PLENTY = 0.5
+
+function evenPart (own: TeamShare, ask: AskRequest, now: number): Gift {
+  const held = own.share.units()
+  const level = own.share.level(now)
+  const capacity = own.share.size().burst * held / TOTAL_UNITS
+  const units = Math.floor(Math.min(KEPT_BY_EACH_HOME - ask.units, held - KEPT_BY_EACH_HOME))
+  if (units <= 0 || level < capacity * PLENTY) return NO_GIFT
+  return { units, tokens: level * units / held }
+}
+
 /** Most of a share that goes into one transfer beyond what was asked for: as much may be lost with it. */
 const MOST_OF_SHARE = 0.5
 
--- a/packages/magnoliabay/src/node/allowance/messages.ts
+++ b/packages/magnoliabay/src/node/allowance/messages.ts
@@ -5,10 +5,11 @@
 /**
  * `collect`: as many of the tokens as are there.
  * `rebalance`: as `collect`, and a fair part of the units; between homes.
+ * `even`: what the taker lacks of the part that each home keeps, if the giver has plenty; between homes.
  * `return`: the whole share, if it is idle.
  * `heal`: nothing new; only what a lost transfer left out.
  */
-export type AskMode = 'collect' | 'rebalance' | 'return' | 'heal'
+export type AskMode = 'collect' | 'rebalance' | 'even' | 'return' | 'heal'
 
 export interface AskRequest {
   /** Grows with every ask of a taker; one that comes doubled, or after a later one, is given nothing. */
--- a/packages/magnoliabay/src/node/allowance/registry.ts
+++ b/packages/magnoliabay/src/node/allowance/registry.ts
@@ -7,8 +7,9 @@
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import type { ProcessName } from '../members/proof'
-import type { Store } from '../platform'
-import { PROCESSES_PREFIX } from './constants'
+import type { KeyValue, Store } from '../platform'
+import type { Compare } from '../platform/store'
+import { LEDGERS_PREFIX, PROCESSES_PREFIX } from './constants'
 import { createLedger, grantedTo, ledgerKey, parseLedger } from './ledger'
 import type { Ledger } from './ledger'
 import type { Shares } from './shares'
@@ -27,8 +28,8 @@
   revision (): number
   /** Tries once to register; a lost answer is met by trying again. */
   register (): Promise<void>
-  /** Tries once to make sure that the team has a ledger; the first grant comes here if it has none. */
-  grantFirst (team: string): Promise<void>
+  /** Tries once to make sure that each of the teams has a ledger; the first grant of one that has none comes here. */
+  grantFirst (teams: readonly string[]): Promise<void>
   hasLedger (team: string): boolean
   /** The answer to a write of the ledger was lost: read it again, since it may grant something to this process. */
   doubt (team: string): void
@@ -38,6 +39,9 @@
   takeGrants (team: string, ledger: Ledger): void
 }
 
+/** Ledgers in one transaction; the store takes 128 operations. */
+const CREATED_AT_ONCE = 60
+
 export function processKey (process: string): string {
   return `${PROCESSES_PREFIX}${process}`
 }
@@ -58,19 +62,29 @@
     own.share.receive(fresh, tokens, clock.monotonic())
     logger.info('share-granted', { team, units: fresh })
   }
-  const create = async (team: string): Promise<void> => {
+  const create = async (teams: readonly string[]): Promise<void> => {
     const ledger = createLedger(self.incarnation)
     const created = await store.transact({
       compares: [
-        { key: ledgerKey(team), target: 'create', equals: 0 },
+        ...teams.map((team): Compare => ({ key: ledgerKey(team), target: 'create', equals: 0 })),
         { key: processKey(self.incarnation), target: 'mod', equals: revision }
       ],
-      writes: [{ kind: 'put', key: ledgerKey(team), value: JSON.stringify(ledger) }]
+      writes: teams.map(team => ({ kind: 'put', key: ledgerKey(team), value: JSON.stringify(ledger) }))
     })
     if (created.err || !created.val.succeeded) return
+    teams.forEach(team => {
+      teamsWithLedger.add(team)
+      // Nobody ever held anything of a team without a ledger, so its bucket may start full.
+      takeGrants(team, ledger, shares.of(team)?.share.size().burst ?? 0)
+    })
+  }
+  const noteLedger = (entry: KeyValue): void => {
+    const team = entry.key.slice(LEDGERS_PREFIX.length)
     teamsWithLedger.add(team)
-    // Nobody ever held anything of a team without a ledger, so its bucket may start full.
-    takeGrants(team, ledger, shares.of(team)?.share.size().burst ?? 0)
+    const ledger = parseLedger(entry.value)
+    if (ledger.err) return logger.error('ledger-refused', { team, reason: ledger.val.message })
+    inDoubt.delete(team)
+    takeGrants(team, ledger.val, 0)
   }
   return {
     takeGrants: (team, ledger) => takeGrants(team, ledger, 0),
@@ -92,15 +106,14 @@
       })
       if (written.ok && written.val.succeeded) revision = written.val.revision
     },
-    grantFirst: async team => {
-      const found = await store.get(ledgerKey(team))
+    grantFirst: async teams => {
+      const found = await store.range(LEDGERS_PREFIX)
       if (found.err) return
-      if (found.val === undefined) return await create(team)
-      const ledger = parseLedger(found.val.value)
-      if (ledger.err) return logger.error('ledger-refused', { team, reason: ledger.val.message })
-      teamsWithLedger.add(team)
-      inDoubt.delete(team)
-      takeGrants(team, ledger.val, 0)
+      found.val.entries.forEach(noteLedger)
+      const missing = teams.filter(team => !teamsWithLedger.has(team))
+      const groups = Array.from({ length: Math.ceil(missing.length / CREATED_AT_ONCE) }, (_, index) =>
+        missing.slice(index * CREATED_AT_ONCE, (index + 1) * CREATED_AT_ONCE))
+      await Promise.all(groups.map(create))
     }
   }
 }
