--- a/packages/magnoliabay/src/node/cli.ts
+++ b/packages/magnoliabay/src/node/cli.ts
@@ -11,13 +11,24 @@
 import { createLogger } from './logger'
 import { messageOf } from './utils'
 
-const print = (text: string): void => { process.stdout.write(`${text}\n`) }
-const printError = (text: string): void => { process.stderr.write(`${text}\n`) }
+/** Where the command line prints, and what it reads besides its arguments. */
+export interface CliContext {
+  print: (text: string) => void
+  printError: (text: string) => void
+  env: NodeJS.ProcessEnv
+}
+
+const PROCESS_CONTEXT: CliContext = {
+  print: text => { process.stdout.write(`${text}\n`) },
+  printError: text => { process.stderr.write(`${text}\n`) },
+  env: process.env
+}
 
 export const productCommands: readonly Command[] = [serveCommand, devCommand, configCommand, ...operatorCommands]
 
 /** Runs the command line and returns the exit code. */
-export async function runCli (args: readonly string[], commands: readonly Command[] = productCommands): Promise<ExitCode> {
+export async function runCli (args: readonly string[], context: CliContext = PROCESS_CONTEXT, commands: readonly Command[] = productCommands): Promise<ExitCode> {
+  const { print, printError } = context
   const [name, ...rest] = args
   if (name === '--version') {
     print(VERSION)
@@ -32,10 +43,11 @@
     printError(`There is no command ${name}. magnoliabay --help lists those there are.`)
     return EXIT_USAGE
   }
-  return await runCommand(command, rest)
+  return await runCommand(command, rest, context)
 }
 
-async function runCommand (command: Command, args: string[]): Promise<ExitCode> {
+async function runCommand (command: Command, args: string[], context: CliContext): Promise<ExitCode> {
+  const { print, printError } = context
   const parsed = parse(command, args)
   if ('problem' in parsed) {
     printError(`${parsed.problem}\n\n${formatUsage(command)}`)
@@ -46,7 +58,7 @@
     return EXIT_DONE
   }
   try {
-    return await command.run({ ...parsed, env: process.env, logger: createLogger(), print, printError })
+    return await command.run({ ...parsed, ...context, logger: createLogger() })
   } catch (err) {
     if (err instanceof UsageError) {
       printError(err.message)
--- a/packages/magnoliabay/src/node/config/schema.ts
+++ b/packages/magnoliabay/src/node/config/schema.ts
@@ -29,7 +29,7 @@
 export function checkConfig<Schema extends v.GenericSchema> (file: string, value: unknown, schema: Schema): Result<v.InferOutput<Schema>, ConfigError> {
   const checked = v.safeParse(schema, value)
   if (checked.success) return Ok(checked.output)
-  return Err({ kind: 'schema', problems: checked.issues.map(issue => problemOf(file, issue)) })
+  return Err({ kind: 'schema', problems: checked.issues.map(issue => problemOf(file, issue, schema)) })
 }
 
 export function parseTomlText (file: string, text: string): Result<Record<string, unknown>, ConfigError> {
@@ -42,12 +42,34 @@
   }
 }
 
-function problemOf (file: string, issue: v.BaseIssue<unknown>): ConfigProblem {
-  const path = issue.path?.map(item => String(item.key)).join('.') ?? ''
-  if (issue.type === 'strict_object') {
-    return { file, path, found: `unknown key ${issue.received}`, allowed: 'only the keys of the reference' }
+/** Kinds of checks whose schemas say in words what is allowed; what valibot expects there is code. */
+const CHECKS_IN_WORDS: ReadonlySet<string> = new Set(['regex', 'url', 'check'])
+
+function problemOf (file: string, issue: v.BaseIssue<unknown>, schema: v.GenericSchema): ConfigProblem {
+  const keys = issue.path?.map(item => String(item.key)) ?? []
+  const path = keys.join('.')
+  if (issue.type === 'strict_object' && issue.expected === 'never') {
+    return { file, path, found: `unknown key ${issue.received}`, allowed: keysAllowedAt(schema, keys.slice(0, -1)) }
+  }
+  if (issue.type === 'strict_object' && issue.received === 'undefined') return { file, path, found: 'nothing', allowed: `a value for ${issue.expected}` }
+  return { file, path, found: issue.received, allowed: CHECKS_IN_WORDS.has(issue.type) ? issue.message : issue.expected ?? issue.message }
+}
+
+/** The parts of valibot's schemas that lead to the objects inside. */
+interface SchemaNode {
+  wrapped?: SchemaNode
+  item?: SchemaNode
+  entries?: Readonly<Record<string, SchemaNode>>
+}
+
+function keysAllowedAt (schema: v.GenericSchema, path: readonly string[]): string {
+  const unwrap = (node: SchemaNode | undefined): SchemaNode | undefined => node?.wrapped === undefined ? node : unwrap(node.wrapped)
+  const step = (node: SchemaNode | undefined, key: string): SchemaNode | undefined => {
+    const inner = unwrap(node)
+    return inner?.item ?? inner?.entries?.[key]
   }
-  return { file, path, found: issue.received, allowed: issue.expected ?? issue.message }
+  const entries = unwrap(path.reduce(step, schema as SchemaNode))?.entries
+  return entries === undefined ? 'no such key' : Object.keys(entries).join(', ')
 }
 
 export function formatProblem (problem: ConfigProblem): string {
--- /dev/null
+++ b/scripts/judgeTests.ts
@@ -0,0 +1,51 @@
+/**
+ * Judges a run of the tests: every failure counts but those that KNOWN-RED.txt names. Prints what failed,
+ * and closes with mocha's own count.
+ */
+import { existsSync, readFileSync } from 'node:fs'
+
+/** The part used of what mocha's `json` reporter writes. */
+export interface TestReport {
+  stats: { passes: number, failures: number }
+  passes: Array<{ fullTitle: string }>
+  failures: Array<{ fullTitle: string, err: { message?: string, stack?: string } }>
+}
+
+export interface Verdict {
+  lines: string[]
+  isGood: boolean
+}
+
+const MOST_KNOWN_RED = 3
+
+/** `knownRed` has one line for each test: its full title, ` | `, the cause, ` | `, the issue. */
+export function judgeTests (report: TestReport, knownRed: string): Verdict {
+  const entries = knownRed.split('\n').filter(line => line.trim() !== '').map(line => ({ line, title: line.split(' | ')[0]!.trim() }))
+  const known = new Set(entries.map(entry => entry.title))
+  const unknown = report.failures.filter(test => !known.has(test.fullTitle))
+  const failed = new Set(report.failures.map(test => test.fullTitle))
+  // A test that passes again, or was renamed, must leave the list: its line would hide the next failure.
+  const stale = entries.filter(entry => !failed.has(entry.title))
+  const tooMany = entries.length > MOST_KNOWN_RED ? [`KNOWN-RED.txt holds ${entries.length} lines; ${MOST_KNOWN_RED} are allowed`] : []
+  // A run that stopped before its first test has no failures either.
+  const nothingRan = report.stats.passes === 0 ? ['no test passed'] : []
+  return {
+    lines: [
+      ...unknown.map(test => `FAILED ${test.fullTitle}\n${test.err.stack ?? test.err.message ?? ''}`),
+      ...entries.filter(entry => failed.has(entry.title)).map(entry => `known red: ${entry.line}`),
+      ...stale.map(entry => `KNOWN-RED.txt names a test that did not fail: ${entry.title}`),
+      ...tooMany,
+      ...nothingRan,
+      `${report.stats.passes} passed, ${report.stats.failures} failed`
+    ],
+    isGood: [unknown, stale, tooMany, nothingRan].every(problems => problems.length === 0)
+  }
+}
+
+/** Reads the report and the list, prints the verdict and returns the exit code. */
+export function judgeFiles (reportFile: string, knownRedFile: string): number {
+  const report = JSON.parse(readFileSync(reportFile, 'utf8')) as TestReport
+  const verdict = judgeTests(report, existsSync(knownRedFile) ? readFileSync(knownRedFile, 'utf8') : '')
+  process.stdout.write(`${verdict.lines.join('\n')}\n`)
+  return verdict.isGood ? 0 : 1
+}
