--- /dev/null
+++ b/packages/magnoliabay/src/node/admission/__tests__/openStreams.spec.ts
@@ -0,0 +1,57 @@
+import { expect } from 'chai'
+import { request } from 'undici'
+import { startEmbedded } from '../../commands/embedded'
+import type { Embedded } from '../../commands/embedded'
+import { createSilentLogger } from '../../logger'
+
+const STREAMS = 100
+
+describe('a key withdrawn with 100 streams open', function () {
+  this.timeout(60_000)
+  let embedded: Embedded
+
+  /** Opens a stream and resolves to all that was read of it, also when it was broken off. */
+  const stream = async (entry: string, onFirst: () => void): Promise<string> => {
+    const res = await request(`${entry}/v1/chat/completions`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${embedded.callerKey}`, 'content-type': 'application/json' },
+      body: JSON.stringify({ model: embedded.models[0], stream: true, max_tokens: 300, messages: [{ role: 'user', content: 'which day' }] })
+    })
+    let text = ''
+    try {
+      for await (const chunk of res.body) {
+        text += String(chunk)
+        onFirst()
+      }
+    } catch {
+      text += '(broken off)'
+    }
+    return text
+  }
+  before(async () => {
+    embedded = await startEmbedded({ weights: { loadMsPerGiB: 1 }, logger: createSilentLogger() })
+    // The key, the model and the allowance have reached every instance once each has answered in full.
+    for (const entry of embedded.entries) {
+      let text = ''
+      while (!text.includes('[DONE]')) text = await stream(entry, () => {})
+    }
+  })
+  after(() => embedded.close())
+
+  // 100 callers of one key have requests open at three instances: some read their streams, others wait for their turn
+  // or for the engine's first token. The engines stall, so that none of them ends by itself, and the key is
+  // withdrawn at one instance. Each caller is told why, by a typed event or a typed answer; no stream ends cleanly.
+  it('ends each of them with a typed error', async () => {
+    let onFirst = (): void => {}
+    const first = new Promise<void>(resolve => { onFirst = resolve })
+    const texts = Array.from({ length: STREAMS }, (_, index) => stream(embedded.entries[index % embedded.entries.length]!, onFirst))
+    await first
+    await Promise.all(embedded.standIns.engines.map(engine => engine.state.faults.set({ stall: true })))
+    await embedded.operators.withdrawKey(embedded.callerKeyId)
+    const ended = await Promise.all(texts)
+    await Promise.all(embedded.standIns.engines.map(engine => engine.state.faults.reset()))
+    expect(ended.filter(text => text.includes('key_withdrawn')).length).to.equal(STREAMS)
+    expect(ended.filter(text => text.includes('[DONE]'))).to.deep.equal([])
+    expect(ended.filter(text => text.startsWith('id:') && text.includes('event: error')).length).to.be.greaterThan(0)
+  })
+})
