--- a/packages/magnoliabay/src/node/routing/__tests__/routing.spec.ts
+++ b/packages/magnoliabay/src/node/routing/__tests__/routing.spec.ts
@@ -128,6 +128,26 @@
     expect(new Set(chosen)).to.deep.equal(new Set(['e2']))
   })
 
+  /*
+   * The only engine with the model dies under a request. The retry avoids it, and waits. The steward loads the model
+   * anew, at the same engine: the caller is served then, and not refused at its deadline beside a loaded replica.
+   */
+  it('uses an engine that failed the request once its replica was lost and loaded anew, and not before', async () => {
+    const { clock, routing, show } = setUp()
+    show([replicaAt('e1')])
+    let chosen: string | undefined
+    const waiting = chosenAt(routing, request(clock, { avoid: new Set(['e1']) })).then(engine => { chosen = engine })
+    await clock.advance(2000)
+    show([replicaAt('e1')])
+    await clock.advance(2000)
+    expect(chosen).to.equal(undefined)
+    show([])
+    show([replicaAt('e1')])
+    await clock.settle()
+    expect(chosen).to.equal('e1')
+    await waiting
+  })
+
   it('counts its own requests while the reported load lags', async () => {
     const { clock, routing, show } = setUp()
     show([replicaAt('e1'), replicaAt('e2')])
--- a/packages/magnoliabay/src/node/routing/index.ts
+++ b/packages/magnoliabay/src/node/routing/index.ts
@@ -21,8 +21,8 @@
   prefix?: string
   /** Monotonic time by which the request has to be on its way. */
   deadlineMs: number
-  /** Engines not to use again, such as one that has just failed this request. */
-  avoid: ReadonlySet<string>
+  /** Engines not to use again, such as one that has just failed this request. One that loses its replica is taken out. */
+  avoid: Set<string>
   signal: AbortSignal
 }
 
@@ -76,8 +76,17 @@
   }
   const isUsable = (req: RouteRequest, target: Target, replica: ReplicaEntry): boolean =>
     !req.avoid.has(replica.engine) && isStaying(replica) && (target.adapter === undefined || replica.adapters.includes(target.adapter))
+  /**
+   * An engine that has lost its replica since is no longer the one that failed, and its next load may serve. Without
+   * this, a request whose only engine died would wait beside the replica loaded anew until its deadline.
+   */
+  const forgiveLost = (avoid: Set<string>, all: readonly ReplicaEntry[]): void => {
+    const lost = [...avoid].filter(engine => !all.some(replica => replica.engine === engine))
+    lost.forEach(engine => avoid.delete(engine))
+  }
   const choose = (req: RouteRequest, target: Target): Route | undefined => {
     const all = cells.replicas.of(target.model)
+    forgiveLost(req.avoid, all)
     const avoidDomains = new Set(all.filter(replica => req.avoid.has(replica.engine)).map(replica => replica.failureDomain))
     const replica = chooseReplica({ replicas: all.filter(candidate => isUsable(req, target, candidate)), prefix: req.prefix, loadOf, avoidDomains })
     if (replica === undefined) return undefined
