--- a/packages/magnoliabay/src/node/once/index.ts
+++ b/packages/magnoliabay/src/node/once/index.ts
@@ -27,6 +27,8 @@
 
 const RETRY_AFTER_SECONDS = 1
 const RETRY_MS = 1000
+/** Between reads of a claim that has no answer yet, milliseconds; then its caller is told to ask again. */
+const ANSWER_WAITS_MS: readonly number[] = [50, 100, 200, 400]
 /** Answers that wait for the store to come back, over all requests. */
 const MAX_WAITING_ANSWERS = 1000
 const ANSWER_TRIES = 300
@@ -62,7 +64,16 @@
   const { store, writer, clock, logger } = options
   const waiting = new Set<Promise<void>>()
 
+  /** The holder's answer reaches its caller before the store: a repeat right behind it waits for it a little. */
   const resolveExisting = async (key: string, mine: ClaimRecord): Promise<Result<ClaimOutcome, Failure>> => {
+    for (const waitMs of ANSWER_WAITS_MS) {
+      const existing = await readExisting(key, mine)
+      if (existing.ok || existing.val.code !== 'idempotency_in_progress') return existing
+      await sleep(clock, waitMs)
+    }
+    return await readExisting(key, mine)
+  }
+  const readExisting = async (key: string, mine: ClaimRecord): Promise<Result<ClaimOutcome, Failure>> => {
     const found = await store.get(key, ONCE)
     if (found.err || found.val === undefined) return Err(storeDark())
     const record = JSON.parse(found.val.value) as ClaimRecord
