--- a/packages/magnoliabay/src/node/backend/relayPart.ts
+++ b/packages/magnoliabay/src/node/backend/relayPart.ts
@@ -12,6 +12,8 @@
 /** Every engine would say the same. */
 const REQUEST_AT_FAULT: ReadonlySet<number> = new Set([400, 413, 422])
 const MAX_ERROR_TEXT_BYTES = 200
+/** For an engine to end its response after the end mark, so that its connection can be used again, milliseconds. */
+const LINGER_MS = 500
 
 /** `done`: the end mark came. `refused`: the engine answered with an error. `stopped`: the request was given up. */
 export type PartKind = 'done' | 'refused' | 'broken' | 'stopped'
@@ -54,6 +56,7 @@
   const head = createHead()
   let isDone = false
   let problem = ''
+  let cancelLinger = (): void => {}
   const exchange = startExchange(dispatcher, options.clock, exchangeReq, {
     onHead: (status, headers) => {
       readHead(head, req.engineRequestId, status, headers)
@@ -64,7 +67,10 @@
       if (isDone) return exchange.stop('The engine went on after the end of its answer.')
       const pushed = stream.push(chunk)
       isDone = pushed.isDone
-      if (isDone) stream.end()
+      if (isDone) {
+        stream.end()
+        cancelLinger = options.clock.schedule(LINGER_MS, () => exchange.stop('The engine kept its connection open after the end.'))
+      }
       if (pushed.problem !== undefined) {
         problem = `The engine sent a ${pushed.problem} event.`
         exchange.stop(problem)
@@ -75,6 +81,7 @@
   })
   stream.setOnRoom(() => exchange.resume())
   const end = await untilEnded(exchange, req.signal)
+  cancelLinger()
   return describe(end, head, isDone, req.signal, problem)
 }
 
