--- /dev/null
+++ b/packages/magnoliabay/src/node/members/__tests__/bounded.spec.ts
@@ -0,0 +1,99 @@
+import { expect } from 'chai'
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { createVirtualClock } from '../../clock/virtual'
+import type { VirtualClock } from '../../clock/virtual'
+import { createSilentLogger } from '../../logger'
+import { mapNeighbours } from '../neighbours'
+import { createPeerNetwork } from '../network'
+import type { PeerNetwork } from '../network'
+import { definePeerCall, definePeerNotice } from '../peers'
+import type { MemberRecord } from '../record'
+
+const echo = definePeerCall<string, string>('echo')
+const note = definePeerNotice<string>('note')
+const COUNT = 24
+/** Virtual time that anything waited for may take. */
+const MOST_MS = 60_000
+
+/** All are held until the last is known, or two could be the same. */
+async function freeAddresses (count: number): Promise<string[]> {
+  const servers = Array.from({ length: count }, () => createServer())
+  await Promise.all(servers.map(server => new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))))
+  const addresses = servers.map(server => `127.0.0.1:${(server.address() as AddressInfo).port}`)
+  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
+  return addresses
+}
+
+describe('many members over loopback', () => {
+  let clock: VirtualClock
+  let networks: PeerNetwork[]
+  let heard: string[]
+  const idOf = (index: number): string => `m${String(index).padStart(2, '0')}`
+  const neighboursOf = (id: string): ReadonlySet<string> => mapNeighbours(networks.map(network => network.self.id)).get(id)!
+  const passUntil = async (done: () => boolean): Promise<void> => {
+    const endMs = clock.monotonic() + MOST_MS
+    while (!done() && clock.monotonic() < endMs) {
+      await clock.advance(20)
+      await new Promise(resolve => setImmediate(resolve))
+    }
+    expect(done()).to.equal(true)
+  }
+  const isLinked = (network: PeerNetwork): boolean =>
+    [...neighboursOf(network.self.id)].every(id => network.evidenceOf(id) === 'linked')
+
+  beforeEach(async () => {
+    clock = createVirtualClock()
+    heard = []
+    const addresses = await freeAddresses(COUNT)
+    const records = addresses.map((peerAddress, index): MemberRecord => ({
+      id: idOf(index), incarnation: `${idOf(index)}-1`, startedAtMs: 1, region: 'r', failureDomain: 'd', peerAddress, entryAddress: '', operatorAddress: '', leaving: false
+    }))
+    networks = records.map(self => createPeerNetwork({ self, clock, logger: createSilentLogger() }))
+    networks.forEach(network => {
+      network.serve(echo, text => `${text} from ${network.self.id}`)
+      network.listen(note, (text, from) => { heard.push(`${network.self.id} ${text} ${from.id}`) })
+    })
+    await Promise.all(networks.map(network => network.start()))
+    networks.forEach(network => network.setMembers(records))
+    await passUntil(() => networks.every(isLinked))
+  })
+  afterEach(async () => { await Promise.all(networks.map(network => network.close())) })
+
+  it('a notice reaches everybody once, with the name of who sent it', async () => {
+    networks[0]!.notifyAll(note, 'hello')
+    await passUntil(() => heard.length >= COUNT - 1)
+    await clock.advance(200)
+    const expected = networks.slice(1).map(network => `${network.self.id} hello m00`)
+    expect(heard.sort()).to.deep.equal(expected.sort())
+  })
+
+  /* Two members that hold no link call each other at the same moment, and dial at once. Both calls are answered. */
+  it('calls outside the neighbourhood dial on demand, from both ends at once', async () => {
+    const [one, other] = [networks[0]!, networks.find(network => network.self.id !== idOf(0) && !neighboursOf(idOf(0)).has(network.self.id))!]
+    expect(one.evidenceOf(other.self.id)).to.equal('none')
+    const answers: string[] = []
+    const ask = async (from: PeerNetwork, to: PeerNetwork): Promise<void> => {
+      const reply = await from.call(to.self.id, echo, 'hi')
+      answers.push(reply.ok ? reply.val : reply.val.kind)
+    }
+    ask(one, other)
+    ask(other, one)
+    await passUntil(() => answers.length === 2)
+    expect(answers.sort()).to.deep.equal([`hi from ${one.self.id}`, `hi from ${other.self.id}`].sort())
+  })
+
+  it('says at once that a member is out of reach, and does not dial it again for a while', async () => {
+    const gone = networks.find(network => !neighboursOf(idOf(0)).has(network.self.id) && network.self.id !== idOf(0))!
+    await gone.close()
+    const answers: string[] = []
+    const ask = async (): Promise<void> => {
+      const reply = await networks[0]!.call(gone.self.id, echo, 'hi')
+      answers.push(reply.ok ? reply.val : reply.val.kind)
+    }
+    ask()
+    await passUntil(() => answers.length === 1)
+    expect(answers).to.deep.equal(['not-connected'])
+    expect(networks[0]!.isConnected(gone.self.id)).to.equal(false)
+  })
+})
--- /dev/null
+++ b/packages/magnoliabay/src/node/members/__tests__/proof.spec.ts
@@ -0,0 +1,81 @@
+import { expect } from 'chai'
+import type { VirtualClock } from '../../clock/virtual'
+import { createVirtualClock } from '../../clock/virtual'
+import { createSilentLogger } from '../../logger'
+import type { ListedInstance } from '../../platform'
+import { createMemoryNetwork } from '../memoryNetwork'
+import type { MemoryNetwork } from '../memoryNetwork'
+import { createProofKeeper } from '../proof'
+import type { ProofKeeper } from '../proof'
+import type { MemberRecord } from '../record'
+
+const recordOf = (id: string, changes: Partial<MemberRecord> = {}): MemberRecord => ({
+  id, incarnation: `${id}-1`, startedAtMs: 1, region: 'r', failureDomain: 'd', peerAddress: `${id}:1`, entryAddress: `${id}:2`, operatorAddress: '', leaving: false, ...changes
+})
+const listOf = (...ids: string[]): ListedInstance[] =>
+  ids.map(id => ({ id, role: 'entry', address: `${id}:2`, failureDomain: 'd', region: 'r', status: 'live' }))
+
+interface Setting {
+  clock: VirtualClock
+  network: MemoryNetwork
+  here: ProofKeeper
+  /** Reads the list every second for so long. */
+  read (listed: readonly ListedInstance[], seconds: number): Promise<void>
+  proof (): string | undefined
+}
+
+function setUp (): Setting {
+  const clock = createVirtualClock()
+  const network = createMemoryNetwork({ clock })
+  const here = createProofKeeper({ peers: network.join(recordOf('here')), clock, logger: createSilentLogger() })
+  network.join(recordOf('there'))
+  return {
+    clock,
+    network,
+    here,
+    read: async (listed, seconds) => {
+      for (let second = 0; second < seconds; second += 1) {
+        here.noteList(listed)
+        await clock.advance(1000)
+      }
+    },
+    proof: () => here.proofFor({ member: 'there', incarnation: 'there-1' })
+  }
+}
+
+/** What is seen of a process, and what it proves. */
+const CASES: ReadonlyArray<{ seen: string, play: (setting: Setting) => Promise<void> | void, proof: string | undefined }> = [
+  { seen: 'nothing', play: () => {}, proof: undefined },
+  { seen: 'silence, while it is listed', play: async ({ network, read }) => { network.kill('there'); await read(listOf('here', 'there'), 120) }, proof: undefined },
+  { seen: 'one reading of the list without it', play: async ({ network, read }) => { await read(listOf('there'), 2); network.kill('there'); await read([], 1); await read(listOf('there'), 60) }, proof: undefined },
+  { seen: 'a list without it for long, while it is a member', play: async ({ read }) => { await read(listOf('there'), 2); await read([], 120) }, proof: undefined },
+  { seen: 'a list that never had it', play: async ({ network, read }) => { network.kill('there'); await read([], 120) }, proof: undefined },
+  { seen: 'gone from the list and silent for long', play: async ({ network, read }) => { await read(listOf('there'), 2); network.kill('there'); await read([], 40) }, proof: 'listed-gone' },
+  { seen: 'its goodbye', play: ({ here }) => here.noteGoodbye(recordOf('there')), proof: 'goodbye' },
+  { seen: 'a later process at the same addresses', play: ({ here }) => here.learn(recordOf('there', { incarnation: 'there-2', startedAtMs: 2 })), proof: 'newer-incarnation' },
+  { seen: 'a later process of that name at other addresses', play: ({ here }) => here.learn(recordOf('there', { incarnation: 'there-2', startedAtMs: 2, peerAddress: 'x:1' })), proof: undefined },
+  { seen: 'an earlier process at the same addresses', play: ({ here }) => here.learn(recordOf('there', { incarnation: 'there-0', startedAtMs: 0 })), proof: undefined },
+  { seen: 'an operator\'s word', play: ({ here }) => here.declare({ member: 'there', incarnation: 'there-1' }), proof: 'operator' }
+]
+
+describe('proof that a process is gone', () => {
+  CASES.forEach(({ seen, play, proof }) => it(`${seen}: ${proof ?? 'none'}`, async () => {
+    const setting = setUp()
+    await play(setting)
+    expect(setting.proof()).to.equal(proof)
+  }))
+
+  it('is told to the others, and to those who come later; nobody takes it of itself', async () => {
+    const { clock, network, here } = setUp()
+    const keeperOf = (id: string): ProofKeeper => createProofKeeper({ peers: network.join(recordOf(id)), clock, logger: createSilentLogger() })
+    const early = keeperOf('early')
+    here.declare({ member: 'there', incarnation: 'there-1' })
+    here.declare({ member: 'early', incarnation: 'early-1' })
+    await clock.advance(100)
+    const late = keeperOf('late')
+    network.heal('here', 'late')
+    await clock.advance(100)
+    expect([early, late].map(keeper => keeper.proofFor({ member: 'there', incarnation: 'there-1' }))).to.deep.equal(['operator', 'operator'])
+    expect(early.proofFor({ member: 'early', incarnation: 'early-1' })).to.equal(undefined)
+  })
+})
--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -21,6 +21,8 @@
 
 /** A link outside the neighbourhood that has said nothing of ours for this long is closed. */
 const IDLE_LINK_MS = 60_000
+/** A link that another has replaced stays for the calls under way on it. */
+const LINGER_MS = 5000
 /** A member that could not be dialled counts as out of reach for this long. */
 const OUT_OF_REACH_MS = 5000
 
@@ -64,13 +66,19 @@
 
   /**
    * Two members may dial each other at once. Each would close one of the two links, perhaps not the same one, and
-   * lose both. So the link that the lesser id dialled stays, and the other is refused.
+   * lose both. So both keep the one that the lesser id dialled, and the other is closed once its calls have ended.
    */
   const isSuperfluous = (memberId: string, isDialledHere: boolean): boolean => {
     const existing = links.get(memberId)
     if (existing === undefined || existing.isDialledHere === isDialledHere) return false
     return isDialledHere ? memberId < self.id : self.id < memberId
   }
+  const closeLater = (link: Link): void => { clock.schedule(LINGER_MS, () => link.close('another link stands')) }
+  const replace = (existing: Link | undefined, next: Link): void => {
+    if (existing === undefined) return
+    if (existing.member.incarnation === next.member.incarnation) closeLater(existing)
+    else existing.close('replaced by a newer process')
+  }
   const run = async (socket: Socket, isDialledHere: boolean): Promise<void> => {
     let link: Link | undefined
     const reason = await runLink({
@@ -81,9 +89,12 @@
       dispatch,
       onHello: established => {
         const { member } = established
-        if (isSuperfluous(member.id, isDialledHere)) return false
-        links.get(member.id)?.link.close('replaced by a newer link')
         link = established
+        if (isSuperfluous(member.id, isDialledHere)) {
+          closeLater(established)
+          return true
+        }
+        replace(links.get(member.id)?.link, established)
         links.set(member.id, { link: established, isDialledHere, lastUsedMs: clock.monotonic() })
         outOfReach.delete(member.id)
         logger.info('peer-link-up', { peer: member.id, incarnation: member.incarnation })
