--- a/packages/magnoliabay/src/node/members/dialling.ts
+++ b/packages/magnoliabay/src/node/members/dialling.ts
@@ -14,6 +14,7 @@
   setTargets (members: readonly MemberRecord[]): void
   /** Dials once; resolves when the connection has ended. */
   dialOnce (member: MemberRecord): Promise<void>
+  /** Dials no more. Links that stand are left open. */
   close (): void
 }
 
@@ -26,13 +27,15 @@
 export function createDialling (options: DiallingOptions): Dialling {
   const targets = new Map<string, AbortController>()
   const closed = new AbortController()
+  let isClosing = false
 
   const dial = async (member: MemberRecord, signal: AbortSignal): Promise<void> => {
     const { host, port } = parseHostPort(member.peerAddress)
     const socket = connect({ host, port, timeout: DIAL_TIMEOUT_MS })
     socket.on('timeout', () => { if (socket.connecting) socket.destroy() })
     // Taken off again after each run: a peer that is down for long would otherwise leave a dead socket for every dial.
-    const cut = (): unknown => socket.destroy()
+    // At the end of the process a link that stands is left to say goodbye: that is the proof others wait for.
+    const cut = (): void => { if (!isClosing || socket.connecting) socket.destroy() }
     signal.addEventListener('abort', cut, { once: true })
     await options.run(socket)
     signal.removeEventListener('abort', cut)
@@ -61,8 +64,10 @@
     },
     dialOnce: member => dial(member, closed.signal),
     close: () => {
+      isClosing = true
       targets.forEach(controller => controller.abort())
       targets.clear()
+      closed.abort()
     }
   }
 }
--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -58,6 +58,8 @@
   const changed = createListeners<[]>()
   const connected = createListeners<[MemberRecord]>()
   const links = new Map<string, OpenLink>()
+  /** Replaced, and open for what is still under way on them. */
+  const lingering = new Set<Link>()
   const outOfReach = new Map<string, number>()
   const dials = new Map<string, Promise<Link | undefined>>()
   const gossip = createGossip(clock)
@@ -73,7 +75,10 @@
     if (existing === undefined || existing.isDialledHere === isDialledHere) return false
     return isDialledHere ? memberId < self.id : self.id < memberId
   }
-  const closeLater = (link: Link): void => { clock.schedule(LINGER_MS, () => link.close('another link stands')) }
+  const closeLater = (link: Link): void => {
+    lingering.add(link)
+    clock.schedule(LINGER_MS, () => link.close('another link stands'))
+  }
   const replace = (existing: Link | undefined, next: Link): void => {
     if (existing === undefined) return
     if (existing.member.incarnation === next.member.incarnation) closeLater(existing)
@@ -104,6 +109,7 @@
       onGoodbye: member => options.onGoodbye?.(member)
     })
     if (link === undefined) return
+    lingering.delete(link)
     if (links.get(link.member.id)?.link === link) links.delete(link.member.id)
     logger.info('peer-link-down', { peer: link.member.id, reason })
   }
@@ -195,8 +201,8 @@
     start: () => listenOn(server, self.peerAddress),
     close: async () => {
       dialling.close()
-      const open = [...links.values()]
-      open.forEach(({ link }) => link.goodbye())
+      const open = [...[...links.values()].map(({ link }) => link), ...lingering]
+      open.forEach(link => link.goodbye())
       server.close()
     }
   }
