--- a/bench/index.ts
+++ b/bench/index.ts
@@ -8,6 +8,7 @@
   allowance: () => import('./allowance'),
   capacity: () => import('./capacity'),
   cold: () => import('./cold'),
+  config: () => import('./config'),
   relay: () => import('./relay'),
   decusum: async () => await import('./decusum')
 }
--- a/packages/magnoliabay/src/node/report/chart.ts
+++ b/packages/magnoliabay/src/node/report/chart.ts
@@ -1,6 +1,7 @@
 /** A chart of one burn rate over three days, as SVG. */
 import { burnRate } from './burn'
 import { COARSE_BUCKET_MS, HOUR_MS } from './counts'
+import { escapeHtml } from './escape'
 import type { BurnLine } from '.'
 
 const WIDTH = 420
@@ -28,7 +29,7 @@
     .filter(({ age }) => age >= 0 && age < BUCKETS)
     .map(({ age, rate }) => drawBar(age, rate))
   const title = `Burn rate of ${line.objective} for ${line.team} over three days`
-  return `<svg viewBox="0 0 ${WIDTH} ${HEIGHT}" role="img" aria-label="${title}">${drawGrid()}${bars.join('')}${drawTimes()}</svg>`
+  return `<svg viewBox="0 0 ${WIDTH} ${HEIGHT}" role="img" aria-label="${escapeHtml(title)}">${drawGrid()}${bars.join('')}${drawTimes()}</svg>`
 }
 
 function drawBar (age: number, rate: number): string {
--- a/packages/magnoliabay/src/node/report/html.ts
+++ b/packages/magnoliabay/src/node/report/html.ts
@@ -1,6 +1,7 @@
 /** The report as one page that needs nothing else: style and charts are in it. */
 import { drawBurn } from './chart'
 import type { BurnLine, BurnReport } from '.'
+import { escapeHtml } from './escape'
 import { WINDOW_NAMES } from './burn'
 import { alertText, formatShare, keptShare } from './table'
 
@@ -54,9 +55,3 @@
   const charts = lines.map(line => `<figure><figcaption>${line.objective}, target ${formatShare(line.target)}</figcaption>${drawBurn(line, report.atMs)}</figure>`)
   return `<h2>${escapeHtml(team)}</h2><div class="charts">${charts.join('')}</div>`
 }
-
-const ESCAPES: Readonly<Record<string, string>> = { '&': '&amp;', '<': '&lt;', '>': '&gt;', '"': '&quot;' }
-
-function escapeHtml (text: string): string {
-  return text.replace(/[&<>"]/g, character => ESCAPES[character]!)
-}
