--- a/packages/magnoliabay/src/node/config/settings.ts
+++ b/packages/magnoliabay/src/node/config/settings.ts
@@ -24,7 +24,9 @@
     failureDomain: v.string(),
     entryAddress: address,
     peerAddress: address,
-    operatorAddress: address
+    operatorAddress: address,
+    /** Peer addresses of other instances, asked for the configuration when the store is away at the start. @default [] */
+    seeds: v.optional(v.array(address), [])
   }),
   platform: v.strictObject({
     /** Origins of the key-value service. */
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -13,6 +13,7 @@
 import type { Logger } from './logger'
 import { createMembership, createPeerNetwork, createProofKeeper } from './members'
 import type { MemberRecord } from './members'
+import { greetSeeds } from './members/seeds'
 import { createMetrics } from './metrics'
 import { createGroupWriter, createOnce, createRetentionLease, createSharedWriter } from './once'
 import { createOperators } from './operators'
@@ -142,6 +143,7 @@
       await peers.start()
       membership.start(stop.signal)
       cfg.start(stop.signal)
+      greetSeeds({ network: peers, seeds: settings.instance.seeds, isNeeded: () => cfg.inForce().version === 0, clock }, stop.signal)
       keyring.start(stop.signal)
       directory.start(stop.signal)
       cells.start(stop.signal)
--- a/packages/magnoliabay/src/node/members/dialling.ts
+++ b/packages/magnoliabay/src/node/members/dialling.ts
@@ -13,7 +13,7 @@
   /** Dials these from now on, and no others. */
   setTargets (members: readonly MemberRecord[]): void
   /** Dials once; resolves when the connection has ended. */
-  dialOnce (member: MemberRecord): Promise<void>
+  dialOnce (member: Pick<MemberRecord, 'peerAddress'>): Promise<void>
   close (): void
 }
 
@@ -28,7 +28,7 @@
   const targets = new Map<string, AbortController>()
   const closed = new AbortController()
 
-  const dial = async (member: MemberRecord, signal: AbortSignal): Promise<void> => {
+  const dial = async (member: Pick<MemberRecord, 'peerAddress'>, signal: AbortSignal): Promise<void> => {
     const { host, port } = parseHostPort(member.peerAddress)
     const socket = options.transport.dial({ host, port, timeout: DIAL_TIMEOUT_MS })
     socket.on('timeout', () => { if (socket.connecting) socket.destroy() })
--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -40,6 +40,8 @@
   setMembers (records: readonly MemberRecord[]): void
   /** What speaks for a member being there: a link, or the lack of one where one is kept. */
   evidenceOf (memberId: string): LinkEvidence
+  /** Dials an address without knowing who is there, once; resolves when that link has ended. */
+  greet (peerAddress: string): Promise<void>
   start (): Promise<void>
   close (): Promise<void>
 }
@@ -184,6 +186,7 @@
       if (memberId === self.id || links.has(memberId)) return 'linked'
       return neighbours.has(memberId) ? 'unlinked' : 'none'
     },
+    greet: peerAddress => dialling.dialOnce({ peerAddress }),
     start: () => listenOn(server, self.peerAddress),
     close: async () => {
       dialling.close()
--- /dev/null
+++ b/packages/magnoliabay/src/node/members/seeds.ts
@@ -0,0 +1,30 @@
+/**
+ * Finding peers while the store, which knows them, is away. An instance that starts then would know nobody:
+ * it could not learn the configuration, though every other instance has it.
+ */
+import type { Clock } from '../clock'
+import { repeat } from '../clock'
+import type { PeerNetwork } from './network'
+
+const GREET_PERIOD_MS = 2000
+
+export interface SeedOptions {
+  network: Pick<PeerNetwork, 'greet'>
+  /** Peer addresses, asked in turn. */
+  seeds: readonly string[]
+  /** Whether a peer is still looked for. */
+  isNeeded: () => boolean
+  clock: Clock
+}
+
+/** Greets one seed after the other until none is needed any more, or `signal` aborts. */
+export function greetSeeds ({ network, seeds, isNeeded, clock }: SeedOptions, signal: AbortSignal): void {
+  if (seeds.length === 0) return
+  const found = new AbortController()
+  let next = 0
+  const greetOne = (): void => {
+    if (!isNeeded()) return found.abort()
+    network.greet(seeds[next++ % seeds.length]!)
+  }
+  repeat(clock, GREET_PERIOD_MS, AbortSignal.any([signal, found.signal]), greetOne)
+}
