--- a/packages/magnoliabay/src/node/cells/__tests__/cells.spec.ts
+++ b/packages/magnoliabay/src/node/cells/__tests__/cells.spec.ts
@@ -99,6 +99,24 @@
     world.close()
   })
 
+  /*
+   * The engine that holds the only replica dies, and the list goes on saying that it lives. The replica counts as
+   * decided, since its memory may still be held; a second one may be decided, and serves whoever waits.
+   */
+  it('loads a model elsewhere when its engine cannot be reached, though the list says that it lives', async () => {
+    const world = createWorld({ instances: 4, fleet: { model: [{ name: 'm', memoryMiB: 8 * GIB, maxReplicas: 2 }] } })
+    await advance(world, 8000)
+    callAt(world, 'entry-1', 'm', 10_000)
+    await advance(world, 5000)
+    const [engine] = loadedOn(world, 'm')
+    world.engines.find(candidate => candidate.id === engine)!.faults.set({ crash: true })
+    await advance(world, 3000)
+    const caller = callAt(world, 'entry-2', 'm', 10_000)
+    await advance(world, 10_000, () => checkInvariants(world, { m: 2 }))
+    expect(caller.outcome).to.equal('served')
+    world.close()
+  })
+
   /* An engine says that it leaves before the list does. Within seconds no instance sends it anything new. */
   it('takes a leaving engine out of every table within three seconds', async () => {
     const world = createWorld({ instances: 4, fleet: { model: [{ name: 'm', memoryMiB: 8 * GIB }] } })
--- a/packages/magnoliabay/src/node/cells/cells.ts
+++ b/packages/magnoliabay/src/node/cells/cells.ts
@@ -9,7 +9,7 @@
 import type { MemberRecord, Membership, Peers, ProofKeeper } from '../members'
 import type { Store } from '../platform'
 import { createReach } from '../members'
-import { rankByRendezvous } from '../utils'
+import { parseJson, rankByRendezvous } from '../utils'
 import { NOBODY, createClaimer, decideClaim } from './claim'
 import type { Holding } from './claim'
 import type { CellsConfig } from './context'
@@ -29,6 +29,8 @@
 const USAGE_PERIOD_MS = 1000
 /** The member ranked next for a cell waits this much longer before it claims it. */
 const RANK_DELAY_MS = 2000
+/** Members, as ranked for the cell, that ask again and again whether its steward answers. */
+const ASKING_RANKS = 2
 
 export interface CellsOptions {
   store: Store
@@ -74,6 +76,8 @@
   const loads = new Map<string, Readonly<Record<string, number>>>()
   const claimer = createClaimer(store, peers.self)
   const heldIntents = createHeldIntents(peers)
+  /** Cells that a claim is being weighed for: asking others takes longer than a period. */
+  const claiming = new Set<string>()
   const reach = createReach(peers)
   const usage = createUsage({ peers, replicas, stewardOf: cell => holdings.get(cell)?.record?.holder?.id })
   let hasSnapshot = false
@@ -117,14 +121,19 @@
     released.add(releaseName(cell, holder.fence))
     return true
   }
-  const suspects = async (holding: Holding): Promise<boolean> => {
+  /**
+   * Where not everybody holds a link to everybody, a member can't see that a holder far away has gone; so those
+   * who would claim the cell first ask.
+   */
+  const suspects = async (cell: string, holding: Holding): Promise<boolean> => {
     const holder = holding.record?.holder
-    if (holder === undefined || holder.id === peers.self.id || peers.isConnected(holder.id)) return false
+    if (holder === undefined || holder.id === peers.self.id) return false
+    if (peers.isConnected(holder.id) && rankOfSelf(cell, holder.id) >= ASKING_RANKS) return false
     return await reach.isOutOfReach(holder.id)
   }
   const tryClaim = async (cell: string): Promise<void> => {
     const holding = holdings.get(cell) ?? NOBODY
-    const isOutOfReach = await suspects(holding)
+    const isOutOfReach = await suspects(cell, holding)
     const right = decideClaim({
       holding,
       self: peers.self,
@@ -149,11 +158,14 @@
   const askUnproven = (cell: string): void => (holdings.get(cell)?.record?.unproven ?? [])
     .filter(former => !isAccountedFor(cell, former))
     .forEach(former => { askRelease(cell, former) })
-  const tend = async (): Promise<void> => {
+  const tend = (): void => {
     if (givingUp || cfg.inForce().version === 0) return
     if (hasSnapshot && membership.leaseId() !== undefined && !peers.self.leaving) {
-      const others = cellNames(cellCount()).filter(cell => !mine.has(cell))
-      await Promise.all(others.map(tryClaim))
+      const others = cellNames(cellCount()).filter(cell => !mine.has(cell) && !claiming.has(cell))
+      others.forEach(cell => {
+        claiming.add(cell)
+        tryClaim(cell).finally(() => claiming.delete(cell))
+      })
     }
     mine.forEach(steward => {
       askUnproven(steward.cell)
@@ -178,7 +190,9 @@
   const noteEntry = (entry: { key: string, value: string, modRevision: number }): void => {
     const [cell, kind] = entry.key.slice(CELLS_PREFIX.length).split('/')
     if (cell === undefined || kind !== 'steward') return
-    setHolding(cell, { record: JSON.parse(entry.value) as StewardRecord, modRevision: entry.modRevision })
+    const record = parseJson(entry.value) as StewardRecord | undefined
+    if (record === undefined) return logger.error('steward-record-refused', { cell })
+    setHolding(cell, { record, modRevision: entry.modRevision })
   }
   const demand = async (req: LocalDemand): Promise<DemandReply> => {
     const model = cfg.model(req.model)
--- a/packages/magnoliabay/src/node/cells/scheduler.ts
+++ b/packages/magnoliabay/src/node/cells/scheduler.ts
@@ -85,6 +85,10 @@
       domainOf
     })
   }
+  const isServing = (engine: string): boolean => {
+    const account = accounts.get(engine)
+    return account !== undefined && isUsable(account)
+  }
   const isPlaceable = (account: EngineAccount): boolean =>
     isUsable(account) && account.role === 'serve' && options.engineOf(account.engine)?.status === 'live'
   const start = async (want: Want, cfg: ModelConfig, placement: Extract<Placement, { kind: 'load' }>, holdsSlot: boolean): Promise<void> => {
@@ -104,7 +108,8 @@
     const cfg = ctx.cfg.model(want.model)
     if (cfg === undefined) return wants.remove(want.model)
     const holders = replicasOf(want.model)
-    const coming = holders.filter(replica => replica.life.state() !== 'unloading')
+    // One on an engine that can't be reached, or leaves, helps nobody who waits; it still counts as decided below.
+    const coming = holders.filter(replica => replica.life.state() !== 'unloading' && isServing(replica.engine))
     const target = Math.min(options.quotaOf(cfg), options.targetOf(want.model))
     if (coming.length >= target) return
     // A replica that is being unloaded, or may still be there, counts until it is confirmed gone.
--- a/packages/magnoliabay/src/node/commands/operatorCommands.ts
+++ b/packages/magnoliabay/src/node/commands/operatorCommands.ts
@@ -115,6 +115,22 @@
   }
 }
 
+const declareGoneCommand: Command = {
+  name: 'declare-gone',
+  summary: 'Say that a process is dead, so that what it held goes to others. Only if you know: it may be paused.',
+  positionals: 'INSTANCE INCARNATION',
+  options: CONNECTION_OPTIONS,
+  run: async context => {
+    const [instance, incarnation] = context.positionals
+    if (instance === undefined || incarnation === undefined) {
+      throw new UsageError('Say which process: magnoliabay declare-gone INSTANCE INCARNATION. Its events in the log name the incarnation, and so does magnoliabay status.')
+    }
+    await (await connect(context)).declareGone(instance, incarnation)
+    context.print(`${incarnation} counts as gone. If it lives after all, stop it now.`)
+    return EXIT_DONE
+  }
+}
+
 const reportCommand: Command = {
   name: 'report',
   summary: 'Show how fast service-level budgets burn, for each team and objective.',
@@ -134,7 +150,7 @@
 
 export const operatorCommands: readonly Command[] = [
   keyCommand, entryCommand('team'), entryCommand('service'), entryCommand('model'), entryCommand('adapter'),
-  statusCommand, explainCommand, reportCommand, drainCommand, auditCommand
+  statusCommand, explainCommand, reportCommand, drainCommand, declareGoneCommand, auditCommand
 ]
 
 function show (context: CommandContext, value: unknown, format: () => string): void {
@@ -155,7 +171,7 @@
 
 function formatStatus (status: FleetStatus): string {
   const members = status.members.map(member => [
-    member.id, member.failureDomain, member.entryAddress, member.leaving ? 'leaving' : member.isConnected ? 'connected' : 'not reached'
+    member.id, member.incarnation, member.failureDomain, member.entryAddress, member.leaving ? 'leaving' : member.isConnected ? 'connected' : 'not reached'
   ])
   const replicas = status.replicas.map(replica => [replica.model, replica.engine, replica.address])
   const teams = status.teams.map(team => [team.name, String(team.tokensPerSecond), String(team.burstTokens)])
@@ -164,7 +180,7 @@
   return [
     `As seen by ${status.instance.id}; configuration ${status.documents.map(({ document, version }) => `${document} ${version}`).join(', ')}; store ${answered}, last call ${lastOutcome ?? 'none'}.`,
     '',
-    formatTable(['instance', 'domain', 'entry', 'link'], members),
+    formatTable(['instance', 'incarnation', 'domain', 'entry', 'link'], members),
     '',
     formatTable(['model', 'engine', 'address'], replicas),
     '',
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -33,6 +33,9 @@
 import { createInstanceTls } from './tls'
 import { createId } from './utils'
 
+/** What all instances together may ask of the store, well below its several hundred writes and two thousand reads. */
+const FLEET_CALLS_PER_SECOND = 1000
+
 export interface InstanceOptions {
   settings: ResolvedSettings
   store: Store
@@ -75,7 +78,8 @@
     storeWatch.note(call)
     metrics.storeCalls.inc({ priority: call.priority, outcome: call.outcome })
   }
-  const store = createBudgetedStore(options.store, { callsPerSecond, burstCalls, clock, onCall })
+  const store = createBudgetedStore(options.store, { callsPerSecond: () => Math.min(callsPerSecond, FLEET_CALLS_PER_SECOND / fleetSize()), burstCalls, clock, onCall })
+  const fleetSize = (): number => peers.members().length
   const tls = createInstanceTls({ settings, clock, logger })
   const pools = createPools(null)
   const engines = createEngineClient()
@@ -128,7 +132,7 @@
     await handOver()
   }
   const drain = createDrain({ peers, logger, leave })
-  const commands = createOperatorCommands({ store, keyring, cfg, acceptor, drain, peers, clock })
+  const commands = createOperatorCommands({ proofs, store, keyring, cfg, acceptor, drain, peers, clock })
   const queries = createOperatorQueries({ store, cfg, peers, clock })
   const { explain } = createExplain({ peers, decisions })
   const status = createStatus({ peers, cfg, replicas: cells.replicas, store: storeWatch })
--- a/packages/magnoliabay/src/node/members/membership.ts
+++ b/packages/magnoliabay/src/node/members/membership.ts
@@ -8,6 +8,7 @@
 import type { PeerNetwork } from './network'
 import { MEMBERS_PREFIX, memberKey } from './record'
 import type { MemberRecord } from './record'
+import { parseJson } from '../utils'
 
 /** Seconds after which the store drops what hangs on a lease that nobody renews. */
 const LEASE_TTL_SECONDS = 10
@@ -91,7 +92,9 @@
     if (!record.leaving) lapsed.set(id, { record, sinceMs: clock.monotonic() })
   }
   const addRecord = (entry: Pick<KeyValue, 'key' | 'value'>): void => {
-    const record = JSON.parse(entry.value) as MemberRecord
+    // A damaged record must not cost the rest of a snapshot.
+    const record = parseJson(entry.value) as MemberRecord | undefined
+    if (record?.id === undefined) return logger.warn('member-record-refused', { key: entry.key })
     records.set(record.id, record)
   }
 
--- a/packages/magnoliabay/src/node/operators/audit.ts
+++ b/packages/magnoliabay/src/node/operators/audit.ts
@@ -11,7 +11,7 @@
 const DROPPED_TOGETHER = 50
 const TIME_DIGITS = 15
 
-export type AuditAction = 'config-applied' | 'key-created' | 'key-withdrawn' | 'drained'
+export type AuditAction = 'config-applied' | 'key-created' | 'key-withdrawn' | 'drained' | 'declared-gone'
 
 const recordSchema = v.object({
   atMs: v.number(),
--- a/packages/magnoliabay/src/node/operators/client.ts
+++ b/packages/magnoliabay/src/node/operators/client.ts
@@ -72,6 +72,7 @@
   explain (kind: SubjectKind, id: string): Promise<Explanation>
   report (): Promise<BurnReport>
   drain (instance: string): Promise<void>
+  declareGone (member: string, incarnation: string): Promise<void>
   audit (): Promise<AuditRecord[]>
   status (): Promise<FleetStatus>
 }
@@ -148,6 +149,7 @@
     entries: (kind, name) => get(`/operator/entries/${kind}`, { name }),
     explain: (kind, id) => get(`/operator/explain/${kind}/${encodeURIComponent(id)}`),
     report: () => get('/operator/report'),
+    declareGone: async (member, incarnation) => { await call('POST', '/operator/gone', { member, incarnation }) },
     drain: async instance => { await call('POST', `/operator/drain/${encodeURIComponent(instance)}`) },
     audit: () => get('/operator/audit'),
     status: () => get('/operator/status')
--- a/packages/magnoliabay/src/node/operators/commands.ts
+++ b/packages/magnoliabay/src/node/operators/commands.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '../clock'
 import { sleep } from '../clock'
 import type { Acceptor, ApplyError, ApplyRequest, ConfigHolder, Manifest } from '../config'
-import type { PeerError, Peers } from '../members'
+import type { PeerError, Peers, ProofKeeper } from '../members'
 import type { Store, StoreError } from '../platform'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
@@ -29,9 +29,21 @@
   applyConfig (req: ApplyRequest): Promise<Result<Manifest, OperatorError>>
   /** The instance leaves `locate` and hands over what it holds; its process goes on. */
   drain (instance: string, operator: string): Promise<Result<{ instance: string }, OperatorError>>
+  /**
+   * Takes an operator's word that a process is dead: its cells and its shares of allowances go to others. Said
+   * of a process that lives, it breaks what depends on there being one holder; so it is audited.
+   */
+  declareGone (process: DeclaredProcess, operator: string): Promise<Result<DeclaredProcess, OperatorError>>
+}
+
+/** A process that an operator knows to be dead. */
+export interface DeclaredProcess {
+  member: string
+  incarnation: string
 }
 
 export interface OperatorCommandsOptions {
+  proofs: Pick<ProofKeeper, 'declare'>
   store: Store
   keyring: Keyring
   cfg: ConfigHolder
@@ -86,6 +98,11 @@
       await store.transact({ compares: [], writes: [record(operator, 'drained', instance, '')] }, { priority: 'config' })
       return Ok(drained.val)
     },
+    declareGone: async (process, operator) => {
+      options.proofs.declare(process)
+      await store.transact({ compares: [], writes: [record(operator, 'declared-gone', process.member, process.incarnation)] }, { priority: 'config' })
+      return Ok(process)
+    },
     applyConfig: async req => {
       const applied = await options.acceptor.apply(req)
       if (applied.ok) dropOldAudit(store)
--- a/packages/magnoliabay/src/node/operators/routes.ts
+++ b/packages/magnoliabay/src/node/operators/routes.ts
@@ -41,6 +41,7 @@
   adapters: v.array(digest),
   chunks: v.record(v.string(), v.string())
 })
+const goneSchema = v.strictObject({ member: v.string(), incarnation: v.string() })
 const createKeySchema = v.strictObject({ team: v.string() })
 
 export interface OperatorRoute {
@@ -91,6 +92,11 @@
         reply(res, Err({ kind: 'bad-request', message: `explain takes one of ${SUBJECT_KINDS.join(', ')}` }))
       }
     },
+    {
+      method: 'POST',
+      path: '/operator/gone',
+      handle: (req, res) => withBody(req, res, goneSchema, process => commands.declareGone(process, req.operator))
+    },
     { method: 'POST', path: '/operator/drain/:instance', handle: async (req, res) => reply(res, await commands.drain(req.params.instance!, req.operator)) },
     {
       method: 'GET',
--- a/packages/magnoliabay/src/node/operators/status.ts
+++ b/packages/magnoliabay/src/node/operators/status.ts
@@ -7,6 +7,7 @@
 
 export interface MemberStatus {
   id: string
+  incarnation: string
   failureDomain: string
   entryAddress: string
   operatorAddress: string
@@ -63,8 +64,8 @@
   const { peers, cfg } = options
   return () => ({
     instance: peers.self,
-    members: peers.members().map(({ id, failureDomain, entryAddress, operatorAddress, leaving }) => ({
-      id, failureDomain, entryAddress, operatorAddress, leaving, isConnected: peers.isConnected(id)
+    members: peers.members().map(({ id, incarnation, failureDomain, entryAddress, operatorAddress, leaving }) => ({
+      id, incarnation, failureDomain, entryAddress, operatorAddress, leaving, isConnected: peers.isConnected(id)
     })),
     config: cfg.inForce().version,
     documents: cfg.inForce().documents,
--- a/packages/magnoliabay/src/node/platform/budget.ts
+++ b/packages/magnoliabay/src/node/platform/budget.ts
@@ -9,8 +9,8 @@
 import type { Store, StoreError, StorePriority } from './store'
 
 export interface StoreBudgetOptions {
-  /** Calls a second, on average. */
-  callsPerSecond: number
+  /** Calls a second, on average; asked again and again, since the fleet's size changes. */
+  callsPerSecond: () => number
   /** Calls at once after a pause. */
   burstCalls: number
   clock: Clock
@@ -48,7 +48,7 @@
 
   const fill = (): number => {
     const nowMs = clock.monotonic()
-    level = Math.min(burstCalls, level + (nowMs - filledAtMs) * callsPerSecond / 1000)
+    level = Math.min(burstCalls, level + (nowMs - filledAtMs) * callsPerSecond() / 1000)
     filledAtMs = nowMs
     return level
   }
--- a/scripts/fleet/faults.ts
+++ b/scripts/fleet/faults.ts
@@ -42,6 +42,8 @@
   return named ?? world.random.pick(world.processes.live())
 }
 
+const requestsAt = (engine: World['standIns']['engines'][number]): number => engine.state.records().requests.length
+
 const engineFault = (name: string, what: string, on: object, off: object): Fault => ({
   name,
   what,
@@ -104,6 +106,15 @@
     }
   },
   { name: 'engine-crash', what: 'an engine dies and starts anew', run: crashEngine },
+  {
+    name: 'engine-dead',
+    what: 'the busiest engine dies for good, and the list goes on saying that it lives',
+    run: async world => {
+      const [busiestEngine] = [...world.standIns.engines].sort((left, right) => requestsAt(right) - requestsAt(left))
+      await busiestEngine!.state.faults.set({ crash: true })
+      await pause(10_000)
+    }
+  },
   engineFault('engine-silent', 'connections to an engine go silent for good', { silentConnections: true }, { silentConnections: false }),
   engineFault('engine-stall', 'an engine stops sending tokens', { stall: true }, { stall: false }),
   engineFault('engine-crossed', 'an engine answers other requests', { crossedAnswers: true }, { crossedAnswers: false }),
