--- a/packages/magnoliabay/src/node/cells/cells.ts
+++ b/packages/magnoliabay/src/node/cells/cells.ts
@@ -10,6 +10,7 @@
 import type { Store } from '../platform'
 import { createReach } from '../members'
 import { parseJson, rankByRendezvous } from '../utils'
+import { createAudience } from './audience'
 import { NOBODY, createClaimer, decideClaim } from './claim'
 import type { Holding } from './claim'
 import type { CellsConfig } from './context'
@@ -76,6 +77,7 @@
   const loads = new Map<string, Readonly<Record<string, number>>>()
   const claimer = createClaimer(store, peers.self)
   const heldIntents = createHeldIntents(peers)
+  const audience = createAudience(peers, clock)
   /** Cells that a claim is being weighed for: asking others takes longer than a period. */
   const claiming = new Set<string>()
   const reach = createReach(peers)
@@ -111,6 +113,10 @@
       askStoreShare: () => askStoreShare(cell),
       areAllAccountedFor: () => record.unproven.every(former => isAccountedFor(cell, former)),
       onTable: replicas.take,
+      onLoads: notice => {
+        loads.set(cell, notice.loads)
+        audience.tell(notice)
+      },
       onSuperseded: () => { mine.delete(cell) }
     }))
   }
@@ -234,6 +240,7 @@
   /** A notice of a table may be lost, and an unload with it: whoever goes by an old table is told the new one. */
   peers.listen(usageNotice, (report, from) => {
     const steward = mine.get(report.cell)
+    if (steward !== undefined) audience.noteUser(report.cell, from.id)
     if (steward !== undefined && !steward.noteUsed(report)) peers.notify(from.id, tableNotice, steward.table())
   })
   peers.onConnected(async member => {
--- a/packages/magnoliabay/src/node/cells/steward.ts
+++ b/packages/magnoliabay/src/node/cells/steward.ts
@@ -20,8 +20,8 @@
 import { createLoadTimes } from './loadTimes'
 import { createOrderSender } from './orders'
 import { quotaOfCell } from './quota'
-import { cellOf, historyKey, loadNotice, tableNotice } from './records'
-import type { Demand, DemandReply, Intent, ReplicaEntry, ReplicaTable, UsageReport } from './records'
+import { cellOf, historyKey, tableNotice } from './records'
+import type { Demand, DemandReply, Intent, LoadNotice, ReplicaEntry, ReplicaTable, UsageReport } from './records'
 import { createRemembered } from './remembered'
 import { createReplicaOps } from './replicaOps'
 import { createScheduler } from './scheduler'
@@ -48,6 +48,8 @@
   /** Asks for the cell's part of the weight store; undefined when nobody answered. */
   askStoreShare: () => Promise<StoreShare | undefined>
   onTable: (table: ReplicaTable) => void
+  /** The load of the cell's engines has changed. */
+  onLoads: (notice: LoadNotice) => void
   onSuperseded: (reason: string) => void
 }
 
@@ -135,7 +137,7 @@
   const storeSlots = createSlots({ clock, limit: () => storeShare.current().slots, perSecond: () => storeShare.current().perSecond })
   // Adapters load in milliseconds: no time to ask, and a fixed part is seldom full.
   const adapterSlots = createSlots({ clock, limit: () => Math.max(1, Math.floor(cfg.inForce().fleet.weightStore.adaptersInFlight / cells)) })
-  const loadCare = createLoadCare({ ctx, onLoads: loads => peers.notifyAll(loadNotice, { cell, loads }) })
+  const loadCare = createLoadCare({ ctx, onLoads: loads => options.onLoads({ cell, loads }) })
   const scheduler = createScheduler({
     ctx,
     ops,
