--- a/packages/magnoliabay/src/node/cells/__tests__/policy.spec.ts
+++ b/packages/magnoliabay/src/node/cells/__tests__/policy.spec.ts
@@ -141,6 +141,15 @@
     expect(wants.ordered(0, () => 4000).map(want => want.model)).to.deep.equal(['weighty', 'urgent', 'patient', 'hopeless', 'ahead'])
   })
 
+  /* Two models have been asked for at the same moment, one ten times as often and slower to load. */
+  it('a model that many wait for goes before a smaller one that one waits for', () => {
+    const wants = createWants()
+    wants.add({ model: 'rare', adapters: [], waiting: 1, patienceMs: 10_000, weight: 1 }, 0)
+    wants.add({ model: 'popular', adapters: [], waiting: 10, patienceMs: 10_000, weight: 1 }, 0)
+    const loadMs = (want: { model: string }): number => want.model === 'popular' ? 2000 : 500
+    expect(wants.ordered(0, loadMs).map(want => want.model)).to.deep.equal(['popular', 'rare'])
+  })
+
   it('forgets what nobody asks for any more', () => {
     const wants = createWants()
     wants.add({ model: 'm', adapters: [], waiting: 1, patienceMs: 60_000, weight: 1 }, 0)
--- a/packages/magnoliabay/src/node/cells/wants.ts
+++ b/packages/magnoliabay/src/node/cells/wants.ts
@@ -78,10 +78,11 @@
 
 /**
  * Those who can still be served in time come first, by the time that they have left to begin, shortened by
- * their weight; then those who will be late anyway; then what nobody waits for yet.
+ * their weight; then those who will be late anyway; then what nobody waits for yet. A long load counts against
+ * a want, but the less the more wait for it: else the large model that everybody calls is loaded last.
  */
 function compareUrgency (left: Want, right: Want, nowMs: number, expectedMs: (want: Want) => number): number {
   const rank = (want: Want): number => want.isAhead ? 2 : want.deadlineMs - nowMs < expectedMs(want) ? 1 : 0
-  const slack = (want: Want): number => (want.deadlineMs - want.sinceMs) / want.weight + want.sinceMs + expectedMs(want)
+  const slack = (want: Want): number => (want.deadlineMs - want.sinceMs) / want.weight + want.sinceMs + expectedMs(want) / Math.max(1, want.waiting)
   return rank(left) - rank(right) || slack(left) - slack(right)
 }
