--- a/packages/magnoliabay/src/node/cells/engineCare.ts
+++ b/packages/magnoliabay/src/node/cells/engineCare.ts
@@ -71,10 +71,16 @@
     const state = await ctx.engines.state(address)
     if (ctx.isStopped()) return
     const wasUsable = isUsable(account)
-    account.isReachable = state.ok
+    noteReach(account, state)
     const changed = state.ok && compare(account, state.val, startedMs)
     if (changed || wasUsable !== isUsable(account)) ctx.publish()
   }
+  const noteReach = (account: EngineAccount, state: Awaited<ReturnType<typeof ctx.engines.state>>): void => {
+    const wasReachable = account.isReachable
+    account.isReachable = state.ok
+    if (wasReachable && state.err) logger.warn('engine-unreachable', { engine: account.engine, models: [...account.replicas.keys()], reason: state.val.message })
+    if (!wasReachable && state.ok) logger.info('engine-reachable', { engine: account.engine })
+  }
   /** True when what is loaded has changed. */
   const compare = (account: EngineAccount, state: EngineState, startedMs: number): boolean => {
     const restarted = state.incarnation !== account.incarnation
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -73,7 +73,7 @@
   setMaxListeners(0, stop.signal)
   const metrics = createMetrics()
   const { callsPerSecond, burstCalls } = settings.platform
-  const storeWatch = createStoreWatch(clock)
+  const storeWatch = createStoreWatch(clock, logger)
   const onCall = (call: StoreCallReport): void => {
     storeWatch.note(call)
     metrics.storeCalls.inc({ priority: call.priority, outcome: call.outcome })
--- a/packages/magnoliabay/src/node/members/link.ts
+++ b/packages/magnoliabay/src/node/members/link.ts
@@ -94,7 +94,10 @@
     call,
     notify: (kind, body) => {
       const hindrance = send({ type: 'notice', kind, body })
-      if (hindrance !== undefined) logger.warn('peer-notice-not-sent', { peer: peer.id, kind, reason: hindrance.message })
+      if (hindrance === undefined) return
+      // On a link that has ended nothing is amiss: its end has an event of its own.
+      const log = hindrance.kind === 'not-connected' ? logger.debug : logger.warn
+      log('peer-notice-not-sent', { peer: peer.id, kind, reason: hindrance.message })
     },
     close,
     goodbye: () => {
--- a/packages/magnoliabay/src/node/operators/__tests__/operators.spec.ts
+++ b/packages/magnoliabay/src/node/operators/__tests__/operators.spec.ts
@@ -1,6 +1,10 @@
 import { createServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { expect } from 'chai'
+import { createVirtualClock } from '../../clock/virtual'
+import { createLogger } from '../../logger'
+import type { StoreCallOutcome } from '../../platform/budget'
+import { createStoreWatch } from '../status'
 import { request } from 'undici'
 import { createDirectStore, createKvFaults, createKvState } from '@magnoliabay/standins'
 import { createKeyring } from '../../admission'
@@ -148,3 +152,20 @@
     await close()
   })
 })
+
+describe('the log of the store', () => {
+  // The store is away for a minute, and hundreds of calls fail. Whoever reads the log is told once, and once that
+  // it is back, and for how long it was away.
+  it('tells once that it is away, and once that it is back', async () => {
+    const clock = createVirtualClock()
+    const lines: string[] = []
+    const watch = createStoreWatch(clock, createLogger({ write: line => lines.push(line) }))
+    const note = (outcome: StoreCallOutcome): void => watch.note({ priority: 'ledger', outcome, seconds: 0 })
+    const outcomes: StoreCallOutcome[] = ['ok', 'unavailable', 'unknown', 'over-budget', 'unavailable']
+    outcomes.forEach(note)
+    await clock.advance(60_000)
+    note('ok')
+    note('ok')
+    expect(lines.map(line => line.replace(/^.*event=/, ''))).to.deep.equal(['store-away outcome=unavailable', 'store-back awaySeconds=60'])
+  })
+})
--- a/packages/magnoliabay/src/node/operators/status.ts
+++ b/packages/magnoliabay/src/node/operators/status.ts
@@ -4,6 +4,7 @@
 import type { MemberRecord, Peers } from '../members'
 import type { StoreCallReport } from '../platform'
 import type { Clock } from '../clock'
+import type { Logger } from '../logger'
 
 export interface MemberStatus {
   id: string
@@ -38,12 +39,28 @@
   read (): StoreStatus
 }
 
-export function createStoreWatch (clock: Clock): StoreWatch {
+/** Calls with these outcomes tell that the service itself doesn't answer. */
+const AWAY: ReadonlySet<string> = new Set(['unavailable', 'unknown'])
+
+export function createStoreWatch (clock: Clock, logger: Logger): StoreWatch {
   let answeredMs: number | undefined
   let lastOutcome: string | undefined
+  let awaySinceMs: number | undefined
+
+  /** One line when the store goes and one when it is back, whatever is called meanwhile. */
+  const logChange = (outcome: string): void => {
+    if (AWAY.has(outcome) && awaySinceMs === undefined) {
+      awaySinceMs = clock.monotonic()
+      logger.warn('store-away', { outcome })
+    }
+    if (outcome !== 'ok' || awaySinceMs === undefined) return
+    logger.info('store-back', { awaySeconds: Math.round((clock.monotonic() - awaySinceMs) / 1000) })
+    awaySinceMs = undefined
+  }
   return {
     note: ({ outcome }) => {
       lastOutcome = outcome
+      logChange(outcome)
       if (outcome === 'ok') answeredMs = clock.monotonic()
     },
     read: () => ({
