--- a/scripts/fleet/faults.ts
+++ b/scripts/fleet/faults.ts
@@ -42,6 +42,17 @@
   return named ?? world.random.pick(world.processes.live())
 }
 
+/** A fault that is switched on, stays for a while, and is switched off. */
+const switched = (name: string, what: string, ms: number, turn: (world: World, isOn: boolean) => Promise<void>): Fault => ({
+  name,
+  what,
+  run: async world => {
+    await turn(world, true)
+    await pause(ms)
+    await turn(world, false)
+  }
+})
+
 const requestsAt = (engine: World['standIns']['engines'][number]): number => engine.state.records().requests.length
 
 const engineFault = (name: string, what: string, on: object, off: object): Fault => ({
@@ -79,24 +90,10 @@
     }
   },
   { name: 'store-down', what: `the store refuses connections for ${STORE_DOWN_MS / 1000} s`, run: storeDown },
-  {
-    name: 'store-slow',
-    what: 'every call of the store takes 800 ms longer',
-    run: async world => {
-      await world.standIns.kv.faults.set({ slowMs: 800 })
-      await pause(8000)
-      await world.standIns.kv.faults.set({ slowMs: 0 })
-    }
-  },
-  {
-    name: 'store-loses-answers',
-    what: 'writes take effect, answers are lost',
-    run: async world => {
-      await world.standIns.kv.faults.set({ loseAnswers: true })
-      await pause(6000)
-      await world.standIns.kv.faults.set({ loseAnswers: false })
-    }
-  },
+  switched('store-slow', 'every call of the store takes 800 ms longer', 8000,
+    (world, isOn) => world.standIns.kv.faults.set({ slowMs: isOn ? 800 : 0 })),
+  switched('store-loses-answers', 'writes take effect, answers are lost', 6000,
+    (world, isOn) => world.standIns.kv.faults.set({ loseAnswers: isOn })),
   {
     name: 'watches-silent',
     what: 'open watches go silent for good; the configuration changes',
@@ -128,24 +125,10 @@
       await pause(10_000)
     }
   },
-  {
-    name: 'list-wrong',
-    what: 'the instance list leaves one out',
-    run: async world => {
-      await world.standIns.list.state.faults.set({ missesOne: true })
-      await pause(6000)
-      await world.standIns.list.state.faults.set({ missesOne: false })
-    }
-  },
-  {
-    name: 'weights-slow',
-    what: 'the weight store is ten times slower',
-    run: async world => {
-      await world.standIns.weights.faults.set({ slowdown: 10 })
-      await pause(8000)
-      await world.standIns.weights.faults.set({ slowdown: 1 })
-    }
-  },
+  switched('list-wrong', 'the instance list leaves one out', 6000,
+    (world, isOn) => world.standIns.list.state.faults.set({ missesOne: isOn })),
+  switched('weights-slow', 'the weight store is ten times slower', 8000,
+    (world, isOn) => world.standIns.weights.faults.set({ slowdown: isOn ? 10 : 1 })),
   {
     name: 'rolling',
     what: 'every instance is replaced in turn',
