--- a/packages/magnoliabay/src/node/allowance/constants.ts
+++ b/packages/magnoliabay/src/node/allowance/constants.ts
@@ -21,8 +21,6 @@
 export const KNOWN_TOTAL_MS = 100
 /** Members asked at once when tokens are collected. */
 export const MAX_COLLECTED_FROM = 16
-/** Homes that are asked in turn when the first can't be reached. */
-export const HOMES_ASKED = 2
 export const ASK_TIMEOUT_MS = 500
 /** A home gives up on hearing what a request elsewhere used; all of it counts as used then. Longer than any request, in milliseconds. */
 export const REMOTE_RESERVATION_MS = 300_000
--- a/packages/magnoliabay/src/node/allowance/demand.ts
+++ b/packages/magnoliabay/src/node/allowance/demand.ts
@@ -1,5 +1,5 @@
 /** How many tokens a second a team asks for at this instance, averaged over the last seconds. */
-import { MS_PER_SECOND } from './constants'
+import { createDecayingRate } from '../decayingRate'
 
 const AVERAGED_OVER_MS = 5000
 
@@ -12,24 +12,14 @@
 }
 
 export function createDemand (): Demand {
-  let average = 0
-  let atMs = 0
+  const asked = createDecayingRate(AVERAGED_OVER_MS)
   let lastMs = -Infinity
-
-  const decay = (now: number): void => {
-    average *= Math.exp(-Math.max(0, now - atMs) / AVERAGED_OVER_MS)
-    atMs = now
-  }
   return {
     note: (tokens, now) => {
-      decay(now)
-      average += tokens / AVERAGED_OVER_MS * MS_PER_SECOND
+      asked.note(tokens, now)
       lastMs = now
     },
-    rate: now => {
-      decay(now)
-      return average
-    },
+    rate: asked.read,
     lastMs: () => lastMs
   }
 }
--- a/packages/magnoliabay/src/node/allowance/reclaim.ts
+++ b/packages/magnoliabay/src/node/allowance/reclaim.ts
@@ -15,7 +15,7 @@
 import type { GoneProofs, ProcessName } from '../members/proof'
 import type { KeyValue, Store } from '../platform'
 import type { Compare } from '../platform/store'
-import { rankByRendezvous } from '../utils'
+import { parseJson, rankByRendezvous } from '../utils'
 import { ASK_TIMEOUT_MS, LEDGERS_PREFIX, PROCESSES_PREFIX } from './constants'
 import { parseLedger, settleDead } from './ledger'
 import type { LiveReport } from './ledger'
@@ -173,14 +173,6 @@
 /** An entry that can't be read still names its process by its key; nobody can answer for it. */
 function processOf (entry: KeyValue): RegisteredProcess {
   const incarnation = entry.key.slice(PROCESSES_PREFIX.length)
-  const name = parseName(entry.value) ?? { member: incarnation, incarnation }
+  const name = (parseJson(entry.value) as ProcessName | undefined) ?? { member: incarnation, incarnation }
   return { name: { member: name.member, incarnation }, modRevision: entry.modRevision }
 }
-
-function parseName (text: string): ProcessName | undefined {
-  try {
-    return JSON.parse(text) as ProcessName
-  } catch {
-    return undefined
-  }
-}
--- a/packages/magnoliabay/src/node/cells/scheduler.ts
+++ b/packages/magnoliabay/src/node/cells/scheduler.ts
@@ -4,7 +4,6 @@
  */
 import type { ModelConfig } from '../config/fleet'
 import type { ListedInstance } from '../platform'
-import { loadedReplicas } from './account'
 import type { EngineAccount, Replica } from './account'
 import type { StewardContext } from './context'
 import { isUsable } from './engineCare'
@@ -133,7 +132,3 @@
 
 /** Time over which a further use counts, milliseconds. */
 const HORIZON_MS = 300_000
-
-export function loadedCount (accounts: Iterable<EngineAccount>, model: string): number {
-  return [...accounts].flatMap(loadedReplicas).filter(replica => replica.model === model).length
-}
--- a/packages/magnoliabay/src/node/entry/completionRequest.ts
+++ b/packages/magnoliabay/src/node/entry/completionRequest.ts
@@ -4,6 +4,7 @@
 import type { Failure } from '../failures'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
+import { parseJson } from '../utils'
 import { stableHash } from '../utils'
 
 /** Rough length of a token, for the reservation that is settled to what was used. */
@@ -32,7 +33,7 @@
 }
 
 export function parseCompletion (body: Buffer, defaultMaxTokens: number): Result<CompletionRequest, Failure> {
-  const json = parseJson(body)
+  const json = parseJson(body.toString('utf8'))
   if (json === undefined) return Err(refusal('bad_request', 'The body is not valid JSON.'))
   const checked = v.safeParse(completionSchema, json)
   if (!checked.success) {
@@ -56,11 +57,3 @@
   const text = JSON.stringify(prompt ?? '').slice(0, PREFIX_LENGTH)
   return text.length < LEAST_PREFIX_LENGTH ? undefined : String(stableHash(text))
 }
-
-function parseJson (body: Buffer): unknown {
-  try {
-    return JSON.parse(body.toString('utf8'))
-  } catch {
-    return undefined
-  }
-}
