--- a/packages/magnoliabay/src/node/backend/directory.ts
+++ b/packages/magnoliabay/src/node/backend/directory.ts
@@ -6,7 +6,7 @@
 import type { Logger } from '../logger'
 import { createListeners } from '../members/dispatch'
 import type { Disposer, Peers } from '../members/peers'
-import type { InstanceList, ListedInstance } from '../platform'
+import type { InstanceList, ListedInstance } from '../store'
 import { READ_PERIOD_MS, differenceOf, isEmpty, isTurnToRead, listChanged, withChange } from './listReaders'
 import type { ListChange } from './listReaders'
 
--- a/packages/magnoliabay/src/node/backend/listReaders.ts
+++ b/packages/magnoliabay/src/node/backend/listReaders.ts
@@ -6,7 +6,7 @@
  */
 import { definePeerNotice } from '../members'
 import type { MemberRecord } from '../members'
-import type { ListedInstance } from '../platform'
+import type { ListedInstance } from '../store'
 
 /** Up to this many members everybody reads for itself. */
 export const EVERYBODY_READS = 16
--- a/packages/magnoliabay/src/node/cells/__tests__/support/pausable.ts
+++ b/packages/magnoliabay/src/node/cells/__tests__/support/pausable.ts
@@ -1,7 +1,7 @@
 /** A process whose every timer and every answer waits while it is paused. */
 import type { EngineClient } from '../../../backend/engineClient'
 import type { Clock } from '../../../clock'
-import type { Store } from '../../../platform'
+import type { Store } from '../../../store'
 
 export interface Pausable {
   readonly clock: Clock
--- a/packages/magnoliabay/src/node/cells/claim.ts
+++ b/packages/magnoliabay/src/node/cells/claim.ts
@@ -3,7 +3,7 @@
  * has lapsed may be paused, and wakes up believing that it still holds the cell.
  */
 import type { GoneProofs, MemberRecord, ProcessName } from '../members'
-import type { Store } from '../platform'
+import type { Store } from '../store'
 import { createId } from '../utils'
 import { stewardKey } from './records'
 import type { FormerHolder, StewardRecord } from './records'
--- a/packages/magnoliabay/src/node/cells/engineCare.ts
+++ b/packages/magnoliabay/src/node/cells/engineCare.ts
@@ -3,7 +3,7 @@
  * and again, and lets go of those that are gone.
  */
 import type { EngineState } from '../backend/protocol'
-import type { ListedInstance } from '../platform'
+import type { ListedInstance } from '../store'
 import { dropIfGone } from './account'
 import type { EngineAccount, Replica } from './account'
 import type { StewardContext } from './context'
--- a/packages/magnoliabay/src/node/cells/intents.ts
+++ b/packages/magnoliabay/src/node/cells/intents.ts
@@ -4,7 +4,7 @@
  */
 import type { Logger } from '../logger'
 import type { MemberRecord, Peers } from '../members'
-import type { Store } from '../platform'
+import type { Store } from '../store'
 import { dropIntentsNotice, heldIntentsCall, holdIntentCall, intentKey, intentsPrefix, stewardKey } from './records'
 import type { Intent } from './records'
 
--- a/packages/magnoliabay/src/node/cells/scheduler.ts
+++ b/packages/magnoliabay/src/node/cells/scheduler.ts
@@ -3,7 +3,7 @@
  * as often as decided.
  */
 import type { ModelConfig } from '../config/fleet'
-import type { ListedInstance } from '../platform'
+import type { ListedInstance } from '../store'
 import type { EngineAccount, Replica } from './account'
 import type { StewardContext } from './context'
 import { isUsable } from './engineCare'
--- a/packages/magnoliabay/src/node/cells/takeUp.ts
+++ b/packages/magnoliabay/src/node/cells/takeUp.ts
@@ -4,7 +4,7 @@
  */
 import type { EngineClient } from '../backend/engineClient'
 import type { EngineState, LoadedModel } from '../backend/protocol'
-import type { ListedInstance } from '../platform'
+import type { ListedInstance } from '../store'
 import { createId } from '../utils'
 import { addReplica, createEngineAccount } from './account'
 import type { EngineAccount } from './account'
--- a/packages/magnoliabay/src/node/config/dropOldVersions.ts
+++ b/packages/magnoliabay/src/node/config/dropOldVersions.ts
@@ -1,6 +1,6 @@
 /** Clearing away versions that nobody needs any more, and the chunks that only they name. */
 import type { Logger } from '../logger'
-import type { Compare, Store, WriteOperation } from '../platform'
+import type { Compare, Store, WriteOperation } from '../store'
 import { chunkKey, digestsOf, headKey, historyKey } from './documents'
 import { readHeads, readHistory } from './queries'
 
--- a/packages/magnoliabay/src/node/config/fetchChunks.ts
+++ b/packages/magnoliabay/src/node/config/fetchChunks.ts
@@ -1,6 +1,6 @@
 /** Getting the chunks that a version needs, from wherever they are to be had. */
 import type { Peers } from '../members'
-import type { Store } from '../platform'
+import type { Store } from '../store'
 import { isWhole } from './chunks'
 import { chunkKey } from './documents'
 import { CHUNK_CALL_TIMEOUT_MS, configChunks } from './spread'
--- a/packages/magnoliabay/src/node/config/queries.ts
+++ b/packages/magnoliabay/src/node/config/queries.ts
@@ -1,7 +1,7 @@
 /** Reading documents out of the store, for operators and for the check of a change. */
 import type { Clock } from '../clock'
 import { sleep } from '../clock'
-import type { Store, StoreError } from '../platform'
+import type { Store, StoreError } from '../store'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
 import { isWhole } from './chunks'
--- a/packages/magnoliabay/src/node/members/membership.ts
+++ b/packages/magnoliabay/src/node/members/membership.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '../clock'
 import { repeat } from '../clock'
 import type { Logger } from '../logger'
-import type { KeyValue, Store } from '../platform'
+import type { KeyValue, Store } from '../store'
 import type { PeerNetwork } from './network'
 import { MEMBERS_PREFIX, memberKey } from './record'
 import type { MemberRecord } from './record'
--- a/packages/magnoliabay/src/node/members/proof.ts
+++ b/packages/magnoliabay/src/node/members/proof.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
-import type { ListedInstance } from '../platform'
+import type { ListedInstance } from '../store'
 import { createListeners } from './dispatch'
 import type { Disposer, Peers } from './peers'
 import { definePeerCall, definePeerNotice } from './peers'
--- a/packages/magnoliabay/src/node/once/__tests__/once.spec.ts
+++ b/packages/magnoliabay/src/node/once/__tests__/once.spec.ts
@@ -5,7 +5,7 @@
 import type { VirtualClock } from '../../clock/virtual'
 import { createSilentLogger } from '../../logger'
 import { createMemoryNetwork } from '../../members/memoryNetwork'
-import type { Store } from '../../platform'
+import type { Store } from '../../store'
 import { createGroupWriter, createOnce, createRetentionLease, createSharedWriter } from '..'
 import type { Once } from '..'
 
--- a/packages/magnoliabay/src/node/once/answers.ts
+++ b/packages/magnoliabay/src/node/once/answers.ts
@@ -1,7 +1,7 @@
 /** Keeps answers with their claims, for repeats at any instance; long ones in parts. */
 import type { ServiceAnswer } from '../backend/serviceCall'
 import { MAX_STORE_VALUE_BYTES } from '../constants'
-import type { Store } from '../platform'
+import type { Store } from '../store'
 import type { AnswerRecord, ClaimRecord } from './record'
 import type { ClaimWriter } from './writes'
 
--- a/packages/magnoliabay/src/node/once/groupWriter.ts
+++ b/packages/magnoliabay/src/node/once/groupWriter.ts
@@ -5,8 +5,8 @@
  * losers are then found by reading, and the others written again: repeats are rare, and reads are cheap.
  */
 import type { Clock } from '../clock'
-import type { Store, StoreError } from '../platform'
-import type { Compare, Transaction, WriteOperation } from '../platform/store'
+import type { Store, StoreError } from '../store'
+import type { Compare, Transaction, WriteOperation } from '../store/store'
 import type { RetentionLease } from './retentionLease'
 import { sizeOf } from './writes'
 import type { ClaimWrite, ClaimWriter, WriteOutcome } from './writes'
--- a/packages/magnoliabay/src/node/once/retentionLease.ts
+++ b/packages/magnoliabay/src/node/once/retentionLease.ts
@@ -3,7 +3,7 @@
  * store itself forgets them when their time has run out.
  */
 import type { Clock } from '../clock'
-import type { Store, StoreError } from '../platform'
+import type { Store, StoreError } from '../store'
 import { Ok } from '../result'
 import type { Result } from '../result'
 
--- a/packages/magnoliabay/src/node/operators/audit.ts
+++ b/packages/magnoliabay/src/node/operators/audit.ts
@@ -1,7 +1,7 @@
 /** What operators changed: who, what, when, from which version. Kept in the store, bounded. */
 import * as v from 'valibot'
 import { STORE_ROOT } from '../constants'
-import type { PutOperation, Store, StoreError, WriteOperation } from '../platform'
+import type { PutOperation, Store, StoreError, WriteOperation } from '../store'
 import type { Result } from '../result'
 import { createId, parseJson } from '../utils'
 
--- a/packages/magnoliabay/src/node/operators/status.ts
+++ b/packages/magnoliabay/src/node/operators/status.ts
@@ -2,7 +2,7 @@
 import type { ReplicaEntry } from '../cells'
 import type { ConfigHolder, DocumentVersion } from '../config'
 import type { MemberRecord, Peers } from '../members'
-import type { StoreCallReport } from '../platform'
+import type { StoreCallReport } from '../store'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 
--- /dev/null
+++ b/packages/magnoliabay/src/node/store/etcdCodec.ts
@@ -0,0 +1,96 @@
+/**
+ * The JSON forms of the etcd v3 gateway: keys and values in base64, 64-bit numbers as strings.
+ */
+import type { Compare, KeyValue, Transaction, WatchEvent, WriteOperation } from './store'
+
+export interface EtcdHeader {
+  revision: string
+}
+
+export interface EtcdKeyValue {
+  key: string
+  value?: string
+  create_revision?: string
+  mod_revision?: string
+  lease?: string
+}
+
+export interface EtcdRangeResponse {
+  header: EtcdHeader
+  kvs?: EtcdKeyValue[]
+}
+
+export interface EtcdTxnResponse {
+  header: EtcdHeader
+  succeeded?: boolean
+}
+
+export interface EtcdEvent {
+  type?: 'PUT' | 'DELETE'
+  kv: EtcdKeyValue
+}
+
+export interface EtcdWatchMessage {
+  result?: {
+    header?: EtcdHeader
+    created?: boolean
+    canceled?: boolean
+    compact_revision?: string
+    events?: EtcdEvent[]
+  }
+  error?: { message?: string }
+}
+
+export function toBase64 (text: string): string {
+  return Buffer.from(text, 'utf8').toString('base64')
+}
+
+export function fromBase64 (text: string): string {
+  return Buffer.from(text, 'base64').toString('utf8')
+}
+
+/** The end of the range that holds every key with `prefix`: its last byte raised by one. */
+export function prefixEnd (prefix: string): string {
+  const bytes = Buffer.from(prefix, 'utf8')
+  bytes[bytes.length - 1]! += 1
+  return bytes.toString('base64')
+}
+
+export function encodeRange (key: string, isPrefix: boolean): object {
+  const encoded = { key: toBase64(key) }
+  return isPrefix ? { ...encoded, range_end: prefixEnd(key) } : encoded
+}
+
+const COMPARE_FORMS: Record<Compare['target'], (compare: Compare) => object> = {
+  create: compare => ({ target: 'CREATE', create_revision: String(compare.equals) }),
+  mod: compare => ({ target: 'MOD', mod_revision: String(compare.equals) }),
+  value: compare => ({ target: 'VALUE', value: toBase64(String(compare.equals)) })
+}
+
+function encodeCompare (compare: Compare): object {
+  return { key: toBase64(compare.key), result: 'EQUAL', ...COMPARE_FORMS[compare.target](compare) }
+}
+
+function encodeWrite (write: WriteOperation): object {
+  if (write.kind === 'delete') return { requestDeleteRange: { key: toBase64(write.key) } }
+  return { requestPut: { key: toBase64(write.key), value: toBase64(write.value), lease: write.leaseId ?? '0' } }
+}
+
+export function encodeTransaction (transaction: Transaction): object {
+  return { compare: transaction.compares.map(encodeCompare), success: transaction.writes.map(encodeWrite) }
+}
+
+export function decodeKeyValue (kv: EtcdKeyValue): KeyValue {
+  return {
+    key: fromBase64(kv.key),
+    value: fromBase64(kv.value ?? ''),
+    createRevision: Number(kv.create_revision ?? 0),
+    modRevision: Number(kv.mod_revision ?? 0),
+    leaseId: kv.lease ?? '0'
+  }
+}
+
+export function decodeEvent (event: EtcdEvent): WatchEvent {
+  const { key, value, createRevision, modRevision } = decodeKeyValue(event.kv)
+  return { kind: event.type === 'DELETE' ? 'delete' : 'put', key, value, createRevision, modRevision }
+}
--- a/packages/standins/src/node/kv/__tests__/direct.spec.ts
+++ b/packages/standins/src/node/kv/__tests__/direct.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import type { Store, StoreErrorKind } from 'magnoliabay/platform/store'
+import type { Store, StoreErrorKind } from 'magnoliabay/store/store'
 import { createVirtualClock } from 'magnoliabay/clock/virtual'
 import { createDirectStore, createKvCallCounter, createKvFaults, createKvState } from '..'
 import type { KvFaults } from '..'
--- a/packages/standins/src/node/kv/directWatch.ts
+++ b/packages/standins/src/node/kv/directWatch.ts
@@ -4,7 +4,7 @@
 import { sleep } from 'magnoliabay/clock/index'
 import type { Clock } from 'magnoliabay/clock/index'
 import type { Result } from 'magnoliabay/result'
-import type { RangeResult, Store, StoreError, WatchEvent, WatchHandlers } from 'magnoliabay/platform/store'
+import type { RangeResult, Store, StoreError, WatchEvent, WatchHandlers } from 'magnoliabay/store/store'
 import type { FaultSwitches } from '../faults'
 import type { KvFaults } from './faults'
 import type { KvState } from './state'
--- a/packages/standins/src/node/list/index.ts
+++ b/packages/standins/src/node/list/index.ts
@@ -3,7 +3,7 @@
  */
 import type { CancelTimer, Clock } from 'magnoliabay/clock/index'
 import { Err, Ok } from 'magnoliabay/result'
-import type { InstanceList, InstanceStatus, ListedInstance } from 'magnoliabay/platform/instanceList'
+import type { InstanceList, InstanceStatus, ListedInstance } from 'magnoliabay/store/instanceList'
 import { createAdminTarget, handleAdmin } from '../admin'
 import type { AdminTarget } from '../admin'
 import { createFaultSwitches } from '../faults'
