--- a/packages/magnoliabay/src/node/platform/engineCalls.ts
+++ b/packages/magnoliabay/src/node/platform/engineCalls.ts
@@ -87,7 +87,7 @@
 
 function toReport (wire: WireReport): EngineReport {
   return {
-    bornMs: wire.born ?? 0,
+    bornMs: wire.born,
     isBusy: wire.busy ?? false,
     orders: wire.sequence ?? 0,
     waiting: wire.waiting ?? 0,
--- a/packages/magnoliabay/src/node/serving/engineCalls.ts
+++ b/packages/magnoliabay/src/node/serving/engineCalls.ts
@@ -3,7 +3,8 @@
 import type { BackendServer, LoadedModel } from './types'
 
 export interface EngineReport {
-  bornMs: number
+  /** Start of the engine's process, where the report tells it. */
+  bornMs: number | undefined
   /** An order for a model is being carried out. */
   isBusy: boolean
   /** Orders accepted since the engine's process started. */
--- a/packages/magnoliabay/src/node/serving/placement/orderer.ts
+++ b/packages/magnoliabay/src/node/serving/placement/orderer.ts
@@ -104,7 +104,7 @@
     const report = await engines.report(server)
     asking.delete(process)
     if (report.err) return logger.debug('engine-report-missing', { server: server.id, reason: report.val })
-    if (report.val.bornMs !== server.bornMs) return
+    if (report.val.bornMs !== undefined && report.val.bornMs !== server.bornMs) return
     const before = book.entry(process).pending
     if (!book.takeReport(process, report.val, clock.monotonic())) return
     const entry = book.entry(process)
