--- a/packages/magnoliabay/src/node/platform/configDocument.ts
+++ b/packages/magnoliabay/src/node/platform/configDocument.ts
@@ -133,7 +133,8 @@
   return {
     name: wire.name,
     weightsMb: wire['weights-mb'],
-    adapters: wire.adapters,
+    // The configuration gives their number only; they are named by it.
+    adapters: Array.from({ length: wire.adapters }, (_, index) => `a${index + 1}`),
     adapterMb: wire['adapter-size-mb'],
     loadMs: {
       store: storeSeconds * MS_PER_SECOND,
--- a/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
@@ -23,6 +23,12 @@
 /** Part of the burst that the shares of all instances cut off from the home may spend at once. */
 const OWN_SHARE_BURST_PART = 0.5
 
+/**
+ * Part of the tolerated excess that the home grants as a larger burst. Requests come in clumps, and a team within its
+ * rate would be refused for a clump that comes a moment early; the rest of the excess covers changes of homes.
+ */
+const MARGIN_PART = 0.5
+
 export interface TakeRequest {
   team: string
   amount: number
@@ -52,22 +58,23 @@
   peers: Peers
   /** The team as configured now. */
   teamNamed: (name: string) => Team | undefined
+  /** What operators tolerate beyond rate and burst: a part of them, and so many units. @default nothing */
+  margin?: { part: number, units: number }
   clock: Clock
   logger: Logger
 }
 
 export function createTeamAllowance (options: TeamAllowanceOptions): TeamAllowance {
-  const { peers, teamNamed, clock, logger } = options
+  const { peers, teamNamed, clock, logger, margin = { part: 0, units: 0 } } = options
   const counted = new Map<string, Bucket>()
   const shares = new Map<string, Bucket>()
   const avoidedUntilMs = new Map<string, number>()
 
   const staying = (): readonly MemberRecord[] => peers.members().filter(member => !member.leaving)
   const homeOf = (team: string): string => rankByRendezvous(team, staying(), member => member.id)[0]?.id ?? peers.self.id
-  const bucketIn = (buckets: Map<string, Bucket>, team: Team, part: number, burstPart: number): Bucket => {
+  const bucketIn = (buckets: Map<string, Bucket>, team: Team, part: number, burst: number): Bucket => {
     const now = clock.monotonic()
     const rate = team.rate * part
-    const burst = team.burst * burstPart
     const bucket = buckets.get(team.name) ?? createBucket(rate, burst, burst * START_PART, now)
     buckets.set(team.name, bucket)
     bucket.resize(rate, burst, now)
@@ -75,13 +82,14 @@
   }
   const share = (team: Team): Bucket => {
     const part = 1 / Math.max(1, peers.members().length)
-    return bucketIn(shares, team, part, part * OWN_SHARE_BURST_PART)
+    return bucketIn(shares, team, part, team.burst * part * OWN_SHARE_BURST_PART)
   }
   /** What the home may grant: all but the equal parts of those who cannot ask it. */
   const count = (team: Team): Bucket => {
     const members = peers.members()
     const cutOff = members.filter(member => !peers.isConnected(member.id)).length
-    return bucketIn(counted, team, 1 - cutOff / Math.max(1, members.length), 1)
+    const burst = team.burst * (1 + margin.part * MARGIN_PART) + (team.unit === 'tokens' ? margin.units * MARGIN_PART : 0)
+    return bucketIn(counted, team, 1 - cutOff / Math.max(1, members.length), burst)
   }
   peers.serve(takeCall, ({ team: name, amount }) => {
     const team = teamNamed(name)
--- a/packages/magnoliabay/src/node/serving/placement/adapters.ts
+++ b/packages/magnoliabay/src/node/serving/placement/adapters.ts
@@ -16,6 +16,8 @@
   /** Requests of the model under way there. */
   load: number
   places: number
+  /** Models that it has loaded. */
+  models: readonly string[]
   adapters: readonly HeldAdapter[]
 }
 
@@ -38,3 +40,28 @@
   if (victim === undefined) return undefined
   return { id: victim.holder.id, evict: { model: victim.held.model, adapter: victim.held.adapter } }
 }
+
+export interface SpareAdapter {
+  id: string
+  model: string
+  adapter: string
+}
+
+/**
+ * Adapters that no engine has, one for each open engine with a free place and the model. An adapter takes
+ * milliseconds to load, but a request that comes first waits for a round of orders, longer while its engine is busy.
+ */
+export function spareAdapters (holders: readonly AdapterHolder[], open: readonly string[], namesOf: (model: string) => readonly string[]): SpareAdapter[] {
+  const taken = new Set(holders.flatMap(holder => holder.adapters.map(held => `${held.model}/${held.adapter}`)))
+  const roomiest = [...holders]
+    .filter(holder => open.includes(holder.id) && holder.adapters.length < holder.places)
+    .sort((left, right) => left.adapters.length - right.adapters.length)
+  return roomiest.flatMap(holder => {
+    const missing = holder.models
+      .flatMap(model => namesOf(model).map(adapter => ({ id: holder.id, model, adapter })))
+      .find(({ model, adapter }) => !taken.has(`${model}/${adapter}`))
+    if (missing === undefined) return []
+    taken.add(`${missing.model}/${missing.adapter}`)
+    return [missing]
+  })
+}
--- a/packages/magnoliabay/src/node/serving/placement/engineBook.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineBook.ts
@@ -19,6 +19,8 @@
   process: string
   /** Orders accepted, as far as known; undefined until the engine has told. */
   orders: number | undefined
+  /** It has accepted at least so many: reports that count fewer are older than what is known. */
+  leastOrders: number
   models: readonly LoadedModel[]
   copies: { memory: readonly string[], disk: readonly string[] }
   /** Adapters ordered and perhaps not there yet, as `model/adapter`. */
@@ -26,13 +28,20 @@
   pending: PendingOrder | undefined
   /** Monotonic milliseconds of the last report. */
   reportedMs: number
+  /** Since when reports count fewer orders than are known to have been accepted. */
+  staleSinceMs?: number
 }
 
+/** Reports lag by some hundred milliseconds; well beyond that, a count that is too low is no lag. */
+const MAX_REPORT_LAG_MS = 2000
+
 export interface EngineBook {
   entry (process: string): EngineEntry
   /** Takes a report over, unless it is older than what was ordered since. Returns whether it was taken. */
   takeReport (process: string, report: EngineReport, nowMs: number): boolean
   noteAccepted (process: string, order: PendingOrder): void
+  /** The engine's entry shows that the order under way is done. */
+  noteDone (process: string, models: readonly LoadedModel[]): void
   noteAdapterLoaded (process: string, model: string, adapter: string): void
   noteAdapterUnloaded (process: string, model: string, adapter: string): void
   /** The count is no longer known: ask before the next order. */
@@ -44,18 +53,19 @@
 export function createEngineBook (): EngineBook {
   const entries = new Map<string, EngineEntry>()
   const of = (process: string): EngineEntry => {
-    const found = entries.get(process) ?? { process, orders: undefined, models: [], copies: { memory: [], disk: [] }, adaptersOnTheWay: [], pending: undefined, reportedMs: -Infinity }
+    const found = entries.get(process) ?? { process, orders: undefined, leastOrders: 0, models: [], copies: { memory: [], disk: [] }, adaptersOnTheWay: [], pending: undefined, reportedMs: -Infinity }
     entries.set(process, found)
     return found
   }
   const update = (process: string, change: Partial<EngineEntry>): void => { entries.set(process, { ...of(process), ...change }) }
-  const count = (process: string): number | undefined => {
-    const { orders } = of(process)
-    return orders === undefined ? undefined : orders + 1
+  const counted = (process: string, isCertain: boolean): Pick<EngineEntry, 'orders' | 'leastOrders'> => {
+    const { orders, leastOrders } = of(process)
+    if (orders === undefined) return { orders, leastOrders }
+    return { orders: orders + 1, leastOrders: isCertain ? orders + 1 : leastOrders }
   }
-  const changeAdapters = (process: string, model: string, change: (adapters: readonly string[]) => readonly string[]): void =>
+  const changeAdapters = (process: string, model: string, isCertain: boolean, change: (adapters: readonly string[]) => readonly string[]): void =>
     update(process, {
-      orders: count(process),
+      ...counted(process, isCertain),
       models: of(process).models.map(held => held.name === model ? { ...held, adapters: change(held.adapters) } : held)
     })
 
@@ -64,28 +74,36 @@
     takeReport: (process, report, nowMs) => {
       const known = of(process)
       // Reports lag: one that has not counted an order yet does not show its effect either.
-      if (known.orders !== undefined && report.orders < known.orders) return false
+      if (report.orders < known.leastOrders) {
+        const sinceMs = known.staleSinceMs ?? nowMs
+        update(process, { staleSinceMs: sinceMs, reportedMs: nowMs })
+        // Longer than reports lag: the engine has started anew and counts from nothing.
+        if (nowMs - sinceMs < MAX_REPORT_LAG_MS) return false
+      }
       const isDone = !report.isBusy
       update(process, {
         orders: report.orders,
+        leastOrders: report.orders,
         models: report.models,
         copies: report.copies,
         adaptersOnTheWay: report.adaptersOnTheWay,
         pending: isDone ? undefined : known.pending,
-        reportedMs: nowMs
+        reportedMs: nowMs,
+        staleSinceMs: undefined
       })
       return true
     },
     noteAccepted: (process, order) => {
       const { models } = of(process)
       update(process, {
-        orders: count(process),
+        ...counted(process, true),
         pending: order,
         models: order.operation === 'unload' ? models.filter(held => held.name !== order.model) : models
       })
     },
-    noteAdapterLoaded: (process, model, adapter) => changeAdapters(process, model, adapters => [...adapters, adapter]),
-    noteAdapterUnloaded: (process, model, adapter) => changeAdapters(process, model, adapters => adapters.filter(held => held !== adapter)),
+    noteDone: (process, models) => update(process, { models, pending: undefined }),
+    noteAdapterLoaded: (process, model, adapter) => changeAdapters(process, model, true, adapters => [...adapters, adapter]),
+    noteAdapterUnloaded: (process, model, adapter) => changeAdapters(process, model, false, adapters => adapters.filter(held => held !== adapter)),
     doubt: process => update(process, { orders: undefined }),
     keep: processes => [...entries.keys()].filter(process => !processes.includes(process)).forEach(process => entries.delete(process)),
     clear: () => entries.clear()
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
@@ -0,0 +1,203 @@
+/**
+ * Orders to engines, sent one at a time to each and followed to their end: by the entries that engines write when
+ * they are done, by reports where entries are late, and by trying the next order where both would cost time.
+ */
+import type { Clock } from '../../clock'
+import { sleep } from '../../clock'
+import type { Logger } from '../../logger'
+import type { Peers } from '../../members'
+import type { ConfigInForce } from '../configInForce'
+import type { EngineCalls, EngineOrder, OrderOutcome } from '../engineCalls'
+import type { Servers } from '../servers'
+import { processOf } from '../types'
+import type { BackendServer, EngineSpec, LoadedModel, ModelSpec } from '../types'
+import { createEngineBook } from './engineBook'
+import type { EngineBook, EngineEntry, PendingOrder } from './engineBook'
+import type { Leadership } from './leadership'
+import { holdingsNotice } from './messages'
+
+/** Reports lag by some hundred milliseconds and are paid for; asking more often tells nothing new. */
+const REPORT_PERIOD_MS = 250
+/** An unload without runs takes about half a second; reports tell of it still later. */
+const UNLOAD_MS = 450
+/** From then on the load that an engine was emptied for is tried: an engine that is not done turns it back. */
+const FIRST_TRY_MS = 300
+const TRY_PERIOD_MS = 100
+/** Tries beyond this are slower: runs under way hold the unload up. */
+const QUICK_TRIES_MS = 900
+const SLOW_TRY_PERIOD_MS = 400
+/** An adapter loads within this time; requests sent before are turned back, not run. */
+const ADAPTER_READY_MS = 20
+
+export interface Engine {
+  server: BackendServer
+  spec: EngineSpec
+  entry: EngineEntry
+  process: string
+}
+
+export interface EngineOrdersOptions {
+  self: string
+  leadership: Leadership
+  servers: Servers
+  cfg: ConfigInForce
+  engines: EngineCalls
+  peers: Peers
+  clock: Clock
+  logger: Logger
+  /** An order has come to its end: there may be something to do. */
+  onDone: () => void
+  onStoreLoad: () => void
+}
+
+export interface EngineOrders {
+  readonly book: EngineBook
+  all (): Engine[]
+  specOf (model: string): ModelSpec | undefined
+  /** Whether an order is on its way to the engine. */
+  isSending (process: string): boolean
+  /** Whether the next order may be tried: nothing is under way, or an unload that should be done soon. */
+  mayTry (engine: Engine): boolean
+  load (process: string, model: string, fromStore: boolean, expectedMs: number): Promise<void>
+  unload (process: string, model: string): Promise<void>
+  loadAdapter (process: string, model: string, adapter: string): Promise<boolean>
+  unloadAdapter (process: string, model: string, adapter: string): Promise<boolean>
+  /** Asks engines whose state is not known, or whose order should be done. */
+  askReports (): void
+}
+
+export function createEngineOrders (options: EngineOrdersOptions): EngineOrders {
+  const { self, leadership, servers, cfg, engines, peers, clock, logger } = options
+  const book = createEngineBook()
+  /** Engines with an order on its way. */
+  const sending = new Set<string>()
+  const asking = new Set<string>()
+  const triedMs = new Map<string, number>()
+  /** Orders to one engine go one after the other. */
+  const queues = new Map<string, Promise<unknown>>()
+
+  const all = (): Engine[] => [...cfg.current()?.services.values() ?? []].flatMap(service => {
+    const spec = service.engine
+    if (spec === undefined) return []
+    return servers.usable(service.name).map(server => ({ server, spec, entry: book.entry(processOf(server)), process: processOf(server) }))
+  })
+  const find = (process: string): Engine | undefined => all().find(engine => engine.process === process)
+  const specOf = (model: string): ModelSpec | undefined =>
+    [...cfg.current()?.services.values() ?? []].map(service => service.engine?.models.get(model)).find(spec => spec !== undefined)
+  const tell = ({ server }: Engine, models: readonly LoadedModel[]): void => {
+    servers.noteModels(server, models)
+    peers.notifyAll(holdingsNotice, { server: server.id, bornMs: server.bornMs, models })
+  }
+  const done = (engine: Engine, before: PendingOrder, source: string): void => {
+    logger.info('order-done', { server: engine.server.id, operation: before.operation, model: before.model, source, tookMs: Math.round(clock.monotonic() - before.sentMs), expectedMs: before.expectedMs })
+    tell(engine, book.entry(engine.process).models)
+    options.onDone()
+  }
+  const askReport = async (engine: Engine): Promise<void> => {
+    const { server, process } = engine
+    if (asking.has(process)) return
+    asking.add(process)
+    const report = await engines.report(server)
+    asking.delete(process)
+    if (report.err) return logger.debug('engine-report-missing', { server: server.id, reason: report.val })
+    if (report.val.bornMs !== undefined && report.val.bornMs !== server.bornMs) return
+    const before = book.entry(process).pending
+    if (!book.takeReport(process, report.val, clock.monotonic())) return
+    if (before !== undefined && book.entry(process).pending === undefined) done(engine, before, 'report')
+  }
+  const isDue = ({ entry }: Engine): boolean => {
+    const now = clock.monotonic()
+    if (now - entry.reportedMs < REPORT_PERIOD_MS) return false
+    if (entry.orders === undefined) return true
+    return entry.pending !== undefined && now - entry.pending.sentMs >= entry.pending.expectedMs
+  }
+  servers.onListed(server => {
+    const engine = find(processOf(server))
+    const pending = engine?.entry.pending
+    if (engine === undefined || pending === undefined) return
+    const holds = server.models.some(held => held.name === pending.model)
+    if (holds !== (pending.operation === 'load')) return
+    book.noteDone(engine.process, server.models)
+    done(engine, pending, 'entry')
+  })
+
+  const serially = <T> (process: string, task: (engine: Engine) => Promise<T>, otherwise: T): Promise<T> => {
+    const run = async (): Promise<T> => {
+      const engine = find(process)
+      if (engine === undefined) return otherwise
+      sending.add(process)
+      try {
+        return await task(engine)
+      } finally {
+        sending.delete(process)
+      }
+    }
+    const next = (queues.get(process) ?? Promise.resolve()).then(run)
+    queues.set(process, next)
+    return next
+  }
+  const send = async ({ server, entry }: Engine, order: Pick<EngineOrder, 'operation' | 'model' | 'adapter'>): Promise<OrderOutcome> => {
+    const fence = leadership.fence()
+    if (fence === undefined || entry.orders === undefined) return 'refused'
+    const outcome = await engines.order(server, { ...order, expectedOrders: entry.orders, holder: self, fence })
+    logger.info('order-sent', { server: server.id, operation: order.operation, model: order.model, adapter: order.adapter, expectedOrders: entry.orders, fence, outcome })
+    return outcome
+  }
+  const sendAdapter = (process: string, operation: 'load' | 'unload', model: string, adapter: string): Promise<boolean> => serially(process, async engine => {
+    const hasIt = engine.entry.models.some(held => held.name === model && held.adapters.includes(adapter))
+    if (hasIt === (operation === 'load')) return true
+    const outcome = await send(engine, { operation, model, adapter })
+    if (outcome !== 'accepted' && outcome !== 'holds-already') {
+      // While a model is being loaded an engine turns back every other order; the count stands.
+      if (engine.entry.pending === undefined) book.doubt(process)
+      return false
+    }
+    // It was there before; whether the order was counted is not said.
+    if (operation === 'load' && outcome === 'holds-already') book.doubt(process)
+    if (operation === 'load') book.noteAdapterLoaded(process, model, adapter)
+    else book.noteAdapterUnloaded(process, model, adapter)
+    if (operation === 'load') await sleep(clock, ADAPTER_READY_MS)
+    tell(engine, book.entry(process).models)
+    return true
+  }, false)
+
+  return {
+    book,
+    all,
+    specOf,
+    isSending: process => sending.has(process),
+    mayTry: ({ process, entry }) => {
+      if (entry.orders === undefined || sending.has(process)) return false
+      if (entry.pending === undefined) return true
+      if (entry.pending.operation === 'load') return false
+      const sinceMs = clock.monotonic() - entry.pending.sentMs
+      const periodMs = sinceMs < QUICK_TRIES_MS ? TRY_PERIOD_MS : SLOW_TRY_PERIOD_MS
+      return sinceMs >= FIRST_TRY_MS && clock.monotonic() - (triedMs.get(process) ?? -Infinity) >= periodMs
+    },
+    load: (process, model, fromStore, expectedMs) => serially(process, async engine => {
+      triedMs.set(process, clock.monotonic())
+      const isTry = engine.entry.pending !== undefined
+      const outcome = await send(engine, { operation: 'load', model })
+      // One that nobody answered may begin as well: it counts as begun.
+      if (fromStore && (outcome === 'accepted' || outcome === 'unanswered')) options.onStoreLoad()
+      if (outcome === 'accepted') return book.noteAccepted(process, { operation: 'load', model, sentMs: clock.monotonic(), expectedMs, fromStore })
+      if (!isTry || outcome !== 'conflict') book.doubt(process)
+    }, undefined),
+    unload: (process, model) => serially(process, async engine => {
+      if (engine.entry.pending !== undefined) return
+      // Requests go elsewhere from now on: those that come in meanwhile would be turned back.
+      tell(engine, engine.entry.models.filter(held => held.name !== model))
+      const outcome = await send(engine, { operation: 'unload', model })
+      if (outcome === 'accepted') return book.noteAccepted(process, { operation: 'unload', model, sentMs: clock.monotonic(), expectedMs: UNLOAD_MS, fromStore: false })
+      book.doubt(process)
+      tell(engine, engine.entry.models)
+    }, undefined),
+    loadAdapter: (process, model, adapter) => sendAdapter(process, 'load', model, adapter),
+    unloadAdapter: (process, model, adapter) => sendAdapter(process, 'unload', model, adapter),
+    askReports: () => {
+      const known = all()
+      book.keep(known.map(engine => engine.process))
+      known.filter(isDue).forEach(engine => { askReport(engine) })
+    }
+  }
+}
--- a/packages/magnoliabay/src/node/serving/placement/plan.ts
+++ b/packages/magnoliabay/src/node/serving/placement/plan.ts
@@ -81,6 +81,8 @@
 
   const take = (option: Option, model: string, reason: 'waiting' | 'more-replicas'): void => {
     engines.delete(option.engine.id)
+    // The best place has an order under way: waiting for it is quicker than any other.
+    if (option.engine.busyMs > 0) return
     if (option.victim !== undefined) {
       steps.push({ kind: 'unload', engine: option.engine.id, model: option.victim, inFavourOf: model })
       return
@@ -88,8 +90,7 @@
     if (option.tier === 'store') storeLoads -= 1
     steps.push({ kind: 'load', engine: option.engine.id, model, tier: option.tier, reason })
   }
-  const free = (): EnginePlan[] => [...engines.values()].filter(engine => engine.busyMs === 0)
-  const best = (model: string, maxVictimCost: number): Option | undefined => free()
+  const best = (model: string, maxVictimCost: number): Option | undefined => [...engines.values()]
     .filter(engine => !engine.models.includes(model))
     .flatMap(engine => optionsAt(engine, model, input, needs, replicas))
     .filter(option => option.tier !== 'store' || storeLoads > 0)
@@ -124,7 +125,7 @@
   const spec = input.specs.get(model)
   if (spec === undefined) return []
   const tier = tierOf(engine, model)
-  const loadMs = spec.loadMs[tier]
+  const loadMs = engine.busyMs + spec.loadMs[tier]
   if (engine.freeMb >= spec.weightsMb) return [{ engine, tier, victim: undefined, readyMs: loadMs, cost: loadMs }]
   return engine.models
     .filter(held => engine.freeMb + (input.specs.get(held)?.weightsMb ?? 0) >= spec.weightsMb)
--- a/packages/magnoliabay/src/node/serving/servers.ts
+++ b/packages/magnoliabay/src/node/serving/servers.ts
@@ -35,6 +35,8 @@
   /** Takes over a report that is newer than the entry: what the engine holds. */
   noteModels (server: BackendServer, models: BackendServer['models']): void
   onChanged (listener: () => void): void
+  /** Called with each entry as the store lists it. */
+  onListed (listener: (server: BackendServer) => void): void
 }
 
 export interface ServersOptions {
@@ -52,6 +54,7 @@
   const texts = new Map<string, ListedEntry>()
   const leaving = new Set<string>()
   const listeners: Array<() => void> = []
+  const listedListeners: Array<(server: BackendServer) => void> = []
   const pendingRemovals = new Map<string, () => void>()
   let isKnown = false
 
@@ -87,6 +90,7 @@
     const before = servers.get(id)
     servers.set(id, server)
     texts.set(id, { key, value })
+    listedListeners.forEach(listener => listener(server))
     if (before?.state === server.state && before.bornMs === server.bornMs) return
     logger.info('server-listed', { server: id, service: server.service, address: server.address, state: server.state, bornMs: server.bornMs })
   }
@@ -124,6 +128,7 @@
       servers.set(server.id, { ...known, models })
       changed()
     },
-    onChanged: listener => { listeners.push(listener) }
+    onChanged: listener => { listeners.push(listener) },
+    onListed: listener => { listedListeners.push(listener) }
   }
 }
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -40,6 +40,7 @@
   graceMs: number
   orderLeaseMs: number
   retryBudget: { ratio: number, slack: number, windowMs: number }
+  allowanceMargin: { part: number, units: number }
   loadCeiling: { windowMs: number, factor: number }
   store: { minLeaseMs: number }
 }
@@ -152,7 +153,7 @@
     clock,
     logger
   })
-  const allowance = createTeamAllowance({ peers, teamNamed: name => cfg.current()?.teams?.find(team => team.name === name), clock, logger })
+  const allowance = createTeamAllowance({ peers, teamNamed: name => cfg.current()?.teams?.find(team => team.name === name), margin: settings.allowanceMargin, clock, logger })
   const serve = createServe({
     cfg,
     wire,
--- a/packages/magnoliabay/src/node/serving/types.ts
+++ b/packages/magnoliabay/src/node/serving/types.ts
@@ -37,7 +37,7 @@
 export interface ModelSpec {
   name: string
   weightsMb: number
-  adapters: number
+  adapters: readonly string[]
   adapterMb: number
   /** Load times by where the weights are, milliseconds. */
   loadMs: { memory: number, disk: number, store: number }
