--- a/packages/magnoliabay/src/node/serving/placement/engineBook.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineBook.ts
@@ -80,9 +80,13 @@
         // Longer than reports lag: the engine has started anew and counts from nothing.
         if (nowMs - sinceMs < MAX_REPORT_LAG_MS) return false
       }
+      // The entry told that the order is done; the report is from before, and does not show what was loaded. Taken
+      // over, it would make room on paper for a model more than the engine can hold.
+      if (report.isBusy && known.orders !== undefined && known.pending === undefined) return false
       const isDone = !report.isBusy
       update(process, {
-        orders: report.orders,
+        // An order of somebody else is under way: nothing is known until it has ended.
+        orders: report.isBusy && known.pending === undefined ? undefined : report.orders,
         leastOrders: report.orders,
         models: report.models,
         copies: report.copies,
