--- a/packages/magnoliabay/src/node/platform/kvStore.ts
+++ b/packages/magnoliabay/src/node/platform/kvStore.ts
@@ -18,6 +18,8 @@
 const WATCH_GRACE_MS = 1000
 /** Pause after a watch that brought events: what changes meanwhile comes in one answer instead of many. */
 const GATHER_MS = 300
+/** The same where news is worth more than the calls that it takes. */
+const GATHER_URGENT_MS = 10
 const RETRY_MS = 300
 const MAX_CONNECTIONS = 6
 
@@ -33,8 +35,8 @@
   lastContactMs (): number
   /** Since when the store has answered every call, monotonic milliseconds; Infinity while it does not. */
   steadySinceMs (): number
-  /** Begins the watch; prefixes are to be registered before. */
-  start (signal: AbortSignal): void
+  /** Begins the watch; prefixes are to be registered before. While `isUrgent`, changes are not gathered. */
+  start (signal: AbortSignal, isUrgent: () => boolean): void
   close (): Promise<void>
 }
 
@@ -78,6 +80,7 @@
   const { address, clock, logger } = options
   const pool = new Pool(`http://${address}`, { connections: MAX_CONNECTIONS, pipelining: 1, connect: { timeout: CALL_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: 0 })
   const subscribers: Subscriber[] = []
+  let isUrgent = (): boolean => false
   let lastContactMs = -Infinity
   let isReachable: boolean | undefined
   let steadySinceMs = Infinity
@@ -188,7 +191,7 @@
     }
     const { events, at } = res.val.body as { events: WireItem[], at: number }
     deliver(events)
-    if (events.length > 0) await sleep(clock, GATHER_MS, signal)
+    if (events.length > 0) await sleep(clock, isUrgent() ? GATHER_URGENT_MS : GATHER_MS, signal)
     return Math.max(after, at)
   }
   const run = async (signal: AbortSignal): Promise<void> => {
@@ -213,7 +216,10 @@
     watch: (prefix, handlers) => { subscribers.push({ prefix, handlers }) },
     lastContactMs: () => lastContactMs,
     steadySinceMs: () => steadySinceMs,
-    start: signal => { run(signal) },
+    start: (signal, urgent) => {
+      isUrgent = urgent
+      run(signal)
+    },
     close: () => pool.destroy()
   }
 }
--- a/packages/magnoliabay/src/node/platform/settings.ts
+++ b/packages/magnoliabay/src/node/platform/settings.ts
@@ -34,8 +34,7 @@
     'origin-overshoot': v.optional(v.number(), 1),
     ttl_max_s: v.optional(v.number(), 5),
     'contact-timeout-ms': v.number(),
-    'quota-overshoot': v.optional(v.number(), 0),
-    'quota-slack': v.optional(v.number(), 0)
+    'quota-window-s': v.optional(v.number(), 8)
   }),
   platform: v.object({
     address: v.string(),
@@ -59,8 +58,8 @@
   /** Two instances that give orders must be this far apart, milliseconds. */
   orderLeaseMs: number
   retryBudget: { ratio: number, slack: number, windowMs: number }
-  /** What a team may be given beyond its rate and burst, in the units of its allowance: a part of both, and so many units. */
-  allowanceMargin: { part: number, units: number }
+  /** Rates and bursts of teams are counted over this window, milliseconds. */
+  allowanceWindowMs: number
   /** Loads from the weight store: counted in this window, with this factor on the rate. */
   loadCeiling: { windowMs: number, factor: number }
   /** Longest time that callers keep a list of addresses, milliseconds. */
@@ -111,7 +110,7 @@
     graceMs: bounds['grace-period-s'] * 1000,
     orderLeaseMs: bounds['lease-ms'],
     retryBudget: { ratio: bounds['retry-budget-ratio'], slack: bounds['retry-budget-slack'], windowMs: bounds['budget-window-s'] * 1000 },
-    allowanceMargin: { part: bounds['quota-overshoot'], units: bounds['quota-slack'] },
+    allowanceWindowMs: bounds['quota-window-s'] * 1000,
     loadCeiling: { windowMs: bounds['ceiling-window-s'] * 1000, factor: bounds['origin-overshoot'] },
     maxResolutionMs: bounds.ttl_max_s * 1000,
     store: {
--- a/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
@@ -1,6 +1,7 @@
 /**
- * Teams' allowances over the fleet. One instance, a team's home, counts for all; an instance that cannot reach the
- * home spends an equal part of the allowance, and the home counts on that part being spent.
+ * Teams' allowances over the fleet. One instance, a team's home, counts for all. An instance that cannot reach the
+ * home spends an equal part of the allowance, less what it has spent already, and the home counts on that part being
+ * spent. Everybody tells what it has spent, so that a new home begins with what is known.
  */
 import type { Clock } from '../../clock'
 import type { Logger } from '../../logger'
@@ -8,26 +9,18 @@
 import type { MemberRecord, Peers } from '../../members'
 import { rankByRendezvous } from '../../utils'
 import type { Team } from '../types'
-import { createBucket } from './bucket'
-import type { Bucket } from './bucket'
+import { createSpending } from './spending'
+import type { Spending } from './spending'
 
 /** A home answers within a round trip; longer than this, the request would be late for its objective. */
 const ASK_TIMEOUT_MS = 150
 /** A home that did not answer is not asked again for this long: each request would wait for it anew. */
 const AVOID_HOME_MS = 1000
 /**
- * What a bucket holds when its process begins to count: a new home does not know what was spent before it. A whole
- * burst at each change of homes would let a team spend a multiple; nothing at all would refuse those within their rate.
+ * Part of the allowance that a process counts as spent when it may be the home of teams and nobody told it anything:
+ * the whole fleet may have been restarted a moment ago, after spending all.
  */
-const START_PART = 0.25
-/** Part of the burst that the shares of all instances cut off from the home may spend at once. */
-const OWN_SHARE_BURST_PART = 0.5
-
-/**
- * Part of the tolerated excess that the home grants as a larger burst. Requests come in clumps, and a team within its
- * rate would be refused for a clump that comes a moment early; the rest of the excess covers changes of homes.
- */
-const MARGIN_PART = 0.5
+const UNKNOWN_PART = 0.5
 
 export interface TakeRequest {
   team: string
@@ -48,76 +41,118 @@
   decidedBy: 'home' | 'share'
 }
 
+/** What an instance has spent of a team's allowance within the window. */
+export interface TeamSpent {
+  team: string
+  units: number
+}
+
 export interface TeamAllowance {
   take (team: Team, amount: number): Promise<Taken>
   /** Gives back what was taken for a request that no server ran. */
   giveBack (team: Team, amount: number): void
+  /** What this instance has spent, for the others to know. */
+  spent (): readonly TeamSpent[]
+  /** Another instance told what it has spent. */
+  noteSpent (member: string, spent: readonly TeamSpent[]): void
 }
 
 export interface TeamAllowanceOptions {
   peers: Peers
   /** The team as configured now. */
   teamNamed: (name: string) => Team | undefined
-  /** What operators tolerate beyond rate and burst: a part of them, and so many units. @default nothing */
-  margin?: { part: number, units: number }
+  /** Length of the window in which rate and burst are counted, milliseconds. */
+  windowMs: number
+  /** Nothing was spent before this process: the whole system starts for the first time. */
+  isFirstStart: boolean
   clock: Clock
   logger: Logger
 }
 
+interface Told {
+  spent: ReadonlyMap<string, number>
+  atMs: number
+}
+
+const MS_PER_SECOND = 1000
+
 export function createTeamAllowance (options: TeamAllowanceOptions): TeamAllowance {
-  const { peers, teamNamed, clock, logger, margin = { part: 0, units: 0 } } = options
-  const counted = new Map<string, Bucket>()
-  const shares = new Map<string, Bucket>()
+  const { peers, teamNamed, windowMs, clock, logger } = options
+  /** As home, for all instances. */
+  const counted = new Map<string, Spending>()
+  /** By this instance. */
+  const own = new Map<string, Spending>()
+  const told = new Map<string, Told>()
   const avoidedUntilMs = new Map<string, number>()
 
+  const limitOf = (team: Team): number => team.rate * windowMs / MS_PER_SECOND + team.burst
   const staying = (): readonly MemberRecord[] => peers.members().filter(member => !member.leaving)
   const homeOf = (team: string): string => rankByRendezvous(team, staying(), member => member.id)[0]?.id ?? peers.self.id
-  const bucketIn = (buckets: Map<string, Bucket>, team: Team, part: number, burst: number): Bucket => {
-    const now = clock.monotonic()
-    const rate = team.rate * part
-    const bucket = buckets.get(team.name) ?? createBucket(rate, burst, burst * START_PART, now)
-    buckets.set(team.name, bucket)
-    bucket.resize(rate, burst, now)
-    return bucket
+  const ownOf = (team: string): Spending => {
+    const found = own.get(team) ?? createSpending(windowMs)
+    own.set(team, found)
+    return found
   }
-  const share = (team: Team): Bucket => {
-    const part = 1 / Math.max(1, peers.members().length)
-    return bucketIn(shares, team, part, team.burst * part * OWN_SHARE_BURST_PART)
+  const toldBy = (team: string): number[] => [...told.values()]
+    .filter(each => clock.monotonic() - each.atMs < windowMs)
+    .map(each => each.spent.get(team) ?? 0)
+  const beginCounting = (team: Team): Spending => {
+    const spending = createSpending(windowMs)
+    const known = toldBy(team.name)
+    const isUnknown = known.length === 0 && !options.isFirstStart
+    const before = isUnknown ? limitOf(team) * UNKNOWN_PART : known.reduce((sum, units) => sum + units, ownOf(team.name).spent(clock.monotonic()))
+    spending.note(before, clock.monotonic())
+    logger.info('allowance-home', { team: team.name, spentBefore: Math.round(before), tellers: known.length, limit: Math.round(limitOf(team)) })
+    return spending
   }
-  /** What the home may grant: all but the equal parts of those who cannot ask it. */
-  const count = (team: Team): Bucket => {
+  /** Grants what the whole allowance has left, but for the equal parts of those who cannot ask. */
+  const takeHere = (team: Team, amount: number): number => {
+    const spending = counted.get(team.name) ?? beginCounting(team)
+    counted.set(team.name, spending)
     const members = peers.members()
     const cutOff = members.filter(member => !peers.isConnected(member.id)).length
-    const burst = team.burst * (1 + margin.part * MARGIN_PART) + (team.unit === 'tokens' ? margin.units * MARGIN_PART : 0)
-    return bucketIn(counted, team, 1 - cutOff / Math.max(1, members.length), burst)
+    return spending.take(amount, limitOf(team) * (1 - cutOff / Math.max(1, members.length)), clock.monotonic())
   }
   peers.serve(takeCall, ({ team: name, amount }) => {
     const team = teamNamed(name)
-    return { waitMs: team === undefined || team.rate === 0 ? 0 : count(team).take(amount, clock.monotonic()) }
-  })
-  peers.listen(giveBackNotice, ({ team: name, amount }) => {
-    const team = teamNamed(name)
-    if (team !== undefined && team.rate > 0) count(team).giveBack(amount, clock.monotonic())
+    return { waitMs: team === undefined || team.rate === 0 ? 0 : takeHere(team, amount) }
   })
-  const takeShare = (team: Team, amount: number): Taken => ({ waitMs: share(team).take(amount, clock.monotonic()), decidedBy: 'share' })
+  peers.listen(giveBackNotice, ({ team: name, amount }) => counted.get(name)?.giveBack(amount, clock.monotonic()))
+  const noteOwn = (team: Team, amount: number, waitMs: number): Taken => {
+    if (waitMs === 0) ownOf(team.name).note(amount, clock.monotonic())
+    return { waitMs, decidedBy: 'home' }
+  }
+  const takeShare = (team: Team, amount: number): Taken => {
+    const limit = limitOf(team) / Math.max(1, peers.members().length)
+    return { waitMs: ownOf(team.name).take(amount, limit, clock.monotonic()), decidedBy: 'share' }
+  }
 
   return {
     take: async (team, amount) => {
       if (team.rate === 0) return { waitMs: 0, decidedBy: 'share' }
       const home = homeOf(team.name)
-      if (home === peers.self.id) return { waitMs: count(team).take(amount, clock.monotonic()), decidedBy: 'home' }
+      if (home === peers.self.id) return noteOwn(team, amount, takeHere(team, amount))
+      // What was counted here is out of date as soon as another counts.
+      counted.delete(team.name)
       if (!peers.isConnected(home) || (avoidedUntilMs.get(home) ?? 0) > clock.monotonic()) return takeShare(team, amount)
       const reply = await peers.call(home, takeCall, { team: team.name, amount }, { timeoutMs: ASK_TIMEOUT_MS })
-      if (reply.ok) return { waitMs: reply.val.waitMs, decidedBy: 'home' }
+      if (reply.ok) return noteOwn(team, amount, reply.val.waitMs)
       avoidedUntilMs.set(home, clock.monotonic() + AVOID_HOME_MS)
       logger.warn('allowance-home-unreached', { team: team.name, home, reason: reply.val.kind })
       return takeShare(team, amount)
     },
     giveBack: (team, amount) => {
       if (team.rate === 0) return
+      ownOf(team.name).giveBack(amount, clock.monotonic())
       const home = homeOf(team.name)
-      if (home === peers.self.id) return count(team).giveBack(amount, clock.monotonic())
-      peers.notify(home, giveBackNotice, { team: team.name, amount })
+      if (home === peers.self.id) counted.get(team.name)?.giveBack(amount, clock.monotonic())
+      else peers.notify(home, giveBackNotice, { team: team.name, amount })
+    },
+    spent: () => [...own]
+      .map(([team, spending]) => ({ team, units: Math.round(spending.spent(clock.monotonic())) }))
+      .filter(({ units }) => units > 0),
+    noteSpent: (member, spent) => {
+      told.set(member, { spent: new Map(spent.map(({ team, units }) => [team, units])), atMs: clock.monotonic() })
     }
   }
 }
--- a/packages/magnoliabay/src/node/serving/configInForce.ts
+++ b/packages/magnoliabay/src/node/serving/configInForce.ts
@@ -37,6 +37,12 @@
   let currentText: string | undefined
   let index = EMPTY
 
+  const noteAllowances = (next: ServingConfig): void => {
+    const before = new Map(current?.teams?.map(team => [team.name, team]))
+    next.teams
+      ?.filter(team => before.get(team.name)?.rate !== team.rate || before.get(team.name)?.burst !== team.burst)
+      .forEach(team => logger.info('allowance-set', { version: next.version, team: team.name, rate: team.rate, burst: team.burst, unit: team.unit, keys: team.keys.length }))
+  }
   return {
     current: () => current,
     version: () => current?.version ?? 0,
@@ -50,6 +56,7 @@
       // A late answer or a peer that lags must not bring a withdrawn key or a removed route back.
       if (next.version <= (current?.version ?? 0)) return false
       logger.info('config-in-force', { version: next.version, before: current?.version, source, routes: next.routes.length, teams: next.teams?.length, atMs: Math.round(clock.monotonic()) })
+      noteAllowances(next)
       current = next
       currentText = text
       index = indexOf(next)
--- a/packages/magnoliabay/src/node/serving/fleetTable.ts
+++ b/packages/magnoliabay/src/node/serving/fleetTable.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../clock'
 import { definePeerNotice } from '../members'
 import type { Peers } from '../members'
+import type { TeamSpent } from './allowance/teamAllowance'
 
 /** How often each instance tells. Placement of requests errs by what starts in between; nine instances cost 36 notices a second each. */
 export const TABLE_PERIOD_MS = 250
@@ -33,6 +34,8 @@
   inFlight: readonly InFlight[]
   demand: readonly ModelDemand[]
   leavingServers: readonly string[]
+  /** Of teams' allowances, within the window. */
+  spent: readonly TeamSpent[]
   isReady: boolean
   /** The instance gives orders to engines. */
   isOrderer: boolean
--- a/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
@@ -18,10 +18,10 @@
 
 /** Reports lag by some hundred milliseconds and are paid for; asking more often tells nothing new. */
 const REPORT_PERIOD_MS = 250
-/** An unload without runs takes about half a second; reports tell of it still later. */
-const UNLOAD_MS = 450
+/** An unload without runs takes less than this. */
+const UNLOAD_MS = 100
 /** From then on the load that an engine was emptied for is tried: an engine that is not done turns it back. */
-const FIRST_TRY_MS = 300
+const FIRST_TRY_MS = 150
 const TRY_PERIOD_MS = 100
 /** Tries beyond this are slower: runs under way hold the unload up. */
 const QUICK_TRIES_MS = 900
--- a/packages/magnoliabay/src/node/serving/placement/orderer.ts
+++ b/packages/magnoliabay/src/node/serving/placement/orderer.ts
@@ -29,7 +29,7 @@
 /** An engine that was emptied for a model and has not got it by then is free for others. */
 const MAX_PROMISE_MS = 15_000
 /** A swap of models on one engine, milliseconds: unload and load from disk. */
-const SWAP_MS = 2600
+const SWAP_MS = 2000
 /** When an adapter that could not be ordered now is worth asking for again, milliseconds. */
 const ADAPTER_RETRY_MS = 250
 
--- a/packages/magnoliabay/src/node/serving/placement/plan.ts
+++ b/packages/magnoliabay/src/node/serving/placement/plan.ts
@@ -49,13 +49,13 @@
 /** Part of an engine's slots that one model's streams may take before it gets another replica. */
 const REPLICA_LOAD_PART = 0.3
 /** An unload without runs under way takes about this long, milliseconds. */
-const UNLOAD_MS = 500
+const UNLOAD_MS = 100
 /** A run under way holds up an unload for about this long, milliseconds. */
 const RUN_MS = 2500
 /** A model that was asked for within this time is likely to be asked for again, milliseconds. */
 const RECENT_MS = 1500
 /** What a request that finds its model gone costs, in milliseconds of waiting: the time to load it again. */
-const RELOAD_MS = 2500
+const RELOAD_MS = 2000
 
 export function tierOf (engine: Pick<EnginePlan, 'copies'>, model: string): WeightTier {
   if (engine.copies.memory.includes(model)) return 'memory'
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -40,7 +40,8 @@
   graceMs: number
   orderLeaseMs: number
   retryBudget: { ratio: number, slack: number, windowMs: number }
-  allowanceMargin: { part: number, units: number }
+  allowanceWindowMs: number
+  isFirstStart: boolean
   loadCeiling: { windowMs: number, factor: number }
   store: { minLeaseMs: number }
 }
@@ -48,7 +49,8 @@
 export interface ServingStore extends Store {
   lastContactMs (): number
   steadySinceMs (): number
-  start (signal: AbortSignal): void
+  /** Begins the watch. While `isUrgent`, changes are told one by one instead of in groups. */
+  start (signal: AbortSignal, isUrgent: () => boolean): void
   close (): Promise<void>
 }
 
@@ -138,12 +140,21 @@
         .map(model => ({ model, rate: demand.get(model)?.read(now) ?? 0, waiting: waiting.get(model) ?? 0 }))
         .filter(entry => entry.rate > LEAST_RATE || entry.waiting > 0),
       leavingServers: servers.leaving(),
+      spent: allowance.spent(),
       isReady: isReady(),
       isOrderer: leadership.fence() !== undefined
     }
   }
   const spread = createSpread({ peers, cfg, servers, storeAgeMs, clock, logger })
-  const table = createFleetTable({ peers, clock, own: ownRow, onRow: spread })
+  const table = createFleetTable({
+    peers,
+    clock,
+    own: ownRow,
+    onRow: (member, row) => {
+      spread(member, row)
+      allowance.noteSpent(member, row.spent)
+    }
+  })
   const leadership = createLeadership({ store, self: id, orderLeaseMs: settings.orderLeaseMs, minLeaseMs: settings.store.minLeaseMs, clock, logger, random })
   const orderer = createOrderer({ self: id, leadership, servers, cfg, table, engines: options.engines, peers, clock, logger, loadCeiling: settings.loadCeiling })
   const placement = createPlacementClient({
@@ -153,7 +164,7 @@
     clock,
     logger
   })
-  const allowance = createTeamAllowance({ peers, teamNamed: name => cfg.current()?.teams?.find(team => team.name === name), margin: settings.allowanceMargin, clock, logger })
+  const allowance = createTeamAllowance({ peers, teamNamed: name => cfg.current()?.teams?.find(team => team.name === name), windowMs: settings.allowanceWindowMs, isFirstStart: settings.isFirstStart, clock, logger })
   const serve = createServe({
     cfg,
     wire,
@@ -221,7 +232,7 @@
       membership.start(stop.signal)
       leadership.start(stop.signal)
       orderer.start(stop.signal)
-      store.start(stop.signal)
+      store.start(stop.signal, leadership.isHolder)
       table.start(stop.signal)
       greetSeeds({ network: peers, seeds: settings.seeds, isNeeded: isLonely, clock }, stop.signal)
       await door.start()
