--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/__tests__/fixtures.ts
@@ -0,0 +1,48 @@
+/** Records that tests of the serving path share. */
+import type { MemberRecord } from '../../members'
+import type { BackendServer, ModelSpec, Route, ServingConfig, Team } from '../types'
+
+export function memberRecord (id: string, changes: Partial<MemberRecord> = {}): MemberRecord {
+  return { id, incarnation: `${id}-1`, startedAtMs: 0, region: 'r', failureDomain: 'a', peerAddress: `${id}:1`, entryAddress: `${id}:2`, operatorAddress: '', leaving: false, ...changes }
+}
+
+export function teamOf (name: string, changes: Partial<Team> = {}): Team {
+  return { name, keys: [`key-of-${name}`], priority: undefined, unit: 'tokens', plainTokens: 10, rate: 100, burst: 100, ...changes }
+}
+
+export function routeOf (prefix: string, changes: Partial<Route> = {}): Route {
+  return {
+    name: prefix,
+    host: 'site.example',
+    prefix,
+    kind: 'idempotent',
+    timeoutMs: 5000,
+    objectiveMs: 100,
+    eventGapMs: 0,
+    priority: 0,
+    maxAttempts: 2,
+    isAnonymous: false,
+    isResumable: false,
+    services: [{ service: 'app', weight: 1 }],
+    ...changes
+  }
+}
+
+export function modelSpec (name: string, changes: Partial<ModelSpec> = {}): ModelSpec {
+  return { name, weightsMb: 70, adapters: [], adapterMb: 0, loadMs: { memory: 600, disk: 1600, store: 6500 }, ...changes }
+}
+
+export function configOf (version: number, changes: Partial<ServingConfig> = {}): ServingConfig {
+  return {
+    version,
+    routes: [routeOf('/a/')],
+    services: new Map([['app', { name: 'app', connectionLimit: 10, engine: undefined }]]),
+    teams: [teamOf('depot')],
+    limits: { maxHeaderBytes: 8192, maxBodyBytes: 65_536, headerTimeoutMs: 1000, idleTimeoutMs: 5000 },
+    ...changes
+  }
+}
+
+export function serverOf (id: string, changes: Partial<BackendServer> = {}): BackendServer {
+  return { id, bornMs: 1, service: 'app', address: '127.0.0.1:1', failureDomain: 'a', slots: 6, state: 'ready', models: [], copies: { memory: [], disk: [] }, remainingMs: undefined, ...changes }
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/allowance/__tests__/teamAllowance.spec.ts
@@ -0,0 +1,138 @@
+import { expect } from 'chai'
+import { createVirtualClock } from '../../../clock/virtual'
+import type { VirtualClock } from '../../../clock/virtual'
+import { createSilentLogger } from '../../../logger'
+import { createMemoryNetwork } from '../../../members/memoryNetwork'
+import type { MemoryNetwork } from '../../../members/memoryNetwork'
+import { rankByRendezvous } from '../../../utils'
+import { memberRecord, teamOf } from '../../__tests__/fixtures'
+import type { Team } from '../../types'
+import { createTeamAllowance } from '../teamAllowance'
+import type { TeamAllowance } from '../teamAllowance'
+
+const WINDOW_MS = 8000
+const IDS = ['m1', 'm2', 'm3', 'm4']
+/** 100 a second over 8 s, and a burst of 100. */
+const LIMIT = 900
+
+interface World {
+  clock: VirtualClock
+  network: MemoryNetwork
+  members: Map<string, TeamAllowance>
+  team: { current: Team }
+  home: string
+  others: string[]
+  /** Everybody tells everybody what it has spent, as the rows of the fleet do. */
+  tell (ids?: readonly string[]): void
+  /** Asks for `amount` at each of the members in turn until none grants any more; returns what was granted. */
+  drain (ids: readonly string[], amount: number): Promise<number>
+}
+
+function createWorld (isFirstStart = true): World {
+  const clock = createVirtualClock()
+  const network = createMemoryNetwork({ clock })
+  const team = { current: teamOf('depot') }
+  const join = (id: string): TeamAllowance => createTeamAllowance({
+    peers: network.join(memberRecord(id)), teamNamed: () => team.current, windowMs: WINDOW_MS, isFirstStart, clock, logger: createSilentLogger()
+  })
+  const members = new Map(IDS.map(id => [id, join(id)]))
+  const home = rankByRendezvous('depot', IDS, id => id)[0]!
+  const take = async (id: string, amount: number): Promise<boolean> => {
+    const taken = members.get(id)!.take(team.current, amount)
+    await clock.advance(155)
+    return (await taken).waitMs === 0
+  }
+  return {
+    clock,
+    network,
+    members,
+    team,
+    home,
+    others: IDS.filter(id => id !== home),
+    tell: (ids = IDS) => ids.forEach(from => ids.filter(to => to !== from).forEach(to =>
+      members.get(to)!.noteSpent(from, members.get(from)!.spent()))),
+    drain: async (ids, amount) => {
+      const startMs = clock.monotonic()
+      let granted = 0
+      let misses = 0
+      for (let turn = 0; misses < ids.length && clock.monotonic() - startMs < WINDOW_MS - 500; turn += 1) {
+        const isGranted = await take(ids[turn % ids.length]!, amount)
+        granted += isGranted ? amount : 0
+        misses = isGranted ? 0 : misses + 1
+      }
+      return granted
+    }
+  }
+}
+
+describe('allowance of a team over the fleet', () => {
+  it('grants the rate over the window and the burst, wherever it is asked for', async () => {
+    const world = createWorld()
+    expect(await world.drain(IDS, 100)).to.equal(LIMIT)
+  })
+
+  /**
+   * A team sends more than its limit while its home is cut off from everybody.
+   * 1. All is spent by way of the home. 2. The cut begins. 3. Each instance has its equal part left, less what it has
+   * spent already: nobody may start over.
+   */
+  it('spends no second allowance when the home is cut off after all was spent', async () => {
+    const world = createWorld()
+    const before = await world.drain(IDS, 75)
+    world.others.forEach(id => world.network.cut(world.home, id))
+    const after = await world.drain(world.others, 25)
+    expect(before).to.equal(LIMIT)
+    // What the home itself spent is the only part that the others' shares do not know of.
+    expect(after).to.be.at.most(LIMIT / 2)
+    expect(before + after).to.be.at.most(LIMIT * 1.5)
+  })
+
+  it('serves from equal parts, together within the limit, when the home is cut off from the start', async () => {
+    const world = createWorld()
+    world.others.forEach(id => world.network.cut(world.home, id))
+    const byOthers = await world.drain(world.others, 25)
+    expect(byOthers).to.equal(3 * Math.floor(LIMIT / 4 / 25) * 25)
+    const byHome = await world.drain([world.home], 25)
+    expect(byOthers + byHome).to.be.at.most(LIMIT + LIMIT / 4)
+  })
+
+  /**
+   * A team that has spent all gets a second allowance when the instance that counts is replaced.
+   * 1. All is spent. 2. The home dies, and another counts from now on. 3. It begins with what everybody told.
+   */
+  it('lets a new home begin with what all have told', async () => {
+    const world = createWorld()
+    await world.drain(world.others, 100)
+    world.tell()
+    world.network.kill(world.home)
+    world.network.setRegistered(world.home, false)
+    await world.clock.advance(1)
+    expect(await world.drain(world.others, 100)).to.equal(0)
+  })
+
+  it('counts half as spent after a restart of everybody, when nobody can tell', async () => {
+    const world = createWorld(false)
+    expect(await world.drain(IDS, 50)).to.equal(LIMIT / 2)
+  })
+
+  it('holds a lowered limit at once, against what was spent before', async () => {
+    const world = createWorld()
+    await world.drain(IDS, 100)
+    world.team.current = teamOf('depot', { rate: 10, burst: 20 })
+    expect(await world.drain(IDS, 10)).to.equal(0)
+  })
+
+  it('takes back what no server ran', async () => {
+    const world = createWorld()
+    await world.drain(IDS, 100)
+    world.members.get(world.others[0]!)!.giveBack(world.team.current, 100)
+    await world.clock.advance(5)
+    expect(await world.drain(IDS, 100)).to.equal(100)
+  })
+
+  it('counts nothing for a team without a limit', async () => {
+    const world = createWorld()
+    world.team.current = teamOf('depot', { rate: 0, burst: 0 })
+    expect(await world.members.get('m1')!.take(world.team.current, 1_000_000)).to.deep.equal({ waitMs: 0, decidedBy: 'share' })
+  })
+})
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/placement/__tests__/plan.spec.ts
@@ -0,0 +1,76 @@
+import { expect } from 'chai'
+import { modelSpec } from '../../__tests__/fixtures'
+import { planSteps } from '../plan'
+import type { EnginePlan, ModelNeed, PlanInput } from '../plan'
+
+const MODELS = ['busy', 'rare1', 'rare2', 'rare3', 'rare4', 'rare5', 'rare6']
+const specs = new Map(MODELS.map(name => [name, modelSpec(name)]))
+
+function engine (id: string, models: readonly string[], changes: Partial<EnginePlan> = {}): EnginePlan {
+  return { id, models, freeMb: 210 - 70 * models.length, busyMs: 0, isSound: true, copies: { memory: [], disk: MODELS }, inFlight: new Map(), slots: 64, ...changes }
+}
+
+function need (model: string, changes: Partial<ModelNeed> = {}): ModelNeed {
+  return { model, rate: 0, waiting: 0, waitedMs: 0, inFlight: 0, idleMs: 60_000, ...changes }
+}
+
+function plan (input: Partial<PlanInput>): ReturnType<typeof planSteps> {
+  return planSteps({ engines: [], needs: [], specs, storeLoads: 2, ...input })
+}
+
+describe('what is loaded and unloaded next', () => {
+  it('loads a model that is waited for where there is room', () => {
+    const engines = [engine('full', ['busy', 'rare1', 'rare2']), engine('roomy', ['busy'])]
+    expect(plan({ engines, needs: [need('rare3', { waiting: 1 })] })).to.deep.equal([
+      { kind: 'load', engine: 'roomy', model: 'rare3', tier: 'disk', reason: 'waiting' }
+    ])
+  })
+
+  it('takes a copy in memory before one on disk, and either before the weight store', () => {
+    const tiers = { memory: { memory: ['rare3'], disk: [] }, disk: { memory: [], disk: ['rare3'] }, store: { memory: [], disk: [] } }
+    const engines = Object.entries(tiers).map(([id, copies]) => engine(id, [], { copies }))
+    const chosen = (left: EnginePlan[]): string | undefined => plan({ engines: left, needs: [need('rare3', { waiting: 1 })] })[0]?.engine
+    expect(chosen(engines)).to.equal('memory')
+    expect(chosen(engines.filter(each => each.id !== 'memory'))).to.equal('disk')
+    expect(chosen(engines.filter(each => each.id === 'store'))).to.equal('store')
+  })
+
+  it('waits for an engine whose disk has the copy rather than load from the store at once', () => {
+    const engines = [engine('swapping', ['busy'], { busyMs: 1200 }), engine('elsewhere', [], { copies: { memory: [], disk: [] } })]
+    expect(plan({ engines, needs: [need('rare3', { waiting: 1 })] })).to.deep.equal([])
+  })
+
+  it('begins no load from the store beyond what may begin', () => {
+    const engines = [engine('e', [], { copies: { memory: [], disk: [] } })]
+    expect(plan({ engines, needs: [need('rare3', { waiting: 1 })], storeLoads: 0 })).to.deep.equal([])
+  })
+
+  it('gives up what nobody asks for, before the last replica of a busy model and before one that runs', () => {
+    const engines = [engine('e', ['busy', 'rare1', 'rare2'], { inFlight: new Map([['rare1', 1]]) })]
+    const needs = [need('busy', { rate: 6, inFlight: 9, idleMs: 0 }), need('rare1', { rate: 0.1, inFlight: 1, idleMs: 0 }), need('rare2', { rate: 0.02 }), need('rare3', { waiting: 1 })]
+    expect(plan({ engines, needs })).to.deep.equal([{ kind: 'unload', engine: 'e', model: 'rare2', inFavourOf: 'rare3' }])
+  })
+
+  it('never gives up a model that is waited for itself', () => {
+    const engines = [engine('e', ['rare1', 'rare2', 'rare4'])]
+    const needs = ['rare1', 'rare2', 'rare4', 'rare3'].map(model => need(model, { waiting: 1 }))
+    expect(plan({ engines, needs })).to.deep.equal([])
+  })
+
+  it('serves those first who have waited longest, one step for an engine', () => {
+    const engines = [engine('e', ['busy'])]
+    const needs = [need('rare1', { waiting: 1, waitedMs: 100 }), need('rare2', { waiting: 1, waitedMs: 900 })]
+    expect(plan({ engines, needs }).map(step => step.model)).to.deep.equal(['rare2'])
+  })
+
+  it('orders nothing for a model that is on its way', () => {
+    const engines = [engine('loading', ['rare3'], { busyMs: 900 }), engine('idle', [])]
+    expect(plan({ engines, needs: [need('rare3', { waiting: 4 })] })).to.deep.equal([])
+  })
+
+  it('adds a replica of a model whose streams crowd its engine', () => {
+    const engines = [engine('crowded', ['busy'], { inFlight: new Map([['busy', 25]]) }), engine('idle', ['rare1', 'rare2', 'rare4'])]
+    const needs = [need('busy', { rate: 8, inFlight: 25, idleMs: 0 })]
+    expect(plan({ engines, needs })).to.deep.equal([{ kind: 'unload', engine: 'idle', model: 'rare1', inFavourOf: 'busy' }])
+  })
+})
--- a/packages/magnoliabay/src/node/serving/placement/plan.ts
+++ b/packages/magnoliabay/src/node/serving/placement/plan.ts
@@ -94,7 +94,7 @@
     .filter(engine => !engine.models.includes(model))
     .flatMap(engine => optionsAt(engine, model, input, needs, replicas))
     .filter(option => option.tier !== 'store' || storeLoads > 0)
-    .filter(option => option.cost - option.readyMs <= maxVictimCost)
+    .filter(option => Number.isFinite(option.cost) && option.cost - option.readyMs <= maxVictimCost)
     .sort((left, right) => left.cost - right.cost)[0]
 
   const waiting = input.needs
