--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/__tests__/serve.spec.ts
@@ -0,0 +1,247 @@
+import { expect } from 'chai'
+import { request } from 'node:http'
+import type { IncomingHttpHeaders } from 'node:http'
+import { createSystemClock } from '../../clock'
+import { createSilentLogger } from '../../logger'
+import { createMemoryNetwork } from '../../members/memoryNetwork'
+import { createRetryBudget } from '../../outcomes'
+import { platformWire } from '../../platform'
+import { createTeamAllowance } from '../allowance/teamAllowance'
+import { createConfigInForce } from '../configInForce'
+import { createConnections } from '../exchange'
+import { createFleetTable } from '../fleetTable'
+import { createFrontDoor } from '../frontDoor'
+import type { FrontDoor } from '../frontDoor'
+import { createServingMetrics } from '../metrics'
+import { createPlacementClient } from '../placement/placementClient'
+import { createServe } from '../serve'
+import { createServerHealth } from '../serverHealth'
+import { createServers } from '../servers'
+import type { ServingConfig } from '../types'
+import { configOf, memberRecord, routeOf, serverOf, teamOf } from './fixtures'
+import { startRawServer } from './rawServer'
+import type { RawServer } from './rawServer'
+
+const KEY = 'key-of-depot'
+
+interface Answer {
+  status: number
+  headers: IncomingHttpHeaders
+  body: string
+  /** Whether the answer ended as a whole one does. */
+  isWhole: boolean
+}
+
+interface Door {
+  address: string
+  door: FrontDoor
+  close (): Promise<void>
+}
+
+const ROUTES = [
+  routeOf('/read/'),
+  routeOf('/write/', { kind: 'non-idempotent', maxAttempts: 2 }),
+  routeOf('/stream/', { kind: 'stream', maxAttempts: 2 }),
+  routeOf('/brief/', { kind: 'non-idempotent', timeoutMs: 150 })
+]
+
+async function openDoor (servers: readonly RawServer[], cfg: ServingConfig = configOf(1, { routes: ROUTES })): Promise<Door> {
+  const clock = createSystemClock()
+  const logger = createSilentLogger()
+  const peers = createMemoryNetwork({ clock }).join(memberRecord('me'))
+  const inForce = createConfigInForce({ decode: () => cfg, clock, logger })
+  inForce.offer('', 'store')
+  const listed = createServers({ decode: key => serverOf(key, { address: servers[Number(key)]!.address }), idOf: key => key, storeSteadySinceMs: () => 0, clock, logger })
+  listed.snapshot(servers.map((_, index) => ({ key: String(index), value: '' })))
+  const table = createFleetTable({ peers, clock, onRow: () => {}, own: () => ({ configVersion: 1, storeAgeMs: 0, inFlight: [], demand: [], leavingServers: [], spent: [], isReady: true, isOrderer: false }) })
+  const connections = createConnections(clock)
+  const serve = createServe({
+    cfg: inForce,
+    wire: platformWire,
+    servers: listed,
+    health: createServerHealth(clock),
+    table,
+    placement: createPlacementClient({ peers, servers: listed, orderer: () => undefined, clock, logger }),
+    allowance: createTeamAllowance({ peers, teamNamed: name => cfg.teams?.find(team => team.name === name), windowMs: 8000, isFirstStart: true, clock, logger }),
+    connections,
+    retryBudget: () => createRetryBudget(),
+    noteDemand: () => {},
+    metrics: createServingMetrics(),
+    clock,
+    logger,
+    failureDomain: 'a',
+    random: () => 0,
+    pause: async () => {}
+  })
+  const door = createFrontDoor({ address: '127.0.0.1:0', serve, isLeaving: () => false, clock, logger })
+  await door.start()
+  return {
+    address: door.address(),
+    door,
+    close: async () => {
+      await door.close(0)
+      connections.close()
+      await Promise.all(servers.map(server => server.close()))
+    }
+  }
+}
+
+function call (address: string, path: string, headers: Record<string, string> = {}, body = 'order'): Promise<Answer> {
+  const [host, port] = address.split(':')
+  return new Promise((resolve, reject) => {
+    const req = request({
+      host,
+      port,
+      path,
+      method: 'POST',
+      agent: false,
+      headers: { host: 'site.example', authorization: `Token ${KEY}`, 'x-magnoliabay-attempt-id': 'try-1', 'x-magnoliabay-deadline-ms': '4000', ...headers }
+    }, res => {
+      let text = ''
+      res.on('data', (chunk: Buffer) => { text += chunk.toString() })
+      res.on('error', () => {})
+      res.on('close', () => resolve({ status: res.statusCode!, headers: res.headers, body: text, isWhole: res.complete }))
+    })
+    req.on('error', reject)
+    req.end(body)
+  })
+}
+
+const SIGNED = 'X-Magnoliabay-Server-Signature: sig\r\nX-Magnoliabay-Attempt-Id: try-1\r\n'
+const reply = (status: number, headers: string, body: string): string => `HTTP/1.1 ${status} X\r\n${headers}Content-Length: ${body.length}\r\n\r\n${body}`
+const GOOD = reply(200, SIGNED, 'done')
+
+interface OutcomeCase {
+  name: string
+  path: string
+  /** What the first and the second server send; `cut` breaks the connection off. */
+  answers: [string, string]
+  expected: { status: number, body?: string, isWhole?: boolean, sends: number }
+}
+
+const NOT_RUN = reply(503, 'X-Magnoliabay-Not-Executed: 1\r\n', '')
+const CASES: OutcomeCase[] = [
+  { name: 'a signed answer is passed on', path: '/write/1', answers: [GOOD, GOOD], expected: { status: 200, body: 'done', sends: 1 } },
+  { name: 'a write whose connection breaks may have run: 502, sent once', path: '/write/1', answers: ['cut', GOOD], expected: { status: 502, sends: 1 } },
+  { name: 'a read whose connection breaks is sent to the other server', path: '/read/1', answers: ['cut', GOOD], expected: { status: 200, body: 'done', sends: 2 } },
+  { name: 'a write that the server says it has not run is sent to the other', path: '/write/1', answers: [NOT_RUN, GOOD], expected: { status: 200, body: 'done', sends: 2 } },
+  { name: 'a write that has run and failed keeps its failure', path: '/write/1', answers: [reply(500, SIGNED, 'sorry'), GOOD], expected: { status: 500, body: 'sorry', sends: 1 } },
+  { name: 'a read that has run and failed is tried elsewhere', path: '/read/1', answers: [reply(500, SIGNED, 'sorry'), GOOD], expected: { status: 200, sends: 2 } },
+  { name: 'a 503 without the word that it has not run is no promise to pass on', path: '/write/1', answers: [reply(503, SIGNED, ''), GOOD], expected: { status: 502, sends: 1 } },
+  { name: 'a success without a signature is no success', path: '/write/1', answers: [reply(200, '', 'done'), GOOD], expected: { status: 502, sends: 1 } },
+  { name: 'the answer to another request is not passed on', path: '/write/1', answers: [reply(200, SIGNED.replace('try-1', 'try-0'), 'secret'), GOOD], expected: { status: 502, sends: 1 } },
+  { name: 'an answer cut short is not passed on as whole', path: '/write/1', answers: [`HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 9\r\n\r\npart`, GOOD], expected: { status: 502, sends: 1 } },
+  { name: 'a stream cut short breaks off', path: '/stream/1', answers: [`HTTP/1.1 200 OK\r\n${SIGNED}Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n`, GOOD], expected: { status: 200, body: 'part', isWhole: false, sends: 1 } }
+]
+
+describe('a request at the front door', () => {
+  let open: Door | undefined
+  afterEach(async () => {
+    await open?.close()
+    open = undefined
+  })
+  const answering = (text: string): Promise<RawServer> => startRawServer(socket => {
+    if (text === 'cut') return socket.destroy()
+    // Bytes that end early end with their connection.
+    const isPart = text.includes('part')
+    socket.write(text, () => { if (isPart) setImmediate(() => socket.end()) })
+  })
+
+  CASES.forEach(({ name, path, answers, expected }) => it(name, async () => {
+    const servers = await Promise.all(answers.map(answering))
+    open = await openDoor(servers)
+    const answer = await call(open.address, path)
+    expect(answer.status).to.equal(expected.status)
+    expect(servers.reduce((sum, server) => sum + server.received.length, 0)).to.equal(expected.sends)
+    if (expected.body !== undefined) expect(answer.body).to.equal(expected.body)
+    expect(answer.isWhole).to.equal(expected.isWhole ?? true)
+  }))
+
+  it('passes on what the caller says, but for what is the system\'s to say', async () => {
+    const server = await answering(GOOD)
+    open = await openDoor([server])
+    await call(open.address, '/write/1?a=b', {
+      'x-magnoliabay-tenant': 'another',
+      'x-magnoliabay-hold': 'h1',
+      'kv-from': '10.0.0.1:1/x',
+      'x-custom': 'kept',
+      connection: 'close, x-custom-hop',
+      'x-custom-hop': 'dropped'
+    })
+    const sent = server.received[0]!
+    expect(sent).to.match(/^POST \/write\/1\?a=b HTTP\/1\.1\r\n/)
+    expect(sent).to.match(/\r\nX-Magnoliabay-Tenant: depot\r\n/)
+    expect(sent).to.match(/\r\nX-Magnoliabay-Expected-Instance: 0\r\n/)
+    expect(sent).to.match(/\r\nx-custom: kept\r\n/i)
+    expect(sent.toLowerCase()).not.to.match(/authorization|another|x-magnoliabay-hold|kv-from|x-custom-hop/)
+    expect(sent).to.match(/\r\n\r\norder$/)
+    const deadlineMs = Number(/Deadline-Ms: (\d+)/.exec(sent)![1])
+    expect(deadlineMs).to.be.within(1, 4000)
+  })
+
+  const REFUSALS = [
+    { name: 'an unknown key', path: '/read/1', headers: { authorization: 'Token nobody' }, status: 401 },
+    { name: 'no key', path: '/read/1', headers: { authorization: '' }, status: 401 },
+    { name: 'no route', path: '/none/1', headers: {}, status: 404 },
+    { name: 'another host', path: '/read/1', headers: { host: 'other.example' }, status: 404 }
+  ]
+  REFUSALS.forEach(({ name, path, headers, status }) => it(`refuses ${name} with ${status}, and sends nothing`, async () => {
+    const server = await answering(GOOD)
+    open = await openDoor([server])
+    expect((await call(open.address, path, headers as unknown as Record<string, string>)).status).to.equal(status)
+    expect(server.received).to.have.length(0)
+  }))
+
+  it('refuses beyond the allowance with the time to come back, and sends nothing', async () => {
+    const server = await answering(GOOD)
+    open = await openDoor([server], configOf(1, { routes: ROUTES, teams: [teamOf('depot', { rate: 1, burst: 1 })] }))
+    const usage = { 'x-magnoliabay-token-usage': '5,4' }
+    expect((await call(open.address, '/write/1', usage)).status).to.equal(200)
+    const refused = await call(open.address, '/write/1', usage)
+    expect(refused.status).to.equal(429)
+    expect(Number(refused.headers['retry-after'])).to.be.greaterThan(1)
+    expect(server.received).to.have.length(1)
+  })
+
+  it('ends a request at its route\'s time: it may have run, so nothing else is promised', async () => {
+    const server = await startRawServer(() => {})
+    open = await openDoor([server])
+    expect((await call(open.address, '/brief/1')).status).to.equal(504)
+  })
+
+  /**
+   * A caller that closes leaves work behind that nobody wants.
+   * 1. The request is under way at a server. 2. The caller closes. 3. The server's connection is closed at once.
+   */
+  it('stops the server\'s work when the caller leaves', async () => {
+    let isStopped: () => void = () => {}
+    const stopped = new Promise<void>(resolve => { isStopped = resolve })
+    const server = await startRawServer(socket => socket.on('close', () => isStopped()))
+    open = await openDoor([server])
+    const [host, port] = open.address.split(':')
+    const req = request({ host, port, path: '/write/1', method: 'POST', agent: false, headers: { host: 'site.example', authorization: `Token ${KEY}` } })
+    req.on('error', () => {})
+    req.end('order')
+    const leaveOnceSent = (): void => {
+      if (server.received.length > 0) req.destroy()
+      else setImmediate(leaveOnceSent)
+    }
+    leaveOnceSent()
+    await stopped
+  })
+
+  it('answers 503 while no configuration is known, never 401 or 404', async () => {
+    const clock = createSystemClock()
+    const logger = createSilentLogger()
+    const cfg = createConfigInForce({ decode: () => undefined, clock, logger })
+    const serve = createServe({
+      cfg, wire: platformWire, clock, logger, metrics: createServingMetrics(), random: () => 0, failureDomain: 'a', pause: async () => {}
+    } as unknown as Parameters<typeof createServe>[0])
+    const door = createFrontDoor({ address: '127.0.0.1:0', serve, isLeaving: () => false, clock, logger })
+    await door.start()
+    const answer = await call(door.address(), '/read/1')
+    expect(answer.status).to.equal(503)
+    expect(answer.headers).to.have.property('retry-after')
+    await door.close(0)
+  })
+})
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -108,6 +108,9 @@
   let isSent = false
   let hasEnded = false
   let failure: string | undefined
+  let response: IncomingMessage | undefined
+  const isWholeByLength = (): boolean => response !== undefined && response.complete &&
+    (response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined)
   const end = (how: ExchangeEnd, reason: string): void => {
     if (hasEnded) return
     hasEnded = true
@@ -131,21 +134,25 @@
   })
   req.on('error', err => {
     failure = err.message
+    // Bytes after a whole answer spoil the connection, not the answer: its end is told by the answer itself.
+    if (isWholeByLength()) return
     end(isSent ? 'broken' : 'unsent', err.message)
   })
   req.on('response', res => {
-    const isFramed = res.headers['content-length'] !== undefined || res.headers['transfer-encoding'] !== undefined
+    response = res
     sink.onHead({ status: res.statusCode ?? 0, headers: res.headers, rawHeaders: res.rawHeaders })
     res.on('data', (chunk: Buffer) => { if (!hasEnded) sink.onData(chunk) })
     res.on('error', err => end('broken', err.message))
     res.on('end', () => {
       // Without a length only a clean close ends an answer; an error on the way says that it was cut.
-      const isWhole = res.complete && (isFramed || failure === undefined)
+      const isWhole = isWholeByLength() || (res.complete && failure === undefined)
       end(isWhole ? 'whole' : 'broken', failure ?? 'answer ended')
     })
     res.on('close', () => end('broken', failure ?? 'connection closed within the answer'))
   })
-  req.on('close', () => end(isSent ? 'broken' : 'unsent', failure ?? 'connection closed'))
+  req.on('close', () => {
+    if (!isWholeByLength()) end(isSent ? 'broken' : 'unsent', failure ?? 'connection closed')
+  })
   req.end(hasBody ? out.body : undefined)
   return {
     cancel: reason => {
--- a/packages/magnoliabay/src/node/serving/frontDoor.ts
+++ b/packages/magnoliabay/src/node/serving/frontDoor.ts
@@ -1,6 +1,7 @@
 /** Where callers connect: reads requests within the limits in force and hands them on. */
 import { createServer } from 'node:http'
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import type { Clock } from '../clock'
 import { TIMED_OUT, withDeadline } from '../clock'
 import { answerBadInput } from '../entry/badInput'
@@ -30,6 +31,8 @@
   start (): Promise<void>
   setLimits (limits: CallerLimits): void
   openRequests (): number
+  /** `ip:port` on which it listens. */
+  address (): string
   /** Takes no more connections; resolves when the last request has ended, or after `drainMs`. */
   close (drainMs: number): Promise<void>
 }
@@ -67,6 +70,10 @@
   return {
     setLimits,
     openRequests: () => open,
+    address: () => {
+      const bound = server.address() as AddressInfo
+      return `${bound.address}:${bound.port}`
+    },
     start: () => {
       const { host, port } = parseHostPort(options.address)
       return new Promise((resolve, reject) => {
--- a/packages/magnoliabay/src/node/serving/serve.ts
+++ b/packages/magnoliabay/src/node/serving/serve.ts
@@ -44,7 +44,10 @@
   stop: AbortController
   why: EndReason | undefined
   sends: number
+  /** Servers on which it may have run, or that could not be reached. */
   tried: Set<string>
+  /** Servers that said that they have not run it. */
+  rejectedBy: Set<string>
   unitsTaken: number
   attempt: Attempt | undefined
   /** A failure that a server answered, told if nothing better comes. */
@@ -120,7 +123,8 @@
 
   const pick = (run: Run, from: readonly BackendServer[]): BackendServer | undefined => {
     const untried = from.filter(server => !run.tried.has(processOf(server)))
-    const options = untried.length > 0 || run.trail.state() !== 'untouched' ? untried : from
+    const fresh = untried.filter(server => !run.rejectedBy.has(processOf(server)))
+    const options = fresh.length > 0 ? fresh : untried
     const chosen = chooseServer(options.map(server => {
       const id = processOf(server)
       return {
@@ -219,6 +223,7 @@
         return false
       case 'rejected':
         run.trail.note('disclaim')
+        run.rejectedBy.add(id)
         logger.info('attempt-rejected', { request: run.caller.attemptId, server: server.id, status: ended.status, model: run.caller.model })
         if (rejections < MAX_REJECTIONS && retries(run)) {
           await ctx.pause(REJECTED_PAUSE_MS)
@@ -285,6 +290,7 @@
       why: undefined,
       sends: 0,
       tried: new Set(),
+      rejectedBy: new Set(),
       unitsTaken: 0,
       attempt: undefined,
       lastAnswer: undefined,
