--- a/packages/magnoliabay/src/node/serving/context.ts
+++ b/packages/magnoliabay/src/node/serving/context.ts
@@ -10,6 +10,7 @@
 import type { PlacementClient } from './placement/placementClient'
 import type { ServerHealth } from './serverHealth'
 import type { Servers } from './servers'
+import type { RequestKind } from './types'
 import type { ServingWire } from './wire'
 
 export interface ServingContext {
@@ -25,6 +26,8 @@
   retryBudget: (service: string) => RetryBudget
   /** Counts a request for a model. */
   noteDemand: (model: string) => void
+  /** This process ends too soon for a request of that kind to finish. */
+  isClosingFor: (kind: RequestKind) => boolean
   metrics: ServingMetrics
   clock: Clock
   logger: Logger
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -111,6 +111,11 @@
   let response: IncomingMessage | undefined
   const isWholeByLength = (): boolean => response !== undefined && response.complete &&
     (response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined)
+  /**
+   * Without a length only a clean close ends an answer. A reset shows as an error; while the request is still being
+   * written, the write takes the error and the answer seems to end.
+   */
+  const isClosedCleanly = (): boolean => failure === undefined && (req.socket?.writableLength ?? 0) === 0
   const end = (how: ExchangeEnd, reason: string): void => {
     if (hasEnded) return
     hasEnded = true
@@ -144,8 +149,7 @@
     res.on('data', (chunk: Buffer) => { if (!hasEnded) sink.onData(chunk) })
     res.on('error', err => end('broken', err.message))
     res.on('end', () => {
-      // Without a length only a clean close ends an answer; an error on the way says that it was cut.
-      const isWhole = isWholeByLength() || (res.complete && failure === undefined)
+      const isWhole = isWholeByLength() || (res.complete && isClosedCleanly())
       end(isWhole ? 'whole' : 'broken', failure ?? 'answer ended')
     })
     res.on('close', () => end('broken', failure ?? 'connection closed within the answer'))
--- a/packages/magnoliabay/src/node/serving/placement/engineBook.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineBook.ts
@@ -124,3 +124,9 @@
   // Room for all places of adapters is kept free, so that an adapter never has to wait for weights to go.
   return spec.weightsMb - models - pendingMb - adapterMb * spec.adapterCapacity
 }
+
+/** Places for adapters that an engine has given away: to those it holds, and to those on their way. */
+export function adapterPlacesTaken (entry: EngineEntry): number {
+  const held = entry.models.flatMap(model => model.adapters.map(adapter => `${model.name}/${adapter}`))
+  return new Set([...held, ...entry.adaptersOnTheWay]).size
+}
--- a/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
@@ -11,7 +11,7 @@
 import type { Servers } from '../servers'
 import { processOf } from '../types'
 import type { BackendServer, EngineSpec, LoadedModel, ModelSpec } from '../types'
-import { createEngineBook } from './engineBook'
+import { adapterPlacesTaken, createEngineBook } from './engineBook'
 import type { EngineBook, EngineEntry, PendingOrder } from './engineBook'
 import type { Leadership } from './leadership'
 import { holdingsNotice } from './messages'
@@ -146,6 +146,8 @@
   const sendAdapter = (process: string, operation: 'load' | 'unload', model: string, adapter: string): Promise<boolean> => serially(process, async engine => {
     const hasIt = engine.entry.models.some(held => held.name === model && held.adapters.includes(adapter))
     if (hasIt === (operation === 'load')) return true
+    // Two requests may have chosen the same last place: an engine with one adapter too many crashes.
+    if (operation === 'load' && adapterPlacesTaken(engine.entry) >= engine.spec.adapterCapacity) return false
     const outcome = await send(engine, { operation, model, adapter })
     if (outcome !== 'accepted' && outcome !== 'holds-already') {
       // While a model is being loaded an engine turns back every other order; the count stands.
--- a/packages/magnoliabay/src/node/serving/placement/leadership.ts
+++ b/packages/magnoliabay/src/node/serving/placement/leadership.ts
@@ -17,7 +17,13 @@
 /** The leader stops this long before its lease ends, so that an order on its way arrives before another leads. */
 const STOP_BEFORE_END_MS = 300
 /** Candidates try at different moments; the first one wins without a race. */
-const MAX_CANDIDATE_DELAY_MS = 250
+const MAX_CANDIDATE_DELAY_MS = 100
+/**
+ * Processes younger than others try first: where instances are restarted in turn, the old ones go next, and each
+ * hand-over costs some seconds in which nothing is ordered.
+ */
+const AGE_DELAY_MS = 250
+const OLD_MS = 40_000
 
 export interface Leadership {
   /** The number under which orders may be sent now, or undefined. */
@@ -63,6 +69,8 @@
   let confirmed: Moment | undefined
   let holderKnown: string | undefined
   let hasResigned = false
+  let wake = new AbortController()
+  const startedMs = clock.monotonic()
 
   const mark = (): Moment => ({ steadyMs: clock.monotonic(), wallMs: clock.now() })
   const since = (moment: Moment): number => Math.max(clock.monotonic() - moment.steadyMs, clock.now() - moment.wallMs)
@@ -114,13 +122,15 @@
   const step = async (): Promise<void> => {
     if (term !== undefined) return await renew(term)
     if (holderKnown !== undefined || hasResigned) return
-    await sleep(clock, options.random() * MAX_CANDIDATE_DELAY_MS)
+    const age = Math.min(1, (clock.monotonic() - startedMs) / OLD_MS)
+    await sleep(clock, options.random() * MAX_CANDIDATE_DELAY_MS + age * AGE_DELAY_MS)
     if (holderKnown === undefined && !hasResigned) await candidate()
   }
   const run = async (signal: AbortSignal): Promise<void> => {
     while (!signal.aborted) {
       await step()
-      await sleep(clock, RENEW_PERIOD_MS, signal)
+      wake = new AbortController()
+      await sleep(clock, RENEW_PERIOD_MS, AbortSignal.any([signal, wake.signal]))
     }
   }
 
@@ -136,7 +146,10 @@
       holderKnown = ''
       store.watch(LEADER_KEY, {
         onSnapshot: ({ entries }) => { holderKnown = entries.find(entry => entry.key === LEADER_KEY)?.value },
-        onEvent: event => { holderKnown = event.kind === 'put' ? event.value : undefined }
+        onEvent: event => {
+          holderKnown = event.kind === 'put' ? event.value : undefined
+          if (holderKnown === undefined) wake.abort()
+        }
       }, signal)
       run(signal)
     },
--- a/packages/magnoliabay/src/node/serving/placement/orderer.ts
+++ b/packages/magnoliabay/src/node/serving/placement/orderer.ts
@@ -192,6 +192,8 @@
     }
   }
 
+  const holds = (entry: Engine['entry'], name: string): boolean =>
+    entry.models.some(held => held.adapters.some(adapter => `${held.name}/${adapter}` === name))
   const adapterHolder = ({ process, spec, entry }: Engine): AdapterHolder => ({
     id: process,
     load: entry.models.reduce((sum, held) => sum + table.inFlight(process, held.name), 0),
@@ -204,7 +206,7 @@
         rate: table.demand(`${held.name}/${adapter}`).rate,
         isInUse: table.inFlight(process, `${held.name}/${adapter}`) > 0
       }))),
-      ...entry.adaptersOnTheWay.map(name => ({ model: name.split('/')[0]!, adapter: name.split('/')[1] ?? '', rate: Infinity, isInUse: true }))
+      ...entry.adaptersOnTheWay.filter(name => !holds(entry, name)).map(name => ({ model: name.split('/')[0]!, adapter: name.split('/')[1] ?? '', rate: Infinity, isInUse: true }))
     ]
   })
   /** Fills free places with adapters that nobody has yet, so that their first request finds them. */
--- a/packages/magnoliabay/src/node/serving/serve.ts
+++ b/packages/magnoliabay/src/node/serving/serve.ts
@@ -21,6 +21,8 @@
 const PATIENCE_MARGIN_MS = 250
 /** A server that was full has places again after about one service time, milliseconds. */
 const FULL_RETRY_MS = 300
+/** Other instances are there at once. */
+const LEAVING_RETRY_MS = 20
 /** Times that a request goes out again after servers said that they have not run it. */
 const MAX_REJECTIONS = 3
 /** Pause before the same server is asked again, milliseconds. */
@@ -277,6 +279,7 @@
     const admitted = admit(cfg, hostOf(req), pathOf(req), caller, ctx.random)
     if (admitted.err) return refuse(inbound, caller, admitted.val, false, { path: pathOf(req) })
     const { route, service } = admitted.val
+    if (ctx.isClosingFor(route.kind)) return refuse(inbound, caller, { reason: 'leaving', retryAfterMs: LEAVING_RETRY_MS }, false, { route: route.name })
     ctx.noteDemand(modelKey(caller))
     ctx.retryBudget(service.name).noteFirstAttempt()
     const allowedMs = Math.min(route.timeoutMs, caller.deadlineMs ?? Infinity)
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -31,6 +31,7 @@
 import { createServers } from './servers'
 import { createSpread } from './spread'
 import { processOf } from './types'
+import type { RequestKind } from './types'
 import type { ServingWire } from './wire'
 
 export interface ServingSettings {
@@ -81,6 +82,13 @@
 const RETRY_PART = 0.5
 /** Callers keep an address for up to three times the two seconds that they are told. */
 const ADDRESS_KEPT_MS = 6000
+/**
+ * A stream that begins later than this part of the grace period would be cut by its end: streams take some seconds,
+ * and callers that kept the address may still come. They are told at once, and go elsewhere.
+ */
+const LAST_STREAM_PART = 0.3
+/** The same for calls of plain services, before the end of the grace period, milliseconds. */
+const LAST_CALL_MS = 2200
 /** What is left of the grace period when the process ends by itself, milliseconds. */
 const GRACE_MARGIN_MS = 600
 
@@ -111,6 +119,12 @@
   const demand = new Map<string, DecayingRate>()
   const budgets = new Map<string, RetryBudget>()
 
+  let leavingSinceMs = Infinity
+  const lastRequestMs: Record<RequestKind, number> = {
+    stream: settings.graceMs * LAST_STREAM_PART,
+    idempotent: settings.graceMs - LAST_CALL_MS,
+    'non-idempotent': settings.graceMs - LAST_CALL_MS
+  }
   const isReady = (): boolean => cfg.version() > 0 && servers.isKnown() && !self.leaving
   const storeAgeMs = (): number => clock.monotonic() - store.lastContactMs()
   const isConfigured = (model: string): boolean =>
@@ -176,6 +190,7 @@
     connections,
     retryBudget,
     noteDemand,
+    isClosingFor: kind => clock.monotonic() - leavingSinceMs > lastRequestMs[kind],
     metrics,
     clock,
     logger,
@@ -246,7 +261,10 @@
       locateKeepMs: Math.min(ADDRESS_KEPT_MS, settings.graceMs - 2 * GRACE_MARGIN_MS),
       drainMs: Math.max(0, settings.graceMs - ADDRESS_KEPT_MS - GRACE_MARGIN_MS),
       steps: {
-        leave: () => membership.announceLeaving(),
+        leave: async () => {
+          leavingSinceMs = clock.monotonic()
+          await membership.announceLeaving()
+        },
         handOver: () => leadership.resign(),
         drain: door.close,
         finish: async () => {
