--- /dev/null
+++ b/packages/magnoliabay/src/node/platform/__tests__/decode.spec.ts
@@ -0,0 +1,168 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { decodeConfig } from '../configDocument'
+import { decodeAnswer, decodeCaller, forwardedHeaders, returnedHeaders } from '../requestHeaders'
+import { decodeServer } from '../serverEntry'
+import { readPlatformSettings } from '../settings'
+
+const SETTINGS = `
+node-name: "frontend-a-1"
+zone: "a"
+region: "r"
+ip-address: "10.1.0.25"
+unheard-of: { field: [1, 2] }
+listen-addresses: { frontend: "10.1.0.25:8221", ready: "10.1.0.25:8224", control-plane: "10.1.0.25:8229", directory-service: "10.1.0.25:8220" }
+internal-port-range: [7600, 7615]
+seed-nodes: ["10.1.0.25:8229", "10.2.0.17:8229"]
+bootstrap: true
+limits: { file-descriptors: 4100 }
+bounds: { drain-ms: 2000, grace-period-s: 8, lease-ms: 3000, retry-budget-ratio: 0.2, retry-budget-slack: 56, budget-window-s: 10, contact-timeout-ms: 3000, quota-window-s: 8, ttl_max_s: 5 }
+platform: { address: "10.200.1.7:8225", writes-per-s: 400, reads-per-s: 2000, ttl-min-ms: 1000 }
+`
+
+describe('the settings that the platform lays down', () => {
+  it('are read into the product\'s own words; unknown fields are ignored, the own seed is left out', () => {
+    const settings = readPlatformSettings(SETTINGS).unwrap()
+    expect(settings).to.deep.include({
+      instance: { id: 'frontend-a-1', failureDomain: 'a', region: 'r' },
+      seeds: ['10.2.0.17:8229'],
+      graceMs: 8000,
+      orderLeaseMs: 3000,
+      allowanceWindowMs: 8000,
+      isFirstStart: true
+    })
+    expect(settings.listen.metrics).to.equal('10.1.0.25:7600')
+  })
+
+  const FAULTS = [
+    { name: 'no YAML', text: 'a: [', path: '' },
+    { name: 'a missing address', text: SETTINGS.replace('address: "10.200.1.7:8225", ', ''), path: 'platform.address' },
+    { name: 'a bound of the wrong type', text: SETTINGS.replace('drain-ms: 2000', 'drain-ms: soon'), path: 'bounds.drain-ms' }
+  ]
+  FAULTS.forEach(({ name, text, path }) => it(`say where they are wrong: ${name}`, () => {
+    const problems = readPlatformSettings(text)
+    expect(problems.err && problems.val[0]?.path).to.equal(path)
+  }))
+})
+
+const CONFIG = {
+  version: 7,
+  routes: [
+    { name: 'r1', hostname: 'h.example', prefix: '/x/', 'route-kind': 'streaming', 'timeout-ms': 30000, 'target-latency-ms': 4000, priority: 0, service: 'llm', 'max-attempts': 2, anonymous: false, resumable: true, 'gap-target-ms': 250 },
+    { name: 'r2', hostname: 'h.example', prefix: '/y/', 'route-kind': 'idempotent', 'traffic-split': [{ service: 'app', weight: 90 }, { service: 'llm', weight: 10 }] }
+  ],
+  services: [
+    { name: 'llm', 'connection-limit': 370, engine: { slots: 64, 'kv-cache-tokens': 1000, 'weights-mb': 230000, 'adapter-capacity': 8, 'loads-per-s': 2.1, models: [{ name: 'm', 'weights-mb': 72700, 'load-time-s': 6.9, adapters: 2, 'adapter-size-mb': 66, 'warmup-s': 0.6, 'disk-load-s': 1.7 }] } },
+    { name: 'app' }
+  ],
+  tenants: [{ name: 't', 'api-keys': ['k'], unit: 'token_streaming', 'plain-tokens': 200, 'rate-per-s': 100, burst: 50 }]
+}
+
+describe('the operator\'s configuration', () => {
+  it('is decoded into the product\'s own words', () => {
+    const cfg = decodeConfig(JSON.stringify(CONFIG))!
+    expect(cfg.routes[0]).to.include({ kind: 'stream', isResumable: true, maxAttempts: 2, objectiveMs: 4000 })
+    expect(cfg.routes[1]!.services).to.deep.equal([{ service: 'app', weight: 90 }, { service: 'llm', weight: 10 }])
+    expect(cfg.services.get('llm')!.engine!.models.get('m')).to.deep.include({ adapters: ['a1', 'a2'], loadMs: { store: 6900, disk: 1700, memory: 600 } })
+    expect(cfg.services.get('app')!.engine).to.equal(undefined)
+    expect(cfg.teams![0]).to.include({ unit: 'tokens', rate: 100, burst: 50, plainTokens: 200 })
+  })
+
+  it('may name no teams, and models without tiers of their own', () => {
+    const cfg = decodeConfig(JSON.stringify({ version: 1, routes: [], services: [{ name: 's', engine: { slots: 1, models: [{ name: 'm', 'weights-mb': 1, 'load-time-s': 5 }] } }] }))!
+    expect(cfg.teams).to.equal(undefined)
+    expect(cfg.services.get('s')!.engine!.models.get('m')!.loadMs).to.deep.equal({ store: 5000, disk: 5000, memory: 5000 })
+  })
+
+  it('is none where it cannot be read, whatever it holds', () => {
+    expect(decodeConfig('not json')).to.equal(undefined)
+    fc.assert(fc.property(fc.json(), text => { decodeConfig(text) }), { seed: 3, numRuns: 300 })
+  })
+})
+
+const ENTRY = { service: 'llm', address: '10.128.0.9:8080', zone: 'a', slots: 64, state: 'ready', born: 17, models: [{ name: 'm', version: 1, adapters: ['a1'] }], available: { 'in-memory': [], 'on-disk': ['m'] }, sequence: 4 }
+
+describe('entries of backend servers', () => {
+  it('are decoded into the product\'s own words', () => {
+    expect(decodeServer('servers/i-1', JSON.stringify(ENTRY))).to.deep.equal({
+      id: 'i-1',
+      bornMs: 17,
+      service: 'llm',
+      address: '10.128.0.9:8080',
+      failureDomain: 'a',
+      slots: 64,
+      state: 'ready',
+      models: [{ name: 'm', version: 1, adapters: ['a1'] }],
+      copies: { memory: [], disk: ['m'] },
+      remainingMs: undefined
+    })
+  })
+
+  const SPOILT: Array<[string, object | string]> = [
+    ['no JSON', '\u0000\u0001'],
+    ['a missing address', { ...ENTRY, address: undefined }],
+    ['an address that is a name', { ...ENTRY, address: 'engine.example:80' }],
+    ['a state that nobody named', { ...ENTRY, state: 'dancing' }],
+    ['slots of another type', { ...ENTRY, slots: 'many' }],
+    ['models that are no list', { ...ENTRY, models: 'all' }]
+  ]
+  SPOILT.forEach(([name, value]) => it(`name no server with ${name}`, () => {
+    expect(decodeServer('servers/i-1', typeof value === 'string' ? value : JSON.stringify(value))).to.equal(undefined)
+  }))
+
+  it('never throw, whatever they hold', () => {
+    fc.assert(fc.property(fc.oneof(fc.json(), fc.string()), text => { decodeServer('servers/x', text) }), { seed: 5, numRuns: 300 })
+  })
+})
+
+describe('headers of a request', () => {
+  it('tell what the caller asks for', () => {
+    expect(decodeCaller({
+      'x-magnoliabay-attempt-id': '9c41',
+      'x-magnoliabay-deadline-ms': '12000',
+      'x-magnoliabay-model': 'm/a3',
+      'x-magnoliabay-token-usage': '1460,80',
+      'x-magnoliabay-prompt-prefix': '5c1e07a2:800,91bd3f06:410',
+      authorization: 'Token secret'
+    })).to.deep.equal({ attemptId: '9c41', deadlineMs: 12000, key: 'secret', model: 'm', adapter: 'a3', tokens: { prompt: 1460, output: 80 }, promptParts: ['5c1e07a2', '91bd3f06'] })
+  })
+
+  const ODD: Array<[string, Record<string, string>, object]> = [
+    ['nothing', {}, { attemptId: '', deadlineMs: undefined, key: undefined, model: undefined, tokens: undefined }],
+    ['another scheme', { authorization: 'Bearer secret' }, { key: undefined }],
+    ['a deadline that is no number', { 'x-magnoliabay-deadline-ms': '-5' }, { deadlineMs: undefined }],
+    ['one number of tokens', { 'x-magnoliabay-token-usage': '5' }, { tokens: undefined }],
+    ['a model without an adapter', { 'x-magnoliabay-model': 'm' }, { model: 'm', adapter: undefined }]
+  ]
+  ODD.forEach(([name, headers, expected]) => it(`are read with care: ${name}`, () => {
+    expect(decodeCaller(headers)).to.deep.include(expected)
+  }))
+
+  it('are never the caller\'s to set where they are the system\'s, in any case of letters', () => {
+    const forged = fc.constantFrom('authorization', 'X-Magnoliabay-Tenant', 'x-magnoliabay-hold', 'X-MAGNOLIABAY-PIN-MS', 'Kv-From', 'kv-fetch', 'X-Magnoliabay-Kv-Backup', 'x-magnoliabay-expected-instance', 'X-Magnoliabay-Request-Priority', 'Content-Length', 'Transfer-Encoding')
+    fc.assert(fc.property(fc.array(forged), names => {
+      const sent = forwardedHeaders([...names.flatMap(name => [name, 'forged']), 'X-Kept', 'yes'], { deadlineMs: 10, serverId: 's', team: 't', priority: 1 })
+      expect(sent).not.to.include('forged')
+      expect(sent).to.include('X-Kept')
+    }), { seed: 7, numRuns: 100 })
+  })
+
+  it('keep what identifies a request even where the caller names it for one connection only', () => {
+    const sent = forwardedHeaders(['Connection', 'X-Magnoliabay-Model, X-Hop', 'X-Magnoliabay-Model', 'm', 'X-Hop', '1'], { deadlineMs: 10, serverId: 's', team: undefined, priority: undefined })
+    expect(sent).to.include('X-Magnoliabay-Model')
+    expect(sent).not.to.include('X-Hop')
+    expect(sent).not.to.include('X-Magnoliabay-Tenant')
+  })
+})
+
+describe('headers of an answer', () => {
+  it('tell whether the server has not run the request', () => {
+    expect(decodeAnswer({ status: 503, headers: { 'x-magnoliabay-not-executed': '1' }, rawHeaders: [] }).isNotRun).to.equal(true)
+    expect(decodeAnswer({ status: 421, headers: {}, rawHeaders: [] }).isNotRun).to.equal(true)
+    expect(decodeAnswer({ status: 503, headers: {}, rawHeaders: [] }).isNotRun).to.equal(false)
+  })
+
+  it('are passed on but for those of one connection', () => {
+    expect(returnedHeaders(['Keep-Alive', 'timeout=3', 'X-A', '1', 'Content-Length', '4', 'Connection', 'close'])).to.deep.equal(['X-A', '1', 'Content-Length', '4'])
+  })
+})
--- /dev/null
+++ b/packages/magnoliabay/src/node/platform/__tests__/kvStore.spec.ts
@@ -0,0 +1,125 @@
+import { createKvState, createPlatformStore } from '@magnoliabay/standins'
+import type { KvState, PlatformStore } from '@magnoliabay/standins'
+import { expect } from 'chai'
+import { createSystemClock } from '../../clock'
+import { createSilentLogger } from '../../logger'
+import type { Transaction, WatchEvent } from '../../store'
+import { createKvStore } from '../kvStore'
+import type { KvStore } from '../kvStore'
+
+const clock = createSystemClock()
+
+describe('client of the platform\'s store', () => {
+  let state: KvState
+  let service: PlatformStore
+  let store: KvStore
+  let stop: AbortController
+
+  beforeEach(async () => {
+    state = createKvState({ clock })
+    service = await createPlatformStore({ state, clock, pageItems: 2 })
+    store = createKvStore({ address: service.address, clock, logger: createSilentLogger() })
+    stop = new AbortController()
+  })
+  afterEach(async () => {
+    stop.abort()
+    await store.close()
+    await service.close()
+    state.close()
+  })
+  const put = (key: string, value: string, leaseId?: string): Transaction => ({ compares: [], writes: [{ kind: 'put', key, value, leaseId }] })
+  /** Resolves once `isDone` holds after an event or a snapshot. */
+  const watchUntil = (prefix: string, isDone: (seen: { events: WatchEvent[], snapshots: string[][] }) => boolean): Promise<void> => new Promise(resolve => {
+    const seen = { events: [] as WatchEvent[], snapshots: [] as string[][] }
+    const check = (): void => { if (isDone(seen)) resolve() }
+    store.watch(prefix, {
+      onEvent: event => {
+        seen.events.push(event)
+        check()
+      },
+      onSnapshot: ({ entries }) => {
+        seen.snapshots.push(entries.map(entry => entry.key))
+        check()
+      }
+    }, stop.signal)
+  })
+
+  it('reads what it wrote, text of any kind', async () => {
+    const value = 'Grüße \u0000 日本'
+    await store.transact(put('a/1', value))
+    const read = await store.get('a/1')
+    expect(read.unwrap()).to.include({ key: 'a/1', value, leaseId: '0' })
+    expect((await store.get('a/2')).unwrap()).to.equal(undefined)
+  })
+
+  it('reads a range over several pages', async () => {
+    await Promise.all(['a/1', 'a/2', 'a/3', 'a/4', 'a/5', 'b/1'].map(key => store.transact(put(key, key))))
+    expect((await store.range('a/')).unwrap().entries.map(entry => entry.key)).to.deep.equal(['a/1', 'a/2', 'a/3', 'a/4', 'a/5'])
+  })
+
+  it('writes under a condition, once', async () => {
+    const claim: Transaction = { compares: [{ key: 'leader', target: 'create', equals: 0 }], writes: [{ kind: 'put', key: 'leader', value: 'me' }] }
+    expect((await store.transact(claim)).unwrap().succeeded).to.equal(true)
+    expect((await store.transact(claim)).unwrap().succeeded).to.equal(false)
+  })
+
+  it('refuses itself what the store cannot compare', async () => {
+    const byValue: Transaction = { compares: [{ key: 'a', target: 'value', equals: 'x' }], writes: [] }
+    expect(await store.transact(byValue)).to.have.nested.property('val.kind', 'invalid')
+    expect(service.calls.size).to.equal(0)
+  })
+
+  it('loses its keys with their lease', async () => {
+    const lease = (await store.grantLease(60)).unwrap()
+    await store.transact(put('mine', 'x', lease))
+    expect((await store.renewLease(lease)).unwrap()).to.equal(60)
+    await store.revokeLease(lease)
+    expect((await store.get('mine')).unwrap()).to.equal(undefined)
+    expect(await store.renewLease(lease)).to.have.nested.property('val.kind', 'lease-lost')
+    expect(await store.transact(put('mine', 'x', lease))).to.have.nested.property('val.kind', 'lease-lost')
+  })
+
+  const FAILURES = [
+    { name: 'refused as busy: nothing was done', faults: { refuseWith: 503 as const }, kind: 'unavailable' },
+    { name: 'refused as too many: nothing was done', faults: { refuseWith: 429 as const }, kind: 'unavailable' },
+    { name: 'a lost answer: it may have been done', faults: { loseAnswers: true }, kind: 'unknown' }
+  ]
+  FAILURES.forEach(({ name, faults, kind }) => it(`tells ${kind} of a call ${name}`, async () => {
+    service.faults.set(faults)
+    expect(await store.transact(put('a', 'x'))).to.have.nested.property('val.kind', kind)
+    expect(state.range({ key: 'a' })).to.have.length(kind === 'unknown' ? 1 : 0)
+  }))
+
+  it('follows all prefixes with one watch', async () => {
+    await store.transact(put('a/1', 'x'))
+    const a = watchUntil('a/', ({ events, snapshots }) => snapshots.length === 1 && events.map(event => event.key).join() === 'a/2,a/2')
+    const b = watchUntil('b/', ({ events }) => events.length === 1)
+    store.start(stop.signal, () => true)
+    while ((service.calls.get('/-/kv-watch') ?? 0) === 0) await new Promise(resolve => setImmediate(resolve))
+    await store.transact(put('a/2', 'y'))
+    await store.transact({ compares: [], writes: [{ kind: 'delete', key: 'a/2' }] })
+    await store.transact(put('b/1', 'z'))
+    await Promise.all([a, b])
+  })
+
+  /**
+   * An instance goes on with an old configuration for good.
+   * 1. The store drops its history while the watch is away. 2. What changed meanwhile is in no event any more.
+   * 3. The watch is told so, and everything is read anew.
+   */
+  it('reads everything anew when the history is gone', async () => {
+    const again = watchUntil('a/', ({ snapshots }) => snapshots.length >= 2)
+    service.faults.set({ forgetHistory: true })
+    store.start(stop.signal, () => true)
+    await again
+  })
+
+  it('goes on from where it was after its connections were cut', async () => {
+    const seen = watchUntil('a/', ({ events, snapshots }) => snapshots.length === 1 && events.map(event => event.key).join() === 'a/1')
+    store.start(stop.signal, () => true)
+    while ((service.calls.get('/-/kv-watch') ?? 0) === 0) await new Promise(resolve => setImmediate(resolve))
+    service.listener.dropConnections()
+    state.transact({ compares: [], success: [{ kind: 'put', key: 'a/1', value: 'x' }], failure: [] })
+    await seen
+  })
+})
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/__tests__/servers.spec.ts
@@ -0,0 +1,80 @@
+import { expect } from 'chai'
+import { createVirtualClock } from '../../clock/virtual'
+import type { VirtualClock } from '../../clock/virtual'
+import { createSilentLogger } from '../../logger'
+import { createServers } from '../servers'
+import type { Servers } from '../servers'
+import type { BackendServer } from '../types'
+import { serverOf } from './fixtures'
+
+interface World {
+  clock: VirtualClock
+  servers: Servers
+  steadySinceMs: { value: number }
+}
+
+function createWorld (): World {
+  const clock = createVirtualClock()
+  const steadySinceMs = { value: -60_000 }
+  const servers = createServers({
+    decode: (key, text) => text === 'spoilt' ? undefined : serverOf(key, JSON.parse(text) as Partial<BackendServer>),
+    idOf: key => key,
+    storeSteadySinceMs: () => steadySinceMs.value,
+    clock,
+    logger: createSilentLogger()
+  })
+  return { clock, servers, steadySinceMs }
+}
+
+const usable = ({ servers }: World): string[] => servers.usable('app').map(server => server.id)
+
+describe('backend servers by the store\'s list', () => {
+  it('get nothing new once they drain, are gone, or a peer has heard that they leave', () => {
+    const world = createWorld()
+    world.servers.snapshot(['s1', 's2', 's3', 's4'].map(key => ({ key, value: '{}' })))
+    world.servers.put({ key: 's1', value: '{"state":"draining"}' })
+    world.servers.remove('s2')
+    world.servers.noteLeaving('s3@1')
+    expect(usable(world)).to.deep.equal(['s4'])
+  })
+
+  it('are another process when born anew under their id', () => {
+    const world = createWorld()
+    world.servers.snapshot([{ key: 's1', value: '{}' }])
+    world.servers.noteLeaving('s1@1')
+    world.servers.put({ key: 's1', value: '{"bornMs":2}' })
+    expect(usable(world)).to.deep.equal(['s1'])
+  })
+
+  /**
+   * Requests find no server though all of them serve.
+   * 1. The store is away, and entries lapse in it. 2. It is back, and tells of the lapses. 3. Within two seconds the
+   * servers that live have written again; only those still missing then are gone.
+   */
+  it('stay for two seconds when their entries lapsed while the store was away', async () => {
+    const world = createWorld()
+    world.servers.snapshot(['s1', 's2'].map(key => ({ key, value: '{}' })))
+    world.steadySinceMs.value = world.clock.monotonic()
+    world.servers.snapshot([])
+    expect(usable(world)).to.deep.equal(['s1', 's2'])
+    await world.clock.advance(1000)
+    world.servers.put({ key: 's1', value: '{}' })
+    await world.clock.advance(1100)
+    expect(usable(world)).to.deep.equal(['s1'])
+  })
+
+  it('that were draining are not held when they lapse', () => {
+    const world = createWorld()
+    world.servers.snapshot([{ key: 's1', value: '{"state":"draining"}' }])
+    world.steadySinceMs.value = Infinity
+    world.servers.remove('s1')
+    expect(world.servers.all()).to.deep.equal([])
+  })
+
+  it('are none where an entry cannot be read; the entry before holds', () => {
+    const world = createWorld()
+    world.servers.snapshot([{ key: 's1', value: '{}' }, { key: 's2', value: 'spoilt' }])
+    world.servers.put({ key: 's1', value: 'spoilt' })
+    expect(usable(world)).to.deep.equal(['s1'])
+  })
+})
--- /dev/null
+++ b/packages/standins/src/node/platformStore/index.ts
@@ -0,0 +1,164 @@
+/**
+ * The users' metadata store, as far as its published protocol is used: keys, ranges, long-polled watches,
+ * transactions on revisions, leases. Over a {@link KvState}, with the faults that the protocol names.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Clock } from 'magnoliabay/clock/index'
+import { createFaultSwitches } from '../faults'
+import type { FaultSwitches } from '../faults'
+import { asList, asObject, asText, parseObject, readText, sendJson } from '../http/json'
+import type { JsonObject } from '../http/json'
+import { createListener } from '../http/listener'
+import type { Listener } from '../http/listener'
+import type { KvState } from '../kv/state'
+import { prefixEnd } from '../kv/types'
+import type { KvEntry, KvEvent, KvOperation } from '../kv/types'
+
+export interface PlatformStoreFaults {
+  /** Status with which every call is refused, or 0. */
+  refuseWith: 0 | 429 | 503
+  /** Calls are never answered. */
+  silent: boolean
+  /** Writes take effect, then the connection is cut. */
+  loseAnswers: boolean
+  /** Watches are told that their history is gone. */
+  forgetHistory: boolean
+}
+
+export interface PlatformStoreOptions {
+  state: KvState
+  clock: Clock
+  /** Items on a page of a range. @default 500 */
+  pageItems?: number
+}
+
+export interface PlatformStore {
+  readonly address: string
+  readonly faults: FaultSwitches<PlatformStoreFaults>
+  readonly listener: Listener
+  /** Calls so far, by path. */
+  readonly calls: Map<string, number>
+  close (): Promise<void>
+}
+
+interface Call {
+  path: string
+  query: URLSearchParams
+  body: JsonObject
+}
+
+interface Answer {
+  status: number
+  body: object
+}
+
+const PAGE_ITEMS = 500
+const encode = (text: string): string => Buffer.from(text, 'utf8').toString('base64')
+
+function toItem (entry: KvEntry): object {
+  return { key: entry.key, value: encode(entry.value), revision: entry.modRevision, created: entry.createRevision, lease: Number(entry.leaseId) }
+}
+
+function toEvent ({ kind, entry }: KvEvent): object {
+  return kind === 'delete' ? { key: entry.key, revision: entry.modRevision, deleted: true } : toItem(entry)
+}
+
+/** Starts the stand-in on loopback. */
+export async function createPlatformStore (options: PlatformStoreOptions): Promise<PlatformStore> {
+  const { state, clock, pageItems = PAGE_ITEMS } = options
+  const faults = createFaultSwitches<PlatformStoreFaults>({ refuseWith: 0, silent: false, loseAnswers: false, forgetHistory: false })
+  const calls = new Map<string, number>()
+
+  const range = ({ query }: Call): Answer => {
+    const prefix = query.get('prefix') ?? ''
+    const all = state.range({ key: prefix, end: prefixEnd(prefix) }).filter(entry => entry.key > (query.get('after') ?? ''))
+    return { status: 200, body: { items: all.slice(0, pageItems).map(toItem), 'has-more': all.length > pageItems, at: state.revision() } }
+  }
+  const get = ({ query }: Call): Answer => {
+    const entry = state.range({ key: query.get('key') ?? '' })[0]
+    return entry === undefined ? { status: 404, body: {} } : { status: 200, body: { ...toItem(entry), at: state.revision() } }
+  }
+  const transact = ({ body }: Call): Answer => {
+    const conditions = asList(body.precondition).map(asObject)
+    const puts: KvOperation[] = asList(body.write).map(asObject).map(write => ({
+      kind: 'put',
+      key: asText(write.key),
+      value: Buffer.from(asText(write.value), 'base64').toString('utf8'),
+      leaseId: String(write.lease ?? 0)
+    }))
+    const removals: KvOperation[] = asList(body.remove).map(key => ({ kind: 'delete', range: { key: asText(key) } }))
+    const done = state.transact({
+      compares: conditions.map(row => ({ key: asText(row.key), target: 'mod', result: 'equal', operand: Number(row.revision) })),
+      success: [...puts, ...removals],
+      failure: []
+    })
+    if (done.err) return { status: 404, body: {} }
+    if (done.val.succeeded) return { status: 200, body: { revision: done.val.revision } }
+    const items = conditions.flatMap(row => state.range({ key: asText(row.key) })).map(toItem)
+    return { status: 412, body: { items } }
+  }
+  const grant = ({ body }: Call): Answer => {
+    const ttlMs = Number(body['ttl-ms'])
+    const lease = state.grantLease(ttlMs / 1000).unwrap()
+    return { status: 200, body: { lease: Number(lease.id), 'ttl-ms': ttlMs } }
+  }
+  const idOf = (call: Call): string => call.path.split('/').at(-1) ?? ''
+  const keep = (call: Call): Answer => {
+    const kept = state.renewLease(idOf(call))
+    return kept.err ? { status: 404, body: {} } : { status: 200, body: { 'ttl-ms': kept.val.ttlSeconds * 1000 } }
+  }
+  const endLease = (call: Call): Answer => ({ status: state.revokeLease(idOf(call)).err ? 404 : 200, body: {} })
+  const routes: Record<string, (call: Call) => Answer> = {
+    'GET /-/kv-key': get,
+    'GET /-/kv-range': range,
+    'POST /-/kv-txn': transact,
+    'POST /-/kv-lease': grant,
+    'POST /-/kv-keep': keep,
+    'DELETE /-/kv-lease-end': endLease
+  }
+  const watch = ({ query }: Call, res: ServerResponse): void => {
+    if (faults.now.forgetHistory) return sendJson(res, 410, {})
+    const prefix = query.get('prefix') ?? ''
+    const after = Number(query.get('after'))
+    const answer = (events: readonly KvEvent[]): void => {
+      opened.kind === 'watching' && opened.cancel()
+      cancelWait()
+      sendJson(res, 200, { events: events.map(toEvent), at: state.revision() })
+    }
+    const cancelWait = clock.schedule(Number(query.get('wait-ms')), () => answer([]))
+    const opened = state.watch({ key: prefix, end: prefixEnd(prefix) }, after + 1, events => answer(events))
+    if (opened.kind === 'compacted') {
+      cancelWait()
+      return sendJson(res, 410, {})
+    }
+    res.once('close', () => {
+      opened.cancel()
+      cancelWait()
+    })
+    if (opened.backlog.length > 0) answer(opened.backlog)
+  }
+  const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const url = new URL(req.url ?? '/', 'http://store')
+    const call: Call = { path: url.pathname, query: url.searchParams, body: parseObject(await readText(req)) }
+    calls.set(url.pathname, (calls.get(url.pathname) ?? 0) + 1)
+    if (faults.now.silent) return
+    if (faults.now.refuseWith !== 0) return sendJson(res, faults.now.refuseWith, {})
+    if (call.path === '/-/kv-watch') return watch(call, res)
+    const route = Object.entries(routes).find(([name]) => `${req.method} ${call.path}`.startsWith(name))
+    if (route === undefined) return sendJson(res, 400, {})
+    const answer = route[1](call)
+    if (faults.now.loseAnswers && req.method !== 'GET') {
+      res.destroy()
+      return
+    }
+    sendJson(res, answer.status, answer.body)
+  }
+  const listener = await createListener({ handler: (req, res) => { handle(req, res) } })
+  return {
+    address: listener.address,
+    faults,
+    listener,
+    calls,
+    close: () => listener.close()
+  }
+}
