--- a/packages/magnoliabay/src/node/commands/platform.ts
+++ b/packages/magnoliabay/src/node/commands/platform.ts
@@ -2,6 +2,7 @@
 import { readFile } from 'node:fs/promises'
 import { createSystemClock } from '../clock'
 import { createLogger } from '../logger'
+import { createLogSink } from '../logSink'
 import { SETTINGS_VARIABLE, createDiscovery, createEngineCalls, createKvStore, platformWire, readPlatformSettings } from '../platform'
 import { createServingInstance } from '../serving/servingInstance'
 import { messageOf } from '../utils'
@@ -9,6 +10,9 @@
 import type { Command } from './types'
 import { untilSignal } from './untilSignal'
 
+/** For the last lines to be read, milliseconds; a reader that has stopped must not keep the process. */
+const LAST_LINES_MS = 200
+
 export const platformCommand: Command = {
   name: 'platform',
   summary: `Run one instance on the users' platform; ${SETTINGS_VARIABLE} names its settings file.`,
@@ -30,7 +34,8 @@
       return EXIT_USAGE
     }
     const clock = createSystemClock()
-    const logger = createLogger()
+    const sink = createLogSink({ clock })
+    const logger = createLogger({ write: sink.write })
     const store = createKvStore({ address: settings.val.store.address, clock, logger })
     const instance = createServingInstance({ settings: settings.val, wire: platformWire, store, engines: createEngineCalls(clock), clock, logger, random: Math.random })
     const discovery = createDiscovery({
@@ -46,6 +51,8 @@
     await untilSignal()
     await instance.shutdown()
     discovery.close()
+    logger.info('instance-stopped', { linesLeftOut: sink.dropped() })
+    await sink.flush(LAST_LINES_MS)
     // Sockets that callers still hold must not keep the process past its grace period.
     process.exit(EXIT_DONE)
   }
--- a/packages/magnoliabay/src/node/logger.ts
+++ b/packages/magnoliabay/src/node/logger.ts
@@ -20,7 +20,7 @@
   /** Least level written. @default 'info' */
   level?: LogLevel
   /** Where lines go. @default standard output */
-  write?: (line: string) => void
+  write?: (line: string, level: LogLevel) => void
   /** Fields added to every event. @default {} */
   fields?: LogFields
 }
@@ -55,7 +55,7 @@
   backend.attachTransport(entry => {
     const record = entry as unknown as LogRecord & { _meta: { date: Date } }
     const head = { time: record._meta.date.toISOString(), level: record.level, event: record.event }
-    write(formatLogFields({ ...head, ...record.fields }))
+    write(formatLogFields({ ...head, ...record.fields }), record.level)
   })
   return bindFields(backend, options.fields ?? {})
 }
--- a/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
@@ -17,10 +17,11 @@
 /** A home that did not answer is not asked again for this long: each request would wait for it anew. */
 const AVOID_HOME_MS = 1000
 /**
- * Part of the allowance that a process counts as spent when it may be the home of teams and nobody told it anything:
- * the whole fleet may have been restarted a moment ago, after spending all.
+ * After a restart of the whole fleet nobody knows what was spent before. It counts as spent evenly over the window
+ * before this process began, in so many parts: a team that was at its limit gets nothing twice, and one within it
+ * misses little, since the parts leave the window faster than it asks.
  */
-const UNKNOWN_PART = 0.5
+const UNKNOWN_PARTS = 16
 
 export interface TakeRequest {
   team: string
@@ -53,8 +54,8 @@
   giveBack (team: Team, amount: number): void
   /** What this instance has spent, for the others to know. */
   spent (): readonly TeamSpent[]
-  /** Another instance told what it has spent. */
-  noteSpent (member: string, spent: readonly TeamSpent[]): void
+  /** A process told what it has spent. What it told stands for a window after its end. */
+  noteSpent (incarnation: string, spent: readonly TeamSpent[]): void
 }
 
 export interface TeamAllowanceOptions {
@@ -82,12 +83,19 @@
   const counted = new Map<string, Spending>()
   /** By this instance. */
   const own = new Map<string, Spending>()
+  /** By incarnation: a process that starts anew has forgotten what the one before it spent. */
   const told = new Map<string, Told>()
+  const startedMs = clock.monotonic()
   const avoidedUntilMs = new Map<string, number>()
 
   const limitOf = (team: Team): number => team.rate * windowMs / MS_PER_SECOND + team.burst
-  const staying = (): readonly MemberRecord[] => peers.members().filter(member => !member.leaving)
-  const homeOf = (team: string): string => rankByRendezvous(team, staying(), member => member.id)[0]?.id ?? peers.self.id
+  /** Members that may count: a process younger than the window has not heard what others spent in it. */
+  const homes = (): readonly MemberRecord[] => {
+    const staying = peers.members().filter(member => !member.leaving)
+    const seasoned = staying.filter(member => clock.now() - member.startedAtMs >= windowMs)
+    return seasoned.length > 0 ? seasoned : staying
+  }
+  const homeOf = (team: string): string => rankByRendezvous(team, homes(), member => member.id)[0]?.id ?? peers.self.id
   const ownOf = (team: string): Spending => {
     const found = own.get(team) ?? createSpending(windowMs)
     own.set(team, found)
@@ -96,13 +104,16 @@
   const toldBy = (team: string): number[] => [...told.values()]
     .filter(each => clock.monotonic() - each.atMs < windowMs)
     .map(each => each.spent.get(team) ?? 0)
+  const assumeAllSpent = (spending: Spending, team: Team): void =>
+    Array.from({ length: UNKNOWN_PARTS }).forEach((_, part) =>
+      spending.note(limitOf(team) / UNKNOWN_PARTS, startedMs - windowMs * (1 - part / UNKNOWN_PARTS)))
   const beginCounting = (team: Team): Spending => {
     const spending = createSpending(windowMs)
+    const isYoung = clock.monotonic() - startedMs < windowMs
+    if (isYoung && !options.isFirstStart) assumeAllSpent(spending, team)
     const known = toldBy(team.name)
-    const isUnknown = known.length === 0 && !options.isFirstStart
-    const before = isUnknown ? limitOf(team) * UNKNOWN_PART : known.reduce((sum, units) => sum + units, ownOf(team.name).spent(clock.monotonic()))
-    spending.note(before, clock.monotonic())
-    logger.info('allowance-home', { team: team.name, spentBefore: Math.round(before), tellers: known.length, limit: Math.round(limitOf(team)) })
+    spending.note(known.reduce((sum, units) => sum + units, ownOf(team.name).spent(clock.monotonic())), clock.monotonic())
+    logger.info('allowance-home', { team: team.name, spentBefore: Math.round(spending.spent(clock.monotonic())), tellers: known.length, young: isYoung, limit: Math.round(limitOf(team)) })
     return spending
   }
   /** Grants what the whole allowance has left, but for the equal parts of those who cannot ask. */
@@ -151,8 +162,9 @@
     spent: () => [...own]
       .map(([team, spending]) => ({ team, units: Math.round(spending.spent(clock.monotonic())) }))
       .filter(({ units }) => units > 0),
-    noteSpent: (member, spent) => {
-      told.set(member, { spent: new Map(spent.map(({ team, units }) => [team, units])), atMs: clock.monotonic() })
+    noteSpent: (incarnation, spent) => {
+      told.forEach((each, key) => { if (clock.monotonic() - each.atMs > windowMs) told.delete(key) })
+      told.set(incarnation, { spent: new Map(spent.map(({ team, units }) => [team, units])), atMs: clock.monotonic() })
     }
   }
 }
--- a/packages/magnoliabay/src/node/serving/fleetTable.ts
+++ b/packages/magnoliabay/src/node/serving/fleetTable.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock } from '../clock'
 import { definePeerNotice } from '../members'
-import type { Peers } from '../members'
+import type { MemberRecord, Peers } from '../members'
 import type { TeamSpent } from './allowance/teamAllowance'
 
 /** How often each instance tells. Placement of requests errs by what starts in between; nine instances cost 36 notices a second each. */
@@ -60,7 +60,7 @@
   clock: Clock
   own: () => FleetRow
   /** Called with each row that comes in. */
-  onRow: (member: string, row: FleetRow) => void
+  onRow: (member: MemberRecord, row: FleetRow) => void
 }
 
 interface HeldRow {
@@ -80,7 +80,7 @@
   const sum = (numbers: readonly number[]): number => numbers.reduce((total, number) => total + number, 0)
   peers.listen(rowNotice, (row, from) => {
     rows.set(from.id, { row, atMs: clock.monotonic() })
-    onRow(from.id, row)
+    onRow(from, row)
   })
 
   return {
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -165,8 +165,8 @@
     clock,
     own: ownRow,
     onRow: (member, row) => {
-      spread(member, row)
-      allowance.noteSpent(member, row.spent)
+      spread(member.id, row)
+      allowance.noteSpent(member.incarnation, row.spent)
     }
   })
   const leadership = createLeadership({ store, self: id, orderLeaseMs: settings.orderLeaseMs, minLeaseMs: settings.store.minLeaseMs, clock, logger, random })
