--- a/packages/magnoliabay/src/node/serving/__tests__/exchange.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/exchange.spec.ts
@@ -130,6 +130,21 @@
     expect(server.received[1]).to.match(/Content-Length: 0\r\n/)
   })
 
+  /**
+   * A caller's stream is cut though its server still sends.
+   * 1. A server that leaves is taken off the list. 2. Its idle connections are dropped. 3. The one in use stays.
+   */
+  it('lets an answer under way finish when its server is forgotten', async () => {
+    server = await startRawServer(socket => {
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfi')
+      setImmediate(() => {
+        connections.forget(server!.address)
+        setImmediate(() => socket.write('ne'))
+      })
+    })
+    expect(await send(connections, server.address)).to.include({ end: 'whole', body: 'fine' })
+  })
+
   it('closes its connection when it is cancelled, so that the server stops its work', async () => {
     const closed = new Promise<void>(resolve => {
       startRawServer(socket => socket.on('close', () => resolve())).then(started => {
--- a/packages/magnoliabay/src/node/serving/allowance/__tests__/teamAllowance.spec.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/__tests__/teamAllowance.spec.ts
@@ -123,7 +123,7 @@
     const world = createWorld(false)
     expect(await world.drain(['m1'], 300)).to.equal(0)
     await world.clock.advance(2000)
-    // A quarter of the window is free by now, and was spent by nobody.
+    // Two seconds' rate is free by now, and was spent by nobody.
     expect(await world.drain(['m1'], 200)).to.equal(200)
   })
 
--- a/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
@@ -19,7 +19,7 @@
 /**
  * After a restart of the whole fleet nobody knows what was spent before. It counts as spent evenly over the window
  * before this process began, in so many parts: a team that was at its limit gets nothing twice, and one within it
- * misses little, since the parts leave the window faster than it asks.
+ * misses little, since as much comes free as its rate is.
  */
 const UNKNOWN_PARTS = 16
 
@@ -104,9 +104,12 @@
   const toldBy = (team: string): number[] => [...told.values()]
     .filter(each => clock.monotonic() - each.atMs < windowMs)
     .map(each => each.spent.get(team) ?? 0)
-  const assumeAllSpent = (spending: Spending, team: Team): void =>
-    Array.from({ length: UNKNOWN_PARTS }).forEach((_, part) =>
-      spending.note(limitOf(team) / UNKNOWN_PARTS, startedMs - windowMs * (1 - part / UNKNOWN_PARTS)))
+  /** The burst at the last moment, the rest evenly before: what comes free in a second is the rate of a second. */
+  const assumeAllSpent = (spending: Spending, team: Team): void => {
+    const part = (limitOf(team) - team.burst) / UNKNOWN_PARTS
+    Array.from({ length: UNKNOWN_PARTS }).forEach((_, index) => spending.note(part, startedMs - windowMs * (1 - index / UNKNOWN_PARTS)))
+    spending.note(team.burst, startedMs)
+  }
   const beginCounting = (team: Team): Spending => {
     const spending = createSpending(windowMs)
     const isYoung = clock.monotonic() - startedMs < windowMs
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -96,7 +96,9 @@
   return {
     exchange: (req, sink) => runExchange(agentOf(req.address), clock, req, sink),
     forget: address => {
-      agents.get(address)?.destroy()
+      const idle = Object.values(agents.get(address)?.freeSockets ?? {}).flatMap(sockets => sockets ?? [])
+      // Only the idle ones: a server that has left the list still finishes what it runs.
+      idle.forEach(socket => socket.destroy())
       agents.delete(address)
     },
     close: () => agents.forEach(agent => agent.destroy())
