--- a/packages/magnoliabay/src/node/serving/attempt.ts
+++ b/packages/magnoliabay/src/node/serving/attempt.ts
@@ -1,7 +1,8 @@
 /** One attempt of a request at one backend server: sends it, relays the answer, and tells how it ended. */
 import type { ServerResponse } from 'node:http'
+import type { EventStream } from './eventStream'
 import type { AnswerHead, Connections, Exchange } from './exchange'
-import type { BackendServer, RequestKind } from './types'
+import type { BackendServer } from './types'
 
 /** Whole answers up to this size are held until they are complete, so that a cut one can be replaced, bytes. */
 const MAX_HELD_BYTES = 262_144
@@ -17,8 +18,8 @@
 
 /**
  * `relayed`: the whole answer went to the caller. `rejected`: the server did not run the request. `unsent`: nothing
- * reached it. `failed`: it may have run, the caller has nothing yet. `cut`: the caller has a part, and its connection
- * was broken off. `stopped`: ended from this side.
+ * reached it. `failed`: it may have run, and nothing of it went to the caller. `cut`: the caller has a part, and its
+ * answer is still open. `stopped`: ended from this side.
  */
 export type AttemptEnd =
   | { kind: 'relayed', status: number }
@@ -41,14 +42,14 @@
   path: string
   headers: readonly string[]
   body: Buffer
-  kind: RequestKind
+  /** Follows the events of a stream over all attempts; undefined for a request that is no stream. */
+  events: EventStream | undefined
   attemptId: string
   res: ServerResponse
   decodeAnswer: (head: AnswerHead) => AnswerMarks
   returnedHeaders: (rawHeaders: readonly string[]) => string[]
   /** Whether an answer of this status is to be held back, since the request may be tried elsewhere. */
   holdsBack: (status: number) => boolean
-  onSent?: () => void
   onHeard?: () => void
 }
 
@@ -56,6 +57,8 @@
   readonly end: Promise<AttemptEnd>
   /** Ends the attempt from this side; the server stops its work. */
   stop (reason: string): void
+  /** Ends it as broken: the server has fallen silent. */
+  giveUp (reason: string): void
   isSent (): boolean
 }
 
@@ -64,7 +67,9 @@
 const OK_BELOW = 300
 
 export function startAttempt (options: AttemptOptions): Attempt {
-  const { res, kind, server } = options
+  const { res, events, server } = options
+  /** An attempt before this one has begun the answer; this one goes on with it. */
+  const isContinuing = res.headersSent
   let settle: (end: AttemptEnd) => void = () => {}
   const ended = new Promise<AttemptEnd>(resolve => { settle = resolve })
   let head: AnswerHead | undefined
@@ -78,7 +83,7 @@
   const isOk = (): boolean => head !== undefined && head.status >= OK_FROM && head.status < OK_BELOW
   const begin = (): void => {
     isForwarding = true
-    res.writeHead(head!.status, options.returnedHeaders(head!.rawHeaders) as never)
+    if (!res.headersSent) res.writeHead(head!.status, options.returnedHeaders(head!.rawHeaders) as never)
     held.forEach(chunk => res.write(chunk))
     held = []
   }
@@ -92,26 +97,36 @@
     const marks = options.decodeAnswer(answer)
     if (marks.attemptId !== undefined && marks.attemptId !== options.attemptId) return spoil('answer belongs to another request')
     isRejected = marks.isNotRun
-    if (!isRejected && isOk() && !marks.isSigned) return spoil('answer is not signed')
+    if (isRejected) return
+    if (isOk() && !marks.isSigned) return spoil('answer is not signed')
     // A status that promises *not run* from a server that does not: passed on it would be a false promise.
-    if (!isRejected && PROMISES_NOT_RUN.has(answer.status)) return spoil(`status ${answer.status} without the server's word that it has not run`)
+    if (PROMISES_NOT_RUN.has(answer.status)) return spoil(`status ${answer.status} without the server's word that it has not run`)
+    if (isContinuing && !isOk()) spoil(`status ${answer.status} to a stream that goes on`)
+  }
+  const pass = (bytes: Buffer): void => {
+    if (bytes.length === 0) return
+    if (!isForwarding) begin()
+    res.write(bytes)
+    if (res.writableLength > MAX_UNSENT_BYTES) spoil('caller reads too slowly')
+  }
+  const passEvents = (stream: EventStream, chunk: Buffer): void => {
+    const followed = stream.push(chunk)
+    pass(followed.events)
+    if (followed.problem !== undefined) spoil(`event is ${followed.problem}`)
   }
   const onData = (chunk: Buffer): void => {
     if (problem !== undefined) return
     options.onHeard?.()
-    if (isForwarding) {
-      res.write(chunk)
-      if (res.writableLength > MAX_UNSENT_BYTES) spoil('caller reads too slowly')
-      return
-    }
+    if (!isRejected && isOk() && events !== undefined) return passEvents(events, chunk)
+    if (isForwarding) return pass(chunk)
     held.push(chunk)
     heldBytes += chunk.length
-    const isLive = kind === 'stream' && isOk()
-    if (!isRejected && !options.holdsBack(head!.status) && (isLive || heldBytes > MAX_HELD_BYTES)) begin()
+    if (!isRejected && !options.holdsBack(head!.status) && heldBytes > MAX_HELD_BYTES) begin()
   }
   const endWhole = (): AttemptEnd => {
     if (isRejected) return { kind: 'rejected', status: head!.status }
-    if (isForwarding) {
+    if (events?.isInEvent()) return endBroken('stream ends within an event')
+    if (isForwarding || isContinuing) {
       res.end()
       return { kind: 'relayed', status: head!.status }
     }
@@ -122,10 +137,7 @@
   }
   const endBroken = (reason: string): AttemptEnd => {
     if (isRejected && head !== undefined) return { kind: 'rejected', status: head.status }
-    if (!isForwarding) return { kind: 'failed', reason: problem ?? reason }
-    // Ended cleanly, a part would look like the whole.
-    res.destroy()
-    return { kind: 'cut', reason: problem ?? reason }
+    return { kind: isForwarding || isContinuing ? 'cut' : 'failed', reason: problem ?? reason }
   }
   const exchange: Exchange = options.connections.exchange({ address: server.address, method: options.method, path: options.path, headers: options.headers, body: options.body }, {
     onHead,
@@ -139,6 +151,7 @@
   return {
     end: ended,
     isSent: exchange.isSent,
+    giveUp: spoil,
     stop: reason => {
       isStopped = true
       exchange.cancel(reason)
--- a/packages/magnoliabay/src/node/serving/fleetTable.ts
+++ b/packages/magnoliabay/src/node/serving/fleetTable.ts
@@ -34,6 +34,8 @@
   inFlight: readonly InFlight[]
   demand: readonly ModelDemand[]
   leavingServers: readonly string[]
+  /** Servers that say nothing to this instance, though it has requests there. */
+  silentServers: readonly string[]
   /** Of teams' allowances, within the window. */
   spent: readonly TeamSpent[]
   isReady: boolean
@@ -49,6 +51,8 @@
   demand (model: string): { rate: number, waiting: number }
   models (): readonly string[]
   isReady (member: string): boolean
+  /** Instances that hear nothing from a server. */
+  silentFor (server: string): number
   /** The instance that gives orders, by its own word. */
   orderer (): string | undefined
 }
@@ -93,6 +97,7 @@
     },
     models: () => [...new Set([...fresh(), own()].flatMap(row => row.demand.map(entry => entry.model)))],
     isReady: member => rows.get(member)?.row.isReady ?? false,
+    silentFor: server => [...fresh(), own()].filter(row => row.silentServers.includes(server)).length,
     orderer: () => [...rows].find(([, { row, atMs }]) => row.isOrderer && clock.monotonic() - atMs < STALE_MS)?.[0],
     start: signal => {
       const tell = (): void => {
--- a/packages/magnoliabay/src/node/serving/placement/orderer.ts
+++ b/packages/magnoliabay/src/node/serving/placement/orderer.ts
@@ -30,6 +30,8 @@
 const MAX_PROMISE_MS = 15_000
 /** A swap of models on one engine, milliseconds: unload and load from disk. */
 const SWAP_MS = 2000
+/** An engine that says nothing to so many instances holds nothing that anybody can use. */
+const UNSOUND_TELLERS = 2
 /** When an adapter that could not be ordered now is worth asking for again, milliseconds. */
 const ADAPTER_RETRY_MS = 250
 
@@ -113,7 +115,8 @@
       models: [...models, ...new Set(coming)],
       freeMb: freeWeightsMb(entry, spec),
       busyMs: isFree(engine) ? 0 : Math.max(1, busyMs(engine)),
-      isSound: entry.orders !== undefined || entry.models.length > 0,
+      // One instance may have lost its own path to the engine; two have not.
+      isSound: (entry.orders !== undefined || entry.models.length > 0) && table.silentFor(process) < UNSOUND_TELLERS,
       copies: entry.copies,
       inFlight: new Map(models.map(model => [model, table.inFlight(process, model)])),
       slots: server.slots
@@ -246,7 +249,7 @@
   }
   const want = async (req: WantRequest): Promise<WantReply> => {
     if (leadership.fence() === undefined) return { kind: 'unavailable' }
-    const isHeld = orders.all().some(({ entry }) => entry.models.some(held => held.name === req.model))
+    const isHeld = orders.all().some(({ entry, process }) => table.silentFor(process) < UNSOUND_TELLERS && entry.models.some(held => held.name === req.model))
     if (req.adapter === undefined || !isHeld) return wantModel(req)
     return await wantAdapter(req.model, req.adapter)
   }
--- a/packages/magnoliabay/src/node/serving/placement/placementClient.ts
+++ b/packages/magnoliabay/src/node/serving/placement/placementClient.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '../../logger'
 import type { Peers } from '../../members'
 import type { Servers } from '../servers'
+import { processOf } from '../types'
 import type { BackendServer } from '../types'
 import { holdingsNotice, wantCall } from './messages'
 import type { WantReply, WantRequest } from './messages'
@@ -25,6 +26,8 @@
   /** Longest time that it makes sense to wait, milliseconds. */
   patienceMs: number
   signal: AbortSignal
+  /** Processes of servers that are no use to the request. */
+  except: ReadonlySet<string>
 }
 
 export interface PlacementClient {
@@ -41,6 +44,8 @@
   servers: Servers
   /** The instance that gives orders, as far as known. */
   orderer: () => string | undefined
+  /** Whether a server answers at all, by what this instance sees. */
+  isSound: (process: string) => boolean
   clock: Clock
   logger: Logger
 }
@@ -57,7 +62,7 @@
   servers.onChanged(() => [...wakers].forEach(wake => wake()))
 
   const holders: PlacementClient['holders'] = (service, model, adapter) => servers.usable(service).filter(server =>
-    server.models.some(held => held.name === model && (adapter === undefined || held.adapters.includes(adapter))))
+    options.isSound(processOf(server)) && server.models.some(held => held.name === model && (adapter === undefined || held.adapters.includes(adapter))))
   const countWaiting = (model: string, change: number): void => {
     const next = (waiting.get(model) ?? 0) + change
     if (next > 0) waiting.set(model, next)
@@ -77,12 +82,12 @@
     wakers.add(wake)
     return sleep(clock, delayMs, AbortSignal.any([signal, woken.signal])).finally(() => wakers.delete(wake))
   }
-  const waitFor = async ({ model, adapter, service, patienceMs, signal }: AwaitOptions): Promise<Awaited> => {
+  const waitFor = async ({ model, adapter, service, patienceMs, signal, except }: AwaitOptions): Promise<Awaited> => {
     const sinceMs = clock.monotonic()
     let askedMs = -Infinity
     let hasOrderer = false
     for (;;) {
-      const found = holders(service, model, adapter)
+      const found = holders(service, model, adapter).filter(server => !except.has(processOf(server)))
       if (found.length > 0) return { kind: 'ready', servers: found }
       if (signal.aborted) return { kind: 'stopped' }
       const waitedMs = clock.monotonic() - sinceMs
@@ -92,7 +97,7 @@
         const reply = await ask({ model, adapter, waitedMs })
         if (reply.kind === 'ready') {
           const server = servers.get(reply.server)
-          if (server !== undefined) return { kind: 'ready', servers: [server] }
+          if (server !== undefined && !except.has(processOf(server))) return { kind: 'ready', servers: [server] }
         }
         hasOrderer ||= reply.kind === 'coming'
         if (reply.kind === 'coming' && waitedMs + reply.inMs > patienceMs) return { kind: 'not-in-time', inMs: reply.inMs }
--- a/packages/magnoliabay/src/node/serving/serve.ts
+++ b/packages/magnoliabay/src/node/serving/serve.ts
@@ -7,6 +7,8 @@
 import { sendWhole, startAttempt } from './attempt'
 import type { Attempt, AttemptEnd, WholeAnswer } from './attempt'
 import { chooseServer } from './choose'
+import { createEventStream } from './eventStream'
+import type { EventStream } from './eventStream'
 import type { ServingContext } from './context'
 import { statusOf } from './outcome'
 import type { EndReason, Refusal } from './outcome'
@@ -27,6 +29,8 @@
 const MAX_REJECTIONS = 3
 /** Pause before the same server is asked again, milliseconds. */
 const REJECTED_PAUSE_MS = 40
+/** How often requests that may run elsewhere look whether their server has fallen silent, milliseconds. */
+const SILENCE_CHECK_MS = 400
 const SERVER_ERROR_FROM = 500
 
 export interface Inbound {
@@ -46,6 +50,8 @@
   stop: AbortController
   why: EndReason | undefined
   sends: number
+  /** Servers on which it may have run. */
+  runs: number
   /** Servers on which it may have run, or that could not be reached. */
   tried: Set<string>
   /** Servers that said that they have not run it. */
@@ -56,6 +62,8 @@
   lastAnswer: WholeAnswer | undefined
   server: BackendServer | undefined
   waitedMs: number
+  /** Follows the events of a stream over all attempts. */
+  events: EventStream | undefined
 }
 
 export function createServe (ctx: ServingContext): (inbound: Inbound) => Promise<void> {
@@ -148,10 +156,10 @@
       return pick(run, servers.usable(service.name)) ?? { reason: 'no-server', retryAfterMs: FULL_RETRY_MS }
     }
     if (!service.engine.models.has(model)) return { reason: 'no-server', retryAfterMs: FULL_RETRY_MS }
-    const ready = pick(run, placement.holders(service.name, model, adapter))
+    const ready = pick(run, placement.holders(service.name, model, adapter).filter(server => !run.tried.has(processOf(server))))
     if (ready !== undefined) return ready
     const sinceMs = clock.monotonic()
-    const awaited = await placement.await({ model, adapter, service: service.name, patienceMs: patienceMs(run), signal: run.stop.signal })
+    const awaited = await placement.await({ model, adapter, service: service.name, patienceMs: patienceMs(run), signal: run.stop.signal, except: run.tried })
     run.waitedMs += clock.monotonic() - sinceMs
     if (awaited.kind === 'ready') return pick(run, awaited.servers) ?? { reason: 'no-server', retryAfterMs: FULL_RETRY_MS }
     if (awaited.kind === 'not-in-time') return { reason: 'model-not-in-time', retryAfterMs: awaited.inMs }
@@ -171,6 +179,7 @@
     const id = processOf(server)
     const model = modelKey(caller)
     run.sends += 1
+    run.runs += 1
     run.server = server
     run.trail.note('send')
     health.noteStart(id, model)
@@ -183,10 +192,11 @@
         deadlineMs: leftMs(run),
         serverId: server.id,
         team: admitted.team?.name,
-        priority: admitted.service.engine === undefined ? undefined : admitted.priority
+        priority: admitted.service.engine === undefined ? undefined : admitted.priority,
+        lastEventId: run.events?.lastId()?.toString()
       }),
       body: inbound.body,
-      kind: admitted.route.kind,
+      events: run.events,
       attemptId: caller.attemptId,
       res: inbound.res,
       decodeAnswer: wire.decodeAnswer,
@@ -195,18 +205,34 @@
       onHeard: () => health.noteHeard(id)
     })
     run.attempt = attempt
+    const cancelCheck = checkSilence(run, attempt, id)
     const ended = await attempt.end
+    cancelCheck()
     run.attempt = undefined
     health.noteEnd(id, model)
     noteHealth(id, ended)
     return ended
   }
+  /** A request that may go on elsewhere does not wait for a server that says nothing to anybody. */
+  const checkSilence = (run: Run, attempt: Attempt, id: string): () => void => {
+    let cancel = (): void => {}
+    const check = (): void => {
+      if (mayRepeat(run) && health.isSilent(id)) return attempt.giveUp('server is silent')
+      cancel = clock.schedule(SILENCE_CHECK_MS, check)
+    }
+    if (mayRepeat(run)) cancel = clock.schedule(SILENCE_CHECK_MS, check)
+    return () => cancel()
+  }
   const noteHealth = (id: string, ended: AttemptEnd): void => {
     if (ended.kind === 'unsent') return health.noteUnreached(id)
     if (ended.kind === 'failed' || ended.kind === 'cut') return health.noteFailure(id)
     if (ended.kind === 'relayed' || ended.kind === 'rejected') health.noteSuccess(id)
   }
-  const mayRepeat = (run: Run): boolean => run.admitted.route.kind === 'idempotent' && run.tried.size + 1 < run.admitted.route.maxAttempts
+  /** Whether the request may run once more, at another server. */
+  const mayRepeat = (run: Run): boolean => {
+    const { kind, isResumable, maxAttempts } = run.admitted.route
+    return (kind === 'idempotent' || (kind === 'stream' && isResumable)) && run.runs < maxAttempts
+  }
   const retries = (run: Run): boolean => ctx.retryBudget(run.admitted.service.name).take()
 
   /** Returns whether another attempt is to be made; tells the caller where none is. */
@@ -219,12 +245,14 @@
         return false
       case 'unsent':
         run.trail.note('disclaim')
+        run.runs -= 1
         run.tried.add(id)
         if (rejections < MAX_REJECTIONS) return true
         end(run, { reason: 'no-server', retryAfterMs: FULL_RETRY_MS })
         return false
       case 'rejected':
         run.trail.note('disclaim')
+        run.runs -= 1
         run.rejectedBy.add(id)
         logger.info('attempt-rejected', { request: run.caller.attemptId, server: server.id, status: ended.status, model: run.caller.model })
         if (rejections < MAX_REJECTIONS && retries(run)) {
@@ -237,16 +265,23 @@
         run.trail.note('lose')
         run.lastAnswer = ended.answer ?? run.lastAnswer
         logger.info('attempt-failed', { request: run.caller.attemptId, server: server.id, reason: ended.reason, repeatable: mayRepeat(run) })
-        const repeats = mayRepeat(run) && leftMs(run) > 0 && retries(run)
         run.tried.add(id)
-        if (repeats) return true
+        if (mayRepeat(run) && leftMs(run) > 0 && retries(run)) {
+          run.events?.resume()
+          return true
+        }
         end(run, { reason: 'server-failed' })
         return false
       }
       case 'cut':
         run.trail.note('lose')
-        metrics.ended.inc({ reason: 'answer-cut' })
-        logger.info('request-cut', { request: run.caller.attemptId, why: ended.reason, ...factsOf(run) })
+        run.tried.add(id)
+        logger.info('attempt-cut', { request: run.caller.attemptId, server: server.id, why: ended.reason, lastEvent: run.events?.lastId(), repeatable: mayRepeat(run) })
+        if (mayRepeat(run) && leftMs(run) > 0 && retries(run)) {
+          run.events?.resume()
+          return true
+        }
+        end(run, { reason: 'answer-cut' })
         return false
       case 'stopped':
         run.trail.note('lose')
@@ -292,13 +327,15 @@
       stop: new AbortController(),
       why: undefined,
       sends: 0,
+      runs: 0,
       tried: new Set(),
       rejectedBy: new Set(),
       unitsTaken: 0,
       attempt: undefined,
       lastAnswer: undefined,
       server: undefined,
-      waitedMs: 0
+      waitedMs: 0,
+      events: route.kind === 'stream' ? createEventStream() : undefined
     }
     const cancelTimeout = clock.schedule(Math.max(0, leftMs(run)), () => stopRun(run, 'route-timeout'))
     res.once('close', () => {
--- a/packages/magnoliabay/src/node/serving/serverHealth.ts
+++ b/packages/magnoliabay/src/node/serving/serverHealth.ts
@@ -7,8 +7,8 @@
 const FADE_MS = 4000
 /** A server that has brought nothing for this long, though it has requests, is not given more. */
 const SILENT_MS = 1500
-/** A server to which no connection could be made is left alone for this long. */
-const UNREACHED_MS = 1500
+/** A server to which no connection could be made, or that fell silent, is left alone for this long. */
+const LEFT_ALONE_MS = 2500
 
 export interface ServerHealth {
   noteStart (server: string, model: string): void
@@ -54,9 +54,12 @@
       add(server, model, 1)
     },
     noteEnd: (server, model) => add(server, model, -1),
-    noteHeard: server => { of(server).heardMs = clock.monotonic() },
+    noteHeard: server => {
+      of(server).heardMs = clock.monotonic()
+      of(server).unreachedUntilMs = 0
+    },
     noteFailure: server => of(server).failures.note(1, clock.monotonic()),
-    noteUnreached: server => { of(server).unreachedUntilMs = clock.monotonic() + UNREACHED_MS },
+    noteUnreached: server => { of(server).unreachedUntilMs = clock.monotonic() + LEFT_ALONE_MS },
     noteSuccess: server => {
       of(server).heardMs = clock.monotonic()
       of(server).unreachedUntilMs = 0
@@ -68,7 +71,8 @@
       const found = seen.get(server)
       if (found === undefined) return false
       const now = clock.monotonic()
-      return found.unreachedUntilMs > now || (count(server) > 0 && now - found.heardMs > SILENT_MS)
+      if (count(server) > 0 && now - found.heardMs > SILENT_MS) found.unreachedUntilMs = now + LEFT_ALONE_MS
+      return found.unreachedUntilMs > now
     },
     forget: server => { seen.delete(server) }
   }
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -154,6 +154,7 @@
         .map(model => ({ model, rate: demand.get(model)?.read(now) ?? 0, waiting: waiting.get(model) ?? 0 }))
         .filter(entry => entry.rate > LEAST_RATE || entry.waiting > 0),
       leavingServers: servers.leaving(),
+      silentServers: servers.all().map(processOf).filter(health.isSilent),
       spent: allowance.spent(),
       isReady: isReady(),
       isOrderer: leadership.fence() !== undefined
@@ -175,6 +176,7 @@
     peers,
     servers,
     orderer: () => leadership.fence() !== undefined ? id : table.orderer(),
+    isSound: process => !health.isSilent(process),
     clock,
     logger
   })
