--- a/packages/magnoliabay/src/node/serving/__tests__/serve.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/serve.spec.ts
@@ -67,6 +67,7 @@
     connections,
     retryBudget: () => createRetryBudget(),
     noteDemand: () => {},
+    noteUse: () => {},
     isClosingFor: kind => options.closingFor?.includes(kind) ?? false,
     metrics: createServingMetrics(),
     clock,
--- a/packages/magnoliabay/src/node/serving/context.ts
+++ b/packages/magnoliabay/src/node/serving/context.ts
@@ -26,6 +26,8 @@
   retryBudget: (service: string) => RetryBudget
   /** Counts a request for a model. */
   noteDemand: (model: string) => void
+  /** A model came into use at a server, or out of it: whoever gives orders must know before it unloads anything. */
+  noteUse: () => void
   /** This process ends too soon for a request of that kind to finish. */
   isClosingFor: (kind: RequestKind) => boolean
   metrics: ServingMetrics
--- a/packages/magnoliabay/src/node/serving/fleetTable.ts
+++ b/packages/magnoliabay/src/node/serving/fleetTable.ts
@@ -9,6 +9,8 @@
 
 /** How often each instance tells. Placement of requests errs by what starts in between; nine instances cost 36 notices a second each. */
 export const TABLE_PERIOD_MS = 250
+/** Changes that cannot wait are gathered for this long, milliseconds. */
+const SOON_MS = 15
 /** What an instance told is dropped after this long without a word. */
 const STALE_MS = 2500
 
@@ -72,9 +74,19 @@
   atMs: number
 }
 
-export function createFleetTable (options: FleetTableOptions): FleetTable & { start (signal: AbortSignal): void } {
+export interface FleetTeller {
+  /** Begins telling. */
+  start (signal: AbortSignal): void
+  /** Something changed that others decide by: tells it ahead of time. */
+  tellSoon (): void
+}
+
+export function createFleetTable (options: FleetTableOptions): FleetTable & FleetTeller {
   const { peers, clock, own, onRow } = options
   const rows = new Map<string, HeldRow>()
+  let isSoon = false
+  let tellNow = (): void => {}
+  let cancelNext = (): void => {}
 
   const fresh = (): FleetRow[] => {
     const now = clock.monotonic()
@@ -102,10 +114,18 @@
     start: signal => {
       const tell = (): void => {
         if (signal.aborted) return
+        cancelNext()
+        isSoon = false
         peers.notifyAll(rowNotice, own())
-        clock.schedule(TABLE_PERIOD_MS, tell)
+        cancelNext = clock.schedule(TABLE_PERIOD_MS, tell)
       }
-      clock.schedule(TABLE_PERIOD_MS, tell)
+      tellNow = tell
+      cancelNext = clock.schedule(TABLE_PERIOD_MS, tell)
+    },
+    tellSoon: () => {
+      if (isSoon) return
+      isSoon = true
+      clock.schedule(SOON_MS, () => { if (isSoon) tellNow() })
     }
   }
 }
--- a/packages/magnoliabay/src/node/serving/serve.ts
+++ b/packages/magnoliabay/src/node/serving/serve.ts
@@ -183,6 +183,7 @@
     run.server = server
     run.trail.note('send')
     health.noteStart(id, model)
+    if (model !== '' && health.inFlightOf(id, model) === 1) ctx.noteUse()
     const attempt = startAttempt({
       connections: ctx.connections,
       server,
@@ -210,6 +211,7 @@
     cancelCheck()
     run.attempt = undefined
     health.noteEnd(id, model)
+    if (model !== '' && health.inFlightOf(id, model) === 0) ctx.noteUse()
     noteHealth(id, ended)
     return ended
   }
--- a/packages/magnoliabay/src/node/serving/serverHealth.ts
+++ b/packages/magnoliabay/src/node/serving/serverHealth.ts
@@ -19,6 +19,7 @@
   noteUnreached (server: string): void
   noteSuccess (server: string): void
   inFlight (server: string): number
+  inFlightOf (server: string, model: string): number
   inFlightByModel (): ReadonlyArray<{ server: string, model: string, count: number }>
   /** Failures a second, faded; 0 for a sound server. */
   failureRate (server: string): number
@@ -65,6 +66,7 @@
       of(server).unreachedUntilMs = 0
     },
     inFlight: count,
+    inFlightOf: (server, model) => seen.get(server)?.models.get(model) ?? 0,
     inFlightByModel: () => [...seen].flatMap(([server, { models }]) => [...models].map(([model, each]) => ({ server, model, count: each }))),
     failureRate: server => seen.get(server)?.failures.read(clock.monotonic()) ?? 0,
     isSilent: server => {
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -192,6 +192,7 @@
     connections,
     retryBudget,
     noteDemand,
+    noteUse: table.tellSoon,
     isClosingFor: kind => clock.monotonic() - leavingSinceMs > lastRequestMs[kind],
     metrics,
     clock,
