--- a/packages/magnoliabay/src/node/serving/__tests__/exchange.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/exchange.spec.ts
@@ -90,6 +90,20 @@
     expect(seen.end).to.equal('broken')
   })
 
+  /**
+   * A caller gets part of an answer as if it were all, though nothing was reset.
+   * 1. The answer has no length. 2. The server dies in the middle, and its system closes the connection as usual.
+   * 3. Only that nobody listens any more tells it from a server that was done.
+   */
+  it('tells broken of an answer without length whose server has died', async () => {
+    const dying = await startRawServer(socket => {
+      dying.stopListening()
+      socket.end('HTTP/1.1 200 OK\r\n\r\nfi')
+    })
+    expect((await send(connections, dying.address)).end).to.equal('broken')
+    await dying.close()
+  })
+
   it('tells that nothing was sent where nobody listens', async () => {
     server = await startRawServer(() => {})
     const { address } = server
--- a/packages/magnoliabay/src/node/serving/__tests__/rawServer.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/rawServer.ts
@@ -7,6 +7,8 @@
   /** Requests as they came, head and body. */
   received: string[]
   connections (): number
+  /** New connections are refused; those open stay. */
+  stopListening (): void
   close (): Promise<void>
 }
 
@@ -38,9 +40,10 @@
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
     received,
     connections: () => connections,
+    stopListening: () => { server.close() },
     close: async () => {
       sockets.forEach(socket => socket.destroy())
-      await new Promise(resolve => server.close(resolve))
+      await new Promise(resolve => server.close(() => resolve(undefined)))
     }
   }
 }
--- a/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
@@ -16,8 +16,11 @@
 const ASK_TIMEOUT_MS = 150
 /** A home that did not answer is not asked again for this long: each request would wait for it anew. */
 const AVOID_HOME_MS = 1000
+/** A process that knows no other member by then is the only one. */
+const ALONE_AFTER_MS = 2000
+const ALONE_RETRY_MS = 300
 /**
- * After a restart of the whole fleet nobody knows what was spent before. It counts as spent evenly over the window
+ * A process that starts anew does not know what was spent before it. It counts as spent evenly over the window
  * before this process began, in so many parts: a team that was at its limit gets nothing twice, and one within it
  * misses little, since as much comes free as its rate is.
  */
@@ -89,13 +92,13 @@
   const avoidedUntilMs = new Map<string, number>()
 
   const limitOf = (team: Team): number => team.rate * windowMs / MS_PER_SECOND + team.burst
-  /** Members that may count: a process younger than the window has not heard what others spent in it. */
-  const homes = (): readonly MemberRecord[] => {
-    const staying = peers.members().filter(member => !member.leaving)
-    const seasoned = staying.filter(member => clock.now() - member.startedAtMs >= windowMs)
-    return seasoned.length > 0 ? seasoned : staying
-  }
-  const homeOf = (team: string): string => rankByRendezvous(team, homes(), member => member.id)[0]?.id ?? peers.self.id
+  const staying = (): readonly MemberRecord[] => peers.members().filter(member => !member.leaving)
+  /** By id alone: all must agree on it while members start anew. */
+  const homeOf = (team: string): string => rankByRendezvous(team, staying(), member => member.id)[0]?.id ?? peers.self.id
+  /** Has not heard what was spent in the window, and others may have spent it. */
+  const isYoung = (): boolean => !options.isFirstStart && clock.monotonic() - startedMs < windowMs
+  /** Whether the other members are known. Alone, each would take itself for the home of every team. */
+  const isSettled = (): boolean => options.isFirstStart || peers.members().length > 1 || clock.monotonic() - startedMs > ALONE_AFTER_MS
   const ownOf = (team: string): Spending => {
     const found = own.get(team) ?? createSpending(windowMs)
     own.set(team, found)
@@ -112,11 +115,10 @@
   }
   const beginCounting = (team: Team): Spending => {
     const spending = createSpending(windowMs)
-    const isYoung = clock.monotonic() - startedMs < windowMs
-    if (isYoung && !options.isFirstStart) assumeAllSpent(spending, team)
     const known = toldBy(team.name)
-    spending.note(known.reduce((sum, units) => sum + units, ownOf(team.name).spent(clock.monotonic())), clock.monotonic())
-    logger.info('allowance-home', { team: team.name, spentBefore: Math.round(spending.spent(clock.monotonic())), tellers: known.length, young: isYoung, limit: Math.round(limitOf(team)) })
+    if (isYoung()) assumeAllSpent(spending, team)
+    else spending.note(known.reduce((sum, units) => sum + units, ownOf(team.name).spent(clock.monotonic())), clock.monotonic())
+    logger.info('allowance-home', { team: team.name, spentBefore: Math.round(spending.spent(clock.monotonic())), tellers: known.length, young: isYoung(), limit: Math.round(limitOf(team)) })
     return spending
   }
   /** Grants what the whole allowance has left, but for the equal parts of those who cannot ask. */
@@ -137,13 +139,16 @@
     return { waitMs, decidedBy: 'home' }
   }
   const takeShare = (team: Team, amount: number): Taken => {
-    const limit = limitOf(team) / Math.max(1, peers.members().length)
+    // Of a young process's part, what it spent before it started is not known: it grows with its age.
+    const known = isYoung() ? (clock.monotonic() - startedMs) / windowMs : 1
+    const limit = limitOf(team) * known / Math.max(1, peers.members().length)
     return { waitMs: ownOf(team.name).take(amount, limit, clock.monotonic()), decidedBy: 'share' }
   }
 
   return {
     take: async (team, amount) => {
       if (team.rate === 0) return { waitMs: 0, decidedBy: 'share' }
+      if (!isSettled()) return { waitMs: ALONE_RETRY_MS, decidedBy: 'share' }
       const home = homeOf(team.name)
       if (home === peers.self.id) return noteOwn(team, amount, takeHere(team, amount))
       // What was counted here is out of date as soon as another counts.
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -4,6 +4,7 @@
  */
 import { Agent, request } from 'node:http'
 import type { ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http'
+import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { Clock } from '../clock'
@@ -16,6 +17,9 @@
 /** A connection takes a round trip; one whose first packet was lost would be tried again after seconds. */
 const CONNECT_TIMEOUT_MS = 800
 
+/** A server that lives accepts within a round trip. */
+const PROOF_TIMEOUT_MS = 400
+
 export interface OutboundRequest {
   address: string
   method: string
@@ -105,12 +109,32 @@
   }
 }
 
+/**
+ * Whether a server still accepts connections. An answer without length that ends with its connection looks the same
+ * whether the server is done or has died in the middle: its system closes what it leaves. A caller would get a part as
+ * the whole. One that died refuses a new connection for as long as it takes to start again.
+ */
+function proveAlive (clock: Clock, host: string, port: number): Promise<boolean> {
+  return new Promise(resolve => {
+    const socket = connect({ host, port })
+    const settle = (isAlive: boolean): void => {
+      cancelTimeout()
+      socket.destroy()
+      resolve(isAlive)
+    }
+    const cancelTimeout = clock.schedule(PROOF_TIMEOUT_MS, () => settle(false))
+    socket.on('connect', () => settle(true))
+    socket.on('error', () => settle(false))
+  })
+}
+
 function runExchange (agent: Agent, clock: Clock, out: OutboundRequest, sink: AnswerSink): Exchange {
   const { host, port } = parseHostPort(out.address)
   let isSent = false
   let hasEnded = false
   let failure: string | undefined
   let response: IncomingMessage | undefined
+  let isProving = false
   const isWholeByLength = (): boolean => response !== undefined && response.complete &&
     (response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined)
   /**
@@ -151,13 +175,15 @@
     res.on('data', (chunk: Buffer) => { if (!hasEnded) sink.onData(chunk) })
     res.on('error', err => end('broken', err.message))
     res.on('end', () => {
-      const isWhole = isWholeByLength() || (res.complete && isClosedCleanly())
-      end(isWhole ? 'whole' : 'broken', failure ?? 'answer ended')
+      if (isWholeByLength()) return end('whole', 'answer ended')
+      if (!res.complete || !isClosedCleanly()) return end('broken', failure ?? 'answer cut')
+      isProving = true
+      proveAlive(clock, host, port).then(isAlive => end(isAlive ? 'whole' : 'broken', isAlive ? 'connection closed' : 'server has died'))
     })
-    res.on('close', () => end('broken', failure ?? 'connection closed within the answer'))
+    res.on('close', () => { if (!isProving) end('broken', failure ?? 'connection closed within the answer') })
   })
   req.on('close', () => {
-    if (!isWholeByLength()) end(isSent ? 'broken' : 'unsent', failure ?? 'connection closed')
+    if (!isWholeByLength() && !isProving) end(isSent ? 'broken' : 'unsent', failure ?? 'connection closed')
   })
   req.end(hasBody ? out.body : undefined)
   return {
--- a/packages/magnoliabay/src/node/serving/placement/placementClient.ts
+++ b/packages/magnoliabay/src/node/serving/placement/placementClient.ts
@@ -12,6 +12,11 @@
 /** How often a want is repeated while requests wait; the orderer forgets wants that are not. */
 const REPEAT_MS = 400
 const ASK_TIMEOUT_MS = 400
+/**
+ * A hand-over of orders takes three to six seconds. Most callers leave sooner; one told at once may come back when it
+ * is over, and one that waits for nothing holds its connection.
+ */
+const MAX_WITHOUT_ORDERER_MS = 1000
 
 export type Awaited =
   | { kind: 'ready', servers: readonly BackendServer[] }
@@ -44,6 +49,8 @@
   servers: Servers
   /** The instance that gives orders, as far as known. */
   orderer: () => string | undefined
+  /** Cut off from most other instances: nobody here will order anything. */
+  isIsolated: () => boolean
   /** Whether a server answers at all, by what this instance sees. */
   isSound: (process: string) => boolean
   clock: Clock
@@ -99,6 +106,7 @@
           const server = servers.get(reply.server)
           if (server !== undefined && !except.has(processOf(server))) return { kind: 'ready', servers: [server] }
         }
+        if (reply.kind === 'unavailable' && (options.isIsolated() || waitedMs > MAX_WITHOUT_ORDERER_MS)) return { kind: 'no-orderer' }
         hasOrderer ||= reply.kind === 'coming'
         if (reply.kind === 'coming' && waitedMs + reply.inMs > patienceMs) return { kind: 'not-in-time', inMs: reply.inMs }
         continue
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -89,6 +89,10 @@
 const LAST_STREAM_PART = 0.3
 /** The same for calls of plain services, before the end of the grace period, milliseconds. */
 const LAST_CALL_MS = 2200
+/** The store has been out of reach for longer than its watch takes to tell, milliseconds. */
+const ISOLATED_STORE_MS = 5500
+/** An instance that has links to fewer than this part of the others is on the wrong side of a cut. */
+const ISOLATED_PART = 0.4
 /** What is left of the grace period when the process ends by itself, milliseconds. */
 const GRACE_MARGIN_MS = 600
 
@@ -126,6 +130,13 @@
     'non-idempotent': settings.graceMs - LAST_CALL_MS
   }
   const isReady = (): boolean => cfg.version() > 0 && servers.isKnown() && !self.leaving
+  const otherMembers = (): readonly MemberRecord[] => peers.members().filter(member => member.id !== id && !member.leaving)
+  /** Cut off from the store and from most others: what is decided over the fleet passes this instance by. */
+  const isIsolated = (): boolean => {
+    const others = otherMembers()
+    const linked = others.filter(member => peers.isConnected(member.id)).length
+    return storeAgeMs() > ISOLATED_STORE_MS && linked < others.length * ISOLATED_PART
+  }
   const storeAgeMs = (): number => clock.monotonic() - store.lastContactMs()
   const isConfigured = (model: string): boolean =>
     [...cfg.current()?.services.values() ?? []].some(service => service.engine?.models.has(model.split('/')[0]!) ?? false)
@@ -177,6 +188,7 @@
     servers,
     orderer: () => leadership.fence() !== undefined ? id : table.orderer(),
     isSound: process => !health.isSilent(process),
+    isIsolated,
     clock,
     logger
   })
@@ -241,7 +253,9 @@
   return {
     isReady,
     addressesFor: () => {
-      const others = peers.members().filter(member => member.id !== id && !member.leaving && peers.isConnected(member.id) && table.isReady(member.id))
+      // Those that it cannot reach are most likely well: callers that come here would only be refused.
+      if (isIsolated()) return otherMembers().filter(member => !peers.isConnected(member.id)).map(member => member.entryAddress)
+      const others = otherMembers().filter(member => peers.isConnected(member.id) && table.isReady(member.id))
       return [...(isReady() ? [self] : []), ...others].map(member => member.entryAddress)
     },
     start: async () => {
