--- a/packages/magnoliabay/src/node/serving/placement/__tests__/plan.spec.ts
+++ b/packages/magnoliabay/src/node/serving/placement/__tests__/plan.spec.ts
@@ -63,6 +63,24 @@
     expect(plan({ engines, needs }).map(step => step.model)).to.deep.equal(['rare2'])
   })
 
+  /**
+   * Hundreds of callers of a busy model are refused, since its only engine is gone.
+   * 1. Several rare models are waited for, some for long. 2. Callers of the busy one are told at once to come back, so
+   * nobody waits long for it. 3. It is loaded first all the same: more come every second.
+   */
+  it('serves a busy model that was lost before rare ones that have waited longer', () => {
+    const engines = [engine('e', ['rare4'])]
+    const needs = [need('rare1', { waiting: 1, waitedMs: 5000 }), need('busy', { rate: 4, waiting: 0 })]
+    expect(plan({ engines, needs }).map(step => step.model)).to.deep.equal(['busy'])
+  })
+
+  it('keeps a second replica of a model that many ask for', () => {
+    const engines = [engine('one', ['busy']), engine('two', ['rare1'])]
+    expect(plan({ engines, needs: [need('busy', { rate: 4, inFlight: 5, idleMs: 0 })] })).to.deep.equal([
+      { kind: 'load', engine: 'two', model: 'busy', tier: 'disk', reason: 'more-replicas' }
+    ])
+  })
+
   it('orders nothing for a model that is on its way', () => {
     const engines = [engine('loading', ['rare3'], { busyMs: 900 }), engine('idle', [])]
     expect(plan({ engines, needs: [need('rare3', { waiting: 4 })] })).to.deep.equal([])
--- a/packages/magnoliabay/src/node/serving/placement/engineBook.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineBook.ts
@@ -42,6 +42,8 @@
   noteAccepted (process: string, order: PendingOrder): void
   /** The engine's entry shows that the order under way is done. */
   noteDone (process: string, models: readonly LoadedModel[]): void
+  /** The engine's entry shows what weights it has copies of. */
+  noteCopies (process: string, copies: EngineEntry['copies']): void
   noteAdapterLoaded (process: string, model: string, adapter: string): void
   noteAdapterUnloaded (process: string, model: string, adapter: string): void
   /** The count is no longer known: ask before the next order. */
@@ -105,6 +107,7 @@
         models: order.operation === 'unload' ? models.filter(held => held.name !== order.model) : models
       })
     },
+    noteCopies: (process, copies) => update(process, { copies }),
     noteDone: (process, models) => update(process, { models, pending: undefined }),
     noteAdapterLoaded: (process, model, adapter) => changeAdapters(process, model, true, adapters => [...adapters, adapter]),
     noteAdapterUnloaded: (process, model, adapter) => changeAdapters(process, model, false, adapters => adapters.filter(held => held !== adapter)),
--- a/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
@@ -113,8 +113,10 @@
   }
   servers.onListed(server => {
     const engine = find(processOf(server))
-    const pending = engine?.entry.pending
-    if (engine === undefined || pending === undefined) return
+    if (engine === undefined) return
+    book.noteCopies(engine.process, server.copies)
+    const { pending } = engine.entry
+    if (pending === undefined) return
     const holds = server.models.some(held => held.name === pending.model)
     if (holds !== (pending.operation === 'load')) return
     book.noteDone(engine.process, server.models)
--- a/packages/magnoliabay/src/node/serving/placement/plan.ts
+++ b/packages/magnoliabay/src/node/serving/placement/plan.ts
@@ -48,10 +48,14 @@
 
 /** Part of an engine's slots that one model's streams may take before it gets another replica. */
 const REPLICA_LOAD_PART = 0.3
+/** A swap takes about so long, and who asks meanwhile is refused, milliseconds. */
+const COMING_MS = 2500
+/** A model that is asked for this often loses several callers a second when its only engine goes, requests a second. */
+const BUSY_RATE = 1.5
 /** An unload without runs under way takes about this long, milliseconds. */
 const UNLOAD_MS = 100
 /** A run under way holds up an unload for about this long, milliseconds. */
-const RUN_MS = 2500
+const RUN_MS = 3500
 /** A model that was asked for within this time is likely to be asked for again, milliseconds. */
 const RECENT_MS = 1500
 /** What a request that finds its model gone costs, in milliseconds of waiting: the time to load it again. */
@@ -98,8 +102,8 @@
     .sort((left, right) => left.cost - right.cost)[0]
 
   const waiting = input.needs
-    .filter(need => need.waiting > 0 && replicas(need.model) === 0)
-    .sort((left, right) => right.waitedMs - left.waitedMs)
+    .filter(need => urgency(need) >= 1 && replicas(need.model) === 0)
+    .sort((left, right) => urgency(right) - urgency(left) || right.waitedMs - left.waitedMs)
   waiting.forEach(need => {
     const option = best(need.model, Infinity)
     if (option !== undefined) take(option, need.model, 'waiting')
@@ -115,10 +119,21 @@
   return steps
 }
 
-/** Replicas that a model's load asks for. */
+/**
+ * Requests that a load would serve: those that wait, and those that come while it takes place. Callers of a busy model
+ * are refused at once and come again; by the longest wait alone it would stand behind each model that one caller waits
+ * for, and hundreds would be refused meanwhile. Of models that one waits for, the first comes first.
+ */
+function urgency (need: ModelNeed): number {
+  return Math.min(1, need.waiting) + Math.floor(need.rate * COMING_MS / 1000)
+}
+
+/** Replicas that a model's load asks for; of a busy one a second, since engines are taken away without notice. */
 export function wantedReplicas (need: ModelNeed, engines: readonly EnginePlan[]): number {
   const slots = Math.max(1, ...engines.map(engine => engine.slots))
-  return Math.min(engines.length, Math.ceil(need.inFlight / (slots * REPLICA_LOAD_PART)))
+  const forLoad = Math.ceil(need.inFlight / (slots * REPLICA_LOAD_PART))
+  const forLoss = need.rate >= BUSY_RATE ? 2 : 1
+  return Math.min(engines.length, Math.max(forLoad, forLoss))
 }
 
 function optionsAt (engine: EnginePlan, model: string, input: PlanInput, needs: ReadonlyMap<string, ModelNeed>, replicas: (model: string) => number): Option[] {
