--- a/packages/magnoliabay/src/node/serving/__tests__/exchange.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/exchange.spec.ts
@@ -90,6 +90,19 @@
     expect(seen.end).to.equal('broken')
   })
 
+  /**
+   * The same, with the reset right behind the part.
+   * 1. Part of the answer and the reset arrive together. 2. The event loop reads the part, sees that the other side has
+   * hung up, and reports a proper end; the error is never read. 3. Writing to the connection shows it.
+   */
+  it('tells broken of an answer without length when the reset comes with its bytes', async () => {
+    server = await startRawServer(socket => {
+      const { _handle: handle } = socket as unknown as { _handle: { reset (done: () => void): void } }
+      socket.write('HTTP/1.1 200 OK\r\n\r\nfi', () => handle.reset(() => socket.destroy()))
+    })
+    expect((await send(connections, server.address)).end).to.equal('broken')
+  })
+
   /**
    * A caller gets part of an answer as if it were all, though nothing was reset.
    * 1. The answer has no length. 2. The server dies in the middle, and its system closes the connection as usual.
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -3,7 +3,7 @@
  * answer that has no length, which would pass a cut answer on as whole.
  */
 import { Agent, request } from 'node:http'
-import type { ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http'
+import type { AgentOptions, ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
@@ -92,8 +92,9 @@
 
 export function createConnections (clock: Clock): Connections {
   const agents = new Map<string, CarefulAgent>()
+  // Half open: after the other side's end it must still be possible to ask whether that was a reset.
   const agentOf = (address: string): CarefulAgent => {
-    const agent = agents.get(address) ?? new CarefulAgent({ keepAlive: true, scheduling: 'lifo' })
+    const agent = agents.get(address) ?? new CarefulAgent({ keepAlive: true, scheduling: 'lifo', allowHalfOpen: true } as AgentOptions)
     agents.set(address, agent)
     return agent
   }
@@ -109,6 +110,16 @@
   }
 }
 
+/**
+ * Whether a connection that ended was closed by the other side, and not reset. A reset that arrives together with the
+ * last bytes reads like a proper end: the system's event loop takes a hang-up after a short read for one. Writing
+ * tells them apart: a closed connection still takes bytes, one that was reset does not. An empty line is what a server
+ * that should still listen has to ignore.
+ */
+function proveClosed (socket: Socket): Promise<boolean> {
+  return new Promise(resolve => socket.write('\r\n', err => resolve(err === undefined || err === null)))
+}
+
 /**
  * Whether a server still accepts connections. An answer without length that ends with its connection looks the same
  * whether the server is done or has died in the middle: its system closes what it leaves. A caller would get a part as
@@ -142,6 +153,9 @@
    * written, the write takes the error and the answer seems to end.
    */
   const isClosedCleanly = (): boolean => failure === undefined && (req.socket?.writableLength ?? 0) === 0
+  /** Set when the connection of an answer without length ends: whether it was closed, not reset. */
+  let wasClosed: Promise<boolean> = Promise.resolve(true)
+  const proveWhole = async (): Promise<boolean> => await wasClosed && await proveAlive(clock, host, port)
   const end = (how: ExchangeEnd, reason: string): void => {
     if (hasEnded) return
     hasEnded = true
@@ -171,6 +185,8 @@
   })
   req.on('response', res => {
     response = res
+    const isFramed = res.headers['content-length'] !== undefined || res.headers['transfer-encoding'] !== undefined
+    if (!isFramed) res.socket.prependOnceListener('end', () => { wasClosed = proveClosed(res.socket) })
     sink.onHead({ status: res.statusCode ?? 0, headers: res.headers, rawHeaders: res.rawHeaders })
     res.on('data', (chunk: Buffer) => { if (!hasEnded) sink.onData(chunk) })
     res.on('error', err => end('broken', err.message))
@@ -178,7 +194,7 @@
       if (isWholeByLength()) return end('whole', 'answer ended')
       if (!res.complete || !isClosedCleanly()) return end('broken', failure ?? 'answer cut')
       isProving = true
-      proveAlive(clock, host, port).then(isAlive => end(isAlive ? 'whole' : 'broken', isAlive ? 'connection closed' : 'server has died'))
+      proveWhole().then(isWhole => end(isWhole ? 'whole' : 'broken', isWhole ? 'connection closed' : 'connection reset, or server has died'))
     })
     res.on('close', () => { if (!isProving) end('broken', failure ?? 'connection closed within the answer') })
   })
