--- a/packages/magnoliabay/src/node/outcomes/suspects.ts
+++ b/packages/magnoliabay/src/node/outcomes/suspects.ts
@@ -43,6 +43,8 @@
   holdMs?: number
   /** Fingerprints remembered at most; the oldest goes first. @default 10000 */
   maxHeld?: number
+  /** Crashes after which a request is refused. @default 2 */
+  crashesToRefuse?: number
 }
 
 const HOLD_MS = 600_000
@@ -63,6 +65,7 @@
   const { peers, clock, logger } = options
   const holdMs = options.holdMs ?? HOLD_MS
   const maxHeld = options.maxHeld ?? MAX_HELD
+  const crashesToRefuse = options.crashesToRefuse ?? CRASHES_TO_REFUSE
   const held = new Map<string, Held>()
   const lane = createLane()
 
@@ -83,7 +86,7 @@
   }
   const drop = (fingerprint: string): void => {
     const found = find(fingerprint)
-    if (found !== undefined && found.crashIds.size < CRASHES_TO_REFUSE) held.delete(fingerprint)
+    if (found !== undefined && found.crashIds.size < crashesToRefuse) held.delete(fingerprint)
   }
   peers.listen(suspectNoted, notice => { take(notice.fingerprint, notice.crashIds) })
   peers.listen(suspectCleared, notice => drop(notice.fingerprint))
@@ -94,7 +97,7 @@
     verdict: fingerprint => {
       const found = find(fingerprint)
       if (found === undefined) return 'clear'
-      return found.crashIds.size >= CRASHES_TO_REFUSE ? 'refused' : 'suspect'
+      return found.crashIds.size >= crashesToRefuse ? 'refused' : 'suspect'
     },
     noteCrash: (fingerprint, crashId) => {
       const crashIds = [...take(fingerprint, [crashId]).crashIds]
--- a/packages/magnoliabay/src/node/serving/__tests__/serve.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/serve.spec.ts
@@ -4,7 +4,7 @@
 import { createSystemClock } from '../../clock'
 import { createSilentLogger } from '../../logger'
 import { createMemoryNetwork } from '../../members/memoryNetwork'
-import { createRetryBudget } from '../../outcomes'
+import { createRetryBudget, createSuspects } from '../../outcomes'
 import { platformWire } from '../../platform'
 import { createTeamAllowance } from '../allowance/teamAllowance'
 import { createConfigInForce } from '../configInForce'
@@ -65,6 +65,7 @@
     placement: createPlacementClient({ peers, servers: listed, orderer: () => undefined, isSound: () => true, isIsolated: () => false, clock, logger }),
     allowance: createTeamAllowance({ peers, teamNamed: name => cfg.teams?.find(team => team.name === name), windowMs: 8000, isFirstStart: true, clock, logger }),
     connections,
+    suspects: createSuspects({ peers, clock, logger, hasDied: async address => !await connections.isAlive(address), crashesToRefuse: 2 }),
     retryBudget: () => createRetryBudget(),
     noteDemand: () => {},
     noteUse: () => {},
@@ -249,6 +250,30 @@
     await stopped
   })
 
+  /**
+   * One caller takes down one server after the other.
+   * 1. A request kills each server that begins to run it. 2. Its caller sends it again. 3. After two deaths here it is
+   * refused, not run; the same caller's other requests are served.
+   */
+  it('refuses a request that was there when servers died, and no other', async () => {
+    const dying = await Promise.all([0, 1].map(async () => {
+      const server: RawServer = await startRawServer(socket => {
+        server.stopListening()
+        socket.destroy()
+      })
+      return server
+    }))
+    const sound = await answering(GOOD)
+    open = await openDoor([...dying, sound])
+    const statuses: number[] = []
+    for (let turn = 0; turn < 3; turn += 1) {
+      statuses.push((await call(open.address, '/write/1', {}, 'deadly')).status)
+      await new Promise(resolve => setTimeout(resolve, 20))
+    }
+    expect(statuses).to.deep.equal([502, 502, 503])
+    expect((await call(open.address, '/write/1', {}, 'harmless')).status).to.equal(200)
+  })
+
   /**
    * A caller that kept the address of an instance about to end sends a stream there, and is cut in the middle.
    * 1. The instance was asked to stop some seconds ago. 2. The stream would outlast it. 3. It is refused at once, not
--- a/packages/magnoliabay/src/node/serving/context.ts
+++ b/packages/magnoliabay/src/node/serving/context.ts
@@ -1,7 +1,7 @@
 /** What serving a request needs from the rest of the process. */
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
-import type { RetryBudget } from '../outcomes'
+import type { RetryBudget, Suspects } from '../outcomes'
 import type { TeamAllowance } from './allowance/teamAllowance'
 import type { ConfigInForce } from './configInForce'
 import type { Connections } from './exchange'
@@ -22,6 +22,8 @@
   placement: PlacementClient
   allowance: TeamAllowance
   connections: Connections
+  /** Requests that were under way on servers that died. */
+  suspects: Suspects
   /** The budget for sending requests of a service more than once. */
   retryBudget: (service: string) => RetryBudget
   /** Counts a request for a model. */
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -85,6 +85,8 @@
 
 export interface Connections {
   exchange (req: OutboundRequest, sink: AnswerSink): Exchange
+  /** Whether a server accepts connections. */
+  isAlive (address: string): Promise<boolean>
   /** Drops the idle connections to an address. */
   forget (address: string): void
   close (): void
@@ -100,6 +102,10 @@
   }
   return {
     exchange: (req, sink) => runExchange(agentOf(req.address), clock, req, sink),
+    isAlive: address => {
+      const { host, port } = parseHostPort(address)
+      return proveAlive(clock, host, port)
+    },
     forget: address => {
       const idle = Object.values(agents.get(address)?.freeSockets ?? {}).flatMap(sockets => sockets ?? [])
       // Only the idle ones: a server that has left the list still finishes what it runs.
--- a/packages/magnoliabay/src/node/serving/serve.ts
+++ b/packages/magnoliabay/src/node/serving/serve.ts
@@ -1,6 +1,6 @@
 /** One request from admission to its end: allowance, a server that can run it, attempts, and what the caller is told. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { createTrail } from '../outcomes'
+import { createTrail, fingerprintOf } from '../outcomes'
 import type { Trail } from '../outcomes'
 import { admit, unitsOf } from './admit'
 import type { Admitted } from './admit'
@@ -45,6 +45,8 @@
 interface Run {
   inbound: Inbound
   caller: CallerRequest
+  /** The same bytes of the same caller: the same request sent again. */
+  fingerprint: string
   admitted: Admitted
   trail: Trail
   /** Monotonic milliseconds by which the request must have ended. */
@@ -172,7 +174,10 @@
     if (team === undefined || run.unitsTaken > 0) return undefined
     const units = unitsOf(team, run.caller)
     const taken = await allowance.take(team, units)
-    if (taken.waitMs > 0) return { reason: 'over-allowance', retryAfterMs: taken.waitMs }
+    if (taken.waitMs > 0) {
+      logger.info('allowance-refused', { request: run.caller.attemptId, team: team.name, units, decidedBy: taken.decidedBy, waitMs: Math.round(taken.waitMs) })
+      return { reason: 'over-allowance', retryAfterMs: taken.waitMs }
+    }
     run.unitsTaken = units
     return undefined
   }
@@ -215,6 +220,7 @@
     health.noteEnd(id, model)
     if (model !== '' && health.inFlightOf(id, model) === 0) ctx.noteUse()
     noteHealth(id, ended)
+    noteCrash(run, server, ended)
     return ended
   }
   /** A request that may go on elsewhere does not wait for a server that says nothing to anybody. */
@@ -227,6 +233,13 @@
     if (mayRepeat(run)) cancel = clock.schedule(SILENCE_CHECK_MS, check)
     return () => cancel()
   }
+  /** A request whose connection broke may have killed its server. */
+  const noteCrash = async (run: Run, server: BackendServer, ended: AttemptEnd): Promise<void> => {
+    const { suspects } = ctx
+    if (ended.kind === 'relayed' && suspects.verdict(run.fingerprint) === 'suspect') return suspects.clear(run.fingerprint)
+    const isBroken = ended.kind === 'cut' || (ended.kind === 'failed' && ended.answer === undefined)
+    if (isBroken && await suspects.hasDied(server.address)) suspects.noteCrash(run.fingerprint, processOf(server))
+  }
   const noteHealth = (id: string, ended: AttemptEnd): void => {
     if (ended.kind === 'unsent') return health.noteUnreached(id)
     if (ended.kind === 'failed' || ended.kind === 'cut') return health.noteFailure(id)
@@ -321,10 +334,13 @@
     if (ctx.isClosingFor(route.kind)) return refuse(inbound, caller, { reason: 'leaving', retryAfterMs: LEAVING_RETRY_MS }, false, { route: route.name })
     ctx.noteDemand(modelKey(caller))
     ctx.retryBudget(service.name).noteFirstAttempt()
+    const fingerprint = fingerprintOf(admitted.val.team?.name ?? '', `${req.method} ${req.url}`, inbound.body)
+    if (ctx.suspects.verdict(fingerprint) === 'refused') return refuse(inbound, caller, { reason: 'crashes-servers' }, false, { route: route.name, fingerprint })
     const allowedMs = Math.min(route.timeoutMs, caller.deadlineMs ?? Infinity)
     const run: Run = {
       inbound,
       caller,
+      fingerprint,
       admitted: admitted.val,
       trail: createTrail(),
       endMs: inbound.arrivedMs + allowedMs,
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -10,7 +10,7 @@
 import { createMembership, createPeerNetwork } from '../members'
 import type { MemberRecord } from '../members'
 import { greetSeeds } from '../members/seeds'
-import { createRetryBudget } from '../outcomes'
+import { createRetryBudget, createSuspects } from '../outcomes'
 import type { RetryBudget } from '../outcomes'
 import { createShutdown } from '../shutdown'
 import type { Store } from '../store'
@@ -89,6 +89,10 @@
 const LAST_STREAM_PART = 0.3
 /** The same for calls of plain services, before the end of the grace period, milliseconds. */
 const LAST_CALL_MS = 2200
+/** A request that was there when so many servers died is refused; fewer may be chance on a day when many die. */
+const CRASHES_TO_REFUSE = 3
+/** Callers send such a request again within seconds; the same bytes a minute later may be another's. */
+const SUSPECT_HELD_MS = 60_000
 /** The store has been out of reach for longer than its watch takes to tell, milliseconds. */
 const ISOLATED_STORE_MS = 5500
 /** An instance that has links to fewer than this part of the others is on the wrong side of a cut. */
@@ -193,7 +197,16 @@
     logger
   })
   const allowance = createTeamAllowance({ peers, teamNamed: name => cfg.current()?.teams?.find(team => team.name === name), windowMs: settings.allowanceWindowMs, isFirstStart: settings.isFirstStart, clock, logger })
+  const suspects = createSuspects({
+    peers,
+    clock,
+    logger,
+    hasDied: async address => !await connections.isAlive(address),
+    holdMs: SUSPECT_HELD_MS,
+    crashesToRefuse: CRASHES_TO_REFUSE
+  })
   const serve = createServe({
+    suspects,
     cfg,
     wire,
     servers,
