--- a/packages/magnoliabay/src/node/cli.ts
+++ b/packages/magnoliabay/src/node/cli.ts
@@ -6,6 +6,7 @@
 import { operatorCommands } from './commands/operatorCommands'
 import { platformCommand } from './commands/platform'
 import { serveCommand } from './commands/serve'
+import { traceCommand } from './commands/trace'
 import { EXIT_DONE, EXIT_FAILED, EXIT_USAGE } from './commands/types'
 import type { Command, ExitCode, OptionDescription } from './commands/types'
 import { VERSION } from './constants'
@@ -25,7 +26,7 @@
   env: process.env
 }
 
-export const productCommands: readonly Command[] = [serveCommand, platformCommand, devCommand, configCommand, ...operatorCommands]
+export const productCommands: readonly Command[] = [serveCommand, platformCommand, traceCommand, devCommand, configCommand, ...operatorCommands]
 
 /** Runs the command line and returns the exit code. */
 export async function runCli (args: readonly string[], context: CliContext = PROCESS_CONTEXT, commands: readonly Command[] = productCommands): Promise<ExitCode> {
