--- a/packages/magnoliabay/src/node/platform/settings.ts
+++ b/packages/magnoliabay/src/node/platform/settings.ts
@@ -22,24 +22,17 @@
   'internal-port-range': v.tuple([v.number(), v.number()]),
   'seed-nodes': v.optional(v.array(v.string()), []),
   bootstrap: v.optional(v.boolean(), false),
-  limits: v.object({ 'file-descriptors': v.number() }),
   bounds: v.object({
-    'drain-ms': v.number(),
     'grace-period-s': v.number(),
     'lease-ms': v.optional(v.number(), 3000),
     'retry-budget-ratio': v.number(),
     'retry-budget-slack': v.number(),
-    'budget-window-s': v.number(),
     'ceiling-window-s': v.optional(v.number(), 5),
-    'origin-overshoot': v.optional(v.number(), 1),
     ttl_max_s: v.optional(v.number(), 5),
-    'contact-timeout-ms': v.number(),
     'quota-window-s': v.optional(v.number(), 8)
   }),
   platform: v.object({
     address: v.string(),
-    'writes-per-s': v.number(),
-    'reads-per-s': v.number(),
     'ttl-min-ms': v.number()
   })
 })
@@ -51,20 +44,18 @@
   seeds: readonly string[]
   /** The whole system starts for the first time. */
   isFirstStart: boolean
-  /** Milliseconds that a draining backend server still takes requests. */
-  drainMs: number
   /** Milliseconds between being asked to stop and being killed. */
   graceMs: number
   /** Two instances that give orders must be this far apart, milliseconds. */
   orderLeaseMs: number
-  retryBudget: { ratio: number, slack: number, windowMs: number }
+  retryBudget: { ratio: number, slack: number }
   /** Rates and bursts of teams are counted over this window, milliseconds. */
   allowanceWindowMs: number
-  /** Loads from the weight store: counted in this window, with this factor on the rate. */
-  loadCeiling: { windowMs: number, factor: number }
+  /** Loads from the weight store are counted in this window, milliseconds. */
+  loadWindowMs: number
   /** Longest time that callers keep a list of addresses, milliseconds. */
   maxResolutionMs: number
-  store: { address: string, writesPerSecond: number, readsPerSecond: number, minLeaseMs: number }
+  store: { address: string, minLeaseMs: number }
 }
 
 export interface SettingsProblem {
@@ -106,17 +97,14 @@
     },
     seeds: wire['seed-nodes'].filter(seed => seed !== listen['control-plane']),
     isFirstStart: wire.bootstrap,
-    drainMs: bounds['drain-ms'],
     graceMs: bounds['grace-period-s'] * 1000,
     orderLeaseMs: bounds['lease-ms'],
-    retryBudget: { ratio: bounds['retry-budget-ratio'], slack: bounds['retry-budget-slack'], windowMs: bounds['budget-window-s'] * 1000 },
+    retryBudget: { ratio: bounds['retry-budget-ratio'], slack: bounds['retry-budget-slack'] },
     allowanceWindowMs: bounds['quota-window-s'] * 1000,
-    loadCeiling: { windowMs: bounds['ceiling-window-s'] * 1000, factor: bounds['origin-overshoot'] },
+    loadWindowMs: bounds['ceiling-window-s'] * 1000,
     maxResolutionMs: bounds.ttl_max_s * 1000,
     store: {
       address: platform.address,
-      writesPerSecond: platform['writes-per-s'],
-      readsPerSecond: platform['reads-per-s'],
       minLeaseMs: platform['ttl-min-ms']
     }
   }
--- a/packages/magnoliabay/src/node/serving/outcome.ts
+++ b/packages/magnoliabay/src/node/serving/outcome.ts
@@ -19,7 +19,6 @@
   | 'answer-cut'
   | 'caller-gone'
   | 'leaving'
-  | 'bad-request'
   | 'fault'
 
 /** An end without an answer of a backend server. */
@@ -46,7 +45,6 @@
   'answer-cut': 502,
   'caller-gone': 503,
   leaving: 503,
-  'bad-request': 400,
   fault: 500
 }
 const BAD_GATEWAY = 502
--- a/packages/magnoliabay/src/node/serving/placement/orderer.ts
+++ b/packages/magnoliabay/src/node/serving/placement/orderer.ts
@@ -45,7 +45,8 @@
   peers: Peers
   clock: Clock
   logger: Logger
-  loadCeiling: { windowMs: number, factor: number }
+  /** Loads from the weight store are counted in this window, milliseconds. */
+  loadWindowMs: number
 }
 
 interface Want {
@@ -66,7 +67,7 @@
   const promised = new Map<string, { model: string, sinceMs: number }>()
   const engineSpecs = (): EngineSpec[] => [...cfg.current()?.services.values() ?? []].flatMap(service => service.engine ?? [])
   const storeLoads = createStoreLoads({
-    windowMs: options.loadCeiling.windowMs,
+    windowMs: options.loadWindowMs,
     loadsPerSecond: () => Math.min(...engineSpecs().map(spec => spec.storeLoadsPerSecond))
   })
   const orders = createEngineOrders({ ...options, onDone: () => tick(), onStoreLoad: () => storeLoads.noteBegun(clock.monotonic()) })
--- a/packages/magnoliabay/src/node/serving/reasons.ts
+++ b/packages/magnoliabay/src/node/serving/reasons.ts
@@ -9,14 +9,13 @@
   'no-server': 'No server of the service was usable: none listed, all leaving, none reached, or the model is in no configuration.',
   'model-not-in-time': 'No engine had the model, and it could not be loaded before the caller would have left. retryAfterMs is when it was expected.',
   'no-orderer': 'No engine had the model, and nobody gave orders: a hand-over was under way, or this instance was cut off.',
-  'server-full': 'Servers turned the request back, not run, until the tries or the retry budget were spent.',
-  'retry-budget-spent': 'Another attempt was due, but the service had had its share of retries.',
+  'server-full': 'Servers turned the request back, not run, each time that it was sent.',
+  'retry-budget-spent': 'A server turned the request back, not run, and the service had had its share of retries.',
   'crashes-servers': 'Servers died while they ran the same request before. It is not sent any more for a minute.',
   'route-timeout': 'The route\'s timeout or the caller\'s deadline was reached.',
   'server-failed': 'The server broke off, or answered what cannot be passed on, and the request may not be run again.',
   'answer-cut': 'The server broke off in the middle of an answer of which the caller had a part.',
   'caller-gone': 'The caller closed its connection.',
   leaving: 'The instance had been asked to stop, and the request would have outlasted it.',
-  'bad-request': 'The request is no HTTP that can be passed on.',
   fault: 'A fault of this program; the line request-fault has its trace.'
 }
--- a/packages/magnoliabay/src/node/serving/serve.ts
+++ b/packages/magnoliabay/src/node/serving/serve.ts
@@ -272,12 +272,12 @@
         run.runs -= 1
         run.rejectedBy.add(id)
         logger.info('attempt-rejected', { request: run.caller.attemptId, server: server.id, status: ended.status, model: run.caller.model })
-        if (rejections < MAX_REJECTIONS && retries(run)) {
-          await ctx.pause(REJECTED_PAUSE_MS)
-          return true
+        if (rejections >= MAX_REJECTIONS || !retries(run)) {
+          end(run, { reason: rejections >= MAX_REJECTIONS ? 'server-full' : 'retry-budget-spent', retryAfterMs: FULL_RETRY_MS })
+          return false
         }
-        end(run, { reason: 'server-full', retryAfterMs: FULL_RETRY_MS })
-        return false
+        await ctx.pause(REJECTED_PAUSE_MS)
+        return true
       case 'failed': {
         run.trail.note('lose')
         run.lastAnswer = ended.answer ?? run.lastAnswer
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -40,10 +40,10 @@
   seeds: readonly string[]
   graceMs: number
   orderLeaseMs: number
-  retryBudget: { ratio: number, slack: number, windowMs: number }
+  retryBudget: { ratio: number, slack: number }
   allowanceWindowMs: number
   isFirstStart: boolean
-  loadCeiling: { windowMs: number, factor: number }
+  loadWindowMs: number
   store: { minLeaseMs: number }
 }
 
@@ -186,7 +186,7 @@
     }
   })
   const leadership = createLeadership({ store, self: id, orderLeaseMs: settings.orderLeaseMs, minLeaseMs: settings.store.minLeaseMs, clock, logger, random })
-  const orderer = createOrderer({ self: id, leadership, servers, cfg, table, engines: options.engines, peers, clock, logger, loadCeiling: settings.loadCeiling })
+  const orderer = createOrderer({ self: id, leadership, servers, cfg, table, engines: options.engines, peers, clock, logger, loadWindowMs: settings.loadWindowMs })
   const placement = createPlacementClient({
     peers,
     servers,
