--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -10,7 +10,7 @@
 import { createMembership, createPeerNetwork } from '../members'
 import type { MemberRecord } from '../members'
 import { greetSeeds } from '../members/seeds'
-import { createRetryBudget } from '../outcomes'
+import { createRetryBudget, createSuspects } from '../outcomes'
 import type { RetryBudget } from '../outcomes'
 import { createShutdown } from '../shutdown'
 import type { Store } from '../store'
@@ -40,10 +40,10 @@
   seeds: readonly string[]
   graceMs: number
   orderLeaseMs: number
-  retryBudget: { ratio: number, slack: number, windowMs: number }
+  retryBudget: { ratio: number, slack: number }
   allowanceWindowMs: number
   isFirstStart: boolean
-  loadCeiling: { windowMs: number, factor: number }
+  loadWindowMs: number
   store: { minLeaseMs: number }
 }
 
@@ -89,6 +89,10 @@
 const LAST_STREAM_PART = 0.3
 /** The same for calls of plain services, before the end of the grace period, milliseconds. */
 const LAST_CALL_MS = 2200
+/** A request that was there when so many servers died is refused; fewer may be chance on a day when many die. */
+const CRASHES_TO_REFUSE = 3
+/** Callers send such a request again within seconds; the same bytes a minute later may be another's. */
+const SUSPECT_HELD_MS = 60_000
 /** The store has been out of reach for longer than its watch takes to tell, milliseconds. */
 const ISOLATED_STORE_MS = 5500
 /** An instance that has links to fewer than this part of the others is on the wrong side of a cut. */
@@ -182,7 +186,7 @@
     }
   })
   const leadership = createLeadership({ store, self: id, orderLeaseMs: settings.orderLeaseMs, minLeaseMs: settings.store.minLeaseMs, clock, logger, random })
-  const orderer = createOrderer({ self: id, leadership, servers, cfg, table, engines: options.engines, peers, clock, logger, loadCeiling: settings.loadCeiling })
+  const orderer = createOrderer({ self: id, leadership, servers, cfg, table, engines: options.engines, peers, clock, logger, loadWindowMs: settings.loadWindowMs })
   const placement = createPlacementClient({
     peers,
     servers,
@@ -193,7 +197,16 @@
     logger
   })
   const allowance = createTeamAllowance({ peers, teamNamed: name => cfg.current()?.teams?.find(team => team.name === name), windowMs: settings.allowanceWindowMs, isFirstStart: settings.isFirstStart, clock, logger })
+  const suspects = createSuspects({
+    peers,
+    clock,
+    logger,
+    hasDied: async address => !await connections.isAlive(address),
+    holdMs: SUSPECT_HELD_MS,
+    crashesToRefuse: CRASHES_TO_REFUSE
+  })
   const serve = createServe({
+    suspects,
     cfg,
     wire,
     servers,
