--- a/packages/magnoliabay/src/node/serving/configInForce.ts
+++ b/packages/magnoliabay/src/node/serving/configInForce.ts
@@ -37,10 +37,12 @@
   let currentText: string | undefined
   let index = EMPTY
 
+  /** Tells of teams whose rate, burst or number of keys is new: a key that was taken away shows nowhere else. */
   const noteAllowances = (next: ServingConfig): void => {
-    const before = new Map(current?.teams?.map(team => [team.name, team]))
+    const sizeOf = (team: Team): string => `${team.rate} ${team.burst} ${team.keys.length}`
+    const before = new Map(current?.teams?.map(team => [team.name, sizeOf(team)]))
     next.teams
-      ?.filter(team => before.get(team.name)?.rate !== team.rate || before.get(team.name)?.burst !== team.burst)
+      ?.filter(team => before.get(team.name) !== sizeOf(team))
       .forEach(team => logger.info('allowance-set', { version: next.version, team: team.name, rate: team.rate, burst: team.burst, unit: team.unit, keys: team.keys.length }))
   }
   return {
