--- /dev/null
+++ b/packages/magnoliabay/src/node/platform/__tests__/endToEnd.spec.ts
@@ -0,0 +1,165 @@
+import { createKvState, createPlatformStore } from '@magnoliabay/standins'
+import type { KvState, PlatformStore } from '@magnoliabay/standins'
+import { expect } from 'chai'
+import { request } from 'node:http'
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { createSystemClock } from '../../clock'
+import { createSilentLogger } from '../../logger'
+import { createServingInstance } from '../../serving/servingInstance'
+import type { ServingInstance } from '../../serving/servingInstance'
+import { startRawServer } from '../../serving/__tests__/rawServer'
+import type { RawServer } from '../../serving/__tests__/rawServer'
+import { createDiscovery, createEngineCalls, createKvStore, platformWire } from '..'
+import type { Discovery } from '../discovery'
+
+const KEY = 'i9n73hh2'
+const ANSWER = 'HTTP/1.1 200 OK\r\nX-Magnoliabay-Server-Signature: s\r\nContent-Length: 4\r\n\r\ndone'
+
+interface Answer {
+  status: number
+  body: string
+}
+
+interface Running {
+  instance: ServingInstance
+  discovery: Discovery
+  entry: string
+  readiness: string
+  resolution: string
+}
+
+async function freeAddresses (count: number): Promise<string[]> {
+  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>(resolve => {
+    const server = createServer()
+    server.listen(0, '127.0.0.1', () => resolve(server))
+  })))
+  const addresses = servers.map(server => `127.0.0.1:${(server.address() as AddressInfo).port}`)
+  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
+  return addresses
+}
+
+function call (address: string, path: string, headers: Record<string, string> = {}, method = 'GET'): Promise<Answer> {
+  const [host, port] = address.split(':')
+  return new Promise((resolve, reject) => {
+    const req = request({ host, port, path, method, agent: false, headers }, res => {
+      let body = ''
+      res.on('data', (chunk: Buffer) => { body += chunk.toString() })
+      res.on('end', () => resolve({ status: res.statusCode!, body }))
+    })
+    req.on('error', reject)
+    req.end()
+  })
+}
+
+/** Asks until the answer is as wanted; there is nothing else to wait for from outside a process. */
+async function until (ask: () => Promise<Answer>, isWanted: (answer: Answer) => boolean): Promise<Answer> {
+  for (;;) {
+    const answer = await ask()
+    if (isWanted(answer)) return answer
+    await new Promise(resolve => setTimeout(resolve, 20))
+  }
+}
+
+describe('the platform\'s front door, end to end', () => {
+  const clock = createSystemClock()
+  let state: KvState
+  let store: PlatformStore
+  let server: RawServer
+  let running: Running[]
+
+  const put = (key: string, value: object): void => {
+    state.transact({ compares: [], success: [{ kind: 'put', key, value: JSON.stringify(value) }], failure: [] })
+  }
+  const configOf = (version: number, keys: readonly string[]): object => ({
+    version,
+    routes: [{ name: 'r', hostname: 'site.example', prefix: '/notes/', 'route-kind': 'non_idempotent', 'timeout-ms': 3000, service: 'app' }],
+    services: [{ name: 'app', 'connection-limit': 10 }],
+    tenants: [{ name: 'depot', 'api-keys': keys, 'rate-per-s': 1000, burst: 1000 }]
+  })
+  const start = async (id: string): Promise<Running> => {
+    const [entry, peers, metrics, readiness, resolution] = await freeAddresses(5) as [string, string, string, string, string]
+    const kv = createKvStore({ address: store.address, clock, logger: createSilentLogger() })
+    const instance = createServingInstance({
+      settings: {
+        instance: { id, failureDomain: 'a', region: 'r' },
+        listen: { entry, peers, metrics },
+        seeds: [],
+        graceMs: 1300,
+        orderLeaseMs: 100,
+        allowanceWindowMs: 8000,
+        isFirstStart: true,
+        retryBudget: { ratio: 0.2, slack: 20 },
+        loadWindowMs: 5000,
+        store: { minLeaseMs: 1000 }
+      },
+      wire: platformWire,
+      store: kv,
+      engines: createEngineCalls(clock),
+      clock,
+      logger: createSilentLogger(),
+      random: () => 0
+    })
+    const discovery = createDiscovery({ readiness, resolution, isReady: instance.isReady, addressesFor: instance.addressesFor, maxResolutionMs: 5000 })
+    await discovery.start()
+    await instance.start()
+    return { instance, discovery, entry, readiness, resolution }
+  }
+  const note = (entry: string, key = KEY): Promise<Answer> => call(entry, '/notes/7', { host: 'site.example', authorization: `Token ${key}`, 'x-magnoliabay-deadline-ms': '3000' }, 'POST')
+  const ready = ({ readiness }: Running): Promise<Answer> => until(() => call(readiness, '/-/readiness'), answer => answer.status === 200)
+
+  beforeEach(async () => {
+    state = createKvState({ clock })
+    store = await createPlatformStore({ state, clock })
+    server = await startRawServer(socket => socket.write(ANSWER))
+    running = []
+  })
+  afterEach(async () => {
+    await Promise.all(running.map(each => each.instance.shutdown()))
+    running.forEach(each => each.discovery.close())
+    await store.close()
+    await server.close()
+    state.close()
+  })
+
+  it('is not ready before it knows a configuration, and serves from then on', async () => {
+    running.push(await start('i1'))
+    const [only] = running as [Running]
+    expect((await call(only.readiness, '/-/readiness')).status).to.equal(503)
+    expect((await note(only.entry)).status).to.equal(503)
+    put('op/config', configOf(1, [KEY]))
+    put('servers/s1', { service: 'app', address: server.address, zone: 'a', slots: 6, state: 'ready', born: 1 })
+    await ready(only)
+    expect(await note(only.entry)).to.deep.equal({ status: 200, body: 'done' })
+    expect(server.received[0]).to.match(/X-Magnoliabay-Tenant: depot/)
+    const resolved = await call(only.resolution, '/-/resolution?name=site.example&region=r&zone=a')
+    expect(JSON.parse(resolved.body)).to.deep.equal({ addresses: [only.entry], 'ttl-s': 2 })
+  })
+
+  it('takes a withdrawn key and a server that drains out of use', async () => {
+    put('op/config', configOf(1, [KEY]))
+    put('servers/s1', { service: 'app', address: server.address, zone: 'a', slots: 6, state: 'ready', born: 1 })
+    running.push(await start('i1'))
+    const [only] = running as [Running]
+    await ready(only)
+    put('op/config', configOf(2, ['another']))
+    await until(() => note(only.entry), answer => answer.status === 401)
+    put('servers/s1', { service: 'app', address: server.address, zone: 'a', slots: 6, state: 'draining', born: 1 })
+    await until(() => note(only.entry, 'another'), answer => answer.status === 503)
+  })
+
+  it('names all ready instances to callers, and no longer those that leave', async () => {
+    put('op/config', configOf(1, [KEY]))
+    put('servers/s1', { service: 'app', address: server.address, zone: 'a', slots: 6, state: 'ready', born: 1 })
+    running.push(await start('i1'), await start('i2'))
+    const [one, two] = running as [Running, Running]
+    await Promise.all(running.map(ready))
+    const resolve = (): Promise<Answer> => call(one.resolution, '/-/resolution?name=site.example&region=r&zone=a')
+    const addressesIn = (answer: Answer): string[] => (JSON.parse(answer.body) as { addresses?: string[] }).addresses ?? []
+    await until(resolve, answer => addressesIn(answer).length === 2)
+    const left = two.instance.shutdown()
+    await until(resolve, answer => addressesIn(answer).length === 1)
+    await left
+    expect((await note(one.entry)).status).to.equal(200)
+  })
+})
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/placement/__tests__/engineOrders.spec.ts
@@ -0,0 +1,193 @@
+import { expect } from 'chai'
+import { createVirtualClock } from '../../../clock/virtual'
+import type { VirtualClock } from '../../../clock/virtual'
+import { createSilentLogger } from '../../../logger'
+import { createMemoryNetwork } from '../../../members/memoryNetwork'
+import { Err, Ok } from '../../../result'
+import { configOf, memberRecord, modelSpec, serverOf } from '../../__tests__/fixtures'
+import { createConfigInForce } from '../../configInForce'
+import type { EngineOrder, OrderOutcome } from '../../engineCalls'
+import { createServers } from '../../servers'
+import type { Servers } from '../../servers'
+import type { BackendServer, LoadedModel } from '../../types'
+import { createEngineOrders } from '../engineOrders'
+import type { EngineOrders } from '../engineOrders'
+
+const ANSWER_MS = 3
+const UNLOAD_MS = 60
+const LOAD_MS = 1600
+
+/** An engine that takes orders as published: one at a time, under the count of those accepted. */
+interface FakeEngine {
+  accepted: EngineOrder[]
+  models: LoadedModel[]
+  isBusy: boolean
+  /** Answers are lost: the order is carried out all the same. */
+  losesAnswers: boolean
+}
+
+interface World {
+  clock: VirtualClock
+  engine: FakeEngine
+  orders: EngineOrders
+  servers: Servers
+  fence: { value: number | undefined }
+  /** The engine's entry reaches the store's watchers. */
+  list (): void
+  known (): Promise<void>
+}
+
+const PROCESS = 'e1@1'
+const held = (name: string, adapters: string[] = []): LoadedModel => ({ name, version: 1, adapters })
+
+function createWorld (models: LoadedModel[], adapterCapacity = 2): World {
+  const clock = createVirtualClock()
+  const logger = createSilentLogger()
+  const engine: FakeEngine = { accepted: [], models, isBusy: false, losesAnswers: false }
+  const fence = { value: 7 as number | undefined }
+  const specs = new Map(['a', 'b', 'c', 'd'].map(name => [name, modelSpec(name, { adapters: ['a1', 'a2', 'a3'] })]))
+  const cfg = createConfigInForce({
+    decode: () => configOf(1, { services: new Map([['llm', { name: 'llm', connectionLimit: 10, engine: { slots: 8, kvTokens: 0, weightsMb: 210, adapterCapacity, storeLoadsPerSecond: 1, models: specs } }]]) }),
+    clock,
+    logger
+  })
+  cfg.offer('', 'store')
+  const servers = createServers({ decode: (key, text) => JSON.parse(text) as BackendServer, idOf: key => key, storeSteadySinceMs: () => -60_000, clock, logger })
+  const list = (): void => servers.put({ key: 'e1', value: JSON.stringify(serverOf('e1', { service: 'llm', models: engine.models })) })
+  const finish = (order: EngineOrder): void => {
+    engine.isBusy = false
+    engine.models = order.operation === 'load' ? [...engine.models, held(order.model)] : engine.models.filter(model => model.name !== order.model)
+    list()
+  }
+  const changeAdapter = (order: EngineOrder): void => {
+    engine.models = engine.models.map(model => model.name !== order.model
+      ? model
+      : { ...model, adapters: order.operation === 'load' ? [...model.adapters, order.adapter!] : model.adapters.filter(name => name !== order.adapter) })
+  }
+  const take = (order: EngineOrder): OrderOutcome => {
+    if (engine.isBusy || order.expectedOrders !== engine.accepted.length) return 'conflict'
+    engine.accepted.push(order)
+    if (order.adapter !== undefined) {
+      changeAdapter(order)
+      return 'accepted'
+    }
+    engine.isBusy = true
+    clock.schedule(order.operation === 'load' ? LOAD_MS : UNLOAD_MS, () => finish(order))
+    return 'accepted'
+  }
+  const later = <T> (answer: () => T): Promise<T> => new Promise(resolve => clock.schedule(ANSWER_MS, () => resolve(answer())))
+  const orders = createEngineOrders({
+    self: 'me',
+    leadership: { fence: () => fence.value, isHolder: () => true, start: () => {}, resign: async () => {} },
+    servers,
+    cfg,
+    engines: {
+      report: () => later(() => engine.losesAnswers
+        ? Err('no answer in time')
+        : Ok({ bornMs: undefined, isBusy: engine.isBusy, orders: engine.accepted.length, waiting: 0, running: 0, models: engine.models, adaptersOnTheWay: [], copies: { memory: [], disk: [] } })),
+      order: (_server, order) => later(() => {
+        const outcome = take(order)
+        return engine.losesAnswers ? 'unanswered' : outcome
+      }),
+      forget: () => {}
+    },
+    peers: createMemoryNetwork({ clock }).join(memberRecord('me')),
+    clock,
+    logger,
+    onDone: () => {},
+    onStoreLoad: () => {}
+  })
+  list()
+  return {
+    clock,
+    engine,
+    orders,
+    servers,
+    fence,
+    list,
+    known: async () => {
+      orders.askReports()
+      await clock.advance(ANSWER_MS + 1)
+    }
+  }
+}
+
+const usableModels = (world: World): string[] => world.servers.get('e1')!.models.map(model => model.name)
+
+describe('orders to an engine', () => {
+  it('are followed to their end by the engine\'s entry', async () => {
+    const world = createWorld([held('a')])
+    await world.known()
+    world.orders.load(PROCESS, 'b', false, LOAD_MS)
+    await world.clock.advance(LOAD_MS + 10)
+    expect(world.orders.book.entry(PROCESS).pending).to.equal(undefined)
+    expect(usableModels(world)).to.deep.equal(['a', 'b'])
+  })
+
+  it('take a model out of use before they unload it', async () => {
+    const world = createWorld([held('a'), held('b')])
+    await world.known()
+    world.orders.unload(PROCESS, 'a')
+    await world.clock.settle()
+    expect(usableModels(world)).to.deep.equal(['b'])
+  })
+
+  /**
+   * An engine gets one adapter more than it has places for, and crashes.
+   * 1. It has one place left. 2. Two requests for two adapters both choose it. 3. The second order is not sent.
+   */
+  it('give away the last place for an adapter once', async () => {
+    const world = createWorld([held('a', ['a1'])])
+    await world.known()
+    const both = Promise.all([world.orders.loadAdapter(PROCESS, 'a', 'a2'), world.orders.loadAdapter(PROCESS, 'a', 'a3')])
+    await world.clock.advance(100)
+    expect(await both).to.deep.equal([true, false])
+    expect(world.engine.accepted).to.have.length(1)
+  })
+
+  /**
+   * A model is loaded twice, or into memory that is not there.
+   * 1. An order is carried out and its answer lost. 2. Nothing else is ordered until the engine has told its count.
+   * 3. What it holds then is what is charged.
+   */
+  it('wait for the engine\'s word after one that nobody answered', async () => {
+    const world = createWorld([held('a'), held('b')])
+    await world.known()
+    world.engine.losesAnswers = true
+    world.orders.load(PROCESS, 'c', false, LOAD_MS)
+    await world.clock.advance(10)
+    world.engine.losesAnswers = false
+    world.orders.load(PROCESS, 'd', false, LOAD_MS)
+    await world.clock.advance(10)
+    expect(world.engine.accepted.map(order => order.model)).to.deep.equal(['c'])
+    expect(world.orders.mayTry(world.orders.all()[0]!)).to.equal(false)
+    await world.clock.advance(LOAD_MS + 300)
+    await world.known()
+    expect(world.orders.book.entry(PROCESS)).to.deep.include({ orders: 1 })
+    expect(world.orders.book.entry(PROCESS).models.map(model => model.name)).to.deep.equal(['a', 'b', 'c'])
+  })
+
+  it('try the load that an engine is emptied for before its end is told, and count a refusal for nothing', async () => {
+    const world = createWorld([held('a'), held('b'), held('c')])
+    await world.known()
+    world.orders.unload(PROCESS, 'a')
+    await world.clock.advance(ANSWER_MS + 1)
+    world.orders.load(PROCESS, 'd', false, LOAD_MS)
+    await world.clock.advance(ANSWER_MS + 1)
+    expect(world.engine.accepted).to.have.length(1)
+    expect(world.orders.book.entry(PROCESS).orders).to.equal(1)
+    await world.clock.advance(UNLOAD_MS)
+    world.orders.load(PROCESS, 'd', false, LOAD_MS)
+    await world.clock.advance(ANSWER_MS + 1)
+    expect(world.engine.accepted.map(order => order.operation)).to.deep.equal(['unload', 'load'])
+  })
+
+  it('are not sent without the right to give them', async () => {
+    const world = createWorld([held('a')])
+    await world.known()
+    world.fence.value = undefined
+    world.orders.load(PROCESS, 'b', false, LOAD_MS)
+    await world.clock.advance(50)
+    expect(world.engine.accepted).to.have.length(0)
+  })
+})
