--- a/packages/magnoliabay/src/node/serving/attempt.ts
+++ b/packages/magnoliabay/src/node/serving/attempt.ts
@@ -59,7 +59,6 @@
   stop (reason: string): void
   /** Ends it as broken: the server has fallen silent. */
   giveUp (reason: string): void
-  isSent (): boolean
 }
 
 const PROMISES_NOT_RUN = new Set([408, 421, 429, 503])
@@ -150,7 +149,6 @@
   })
   return {
     end: ended,
-    isSent: exchange.isSent,
     giveUp: spoil,
     stop: reason => {
       isStopped = true
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -51,8 +51,6 @@
 export interface Exchange {
   /** Closes the connection; the server stops its work. */
   cancel (reason: string): void
-  /** Whether the request has been handed to a connection that stands. */
-  isSent (): boolean
 }
 
 function idleLimitMs (keepAlive: string | undefined): number {
@@ -212,7 +210,6 @@
     cancel: reason => {
       end(isSent ? 'broken' : 'unsent', reason)
       req.destroy()
-    },
-    isSent: () => isSent
+    }
   }
 }
--- a/packages/magnoliabay/src/node/serving/frontDoor.ts
+++ b/packages/magnoliabay/src/node/serving/frontDoor.ts
@@ -30,7 +30,6 @@
 export interface FrontDoor {
   start (): Promise<void>
   setLimits (limits: CallerLimits): void
-  openRequests (): number
   /** `ip:port` on which it listens. */
   address (): string
   /** Takes no more connections; resolves when the last request has ended, or after `drainMs`. */
@@ -69,7 +68,6 @@
 
   return {
     setLimits,
-    openRequests: () => open,
     address: () => {
       const bound = server.address() as AddressInfo
       return `${bound.address}:${bound.port}`
--- a/packages/magnoliabay/src/node/serving/serve.ts
+++ b/packages/magnoliabay/src/node/serving/serve.ts
@@ -252,6 +252,15 @@
   }
   const retries = (run: Run): boolean => ctx.retryBudget(run.admitted.service.name).take()
 
+  /** After an attempt that may have run: another at the next server where that is allowed, else the end. */
+  const repeatOrEnd = (run: Run, reason: EndReason): boolean => {
+    if (mayRepeat(run) && leftMs(run) > 0 && retries(run)) {
+      run.events?.resume()
+      return true
+    }
+    end(run, { reason })
+    return false
+  }
   /** Returns whether another attempt is to be made; tells the caller where none is. */
   const conclude = async (run: Run, server: BackendServer, ended: AttemptEnd, rejections: number): Promise<boolean> => {
     const id = processOf(server)
@@ -278,28 +287,17 @@
         }
         await ctx.pause(REJECTED_PAUSE_MS)
         return true
-      case 'failed': {
+      case 'failed':
         run.trail.note('lose')
         run.lastAnswer = ended.answer ?? run.lastAnswer
         logger.info('attempt-failed', { request: run.caller.attemptId, server: server.id, reason: ended.reason, repeatable: mayRepeat(run) })
         run.tried.add(id)
-        if (mayRepeat(run) && leftMs(run) > 0 && retries(run)) {
-          run.events?.resume()
-          return true
-        }
-        end(run, { reason: 'server-failed' })
-        return false
-      }
+        return repeatOrEnd(run, 'server-failed')
       case 'cut':
         run.trail.note('lose')
         run.tried.add(id)
         logger.info('attempt-cut', { request: run.caller.attemptId, server: server.id, why: ended.reason, lastEvent: run.events?.lastId(), repeatable: mayRepeat(run) })
-        if (mayRepeat(run) && leftMs(run) > 0 && retries(run)) {
-          run.events?.resume()
-          return true
-        }
-        end(run, { reason: 'answer-cut' })
-        return false
+        return repeatOrEnd(run, 'answer-cut')
       case 'stopped':
         run.trail.note('lose')
         end(run, { reason: run.why ?? 'fault' })
