--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -2,12 +2,12 @@
  * Links to peers over TCP. Few members all hold links to one another; many hold links to their neighbours, and dial
  * others while they have something to say to them. Of two neighbours, the one with the lesser id dials.
  */
-import type { Server, Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import { Err } from '../result'
 import type { Result } from '../result'
-import { parseHostPort } from '../utils'
+import { listenOn } from '../utils'
 import { createDialling } from './dialling'
 import { createDispatch, createListeners } from './dispatch'
 import { GOSSIP_KIND, createGossip } from './gossip'
@@ -213,11 +213,3 @@
     }
   }
 }
-
-function listenOn (server: Server, address: string): Promise<void> {
-  const { host, port } = parseHostPort(address)
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, host, resolve)
-  })
-}
--- a/packages/magnoliabay/src/node/platform/discovery.ts
+++ b/packages/magnoliabay/src/node/platform/discovery.ts
@@ -1,8 +1,8 @@
 /** What the platform and the callers ask a process: whether it is ready, and where to connect. */
 import { createServer } from 'node:http'
-import type { RequestListener, Server, ServerResponse } from 'node:http'
+import type { RequestListener, ServerResponse } from 'node:http'
 import polka from 'polka'
-import { parseHostPort } from '../utils'
+import { listenOn } from '../utils'
 
 /** How long callers are told to keep an answer, seconds: short, so that an instance that leaves is forgotten soon. */
 const RESOLUTION_TTL_S = 2
@@ -40,7 +40,7 @@
   const resolution = createServer(resolutionApp.handler as RequestListener)
   return {
     start: async () => {
-      await Promise.all([listen(readiness, options.readiness), listen(resolution, options.resolution)])
+      await Promise.all([listenOn(readiness, options.readiness), listenOn(resolution, options.resolution)])
     },
     close: () => {
       [readiness, resolution].forEach(server => {
@@ -50,12 +50,3 @@
     }
   }
 }
-
-/** Listens on `ip:port`. */
-export function listen (server: Server, address: string): Promise<void> {
-  const { host, port } = parseHostPort(address)
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, host, () => resolve())
-  })
-}
--- a/packages/magnoliabay/src/node/serving/frontDoor.ts
+++ b/packages/magnoliabay/src/node/serving/frontDoor.ts
@@ -8,7 +8,7 @@
 import { bodyMiddleware } from '../entry/middleware/body'
 import type { EntryRequest, Handler } from '../entry/types'
 import type { Logger } from '../logger'
-import { createId, messageOf, parseHostPort } from '../utils'
+import { createId, listenOn, messageOf } from '../utils'
 import type { Inbound } from './serve'
 import type { CallerLimits } from './types'
 
@@ -16,7 +16,7 @@
 const FIRST_LIMITS: CallerLimits = { maxHeaderBytes: 65_536, maxBodyBytes: 4_194_304, headerTimeoutMs: 10_000, idleTimeoutMs: 15_000 }
 /** Connections are kept longer than callers reuse them, so that no request crosses the close of its connection. */
 const IDLE_MARGIN_MS = 2000
-/** A body may take this many times what headers may. */
+/** A body may take this long, milliseconds. */
 const BODY_TIMEOUT_MS = 30_000
 
 export interface FrontDoorOptions {
@@ -72,13 +72,7 @@
       const bound = server.address() as AddressInfo
       return `${bound.address}:${bound.port}`
     },
-    start: () => {
-      const { host, port } = parseHostPort(options.address)
-      return new Promise((resolve, reject) => {
-        server.once('error', reject)
-        server.listen(port, host, () => resolve())
-      })
-    },
+    start: () => listenOn(server, options.address),
     close: async drainMs => {
       const closed = new Promise<void>(resolve => { server.close(() => resolve()) })
       server.closeIdleConnections()
--- a/packages/magnoliabay/src/node/serving/placement/engineBook.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineBook.ts
@@ -12,7 +12,6 @@
   /** Monotonic milliseconds. */
   sentMs: number
   expectedMs: number
-  fromStore: boolean
 }
 
 export interface EngineEntry {
--- a/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
@@ -184,7 +184,7 @@
       const outcome = await send(engine, { operation: 'load', model })
       // One that nobody answered may begin as well: it counts as begun.
       if (fromStore && (outcome === 'accepted' || outcome === 'unanswered')) options.onStoreLoad()
-      if (outcome === 'accepted') return book.noteAccepted(process, { operation: 'load', model, sentMs: clock.monotonic(), expectedMs, fromStore })
+      if (outcome === 'accepted') return book.noteAccepted(process, { operation: 'load', model, sentMs: clock.monotonic(), expectedMs })
       if (!isTry || outcome !== 'conflict') book.doubt(process)
     }, undefined),
     unload: (process, model) => serially(process, async engine => {
@@ -192,7 +192,7 @@
       // Requests go elsewhere from now on: those that come in meanwhile would be turned back.
       tell(engine, engine.entry.models.filter(held => held.name !== model))
       const outcome = await send(engine, { operation: 'unload', model })
-      if (outcome === 'accepted') return book.noteAccepted(process, { operation: 'unload', model, sentMs: clock.monotonic(), expectedMs: UNLOAD_MS, fromStore: false })
+      if (outcome === 'accepted') return book.noteAccepted(process, { operation: 'unload', model, sentMs: clock.monotonic(), expectedMs: UNLOAD_MS })
       book.doubt(process)
       tell(engine, engine.entry.models)
     }, undefined),
--- a/packages/magnoliabay/src/node/serving/serve.ts
+++ b/packages/magnoliabay/src/node/serving/serve.ts
@@ -243,7 +243,7 @@
   const noteHealth = (id: string, ended: AttemptEnd): void => {
     if (ended.kind === 'unsent') return health.noteUnreached(id)
     if (ended.kind === 'failed' || ended.kind === 'cut') return health.noteFailure(id)
-    if (ended.kind === 'relayed' || ended.kind === 'rejected') health.noteSuccess(id)
+    if (ended.kind === 'relayed' || ended.kind === 'rejected') health.noteHeard(id)
   }
   /** Whether the request may run once more, at another server. */
   const mayRepeat = (run: Run): boolean => {
--- a/packages/magnoliabay/src/node/serving/serverHealth.ts
+++ b/packages/magnoliabay/src/node/serving/serverHealth.ts
@@ -17,7 +17,6 @@
   noteHeard (server: string): void
   noteFailure (server: string): void
   noteUnreached (server: string): void
-  noteSuccess (server: string): void
   inFlight (server: string): number
   inFlightOf (server: string, model: string): number
   inFlightByModel (): ReadonlyArray<{ server: string, model: string, count: number }>
@@ -61,10 +60,6 @@
     },
     noteFailure: server => of(server).failures.note(1, clock.monotonic()),
     noteUnreached: server => { of(server).unreachedUntilMs = clock.monotonic() + LEFT_ALONE_MS },
-    noteSuccess: server => {
-      of(server).heardMs = clock.monotonic()
-      of(server).unreachedUntilMs = 0
-    },
     inFlight: count,
     inFlightOf: (server, model) => seen.get(server)?.models.get(model) ?? 0,
     inFlightByModel: () => [...seen].flatMap(([server, { models }]) => [...models].map(([model, each]) => ({ server, model, count: each }))),
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -14,7 +14,7 @@
 import type { RetryBudget } from '../outcomes'
 import { createShutdown } from '../shutdown'
 import type { Store } from '../store'
-import { createId, parseHostPort } from '../utils'
+import { createId, listenOn } from '../utils'
 import { createTeamAllowance } from './allowance/teamAllowance'
 import { createConfigInForce } from './configInForce'
 import type { EngineCalls } from './engineCalls'
@@ -281,8 +281,7 @@
       table.start(stop.signal)
       greetSeeds({ network: peers, seeds: settings.seeds, isNeeded: isLonely, clock }, stop.signal)
       await door.start()
-      const { host, port } = parseHostPort(settings.listen.metrics)
-      metricsServer.listen(port, host)
+      await listenOn(metricsServer, settings.listen.metrics)
       logger.info('instance-started', { incarnation: self.incarnation, entry: settings.listen.entry, peers: settings.listen.peers, leaderKey: LEADER_KEY })
     },
     shutdown: createShutdown({
--- a/packages/magnoliabay/src/node/utils.ts
+++ b/packages/magnoliabay/src/node/utils.ts
@@ -1,5 +1,6 @@
 /** Small helpers without a subsystem of their own. */
 import { createHash, randomBytes } from 'node:crypto'
+import type { Server } from 'node:net'
 
 const ID_BYTES = 9
 
@@ -36,6 +37,15 @@
   return { host, port: Number(address.slice(split + 1)) }
 }
 
+/** Listens on `ip:port`; rejects where that cannot be bound. */
+export function listenOn (server: Server, address: string): Promise<void> {
+  const { host, port } = parseHostPort(address)
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, () => resolve())
+  })
+}
+
 /** Text of anything thrown. */
 export function messageOf (err: unknown): string {
   return err instanceof Error ? err.message : String(err)
