--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/__tests__/fleetTable.spec.ts
@@ -0,0 +1,118 @@
+import { expect } from 'chai'
+import { createVirtualClock } from '../../clock/virtual'
+import type { VirtualClock } from '../../clock/virtual'
+import { createMemoryNetwork } from '../../members/memoryNetwork'
+import type { MemoryNetwork } from '../../members/memoryNetwork'
+import type { InstanceReport } from '../fleetMessages'
+import { createFleetTable } from '../fleetTable'
+import type { FleetTable, FleetTeller } from '../fleetTable'
+import { memberRecord, reportOf } from './fixtures'
+
+/** Beyond this, a member that says nothing is taken for dead. */
+const STALE_MS = 2600
+
+interface World {
+  clock: VirtualClock
+  network: MemoryNetwork
+  tables: Map<string, FleetTable & FleetTeller>
+  own: Map<string, Partial<InstanceReport>>
+  leader: { id: string | undefined, storeAgeMs: number }
+  messages: { count: number }
+}
+
+function createWorld (ids: readonly string[]): World {
+  const clock = createVirtualClock()
+  const messages = { count: 0 }
+  const network = createMemoryNetwork({
+    clock,
+    fate: () => {
+      messages.count += 1
+      return [1]
+    }
+  })
+  const own = new Map<string, Partial<InstanceReport>>(ids.map(id => [id, {}]))
+  const leader = { id: ids[0] as string | undefined, storeAgeMs: 0 }
+  const stop = new AbortController()
+  const tables = new Map(ids.map(id => {
+    const peers = network.join(memberRecord(id))
+    const table = createFleetTable({
+      peers,
+      clock,
+      isLinked: peers.isConnected,
+      leader: () => leader.id,
+      own: () => reportOf(own.get(id)),
+      summary: () => ({ configVersion: 1, storeAgeMs: leader.storeAgeMs, spent: [], listDigest: '' }),
+      onReport: () => {},
+      onSummary: () => {}
+    })
+    table.start(stop.signal)
+    return [id, table] as const
+  }))
+  return { clock, network, tables, own, leader, messages }
+}
+
+const runs = (count: number): Partial<InstanceReport> => ({ inFlight: [{ server: 's1', model: 'a', count }] })
+
+describe('what instances know of each other', () => {
+  it('is the sum that the leader tells, less what is their own', async () => {
+    const { clock, tables, own } = createWorld(['m1', 'm2', 'm3'])
+    own.set('m1', runs(1))
+    own.set('m2', runs(2))
+    own.set('m3', runs(4))
+    await clock.advance(1000)
+    expect(['m1', 'm2', 'm3'].map(id => tables.get(id)!.elsewhere('s1'))).to.deep.equal([6, 5, 3])
+    expect(tables.get('m1')!.inFlight('s1', 'a')).to.equal(7)
+  })
+
+  it('takes two messages an instance and period, not one for each pair', async () => {
+    const many = Array.from({ length: 40 }, (_, index) => `m${index}`)
+    const { clock, messages } = createWorld(many)
+    await clock.advance(10_000)
+    const periods = 10_000 / (40 * 6)
+    expect(messages.count).to.be.below(2 * many.length * (periods + 2))
+  })
+
+  /**
+   * Callers are sent to an instance that is dead.
+   * 1. An instance dies. 2. Its record stays in the store until its lease ends. 3. The leader hears no report any
+   * more and tells the others.
+   */
+  it('tells within seconds that one is dead or not ready', async () => {
+    const { clock, network, tables, own } = createWorld(['m1', 'm2', 'm3', 'm4'])
+    await clock.advance(STALE_MS + 500)
+    own.set('m4', { isReady: false })
+    network.kill('m3')
+    network.join(memberRecord('m3'))
+    await clock.advance(STALE_MS + 500)
+    expect(['m1', 'm2', 'm3', 'm4'].filter(id => tables.get('m2')!.isAvailable(id))).to.deep.equal(['m1', 'm2'])
+    expect(['m2', 'm3', 'm4'].filter(id => tables.get('m1')!.isAvailable(id))).to.deep.equal(['m2'])
+  })
+
+  it('is nothing of which a leader that has just begun could say that it is gone', async () => {
+    const { clock, network, tables, leader } = createWorld(['m1', 'm2', 'm3'])
+    network.cut('m1', 'm3')
+    leader.id = 'm1'
+    await clock.advance(1000)
+    expect(tables.get('m2')!.isAvailable('m3')).to.equal(true)
+  })
+
+  const NOT_FOLLOWED = [
+    { name: 'has died', change: ({ network }: World) => network.kill('m1') },
+    { name: 'cannot be reached', change: ({ network }: World) => network.cut('m1', 'm2') },
+    { name: 'has not heard the store for a while', change: ({ leader }: World) => { leader.storeAgeMs = 1600 } },
+    { name: 'is not known', change: ({ leader, network }: World) => { leader.id = undefined; network.cut('m1', 'm2') } }
+  ]
+  /**
+   * A request is sent to a server that has told long ago that it leaves.
+   * 1. The leader follows the store's list for all. 2. It dies, or hears nothing itself. 3. Each instance notices
+   * within a second and a half, and reads the list itself.
+   */
+  NOT_FOLLOWED.forEach(({ name, change }) => it(`is not taken from a leader that ${name}`, async () => {
+    const world = createWorld(['m1', 'm2', 'm3'])
+    await world.clock.advance(1000)
+    expect(world.tables.get('m2')!.isFollowing()).to.equal(true)
+    change(world)
+    await world.clock.advance(1500)
+    expect(world.tables.get('m2')!.isFollowing()).to.equal(false)
+  }))
+})
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/__tests__/fleetTotals.spec.ts
@@ -0,0 +1,59 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import type { InstanceReport } from '../fleetMessages'
+import { createFleetTotals } from '../fleetTotals'
+import { reportOf } from './fixtures'
+
+const SEED = 7
+const SERVERS = ['s1', 's2', 's3']
+const MODELS = ['a', 'b']
+
+const anyReport: fc.Arbitrary<InstanceReport> = fc.record({
+  inFlight: fc.array(fc.record({ server: fc.constantFrom(...SERVERS), model: fc.constantFrom(...MODELS), count: fc.integer({ min: 1, max: 5 }) }), { maxLength: 4 }),
+  demand: fc.array(fc.record({ model: fc.constantFrom(...MODELS), rate: fc.integer({ min: 0, max: 40 }).map(tenths => tenths / 10), waiting: fc.integer({ min: 0, max: 3 }) }), { maxLength: 2 }),
+  silentServers: fc.uniqueArray(fc.constantFrom(...SERVERS))
+}).map(reportOf)
+
+const sum = (numbers: readonly number[]): number => numbers.reduce((total, each) => total + each, 0)
+
+describe('sums over what instances reported', () => {
+  it('are those of summing all the newest reports anew, whatever came before', () => {
+    fc.assert(fc.property(fc.array(fc.tuple(fc.constantFrom('m1', 'm2', 'm3'), anyReport), { maxLength: 30 }), puts => {
+      const totals = createFleetTotals()
+      const newest = new Map<string, InstanceReport>()
+      puts.forEach(([member, report]) => {
+        totals.put(member, report, 0)
+        newest.set(member, report)
+      })
+      const reports = [...newest.values()]
+      const inFlight = reports.flatMap(report => report.inFlight)
+      const demand = reports.flatMap(report => report.demand)
+      SERVERS.forEach(server => {
+        const there = inFlight.filter(entry => entry.server === server)
+        expect(totals.atServer(server)).to.equal(sum(there.map(entry => entry.count)))
+        expect(totals.silentFor(server)).to.equal(reports.filter(report => report.silentServers.includes(server)).length)
+        MODELS.forEach(model => expect(totals.inFlight(server, model)).to.equal(sum(there.filter(entry => entry.model === model).map(entry => entry.count))))
+      })
+      MODELS.forEach(model => {
+        expect(totals.running(model)).to.equal(sum(inFlight.filter(entry => entry.model === model).map(entry => entry.count)))
+        expect(totals.demand(model).rate).to.be.closeTo(sum(demand.filter(entry => entry.model === model).map(entry => entry.rate)), 1e-5)
+        expect(totals.demand(model).waiting).to.equal(sum(demand.filter(entry => entry.model === model).map(entry => entry.waiting)))
+      })
+    }), { seed: SEED })
+  })
+
+  /**
+   * An engine is never emptied, since a model seems to be in use there.
+   * 1. An instance reports a request under way. 2. It dies. 3. Nobody ever reports the request's end; the report
+   * itself has to go.
+   */
+  it('lose what an instance reported that says nothing any more', () => {
+    const totals = createFleetTotals()
+    totals.put('m1', reportOf({ inFlight: [{ server: 's1', model: 'a', count: 2 }], demand: [{ model: 'a', rate: 1, waiting: 1 }] }), 0)
+    totals.put('m2', reportOf({ inFlight: [{ server: 's1', model: 'a', count: 1 }] }), 2000)
+    expect(totals.expire(2500, 3000)).to.deep.equal(['m1'])
+    expect(totals.inFlight('s1', 'a')).to.equal(1)
+    expect(totals.models()).to.deep.equal([])
+    expect(totals.loads()).to.deep.equal([{ server: 's1', count: 1 }])
+  })
+})
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/__tests__/spread.spec.ts
@@ -0,0 +1,173 @@
+import { expect } from 'chai'
+import { createVirtualClock } from '../../clock/virtual'
+import type { VirtualClock } from '../../clock/virtual'
+import { createSilentLogger } from '../../logger'
+import { createMemoryNetwork } from '../../members/memoryNetwork'
+import { createConfigInForce } from '../configInForce'
+import type { ConfigInForce } from '../configInForce'
+import type { FleetSummary } from '../fleetMessages'
+import { createServers } from '../servers'
+import type { Servers } from '../servers'
+import { createSpread } from '../spread'
+import type { Spread } from '../spread'
+import type { BackendServer } from '../types'
+import { configOf, memberRecord, serverOf } from './fixtures'
+
+interface Instance {
+  cfg: ConfigInForce
+  servers: Servers
+  spread: Spread
+  storeAgeMs: number
+  isFollowing: boolean
+  named: string | undefined
+}
+
+interface World {
+  clock: VirtualClock
+  leader: Instance
+  follower: Instance
+  /** What the leader tells of itself. */
+  summary (): FleetSummary
+}
+
+function createWorld (): World {
+  const clock = createVirtualClock()
+  const logger = createSilentLogger()
+  const network = createMemoryNetwork({ clock })
+  const join = (id: string, followers: readonly string[]): Instance => {
+    const peers = network.join(memberRecord(id))
+    const cfg = createConfigInForce({ decode: text => configOf(Number(text)), clock, logger })
+    const servers = createServers({ decode: (_key, text) => JSON.parse(text) as BackendServer, idOf: key => key, storeSteadySinceMs: () => -60_000, clock, logger })
+    const instance: Instance = { cfg, servers, storeAgeMs: 0, isFollowing: true, named: undefined, spread: undefined as never }
+    instance.spread = createSpread({
+      peers,
+      cfg,
+      servers,
+      storeAgeMs: () => instance.storeAgeMs,
+      leader: () => 'leader',
+      followers: () => followers,
+      isFollowing: () => instance.isFollowing,
+      isLinked: peers.isConnected,
+      onLeaderNamed: member => { instance.named = member },
+      clock,
+      logger,
+      random: () => 0
+    })
+    return instance
+  }
+  const leader = join('leader', ['follower'])
+  const follower = join('follower', [])
+  return {
+    clock,
+    leader,
+    follower,
+    summary: () => ({ configVersion: leader.cfg.version(), storeAgeMs: leader.storeAgeMs, loads: [], unavailable: [], leavingServers: [], spent: [], listDigest: leader.servers.digest() })
+  }
+}
+
+const list = (instance: Instance, ...servers: BackendServer[]): void =>
+  instance.servers.snapshot(servers.map(server => ({ key: server.id, value: JSON.stringify(server) })))
+const put = (instance: Instance, server: BackendServer): void => instance.servers.put({ key: server.id, value: JSON.stringify(server) })
+const known = (instance: Instance): string[] => instance.servers.all().map(({ id, state, models }) => `${id} ${state} ${models.map(model => model.name).join()}`)
+const model = (name: string): BackendServer['models'][number] => ({ name, version: 1, adapters: [] })
+
+describe('configuration and servers that the leader tells', () => {
+  it('are what the leader\'s list shows, a moment after it changed', async () => {
+    const { clock, leader, follower } = createWorld()
+    list(leader, serverOf('s1'), serverOf('s2'), serverOf('s3'))
+    await clock.advance(20)
+    put(leader, serverOf('s1', { state: 'draining' }))
+    put(leader, serverOf('s2', { models: [model('a')] }))
+    leader.servers.remove('s3')
+    await clock.advance(20)
+    expect(known(follower)).to.deep.equal(['s1 draining ', 's2 ready a'])
+    expect(follower.servers.digest()).to.equal(leader.servers.digest())
+  })
+
+  it('are told once, though a server beats many times', async () => {
+    const { clock, leader } = createWorld()
+    list(leader, serverOf('s1'))
+    await clock.advance(20)
+    put(leader, serverOf('s1', { copies: { memory: ['a'], disk: [] } }))
+    expect(leader.servers.takeChanges()).to.equal(undefined)
+  })
+
+  /**
+   * An instance goes on with an old list for good.
+   * 1. A notice of the leader is lost with the link. 2. The digest in the next summary differs. 3. The whole list is
+   * fetched.
+   */
+  it('are fetched whole when a notice was lost', async () => {
+    const { clock, leader, follower, summary } = createWorld()
+    list(leader, serverOf('s1'))
+    leader.servers.takeChanges()
+    await clock.advance(20)
+    expect(known(follower)).to.deep.equal([])
+    follower.spread.noteSummary('leader', summary())
+    await clock.advance(20)
+    expect(known(follower)).to.deep.equal(['s1 ready '])
+  })
+
+  /**
+   * A withdrawn key works on at one instance.
+   * 1. The store turns the instance away. 2. A new configuration is written. 3. The leader's summary names it, and
+   * after the time in which the instance's own watch would have brought it, it is fetched.
+   */
+  it('are the newest configuration where the own watch does not bring it', async () => {
+    const { clock, leader, follower, summary } = createWorld()
+    leader.cfg.offer('5', 'store')
+    follower.spread.noteSummary('leader', summary())
+    await clock.advance(300)
+    expect(follower.cfg.version()).to.equal(0)
+    await clock.advance(200)
+    follower.spread.noteSummary('leader', summary())
+    await clock.advance(20)
+    expect(follower.cfg.version()).to.equal(5)
+  })
+
+  /**
+   * A server that leaves gets requests again.
+   * 1. An instance reads in the store itself that a server drains, and another is gone. 2. The leader's watch is
+   * behind, and its list still shows both as ready. 3. What the store told here holds.
+   */
+  it('do not bring back a server that the store told to be leaving', async () => {
+    const { clock, leader, follower, summary } = createWorld()
+    list(leader, serverOf('s1'), serverOf('s2'))
+    await clock.advance(20)
+    put(follower, serverOf('s1', { state: 'draining' }))
+    follower.servers.remove('s2')
+    follower.spread.noteSummary('leader', summary())
+    await clock.advance(1000)
+    expect(known(follower)).to.deep.equal(['s1 draining '])
+  })
+
+  it('may bring back one that lapsed and was listed again', async () => {
+    const { clock, leader, follower } = createWorld()
+    list(leader, serverOf('s1'))
+    await clock.advance(20)
+    leader.servers.remove('s1')
+    await clock.advance(20)
+    put(leader, serverOf('s1'))
+    await clock.advance(20)
+    expect(known(follower)).to.deep.equal(['s1 ready '])
+  })
+
+  /**
+   * A process that starts while the store is away answers 503 for as long as the outage lasts.
+   * 1. The store is down, and the leader's process as well. 2. A process starts and knows nothing. 3. Any peer that
+   * it is linked to gives it configuration and list.
+   */
+  it('come from any peer to one that hears neither store nor leader', async () => {
+    const { clock, leader, follower } = createWorld()
+    leader.cfg.offer('5', 'store')
+    list(leader, serverOf('s1'))
+    leader.servers.takeChanges()
+    follower.storeAgeMs = Infinity
+    follower.isFollowing = false
+    follower.spread.start(new AbortController().signal)
+    await clock.advance(1000)
+    expect(follower.cfg.version()).to.equal(5)
+    expect(known(follower)).to.deep.equal(['s1 ready '])
+    expect(follower.named).to.equal('leader')
+  })
+})
