--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -103,7 +103,7 @@
 /** A watch gone silent is noticed after this and a little more, milliseconds. */
 const WATCH_WAIT_MS = 4000
 /** The same where another tells what changes: each call that waits is paid for. */
-const FOLLOWER_WATCH_WAIT_MS = 10_000
+const FOLLOWER_WATCH_WAIT_MS = 25_000
 /**
  * Pause after changes, milliseconds: of members, a little for each, since each change wakes everybody and members
  * change in series; of servers, for one who follows nobody; and of servers for the leader, to whom the end of an
