--- a/packages/magnoliabay/src/node/serving/placement/__tests__/engineOrders.spec.ts
+++ b/packages/magnoliabay/src/node/serving/placement/__tests__/engineOrders.spec.ts
@@ -64,6 +64,9 @@
       : { ...model, adapters: order.operation === 'load' ? [...model.adapters, order.adapter!] : model.adapters.filter(name => name !== order.adapter) })
   }
   const take = (order: EngineOrder): OrderOutcome => {
+    // An order that is being carried out is told so again, and not counted anew.
+    const isSame = engine.isBusy && order.adapter === undefined && engine.accepted.at(-1)?.model === order.model && engine.accepted.at(-1)?.operation === order.operation
+    if (isSame) return 'accepted'
     if (engine.isBusy || order.expectedOrders !== engine.accepted.length) return 'conflict'
     engine.accepted.push(order)
     if (order.adapter !== undefined) {
@@ -180,6 +183,23 @@
     expect(world.engine.accepted.map(order => order.operation)).to.deep.equal(['unload', 'load'])
   })
 
+  /**
+   * An engine gets no order for seconds, and whoever waits for a model there is refused.
+   * 1. Two plans of one moment both send the load that the engine was emptied for. 2. The engine says to both that
+   * it is being carried out, and counts one. 3. Counted twice here, every later order names a count that the engine
+   * does not have.
+   */
+  it('are sent once, though two plans of one moment want the same', async () => {
+    const world = createWorld([held('a')])
+    await world.known()
+    world.orders.load(PROCESS, 'b', false, LOAD_MS)
+    expect(world.orders.mayTry(world.orders.all()[0]!)).to.equal(false)
+    world.orders.load(PROCESS, 'b', false, LOAD_MS)
+    await world.clock.advance(2 * ANSWER_MS + 1)
+    expect(world.engine.accepted).to.have.length(1)
+    expect(world.orders.book.entry(PROCESS).orders).to.equal(1)
+  })
+
   it('are not sent without the right to give them', async () => {
     const world = createWorld([held('a')])
     await world.known()
--- a/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
@@ -43,8 +43,9 @@
   clock: Clock
   logger: Logger
   /** An order has come to its end: there may be something to do. */
-  onDone: () => void
-  onStoreLoad: () => void
+  onDone: (process: string, tookMs: number) => void
+  /** A load from the weight store has begun, or may have. */
+  onStoreLoad: (process: string) => void
 }
 
 export interface EngineOrders {
@@ -68,8 +69,8 @@
 export function createEngineOrders (options: EngineOrdersOptions): EngineOrders {
   const { self, leadership, servers, cfg, engines, clock, logger } = options
   const book = createEngineBook()
-  /** Engines with an order on its way. */
-  const sending = new Set<string>()
+  /** Orders on their way to each engine, those included that wait for one before them. */
+  const sending = new Map<string, number>()
   const asking = new Set<string>()
   const triedMs = new Map<string, number>()
   /** Orders to one engine go one after the other. */
@@ -90,7 +91,7 @@
   const done = (engine: Engine, before: PendingOrder, source: string): void => {
     logger.info('order-done', { server: engine.server.id, operation: before.operation, model: before.model, source, tookMs: Math.round(clock.monotonic() - before.sentMs), expectedMs: before.expectedMs })
     tell(engine, book.entry(engine.process).models)
-    options.onDone()
+    options.onDone(engine.process, clock.monotonic() - before.sentMs)
   }
   const askReport = async (engine: Engine): Promise<void> => {
     const { server, process } = engine
@@ -123,15 +124,20 @@
     done(engine, pending, 'entry')
   })
 
+  const addSending = (process: string, change: number): void => {
+    const next = (sending.get(process) ?? 0) + change
+    if (next > 0) sending.set(process, next)
+    else sending.delete(process)
+  }
+  /** An order counts as on its way from this call on: two plans of one moment would else both send it. */
   const serially = <T> (process: string, task: (engine: Engine) => Promise<T>, otherwise: T): Promise<T> => {
+    addSending(process, 1)
     const run = async (): Promise<T> => {
       const engine = find(process)
-      if (engine === undefined) return otherwise
-      sending.add(process)
       try {
-        return await task(engine)
+        return engine === undefined ? otherwise : await task(engine)
       } finally {
-        sending.delete(process)
+        addSending(process, -1)
       }
     }
     const next = (queues.get(process) ?? Promise.resolve()).then(run)
@@ -179,11 +185,13 @@
       return sinceMs >= FIRST_TRY_MS && clock.monotonic() - (triedMs.get(process) ?? -Infinity) >= periodMs
     },
     load: (process, model, fromStore, expectedMs) => serially(process, async engine => {
+      // An engine that loads the model already accepts the order once more, and counts it once.
+      if (engine.entry.pending?.operation === 'load') return
       triedMs.set(process, clock.monotonic())
       const isTry = engine.entry.pending !== undefined
       const outcome = await send(engine, { operation: 'load', model })
       // One that nobody answered may begin as well: it counts as begun.
-      if (fromStore && (outcome === 'accepted' || outcome === 'unanswered')) options.onStoreLoad()
+      if (fromStore && (outcome === 'accepted' || outcome === 'unanswered')) options.onStoreLoad(process)
       if (outcome === 'accepted') return book.noteAccepted(process, { operation: 'load', model, sentMs: clock.monotonic(), expectedMs })
       if (!isTry || outcome !== 'conflict') book.doubt(process)
     }, undefined),
--- a/packages/magnoliabay/src/node/serving/placement/messages.ts
+++ b/packages/magnoliabay/src/node/serving/placement/messages.ts
@@ -6,6 +6,8 @@
   adapter: string | undefined
   /** How long the first request has waited, milliseconds. */
   waitedMs: number
+  /** How much longer it waits at most, milliseconds; one that would wait longer is told at once to come back. */
+  patienceMs: number
 }
 
 /**
--- a/packages/magnoliabay/src/node/serving/placement/orderer.ts
+++ b/packages/magnoliabay/src/node/serving/placement/orderer.ts
@@ -19,7 +19,7 @@
 import { wantCall } from './messages'
 import type { WantReply, WantRequest } from './messages'
 import { planSteps, tierOf } from './plan'
-import type { EnginePlan, ModelNeed, PlanStep } from './plan'
+import type { EnginePlan, ModelNeed, PlanStep, WeightTier } from './plan'
 import { createStoreLoads } from './storeLoads'
 
 /** How often the plan is made anew, milliseconds; a waiting request and the end of an order make it at once. */
@@ -51,7 +51,8 @@
 
 interface Want {
   sinceMs: number
-  lastMs: number
+  /** Monotonic milliseconds until which it counts. */
+  untilMs: number
 }
 
 export interface Orderer {
@@ -77,14 +78,26 @@
     windowMs: options.loadWindowMs,
     loadsPerSecond: () => Math.min(...engineSpecs().map(spec => spec.storeLoadsPerSecond))
   })
-  const orders = createEngineOrders({ ...options, onDone: () => tick(), onStoreLoad: () => storeLoads.noteBegun(clock.monotonic()) })
+  const orders = createEngineOrders({
+    ...options,
+    onDone: (process, tookMs) => {
+      storeLoads.noteEnded(process, tookMs, storeLoadMs())
+      tick()
+    },
+    onStoreLoad: process => storeLoads.noteBegun(process, clock.monotonic())
+  })
   const { book } = orders
+  /** What a load from the weight store takes alone, milliseconds; models differ little. */
+  const storeLoadMs = (): number => Math.max(1, ...[...specs().values()].slice(0, 1).map(spec => spec.loadMs.store))
+  /** What a load takes that begins now, or behind so many others from the weight store, milliseconds. */
+  const loadMsOf = (model: string, tier: WeightTier, ahead = 0): number =>
+    (orders.specOf(model)?.loadMs[tier] ?? SWAP_MS) * (tier === 'store' ? storeLoads.slowness(ahead) : 1)
   let ledFence: number | undefined
   let isTicking = false
 
   const load = (engine: Engine, model: string): void => {
     const tier = tierOf(engine.entry, model)
-    orders.load(engine.process, model, tier === 'store', orders.specOf(model)?.loadMs[tier] ?? SWAP_MS)
+    orders.load(engine.process, model, tier === 'store', loadMsOf(model, tier))
   }
   const handlers: Record<PlanStep['kind'], (step: PlanStep, engine: Engine) => void> = {
     load: (step, engine) => {
@@ -110,7 +123,7 @@
     const pendingMs = entry.pending === undefined ? 0 : Math.max(100, entry.pending.expectedMs - (now - entry.pending.sentMs))
     const promise = promised.get(process)
     const isLoadAhead = promise !== undefined && entry.pending?.operation !== 'load'
-    const loadMs = isLoadAhead ? orders.specOf(promise.model)?.loadMs[tierOf(entry, promise.model)] ?? SWAP_MS : 0
+    const loadMs = isLoadAhead ? loadMsOf(promise.model, tierOf(entry, promise.model)) : 0
     return pendingMs + loadMs
   }
   const planOf = (engine: Engine): EnginePlan => {
@@ -183,7 +196,7 @@
     }
     if (ledFence !== fence) begin(fence)
     const now = clock.monotonic()
-    wants.forEach((want, model) => { if (now - want.lastMs > WANT_KEPT_MS) wants.delete(model) })
+    wants.forEach((want, model) => { if (now > want.untilMs) wants.delete(model) })
     orders.askReports()
     orders.all().forEach(keepPromise)
     const plans = orders.all().map(planOf)
@@ -242,17 +255,23 @@
     return times.length === 0 ? undefined : Math.min(...times)
   }
   /** Until a model that nothing is ordered for yet could be there, milliseconds. */
-  const queuedMs = (): number => {
-    const placed = new Set(orders.all().map(planOf).flatMap(plan => plan.models))
-    const queued = [...wants.keys()].filter(model => !placed.has(model)).length
-    return SWAP_MS * (1 + queued / Math.max(1, orders.all().length))
+  const queuedMs = (model: string): number => {
+    const engines = orders.all()
+    const placed = new Set(engines.map(planOf).flatMap(plan => plan.models))
+    const tierFor = (name: string): WeightTier => engines.some(({ entry }) => tierOf(entry, name) !== 'store') ? 'disk' : 'store'
+    const queued = [...wants.keys()].filter(name => name !== model && !placed.has(name))
+    if (tierFor(model) === 'store') return loadMsOf(model, 'store', queued.filter(name => tierFor(name) === 'store').length)
+    return SWAP_MS * (1 + queued.length / Math.max(1, engines.length))
   }
   const wantModel = (req: WantRequest): WantReply => {
     const now = clock.monotonic()
     const before = wants.get(req.model)
-    wants.set(req.model, { sinceMs: Math.min(before?.sinceMs ?? Infinity, now - req.waitedMs), lastMs: now })
+    const inMs = Math.round(comingMs(req.model) ?? queuedMs(req.model))
+    // Whoever is told to come back later must find it then.
+    const keptMs = WANT_KEPT_MS + (inMs > req.patienceMs ? inMs : 0)
+    wants.set(req.model, { sinceMs: Math.min(before?.sinceMs ?? Infinity, now - req.waitedMs), untilMs: Math.max(before?.untilMs ?? 0, now + keptMs) })
     if (before === undefined) tick()
-    return { kind: 'coming', inMs: Math.round(comingMs(req.model) ?? queuedMs()) }
+    return { kind: 'coming', inMs }
   }
   const want = async (req: WantRequest): Promise<WantReply> => {
     if (leadership.fence() === undefined) return { kind: 'unavailable' }
--- a/packages/magnoliabay/src/node/serving/placement/placementClient.ts
+++ b/packages/magnoliabay/src/node/serving/placement/placementClient.ts
@@ -97,7 +97,7 @@
       if (waitedMs >= patienceMs) return hasOrderer ? { kind: 'not-in-time', inMs: REPEAT_MS } : { kind: 'no-orderer' }
       if (clock.monotonic() - askedMs >= REPEAT_MS) {
         askedMs = clock.monotonic()
-        const reply = await ask({ model, adapter, waitedMs })
+        const reply = await ask({ model, adapter, waitedMs, patienceMs: patienceMs - waitedMs })
         if (reply.kind === 'ready') {
           const server = servers.get(reply.server)
           if (server !== undefined && !except.has(processOf(server))) return { kind: 'ready', servers: [server] }
