--- a/packages/magnoliabay/src/node/serving/context.ts
+++ b/packages/magnoliabay/src/node/serving/context.ts
@@ -32,6 +32,8 @@
   noteUse: () => void
   /** This process ends too soon for a request of that kind to finish. */
   isClosingFor: (kind: RequestKind) => boolean
+  /** Instances of the fleet. */
+  instances: () => number
   metrics: ServingMetrics
   clock: Clock
   logger: Logger
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/placement/__tests__/placementClient.spec.ts
@@ -0,0 +1,123 @@
+import { expect } from 'chai'
+import { createVirtualClock } from '../../../clock/virtual'
+import type { VirtualClock } from '../../../clock/virtual'
+import { createSilentLogger } from '../../../logger'
+import { createMemoryNetwork } from '../../../members/memoryNetwork'
+import { memberRecord, serverOf } from '../../__tests__/fixtures'
+import { createServers } from '../../servers'
+import type { Servers } from '../../servers'
+import type { BackendServer } from '../../types'
+import { wantCall } from '../messages'
+import type { WantReply, WantRequest } from '../messages'
+import { createPlacementClient } from '../placementClient'
+import type { Awaited } from '../placementClient'
+
+const HAND_OVER_MS = 5000
+
+interface World {
+  clock: VirtualClock
+  servers: Servers
+  asked: WantRequest[]
+  leader: { reply: WantReply, id: string | undefined }
+  isIsolated: { value: boolean }
+  /** Waits for a model as long as makes sense, and how long that took. */
+  waitFor (patienceMs: number): Promise<{ awaited: Awaited, tookMs: number }>
+}
+
+function createWorld (reply: WantReply): World {
+  const clock = createVirtualClock()
+  const logger = createSilentLogger()
+  const network = createMemoryNetwork({ clock })
+  const peers = network.join(memberRecord('me'))
+  const leader: World['leader'] = { reply, id: 'leader' }
+  const asked: WantRequest[] = []
+  network.join(memberRecord('leader')).serve(wantCall, req => {
+    asked.push(req)
+    return leader.reply
+  })
+  const servers = createServers({ decode: (_key, text) => JSON.parse(text) as BackendServer, idOf: key => key, storeSteadySinceMs: () => -60_000, clock, logger })
+  const isIsolated = { value: false }
+  const client = createPlacementClient({ peers, servers, orderer: () => leader.id, isSound: () => true, isIsolated: () => isIsolated.value, handOverMs: HAND_OVER_MS, clock, logger })
+  return {
+    clock,
+    servers,
+    asked,
+    leader,
+    isIsolated,
+    waitFor: async patienceMs => {
+      const sinceMs = clock.monotonic()
+      const awaited = await client.await({ model: 'a', adapter: undefined, service: 'llm', patienceMs, signal: new AbortController().signal, except: new Set() })
+      return { awaited, tookMs: clock.monotonic() - sinceMs }
+    }
+  }
+}
+
+const arrive = ({ servers }: World): void =>
+  servers.put({ key: 'e1', value: JSON.stringify(serverOf('e1', { service: 'llm', models: [{ name: 'a', version: 1, adapters: [] }] })) })
+
+async function settled<T> (world: World, ms: number, promise: Promise<T>): Promise<T | undefined> {
+  let result: T | undefined
+  promise.then(value => { result = value })
+  await world.clock.advance(ms)
+  return result
+}
+
+describe('waiting for a model', () => {
+  it('ends as soon as a server has it', async () => {
+    const world = createWorld({ kind: 'coming', inMs: 1500 })
+    const waiting = world.waitFor(12_000)
+    await world.clock.advance(1300)
+    arrive(world)
+    expect((await settled(world, 10, waiting))?.awaited.kind).to.equal('ready')
+  })
+
+  it('does not begin where the model would come too late', async () => {
+    const world = createWorld({ kind: 'coming', inMs: 8000 })
+    expect(await settled(world, 10, world.waitFor(1750))).to.deep.include({ awaited: { kind: 'not-in-time', inMs: 8000 } })
+    expect(world.asked).to.deep.equal([{ model: 'a', adapter: undefined, waitedMs: 0, patienceMs: 1750 }])
+  })
+
+  /**
+   * Everybody who waits for a rare model is refused, and refused again on return, whenever orders change hands.
+   * 1. The leader is cut off from the store; for five seconds nobody gives orders. 2. Who can wait for longer is
+   * served late. 3. Who cannot is told at once when it makes sense to return.
+   */
+  it('goes on through a hand-over of orders for who can wait so long', async () => {
+    const world = createWorld({ kind: 'unavailable' })
+    const waiting = world.waitFor(12_000)
+    await world.clock.advance(4000)
+    world.leader.reply = { kind: 'coming', inMs: 1500 }
+    await world.clock.advance(1500)
+    arrive(world)
+    expect((await settled(world, 10, waiting))?.awaited.kind).to.equal('ready')
+  })
+
+  it('ends at once in a hand-over for who cannot, with the time that it takes', async () => {
+    const world = createWorld({ kind: 'unavailable' })
+    const ended = await settled(world, 450, world.waitFor(1750))
+    expect(ended?.awaited).to.have.property('kind', 'no-orderer')
+    expect(ended?.awaited).to.have.property('inMs').that.is.within(HAND_OVER_MS, HAND_OVER_MS + 1500)
+  })
+
+  it('goes by what the next leader says of its first order', async () => {
+    const world = createWorld({ kind: 'unavailable', inMs: 2900 })
+    expect((await settled(world, 10, world.waitFor(4000)))?.awaited).to.deep.equal({ kind: 'no-orderer', inMs: 4400 })
+  })
+
+  it('is not given up for one answer that was lost', async () => {
+    const world = createWorld({ kind: 'coming', inMs: 500 })
+    world.leader.id = undefined
+    const waiting = world.waitFor(1750)
+    await world.clock.advance(100)
+    world.leader.id = 'leader'
+    await world.clock.advance(900)
+    arrive(world)
+    expect((await settled(world, 10, waiting))?.awaited.kind).to.equal('ready')
+  })
+
+  it('ends at once where this instance is cut off', async () => {
+    const world = createWorld({ kind: 'unavailable' })
+    world.isIsolated.value = true
+    expect((await settled(world, 10, world.waitFor(12_000)))?.awaited.kind).to.equal('no-orderer')
+  })
+})
--- a/packages/magnoliabay/src/node/serving/placement/messages.ts
+++ b/packages/magnoliabay/src/node/serving/placement/messages.ts
@@ -11,11 +11,12 @@
 }
 
 /**
- * `ready`: this server has it. `coming`: in about so long. `unavailable`: nothing can be ordered at present.
+ * `ready`: this server has it. `coming`: in about so long. `unavailable`: nothing can be ordered at
+ * present, but perhaps in so long.
  */
 export type WantReply =
   | { kind: 'ready', server: string }
   | { kind: 'coming', inMs: number }
-  | { kind: 'unavailable' }
+  | { kind: 'unavailable', inMs?: number }
 
 export const wantCall = definePeerCall<WantRequest, WantReply>('placement.want')
--- a/packages/magnoliabay/src/node/serving/placement/orderer.ts
+++ b/packages/magnoliabay/src/node/serving/placement/orderer.ts
@@ -185,6 +185,8 @@
     ledFence = fence
     book.clear()
     promised.clear()
+    // An engine whose copies of weights are not known seems to have none, and what it has would be loaded from afar.
+    orders.all().forEach(({ process, server }) => book.noteCopies(process, server.copies))
     storeLoads.assumeEarlier(clock.monotonic())
     logger.info('orderer-begins', { fence, engines: orders.all().length })
   }
@@ -274,7 +276,7 @@
     return { kind: 'coming', inMs }
   }
   const want = async (req: WantRequest): Promise<WantReply> => {
-    if (leadership.fence() === undefined) return { kind: 'unavailable' }
+    if (leadership.fence() === undefined) return { kind: 'unavailable', inMs: leadership.ordersInMs() }
     const isHeld = orders.all().some(({ entry, process }) => table.silentFor(process) < UNSOUND_TELLERS && entry.models.some(held => held.name === req.model))
     if (req.adapter === undefined || !isHeld) return wantModel(req)
     return await wantAdapter(req.model, req.adapter)
--- a/packages/magnoliabay/src/node/serving/placement/plan.ts
+++ b/packages/magnoliabay/src/node/serving/placement/plan.ts
@@ -42,12 +42,19 @@
   storeLoads: number
 }
 
+export type LoadReason = 'waiting' | 'more-replicas' | 'ahead'
+
 export type PlanStep =
-  | { kind: 'load', engine: string, model: string, tier: WeightTier, reason: 'waiting' | 'more-replicas' }
+  | { kind: 'load', engine: string, model: string, tier: WeightTier, reason: LoadReason }
   | { kind: 'unload', engine: string, model: string, inFavourOf: string }
 
 /** Part of an engine's slots that one model's streams may take before it gets another replica. */
 const REPLICA_LOAD_PART = 0.3
+/**
+ * A model of which no engine has a copy takes six to nine seconds from the weight store, and its first caller is late.
+ * It is brought ahead of need while so many loads may begin: whoever waits for the store still finds one.
+ */
+const SPARE_STORE_LOADS = 2
 /** A swap takes about so long, and who asks meanwhile is refused, milliseconds. */
 const COMING_MS = 2500
 /** A model that is asked for this often loses several callers a second when its only engine goes, requests a second. */
@@ -85,7 +92,7 @@
   input.engines.filter(engine => engine.isSound).flatMap(engine => engine.models).forEach(model => replicasOf.set(model, (replicasOf.get(model) ?? 0) + 1))
   const replicas = (model: string): number => replicasOf.get(model) ?? 0
 
-  const take = (option: Option, model: string, reason: 'waiting' | 'more-replicas'): void => {
+  const take = (option: Option, model: string, reason: LoadReason): void => {
     engines.delete(option.engine.id)
     // The best place has an order under way: waiting for it is quicker than any other.
     if (option.engine.busyMs > 0) return
@@ -106,9 +113,10 @@
   const waiting = input.needs
     .filter(need => urgency(need) >= 1 && replicas(need.model) === 0)
     .sort((left, right) => urgency(right) - urgency(left) || right.waitedMs - left.waitedMs)
-  waiting.forEach(need => {
+  const unplaced = waiting.filter(need => {
     const option = best(need.model, Infinity)
     if (option !== undefined) take(option, need.model, 'waiting')
+    return option === undefined
   })
   input.needs
     .filter(need => replicas(need.model) > 0 && replicas(need.model) < wantedReplicas(need, input.engines))
@@ -118,9 +126,22 @@
       const option = best(need.model, RELOAD_MS)
       if (option !== undefined && option.tier !== 'store') take(option, need.model, 'more-replicas')
     })
+  if (unplaced.length === 0 && storeLoads >= SPARE_STORE_LOADS) {
+    const model = withoutCopy(input)
+    const option = model === undefined ? undefined : best(model, RELOAD_MS)
+    if (option !== undefined) take(option, model!, 'ahead')
+  }
   return steps
 }
 
+/** A model of which no engine has a copy, the one that is asked for most first. */
+function withoutCopy (input: PlanInput): string | undefined {
+  const having = new Set(input.engines.flatMap(engine => [...engine.models, ...engine.copies.memory, ...engine.copies.disk]))
+  const lacking = [...input.specs.keys()].filter(model => !having.has(model))
+  const rates = new Map(input.needs.map(need => [need.model, need.rate]))
+  return lacking.sort((left, right) => (rates.get(right) ?? 0) - (rates.get(left) ?? 0))[0]
+}
+
 /**
  * Requests that a load would serve: those that wait, and those that come while it takes place. Callers of a busy model
  * are refused at once and come again; by the longest wait alone it would stand behind each model that one caller waits
--- a/packages/magnoliabay/src/node/serving/serve.ts
+++ b/packages/magnoliabay/src/node/serving/serve.ts
@@ -6,7 +6,7 @@
 import type { Admitted } from './admit'
 import { sendWhole, startAttempt } from './attempt'
 import type { Attempt, AttemptEnd, WholeAnswer } from './attempt'
-import { chooseServer } from './choose'
+import { chooseServer, sampleCandidates } from './choose'
 import { createEventStream } from './eventStream'
 import type { EventStream } from './eventStream'
 import type { ServingContext } from './context'
@@ -23,8 +23,6 @@
 const PATIENCE_MARGIN_MS = 250
 /** A server that was full has places again after about one service time, milliseconds. */
 const FULL_RETRY_MS = 300
-/** Orders are given again within some seconds; callers come back within a third of their time. */
-const NO_ORDERER_RETRY_MS = 2000
 /** Other instances are there at once. */
 const LEAVING_RETRY_MS = 20
 /** Times that a request goes out again after servers said that they have not run it. */
@@ -138,7 +136,10 @@
   const pick = (run: Run, from: readonly BackendServer[]): BackendServer | undefined => {
     const untried = from.filter(server => !run.tried.has(processOf(server)))
     const fresh = untried.filter(server => !run.rejectedBy.has(processOf(server)))
-    const options = fresh.length > 0 ? fresh : untried
+    const sound = fresh.filter(server => !health.isSilent(processOf(server)))
+    const left = [sound, fresh, untried].find(each => each.length > 0) ?? []
+    // Plain services have one server or two near each instance, which spreads their requests by itself.
+    const options = run.admitted.service.engine === undefined ? left : sampleCandidates(left, ctx.instances(), ctx.random)
     const chosen = chooseServer(options.map(server => {
       const id = processOf(server)
       return {
@@ -167,7 +168,8 @@
     run.waitedMs += clock.monotonic() - sinceMs
     if (awaited.kind === 'ready') return pick(run, awaited.servers) ?? { reason: 'no-server', retryAfterMs: FULL_RETRY_MS }
     if (awaited.kind === 'not-in-time') return { reason: 'model-not-in-time', retryAfterMs: awaited.inMs }
-    return { reason: awaited.kind === 'stopped' ? run.why ?? 'caller-gone' : 'no-orderer', retryAfterMs: NO_ORDERER_RETRY_MS }
+    if (awaited.kind === 'no-orderer') return { reason: 'no-orderer', retryAfterMs: awaited.inMs }
+    return { reason: run.why ?? 'caller-gone', retryAfterMs: FULL_RETRY_MS }
   }
   const takeAllowance = async (run: Run): Promise<Refusal | undefined> => {
     const { team } = run.admitted
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -24,7 +24,7 @@
 import type { InstanceReport } from './fleetMessages'
 import { createFrontDoor } from './frontDoor'
 import { createServingMetrics } from './metrics'
-import { LEADER_KEY, createLeadership } from './placement/leadership'
+import { LEADER_KEY, createLeadership, handOverMs } from './placement/leadership'
 import { createOrderer } from './placement/orderer'
 import { createPlacementClient } from './placement/placementClient'
 import { createServe } from './serve'
@@ -226,6 +226,7 @@
     orderer: leader,
     isSound: process => !health.isSilent(process),
     isIsolated,
+    handOverMs: handOverMs(settings.orderLeaseMs),
     clock,
     logger
   })
@@ -251,6 +252,7 @@
     retryBudget,
     noteDemand,
     noteUse: table.tellSoon,
+    instances: () => peers.members().length,
     isClosingFor: kind => clock.monotonic() - leavingSinceMs > lastRequestMs[kind],
     metrics,
     clock,
