--- a/packages/magnoliabay/src/node/serving/choose.ts
+++ b/packages/magnoliabay/src/node/serving/choose.ts
@@ -25,22 +25,6 @@
 const FAILURE_WEIGHT = 1
 const SILENT_WEIGHT = 10
 
-/** So few instances decide by the same sums that the requests of one period do not all go to one server. */
-const EXACT_INSTANCES = 16
-const SAMPLE = 2
-
-/**
- * The candidates that this choice looks at. Sums of what others have are some hundred milliseconds old: with a hundred
- * instances all requests of that time would go to the server that had least, and their streams would stall together.
- * The better of two drawn at random keeps the longest queue short without newer sums.
- */
-export function sampleCandidates<T> (candidates: readonly T[], instances: number, random: () => number): readonly T[] {
-  if (instances <= EXACT_INSTANCES || candidates.length <= SAMPLE) return candidates
-  const first = Math.floor(random() * candidates.length)
-  const step = 1 + Math.floor(random() * (candidates.length - 1))
-  return [candidates[first]!, candidates[(first + step) % candidates.length]!]
-}
-
 function cost (candidate: Candidate): number {
   return candidate.load / Math.max(1, candidate.slots) +
     candidate.failureRate * FAILURE_WEIGHT +
--- a/packages/magnoliabay/src/node/serving/context.ts
+++ b/packages/magnoliabay/src/node/serving/context.ts
@@ -32,8 +32,6 @@
   noteUse: () => void
   /** This process ends too soon for a request of that kind to finish. */
   isClosingFor: (kind: RequestKind) => boolean
-  /** Instances of the fleet. */
-  instances: () => number
   metrics: ServingMetrics
   clock: Clock
   logger: Logger
--- a/packages/magnoliabay/src/node/serving/placement/plan.ts
+++ b/packages/magnoliabay/src/node/serving/placement/plan.ts
@@ -50,11 +50,6 @@
 
 /** Part of an engine's slots that one model's streams may take before it gets another replica. */
 const REPLICA_LOAD_PART = 0.3
-/**
- * A model of which no engine has a copy takes six to nine seconds from the weight store, and its first caller is late.
- * It is brought ahead of need while so many loads may begin: whoever waits for the store still finds one.
- */
-const SPARE_STORE_LOADS = 2
 /** A swap takes about so long, and who asks meanwhile is refused, milliseconds. */
 const COMING_MS = 2500
 /** A model that is asked for this often loses several callers a second when its only engine goes, requests a second. */
@@ -113,10 +108,9 @@
   const waiting = input.needs
     .filter(need => urgency(need) >= 1 && replicas(need.model) === 0)
     .sort((left, right) => urgency(right) - urgency(left) || right.waitedMs - left.waitedMs)
-  const unplaced = waiting.filter(need => {
+  waiting.forEach(need => {
     const option = best(need.model, Infinity)
     if (option !== undefined) take(option, need.model, 'waiting')
-    return option === undefined
   })
   input.needs
     .filter(need => replicas(need.model) > 0 && replicas(need.model) < wantedReplicas(need, input.engines))
@@ -126,7 +120,10 @@
       const option = best(need.model, RELOAD_MS)
       if (option !== undefined && option.tier !== 'store') take(option, need.model, 'more-replicas')
     })
-  if (unplaced.length === 0 && storeLoads >= SPARE_STORE_LOADS) {
+  // A model of which no engine has a copy takes six to nine seconds from the weight store, and its first caller is late.
+  // It is brought ahead of need only while nobody asks for anything: the engine that loads it can give none of what its
+  // disk has for so long, and callers of a busy model whose only copy lies there were refused for twelve seconds.
+  if (!input.needs.some(isAsked) && storeLoads > 0) {
     const model = withoutCopy(input)
     const option = model === undefined ? undefined : best(model, RELOAD_MS)
     if (option !== undefined) take(option, model!, 'ahead')
@@ -134,12 +131,14 @@
   return steps
 }
 
-/** A model of which no engine has a copy, the one that is asked for most first. */
+function isAsked (need: ModelNeed): boolean {
+  return need.rate > 0 || need.waiting > 0 || need.inFlight > 0
+}
+
+/** A model of which no engine has a copy. */
 function withoutCopy (input: PlanInput): string | undefined {
   const having = new Set(input.engines.flatMap(engine => [...engine.models, ...engine.copies.memory, ...engine.copies.disk]))
-  const lacking = [...input.specs.keys()].filter(model => !having.has(model))
-  const rates = new Map(input.needs.map(need => [need.model, need.rate]))
-  return lacking.sort((left, right) => (rates.get(right) ?? 0) - (rates.get(left) ?? 0))[0]
+  return [...input.specs.keys()].find(model => !having.has(model))
 }
 
 /**
--- a/packages/magnoliabay/src/node/serving/serve.ts
+++ b/packages/magnoliabay/src/node/serving/serve.ts
@@ -6,7 +6,7 @@
 import type { Admitted } from './admit'
 import { sendWhole, startAttempt } from './attempt'
 import type { Attempt, AttemptEnd, WholeAnswer } from './attempt'
-import { chooseServer, sampleCandidates } from './choose'
+import { chooseServer } from './choose'
 import { createEventStream } from './eventStream'
 import type { EventStream } from './eventStream'
 import type { ServingContext } from './context'
@@ -136,10 +136,7 @@
   const pick = (run: Run, from: readonly BackendServer[]): BackendServer | undefined => {
     const untried = from.filter(server => !run.tried.has(processOf(server)))
     const fresh = untried.filter(server => !run.rejectedBy.has(processOf(server)))
-    const sound = fresh.filter(server => !health.isSilent(processOf(server)))
-    const left = [sound, fresh, untried].find(each => each.length > 0) ?? []
-    // Plain services have one server or two near each instance, which spreads their requests by itself.
-    const options = run.admitted.service.engine === undefined ? left : sampleCandidates(left, ctx.instances(), ctx.random)
+    const options = fresh.length > 0 ? fresh : untried
     const chosen = chooseServer(options.map(server => {
       const id = processOf(server)
       return {
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -252,7 +252,6 @@
     retryBudget,
     noteDemand,
     noteUse: table.tellSoon,
-    instances: () => peers.members().length,
     isClosingFor: kind => clock.monotonic() - leavingSinceMs > lastRequestMs[kind],
     metrics,
     clock,
