--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -207,7 +207,7 @@
     isLinked,
     leader,
     own: ownReport,
-    summary: () => ({ configVersion: cfg.version(), storeAgeMs: Math.round(storeAgeMs()), spent: allowance.spentByAll(), listDigest: servers.digest() }),
+    summary: () => ({ configVersion: cfg.version(), storeAgeMs: Math.round(storeAgeMs()), spent: allowance.spentByAll(), storeLoadsAtOnce: orderer.storeLoadsAtOnce(), listDigest: servers.digest() }),
     onReport: (member, report) => {
       report.leavingServers.forEach(servers.noteLeaving)
       allowance.noteSpent(member.incarnation, report.spent)
@@ -215,6 +215,7 @@
     onSummary: (member, summary) => {
       spread.noteSummary(member.id, summary)
       allowance.noteSpentByAll(summary.spent)
+      orderer.noteStoreLoadsAtOnce(summary.storeLoadsAtOnce)
     }
   })
   const spread = createSpread({ peers, cfg, servers, storeAgeMs, leader, followers: table.reporters, isFollowing: table.isFollowing, isLinked, onLeaderNamed: nameLeader, clock, logger, random })
