--- a/packages/magnoliabay/src/node/serving/fleetMessages.ts
+++ b/packages/magnoliabay/src/node/serving/fleetMessages.ts
@@ -50,8 +50,6 @@
   leavingServers: readonly string[]
   /** Of teams' allowances, over all instances, within the window. */
   spent: readonly TeamSpent[]
-  /** Loads from the weight store that run at full speed together; the next leader would have to learn it anew. */
-  storeLoadsAtOnce: number
   /** Stands for the list of servers as the leader knows it, what they hold included. */
   listDigest: string
 }
--- a/packages/magnoliabay/src/node/serving/fleetTable.ts
+++ b/packages/magnoliabay/src/node/serving/fleetTable.ts
@@ -52,7 +52,7 @@
   leader: () => string | undefined
   own: () => InstanceReport
   /** What the leader tells beside the sums that this module keeps. */
-  summary: () => Pick<FleetSummary, 'configVersion' | 'storeAgeMs' | 'spent' | 'storeLoadsAtOnce' | 'listDigest'>
+  summary: () => Pick<FleetSummary, 'configVersion' | 'storeAgeMs' | 'spent' | 'listDigest'>
   /** Called with each report that comes in from another instance. */
   onReport: (member: MemberRecord, report: InstanceReport) => void
   /** Called with each summary of another instance. */
--- a/packages/magnoliabay/src/node/serving/placement/engineBook.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineBook.ts
@@ -27,8 +27,6 @@
   pending: PendingOrder | undefined
   /** Monotonic milliseconds of the last report. */
   reportedMs: number
-  /** Since when the engine carries out an order that this instance did not give, monotonic milliseconds. */
-  busySinceMs?: number
   /** Since when reports count fewer orders than are known to have been accepted. */
   staleSinceMs?: number
 }
@@ -97,7 +95,6 @@
         adaptersOnTheWay: report.adaptersOnTheWay,
         pending: isDone ? undefined : known.pending,
         reportedMs: nowMs,
-        busySinceMs: report.isBusy && known.pending === undefined ? known.busySinceMs ?? nowMs : undefined,
         staleSinceMs: undefined
       })
       return true
--- a/packages/magnoliabay/src/node/serving/placement/leadership.ts
+++ b/packages/magnoliabay/src/node/serving/placement/leadership.ts
@@ -30,16 +30,9 @@
  */
 const SLOW_DELAY_MS = 450
 
-/** From the last order of a holder that is gone to the first of the next: its lease, a claim, and the time that keeps the two apart. */
-export function handOverMs (orderLeaseMs: number): number {
-  return LEASE_MS + RENEW_PERIOD_MS + orderLeaseMs
-}
-
 export interface Leadership {
   /** The number under which orders may be sent now, or undefined. */
   fence (): number | undefined
-  /** Milliseconds until this instance may give its first order, or undefined where it does not hold the lease. */
-  ordersInMs (): number | undefined
   /** Whether this instance holds the lease, though it may have to wait before its first order. */
   isHolder (): boolean
   /** The instance that holds the lease, as far as the store has told. */
@@ -162,7 +155,6 @@
       if (!isConfirmed()) return undefined
       return term.fence
     },
-    ordersInMs: () => term === undefined || hasResigned ? undefined : Math.max(0, term.fromMs - clock.monotonic()),
     isHolder: () => term !== undefined && !hasResigned,
     holder: () => holderKnown === undefined ? undefined : (parseJson(holderKnown) as { holder?: string } | undefined)?.holder,
     start: signal => {
--- a/packages/magnoliabay/src/node/serving/placement/messages.ts
+++ b/packages/magnoliabay/src/node/serving/placement/messages.ts
@@ -11,12 +11,11 @@
 }
 
 /**
- * `ready`: this server has it. `coming`: in about so long. `unavailable`: nothing can be ordered at
- * present, but perhaps in so long.
+ * `ready`: this server has it. `coming`: in about so long. `unavailable`: nothing can be ordered at present.
  */
 export type WantReply =
   | { kind: 'ready', server: string }
   | { kind: 'coming', inMs: number }
-  | { kind: 'unavailable', inMs?: number }
+  | { kind: 'unavailable' }
 
 export const wantCall = definePeerCall<WantRequest, WantReply>('placement.want')
--- a/packages/magnoliabay/src/node/serving/placement/orderer.ts
+++ b/packages/magnoliabay/src/node/serving/placement/orderer.ts
@@ -35,10 +35,6 @@
 /** When an adapter that could not be ordered now is worth asking for again, milliseconds. */
 const ADAPTER_RETRY_MS = 250
 
-const MIN_REMAINING_MS = 100
-/** An overdue order takes this part longer of what it took so far. */
-const OVERDUE_PART = 0.4
-
 export interface OrdererOptions {
   self: string
   leadership: Leadership
@@ -64,17 +60,6 @@
   isWaiting (): boolean
   start (signal: AbortSignal): void
   want (req: WantRequest): Promise<WantReply>
-  /** How many loads from the weight store run at full speed together, as far as learned here or told by the leader. */
-  storeLoadsAtOnce (): number
-  noteStoreLoadsAtOnce (count: number): void
-}
-
-/**
- * What an order still takes by what it was expected to take. One that is overdue is behind others at the weight store,
- * or waits for runs: taken for nearly done, its engine was waited for in preference to others for ten seconds.
- */
-function remainingMs (expectedMs: number, elapsedMs: number): number {
-  return Math.max(MIN_REMAINING_MS, elapsedMs < expectedMs ? expectedMs - elapsedMs : elapsedMs * OVERDUE_PART)
 }
 
 export function createOrderer (options: OrdererOptions): Orderer {
@@ -132,18 +117,14 @@
 
   const isFree = ({ process, entry }: Engine): boolean =>
     entry.orders !== undefined && entry.pending === undefined && !orders.isSending(process) && !promised.has(process)
-  /** Until the order that the engine carries out is done, milliseconds. */
-  const pendingMs = ({ entry }: Engine): number => {
-    const now = clock.monotonic()
-    if (entry.pending !== undefined) return remainingMs(entry.pending.expectedMs, now - entry.pending.sentMs)
-    return entry.busySinceMs === undefined ? 0 : remainingMs(storeLoadMs() / 2, now - entry.busySinceMs)
-  }
   /** Until the engine has done what it was ordered and promised, milliseconds. */
-  const busyMs = (engine: Engine): number => {
-    const { process, entry } = engine
+  const busyMs = ({ process, entry }: Engine): number => {
+    const now = clock.monotonic()
+    const pendingMs = entry.pending === undefined ? 0 : Math.max(100, entry.pending.expectedMs - (now - entry.pending.sentMs))
     const promise = promised.get(process)
     const isLoadAhead = promise !== undefined && entry.pending?.operation !== 'load'
-    return pendingMs(engine) + (isLoadAhead ? loadMsOf(promise.model, tierOf(entry, promise.model)) : 0)
+    const loadMs = isLoadAhead ? loadMsOf(promise.model, tierOf(entry, promise.model)) : 0
+    return pendingMs + loadMs
   }
   const planOf = (engine: Engine): EnginePlan => {
     const { process, entry, spec, server } = engine
@@ -204,8 +185,6 @@
     ledFence = fence
     book.clear()
     promised.clear()
-    // An engine whose copies of weights are not known seems to have none, and what it has would be loaded from afar.
-    orders.all().forEach(({ process, server }) => book.noteCopies(process, server.copies))
     storeLoads.assumeEarlier(clock.monotonic())
     logger.info('orderer-begins', { fence, engines: orders.all().length })
   }
@@ -295,7 +274,7 @@
     return { kind: 'coming', inMs }
   }
   const want = async (req: WantRequest): Promise<WantReply> => {
-    if (leadership.fence() === undefined) return { kind: 'unavailable', inMs: leadership.ordersInMs() }
+    if (leadership.fence() === undefined) return { kind: 'unavailable' }
     const isHeld = orders.all().some(({ entry, process }) => table.silentFor(process) < UNSOUND_TELLERS && entry.models.some(held => held.name === req.model))
     if (req.adapter === undefined || !isHeld) return wantModel(req)
     return await wantAdapter(req.model, req.adapter)
@@ -305,8 +284,6 @@
   return {
     want,
     isWaiting: orders.isWaiting,
-    storeLoadsAtOnce: storeLoads.atOnce,
-    noteStoreLoadsAtOnce: storeLoads.learn,
     start: signal => {
       const loop = async (): Promise<void> => {
         while (!signal.aborted) {
--- a/packages/magnoliabay/src/node/serving/placement/placementClient.ts
+++ b/packages/magnoliabay/src/node/serving/placement/placementClient.ts
@@ -12,15 +12,16 @@
 /** How often a want is repeated while requests wait; the orderer forgets wants that are not. */
 const REPEAT_MS = 400
 const ASK_TIMEOUT_MS = 400
-/** A swap of models, after orders are given again, milliseconds. */
-const SWAP_MS = 1500
-/** One answer that nobody gives orders may be a lost message; told for so long, it is not, milliseconds. */
-const SURE_MS = 350
+/**
+ * A hand-over of orders takes three to six seconds. Most callers leave sooner; one told at once may come back when it
+ * is over, and one that waits for nothing holds its connection.
+ */
+const MAX_WITHOUT_ORDERER_MS = 1000
 
 export type Awaited =
   | { kind: 'ready', servers: readonly BackendServer[] }
   | { kind: 'not-in-time', inMs: number }
-  | { kind: 'no-orderer', inMs: number }
+  | { kind: 'no-orderer' }
   | { kind: 'stopped' }
 
 export interface AwaitOptions {
@@ -50,8 +51,6 @@
   orderer: () => string | undefined
   /** Cut off from most other instances: nobody here will order anything. */
   isIsolated: () => boolean
-  /** From the last order of one instance to the first of the next, milliseconds. */
-  handOverMs: number
   /** Whether a server answers at all, by what this instance sees. */
   isSound: (process: string) => boolean
   clock: Clock
@@ -89,19 +88,13 @@
   const waitFor = async ({ model, adapter, service, patienceMs, signal, except }: AwaitOptions): Promise<Awaited> => {
     const sinceMs = clock.monotonic()
     let askedMs = -Infinity
-    /** Since when nobody gives orders, as far as known here. */
-    let withoutSinceMs: number | undefined
-    /** Until a model that is asked for now could be there, with a hand-over of orders under way. */
-    const afterHandOver = (reply: Extract<WantReply, { kind: 'unavailable' }>): number => {
-      const lastedMs = clock.monotonic() - withoutSinceMs!
-      return (reply.inMs ?? Math.max(REPEAT_MS, options.handOverMs - lastedMs)) + SWAP_MS
-    }
+    let hasOrderer = false
     for (;;) {
       const found = holders(service, model, adapter).filter(server => !except.has(processOf(server)))
       if (found.length > 0) return { kind: 'ready', servers: found }
       if (signal.aborted) return { kind: 'stopped' }
       const waitedMs = clock.monotonic() - sinceMs
-      if (waitedMs >= patienceMs) return withoutSinceMs === undefined ? { kind: 'not-in-time', inMs: REPEAT_MS } : { kind: 'no-orderer', inMs: options.handOverMs }
+      if (waitedMs >= patienceMs) return hasOrderer ? { kind: 'not-in-time', inMs: REPEAT_MS } : { kind: 'no-orderer' }
       if (clock.monotonic() - askedMs >= REPEAT_MS) {
         askedMs = clock.monotonic()
         const reply = await ask({ model, adapter, waitedMs, patienceMs: patienceMs - waitedMs })
@@ -109,13 +102,8 @@
           const server = servers.get(reply.server)
           if (server !== undefined && !except.has(processOf(server))) return { kind: 'ready', servers: [server] }
         }
-        if (reply.kind === 'unavailable') {
-          withoutSinceMs ??= clock.monotonic()
-          const inMs = afterHandOver(reply)
-          const isSure = reply.inMs !== undefined || clock.monotonic() - withoutSinceMs >= SURE_MS
-          // A hand-over takes some seconds. Who can wait for it is served late; who cannot is told at once when to come back.
-          if (options.isIsolated() || (isSure && waitedMs + inMs > patienceMs)) return { kind: 'no-orderer', inMs }
-        } else withoutSinceMs = undefined
+        if (reply.kind === 'unavailable' && (options.isIsolated() || waitedMs > MAX_WITHOUT_ORDERER_MS)) return { kind: 'no-orderer' }
+        hasOrderer ||= reply.kind === 'coming'
         if (reply.kind === 'coming' && waitedMs + reply.inMs > patienceMs) return { kind: 'not-in-time', inMs: reply.inMs }
         continue
       }
--- a/packages/magnoliabay/src/node/serving/placement/plan.ts
+++ b/packages/magnoliabay/src/node/serving/placement/plan.ts
@@ -42,10 +42,8 @@
   storeLoads: number
 }
 
-export type LoadReason = 'waiting' | 'more-replicas' | 'ahead'
-
 export type PlanStep =
-  | { kind: 'load', engine: string, model: string, tier: WeightTier, reason: LoadReason }
+  | { kind: 'load', engine: string, model: string, tier: WeightTier, reason: 'waiting' | 'more-replicas' }
   | { kind: 'unload', engine: string, model: string, inFavourOf: string }
 
 /** Part of an engine's slots that one model's streams may take before it gets another replica. */
@@ -87,7 +85,7 @@
   input.engines.filter(engine => engine.isSound).flatMap(engine => engine.models).forEach(model => replicasOf.set(model, (replicasOf.get(model) ?? 0) + 1))
   const replicas = (model: string): number => replicasOf.get(model) ?? 0
 
-  const take = (option: Option, model: string, reason: LoadReason): void => {
+  const take = (option: Option, model: string, reason: 'waiting' | 'more-replicas'): void => {
     engines.delete(option.engine.id)
     // The best place has an order under way: waiting for it is quicker than any other.
     if (option.engine.busyMs > 0) return
@@ -120,27 +118,9 @@
       const option = best(need.model, RELOAD_MS)
       if (option !== undefined && option.tier !== 'store') take(option, need.model, 'more-replicas')
     })
-  // A model of which no engine has a copy takes six to nine seconds from the weight store, and its first caller is late.
-  // It is brought ahead of need only while nobody asks for anything: the engine that loads it can give none of what its
-  // disk has for so long, and callers of a busy model whose only copy lies there were refused for twelve seconds.
-  if (!input.needs.some(isAsked) && storeLoads > 0) {
-    const model = withoutCopy(input)
-    const option = model === undefined ? undefined : best(model, RELOAD_MS)
-    if (option !== undefined) take(option, model!, 'ahead')
-  }
   return steps
 }
 
-function isAsked (need: ModelNeed): boolean {
-  return need.rate > 0 || need.waiting > 0 || need.inFlight > 0
-}
-
-/** A model of which no engine has a copy. */
-function withoutCopy (input: PlanInput): string | undefined {
-  const having = new Set(input.engines.flatMap(engine => [...engine.models, ...engine.copies.memory, ...engine.copies.disk]))
-  return [...input.specs.keys()].find(model => !having.has(model))
-}
-
 /**
  * Requests that a load would serve: those that wait, and those that come while it takes place. Callers of a busy model
  * are refused at once and come again; by the longest wait alone it would stand behind each model that one caller waits
--- a/packages/magnoliabay/src/node/serving/serve.ts
+++ b/packages/magnoliabay/src/node/serving/serve.ts
@@ -23,6 +23,8 @@
 const PATIENCE_MARGIN_MS = 250
 /** A server that was full has places again after about one service time, milliseconds. */
 const FULL_RETRY_MS = 300
+/** Orders are given again within some seconds; callers come back within a third of their time. */
+const NO_ORDERER_RETRY_MS = 2000
 /** Other instances are there at once. */
 const LEAVING_RETRY_MS = 20
 /** Times that a request goes out again after servers said that they have not run it. */
@@ -165,8 +167,7 @@
     run.waitedMs += clock.monotonic() - sinceMs
     if (awaited.kind === 'ready') return pick(run, awaited.servers) ?? { reason: 'no-server', retryAfterMs: FULL_RETRY_MS }
     if (awaited.kind === 'not-in-time') return { reason: 'model-not-in-time', retryAfterMs: awaited.inMs }
-    if (awaited.kind === 'no-orderer') return { reason: 'no-orderer', retryAfterMs: awaited.inMs }
-    return { reason: run.why ?? 'caller-gone', retryAfterMs: FULL_RETRY_MS }
+    return { reason: awaited.kind === 'stopped' ? run.why ?? 'caller-gone' : 'no-orderer', retryAfterMs: NO_ORDERER_RETRY_MS }
   }
   const takeAllowance = async (run: Run): Promise<Refusal | undefined> => {
     const { team } = run.admitted
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -24,7 +24,7 @@
 import type { InstanceReport } from './fleetMessages'
 import { createFrontDoor } from './frontDoor'
 import { createServingMetrics } from './metrics'
-import { LEADER_KEY, createLeadership, handOverMs } from './placement/leadership'
+import { LEADER_KEY, createLeadership } from './placement/leadership'
 import { createOrderer } from './placement/orderer'
 import { createPlacementClient } from './placement/placementClient'
 import { createServe } from './serve'
@@ -207,7 +207,7 @@
     isLinked,
     leader,
     own: ownReport,
-    summary: () => ({ configVersion: cfg.version(), storeAgeMs: Math.round(storeAgeMs()), spent: allowance.spentByAll(), storeLoadsAtOnce: orderer.storeLoadsAtOnce(), listDigest: servers.digest() }),
+    summary: () => ({ configVersion: cfg.version(), storeAgeMs: Math.round(storeAgeMs()), spent: allowance.spentByAll(), listDigest: servers.digest() }),
     onReport: (member, report) => {
       report.leavingServers.forEach(servers.noteLeaving)
       allowance.noteSpent(member.incarnation, report.spent)
@@ -215,7 +215,6 @@
     onSummary: (member, summary) => {
       spread.noteSummary(member.id, summary)
       allowance.noteSpentByAll(summary.spent)
-      orderer.noteStoreLoadsAtOnce(summary.storeLoadsAtOnce)
     }
   })
   const spread = createSpread({ peers, cfg, servers, storeAgeMs, leader, followers: table.reporters, isFollowing: table.isFollowing, isLinked, onLeaderNamed: nameLeader, clock, logger, random })
@@ -227,7 +226,6 @@
     orderer: leader,
     isSound: process => !health.isSilent(process),
     isIsolated,
-    handOverMs: handOverMs(settings.orderLeaseMs),
     clock,
     logger
   })
