--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -102,6 +102,11 @@
 const ISOLATED_PART = 0.4
 /** A watch gone silent is noticed after this and a little more, milliseconds. */
 const WATCH_WAIT_MS = 4000
+/**
+ * The same for the servers' entries, which change with each beat of each server, so that it costs no call more: those
+ * who follow the leader go by its watch, and one gone silent would keep a server that leaves in use for them all.
+ */
+const SERVERS_WATCH_WAIT_MS = 1500
 /** The same where another tells what changes: each call that waits is paid for. */
 const FOLLOWER_WATCH_WAIT_MS = 25_000
 /**
@@ -300,7 +305,7 @@
     return [
       { prefix: wire.keys.config, isWanted: () => true, gatherMs: () => MIN_GATHER_MS, waitMs },
       { prefix: STORE_ROOT, isWanted: () => true, gatherMs: () => Math.min(MAX_GATHER_MS, Math.max(MIN_GATHER_MS, peers.members().length * GATHER_PER_MEMBER_MS)), waitMs },
-      { prefix: wire.keys.servers, isWanted: () => !table.isFollowing(), gatherMs: () => orderer.isWaiting() ? GATHER_ORDERS_MS : GATHER_SERVERS_MS, waitMs: () => WATCH_WAIT_MS }
+      { prefix: wire.keys.servers, isWanted: () => !table.isFollowing(), gatherMs: () => orderer.isWaiting() ? GATHER_ORDERS_MS : GATHER_SERVERS_MS, waitMs: () => SERVERS_WATCH_WAIT_MS }
     ]
   }
   const isLonely = (): boolean => cfg.version() === 0 || !servers.isKnown() || peers.members().length < 2
