--- a/packages/magnoliabay/src/node/platform/__tests__/kvStore.spec.ts
+++ b/packages/magnoliabay/src/node/platform/__tests__/kvStore.spec.ts
@@ -91,6 +91,22 @@
     expect(state.range({ key: 'a' })).to.have.length(kind === 'unknown' ? 1 : 0)
   }))
 
+  /**
+   * Requests are sent to a server for two seconds more after its entry was removed.
+   * 1. A process starts and becomes leader. 2. A server leaves. 3. Taken for a return of the store, the process's first
+   * contact makes it hold the removal as a possible lapse, and all who follow it with it.
+   */
+  it('takes its first contact for no return of the store, and a later one for one', async () => {
+    await store.get('a')
+    expect(store.steadySinceMs()).to.equal(-Infinity)
+    service.faults.set({ refuseWith: 503 })
+    await store.get('a')
+    expect(store.steadySinceMs()).to.equal(Infinity)
+    await service.faults.reset()
+    await store.get('a')
+    expect(store.steadySinceMs()).to.be.within(0, clock.monotonic())
+  })
+
   it('follows all prefixes with one watch', async () => {
     await store.transact(put('a/1', 'x'))
     const a = watchUntil('a/', ({ events, snapshots }) => snapshots.length === 1 && events.map(event => event.key).join() === 'a/2,a/2')
--- a/packages/magnoliabay/src/node/platform/kvStore.ts
+++ b/packages/magnoliabay/src/node/platform/kvStore.ts
@@ -31,7 +31,7 @@
 export interface KvStore extends Store {
   /** Monotonic milliseconds of the last answer to anything. */
   lastContactMs (): number
-  /** Since when the store has answered every call, monotonic milliseconds; Infinity while it does not. */
+  /** Since when the store has answered every call, monotonic milliseconds; -Infinity from the start on, Infinity while it does not. */
   steadySinceMs (): number
   /** Begins to watch; prefixes are to be registered before, each within one of the feeds. */
   start (signal: AbortSignal, feeds: readonly WatchFeed[]): void
@@ -85,8 +85,10 @@
   const noteReach = (reached: boolean, reason: string): void => {
     if (reached) lastContactMs = clock.monotonic()
     if (reached === isReachable) return
+    // The first contact of a process says nothing of the store having been away.
+    const isFirst = isReachable === undefined
     isReachable = reached
-    steadySinceMs = reached ? clock.monotonic() : Infinity
+    steadySinceMs = reached ? (isFirst ? -Infinity : clock.monotonic()) : Infinity
     logger.info(reached ? 'store-reached' : 'store-lost', { address, reason })
   }
   const call = async (method: 'GET' | 'POST' | 'DELETE', path: string, body?: object, timeoutMs = CALL_TIMEOUT_MS): Promise<Result<Answer, StoreError>> => {
--- a/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
@@ -20,11 +20,13 @@
 const ALONE_AFTER_MS = 2000
 const ALONE_RETRY_MS = 300
 /**
- * A process that starts anew does not know what was spent before it. It counts as spent evenly over the window
- * before this process began, in so many parts: a team that was at its limit gets nothing twice, and one within it
- * misses little, since as much comes free as its rate is.
+ * A process that starts anew does not know what was spent before it. It counts as spent evenly over the last part of
+ * the window before this process began, in so many steps: a team within its rate misses two seconds of it. A
+ * team that comes in bursts may have spent all in less; what it then gets twice stays within what is allowed for
+ * counting over instances, while evenly over the whole window did not (1.27 of the limit seen, 1.22 allowed).
  */
 const UNKNOWN_PARTS = 16
+const UNKNOWN_WINDOW_PART = 0.75
 
 export interface TakeRequest {
   team: string
@@ -118,10 +120,10 @@
     return Math.max(byProcess, ofAll)
   }
   const toTold = (spent: readonly TeamSpent[]): Told => ({ spent: new Map(spent.map(({ team, units }) => [team, units])), atMs: clock.monotonic() })
-  /** The burst at the last moment, the rest evenly before: what comes free in a second is the rate of a second. */
+  /** The burst at the last moment, the rest evenly before. */
   const assumeAllSpent = (spending: Spending, team: Team): void => {
     const part = (limitOf(team) - team.burst) / UNKNOWN_PARTS
-    Array.from({ length: UNKNOWN_PARTS }).forEach((_, index) => spending.note(part, startedMs - windowMs * (1 - index / UNKNOWN_PARTS)))
+    Array.from({ length: UNKNOWN_PARTS }).forEach((_, index) => spending.note(part, startedMs - windowMs * UNKNOWN_WINDOW_PART * (1 - index / UNKNOWN_PARTS)))
     spending.note(team.burst, startedMs)
   }
   const beginCounting = (team: Team): Spending => {
--- a/packages/magnoliabay/src/node/serving/fleetMessages.ts
+++ b/packages/magnoliabay/src/node/serving/fleetMessages.ts
@@ -44,6 +44,8 @@
   configVersion: number
   /** Milliseconds since the leader last heard the store. */
   storeAgeMs: number
+  /** How long the store has answered the leader without a break, milliseconds. */
+  storeSteadyMs: number
   loads: readonly ServerLoad[]
   /** Members to whom no caller should be sent: not ready, or silent. */
   unavailable: readonly string[]
--- a/packages/magnoliabay/src/node/serving/fleetTable.ts
+++ b/packages/magnoliabay/src/node/serving/fleetTable.ts
@@ -8,6 +8,7 @@
 import { reportNotice, summaryNotice } from './fleetMessages'
 import type { FleetSummary, InstanceReport } from './fleetMessages'
 import { createFleetTotals } from './fleetTotals'
+import { DOUBT_MS } from './servers'
 
 /** Time between two reports, for each member, so that the leader's work stays the same in a larger fleet, milliseconds. */
 const PERIOD_PER_MEMBER_MS = 6
@@ -52,7 +53,7 @@
   leader: () => string | undefined
   own: () => InstanceReport
   /** What the leader tells beside the sums that this module keeps. */
-  summary: () => Pick<FleetSummary, 'configVersion' | 'storeAgeMs' | 'spent' | 'listDigest'>
+  summary: () => Pick<FleetSummary, 'configVersion' | 'storeAgeMs' | 'storeSteadyMs' | 'spent' | 'listDigest'>
   /** Called with each report that comes in from another instance. */
   onReport: (member: MemberRecord, report: InstanceReport) => void
   /** Called with each summary of another instance. */
@@ -155,6 +156,9 @@
     isFollowing: () => {
       if (isLeading() || held === undefined) return false
       const ageMs = clock.monotonic() - held.atMs
+      // A leader that has the store back holds removals for a while, since they may be lapses. For one who heard the
+      // store all the time that would be too long: it goes by its own watch.
+      if (held.summary.storeSteadyMs + ageMs < DOUBT_MS) return false
       return ageMs < Math.max(MIN_FRESH_MS, FRESH_PERIODS * periodMs()) && held.summary.storeAgeMs + ageMs < MAX_LEADER_STORE_AGE_MS
     },
     start: signal => {
--- a/packages/magnoliabay/src/node/serving/servers.ts
+++ b/packages/magnoliabay/src/node/serving/servers.ts
@@ -12,7 +12,7 @@
  */
 const LAPSE_HOLD_MS = 2000
 /** Removals within this long of a time without contact to the store may be such lapses. */
-const DOUBT_MS = 3000
+export const DOUBT_MS = 3000
 
 const NO_COPIES: BackendServer['copies'] = { memory: [], disk: [] }
 
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -212,7 +212,7 @@
     isLinked,
     leader,
     own: ownReport,
-    summary: () => ({ configVersion: cfg.version(), storeAgeMs: Math.round(storeAgeMs()), spent: allowance.spentByAll(), listDigest: servers.digest() }),
+    summary: () => ({ configVersion: cfg.version(), storeAgeMs: Math.round(storeAgeMs()), storeSteadyMs: clock.monotonic() - store.steadySinceMs(), spent: allowance.spentByAll(), listDigest: servers.digest() }),
     onReport: (member, report) => {
       report.leavingServers.forEach(servers.noteLeaving)
       allowance.noteSpent(member.incarnation, report.spent)
