--- a/packages/magnoliabay/src/node/serving/fleetTable.ts
+++ b/packages/magnoliabay/src/node/serving/fleetTable.ts
@@ -72,7 +72,6 @@
 }
 
 interface HeldSummary {
-  from: string
   summary: FleetSummary
   loads: ReadonlyMap<string, number>
   unavailable: ReadonlySet<string>
@@ -105,7 +104,6 @@
   })
   peers.listen(summaryNotice, (summary, from) => {
     held = {
-      from: from.id,
       summary,
       loads: new Map(summary.loads.map(({ server, count }) => [server, count])),
       unavailable: new Set(summary.unavailable),
@@ -125,6 +123,7 @@
     toldLoads = new Map()
     report.inFlight.forEach(({ server, count }) => toldLoads.set(server, (toldLoads.get(server) ?? 0) + count))
   }
+  const reporters = (): string[] => totals.reporters().filter(member => member !== self)
   const report = (): void => {
     const to = leader()
     const current = own()
@@ -135,7 +134,7 @@
   /** Goes to all who report here: they may know less of who leads than this instance does. */
   const summarize = (): void => {
     totals.expire(staleMs(), clock.monotonic())
-    const others = totals.reporters().filter(member => member !== self)
+    const others = reporters()
     if (others.length === 0) return
     peers.notifyLinked(others, summaryNotice, { ...options.summary(), loads: totals.loads(), unavailable: unavailable(), leavingServers: totals.leavingServers() })
   }
@@ -152,7 +151,7 @@
     models: totals.models,
     silentFor: totals.silentFor,
     isAvailable: member => isLeading() ? !isAway(member) : !(standing()?.unavailable.has(member) ?? false),
-    reporters: () => totals.reporters().filter(member => member !== self),
+    reporters,
     isFollowing: () => {
       if (isLeading() || held === undefined) return false
       const ageMs = clock.monotonic() - held.atMs
--- a/packages/magnoliabay/src/node/serving/fleetTotals.ts
+++ b/packages/magnoliabay/src/node/serving/fleetTotals.ts
@@ -3,6 +3,7 @@
  * each question took the leader longer than the time between two plans. Pattern: hundreds of short reports a second,
  * thousands of questions a second.
  */
+import { addCount } from '../utils'
 import type { InstanceReport, ServerLoad } from './fleetMessages'
 
 interface Held {
@@ -42,12 +43,6 @@
 
 const NOT_ASKED: Asked = { rate: 0, waiting: 0 }
 
-function addCount (counts: Map<string, number>, key: string, change: number): void {
-  const next = (counts.get(key) ?? 0) + change
-  if (next === 0) counts.delete(key)
-  else counts.set(key, next)
-}
-
 export function createFleetTotals (): FleetTotals {
   const held = new Map<string, Held>()
   const byServer = new Map<string, Map<string, number>>()
--- a/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../../clock'
 import { sleep } from '../../clock'
 import type { Logger } from '../../logger'
+import { addCount } from '../../utils'
 import type { ConfigInForce } from '../configInForce'
 import type { EngineCalls, EngineOrder, OrderOutcome } from '../engineCalls'
 import type { Servers } from '../servers'
@@ -124,20 +125,15 @@
     done(engine, pending, 'entry')
   })
 
-  const addSending = (process: string, change: number): void => {
-    const next = (sending.get(process) ?? 0) + change
-    if (next > 0) sending.set(process, next)
-    else sending.delete(process)
-  }
   /** An order counts as on its way from this call on: two plans of one moment would else both send it. */
   const serially = <T> (process: string, task: (engine: Engine) => Promise<T>, otherwise: T): Promise<T> => {
-    addSending(process, 1)
+    addCount(sending, process, 1)
     const run = async (): Promise<T> => {
       const engine = find(process)
       try {
         return engine === undefined ? otherwise : await task(engine)
       } finally {
-        addSending(process, -1)
+        addCount(sending, process, -1)
       }
     }
     const next = (queues.get(process) ?? Promise.resolve()).then(run)
--- a/packages/magnoliabay/src/node/serving/placement/placementClient.ts
+++ b/packages/magnoliabay/src/node/serving/placement/placementClient.ts
@@ -3,6 +3,7 @@
 import { sleep } from '../../clock'
 import type { Logger } from '../../logger'
 import type { Peers } from '../../members'
+import { addCount } from '../../utils'
 import type { Servers } from '../servers'
 import { processOf } from '../types'
 import type { BackendServer } from '../types'
@@ -66,11 +67,6 @@
 
   const holders: PlacementClient['holders'] = (service, model, adapter) => servers.usable(service).filter(server =>
     options.isSound(processOf(server)) && server.models.some(held => held.name === model && (adapter === undefined || held.adapters.includes(adapter))))
-  const countWaiting = (model: string, change: number): void => {
-    const next = (waiting.get(model) ?? 0) + change
-    if (next > 0) waiting.set(model, next)
-    else waiting.delete(model)
-  }
   const ask = async (req: WantRequest): Promise<WantReply> => {
     const id = orderer()
     if (id === undefined) return { kind: 'unavailable' }
@@ -114,11 +110,11 @@
     holders,
     waiting: () => waiting,
     await: async wanted => {
-      countWaiting(wanted.model, 1)
+      addCount(waiting, wanted.model, 1)
       try {
         return await waitFor(wanted)
       } finally {
-        countWaiting(wanted.model, -1)
+        addCount(waiting, wanted.model, -1)
       }
     }
   }
--- a/packages/magnoliabay/src/node/serving/serverHealth.ts
+++ b/packages/magnoliabay/src/node/serving/serverHealth.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../clock'
 import { createDecayingRate } from '../decayingRate'
 import type { DecayingRate } from '../decayingRate'
+import { addCount } from '../utils'
 
 /** Failures fade within a few seconds, so that a server that recovered is used again. */
 const FADE_MS = 4000
@@ -41,12 +42,7 @@
     return found
   }
   const count = (server: string): number => [...seen.get(server)?.models.values() ?? []].reduce((sum, each) => sum + each, 0)
-  const add = (server: string, model: string, change: number): void => {
-    const { models } = of(server)
-    const next = (models.get(model) ?? 0) + change
-    if (next > 0) models.set(model, next)
-    else models.delete(model)
-  }
+  const add = (server: string, model: string, change: number): void => addCount(of(server).models, model, change)
   return {
     noteStart: (server, model) => {
       // Silence counts from the first request on: an idle server has nothing to say.
--- a/packages/magnoliabay/src/node/utils.ts
+++ b/packages/magnoliabay/src/node/utils.ts
@@ -59,3 +59,10 @@
     return undefined
   }
 }
+
+/** Adds to one of several counts; a count that is back at nothing is no longer held. */
+export function addCount (counts: Map<string, number>, key: string, change: number): void {
+  const next = (counts.get(key) ?? 0) + change
+  if (next > 0) counts.set(key, next)
+  else counts.delete(key)
+}
