--- a/packages/magnoliabay/src/node/serving/placement/orderer.ts
+++ b/packages/magnoliabay/src/node/serving/placement/orderer.ts
@@ -5,6 +5,8 @@
 import { sleep } from '../../clock'
 import type { Logger } from '../../logger'
 import type { Peers } from '../../members'
+import { createAverage } from '../average'
+import type { Average } from '../average'
 import type { ConfigInForce } from '../configInForce'
 import type { EngineCalls } from '../engineCalls'
 import type { FleetTable } from '../fleetTable'
@@ -32,6 +34,8 @@
 const SWAP_MS = 2000
 /** An engine that says nothing to so many instances holds nothing that anybody can use. */
 const UNSOUND_TELLERS = 2
+/** A load from the weight store is worth it for a crowd that stays, not for one that has gone before it ends, milliseconds. */
+const STEADY_MS = 2000
 /** When an adapter that could not be ordered now is worth asking for again, milliseconds. */
 const ADAPTER_RETRY_MS = 250
 
@@ -66,6 +70,8 @@
   const { leadership, cfg, table, peers, clock, logger } = options
   const wants = new Map<string, Want>()
   const lastActiveMs = new Map<string, number>()
+  /** Of requests under way for each model. */
+  const averages = new Map<string, Average>()
   /** The model that an engine is being emptied for, or loads. */
   const promised = new Map<string, { model: string, sinceMs: number }>()
   const engineSpecs = (): EngineSpec[] => [...cfg.current()?.services.values() ?? []].flatMap(service => service.engine ?? [])
@@ -136,6 +142,7 @@
       models: [...models, ...new Set(coming)],
       freeMb: freeWeightsMb(entry, spec),
       busyMs: isFree(engine) ? 0 : Math.max(1, busyMs(engine)),
+      isFetching: storeLoads.isLoading(process),
       // One instance may have lost its own path to the engine; two have not.
       isSound: (entry.orders !== undefined || entry.models.length > 0) && table.silentFor(process) < UNSOUND_TELLERS,
       copies: entry.copies,
@@ -143,6 +150,11 @@
       slots: server.slots
     }
   }
+  const steadyInFlight = (model: string, inFlight: number): number => {
+    const average = averages.get(model) ?? createAverage(STEADY_MS)
+    averages.set(model, average)
+    return average.note(inFlight, clock.monotonic())
+  }
   const needOf = (model: string): ModelNeed => {
     const now = clock.monotonic()
     const demand = table.demand(model)
@@ -156,6 +168,7 @@
       waiting,
       waitedMs: want === undefined ? 0 : now - want.sinceMs,
       inFlight,
+      steadyInFlight: steadyInFlight(model, inFlight),
       idleMs: now - (lastActiveMs.get(model) ?? -Infinity)
     }
   }
--- a/packages/magnoliabay/src/node/serving/placement/plan.ts
+++ b/packages/magnoliabay/src/node/serving/placement/plan.ts
@@ -14,6 +14,8 @@
   freeMb: number
   /** An order is being carried out; 0 when none is, else milliseconds until it is done. */
   busyMs: number
+  /** What is being carried out is a load from the weight store. */
+  isFetching: boolean
   isSound: boolean
   copies: { memory: readonly string[], disk: readonly string[] }
   /** Requests under way for each model. */
@@ -30,6 +32,8 @@
   /** How long the first of them has waited, milliseconds. */
   waitedMs: number
   inFlight: number
+  /** The same, averaged over some seconds. */
+  steadyInFlight: number
   /** Since the last request, milliseconds. */
   idleMs: number
 }
@@ -60,6 +64,20 @@
 const RECENT_MS = 1500
 /** What a request that finds its model gone costs, in milliseconds of waiting: the time to load it again. */
 const RELOAD_MS = 2000
+/**
+ * What a load for one waiting request is worth, in milliseconds of waiting, growing by as much again in each further
+ * span of `GAIN_DOUBLES_MS`. Where 28 models wait and each has taken an engine, only the last replica of a busy model
+ * is left to give up: one request would be served, and each of the twenty that come in a second turned back until the
+ * model is loaded again. A model that is asked for less than about once a second may go.
+ */
+const GAIN_MS = 5000
+const GAIN_DOUBLES_MS = 4000
+/**
+ * Part of the engines that may be loading replicas from the weight store at once. Such a load takes six seconds and
+ * more, in which the engine gives nothing of its own disk; with none at all, a model that became busy stays on its
+ * one engine all day, and most of its streams are late.
+ */
+const FETCHING_PART = 1 / 6
 
 export function tierOf (engine: Pick<EnginePlan, 'copies'>, model: string): WeightTier {
   if (engine.copies.memory.includes(model)) return 'memory'
@@ -107,20 +125,30 @@
     .filter(need => urgency(need) >= 1 && replicas(need.model) === 0)
     .sort((left, right) => urgency(right) - urgency(left) || right.waitedMs - left.waitedMs)
   waiting.forEach(need => {
-    const option = best(need.model, Infinity)
+    const option = best(need.model, gainOf(need))
     if (option !== undefined) take(option, need.model, 'waiting')
   })
+  let fetches = Math.max(1, Math.floor(engines.size * FETCHING_PART)) - input.engines.filter(engine => engine.isFetching).length
   input.needs
     .filter(need => replicas(need.model) > 0 && replicas(need.model) < wantedReplicas(need, input.engines))
     .sort((left, right) => right.inFlight - left.inFlight)
     .forEach(need => {
       // A replica more makes streams a little quicker; a model that somebody is about to ask for must not go for it.
       const option = best(need.model, RELOAD_MS)
-      if (option !== undefined && option.tier !== 'store') take(option, need.model, 'more-replicas')
+      if (option === undefined) return
+      if (option.tier === 'store') {
+        if (fetches <= 0 || replicas(need.model) >= replicasForLoad(need.steadyInFlight, input.engines)) return
+        fetches -= 1
+      }
+      take(option, need.model, 'more-replicas')
     })
   return steps
 }
 
+function gainOf (need: ModelNeed): number {
+  return urgency(need) * GAIN_MS * (1 + need.waitedMs / GAIN_DOUBLES_MS)
+}
+
 /**
  * Requests that a load would serve: those that wait, and those that come while it takes place. Callers of a busy model
  * are refused at once and come again; by the longest wait alone it would stand behind each model that one caller waits
@@ -132,10 +160,13 @@
 
 /** Replicas that a model's load asks for; of a busy one a second, since engines are taken away without notice. */
 export function wantedReplicas (need: ModelNeed, engines: readonly EnginePlan[]): number {
-  const slots = Math.max(1, ...engines.map(engine => engine.slots))
-  const forLoad = Math.ceil(need.inFlight / (slots * REPLICA_LOAD_PART))
   const forLoss = need.rate >= BUSY_RATE ? 2 : 1
-  return Math.min(engines.length, Math.max(forLoad, forLoss))
+  return Math.min(engines.length, Math.max(replicasForLoad(need.inFlight, engines), forLoss))
+}
+
+function replicasForLoad (inFlight: number, engines: readonly EnginePlan[]): number {
+  const slots = Math.max(1, ...engines.map(engine => engine.slots))
+  return Math.ceil(inFlight / (slots * REPLICA_LOAD_PART))
 }
 
 function optionsAt (engine: EnginePlan, model: string, input: PlanInput, needs: ReadonlyMap<string, ModelNeed>, replicas: (model: string) => number): Option[] {
--- a/packages/magnoliabay/src/node/serving/placement/storeLoads.ts
+++ b/packages/magnoliabay/src/node/serving/placement/storeLoads.ts
@@ -16,6 +16,8 @@
   noteBegun (engine: string, nowMs: number): void
   /** The engine's load came to its end. */
   noteEnded (engine: string, tookMs: number, aloneMs: number): void
+  /** Whether the engine is loading from the weight store. */
+  isLoading (engine: string): boolean
   /** How much longer a load takes that begins now behind so many others, as a factor. */
   slowness (ahead: number): number
   /** Counts as if the window were half full, and all but one of those at once under way: an instance before this one may have begun loads. */
@@ -66,6 +68,7 @@
         atOnce = Math.max(1, Math.min(atOnce, Math.round(load.beside / factor)))
       } else if (load.beside >= atOnce && atOnce + 1 < tooMany) atOnce += 1
     },
+    isLoading: engine => underWay.has(engine),
     slowness: ahead => Math.max(1, (underWay.size + ahead + 1) / atOnce),
     assumeEarlier: nowMs => {
       const half = Math.floor(loadsPerSecond() * windowMs / 2000)
