--- a/packages/magnoliabay/src/node/serving/fleetTable.ts
+++ b/packages/magnoliabay/src/node/serving/fleetTable.ts
@@ -67,6 +67,8 @@
   tellSoon (): void
   /** Members whose reports come here. */
   reporters (): readonly string[]
+  /** The linked peer that heard the store last, by its report; known to the leader. */
+  closestToStore (): string | undefined
   /** Another instance, in touch with the store, tells what changes there. */
   isFollowing (): boolean
 }
@@ -152,6 +154,10 @@
     silentFor: totals.silentFor,
     isAvailable: member => isLeading() ? !isAway(member) : !(standing()?.unavailable.has(member) ?? false),
     reporters,
+    closestToStore: () => {
+      const ages = reporters().filter(options.isLinked).map(member => ({ member, ageMs: totals.report(member)?.storeAgeMs ?? Infinity }))
+      return ages.sort((left, right) => left.ageMs - right.ageMs)[0]?.member
+    },
     isFollowing: () => {
       if (isLeading() || held === undefined) return false
       const ageMs = clock.monotonic() - held.atMs
--- a/packages/magnoliabay/src/node/serving/placement/leadership.ts
+++ b/packages/magnoliabay/src/node/serving/placement/leadership.ts
@@ -1,21 +1,29 @@
 /**
  * Which instance gives orders to engines: one at a time, under a lease of the store. Engines need not check fencing
- * numbers, so two instances that order in turns are kept apart in time instead.
+ * numbers, so two machines that order in turns are kept apart in time instead: one that was not the last to order
+ * waits before its first order.
  */
 import type { Clock } from '../../clock'
-import { sleep } from '../../clock'
-import { STORE_ROOT } from '../../constants'
+import { TIMED_OUT, sleep, withDeadline } from '../../clock'
 import type { Logger } from '../../logger'
-import type { Store, StoreErrorKind } from '../../store'
-import { createId, parseJson } from '../../utils'
+import type { Result } from '../../result'
+import type { Store, StoreError } from '../../store'
+import { LAST_ORDERER_KEY, LEADER_KEY, readLeaderRecords, versionedOf, writeClaim, writeLastOrderer } from './leaderRecords'
+import type { LastOrderer, LeaderClaim, LeaderRecords, Versioned } from './leaderRecords'
 
-export const LEADER_KEY = `${STORE_ROOT}/orderer`
+export { LEADER_KEY }
 
 /** How often the lease is renewed. Three renewals fit into a lease, so that one lost answer costs nothing. */
 const RENEW_PERIOD_MS = 600
 const LEASE_MS = 2200
 /** The leader stops this long before its lease ends, so that an order on its way arrives before another leads. */
 const STOP_BEFORE_END_MS = 300
+/** A renewal that the store has not answered by then is tried by way of a peer, milliseconds. */
+const RENEW_PATIENCE_MS = 350
+/** How often one who does not lead looks whether the leader is gone, milliseconds. */
+const LOOK_PERIOD_MS = 300
+/** Pause before this instance tries again to be named as the last to order, milliseconds. */
+const BEGIN_RETRY_MS = 100
 /** Candidates try at different moments; the first one wins without a race. */
 const MAX_CANDIDATE_DELAY_MS = 100
 /**
@@ -33,6 +41,8 @@
 export interface Leadership {
   /** The number under which orders may be sent now, or undefined. */
   fence (): number | undefined
+  /** Milliseconds until this instance may order; undefined where it does not hold the lease. */
+  startsInMs (): number | undefined
   /** Whether this instance holds the lease, though it may have to wait before its first order. */
   isHolder (): boolean
   /** The instance that holds the lease, as far as the store has told. */
@@ -45,11 +55,17 @@
 export interface LeadershipOptions {
   store: Store
   self: string
+  /** Names the machine: its orders are those of one holder, whatever process sends them. */
+  machine: string
   /** Orders of two holders must be this far apart, milliseconds. */
   orderLeaseMs: number
   minLeaseMs: number
   /** Processor time a second that this process may use, seconds. */
   processorShare: number
+  /** Renews a lease by way of a peer that reaches the store; undefined where none does. */
+  renewByPeer: (leaseId: string) => Promise<Result<number, StoreError> | undefined>
+  /** Whether the instance's process is proven to have ended. */
+  hasEnded: (instance: string) => Promise<boolean>
   clock: Clock
   logger: Logger
   random: () => number
@@ -60,6 +76,10 @@
   fence: number
   /** Monotonic milliseconds of the first order. */
   fromMs: number
+  /** Revision of the record of who ordered last, as this term began. */
+  lastRevision: number
+  /** Whether that record names this machine: no other has ordered since. */
+  isLast: boolean
 }
 
 /**
@@ -71,12 +91,22 @@
   wallMs: number
 }
 
+/** When the lease was seen to be free, and the revision of the record of who ordered last as it then was. */
+interface Freed {
+  atMs: number
+  lastRevision: number
+}
+
 export function createLeadership (options: LeadershipOptions): Leadership {
-  const { store, self, clock, logger } = options
+  const { store, self, machine, clock, logger } = options
   const leaseMs = Math.max(LEASE_MS, options.minLeaseMs)
   let term: Term | undefined
   let confirmed: Moment | undefined
-  let holderKnown: string | undefined
+  /** Until the first snapshot nobody knows whether there is a holder. */
+  let isInformed = false
+  let leader: Versioned<LeaderClaim> = versionedOf(undefined)
+  let last: Versioned<LastOrderer> = versionedOf(undefined)
+  let freed: Freed | undefined
   let hasResigned = false
   let wake = new AbortController()
   const startedMs = clock.monotonic()
@@ -89,84 +119,155 @@
     logger.warn('orderer-lost', { fence: term.fence, reason })
     term = undefined
     confirmed = undefined
+    wake.abort()
   }
-  /** After a lost answer the write may or may not have taken effect: only the key itself tells. */
-  const readBack = async (value: string): Promise<number | undefined> => {
-    const read = await store.get(LEADER_KEY, { priority: 'ownership' })
-    return read.ok && read.val?.value === value ? read.val.createRevision : undefined
+  const wasLast = ({ last: known }: Pick<LeaderRecords, 'last'>): boolean => known.value?.machine === machine
+  /**
+   * Whether the claim may be taken now. One of this machine's own is that of a process before this one. One of a
+   * machine that was not the last to order has ordered nothing yet: this machine, which was, need not wait at all,
+   * so that orders go on at once after a restart of everybody, and once a short outage of the store is over.
+   */
+  const mayClaim = (known: LeaderRecords): boolean =>
+    known.leader.value === undefined || known.leader.value.machine === machine || wasLast(known)
+  /**
+   * The machine before this one ordered nothing after its lease was free. That moment counts only if nobody has ordered
+   * since: the record of who ordered last changes with each claim of the one it names.
+   */
+  const firstOrderMs = (known: LeaderRecords): number => {
+    if (wasLast(known) || known.last.revision === 0) return clock.monotonic()
+    const freeSinceMs = freed?.lastRevision === known.last.revision ? freed.atMs : clock.monotonic()
+    return freeSinceMs + options.orderLeaseMs
   }
   const candidate = async (): Promise<void> => {
     const sentAt = mark()
+    const known = await readLeaderRecords(store)
+    if (known.err) return
+    leader = known.val.leader
+    last = known.val.last
+    if (!mayClaim(known.val) || hasResigned) return
     const lease = await store.grantLease(leaseMs / 1000)
     if (lease.err) return
-    const value = JSON.stringify({ holder: self, claim: createId('claim') })
-    const put = await store.transact({
-      compares: [{ key: LEADER_KEY, target: 'create', equals: 0 }],
-      writes: [{ kind: 'put', key: LEADER_KEY, value, leaseId: lease.val }]
-    }, { priority: 'ownership' })
-    const UNSURE: readonly StoreErrorKind[] = ['unknown', 'unavailable']
-    const fence = put.ok
-      ? (put.val.succeeded ? put.val.revision : undefined)
-      : (UNSURE.includes(put.val.kind) ? await readBack(value) : undefined)
-    if (fence === undefined) {
+    const fromMs = firstOrderMs(known.val)
+    const claimed = await writeClaim(store, known.val, self, machine, lease.val)
+    if (claimed.kind !== 'done') {
       await store.revokeLease(lease.val)
       return
     }
-    term = { leaseId: lease.val, fence, fromMs: clock.monotonic() + options.orderLeaseMs }
+    const isLast = wasLast(known.val)
+    term = { leaseId: lease.val, fence: claimed.revision, fromMs, isLast, lastRevision: isLast ? claimed.revision : known.val.last.revision }
     confirmed = sentAt
-    logger.info('orderer-won', { fence, firstOrderInMs: options.orderLeaseMs })
+    logger.info('orderer-won', { fence: term.fence, firstOrderInMs: Math.max(0, Math.round(fromMs - clock.monotonic())), orderedLast: known.val.last.value?.machine })
   }
-  const renew = async (held: Term): Promise<void> => {
+  /** The first order goes out only once the store names this machine as the last to order. */
+  const beginOrdering = async (held: Term): Promise<void> => {
+    const written = await writeLastOrderer(store, machine, held.fence, held.lastRevision)
+    if (term !== held) return
+    if (written.kind === 'lost') return lose('another machine took the lease back')
+    if (written.kind === 'failed') return logger.warn('orderer-not-named', { fence: held.fence, reason: written.reason })
+    held.isLast = true
+    held.lastRevision = written.revision
+  }
+  /** The store may turn this instance away and serve others: the lease is renewed by way of one of them. */
+  const renewLease = async (leaseId: string): Promise<{ sentAt: Moment, renewed: Result<number, StoreError> }> => {
     const sentAt = mark()
-    const renewed = await store.renewLease(held.leaseId)
+    const direct = store.renewLease(leaseId)
+    const first = await withDeadline(clock, RENEW_PATIENCE_MS, direct)
+    if (first !== TIMED_OUT && (first.ok || first.val.kind === 'lease-lost')) return { sentAt, renewed: first }
+    const askedAt = mark()
+    const byPeer = await options.renewByPeer(leaseId)
+    if (byPeer === undefined || byPeer.err) logger.debug('lease-not-renewed-by-peer', { lease: leaseId, reason: byPeer?.err === true ? byPeer.val.kind : 'no peer' })
+    if (byPeer !== undefined && (byPeer.ok || byPeer.val.kind === 'lease-lost')) return { sentAt: askedAt, renewed: byPeer }
+    return { sentAt, renewed: await direct }
+  }
+  const renew = async (held: Term): Promise<void> => {
+    const wasConfirmed = isConfirmed()
+    const { sentAt, renewed } = await renewLease(held.leaseId)
     if (term !== held) return
-    if (renewed.ok) {
-      // Counted from when it was sent: the answer may have waited while this process stood still.
-      confirmed = sentAt
+    if (renewed.err) {
+      if (renewed.val.kind === 'lease-lost') return lose('lease ended')
+      // While the store is away for everybody nobody else can take the lease; it may even stand still meanwhile.
+      if (wasConfirmed && !isConfirmed()) logger.warn('orderer-paused', { fence: held.fence, reason: 'lease not renewed in time' })
       return
     }
-    if (renewed.val.kind === 'lease-lost') return lose('lease ended')
-    if (!isConfirmed()) lose('lease not renewed in time')
+    // Counted from when it was sent: the answer may have waited while this process stood still.
+    confirmed = sentAt
+    if (!wasConfirmed) logger.info('orderer-resumed', { fence: held.fence })
+  }
+  /** Ends the lease of a leader whose process has ended, so that orders go on without waiting for it to lapse. */
+  const releaseEnded = async (): Promise<void> => {
+    const holder = leader.value?.holder
+    if (holder === undefined || holder === self || !await options.hasEnded(holder)) return
+    const known = await readLeaderRecords(store)
+    if (known.err || known.val.leader.value?.claim !== leader.value?.claim || known.val.leader.leaseId === undefined) return
+    logger.info('orderer-ended', { holder, lease: known.val.leader.leaseId })
+    await store.revokeLease(known.val.leader.leaseId)
   }
   const step = async (): Promise<void> => {
     if (term !== undefined) return await renew(term)
-    if (holderKnown !== undefined || hasResigned) return
-    const age = Math.min(1, (clock.monotonic() - startedMs) / OLD_MS)
-    const lacking = Math.max(0, 1 - options.processorShare)
-    await sleep(clock, options.random() * MAX_CANDIDATE_DELAY_MS + age * AGE_DELAY_MS + lacking * SLOW_DELAY_MS)
-    if (holderKnown !== undefined || hasResigned) return
+    if (!isInformed || hasResigned) return
+    if (!mayClaim({ leader, last })) return await releaseEnded()
+    if (!wasLast({ last })) {
+      const age = Math.min(1, (clock.monotonic() - startedMs) / OLD_MS)
+      const lacking = Math.max(0, 1 - options.processorShare)
+      await sleep(clock, options.random() * MAX_CANDIDATE_DELAY_MS + age * AGE_DELAY_MS + lacking * SLOW_DELAY_MS)
+      if (!mayClaim({ leader, last }) || hasResigned) return
+    }
     // Changes are gathered before they are told: in a large fleet most have missed that another has won.
-    const read = await store.get(LEADER_KEY, { priority: 'ownership' })
-    if (read.err) return
-    if (read.val === undefined) return await candidate()
-    holderKnown = read.val.value
+    await candidate()
+  }
+  const untilNextMs = (): number => {
+    if (term === undefined) return LOOK_PERIOD_MS
+    const untilFirstMs = term.fromMs - clock.monotonic()
+    if (term.isLast) return RENEW_PERIOD_MS
+    return untilFirstMs > 0 ? Math.min(RENEW_PERIOD_MS, untilFirstMs) : BEGIN_RETRY_MS
   }
   const run = async (signal: AbortSignal): Promise<void> => {
     while (!signal.aborted) {
-      await step()
       wake = new AbortController()
-      await sleep(clock, RENEW_PERIOD_MS, AbortSignal.any([signal, wake.signal]))
+      await step()
+      if (term !== undefined && !term.isLast && clock.monotonic() >= term.fromMs) await beginOrdering(term)
+      await sleep(clock, untilNextMs(), AbortSignal.any([signal, wake.signal]))
     }
   }
+  /** `revision`: of the change that is told, which may be older than the claim of this instance. */
+  const noteLeader = (next: Versioned<LeaderClaim>, revision: number): void => {
+    leader = next
+    if (term !== undefined && revision > term.fence) lose(next.value === undefined ? 'lease ended' : 'another machine took the lease')
+    if (next.value === undefined) freed = { atMs: clock.monotonic(), lastRevision: last.revision }
+    if (mayClaim({ leader, last })) wake.abort()
+  }
+  const noteLast = (next: Versioned<LastOrderer>): void => {
+    last = next
+    if (mayClaim({ leader, last })) wake.abort()
+  }
 
   return {
     fence: () => {
-      if (term === undefined || hasResigned || clock.monotonic() < term.fromMs) return undefined
+      if (term === undefined || hasResigned || !term.isLast || clock.monotonic() < term.fromMs) return undefined
       if (!isConfirmed()) return undefined
       return term.fence
     },
-    isHolder: () => term !== undefined && !hasResigned,
-    holder: () => holderKnown === undefined ? undefined : (parseJson(holderKnown) as { holder?: string } | undefined)?.holder,
+    startsInMs: () => {
+      if (term === undefined || hasResigned || !isConfirmed()) return undefined
+      return Math.max(0, term.fromMs - clock.monotonic())
+    },
+    isHolder: () => term !== undefined && !hasResigned && isConfirmed(),
+    holder: () => leader.value?.holder,
     start: signal => {
-      // Until the first snapshot nobody knows whether there is a holder.
-      holderKnown = ''
       store.watch(LEADER_KEY, {
-        onSnapshot: ({ entries }) => { holderKnown = entries.find(entry => entry.key === LEADER_KEY)?.value },
+        onSnapshot: ({ entries }) => {
+          isInformed = true
+          const found = entries.find(entry => entry.key === LEADER_KEY)
+          noteLeader(versionedOf(found), found?.modRevision ?? 0)
+        },
         onEvent: event => {
-          holderKnown = event.kind === 'put' ? event.value : undefined
-          if (holderKnown === undefined) wake.abort()
+          if (event.key === LEADER_KEY) noteLeader(versionedOf(event.kind === 'put' ? event : undefined), event.modRevision)
         }
       }, signal)
+      store.watch(LAST_ORDERER_KEY, {
+        onSnapshot: ({ entries }) => noteLast(versionedOf(entries.find(entry => entry.key === LAST_ORDERER_KEY))),
+        onEvent: event => { if (event.kind === 'put' && event.key === LAST_ORDERER_KEY) noteLast(versionedOf(event)) }
+      }, signal)
       run(signal)
     },
     resign: async () => {
--- a/packages/magnoliabay/src/node/serving/placement/orderer.ts
+++ b/packages/magnoliabay/src/node/serving/placement/orderer.ts
@@ -203,10 +203,9 @@
   }
   const step = (): void => {
     const fence = leadership.fence()
-    if (fence === undefined) {
-      ledFence = undefined
-      return
-    }
+    // A pause of the same term changes nothing of what is known: nobody else has ordered meanwhile. One that may order
+    // at once may not know yet what there is.
+    if (fence === undefined || cfg.current() === undefined || !options.servers.isKnown()) return
     if (ledFence !== fence) begin(fence)
     const now = clock.monotonic()
     wants.forEach((want, model) => { if (now > want.untilMs) wants.delete(model) })
@@ -276,10 +275,10 @@
     if (tierFor(model) === 'store') return loadMsOf(model, 'store', queued.filter(name => tierFor(name) === 'store').length)
     return SWAP_MS * (1 + queued.length / Math.max(1, engines.length))
   }
-  const wantModel = (req: WantRequest): WantReply => {
+  const wantModel = (req: WantRequest, expectedMs = comingMs(req.model) ?? queuedMs(req.model)): WantReply => {
     const now = clock.monotonic()
     const before = wants.get(req.model)
-    const inMs = Math.round(comingMs(req.model) ?? queuedMs(req.model))
+    const inMs = Math.round(expectedMs)
     // Whoever is told to come back later must find it then.
     const keptMs = WANT_KEPT_MS + (inMs > req.patienceMs ? inMs : 0)
     wants.set(req.model, { sinceMs: Math.min(before?.sinceMs ?? Infinity, now - req.waitedMs), untilMs: Math.max(before?.untilMs ?? 0, now + keptMs) })
@@ -287,7 +286,10 @@
     return { kind: 'coming', inMs }
   }
   const want = async (req: WantRequest): Promise<WantReply> => {
-    if (leadership.fence() === undefined) return { kind: 'unavailable' }
+    const startsInMs = leadership.startsInMs()
+    if (startsInMs === undefined) return { kind: 'unavailable' }
+    // Nothing is known of the engines yet: a swap is what most models take, once orders are given again.
+    if (startsInMs > 0) return wantModel(req, startsInMs + SWAP_MS)
     const isHeld = orders.all().some(({ entry, process }) => table.silentFor(process) < UNSOUND_TELLERS && entry.models.some(held => held.name === req.model))
     if (req.adapter === undefined || !isHeld) return wantModel(req)
     return await wantAdapter(req.model, req.adapter)
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -9,6 +9,7 @@
 import type { Logger } from '../logger'
 import { createMembership, createPeerNetwork } from '../members'
 import type { MemberRecord } from '../members'
+import { refusesConnections } from '../members/refusal'
 import { greetSeeds } from '../members/seeds'
 import { createRetryBudget, createSuspects } from '../outcomes'
 import type { RetryBudget } from '../outcomes'
@@ -25,6 +26,7 @@
 import { createFrontDoor } from './frontDoor'
 import { createServingMetrics } from './metrics'
 import { LEADER_KEY, createLeadership } from './placement/leadership'
+import { createLeaseByPeer } from './placement/leaseByPeer'
 import { createOrderer } from './placement/orderer'
 import { createPlacementClient } from './placement/placementClient'
 import { createServe } from './serve'
@@ -223,7 +225,24 @@
     }
   })
   const spread = createSpread({ peers, cfg, servers, storeAgeMs, leader, followers: table.reporters, isFollowing: table.isFollowing, isLinked, onLeaderNamed: nameLeader, clock, logger, random })
-  const leadership = createLeadership({ store, self: id, orderLeaseMs: settings.orderLeaseMs, minLeaseMs: settings.store.minLeaseMs, processorShare: settings.processorShare, clock, logger, random })
+  /** Neighbours alone look: in a large fleet they are a few, and whether others are linked says nothing. */
+  const hasEnded = async (member: string): Promise<boolean> => {
+    const record = peers.members().find(each => each.id === member)
+    return record !== undefined && peers.evidenceOf(member) === 'unlinked' && await refusesConnections(clock, record.peerAddress)
+  }
+  const leadership = createLeadership({
+    store,
+    self: id,
+    machine: `${id} at ${settings.listen.peers}`,
+    orderLeaseMs: settings.orderLeaseMs,
+    minLeaseMs: settings.store.minLeaseMs,
+    processorShare: settings.processorShare,
+    renewByPeer: createLeaseByPeer({ peers, store, closestToStore: table.closestToStore }),
+    hasEnded,
+    clock,
+    logger,
+    random
+  })
   const orderer = createOrderer({ self: id, leadership, servers, cfg, table, engines: options.engines, peers, clock, logger, loadWindowMs: settings.loadWindowMs })
   const placement = createPlacementClient({
     peers,
