--- a/packages/magnoliabay/src/node/members/memoryNetwork.ts
+++ b/packages/magnoliabay/src/node/members/memoryNetwork.ts
@@ -128,8 +128,10 @@
     cut: (one, other) => { cuts.add(pairOf(one, other)) },
     heal: (one, other) => {
       cuts.delete(pairOf(one, other))
-      nodes.get(one)?.connected.emit(nodes.get(other)!.member)
-      nodes.get(other)?.connected.emit(nodes.get(one)!.member)
+      const ends = [nodes.get(one), nodes.get(other)]
+      if (ends[0] === undefined || ends[1] === undefined) return
+      ends[0].connected.emit(ends[1].member)
+      ends[1].connected.emit(ends[0].member)
     },
     setFate: next => { fate = next }
   }
--- a/packages/magnoliabay/src/node/platform/__tests__/endToEnd.spec.ts
+++ b/packages/magnoliabay/src/node/platform/__tests__/endToEnd.spec.ts
@@ -89,6 +89,7 @@
         graceMs: 1300,
         orderLeaseMs: 100,
         allowanceWindowMs: 8000,
+        allowanceTolerance: { part: 0.1, units: 0 },
         isFirstStart: true,
         retryBudget: { ratio: 0.2, slack: 20 },
         loadWindowMs: 5000,
--- a/packages/magnoliabay/src/node/platform/settings.ts
+++ b/packages/magnoliabay/src/node/platform/settings.ts
@@ -33,7 +33,9 @@
     'retry-budget-slack': v.number(),
     'ceiling-window-s': v.optional(v.number(), 5),
     ttl_max_s: v.optional(v.number(), 5),
-    'quota-window-s': v.optional(v.number(), 8)
+    'quota-window-s': v.optional(v.number(), 8),
+    'quota-overshoot': v.optional(v.number(), 0),
+    'quota-slack': v.optional(v.number(), 0)
   }),
   platform: v.object({
     address: v.string(),
@@ -57,6 +59,8 @@
   retryBudget: { ratio: number, slack: number }
   /** Rates and bursts of teams are counted over this window, milliseconds. */
   allowanceWindowMs: number
+  /** What a team may get beyond its limit, since instances count apart: part of the limit, and units besides. */
+  allowanceTolerance: { part: number, units: number }
   /** Loads from the weight store are counted in this window, milliseconds. */
   loadWindowMs: number
   /** Longest time that callers keep a list of addresses, milliseconds. */
@@ -108,6 +112,7 @@
     orderLeaseMs: bounds['lease-ms'],
     retryBudget: { ratio: bounds['retry-budget-ratio'], slack: bounds['retry-budget-slack'] },
     allowanceWindowMs: bounds['quota-window-s'] * 1000,
+    allowanceTolerance: { part: bounds['quota-overshoot'], units: bounds['quota-slack'] },
     loadWindowMs: bounds['ceiling-window-s'] * 1000,
     maxResolutionMs: bounds.ttl_max_s * 1000,
     store: {
--- a/packages/magnoliabay/src/node/serving/allowance/spending.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/spending.ts
@@ -12,6 +12,8 @@
   giveBack (amount: number, nowMs: number): void
   /** Spent within the window. */
   spent (nowMs: number): number
+  /** Spent in each of so many equal parts of the window, the latest first. */
+  byAge (parts: number, nowMs: number): number[]
 }
 
 /** Amounts are counted by slots; one leaves the window when its last moment does. */
@@ -61,6 +63,15 @@
     },
     note,
     giveBack: (amount, nowMs) => note(-amount, nowMs),
+    byAge: (parts, nowMs) => {
+      expire(nowMs)
+      const amounts = Array.from({ length: parts }, () => 0)
+      slots.forEach(slot => {
+        const ageMs = Math.max(0, nowMs - slot.index * SLOT_MS - SLOT_MS)
+        amounts[Math.min(parts - 1, Math.floor(ageMs / windowMs * parts))]! += slot.amount
+      })
+      return amounts.map(amount => Math.max(0, Math.round(amount)))
+    },
     spent: nowMs => {
       expire(nowMs)
       return Math.max(0, total)
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/allowance/spendingRecord.ts
@@ -0,0 +1,50 @@
+/**
+ * What a team has spent, as its home keeps it in the store for the home after it. A home may grant only what it has
+ * reserved there beforehand, so that the record and its reserve are never less than what was really spent.
+ */
+import { STORE_LEDGERS } from '../../constants'
+import { parseJson } from '../../utils'
+import type { Spending } from './spending'
+
+export interface SpendingRecord {
+  /** The process that wrote it. */
+  home: string
+  /** Spent in each part of the window before it was written, the latest first. */
+  byAge: readonly number[]
+  /** What may be granted until the next record, and counts as spent. */
+  reserved: number
+  /** The writer's time of day, Unix milliseconds. */
+  wallMs: number
+}
+
+/** Parts of the window in a record; each counts as spent at its latest moment. */
+export const RECORD_PARTS = 16
+/** How often a home records what was spent, milliseconds: one call of the store for each team that is active. */
+export const RECORD_PERIOD_MS = 1500
+/**
+ * A record older than this tells nothing: the store was away, and what was granted meanwhile is in no record. Clocks of
+ * two machines may differ by a second or two, and a home that dies has not written its next record, milliseconds.
+ */
+export const MAX_RECORD_AGE_MS = 4000
+
+export const spendingKey = (team: string): string => `${STORE_LEDGERS}/spent/${team}`
+
+/** Undefined where the text is no record: another writer's, or damaged. */
+export function readSpendingRecord (text: string): SpendingRecord | undefined {
+  const read = parseJson(text) as Partial<SpendingRecord> | undefined
+  const isRecord = typeof read?.home === 'string' && Array.isArray(read.byAge) && typeof read.reserved === 'number' && typeof read.wallMs === 'number'
+  return isRecord ? read as SpendingRecord : undefined
+}
+
+export function isRecent (record: SpendingRecord, wallMs: number): boolean {
+  return Math.abs(wallMs - record.wallMs) <= MAX_RECORD_AGE_MS
+}
+
+/**
+ * Counts a record as if it had just been written: how long ago that was only clocks of the time of day could tell, and
+ * they jump. It costs a team what its own rate frees in the second or two that a restart takes.
+ */
+export function countRecord (spending: Spending, record: SpendingRecord, windowMs: number, nowMs: number): void {
+  record.byAge.forEach((amount, part) => { if (amount > 0) spending.note(amount, nowMs - part * windowMs / RECORD_PARTS) })
+  if (record.reserved > 0) spending.note(record.reserved, nowMs)
+}
--- a/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
@@ -7,8 +7,11 @@
 import type { Logger } from '../../logger'
 import { definePeerCall, definePeerNotice } from '../../members'
 import type { MemberRecord, Peers } from '../../members'
+import type { Store } from '../../store'
 import { rankByRendezvous } from '../../utils'
 import type { Team } from '../types'
+import { createHomeLedger } from './homeLedger'
+import type { HomeLedger } from './homeLedger'
 import { createSpending } from './spending'
 import type { Spending } from './spending'
 
@@ -19,15 +22,21 @@
 /** A process that knows no other member by then is the only one. */
 const ALONE_AFTER_MS = 2000
 const ALONE_RETRY_MS = 300
+/** A home that was out of reach is asked again by then. */
+const SHARE_RETRY_MS = 1000
 /**
- * A process that starts anew does not know what was spent before it. It counts as spent evenly over the last part of
- * the window before this process began, in so many steps: a team within its rate misses two seconds of it. A
+ * A process that starts anew and finds no recent record does not know what was spent before it. All counts as spent,
+ * evenly over the last part of the window before this process began, in so many steps: a team within its rate misses
+ * two seconds of it. A
  * team that comes in bursts may have spent all in less; what it then gets twice stays within what is allowed for
  * counting over instances, while evenly over the whole window did not (1.27 of the limit seen, 1.22 allowed).
  */
 const UNKNOWN_PARTS = 16
 const UNKNOWN_WINDOW_PART = 0.75
 
+/** Part of the tolerance that a home uses while the store takes no records; the rest is for instances cut off from it. */
+const UNRECORDED_PART = 0.5
+
 export interface TakeRequest {
   team: string
   amount: number
@@ -67,6 +76,11 @@
   noteSpentByAll (spent: readonly TeamSpent[]): void
 }
 
+export interface AllowanceTolerance {
+  part: number
+  units: number
+}
+
 export interface TeamAllowanceOptions {
   peers: Peers
   /** The team as configured now. */
@@ -75,6 +89,9 @@
   windowMs: number
   /** Nothing was spent before this process: the whole system starts for the first time. */
   isFirstStart: boolean
+  store: Pick<Store, 'get' | 'transact'>
+  /** What may be granted beyond a limit, since instances count apart: part of the limit, and units besides. */
+  tolerance: AllowanceTolerance
   clock: Clock
   logger: Logger
 }
@@ -89,7 +106,7 @@
 export function createTeamAllowance (options: TeamAllowanceOptions): TeamAllowance {
   const { peers, teamNamed, windowMs, clock, logger } = options
   /** As home, for all instances. */
-  const counted = new Map<string, Spending>()
+  const ledgers = new Map<string, HomeLedger>()
   /** By this instance. */
   const own = new Map<string, Spending>()
   /** By incarnation: a process that starts anew has forgotten what the one before it spent. */
@@ -99,6 +116,7 @@
   const avoidedUntilMs = new Map<string, number>()
 
   const limitOf = (team: Team): number => team.rate * windowMs / MS_PER_SECOND + team.burst
+  const toleranceOf = (team: Team): number => limitOf(team) * options.tolerance.part + options.tolerance.units
   const staying = (): readonly MemberRecord[] => peers.members().filter(member => !member.leaving)
   /** By id alone: all must agree on it while members start anew. */
   const homeOf = (team: string): string => rankByRendezvous(team, staying(), member => member.id)[0]?.id ?? peers.self.id
@@ -126,34 +144,52 @@
     Array.from({ length: UNKNOWN_PARTS }).forEach((_, index) => spending.note(part, startedMs - windowMs * UNKNOWN_WINDOW_PART * (1 - index / UNKNOWN_PARTS)))
     spending.note(team.burst, startedMs)
   }
-  const beginCounting = (team: Team): Spending => {
-    const spending = createSpending(windowMs)
-    if (isYoung()) assumeAllSpent(spending, team)
-    else spending.note(spentOverall(team.name), clock.monotonic())
-    logger.info('allowance-home', { team: team.name, spentBefore: Math.round(spending.spent(clock.monotonic())), tellers: told.size, young: isYoung(), limit: Math.round(limitOf(team)) })
-    return spending
-  }
+  const createLedger = (team: Team): HomeLedger => createHomeLedger({
+    team: team.name,
+    home: peers.self.incarnation,
+    windowMs,
+    store: options.store,
+    countWithoutRecord: spending => {
+      if (isYoung()) assumeAllSpent(spending, teamNamed(team.name) ?? team)
+      else spending.note(spentOverall(team.name), clock.monotonic())
+    },
+    toldSpent: () => spentOverall(team.name),
+    clock,
+    logger
+  })
   /** Grants what the whole allowance has left, but for the equal parts of those who cannot ask. */
-  const takeHere = (team: Team, amount: number): number => {
-    const spending = counted.get(team.name) ?? beginCounting(team)
-    counted.set(team.name, spending)
+  const takeHere = (team: Team, amount: number): Promise<number> => {
+    const ledger = ledgers.get(team.name) ?? createLedger(team)
+    ledgers.set(team.name, ledger)
     const members = peers.members()
     const cutOff = members.filter(member => !peers.isConnected(member.id)).length
-    return spending.take(amount, limitOf(team) * (1 - cutOff / Math.max(1, members.length)), clock.monotonic())
+    const heldBack = limitOf(team) * cutOff / Math.max(1, members.length)
+    return ledger.take(amount, { allowed: limitOf(team) - heldBack, heldBack, tolerance: toleranceOf(team) * UNRECORDED_PART })
+  }
+  const dropLedger = (team: string): void => {
+    ledgers.get(team)?.close()
+    ledgers.delete(team)
   }
-  peers.serve(takeCall, ({ team: name, amount }) => {
+  peers.serve(takeCall, async ({ team: name, amount }) => {
     const team = teamNamed(name)
-    return { waitMs: team === undefined || team.rate === 0 ? 0 : takeHere(team, amount) }
+    return { waitMs: team === undefined || team.rate === 0 ? 0 : await takeHere(team, amount) }
   })
-  peers.listen(giveBackNotice, ({ team: name, amount }) => counted.get(name)?.giveBack(amount, clock.monotonic()))
+  peers.listen(giveBackNotice, ({ team: name, amount }) => ledgers.get(name)?.giveBack(amount))
   const noteOwn = (team: Team, amount: number, waitMs: number): Taken => {
     if (waitMs === 0) ownOf(team.name).note(amount, clock.monotonic())
     return { waitMs, decidedBy: 'home' }
   }
   const takeShare = (team: Team, amount: number): Taken => {
-    // Of a young process's part, what it spent before it started is not known: it grows with its age.
-    const known = isYoung() ? (clock.monotonic() - startedMs) / windowMs : 1
-    const limit = limitOf(team) * known / Math.max(1, peers.members().length)
+    const parts = Math.max(1, peers.members().length)
+    const ownSpent = ownOf(team.name).spent(clock.monotonic())
+    // What the home itself had spent before the cut is in nobody's part: all that was told comes off first.
+    const leftPart = Math.max(0, limitOf(team) - spentOverall(team.name)) / parts
+    const knownPart = Math.min(limitOf(team) / parts, ownSpent + leftPart)
+    // What was spent before a young process started is not known: its part is one of the tolerance.
+    const limit = isYoung() ? toleranceOf(team) * (1 - UNRECORDED_PART) / parts : knownPart
+    // What is larger than any allowance passes an empty window, but what is larger than a part alone does not: each of
+    // the instances that start anew in a cut would let one through.
+    if (amount > limit && amount <= limitOf(team)) return { waitMs: SHARE_RETRY_MS, decidedBy: 'share' }
     return { waitMs: ownOf(team.name).take(amount, limit, clock.monotonic()), decidedBy: 'share' }
   }
 
@@ -162,9 +198,9 @@
       if (team.rate === 0) return { waitMs: 0, decidedBy: 'share' }
       if (!isSettled()) return { waitMs: ALONE_RETRY_MS, decidedBy: 'share' }
       const home = homeOf(team.name)
-      if (home === peers.self.id) return noteOwn(team, amount, takeHere(team, amount))
+      if (home === peers.self.id) return noteOwn(team, amount, await takeHere(team, amount))
       // What was counted here is out of date as soon as another counts.
-      counted.delete(team.name)
+      dropLedger(team.name)
       if (!peers.isConnected(home) || (avoidedUntilMs.get(home) ?? 0) > clock.monotonic()) return takeShare(team, amount)
       const reply = await peers.call(home, takeCall, { team: team.name, amount }, { timeoutMs: ASK_TIMEOUT_MS })
       if (reply.ok) return noteOwn(team, amount, reply.val.waitMs)
@@ -176,7 +212,7 @@
       if (team.rate === 0) return
       ownOf(team.name).giveBack(amount, clock.monotonic())
       const home = homeOf(team.name)
-      if (home === peers.self.id) counted.get(team.name)?.giveBack(amount, clock.monotonic())
+      if (home === peers.self.id) ledgers.get(team.name)?.giveBack(amount)
       else peers.notify(home, giveBackNotice, { team: team.name, amount })
     },
     spent: () => [...own]
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -18,6 +18,7 @@
 import type { Store, WatchFeed } from '../store'
 import { createId, listenOn } from '../utils'
 import { createTeamAllowance } from './allowance/teamAllowance'
+import type { AllowanceTolerance } from './allowance/teamAllowance'
 import { createConfigInForce } from './configInForce'
 import type { EngineCalls } from './engineCalls'
 import { createConnections } from './exchange'
@@ -47,6 +48,7 @@
   orderLeaseMs: number
   retryBudget: { ratio: number, slack: number }
   allowanceWindowMs: number
+  allowanceTolerance: AllowanceTolerance
   isFirstStart: boolean
   loadWindowMs: number
   store: { minLeaseMs: number }
@@ -253,7 +255,7 @@
     clock,
     logger
   })
-  const allowance = createTeamAllowance({ peers, teamNamed: name => cfg.current()?.teams?.find(team => team.name === name), windowMs: settings.allowanceWindowMs, isFirstStart: settings.isFirstStart, clock, logger })
+  const allowance = createTeamAllowance({ peers, teamNamed: name => cfg.current()?.teams?.find(team => team.name === name), windowMs: settings.allowanceWindowMs, isFirstStart: settings.isFirstStart, store, tolerance: settings.allowanceTolerance, clock, logger })
   const suspects = createSuspects({
     peers,
     clock,
