--- a/packages/magnoliabay/src/node/serving/placement/__tests__/plan.spec.ts
+++ b/packages/magnoliabay/src/node/serving/placement/__tests__/plan.spec.ts
@@ -117,6 +117,12 @@
       expect(plan({ engines: [crowded, engine('idle', [], elsewhere)], needs: [calm] })).to.deep.equal([])
     })
 
+    it('gets one before models that few wait for, once most of its streams wait for each other', () => {
+      const swamped = need('busy', { rate: 20, inFlight: 60, idleMs: 0 })
+      const needs = [swamped, need('rare3', { waiting: 1, waitedMs: 3000 })]
+      expect(plan({ engines: [{ ...crowded, freeMb: 0 }, engine('idle', [], elsewhere)], needs, storeLoads: 1 }).map(step => step.model)).to.deep.equal(['busy'])
+    })
+
     it('gets one at a time in a small fleet, so that other engines go on giving what their disks have', () => {
       const engines = [crowded, engine('fetching', [], { ...elsewhere, isFetching: true, busyMs: 4000 }), engine('idle', [], elsewhere)]
       expect(plan({ engines, needs: [crowd] })).to.deep.equal([])
--- a/packages/magnoliabay/src/node/serving/placement/plan.ts
+++ b/packages/magnoliabay/src/node/serving/placement/plan.ts
@@ -52,6 +52,12 @@
 
 /** Part of an engine's slots that one model's streams may take before it gets another replica. */
 const REPLICA_LOAD_PART = 0.3
+/**
+ * From this part of its engines' slots on, streams of a model are late by what they wait for each other. Each stream
+ * beyond counts as much as one that waits for a model that nobody has: where 28 models wait at a time, a busy one would
+ * else stay on its one engine, with twenty callers a second, for as long as any of them does.
+ */
+const CROWDED_PART = 0.6
 /** A swap takes about so long, and who asks meanwhile is refused, milliseconds. */
 const COMING_MS = 2500
 /** A model that is asked for this often loses several callers a second when its only engine goes, requests a second. */
@@ -121,13 +127,19 @@
     .filter(option => Number.isFinite(option.cost) && option.cost - option.readyMs <= maxVictimCost)
     .sort((left, right) => left.cost - right.cost)[0]
 
-  const waiting = input.needs
-    .filter(need => urgency(need) >= 1 && replicas(need.model) === 0)
-    .sort((left, right) => urgency(right) - urgency(left) || right.waitedMs - left.waitedMs)
-  waiting.forEach(need => {
-    const option = best(need.model, gainOf(need))
-    if (option !== undefined) take(option, need.model, 'waiting')
-  })
+  const slots = Math.max(1, ...input.engines.map(engine => engine.slots))
+  const urgencyOf = (need: ModelNeed): number => replicas(need.model) === 0
+    ? urgency(need)
+    : Math.floor(need.steadyInFlight - replicas(need.model) * slots * CROWDED_PART)
+  input.needs
+    .map(need => ({ need, urgency: urgencyOf(need) }))
+    .filter(({ urgency }) => urgency >= 1)
+    .sort((left, right) => right.urgency - left.urgency || right.need.waitedMs - left.need.waitedMs)
+    .forEach(({ need, urgency }) => {
+      const option = best(need.model, gainOf(urgency, need.waitedMs))
+      if (option !== undefined) take(option, need.model, replicas(need.model) === 0 ? 'waiting' : 'more-replicas')
+    })
+  // What is added for a crowd that is not late yet must leave most engines free for what their disks have.
   let fetches = Math.max(1, Math.floor(engines.size * FETCHING_PART)) - input.engines.filter(engine => engine.isFetching).length
   input.needs
     .filter(need => replicas(need.model) > 0 && replicas(need.model) < wantedReplicas(need, input.engines))
@@ -145,8 +157,8 @@
   return steps
 }
 
-function gainOf (need: ModelNeed): number {
-  return urgency(need) * GAIN_MS * (1 + need.waitedMs / GAIN_DOUBLES_MS)
+function gainOf (urgency: number, waitedMs: number): number {
+  return urgency * GAIN_MS * (1 + waitedMs / GAIN_DOUBLES_MS)
 }
 
 /**
