--- a/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
@@ -17,10 +17,16 @@
 import type { Spending } from './spending'
 
 /**
- * Part of the limit that is reserved with each record. At twice its rate a team spends so much in about a second and a
- * half, the time between two records; after a restart it counts as spent whether it was or not.
+ * What is reserved with each record: what the team spends in a second, by what it spent in the window, and a small part
+ * of its limit for one that has just begun. A reserve that is spent sooner costs a call of the store and its 4 ms; after
+ * a change of homes it counts as spent whether it was or not, and a roll of restarts changes homes every two seconds.
  */
-const RESERVE_PART = 1 / 8
+const RESERVE_MS = 1000
+const LEAST_RESERVE_PART = 1 / 32
+/** Part of the reserve that is left when the next record is made ahead: what a team spends while the store answers. */
+const AHEAD_PART = 0.2
+/** Between two tries to record while the store takes none, milliseconds. */
+const MIN_RECORD_PAUSE_MS = 500
 /** A request waits this long at most for a record that must come before it: its caller's instance waits little longer. */
 const RECORD_PATIENCE_MS = 100
 /** The same for the last record of the home before; a store that is slow answers in some tenths of a second. */
@@ -76,6 +82,8 @@
   let writing: Promise<void> | undefined
   /** What may still be granted under the last record. */
   let covered = 0
+  /** Reserved with the last record. */
+  let reserveNow = 0
   /** The store does not take records at present. */
   let isUncovered = false
   /** When the last record was made that a home after this one may find. */
@@ -132,11 +140,13 @@
     const isOfAnother = record !== undefined && record.home !== home && isRecent(record, clock.now())
     return isOfAnother ? 'of another' : read.val.modRevision
   }
+  const nextReserve = (): number =>
+    Math.round(limit.allowed * LEAST_RESERVE_PART + spending.spent(clock.monotonic()) * RESERVE_MS / windowMs)
   const write = async (): Promise<void> => {
     const expected = revision ?? await readRevision()
     if (expected === 'unknown') return fail('the last record cannot be read')
     if (expected === 'of another') return supersede()
-    const reserve = Math.round(limit.allowed * RESERVE_PART)
+    const reserve = nextReserve()
     const reserved = reserve + Math.round(limit.heldBack)
     const value: SpendingRecord = { home, byAge: spending.byAge(RECORD_PARTS, clock.monotonic()), reserved, wallMs: clock.now() }
     const coveredBefore = covered
@@ -150,6 +160,7 @@
     revision = put.val.revision
     // What was granted while the record was on its way is in its reserve.
     covered = reserve - (coveredBefore - covered)
+    reserveNow = reserve
     recordedMs = madeMs
     if (isUncovered) logger.info('allowance-recorded-again', { team })
     isUncovered = false
@@ -162,8 +173,10 @@
   const keepRecording = (): void => {
     if (isTimed || isClosed) return
     isTimed = true
-    clock.schedule(RECORD_PERIOD_MS, async () => {
-      if (!isClosed && beginning !== undefined) await record()
+    const dueMs = recordedMs + RECORD_PERIOD_MS - clock.monotonic()
+    clock.schedule(Math.max(MIN_RECORD_PAUSE_MS, dueMs), async () => {
+      const isDue = clock.monotonic() - recordedMs >= RECORD_PERIOD_MS
+      if (isDue && !isClosed && beginning !== undefined) await record()
       isTimed = false
       if (spending.spent(clock.monotonic()) > 0) keepRecording()
     })
@@ -199,7 +212,7 @@
     if (waitMs > 0) return waitMs
     covered -= amount
     keepRecording()
-    if (!isUncovered && covered < limit.allowed * RESERVE_PART / 2) record()
+    if (!isUncovered && covered < reserveNow * AHEAD_PART) record()
     if (covered < 0) await cover()
     return beginning === begun ? settle(amount) : 'superseded'
   }
--- a/packages/magnoliabay/src/node/serving/allowance/spendingRecord.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/spendingRecord.ts
@@ -19,8 +19,8 @@
 
 /** Parts of the window in a record; each counts as spent at its latest moment. */
 export const RECORD_PARTS = 16
-/** How often a home records what was spent, milliseconds: one call of the store for each team that is active. */
-export const RECORD_PERIOD_MS = 1500
+/** A home's record is no older than this while anything spent is in the window, milliseconds: one call of the store for each team. */
+export const RECORD_PERIOD_MS = 2000
 /**
  * A record older than this tells nothing: the store was away, and what was granted meanwhile is in no record. Clocks of
  * two machines may differ by a second or two, and a home that dies has not written its next record, milliseconds.
--- a/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
@@ -130,7 +130,9 @@
     return found
   }
   const isStanding = (each: Told): boolean => clock.monotonic() - each.atMs < windowMs
-  const toldBy = (team: string): number[] => [...told.values()].filter(isStanding).map(each => each.spent.get(team) ?? 0)
+  /** What a process told as it ended leaves the window bit by bit: it counts for less the older it is. */
+  const toldBy = (team: string): number[] => [...told.values()].filter(isStanding)
+    .map(each => (each.spent.get(team) ?? 0) * (1 - (clock.monotonic() - each.atMs) / windowMs))
   /** Each process tells this instance, or one tells it of all: both are the same sum, and one of the two may be older. */
   const spentOverall = (team: string): number => {
     const byProcess = toldBy(team).reduce((sum, units) => sum + units, ownOf(team).spent(clock.monotonic()))
--- a/packages/magnoliabay/src/node/serving/attempt.ts
+++ b/packages/magnoliabay/src/node/serving/attempt.ts
@@ -51,6 +51,8 @@
   /** Whether an answer of this status is to be held back, since the request may be tried elsewhere. */
   holdsBack: (status: number) => boolean
   onHeard?: () => void
+  /** The first bytes of the answer go to the caller. */
+  onFirst?: () => void
 }
 
 export interface Attempt {
@@ -82,6 +84,7 @@
   const isOk = (): boolean => head !== undefined && head.status >= OK_FROM && head.status < OK_BELOW
   const begin = (): void => {
     isForwarding = true
+    options.onFirst?.()
     if (!res.headersSent) res.writeHead(head!.status, options.returnedHeaders(head!.rawHeaders) as never)
     held.forEach(chunk => res.write(chunk))
     held = []
--- a/packages/magnoliabay/src/node/serving/serve.ts
+++ b/packages/magnoliabay/src/node/serving/serve.ts
@@ -66,6 +66,8 @@
   lastAnswer: WholeAnswer | undefined
   server: BackendServer | undefined
   waitedMs: number
+  /** Until the first bytes of an answer went to the caller, milliseconds. */
+  firstMs: number | undefined
   /** Follows the events of a stream over all attempts. */
   events: EventStream | undefined
 }
@@ -108,7 +110,8 @@
     adapter: run.caller.adapter,
     server: run.server?.id,
     sends: run.sends,
-    waitedMs: Math.round(run.waitedMs)
+    waitedMs: Math.round(run.waitedMs),
+    firstMs: run.firstMs === undefined ? undefined : Math.round(run.firstMs)
   })
   const end = (run: Run, refusal: Refusal): void => {
     const mayHaveRun = run.trail.state() !== 'untouched'
@@ -210,7 +213,8 @@
       decodeAnswer: wire.decodeAnswer,
       returnedHeaders: wire.returnedHeaders,
       holdsBack: status => status >= SERVER_ERROR_FROM && mayRepeat(run),
-      onHeard: () => health.noteHeard(id)
+      onHeard: () => health.noteHeard(id),
+      onFirst: () => { run.firstMs ??= clock.monotonic() - inbound.arrivedMs }
     })
     run.attempt = attempt
     const cancelCheck = checkSilence(run, attempt, id)
@@ -353,6 +357,7 @@
       lastAnswer: undefined,
       server: undefined,
       waitedMs: 0,
+      firstMs: undefined,
       events: route.kind === 'stream' ? createEventStream() : undefined
     }
     const cancelTimeout = clock.schedule(Math.max(0, leftMs(run)), () => stopRun(run, 'route-timeout'))
