--- a/packages/magnoliabay/src/node/serving/frontDoor.ts
+++ b/packages/magnoliabay/src/node/serving/frontDoor.ts
@@ -9,7 +9,7 @@
 import type { EntryRequest, Handler } from '../entry/types'
 import type { Logger } from '../logger'
 import { createId, listenOn, messageOf } from '../utils'
-import type { Inbound } from './serve'
+import type { Inbound } from './run'
 import type { CallerLimits } from './types'
 
 /** Before a configuration is known, callers are held to nothing but these. */
--- a/packages/magnoliabay/src/node/serving/serve.ts
+++ b/packages/magnoliabay/src/node/serving/serve.ts
@@ -1,17 +1,15 @@
 /** One request from admission to its end: allowance, a server that can run it, attempts, and what the caller is told. */
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage } from 'node:http'
 import { createTrail, fingerprintOf } from '../outcomes'
-import type { Trail } from '../outcomes'
 import { admit, unitsOf } from './admit'
-import type { Admitted } from './admit'
-import { sendWhole, startAttempt } from './attempt'
-import type { Attempt, AttemptEnd, WholeAnswer } from './attempt'
+import { startAttempt } from './attempt'
+import type { Attempt, AttemptEnd } from './attempt'
 import { chooseServer } from './choose'
-import { createEventStream } from './eventStream'
-import type { EventStream } from './eventStream'
 import type { ServingContext } from './context'
-import { statusOf } from './outcome'
+import { createEndings } from './ending'
+import { createEventStream } from './eventStream'
 import type { EndReason, Refusal } from './outcome'
+import type { Inbound, Run } from './run'
 import { processOf } from './types'
 import type { BackendServer, CallerRequest } from './types'
 
@@ -35,100 +33,11 @@
 const SILENCE_CHECK_MS = 400
 const SERVER_ERROR_FROM = 500
 
-export interface Inbound {
-  req: IncomingMessage
-  res: ServerResponse
-  body: Buffer
-  arrivedMs: number
-}
-
-interface Run {
-  inbound: Inbound
-  caller: CallerRequest
-  /** The same bytes of the same caller: the same request sent again. */
-  fingerprint: string
-  admitted: Admitted
-  trail: Trail
-  /** Monotonic milliseconds by which the request must have ended. */
-  endMs: number
-  stop: AbortController
-  why: EndReason | undefined
-  sends: number
-  /** Servers on which it may have run. */
-  runs: number
-  /** Servers on which it may have run, or that could not be reached. */
-  tried: Set<string>
-  /** Servers that said that they have not run it. */
-  rejectedBy: Set<string>
-  unitsTaken: number
-  attempt: Attempt | undefined
-  /** A failure that a server answered, told if nothing better comes. */
-  lastAnswer: WholeAnswer | undefined
-  server: BackendServer | undefined
-  waitedMs: number
-  /** Until the first bytes of an answer went to the caller, milliseconds. */
-  firstMs: number | undefined
-  /** Follows the events of a stream over all attempts. */
-  events: EventStream | undefined
-}
-
 export function createServe (ctx: ServingContext): (inbound: Inbound) => Promise<void> {
-  const { cfg, wire, clock, logger, servers, health, table, placement, allowance, metrics } = ctx
+  const { cfg, wire, clock, logger, servers, health, table, placement, allowance } = ctx
+  const { refuse, end, logEnd } = createEndings(ctx)
   const pathOf = (req: IncomingMessage): string => (req.url ?? '/').split('?')[0]!
 
-  const refuse = (inbound: Inbound, caller: CallerRequest, refusal: Refusal, mayHaveRun: boolean, facts: object): void => {
-    const { res } = inbound
-    const status = statusOf(refusal.reason, mayHaveRun)
-    metrics.ended.inc({ reason: refusal.reason })
-    logger.info('request-refused', {
-      request: caller.attemptId,
-      reason: refusal.reason,
-      status,
-      mayHaveRun,
-      tookMs: Math.round(clock.monotonic() - inbound.arrivedMs),
-      retryAfterMs: refusal.retryAfterMs,
-      config: cfg.version(),
-      ...facts
-    })
-    if (res.headersSent || res.destroyed) {
-      res.destroy()
-      return
-    }
-    const promise = !mayHaveRun && refusal.retryAfterMs !== undefined
-    const body = JSON.stringify({ error: refusal.reason })
-    res.writeHead(status, {
-      'content-type': 'application/json',
-      'content-length': Buffer.byteLength(body),
-      ...(promise ? { 'retry-after': (refusal.retryAfterMs! / 1000).toFixed(3) } : {})
-    })
-    res.end(body)
-  }
-  const factsOf = (run: Run): object => ({
-    route: run.admitted.route.name,
-    team: run.admitted.team?.name,
-    model: run.caller.model,
-    adapter: run.caller.adapter,
-    server: run.server?.id,
-    sends: run.sends,
-    waitedMs: Math.round(run.waitedMs),
-    firstMs: run.firstMs === undefined ? undefined : Math.round(run.firstMs)
-  })
-  const end = (run: Run, refusal: Refusal): void => {
-    const mayHaveRun = run.trail.state() !== 'untouched'
-    if (run.unitsTaken > 0 && !mayHaveRun && run.admitted.team !== undefined) allowance.giveBack(run.admitted.team, run.unitsTaken)
-    if (run.lastAnswer !== undefined && mayHaveRun && !run.inbound.res.headersSent) {
-      sendWhole(run.inbound.res, run.lastAnswer, wire.returnedHeaders)
-      return logEnd(run, `relayed ${run.lastAnswer.head.status}`)
-    }
-    refuse(run.inbound, run.caller, refusal, mayHaveRun, factsOf(run))
-  }
-  const logEnd = (run: Run, outcome: string): void => {
-    const tookMs = clock.monotonic() - run.inbound.arrivedMs
-    metrics.ended.inc({ reason: 'answered' })
-    metrics.answerSeconds.observe(tookMs / 1000)
-    logger.info('request-ended', { request: run.caller.attemptId, outcome, tookMs: Math.round(tookMs), config: cfg.version(), ...factsOf(run) })
-  }
-
   const leftMs = (run: Run): number => run.endMs - clock.monotonic()
   const patienceMs = (run: Run): number => {
     const { route } = run.admitted
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -13,7 +13,6 @@
 import { greetSeeds } from '../members/seeds'
 import { createRetryBudget, createSuspects } from '../outcomes'
 import type { RetryBudget } from '../outcomes'
-import { STORE_ROOT } from '../constants'
 import { createShutdown } from '../shutdown'
 import type { Store, WatchFeed } from '../store'
 import { createId, listenOn } from '../utils'
@@ -33,6 +32,8 @@
 import { createServe } from './serve'
 import { createServerHealth } from './serverHealth'
 import { createServers } from './servers'
+import { createStoreFeeds, watchStore } from './storeFeeds'
+import type { StoreFeedsOptions } from './storeFeeds'
 import { createSpread } from './spread'
 import { processOf } from './types'
 import type { RequestKind } from './types'
@@ -104,25 +105,6 @@
 const ISOLATED_STORE_MS = 5500
 /** An instance that has links to fewer than this part of the others is on the wrong side of a cut. */
 const ISOLATED_PART = 0.4
-/** A watch gone silent is noticed after this and a little more, milliseconds. */
-const WATCH_WAIT_MS = 4000
-/**
- * The same for the servers' entries, which change with each beat of each server, so that it costs no call more: those
- * who follow the leader go by its watch, and one gone silent would keep a server that leaves in use for them all.
- */
-const SERVERS_WATCH_WAIT_MS = 1500
-/** The same where another tells what changes: each call that waits is paid for. */
-const FOLLOWER_WATCH_WAIT_MS = 25_000
-/**
- * Pause after changes, milliseconds: of members, a little for each, since each change wakes everybody and members
- * change in series; of servers, for one who follows nobody; and of servers for the leader, to whom the end of an
- * order tells that the next one may be sent.
- */
-const GATHER_PER_MEMBER_MS = 15
-const MIN_GATHER_MS = 150
-const MAX_GATHER_MS = 1000
-const GATHER_SERVERS_MS = 300
-const GATHER_ORDERS_MS = 10
 /** What the store said last goes before what peers say while it is younger than this, milliseconds. */
 const TRUST_STORE_MS = 3000
 /** What is left of the grace period when the process ends by itself, milliseconds. */
@@ -310,25 +292,7 @@
       known = now
     })
   }
-  const watchStore = (): void => {
-    store.watch(wire.keys.config, {
-      onSnapshot: ({ entries }) => entries.filter(entry => entry.key === wire.keys.config).forEach(entry => cfg.offer(entry.value, 'store')),
-      onEvent: event => { if (event.kind === 'put' && event.key === wire.keys.config) cfg.offer(event.value, 'store') }
-    }, stop.signal)
-    store.watch(wire.keys.servers, {
-      onSnapshot: ({ entries }) => servers.snapshot(entries),
-      onEvent: event => event.kind === 'put' ? servers.put(event) : servers.remove(event.key)
-    }, stop.signal)
-  }
-  /** The leader watches the servers' entries for all: they change with each beat of each server. */
-  const feeds = (): WatchFeed[] => {
-    const waitMs = (): number => table.isFollowing() ? FOLLOWER_WATCH_WAIT_MS : WATCH_WAIT_MS
-    return [
-      { prefix: wire.keys.config, isWanted: () => true, gatherMs: () => MIN_GATHER_MS, waitMs },
-      { prefix: STORE_ROOT, isWanted: () => true, gatherMs: () => Math.min(MAX_GATHER_MS, Math.max(MIN_GATHER_MS, peers.members().length * GATHER_PER_MEMBER_MS)), waitMs },
-      { prefix: wire.keys.servers, isWanted: () => !table.isFollowing(), gatherMs: () => orderer.isWaiting() ? GATHER_ORDERS_MS : GATHER_SERVERS_MS, waitMs: () => SERVERS_WATCH_WAIT_MS }
-    ]
-  }
+  const feeds: StoreFeedsOptions = { store, wire, cfg, servers, memberCount: () => peers.members().length, isFollowing: table.isFollowing, isOrdering: orderer.isWaiting }
   const isLonely = (): boolean => cfg.version() === 0 || !servers.isKnown() || peers.members().length < 2
 
   return {
@@ -341,11 +305,11 @@
     },
     start: async () => {
       await peers.start()
-      watchStore()
+      watchStore(feeds, stop.signal)
       membership.start(stop.signal)
       leadership.start(stop.signal)
       orderer.start(stop.signal)
-      store.start(stop.signal, feeds())
+      store.start(stop.signal, createStoreFeeds(feeds))
       table.start(stop.signal)
       spread.start(stop.signal)
       greetSeeds({ network: peers, seeds: settings.seeds, isNeeded: isLonely, clock }, stop.signal)
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/storeFeeds.ts
@@ -0,0 +1,60 @@
+/** What an instance watches in the store, and how closely: the leader watches the servers' entries for all. */
+import { STORE_ROOT } from '../constants'
+import type { Store, WatchFeed } from '../store'
+import type { ConfigInForce } from './configInForce'
+import type { Servers } from './servers'
+import type { ServingWire } from './wire'
+
+/** A watch gone silent is noticed after this and a little more, milliseconds. */
+const WATCH_WAIT_MS = 4000
+/**
+ * The same for the servers' entries, which change with each beat of each server, so that it costs no call more: those
+ * who follow the leader go by its watch, and one gone silent would keep a server that leaves in use for them all.
+ */
+const SERVERS_WATCH_WAIT_MS = 1500
+/** The same where another tells what changes: each call that waits is paid for. */
+const FOLLOWER_WATCH_WAIT_MS = 25_000
+/**
+ * Pause after changes, milliseconds: of members, a little for each, since each change wakes everybody and members
+ * change in series; of servers, for one who follows nobody; and of servers for the leader, to whom the end of an
+ * order tells that the next one may be sent.
+ */
+const GATHER_PER_MEMBER_MS = 15
+const MIN_GATHER_MS = 150
+const MAX_GATHER_MS = 1000
+const GATHER_SERVERS_MS = 300
+const GATHER_ORDERS_MS = 10
+export interface StoreFeedsOptions {
+  store: Pick<Store, 'watch'>
+  wire: Pick<ServingWire, 'keys'>
+  cfg: ConfigInForce
+  servers: Servers
+  memberCount: () => number
+  /** The leader tells this instance what changes. */
+  isFollowing: () => boolean
+  /** The end of an order is awaited. */
+  isOrdering: () => boolean
+}
+
+/** Passes on what the store tells of configuration and servers. */
+export function watchStore ({ store, wire, cfg, servers }: StoreFeedsOptions, signal: AbortSignal): void {
+  store.watch(wire.keys.config, {
+    onSnapshot: ({ entries }) => entries.filter(entry => entry.key === wire.keys.config).forEach(entry => cfg.offer(entry.value, 'store')),
+    onEvent: event => { if (event.kind === 'put' && event.key === wire.keys.config) cfg.offer(event.value, 'store') }
+  }, signal)
+  store.watch(wire.keys.servers, {
+    onSnapshot: ({ entries }) => servers.snapshot(entries),
+    onEvent: event => event.kind === 'put' ? servers.put(event) : servers.remove(event.key)
+  }, signal)
+}
+
+/** One watching call for each; servers' entries change with each beat of each server. */
+export function createStoreFeeds ({ wire, memberCount, isFollowing, isOrdering }: StoreFeedsOptions): WatchFeed[] {
+  const waitMs = (): number => isFollowing() ? FOLLOWER_WATCH_WAIT_MS : WATCH_WAIT_MS
+  const gatherMembersMs = (): number => Math.min(MAX_GATHER_MS, Math.max(MIN_GATHER_MS, memberCount() * GATHER_PER_MEMBER_MS))
+  return [
+    { prefix: wire.keys.config, isWanted: () => true, gatherMs: () => MIN_GATHER_MS, waitMs },
+    { prefix: STORE_ROOT, isWanted: () => true, gatherMs: gatherMembersMs, waitMs },
+    { prefix: wire.keys.servers, isWanted: () => !isFollowing(), gatherMs: () => isOrdering() ? GATHER_ORDERS_MS : GATHER_SERVERS_MS, waitMs: () => SERVERS_WATCH_WAIT_MS }
+  ]
+}
