--- a/packages/magnoliabay/src/node/serving/placement/orderer.ts
+++ b/packages/magnoliabay/src/node/serving/placement/orderer.ts
@@ -139,15 +139,20 @@
     const loadMs = isLoadAhead ? loadMsOf(promise.model, tierOf(entry, promise.model)) : 0
     return pendingMs + loadMs
   }
+  /** What an engine holds or gets, less what it is being emptied of. */
+  const modelsOf = ({ process, entry }: Engine): readonly string[] => {
+    const promise = promised.get(process)
+    const held = entry.models.map(model => model.name).filter(model => promise === undefined || !promise.victims.includes(model))
+    const coming = [entry.pending?.operation === 'load' ? entry.pending.model : undefined, promise?.model]
+      .filter((model): model is string => model !== undefined && !held.includes(model))
+    return [...held, ...new Set(coming)]
+  }
   const planOf = (engine: Engine): EnginePlan => {
     const { process, entry, spec, server } = engine
-    const leaving = promised.get(process)?.victims ?? []
-    const models = entry.models.map(held => held.name).filter(model => !leaving.includes(model))
-    const coming = [entry.pending?.operation === 'load' ? entry.pending.model : undefined, promised.get(process)?.model]
-      .filter((model): model is string => model !== undefined && !models.includes(model))
+    const models = modelsOf(engine)
     return {
       id: process,
-      models: [...models, ...new Set(coming)],
+      models,
       freeMb: freeWeightsMb(entry, spec),
       busyMs: isFree(engine) ? 0 : Math.max(1, busyMs(engine)),
       isFetching: storeLoads.isLoading(process),
@@ -278,13 +283,13 @@
     return engine === undefined ? { kind: 'unavailable' } : { kind: 'ready', server: engine.server.id }
   }
   const comingMs = (model: string): number | undefined => {
-    const times = orders.all().filter(engine => planOf(engine).models.includes(model)).map(busyMs)
+    const times = orders.all().filter(engine => modelsOf(engine).includes(model)).map(busyMs)
     return times.length === 0 ? undefined : Math.min(...times)
   }
   /** Until a model that nothing is ordered for yet could be there, milliseconds. */
   const queuedMs = (model: string): number => {
     const engines = orders.all()
-    const placed = new Set(engines.map(planOf).flatMap(plan => plan.models))
+    const placed = new Set(engines.flatMap(modelsOf))
     const tierFor = (name: string): WeightTier => engines.some(({ entry }) => tierOf(entry, name) !== 'store') ? 'disk' : 'store'
     const queued = [...wants.keys()].filter(name => name !== model && !placed.has(name))
     if (tierFor(model) === 'store') return loadMsOf(model, 'store', queued.filter(name => tierFor(name) === 'store').length)
--- a/packages/magnoliabay/src/node/serving/placement/plan.ts
+++ b/packages/magnoliabay/src/node/serving/placement/plan.ts
@@ -94,11 +94,22 @@
   engine: EnginePlan
   tier: WeightTier
   victims: readonly string[]
-  /** Until the model would be ready, milliseconds. */
-  readyMs: number
+  /** What giving the victims up costs, milliseconds of waiting. */
+  lost: number
+  /** Until the model would be ready, and what the victims' absence costs. */
   cost: number
 }
 
+/** Models that make room at an engine when given up together. */
+interface VictimSet {
+  victims: readonly string[]
+  /** Until they are unloaded, milliseconds. */
+  delayMs: number
+  lost: number
+}
+
+const NO_VICTIMS: VictimSet = { victims: [], delayMs: 0, lost: 0 }
+
 /** The steps to take now, at most one for an engine. */
 export function planSteps (input: PlanInput): PlanStep[] {
   const engines = new Map(input.engines.filter(engine => engine.isSound).map(engine => [engine.id, engine]))
@@ -121,12 +132,23 @@
     if (option.tier === 'store') storeLoads -= 1
     steps.push({ kind: 'load', engine: option.engine.id, model, tier: option.tier, reason })
   }
-  const best = (model: string, maxVictimCost: number): Option | undefined => [...engines.values()]
-    .filter(engine => !engine.models.includes(model))
-    .flatMap(engine => optionsAt(engine, model, input, needs, replicas))
-    .filter(option => option.tier !== 'store' || storeLoads > 0)
-    .filter(option => Number.isFinite(option.cost) && option.cost - option.readyMs <= maxVictimCost)
-    .sort((left, right) => left.cost - right.cost)[0]
+  const victimSetsAt = createVictimSets(input, needs, replicas)
+  /** Looks at each engine and each way to make room there: some hundred thousand a second at 63 engines, so it keeps no lists. */
+  const best = (model: string, maxLost: number): Option | undefined => {
+    const spec = input.specs.get(model)
+    if (spec === undefined) return undefined
+    let found: Option | undefined
+    engines.forEach(engine => {
+      const tier = tierOf(engine, model)
+      if ((tier === 'store' && storeLoads <= 0) || engine.models.includes(model)) return
+      const loadMs = engine.busyMs + spec.loadMs[tier]
+      victimSetsAt(engine, spec.weightsMb).forEach(({ victims, delayMs, lost }) => {
+        const cost = loadMs + delayMs + lost
+        if (lost <= maxLost && (found === undefined || cost < found.cost)) found = { engine, tier, victims, lost, cost }
+      })
+    })
+    return found
+  }
 
   const slots = Math.max(1, ...input.engines.map(engine => engine.slots))
   const urgencyOf = (need: ModelNeed): number => replicas(need.model) === 0
@@ -182,32 +204,38 @@
   return Math.ceil(inFlight / (slots * REPLICA_LOAD_PART))
 }
 
-function optionsAt (engine: EnginePlan, model: string, input: PlanInput, needs: ReadonlyMap<string, ModelNeed>, replicas: (model: string) => number): Option[] {
-  const spec = input.specs.get(model)
-  if (spec === undefined) return []
-  const tier = tierOf(engine, model)
-  const loadMs = engine.busyMs + spec.loadMs[tier]
-  if (engine.freeMb >= spec.weightsMb) return [{ engine, tier, victims: [], readyMs: loadMs, cost: loadMs }]
-  return victimSets(engine, spec.weightsMb, input.specs).map(victims => {
+/**
+ * What may be given up at an engine for a model of some size: one model, or two where one is not enough. Engines full of
+ * smaller models would else never take a large one: a busy one stayed on its one engine for thirty seconds, p50 2 s,
+ * beside twelve engines of which each would have had to give up two. Worked out once for each engine and size, of which
+ * there are few: for each need anew it took a third of the leader's processor at 63 engines.
+ */
+function createVictimSets (input: PlanInput, needs: ReadonlyMap<string, ModelNeed>, replicas: (model: string) => number): (engine: EnginePlan, weightsMb: number) => readonly VictimSet[] {
+  const known = new Map<EnginePlan, Map<number, readonly VictimSet[]>>()
+  const sizeOf = (model: string): number => input.specs.get(model)?.weightsMb ?? 0
+  const setOf = (engine: EnginePlan, victims: readonly string[]): VictimSet => {
     const running = (model: string): number => engine.inFlight.get(model) ?? 0
     const holdUpMs = victims.some(model => running(model) > 0) ? RUN_MS : 0
-    const readyMs = victims.length * UNLOAD_MS + holdUpMs + loadMs
     const lost = victims.map(model => victimCost(model, running(model), needs.get(model), replicas(model), engine.slots))
-    return { engine, tier, victims, readyMs, cost: lost.reduce((sum, each) => sum + each, readyMs) }
-  })
-}
-
-/**
- * What may be given up for a model of this size: one model, or two where one is not enough. Engines full of smaller
- * models would else never take a large one: a busy one stayed on its one engine for thirty seconds, p50 2 s, beside
- * twelve engines of which each would have had to give up two.
- */
-function victimSets (engine: EnginePlan, weightsMb: number, specs: ReadonlyMap<string, ModelSpec>): Array<readonly string[]> {
-  const sizeOf = (model: string): number => specs.get(model)?.weightsMb ?? 0
-  const isEnough = (victims: readonly string[]): boolean => victims.reduce((sum, model) => sum + sizeOf(model), engine.freeMb) >= weightsMb
-  const pairs = engine.models.flatMap((one, index) => engine.models.slice(index + 1).map(other => [one, other] as const))
-  const single = engine.models.map(model => [model] as const).filter(isEnough)
-  return [...single, ...pairs.filter(pair => isEnough(pair) && !pair.some(model => isEnough([model])))]
+    return { victims, delayMs: victims.length * UNLOAD_MS + holdUpMs, lost: lost.reduce((sum, each) => sum + each, 0) }
+  }
+  const find = (engine: EnginePlan, weightsMb: number): VictimSet[] => {
+    if (engine.freeMb >= weightsMb) return [NO_VICTIMS]
+    const isEnough = (...victims: string[]): boolean => victims.reduce((sum, model) => sum + sizeOf(model), engine.freeMb) >= weightsMb
+    const singles = engine.models.filter(model => isEnough(model))
+    const others = engine.models.filter(model => !isEnough(model))
+    const pairs = others.flatMap((one, index) => others.slice(index + 1).map(other => [one, other] as const)).filter(pair => isEnough(...pair))
+    return [...singles.map(model => [model]), ...pairs]
+      .map(victims => setOf(engine, victims))
+      .filter(({ lost }) => Number.isFinite(lost))
+  }
+  return (engine, weightsMb) => {
+    const bySize = known.get(engine) ?? new Map<number, readonly VictimSet[]>()
+    known.set(engine, bySize)
+    const sets = bySize.get(weightsMb) ?? find(engine, weightsMb)
+    bySize.set(weightsMb, sets)
+    return sets
+  }
 }
 
 /** What the absence of a replica costs, in milliseconds of waiting over the next seconds. */
