--- a/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
@@ -1,7 +1,7 @@
 /**
  * Teams' allowances over the fleet. One instance, a team's home, counts for all. An instance that cannot reach the
- * home spends an equal part of the allowance, less what it has spent already, and the home counts on that part being
- * spent. Everybody tells what it has spent, so that a new home begins with what is known.
+ * home spends an equal part of what is left, and the home counts on that part being spent. What was spent lasts in the
+ * store (`homeLedger.ts`); everybody also tells what it has spent, which shows a home what it has not seen.
  */
 import type { Clock } from '../../clock'
 import type { Logger } from '../../logger'
@@ -27,9 +27,9 @@
 /**
  * A process that starts anew and finds no recent record does not know what was spent before it. All counts as spent,
  * evenly over the last part of the window before this process began, in so many steps: a team within its rate misses
- * two seconds of it. A
- * team that comes in bursts may have spent all in less; what it then gets twice stays within what is allowed for
- * counting over instances, while evenly over the whole window did not (1.27 of the limit seen, 1.22 allowed).
+ * two seconds of it. A team that comes in bursts may have spent all in less; what it then gets twice stays within what
+ * is allowed for counting over instances, while evenly over the whole window did not (1.27 of the limit seen, 1.22
+ * allowed).
  */
 const UNKNOWN_PARTS = 16
 const UNKNOWN_WINDOW_PART = 0.75
@@ -76,8 +76,11 @@
   noteSpentByAll (spent: readonly TeamSpent[]): void
 }
 
+/** What a team may get beyond its limit, since instances count apart. */
 export interface AllowanceTolerance {
+  /** Part of the limit. */
   part: number
+  /** Beside that, in the unit of the allowance. */
   units: number
 }
 
@@ -90,7 +93,6 @@
   /** Nothing was spent before this process: the whole system starts for the first time. */
   isFirstStart: boolean
   store: Pick<Store, 'get' | 'transact'>
-  /** What may be granted beyond a limit, since instances count apart: part of the limit, and units besides. */
   tolerance: AllowanceTolerance
   clock: Clock
   logger: Logger
