--- a/packages/magnoliabay/src/node/serving/placement/__tests__/plan.spec.ts
+++ b/packages/magnoliabay/src/node/serving/placement/__tests__/plan.spec.ts
@@ -123,6 +123,11 @@
       ])
     })
 
+    it('gets none while half of the engines are at work', () => {
+      const engines = [crowded, engine('swapping', [], { ...elsewhere, busyMs: 900 }), engine('swapping too', [], { ...elsewhere, busyMs: 900 }), engine('idle', [], elsewhere)]
+      expect(plan({ engines, needs: [crowd] })).to.deep.equal([])
+    })
+
     it('gets none for a crowd that has only just come', () => {
       expect(plan({ engines: [crowded, engine('idle', [], elsewhere)], needs: [{ ...crowd, steadyInFlight: 6 }] })).to.deep.equal([])
     })
--- a/packages/magnoliabay/src/node/serving/placement/plan.ts
+++ b/packages/magnoliabay/src/node/serving/placement/plan.ts
@@ -84,6 +84,11 @@
  * one engine all day, and most of its streams are late.
  */
 const FETCHING_PART = 1 / 6
+/**
+ * ...and only while more than this part of the engines have nothing to do: of six engines, each of which takes two
+ * seconds to swap a model, eight such loads more in a day made audits late that another engine's disk could have served.
+ */
+const SPARE_PART = 1 / 2
 
 export function tierOf (engine: Pick<EnginePlan, 'copies'>, model: string): WeightTier {
   if (engine.copies.memory.includes(model)) return 'memory'
@@ -113,6 +118,7 @@
 /** The steps to take now, at most one for an engine. */
 export function planSteps (input: PlanInput): PlanStep[] {
   const engines = new Map(input.engines.filter(engine => engine.isSound).map(engine => [engine.id, engine]))
+  const engineCount = engines.size
   const needs = new Map(input.needs.map(need => [need.model, need]))
   let storeLoads = input.storeLoads
   const steps: PlanStep[] = []
@@ -163,7 +169,9 @@
       if (option !== undefined) take(option, need.model, replicas(need.model) === 0 ? 'waiting' : 'more-replicas')
     })
   // What is added for a crowd that is not late yet must leave most engines free for what their disks have.
-  let fetches = Math.max(1, Math.floor(engines.size * FETCHING_PART)) - input.engines.filter(engine => engine.isFetching).length
+  const idle = [...engines.values()].filter(engine => engine.busyMs === 0).length
+  const hasSpare = idle > engineCount * SPARE_PART
+  let fetches = hasSpare ? Math.max(1, Math.floor(engineCount * FETCHING_PART)) - input.engines.filter(engine => engine.isFetching).length : 0
   input.needs
     .filter(need => replicas(need.model) > 0 && replicas(need.model) < wantedReplicas(need, input.engines))
     .sort((left, right) => right.inFlight - left.inFlight)
