--- a/packages/magnoliabay/src/node/serving/placement/__tests__/engineOrders.spec.ts
+++ b/packages/magnoliabay/src/node/serving/placement/__tests__/engineOrders.spec.ts
@@ -31,6 +31,7 @@
   orders: EngineOrders
   servers: Servers
   fence: { value: number | undefined }
+  store: { steadySinceMs: number }
   /** The engine's entry reaches the store's watchers. */
   list (): void
   known (): Promise<void>
@@ -44,6 +45,7 @@
   const logger = createSilentLogger()
   const engine: FakeEngine = { accepted: [], models, isBusy: false, losesAnswers: false }
   const fence = { value: 7 as number | undefined }
+  const store = { steadySinceMs: -Infinity }
   const specs = new Map(['a', 'b', 'c', 'd'].map(name => [name, modelSpec(name, { adapters: ['a1', 'a2', 'a3'] })]))
   const cfg = createConfigInForce({
     decode: () => configOf(1, { services: new Map([['llm', { name: 'llm', connectionLimit: 10, engine: { slots: 8, kvTokens: 0, weightsMb: 210, adapterCapacity, storeLoadsPerSecond: 1, models: specs } }]]) }),
@@ -93,6 +95,7 @@
       }),
       forget: () => {}
     },
+    storeSteadySinceMs: () => store.steadySinceMs,
     clock,
     logger,
     onDone: () => {},
@@ -105,6 +108,7 @@
     orders,
     servers,
     fence,
+    store,
     list,
     known: async () => {
       orders.askReports()
@@ -208,4 +212,32 @@
     await world.clock.advance(50)
     expect(world.engine.accepted).to.have.length(0)
   })
+
+  /**
+   * An engine is ordered to load more than it holds, and crashes.
+   * 1. The leader is cut off from the store; a peer renews its lease, and it goes by reports. 2. The engine gives up b,
+   * loads c, and is to give up a. 3. The store is back, and tells of the time between: an entry without b, c and a
+   * passes for the end of the order under way. 4. On paper there is room for c once more.
+   */
+  it('are not taken for done by entries from a time when the store was out of reach', async () => {
+    const world = createWorld([held('a'), held('b')])
+    await world.known()
+    world.orders.unload(PROCESS, 'a')
+    await world.clock.advance(ANSWER_MS + 1)
+    world.store.steadySinceMs = world.clock.monotonic()
+    world.servers.put({ key: 'e1', value: JSON.stringify(serverOf('e1', { service: 'llm', models: [] })) })
+    const { entry } = world.orders.all()[0]!
+    expect(entry.pending?.model).to.equal('a')
+    expect(entry.models.map(model => model.name)).to.deep.equal(['b'])
+  })
+
+  it('are taken for done again by entries of orders sent since', async () => {
+    const world = createWorld([held('a'), held('b')])
+    await world.known()
+    world.store.steadySinceMs = world.clock.monotonic()
+    await world.clock.advance(1010)
+    world.orders.unload(PROCESS, 'a')
+    await world.clock.advance(ANSWER_MS + UNLOAD_MS + 5)
+    expect(world.orders.all()[0]!.entry.pending).to.equal(undefined)
+  })
 })
--- a/packages/magnoliabay/src/node/serving/placement/__tests__/orderer.spec.ts
+++ b/packages/magnoliabay/src/node/serving/placement/__tests__/orderer.spec.ts
@@ -81,6 +81,7 @@
       })),
       forget: () => {}
     },
+    storeSteadySinceMs: () => -Infinity,
     peers,
     clock,
     logger,
--- a/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
@@ -25,6 +25,8 @@
 /** Tries beyond this are slower: runs under way hold the unload up. */
 const QUICK_TRIES_MS = 900
 const SLOW_TRY_PERIOD_MS = 400
+/** What was written while the store was out of reach comes within this time of its return, page by page, milliseconds. */
+const CATCH_UP_MS = 1000
 /** An adapter loads within this time; requests sent before are turned back, not run. */
 const ADAPTER_READY_MS = 20
 
@@ -41,6 +43,8 @@
   servers: Servers
   cfg: ConfigInForce
   engines: EngineCalls
+  /** Since when the store has answered every call, monotonic milliseconds. */
+  storeSteadySinceMs: () => number
   clock: Clock
   logger: Logger
   /** An order has come to its end: there may be something to do. */
@@ -118,7 +122,10 @@
     if (engine === undefined) return
     book.noteCopies(engine.process, server.copies)
     const { pending } = engine.entry
-    if (pending === undefined) return
+    // After a leader was cut off from the store, entries come that were written meanwhile, one after the other. One from
+    // before the order under way would pass for its end, and what it lists for what the engine holds: a model that has
+    // been loaded since would be missing, and the next load be one too many. Reports tell instead.
+    if (pending === undefined || options.storeSteadySinceMs() + CATCH_UP_MS >= pending.sentMs) return
     const holds = server.models.some(held => held.name === pending.model)
     if (holds !== (pending.operation === 'load')) return
     book.noteDone(engine.process, server.models)
--- a/packages/magnoliabay/src/node/serving/placement/orderer.ts
+++ b/packages/magnoliabay/src/node/serving/placement/orderer.ts
@@ -46,6 +46,8 @@
   cfg: ConfigInForce
   table: FleetTable
   engines: EngineCalls
+  /** Since when the store has answered every call, monotonic milliseconds. */
+  storeSteadySinceMs: () => number
   peers: Peers
   clock: Clock
   logger: Logger
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -227,7 +227,7 @@
     logger,
     random
   })
-  const orderer = createOrderer({ self: id, leadership, servers, cfg, table, engines: options.engines, peers, clock, logger, loadWindowMs: settings.loadWindowMs })
+  const orderer = createOrderer({ self: id, leadership, servers, cfg, table, engines: options.engines, storeSteadySinceMs: store.steadySinceMs, peers, clock, logger, loadWindowMs: settings.loadWindowMs })
   const placement = createPlacementClient({
     peers,
     servers,
