--- a/packages/magnoliabay/src/node/serving/placement/plan.ts
+++ b/packages/magnoliabay/src/node/serving/placement/plan.ts
@@ -85,8 +85,9 @@
  */
 const FETCHING_PART = 1 / 6
 /**
- * ...and only while more than this part of the engines have nothing to do: of six engines, each of which takes two
- * seconds to swap a model, eight such loads more in a day made audits late that another engine's disk could have served.
+ * Such loads begin only while more than this part of the engines have nothing to do: of six engines, each of which takes
+ * two seconds to swap a model, eight loads more in a day made patient requests late that a disk could have served
+ * (34 of 64 in time became 20).
  */
 const SPARE_PART = 1 / 2
 
@@ -99,9 +100,7 @@
   engine: EnginePlan
   tier: WeightTier
   victims: readonly string[]
-  /** What giving the victims up costs, milliseconds of waiting. */
-  lost: number
-  /** Until the model would be ready, and what the victims' absence costs. */
+  /** Until the model would be ready, and what the victims' absence costs, milliseconds. */
   cost: number
 }
 
@@ -110,6 +109,7 @@
   victims: readonly string[]
   /** Until they are unloaded, milliseconds. */
   delayMs: number
+  /** What their absence costs, milliseconds of waiting. */
   lost: number
 }
 
@@ -150,7 +150,7 @@
       const loadMs = engine.busyMs + spec.loadMs[tier]
       victimSetsAt(engine, spec.weightsMb).forEach(({ victims, delayMs, lost }) => {
         const cost = loadMs + delayMs + lost
-        if (lost <= maxLost && (found === undefined || cost < found.cost)) found = { engine, tier, victims, lost, cost }
+        if (lost <= maxLost && (found === undefined || cost < found.cost)) found = { engine, tier, victims, cost }
       })
     })
     return found
