--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -4,10 +4,10 @@
  */
 import { Agent, request } from 'node:http'
 import type { AgentOptions, ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http'
-import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { Clock } from '../clock'
+import { probeAddress } from '../probe'
 import { parseHostPort } from '../utils'
 
 /** Servers that name no timeout may close an idle connection within a second; what is sent then is lost, or run unanswered. */
@@ -129,18 +129,8 @@
  * whether the server is done or has died in the middle: its system closes what it leaves. A caller would get a part as
  * the whole. One that died refuses a new connection for as long as it takes to start again.
  */
-function proveAlive (clock: Clock, host: string, port: number): Promise<boolean> {
-  return new Promise(resolve => {
-    const socket = connect({ host, port })
-    const settle = (isAlive: boolean): void => {
-      cancelTimeout()
-      socket.destroy()
-      resolve(isAlive)
-    }
-    const cancelTimeout = clock.schedule(PROOF_TIMEOUT_MS, () => settle(false))
-    socket.on('connect', () => settle(true))
-    socket.on('error', () => settle(false))
-  })
+async function proveAlive (clock: Clock, host: string, port: number): Promise<boolean> {
+  return await probeAddress(clock, { host, port }, PROOF_TIMEOUT_MS) === 'accepted'
 }
 
 function runExchange (agent: Agent, clock: Clock, out: OutboundRequest, sink: AnswerSink): Exchange {
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -9,13 +9,13 @@
 import type { Logger } from '../logger'
 import { createMembership, createPeerNetwork } from '../members'
 import type { MemberRecord } from '../members'
-import { refusesConnections } from '../members/refusal'
 import { greetSeeds } from '../members/seeds'
 import { createRetryBudget, createSuspects } from '../outcomes'
 import type { RetryBudget } from '../outcomes'
+import { probeAddress } from '../probe'
 import { createShutdown } from '../shutdown'
 import type { Store, WatchFeed } from '../store'
-import { createId, listenOn } from '../utils'
+import { createId, listenOn, parseHostPort } from '../utils'
 import { createTeamAllowance } from './allowance/teamAllowance'
 import type { AllowanceTolerance } from './allowance/teamAllowance'
 import { createConfigInForce } from './configInForce'
@@ -110,6 +110,9 @@
 /** What is left of the grace period when the process ends by itself, milliseconds. */
 const GRACE_MARGIN_MS = 600
 
+/** A machine that is up refuses within a round trip, milliseconds. */
+const ENDED_PATIENCE_MS = 500
+
 export function createServingInstance (options: ServingInstanceOptions): ServingInstance {
   const { settings, wire, store, clock, random } = options
   const { id, region, failureDomain } = settings.instance
@@ -212,7 +215,7 @@
   /** Neighbours alone look: in a large fleet they are a few, and whether others are linked says nothing. */
   const hasEnded = async (member: string): Promise<boolean> => {
     const record = peers.members().find(each => each.id === member)
-    return record !== undefined && peers.evidenceOf(member) === 'unlinked' && await refusesConnections(clock, record.peerAddress)
+    return record !== undefined && peers.evidenceOf(member) === 'unlinked' && await probeAddress(clock, parseHostPort(record.peerAddress), ENDED_PATIENCE_MS) === 'refused'
   }
   const leadership = createLeadership({
     store,
