--- a/packages/magnoliabay/src/node/platform/kvStore.ts
+++ b/packages/magnoliabay/src/node/platform/kvStore.ts
@@ -68,6 +68,11 @@
   return { kind: item.deleted === true ? 'delete' : 'put', key: item.key, value: decode(item.value), createRevision: item.created ?? 0, modRevision: item.revision }
 }
 
+/** Method and kind of a call, for logs: without query, and without the id of a lease. */
+function callName (method: string, path: string): string {
+  return `${method} ${path.split('?')[0]!.split('/').slice(0, 3).join('/')}`
+}
+
 /** The store's conditions are on the last change alone; an absent key has revision 0 either way. */
 function toPrecondition ({ key, target, equals }: Compare): { key: string, revision: number } | undefined {
   if (typeof equals !== 'number' || target === 'value' || (target === 'create' && equals !== 0)) return undefined
@@ -82,18 +87,19 @@
   let isReachable: boolean | undefined
   let steadySinceMs = Infinity
 
-  const noteReach = (reached: boolean, reason: string): void => {
+  const noteReach = (reached: boolean, call: string, reason: string): void => {
     if (reached) lastContactMs = clock.monotonic()
     if (reached === isReachable) return
     // The first contact of a process says nothing of the store having been away.
     const isFirst = isReachable === undefined
     isReachable = reached
     steadySinceMs = reached ? (isFirst ? -Infinity : clock.monotonic()) : Infinity
-    logger.info(reached ? 'store-reached' : 'store-lost', { address, reason })
+    logger.info(reached ? 'store-reached' : 'store-lost', { address, call, reason })
   }
   const call = async (method: 'GET' | 'POST' | 'DELETE', path: string, body?: object, timeoutMs = CALL_TIMEOUT_MS): Promise<Result<Answer, StoreError>> => {
     const abort = new AbortController()
     const cancel = clock.schedule(timeoutMs, () => abort.abort())
+    const name = callName(method, path)
     try {
       const res = await pool.request({
         method,
@@ -104,12 +110,13 @@
       })
       const text = await res.body.text()
       const isRefused = res.statusCode === 503 || res.statusCode === 429
-      noteReach(!isRefused, `status ${res.statusCode}`)
+      noteReach(!isRefused, name, `status ${res.statusCode}`)
       if (isRefused) return Err({ kind: 'unavailable', message: `The store answered ${res.statusCode}.` })
       return Ok({ status: res.statusCode, body: parseJson(text) })
     } catch (err) {
-      noteReach(false, abort.signal.aborted ? 'no answer in time' : messageOf(err))
-      return Err({ kind: 'unknown', message: `${method} ${path.split('?')[0]}: ${abort.signal.aborted ? 'no answer in time' : messageOf(err)}` })
+      const reason = abort.signal.aborted ? 'no answer in time' : messageOf(err)
+      noteReach(false, name, reason)
+      return Err({ kind: 'unknown', message: `${name}: ${reason}` })
     } finally {
       cancel()
     }
@@ -181,8 +188,12 @@
   type Watched = { kind: 'on', at: number } | { kind: 'history-gone' } | { kind: 'failed' }
   const watchOnce = async (feed: WatchFeed, after: number, signal: AbortSignal): Promise<Watched> => {
     const waitMs = feed.waitMs()
+    const sentMs = clock.monotonic()
     const res = await call('GET', `/-/kv-watch?prefix=${encodeURIComponent(feed.prefix)}&after=${after}&wait-ms=${waitMs}`, undefined, waitMs + WATCH_GRACE_MS)
-    if (res.err) return { kind: 'failed' }
+    if (res.err) {
+      logger.info('store-watch-lost', { prefix: feed.prefix, after, waitMs, openMs: Math.round(clock.monotonic() - sentMs), reason: res.val.message })
+      return { kind: 'failed' }
+    }
     if (res.val.status !== 200) {
       logger.info('store-history-gone', { prefix: feed.prefix, after, status: res.val.status })
       return { kind: 'history-gone' }
