--- a/packages/magnoliabay/src/node/platform/kvStore.ts
+++ b/packages/magnoliabay/src/node/platform/kvStore.ts
@@ -4,21 +4,15 @@
  */
 import { Pool } from 'undici'
 import type { Clock } from '../clock'
-import { sleep } from '../clock'
 import type { Logger } from '../logger'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
-import type { Compare, KeyValue, RangeResult, Store, StoreError, StoreResult, Transaction, TransactionResult, WatchEvent, WatchFeed, WatchHandlers } from '../store'
+import { createReach, runFeeds } from '../store'
+import type { Compare, KeyValue, RangeResult, Reach, Store, StoreError, StoreResult, Transaction, TransactionResult, WatchCall, WatchEnd, WatchEvent, WatchFeed, WatchHandlers } from '../store'
 import { messageOf, parseJson } from '../utils'
 
 /** A call that nobody answered for this long counts as lost; the store answers in milliseconds, slow ones in tenths of a second. */
 const CALL_TIMEOUT_MS = 1500
-const WATCH_GRACE_MS = 1000
-/** Pause after a call that failed, doubled with each further one: refused calls are paid for as well. */
-const RETRY_MS = 300
-const MAX_RETRY_MS = 1200
-/** How often a feed that rests looks whether it is wanted, or the store back, milliseconds. */
-const REST_MS = 150
 const MAX_CONNECTIONS = 6
 
 export interface KvStoreOptions {
@@ -28,11 +22,7 @@
   logger: Logger
 }
 
-export interface KvStore extends Store {
-  /** Monotonic milliseconds of the last answer to anything. */
-  lastContactMs (): number
-  /** Since when the store has answered every call, monotonic milliseconds; -Infinity from the start on, Infinity while it does not. */
-  steadySinceMs (): number
+export interface KvStore extends Store, Pick<Reach, 'lastContactMs' | 'steadySinceMs'> {
   /** Begins to watch; prefixes are to be registered before, each within one of the feeds. */
   start (signal: AbortSignal, feeds: readonly WatchFeed[]): void
   close (): Promise<void>
@@ -52,6 +42,14 @@
   body: unknown
 }
 
+interface CallOptions {
+  body?: object
+  /** @default CALL_TIMEOUT_MS */
+  timeoutMs?: number
+  /** Ends the call from here. */
+  signal?: AbortSignal
+}
+
 interface Subscriber {
   prefix: string
   handlers: WatchHandlers
@@ -83,22 +81,13 @@
   const { address, clock, logger } = options
   const pool = new Pool(`http://${address}`, { connections: MAX_CONNECTIONS, pipelining: 1, connect: { timeout: CALL_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: 0 })
   const subscribers: Subscriber[] = []
-  let lastContactMs = -Infinity
-  let isReachable: boolean | undefined
-  let steadySinceMs = Infinity
-
-  const noteReach = (reached: boolean, call: string, reason: string): void => {
-    if (reached) lastContactMs = clock.monotonic()
-    if (reached === isReachable) return
-    // The first contact of a process says nothing of the store having been away.
-    const isFirst = isReachable === undefined
-    isReachable = reached
-    steadySinceMs = reached ? (isFirst ? -Infinity : clock.monotonic()) : Infinity
-    logger.info(reached ? 'store-reached' : 'store-lost', { address, call, reason })
-  }
-  const call = async (method: 'GET' | 'POST' | 'DELETE', path: string, body?: object, timeoutMs = CALL_TIMEOUT_MS): Promise<Result<Answer, StoreError>> => {
+  const reach = createReach({ address, clock, logger })
+
+  const call = async (method: 'GET' | 'POST' | 'DELETE', path: string, { body, timeoutMs = CALL_TIMEOUT_MS, signal }: CallOptions = {}): Promise<Result<Answer, StoreError>> => {
     const abort = new AbortController()
-    const cancel = clock.schedule(timeoutMs, () => abort.abort())
+    const end = (): void => abort.abort()
+    const cancel = clock.schedule(timeoutMs, end)
+    signal?.addEventListener('abort', end, { once: true })
     const name = callName(method, path)
     try {
       const res = await pool.request({
@@ -110,15 +99,18 @@
       })
       const text = await res.body.text()
       const isRefused = res.statusCode === 503 || res.statusCode === 429
-      noteReach(!isRefused, name, `status ${res.statusCode}`)
+      reach.note(!isRefused, name, `status ${res.statusCode}`)
       if (isRefused) return Err({ kind: 'unavailable', message: `The store answered ${res.statusCode}.` })
       return Ok({ status: res.statusCode, body: parseJson(text) })
     } catch (err) {
+      // Ended from here: that says nothing of the store.
+      if (signal?.aborted) return Err({ kind: 'given-up', message: `${name}: not wanted any more` })
       const reason = abort.signal.aborted ? 'no answer in time' : messageOf(err)
-      noteReach(false, name, reason)
+      reach.note(false, name, reason)
       return Err({ kind: 'unknown', message: `${name}: ${reason}` })
     } finally {
       cancel()
+      signal?.removeEventListener('abort', end)
     }
   }
   const invalid = (answer: Answer): StoreError => ({ kind: 'invalid', message: `The store answered ${answer.status}.` })
@@ -149,9 +141,11 @@
     const preconditions = compares.map(toPrecondition)
     if (preconditions.includes(undefined)) return Err({ kind: 'invalid', message: 'The store compares the revision of the last change only.' })
     const res = await call('POST', '/-/kv-txn', {
-      precondition: preconditions,
-      write: writes.flatMap(op => op.kind === 'put' ? [{ key: op.key, value: encode(op.value), ...(op.leaseId === undefined ? {} : { lease: Number(op.leaseId) }) }] : []),
-      remove: writes.flatMap(op => op.kind === 'delete' ? [op.key] : [])
+      body: {
+        precondition: preconditions,
+        write: writes.flatMap(op => op.kind === 'put' ? [{ key: op.key, value: encode(op.value), ...(op.leaseId === undefined ? {} : { lease: Number(op.leaseId) }) }] : []),
+        remove: writes.flatMap(op => op.kind === 'delete' ? [op.key] : [])
+      }
     })
     if (res.err) return res
     const { status, body } = res.val
@@ -160,7 +154,7 @@
     return Err(status === 404 ? { kind: 'lease-lost', message: 'The lease does not exist any more.' } : invalid(res.val))
   }
   const grantLease = async (ttlSeconds: number): Promise<Result<string, StoreError>> => {
-    const res = await call('POST', '/-/kv-lease', { 'ttl-ms': Math.round(ttlSeconds * 1000) })
+    const res = await call('POST', '/-/kv-lease', { body: { 'ttl-ms': Math.round(ttlSeconds * 1000) } })
     if (res.err) return res
     return res.val.status === 200 ? Ok(String((res.val.body as { lease: number }).lease)) : Err(invalid(res.val))
   }
@@ -176,7 +170,7 @@
   }
 
   /** Reads every prefix of a feed whole; returns the revision from which to watch, or undefined where a read failed. */
-  const snapshot = async (feed: WatchFeed): Promise<number | undefined> => {
+  const readAll = async (feed: WatchFeed): Promise<number | undefined> => {
     const ofFeed = subscribers.filter(({ prefix }) => prefix.startsWith(feed.prefix))
     const reads = await Promise.all(ofFeed.map(async ({ prefix, handlers }) => ({ handlers, res: await range(prefix) })))
     if (reads.some(({ res }) => res.err)) return undefined
@@ -185,51 +179,13 @@
   }
   const deliver = (items: readonly WireItem[]): void => items.forEach(item =>
     subscribers.filter(({ prefix }) => item.key.startsWith(prefix)).forEach(({ handlers }) => handlers.onEvent(toEvent(item))))
-  type Watched = { kind: 'on', at: number } | { kind: 'history-gone' } | { kind: 'failed' }
-  const watchOnce = async (feed: WatchFeed, after: number, signal: AbortSignal): Promise<Watched> => {
-    const waitMs = feed.waitMs()
-    const sentMs = clock.monotonic()
-    const res = await call('GET', `/-/kv-watch?prefix=${encodeURIComponent(feed.prefix)}&after=${after}&wait-ms=${waitMs}`, undefined, waitMs + WATCH_GRACE_MS)
-    if (res.err) {
-      logger.info('store-watch-lost', { prefix: feed.prefix, after, waitMs, openMs: Math.round(clock.monotonic() - sentMs), reason: res.val.message })
-      return { kind: 'failed' }
-    }
-    if (res.val.status !== 200) {
-      logger.info('store-history-gone', { prefix: feed.prefix, after, status: res.val.status })
-      return { kind: 'history-gone' }
-    }
+  const watch = async (feed: WatchFeed, { after, waitMs, timeoutMs, signal }: WatchCall): Promise<WatchEnd> => {
+    const res = await call('GET', `/-/kv-watch?prefix=${encodeURIComponent(feed.prefix)}&after=${after}&wait-ms=${waitMs}`, { timeoutMs, signal })
+    if (res.err) return res.val.kind === 'given-up' ? { kind: 'cut' } : { kind: 'failed', err: res.val }
+    if (res.val.status !== 200) return { kind: 'history-gone' }
     const { events, at } = res.val.body as { events: WireItem[], at: number }
     deliver(events)
-    if (events.length > 0) await sleep(clock, feed.gatherMs(), signal)
-    return { kind: 'on', at: Math.max(after, at) }
-  }
-  const run = async (feed: WatchFeed, isProber: boolean, signal: AbortSignal): Promise<void> => {
-    let at: number | undefined
-    let retryMs = RETRY_MS
-    const pauseAfterFailure = async (): Promise<void> => {
-      await sleep(clock, retryMs, signal)
-      retryMs = Math.min(MAX_RETRY_MS, retryMs * 2)
-    }
-    while (!signal.aborted) {
-      if (!feed.isWanted()) at = undefined
-      // While the store is out of reach one feed tries, and the others follow when it gets through.
-      if (!feed.isWanted() || (isReachable === false && !isProber)) {
-        await sleep(clock, REST_MS, signal)
-        continue
-      }
-      if (at === undefined) {
-        at = await snapshot(feed)
-        if (at === undefined) await pauseAfterFailure()
-        continue
-      }
-      const watched = await watchOnce(feed, at, signal)
-      if (watched.kind === 'failed') {
-        await pauseAfterFailure()
-        continue
-      }
-      retryMs = RETRY_MS
-      at = watched.kind === 'on' ? watched.at : undefined
-    }
+    return { kind: 'answered', at, hadEvents: events.length > 0 }
   }
 
   return {
@@ -240,9 +196,9 @@
     renewLease,
     revokeLease,
     watch: (prefix, handlers) => { subscribers.push({ prefix, handlers }) },
-    lastContactMs: () => lastContactMs,
-    steadySinceMs: () => steadySinceMs,
-    start: (signal, feeds) => feeds.forEach((feed, index) => { run(feed, index === 0, signal) }),
+    lastContactMs: reach.lastContactMs,
+    steadySinceMs: reach.steadySinceMs,
+    start: (signal, feeds) => runFeeds({ calls: { readAll, watch }, reach, clock, logger }, feeds, signal),
     close: () => pool.destroy()
   }
 }
--- /dev/null
+++ b/packages/magnoliabay/src/node/store/reach.ts
@@ -0,0 +1,42 @@
+/** Whether the store answers, by all calls of this instance together. */
+import type { Clock } from '../clock'
+import type { Logger } from '../logger'
+
+export interface Reach {
+  /** Undefined before the first call has ended. */
+  isReachable (): boolean | undefined
+  /** Monotonic milliseconds of the last answer to anything. */
+  lastContactMs (): number
+  /** Since when the store has answered every call, monotonic milliseconds; -Infinity from the start on, Infinity while it does not. */
+  steadySinceMs (): number
+  /** To be told how each call ended; `call` names it for the log. */
+  note (reached: boolean, call: string, reason: string): void
+}
+
+export interface ReachOptions {
+  /** For the log. */
+  address: string
+  clock: Clock
+  logger: Logger
+}
+
+export function createReach ({ address, clock, logger }: ReachOptions): Reach {
+  let lastContactMs = -Infinity
+  let isReachable: boolean | undefined
+  let steadySinceMs = Infinity
+
+  return {
+    isReachable: () => isReachable,
+    lastContactMs: () => lastContactMs,
+    steadySinceMs: () => steadySinceMs,
+    note: (reached, call, reason) => {
+      if (reached) lastContactMs = clock.monotonic()
+      if (reached === isReachable) return
+      // The first contact of a process says nothing of the store having been away.
+      const isFirst = isReachable === undefined
+      isReachable = reached
+      steadySinceMs = reached ? (isFirst ? -Infinity : clock.monotonic()) : Infinity
+      logger.info(reached ? 'store-reached' : 'store-lost', { address, call, reason })
+    }
+  }
+}
--- a/packages/magnoliabay/src/node/store/store.ts
+++ b/packages/magnoliabay/src/node/store/store.ts
@@ -62,8 +62,9 @@
  * `over-budget`: not sent, since this instance's own share of the service's rate is spent.
  * `lease-lost`: the lease named does not exist any more.
  * `invalid`: the service refused the call itself.
+ * `given-up`: this instance ended the call, which says nothing of the service.
  */
-export type StoreErrorKind = 'unavailable' | 'unknown' | 'over-budget' | 'lease-lost' | 'invalid'
+export type StoreErrorKind = 'unavailable' | 'unknown' | 'over-budget' | 'lease-lost' | 'invalid' | 'given-up'
 
 export interface StoreError {
   kind: StoreErrorKind
