--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/__tests__/storeFeeds.spec.ts
@@ -0,0 +1,155 @@
+/**
+ * A change of the configuration that the operators' store has accepted is not in force for five seconds: callers get
+ * 404 on the new route, 401 with the new key, or the service that the route had before.
+ * 1. The store falls silent while each instance waits for changes there, and connections stay open. 2. It answers
+ * again, and accepts changes; leases are renewed. 3. The instances still wait for an answer that never comes.
+ */
+import { expect } from 'chai'
+import { createVirtualClock } from '../../clock/virtual'
+import type { VirtualClock } from '../../clock/virtual'
+import { sleep } from '../../clock'
+import { createSilentLogger } from '../../logger'
+import { createReach, runFeeds } from '../../store'
+import type { FeedCalls, Reach, WatchCall } from '../../store'
+import { createStoreFeeds } from '../storeFeeds'
+
+/** A change is to be known this much after the store's return, or after its own acceptance, at the latest. */
+const KNOWN_WITHIN_MS = 3000
+const CALL_TIMEOUT_MS = 1500
+const STEP_MS = 10
+const CONFIG = 'config'
+
+interface OpenCall {
+  /** Its answer will never come. */
+  isLost: boolean
+}
+
+interface FakeStore {
+  calls: FeedCalls
+  reach: Reach
+  /** Revision of the configuration that the instance knows. */
+  known (): number
+  /** The store answers nothing, and loses what waits. */
+  fallSilent (): void
+  answerAgain (): void
+  /** The operators change the configuration. */
+  change (): number
+  /** Any other call, as the renewal of a lease. */
+  callOther (): Promise<void>
+}
+
+function createFakeStore (clock: VirtualClock): FakeStore {
+  const reach = createReach({ address: 'store', clock, logger: createSilentLogger() })
+  const open = new Set<OpenCall>()
+  let isSilent = false
+  let revision = 1
+  let known = 0
+  const loseOpenCalls = (): void => open.forEach(call => { call.isLost = true })
+
+  /** Ends when `isAnswered` holds for a call that is not lost, at its timeout, or when it is cut. */
+  const run = async (timeoutMs: number, isAnswered: (ageMs: number) => boolean, signal?: AbortSignal): Promise<'answered' | 'lost' | 'cut'> => {
+    const sentMs = clock.monotonic()
+    const call: OpenCall = { isLost: isSilent }
+    open.add(call)
+    const endOf = (): 'answered' | 'lost' | 'cut' | undefined => {
+      const ageMs = clock.monotonic() - sentMs
+      if (signal?.aborted) return 'cut'
+      if (!call.isLost && isAnswered(ageMs)) return 'answered'
+      return ageMs >= timeoutMs ? 'lost' : undefined
+    }
+    while (endOf() === undefined) await sleep(clock, STEP_MS, signal)
+    open.delete(call)
+    const end = endOf()!
+    if (end !== 'cut') reach.note(end === 'answered', 'a call', end)
+    return end
+  }
+  const callOther = async (): Promise<void> => { await run(CALL_TIMEOUT_MS, () => true) }
+  const learn = (prefix: string): void => { if (prefix === CONFIG) known = revision }
+  const readAll: FeedCalls['readAll'] = async ({ prefix }) => {
+    if (await run(CALL_TIMEOUT_MS, () => true) !== 'answered') return undefined
+    learn(prefix)
+    return revision
+  }
+  const watch: FeedCalls['watch'] = async ({ prefix }, { after, waitMs, timeoutMs, signal }: WatchCall) => {
+    const hasNews = (): boolean => prefix === CONFIG && revision > after
+    const end = await run(timeoutMs, ageMs => hasNews() || ageMs >= waitMs, signal)
+    if (end === 'cut') return { kind: 'cut' }
+    if (end === 'lost') return { kind: 'failed', err: { kind: 'unknown', message: 'no answer in time' } }
+    const hadEvents = hasNews()
+    learn(prefix)
+    return { kind: 'answered', at: revision, hadEvents }
+  }
+  return {
+    calls: { readAll, watch },
+    reach,
+    known: () => known,
+    fallSilent: () => {
+      isSilent = true
+      loseOpenCalls()
+    },
+    answerAgain: () => { isSilent = false },
+    change: () => ++revision,
+    callOther
+  }
+}
+
+interface Instance {
+  clock: VirtualClock
+  store: FakeStore
+  /** Time from now on until the revision is known, milliseconds. */
+  untilKnown (revision: number): Promise<number>
+  stop (): void
+}
+
+/** An instance that has watched for a second; `renewMs`: how often it calls the store for other reasons. */
+async function createInstance ({ isFollowing, renewMs }: { isFollowing: boolean, renewMs: number }): Promise<Instance> {
+  const clock = createVirtualClock()
+  const store = createFakeStore(clock)
+  const stop = new AbortController()
+  const feeds = createStoreFeeds({
+    wire: { keys: { config: CONFIG, servers: 'servers' } } as never,
+    store: undefined as never,
+    cfg: undefined as never,
+    servers: undefined as never,
+    memberCount: () => 8,
+    isFollowing: () => isFollowing,
+    isOrdering: () => false
+  })
+  const renew = async (): Promise<void> => {
+    while (!stop.signal.aborted) {
+      await store.callOther()
+      await sleep(clock, renewMs, stop.signal)
+    }
+  }
+  runFeeds({ calls: store.calls, reach: store.reach, clock, logger: createSilentLogger() }, feeds, stop.signal)
+  if (renewMs !== Infinity) renew()
+  await clock.advance(1000)
+  return {
+    clock,
+    store,
+    untilKnown: async revision => {
+      const sinceMs = clock.monotonic()
+      while (store.known() < revision && clock.monotonic() - sinceMs < 60_000) await clock.advance(STEP_MS)
+      return clock.monotonic() - sinceMs
+    },
+    stop: () => stop.abort()
+  }
+}
+
+const OUTAGES_MS = Array.from({ length: 40 }, (_, index) => 200 * (index + 1))
+
+describe('what an instance watches in the store', () => {
+  it('is known in time after an outage of any length to the instance that leads', async () => {
+    const late: string[] = []
+    for (const outageMs of OUTAGES_MS) {
+      const instance = await createInstance({ isFollowing: false, renewMs: 600 })
+      instance.store.fallSilent()
+      await instance.clock.advance(outageMs)
+      instance.store.answerAgain()
+      const tookMs = await instance.untilKnown(instance.store.change())
+      if (tookMs > KNOWN_WITHIN_MS) late.push(`${outageMs} ms away: ${tookMs} ms`)
+      instance.stop()
+    }
+    expect(late).to.deep.equal([])
+  })
+})
