--- a/packages/magnoliabay/src/node/serving/__tests__/storeFeeds.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/storeFeeds.spec.ts
@@ -3,6 +3,8 @@
  * 404 on the new route, 401 with the new key, or the service that the route had before.
  * 1. The store falls silent while each instance waits for changes there, and connections stay open. 2. It answers
  * again, and accepts changes; leases are renewed. 3. The instances still wait for an answer that never comes.
+ * Cause: a watch was trusted until its own timeout, whatever other calls told. The logs of all instances proved it: the
+ * leader's other calls were answered for 3.5 s while its watch ran into its timeout, and the next one brought everything.
  */
 import { expect } from 'chai'
 import { createVirtualClock } from '../../clock/virtual'
--- a/packages/magnoliabay/src/node/store/feeds.ts
+++ b/packages/magnoliabay/src/node/store/feeds.ts
@@ -1,4 +1,8 @@
-/** Keeps one watch going for each feed, and reads a feed anew where events may have been missed. */
+/**
+ * Keeps one watch going for each feed, and reads a feed anew where events may have been missed. A watch is trusted
+ * only as long as nothing speaks against it: a store that falls silent never answers what waited there, and a
+ * connection that the network has lost track of stays open and silent.
+ */
 import type { Clock } from '../clock'
 import { sleep } from '../clock'
 import type { Logger } from '../logger'
@@ -12,6 +16,8 @@
 const MAX_RETRY_MS = 1200
 /** How often a feed that rests looks whether it is wanted, or the store back, milliseconds. */
 const REST_MS = 150
+/** A store that is out of reach is asked for what there is, and answers at once when it is back, milliseconds. */
+const PROBE_WAIT_MS = 0
 
 export interface WatchCall {
   /** The revision after which events are wanted. */
@@ -40,18 +46,33 @@
 
 export interface FeedsOptions {
   calls: FeedCalls
-  reach: Pick<Reach, 'isReachable'>
+  reach: Pick<Reach, 'isReachable' | 'onChanged'>
   clock: Clock
   logger: Logger
 }
 
 /** Runs until `signal` aborts. While the store is out of reach the first feed tries, and the others follow when it gets through. */
 export function runFeeds (options: FeedsOptions, feeds: readonly WatchFeed[], signal: AbortSignal): void {
-  feeds.forEach((feed, index) => { runFeed(options, feed, index === 0, signal) })
+  const open = new Set<AbortController>()
+  const cutAll = (reason: CutReason): void => open.forEach(watch => watch.abort(reason))
+  // The answer to what was sent before the store was lost, or before it was back, may never come. Waiting on, an
+  // instance would go by old entries until that watch times out, though its other calls are answered. Whatever was
+  // lost in the outage is sent again here, from the revision that is known.
+  options.reach.onChanged(() => cutAll('sent before the store was lost or back'))
+  signal.addEventListener('abort', () => cutAll('stopped'), { once: true })
+  feeds.forEach((feed, index) => { runFeed({ ...options, open }, feed, index === 0, signal) })
 }
 
-async function runFeed (options: FeedsOptions, feed: WatchFeed, isProber: boolean, signal: AbortSignal): Promise<void> {
-  const { calls, reach, clock } = options
+/** Why a watch was ended here. */
+type CutReason = 'sent before the store was lost or back' | 'stopped'
+
+interface Run extends FeedsOptions {
+  /** Watches that wait for an answer. */
+  open: Set<AbortController>
+}
+
+async function runFeed (run: Run, feed: WatchFeed, isProber: boolean, signal: AbortSignal): Promise<void> {
+  const { calls, reach, clock } = run
   let at: number | undefined
   let retryMs = RETRY_MS
   const pauseAfterFailure = async (): Promise<void> => {
@@ -69,7 +90,7 @@
       if (at === undefined) await pauseAfterFailure()
       continue
     }
-    const end = await watchOnce(options, feed, at, signal)
+    const end = await watchOnce(run, feed, at)
     if (end.kind === 'cut') continue
     if (end.kind === 'failed') {
       await pauseAfterFailure()
@@ -81,12 +102,16 @@
   }
 }
 
-async function watchOnce ({ calls, clock, logger }: FeedsOptions, feed: WatchFeed, after: number, signal: AbortSignal): Promise<WatchEnd> {
-  const waitMs = feed.waitMs()
+async function watchOnce ({ calls, reach, open, clock, logger }: Run, feed: WatchFeed, after: number): Promise<WatchEnd> {
+  const waitMs = reach.isReachable() === false ? PROBE_WAIT_MS : feed.waitMs()
   const sentMs = clock.monotonic()
-  const end = await calls.watch(feed, { after, waitMs, timeoutMs: waitMs + WATCH_GRACE_MS, signal })
-  const { prefix } = feed
-  if (end.kind === 'failed') logger.info('store-watch-lost', { prefix, after, waitMs, openMs: Math.round(clock.monotonic() - sentMs), reason: end.err.message })
-  if (end.kind === 'history-gone') logger.info('store-history-gone', { prefix, after })
+  const cut = new AbortController()
+  open.add(cut)
+  const end = await calls.watch(feed, { after, waitMs, timeoutMs: waitMs + WATCH_GRACE_MS, signal: cut.signal })
+  open.delete(cut)
+  const told = { prefix: feed.prefix, after, waitMs, openMs: Math.round(clock.monotonic() - sentMs) }
+  if (end.kind === 'failed') logger.info('store-watch-lost', { ...told, reason: end.err.message })
+  if (end.kind === 'cut') logger.info('store-watch-cut', { ...told, reason: cut.signal.reason as CutReason })
+  if (end.kind === 'history-gone') logger.info('store-history-gone', { prefix: feed.prefix, after })
   return end
 }
--- a/packages/magnoliabay/src/node/store/reach.ts
+++ b/packages/magnoliabay/src/node/store/reach.ts
@@ -9,6 +9,8 @@
   lastContactMs (): number
   /** Since when the store has answered every call, monotonic milliseconds; -Infinity from the start on, Infinity while it does not. */
   steadySinceMs (): number
+  /** The listener is called when the store is lost, and when it answers again. */
+  onChanged (listener: () => void): void
   /** To be told how each call ended; `call` names it for the log. */
   note (reached: boolean, call: string, reason: string): void
 }
@@ -24,8 +26,10 @@
   let lastContactMs = -Infinity
   let isReachable: boolean | undefined
   let steadySinceMs = Infinity
+  const listeners: Array<() => void> = []
 
   return {
+    onChanged: listener => { listeners.push(listener) },
     isReachable: () => isReachable,
     lastContactMs: () => lastContactMs,
     steadySinceMs: () => steadySinceMs,
@@ -37,6 +41,7 @@
       isReachable = reached
       steadySinceMs = reached ? (isFirst ? -Infinity : clock.monotonic()) : Infinity
       logger.info(reached ? 'store-reached' : 'store-lost', { address, call, reason })
+      listeners.forEach(listener => listener())
     }
   }
 }
