--- a/packages/magnoliabay/src/node/serving/storeFeeds.ts
+++ b/packages/magnoliabay/src/node/serving/storeFeeds.ts
@@ -5,13 +5,14 @@
 import type { Servers } from './servers'
 import type { ServingWire } from './wire'
 
-/** A watch gone silent is noticed after this and a little more, milliseconds. */
-const WATCH_WAIT_MS = 4000
 /**
- * The same for the servers' entries, which change with each beat of each server, so that it costs no call more: those
- * who follow the leader go by its watch, and one gone silent would keep a server that leaves in use for them all.
+ * Of configuration and servers' entries, for one who follows nobody, and so for the leader, by whom all others go: a
+ * watch on a connection that has fallen silent is noticed after this and a second more, milliseconds. Longer, and a
+ * withdrawn key or a server that leaves would stay in use everywhere beyond the time in which a change must be in force.
  */
-const SERVERS_WATCH_WAIT_MS = 1500
+const PROMPT_WATCH_WAIT_MS = 1500
+/** The same for members and leases, which links between instances tell of as well, milliseconds. */
+const MEMBERS_WATCH_WAIT_MS = 4000
 /** The same where another tells what changes: each call that waits is paid for. */
 const FOLLOWER_WATCH_WAIT_MS = 25_000
 /**
@@ -50,11 +51,11 @@
 
 /** One watching call for each; servers' entries change with each beat of each server. */
 export function createStoreFeeds ({ wire, memberCount, isFollowing, isOrdering }: StoreFeedsOptions): WatchFeed[] {
-  const waitMs = (): number => isFollowing() ? FOLLOWER_WATCH_WAIT_MS : WATCH_WAIT_MS
+  const waitMs = (alone: number) => (): number => isFollowing() ? FOLLOWER_WATCH_WAIT_MS : alone
   const gatherMembersMs = (): number => Math.min(MAX_GATHER_MS, Math.max(MIN_GATHER_MS, memberCount() * GATHER_PER_MEMBER_MS))
   return [
-    { prefix: wire.keys.config, isWanted: () => true, gatherMs: () => MIN_GATHER_MS, waitMs },
-    { prefix: STORE_ROOT, isWanted: () => true, gatherMs: gatherMembersMs, waitMs },
-    { prefix: wire.keys.servers, isWanted: () => !isFollowing(), gatherMs: () => isOrdering() ? GATHER_ORDERS_MS : GATHER_SERVERS_MS, waitMs: () => SERVERS_WATCH_WAIT_MS }
+    { prefix: wire.keys.config, isWanted: () => true, gatherMs: () => MIN_GATHER_MS, waitMs: waitMs(PROMPT_WATCH_WAIT_MS) },
+    { prefix: STORE_ROOT, isWanted: () => true, gatherMs: gatherMembersMs, waitMs: waitMs(MEMBERS_WATCH_WAIT_MS) },
+    { prefix: wire.keys.servers, isWanted: () => !isFollowing(), gatherMs: () => isOrdering() ? GATHER_ORDERS_MS : GATHER_SERVERS_MS, waitMs: () => PROMPT_WATCH_WAIT_MS }
   ]
 }
