--- a/packages/magnoliabay/src/node/serving/__tests__/storeFeeds.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/storeFeeds.spec.ts
@@ -183,6 +183,19 @@
     expect(late).to.deep.equal([])
   })
 
+  /**
+   * 1. A connection falls silent for good, others work. 2. Later the leader ends, and a change is accepted. 3. An
+   * instance that followed it waits on the silent connection, as long as one who follows may.
+   */
+  it('is known in time to an instance that follows nobody any more, though its connection is silent', async () => {
+    const instance = await createInstance({ isFollowing: true, renewMs: Infinity })
+    instance.store.loseConfigWatch()
+    await instance.clock.advance(5000)
+    instance.setFollowing(false)
+    expect(await instance.untilKnown(instance.store.change())).to.be.at.most(KNOWN_WITHIN_MS)
+    instance.stop()
+  })
+
   it('is known in time to the leader though its connection is silent and others are well', async () => {
     const instance = await createInstance({ isFollowing: false, renewMs: 600 })
     instance.store.loseConfigWatch()
--- a/packages/magnoliabay/src/node/store/feeds.ts
+++ b/packages/magnoliabay/src/node/store/feeds.ts
@@ -4,7 +4,7 @@
  * connection that the network has lost track of stays open and silent.
  */
 import type { Clock } from '../clock'
-import { sleep } from '../clock'
+import { repeat, sleep } from '../clock'
 import type { Logger } from '../logger'
 import type { Reach } from './reach'
 import type { StoreError, WatchFeed } from './store'
@@ -18,6 +18,8 @@
 const REST_MS = 150
 /** A store that is out of reach is asked for what there is, and answers at once when it is back, milliseconds. */
 const PROBE_WAIT_MS = 0
+/** How often it is looked whether a watch has waited for too long, milliseconds. */
+const OVERDUE_CHECK_MS = 250
 
 export interface WatchCall {
   /** The revision after which events are wanted. */
@@ -53,22 +55,35 @@
 
 /** Runs until `signal` aborts. While the store is out of reach the first feed tries, and the others follow when it gets through. */
 export function runFeeds (options: FeedsOptions, feeds: readonly WatchFeed[], signal: AbortSignal): void {
-  const open = new Set<AbortController>()
-  const cutAll = (reason: CutReason): void => open.forEach(watch => watch.abort(reason))
+  const open = new Set<OpenWatch>()
+  const cutAll = (reason: CutReason): void => open.forEach(watch => watch.cut.abort(reason))
+  // An instance that has another to tell it what changes lets its own watch wait for long, and cannot tell whether
+  // that is still heard. When the other ends, nothing would bring a change in time but a new watch.
+  const cutOverdue = (): void => [...open]
+    .filter(({ feed, sentMs }) => options.clock.monotonic() - sentMs > feed.waitMs() + WATCH_GRACE_MS)
+    .forEach(watch => watch.cut.abort('waits for longer than is now wanted'))
   // The answer to what was sent before the store was lost, or before it was back, may never come. Waiting on, an
   // instance would go by old entries until that watch times out, though its other calls are answered. Whatever was
   // lost in the outage is sent again here, from the revision that is known.
   options.reach.onChanged(() => cutAll('sent before the store was lost or back'))
   signal.addEventListener('abort', () => cutAll('stopped'), { once: true })
+  repeat(options.clock, OVERDUE_CHECK_MS, signal, cutOverdue)
   feeds.forEach((feed, index) => { runFeed({ ...options, open }, feed, index === 0, signal) })
 }
 
 /** Why a watch was ended here. */
-type CutReason = 'sent before the store was lost or back' | 'stopped'
+type CutReason = 'sent before the store was lost or back' | 'waits for longer than is now wanted' | 'stopped'
+
+interface OpenWatch {
+  feed: WatchFeed
+  /** Monotonic milliseconds. */
+  sentMs: number
+  cut: AbortController
+}
 
 interface Run extends FeedsOptions {
   /** Watches that wait for an answer. */
-  open: Set<AbortController>
+  open: Set<OpenWatch>
 }
 
 async function runFeed (run: Run, feed: WatchFeed, isProber: boolean, signal: AbortSignal): Promise<void> {
@@ -106,9 +121,10 @@
   const waitMs = reach.isReachable() === false ? PROBE_WAIT_MS : feed.waitMs()
   const sentMs = clock.monotonic()
   const cut = new AbortController()
-  open.add(cut)
+  const watch: OpenWatch = { feed, sentMs, cut }
+  open.add(watch)
   const end = await calls.watch(feed, { after, waitMs, timeoutMs: waitMs + WATCH_GRACE_MS, signal: cut.signal })
-  open.delete(cut)
+  open.delete(watch)
   const told = { prefix: feed.prefix, after, waitMs, openMs: Math.round(clock.monotonic() - sentMs) }
   if (end.kind === 'failed') logger.info('store-watch-lost', { ...told, reason: end.err.message })
   if (end.kind === 'cut') logger.info('store-watch-cut', { ...told, reason: cut.signal.reason as CutReason })
