--- a/packages/magnoliabay/src/node/serving/allowance/__tests__/teamAllowance.spec.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/__tests__/teamAllowance.spec.ts
@@ -174,6 +174,26 @@
     expect(await world.drain(['m1'], 100)).to.be.at.most(LIMIT / 4)
   })
 
+  /**
+   * A team gets its allowance twice, since the record of what it spent was not kept up.
+   * 1. It spends all, and all processes start anew. 2. The new home grants nothing, and writes nothing but its first
+   * record. 3. The home ends, and the next one finds a record that is too old to be trusted, and counts less than was spent.
+   */
+  it('keeps the record up while a home grants nothing', async () => {
+    const world = createWorld()
+    const before = await world.drain(IDS, 100)
+    await restartAll(world, 300)
+    for (let turn = 0; turn < 30; turn += 1) {
+      world.members.get('m1')!.take(world.team.current, 100)
+      await world.clock.advance(150)
+    }
+    world.network.kill(world.home)
+    world.network.setRegistered(world.home, false)
+    await world.clock.advance(1)
+    expect(before).to.equal(LIMIT)
+    expect(await world.drain(world.others, 20)).to.equal(0)
+  })
+
   /**
    * Whatever is killed, cut off or lost, in whatever order: what a team is granted stays within its limit in every
    * window, but for what the settings allow for counting over instances (a tenth, and some units more).
--- a/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
@@ -204,6 +204,7 @@
       beginning = begin()
       // What was taken over must not grow too old in the store while this home grants nothing.
       beginning.then(() => record())
+      keepRecording()
     }
     const begun = beginning
     await begun
