--- a/packages/magnoliabay/src/node/serving/allowance/__tests__/support/world.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/__tests__/support/world.ts
@@ -30,6 +30,8 @@
   team: { current: Team }
   home: string
   others: string[]
+  /** The member's process is gone: it asks, tells and writes nothing any more. */
+  kill (id: string): void
   /** A process of the member starts anew. */
   join (id: string, changes: Partial<MemberRecord>): void
   /** Everybody tells everybody what it has spent, as the rows of the fleet do. */
@@ -74,13 +76,21 @@
     members,
     team,
     home,
+    kill: id => {
+      network.kill(id)
+      members.delete(id)
+      faults.get(id)?.set({ down: 'refused' })
+    },
     join: (id, changes) => {
       incarnations.set(id, changes.incarnation ?? `${id}-1`)
       members.set(id, join(id, false, changes))
     },
     others: IDS.filter(id => id !== home),
-    tell: (ids = IDS) => ids.forEach(from => ids.filter(to => to !== from).forEach(to =>
-      members.get(to)!.noteSpent(incarnations.get(from)!, members.get(from)!.spent()))),
+    tell: (ids = IDS) => {
+      const living = ids.filter(id => members.has(id))
+      living.forEach(from => living.filter(to => to !== from).forEach(to =>
+        members.get(to)!.noteSpent(incarnations.get(from)!, members.get(from)!.spent())))
+    },
     drain: async (ids, amount) => {
       const startMs = clock.monotonic()
       let granted = 0
@@ -97,7 +107,7 @@
 
 /** Kills every process and starts it anew after a while. */
 export async function restartAll (world: World, downMs: number, turn = 1): Promise<void> {
-  IDS.forEach(id => world.network.kill(id))
+  IDS.forEach(world.kill)
   await world.clock.advance(downMs)
   IDS.forEach(id => world.join(id, { incarnation: `${id}-${turn + 1}` }))
   await world.clock.advance(10)
@@ -143,7 +153,7 @@
   const begin: Record<DayEvent['what'], (id: string, forMs: number, turn: number) => Promise<void> | void> = {
     'restart-all': (_id, forMs, turn) => restartAll(world, forMs, turn + 10),
     'restart-one': (id, forMs, turn) => {
-      world.network.kill(id)
+      world.kill(id)
       world.clock.schedule(forMs, () => world.join(id, { incarnation: `${id}-${turn + 100}` }))
     },
     'cut-one': (id, forMs) => {
--- a/packages/magnoliabay/src/node/serving/allowance/spendingRecord.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/spendingRecord.ts
@@ -13,19 +13,14 @@
   byAge: readonly number[]
   /** What may be granted until the next record, and counts as spent. */
   reserved: number
-  /** The writer's time of day, Unix milliseconds. */
+  /** The writer's time of day, Unix milliseconds; for the log alone, since such clocks jump. */
   wallMs: number
 }
 
 /** Parts of the window in a record; each counts as spent at its latest moment. */
 export const RECORD_PARTS = 16
-/** A home's record is no older than this while anything spent is in the window, milliseconds: one call of the store for each team. */
+/** While anything spent is in the window, the record is brought up to date this often: one call of the store for each team, milliseconds. */
 export const RECORD_PERIOD_MS = 2000
-/**
- * A record older than this tells nothing: the store was away, and what was granted meanwhile is in no record. Clocks of
- * two machines may differ by a second or two, and a home that dies has not written its next record, milliseconds.
- */
-export const MAX_RECORD_AGE_MS = 4000
 
 export const spendingKey = (team: string): string => `${STORE_LEDGERS}/spent/${team}`
 
@@ -36,10 +31,6 @@
   return isRecord ? read as SpendingRecord : undefined
 }
 
-export function isRecent (record: SpendingRecord, wallMs: number): boolean {
-  return Math.abs(wallMs - record.wallMs) <= MAX_RECORD_AGE_MS
-}
-
 /**
  * Counts a record as if it had just been written: how long ago that was only clocks of the time of day could tell, and
  * they jump. It costs a team what its own rate frees in the second or two that a restart takes.
--- a/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
@@ -11,7 +11,7 @@
 import { rankByRendezvous } from '../../utils'
 import type { Team } from '../types'
 import { createHomeLedger } from './homeLedger'
-import type { HomeLedger } from './homeLedger'
+import type { HomeLedger, LedgerLimit } from './homeLedger'
 import { createSpending } from './spending'
 import type { Spending } from './spending'
 
@@ -24,16 +24,6 @@
 const ALONE_RETRY_MS = 300
 /** A home that was out of reach is asked again by then. */
 const SHARE_RETRY_MS = 1000
-/**
- * A process that starts anew and finds no recent record does not know what was spent before it. All counts as spent,
- * evenly over the last part of the window before this process began, in so many steps: a team within its rate misses
- * two seconds of it. A team that comes in bursts may have spent all in less; what it then gets twice stays within what
- * is allowed for counting over instances, while evenly over the whole window did not (1.27 of the limit seen, 1.22
- * allowed).
- */
-const UNKNOWN_PARTS = 16
-const UNKNOWN_WINDOW_PART = 0.75
-
 /** Part of the tolerance that a home uses while the store takes no records; the rest is for instances cut off from it. */
 const UNRECORDED_PART = 0.5
 
@@ -142,33 +132,28 @@
     return Math.max(byProcess, ofAll)
   }
   const toTold = (spent: readonly TeamSpent[]): Told => ({ spent: new Map(spent.map(({ team, units }) => [team, units])), atMs: clock.monotonic() })
-  /** The burst at the last moment, the rest evenly before. */
-  const assumeAllSpent = (spending: Spending, team: Team): void => {
-    const part = (limitOf(team) - team.burst) / UNKNOWN_PARTS
-    Array.from({ length: UNKNOWN_PARTS }).forEach((_, index) => spending.note(part, startedMs - windowMs * UNKNOWN_WINDOW_PART * (1 - index / UNKNOWN_PARTS)))
-    spending.note(team.burst, startedMs)
+  /** The whole allowance, but for the equal parts of those who cannot ask. */
+  const ledgerLimit = (team: Team): LedgerLimit => {
+    const members = peers.members()
+    const cutOff = members.filter(member => !peers.isConnected(member.id)).length
+    const heldBack = limitOf(team) * cutOff / Math.max(1, members.length)
+    return { allowed: limitOf(team) - heldBack, heldBack, tolerance: toleranceOf(team) * UNRECORDED_PART }
   }
   const createLedger = (team: Team): HomeLedger => createHomeLedger({
     team: team.name,
     home: peers.self.incarnation,
     windowMs,
     store: options.store,
-    countWithoutRecord: spending => {
-      if (isYoung()) assumeAllSpent(spending, teamNamed(team.name) ?? team)
-      else spending.note(spentOverall(team.name), clock.monotonic())
-    },
+    limit: () => ledgerLimit(teamNamed(team.name) ?? team),
+    isYoung,
     toldSpent: () => spentOverall(team.name),
     clock,
     logger
   })
-  /** Grants what the whole allowance has left, but for the equal parts of those who cannot ask. */
   const takeHere = (team: Team, amount: number): Promise<number> => {
     const ledger = ledgers.get(team.name) ?? createLedger(team)
     ledgers.set(team.name, ledger)
-    const members = peers.members()
-    const cutOff = members.filter(member => !peers.isConnected(member.id)).length
-    const heldBack = limitOf(team) * cutOff / Math.max(1, members.length)
-    return ledger.take(amount, { allowed: limitOf(team) - heldBack, heldBack, tolerance: toleranceOf(team) * UNRECORDED_PART })
+    return ledger.take(amount)
   }
   const dropLedger = (team: string): void => {
     ledgers.get(team)?.close()
