--- a/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
@@ -226,7 +226,7 @@
   const takeOnce = async (amount: number): Promise<number | 'superseded'> => {
     if (beginning === undefined) {
       beginning = begin()
-      // What was taken over must not grow too old in the store while this home grants nothing.
+      // The next home is to find what this one counts, also where it grants nothing.
       beginning.then(() => record())
       keepRecording()
     }
