--- a/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
@@ -32,14 +32,14 @@
 const RECORD_PATIENCE_MS = 100
 /** The same for the last record of the home before; a store that is slow answers in some tenths of a second. */
 const BEGIN_PATIENCE_MS = 400
-/**
- * What is told is up to half a second old, a sixteenth of the window: it still holds what has left the window since. Less
- * than this part of the limit is no sign of spending that the home has not seen.
- */
-const TOLD_LAG_PART = 1 / 16
 /** Two homes that record in turns, as members change, each begin again; a request goes through this often. */
 const MAX_TURNS = 3
 const SUPERSEDED_RETRY_MS = 300
+/**
+ * Part of the tolerance for a young home that could not read the last record: it knows nothing, and while the store is
+ * away processes may start anew several times in a window, each granting as much again.
+ */
+const UNREAD_TOLERANCE_PART = 0.5
 /** What the record does not cover waits for the store to take one, milliseconds. */
 const UNCOVERED_RETRY_MS = 1000
 
@@ -53,6 +53,8 @@
 }
 
 export interface HomeLedger {
+  /** Counts what an instance spent of its own part while it could not ask. */
+  noteApart (units: number): void
   /** Spends `amount` if that keeps the window within the limit; else returns milliseconds until it might, 0 when spent. */
   take (amount: number): Promise<number>
   giveBack (amount: number): void
@@ -86,6 +88,8 @@
   const { team, home, windowMs, store, limit, clock, logger } = options
   const key = spendingKey(team)
   let spending = createSpending(windowMs)
+  /** What instances spent of their own parts; a record of another home may lack it. */
+  const apart = createSpending(windowMs)
   /** Of the record as last read or written; undefined where it is to be read before the next write. */
   let revision: number | undefined
   /** Undefined until the first request, and after another home has recorded. */
@@ -96,6 +100,8 @@
   let reserveNow = 0
   /** The store does not take records at present. */
   let isUncovered = false
+  /** It knows neither a record nor what was told. */
+  let isIgnorant = false
   let recordedMs = 0
   /** Of the last record, for instances that cannot reach the home. */
   let heldBackRecorded = 0
@@ -119,7 +125,8 @@
   }
   /** Goes by what was told; the record that the next home will find holds about that. A young process was told too little. */
   const beginUnread = (now: number): void => {
-    const told = options.isYoung() ? 0 : options.toldSpent()
+    isIgnorant = options.isYoung()
+    const told = isIgnorant ? 0 : options.toldSpent()
     spending.note(told, now)
     cover.reset({ byAge: [], reserved: told })
     fail('the last record cannot be read')
@@ -132,10 +139,12 @@
     const record = entry === undefined ? undefined : readSpendingRecord(entry.value)
     spending = createSpending(windowMs)
     isUncovered = false
+    isIgnorant = false
     recordedMs = now
     revision = entry?.modRevision ?? 0
     if (isRead) beginWithRecord(record, now)
     else beginUnread(now)
+    spending.note(apart.spent(now), now)
     logger.info('allowance-home', {
       team,
       spentBefore: Math.round(spending.spent(now)),
@@ -144,14 +153,6 @@
       recordAgeMs: record === undefined ? undefined : Math.round(clock.now() - record.wallMs)
     })
   }
-  /** Instances that could not reach the home have spent parts of their own: they tell of them once the cut is over. */
-  const countUnseen = (): void => {
-    const now = clock.monotonic()
-    const unseen = options.toldSpent() - spending.spent(now)
-    if (unseen <= limit().allowed * TOLD_LAG_PART) return
-    spending.note(unseen, now)
-    logger.info('allowance-spent-elsewhere', { team, units: Math.round(unseen) })
-  }
   /** Finds out after a lost answer whether the record is this home's own. */
   const readRevision = async (): Promise<number | 'unknown' | 'of another'> => {
     const read = await store.get(key, { priority: 'ledger' })
@@ -194,10 +195,11 @@
     return writing
   }
   /**
-   * Instances that begin to be cut off spend parts of their own from then on, whether or not anybody asks here: were all
-   * killed before the next record, the next home would take them to have spent nothing.
+   * Instances that begin to be cut off spend parts of their own from then on, and tell of them afterwards, whether or not
+   * anything is granted here: were all killed before the next record, the next home would take nothing to be spent.
    */
-  const isDue = (): boolean => clock.monotonic() - recordedMs >= RECORD_PERIOD_MS || limit().heldBack > heldBackRecorded + 1
+  const isDue = (): boolean =>
+    clock.monotonic() - recordedMs >= RECORD_PERIOD_MS || limit().heldBack > heldBackRecorded + 1 || coverLeft() < 0
   /** Records go on until the last of what was spent has left the window. */
   const keepRecording = (): void => {
     if (isTimed || isClosed) return
@@ -219,7 +221,8 @@
   }
   /** Takes back what the record covers by no more than the tolerance. */
   const settle = (amount: number): number => {
-    if (coverLeft() >= -limit().tolerance) return 0
+    const tolerance = limit().tolerance * (isIgnorant ? UNREAD_TOLERANCE_PART : 1)
+    if (coverLeft() >= -tolerance) return 0
     spending.giveBack(amount, clock.monotonic())
     return UNCOVERED_RETRY_MS
   }
@@ -232,7 +235,6 @@
     }
     const begun = beginning
     await begun
-    countUnseen()
     if (!isUncovered && isDue()) record()
     const waitMs = spending.take(amount, limit().allowed, clock.monotonic())
     if (waitMs > 0) return waitMs
@@ -250,6 +252,13 @@
       }
       return SUPERSEDED_RETRY_MS
     },
+    noteApart: units => {
+      if (units <= 0) return
+      apart.note(units, clock.monotonic())
+      spending.note(units, clock.monotonic())
+      keepRecording()
+      logger.info('allowance-spent-elsewhere', { team, units: Math.round(units) })
+    },
     giveBack: amount => spending.giveBack(amount, clock.monotonic()),
     close: () => { isClosed = true }
   }
--- a/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
@@ -6,9 +6,10 @@
 import type { Clock } from '../../clock'
 import type { Logger } from '../../logger'
 import { definePeerCall, definePeerNotice } from '../../members'
-import type { MemberRecord, Peers } from '../../members'
+import type { MemberRecord, PeerError, Peers } from '../../members'
+import type { Result } from '../../result'
 import type { Store } from '../../store'
-import { rankByRendezvous } from '../../utils'
+import { addCount, rankByRendezvous } from '../../utils'
 import type { Team } from '../types'
 import { createHomeLedger } from './homeLedger'
 import type { HomeLedger, LedgerLimit } from './homeLedger'
@@ -30,6 +31,8 @@
 export interface TakeRequest {
   team: string
   amount: number
+  /** What the asking instance has spent of its own part since a home answered it last. */
+  apart: number
 }
 
 export interface TakeReply {
@@ -38,7 +41,7 @@
 }
 
 const takeCall = definePeerCall<TakeRequest, TakeReply>('allowance.take')
-const giveBackNotice = definePeerNotice<TakeRequest>('allowance.give-back')
+const giveBackNotice = definePeerNotice<Pick<TakeRequest, 'team' | 'amount'>>('allowance.give-back')
 
 /** Who decided: the `home`, or the `share` of this instance alone. */
 export interface Taken {
@@ -104,6 +107,8 @@
   /** By incarnation: a process that starts anew has forgotten what the one before it spent. */
   const told = new Map<string, Told>()
   let toldOfAll: Told | undefined
+  /** By this instance of its own part, by team: no home has counted it yet. */
+  const apart = new Map<string, number>()
   const startedMs = clock.monotonic()
   const avoidedUntilMs = new Map<string, number>()
 
@@ -150,18 +155,19 @@
     clock,
     logger
   })
-  const takeHere = (team: Team, amount: number): Promise<number> => {
+  const takeHere = (team: Team, amount: number, spentApart: number): Promise<number> => {
     const ledger = ledgers.get(team.name) ?? createLedger(team)
     ledgers.set(team.name, ledger)
+    ledger.noteApart(spentApart)
     return ledger.take(amount)
   }
   const dropLedger = (team: string): void => {
     ledgers.get(team)?.close()
     ledgers.delete(team)
   }
-  peers.serve(takeCall, async ({ team: name, amount }) => {
+  peers.serve(takeCall, async ({ team: name, amount, apart: spentApart }) => {
     const team = teamNamed(name)
-    return { waitMs: team === undefined || team.rate === 0 ? 0 : await takeHere(team, amount) }
+    return { waitMs: team === undefined || team.rate === 0 ? 0 : await takeHere(team, amount, spentApart) }
   })
   peers.listen(giveBackNotice, ({ team: name, amount }) => ledgers.get(name)?.giveBack(amount))
   const noteOwn = (team: Team, amount: number, waitMs: number): Taken => {
@@ -179,19 +185,39 @@
     // What is larger than any allowance passes an empty window, but what is larger than a part alone does not: each of
     // the instances that start anew in a cut would let one through.
     if (amount > limit && amount <= limitOf(team)) return { waitMs: SHARE_RETRY_MS, decidedBy: 'share' }
-    return { waitMs: ownOf(team.name).take(amount, limit, clock.monotonic()), decidedBy: 'share' }
+    const waitMs = ownOf(team.name).take(amount, limit, clock.monotonic())
+    if (waitMs === 0) addCount(apart, team.name, amount)
+    return { waitMs, decidedBy: 'share' }
   }
+  /**
+   * What was spent apart goes with what is asked next: a home that learned only what each has spent in all could not
+   * tell it from what it had granted itself, or had taken over from the home before, and granted it once more.
+   */
+  const askHome = async (home: string, team: string, amount: number): Promise<Result<TakeReply, PeerError>> => {
+    const spentApart = apart.get(team) ?? 0
+    const reply = await peers.call(home, takeCall, { team, amount, apart: spentApart }, { timeoutMs: ASK_TIMEOUT_MS })
+    if (reply.ok) addCount(apart, team, -spentApart)
+    return reply
+  }
+  const takeAsHome = (team: Team, amount: number): Promise<number> => {
+    const spentApart = apart.get(team.name) ?? 0
+    apart.delete(team.name)
+    return takeHere(team, amount, spentApart)
+  }
+  peers.onConnected(member => [...apart.keys()]
+    .filter(team => homeOf(team) === member.id)
+    .forEach(team => askHome(member.id, team, 0)))
 
   return {
     take: async (team, amount) => {
       if (team.rate === 0) return { waitMs: 0, decidedBy: 'share' }
       if (!isSettled()) return { waitMs: ALONE_RETRY_MS, decidedBy: 'share' }
       const home = homeOf(team.name)
-      if (home === peers.self.id) return noteOwn(team, amount, await takeHere(team, amount))
+      if (home === peers.self.id) return noteOwn(team, amount, await takeAsHome(team, amount))
       // What was counted here is out of date as soon as another counts.
       dropLedger(team.name)
       if (!peers.isConnected(home) || (avoidedUntilMs.get(home) ?? 0) > clock.monotonic()) return takeShare(team, amount)
-      const reply = await peers.call(home, takeCall, { team: team.name, amount }, { timeoutMs: ASK_TIMEOUT_MS })
+      const reply = await askHome(home, team.name, amount)
       if (reply.ok) return noteOwn(team, amount, reply.val.waitMs)
       avoidedUntilMs.set(home, clock.monotonic() + AVOID_HOME_MS)
       logger.warn('allowance-home-unreached', { team: team.name, home, reason: reply.val.kind })
@@ -200,6 +226,8 @@
     giveBack: (team, amount) => {
       if (team.rate === 0) return
       ownOf(team.name).giveBack(amount, clock.monotonic())
+      // What no home has counted yet is not to be given back there.
+      if ((apart.get(team.name) ?? 0) >= amount) return addCount(apart, team.name, -amount)
       const home = homeOf(team.name)
       if (home === peers.self.id) ledgers.get(team.name)?.giveBack(amount)
       else peers.notify(home, giveBackNotice, { team: team.name, amount })
