--- a/packages/magnoliabay/src/node/serving/allowance/__tests__/teamAllowance.spec.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/__tests__/teamAllowance.spec.ts
@@ -207,6 +207,22 @@
     expect(refused).to.deep.equal([])
   })
 
+  /**
+   * A team is refused most of its allowance for as long as the store turns its home away.
+   * 1. The store turns one instance away soon after the start, when little is in the record, and serves the others.
+   * 2. The team goes on as it may. 3. Its home records by way of a peer, and the next home finds it all.
+   */
+  it('goes on by way of a peer while the store turns the home away', async () => {
+    const world = createWorld()
+    await world.drain(IDS, 25)
+    await world.clock.advance(WINDOW_MS)
+    world.setStoreOf(world.home, { down: 'refused' })
+    const before = await world.drain(IDS, 75)
+    await restartAll(world, 300)
+    expect(before).to.equal(LIMIT)
+    expect(await world.drain(['m1'], 75)).to.equal(0)
+  })
+
   /**
    * A team gets its allowance twice, since clocks of the time of day are wrong.
    * 1. It spends all. 2. The time of day jumps, and all processes start anew. 3. By its time the record is old.
--- a/packages/magnoliabay/src/node/serving/fleetTable.ts
+++ b/packages/magnoliabay/src/node/serving/fleetTable.ts
@@ -69,11 +69,14 @@
   reporters (): readonly string[]
   /** The linked peer that heard the store last, by its report; known to the leader. */
   closestToStore (): string | undefined
+  /** A linked peer in touch with the store: the leader, or, for the leader, the one that heard it last. */
+  peerAtStore (): string | undefined
   /** Another instance, in touch with the store, tells what changes there. */
   isFollowing (): boolean
 }
 
 interface HeldSummary {
+  from: string
   summary: FleetSummary
   loads: ReadonlyMap<string, number>
   unavailable: ReadonlySet<string>
@@ -106,6 +109,7 @@
   })
   peers.listen(summaryNotice, (summary, from) => {
     held = {
+      from: from.id,
       summary,
       loads: new Map(summary.loads.map(({ server, count }) => [server, count])),
       unavailable: new Set(summary.unavailable),
@@ -145,6 +149,17 @@
     else if (leadingSinceMs === Infinity) leadingSinceMs = clock.monotonic()
   }
 
+  const closestToStore = (): string | undefined => {
+    const ages = reporters().filter(options.isLinked).map(member => ({ member, ageMs: totals.report(member)?.storeAgeMs ?? Infinity }))
+    return ages.sort((left, right) => left.ageMs - right.ageMs)[0]?.member
+  }
+  /** Where the leader's summary came from, while that leader hears the store. */
+  const leaderAtStore = (): string | undefined => {
+    if (held === undefined) return undefined
+    const storeAgeMs = held.summary.storeAgeMs + clock.monotonic() - held.atMs
+    return storeAgeMs < MAX_LEADER_STORE_AGE_MS && options.isLinked(held.from) ? held.from : undefined
+  }
+
   return {
     elsewhere: server => Math.max(0, sumAt(server) - (toldLoads.get(server) ?? 0)),
     inFlight: totals.inFlight,
@@ -154,10 +169,8 @@
     silentFor: totals.silentFor,
     isAvailable: member => isLeading() ? !isAway(member) : !(standing()?.unavailable.has(member) ?? false),
     reporters,
-    closestToStore: () => {
-      const ages = reporters().filter(options.isLinked).map(member => ({ member, ageMs: totals.report(member)?.storeAgeMs ?? Infinity }))
-      return ages.sort((left, right) => left.ageMs - right.ageMs)[0]?.member
-    },
+    closestToStore,
+    peerAtStore: () => isLeading() ? closestToStore() : leaderAtStore(),
     isFollowing: () => {
       if (isLeading() || held === undefined) return false
       const ageMs = clock.monotonic() - held.atMs
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -16,6 +16,7 @@
 import { createShutdown } from '../shutdown'
 import type { Store, WatchFeed } from '../store'
 import { createId, listenOn, parseHostPort } from '../utils'
+import { createRecordsByPeer } from './allowance/recordsByPeer'
 import { createTeamAllowance } from './allowance/teamAllowance'
 import type { AllowanceTolerance } from './allowance/teamAllowance'
 import { createConfigInForce } from './configInForce'
@@ -240,7 +241,17 @@
     clock,
     logger
   })
-  const allowance = createTeamAllowance({ peers, teamNamed: name => cfg.current()?.teams?.find(team => team.name === name), windowMs: settings.allowanceWindowMs, isFirstStart: settings.isFirstStart, store, tolerance: settings.allowanceTolerance, clock, logger })
+  const records = createRecordsByPeer({ peers, store, isOutOfReach: () => store.steadySinceMs() === Infinity, peerAtStore: table.peerAtStore })
+  const allowance = createTeamAllowance({
+    peers,
+    teamNamed: name => cfg.current()?.teams?.find(team => team.name === name),
+    windowMs: settings.allowanceWindowMs,
+    isFirstStart: settings.isFirstStart,
+    store: records,
+    tolerance: settings.allowanceTolerance,
+    clock,
+    logger
+  })
   const suspects = createSuspects({
     peers,
     clock,
