--- a/packages/magnoliabay/src/node/serving/allowance/__tests__/teamAllowance.spec.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/__tests__/teamAllowance.spec.ts
@@ -223,6 +223,23 @@
     expect(await world.drain(['m1'], 75)).to.equal(0)
   })
 
+  /**
+   * A team within its limit is refused after a cut, since what was spent in it counts several times.
+   * 1. An instance spends of its own part in a cut. 2. The cut is over, and several of its requests ask the home at the
+   * same moment, before the first of them is answered. 3. Each tells what was spent apart.
+   */
+  it('counts what was spent in a cut once, though several questions are under way', async () => {
+    const world = createWorld()
+    const away = world.others[0]!
+    world.network.cut(world.home, away)
+    const apart = await world.drain([away], 75)
+    world.network.heal(world.home, away)
+    Array.from({ length: 5 }, () => world.members.get(away)!.take(world.team.current, 15))
+    await world.clock.advance(200)
+    expect(apart).to.equal(LIMIT / 4)
+    expect(await world.drain(IDS, 75)).to.equal(LIMIT - apart - 75)
+  })
+
   /**
    * A team gets its allowance twice, since clocks of the time of day are wrong.
    * 1. It spends all. 2. The time of day jumps, and all processes start anew. 3. By its time the record is old.
--- a/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
@@ -189,21 +189,22 @@
     if (waitMs === 0) addCount(apart, team.name, amount)
     return { waitMs, decidedBy: 'share' }
   }
+  /** Each question takes along what no other under way does. */
+  const takeApart = (team: string): number => {
+    const units = apart.get(team) ?? 0
+    apart.delete(team)
+    return units
+  }
   /**
    * What was spent apart goes with what is asked next: a home that learned only what each has spent in all could not
    * tell it from what it had granted itself, or had taken over from the home before, and granted it once more.
    */
   const askHome = async (home: string, team: string, amount: number): Promise<Result<TakeReply, PeerError>> => {
-    const spentApart = apart.get(team) ?? 0
+    const spentApart = takeApart(team)
     const reply = await peers.call(home, takeCall, { team, amount, apart: spentApart }, { timeoutMs: ASK_TIMEOUT_MS })
-    if (reply.ok) addCount(apart, team, -spentApart)
+    if (reply.err) addCount(apart, team, spentApart)
     return reply
   }
-  const takeAsHome = (team: Team, amount: number): Promise<number> => {
-    const spentApart = apart.get(team.name) ?? 0
-    apart.delete(team.name)
-    return takeHere(team, amount, spentApart)
-  }
   peers.onConnected(member => [...apart.keys()]
     .filter(team => homeOf(team) === member.id)
     .forEach(team => askHome(member.id, team, 0)))
@@ -213,7 +214,7 @@
       if (team.rate === 0) return { waitMs: 0, decidedBy: 'share' }
       if (!isSettled()) return { waitMs: ALONE_RETRY_MS, decidedBy: 'share' }
       const home = homeOf(team.name)
-      if (home === peers.self.id) return noteOwn(team, amount, await takeAsHome(team, amount))
+      if (home === peers.self.id) return noteOwn(team, amount, await takeHere(team, amount, takeApart(team.name)))
       // What was counted here is out of date as soon as another counts.
       dropLedger(team.name)
       if (!peers.isConnected(home) || (avoidedUntilMs.get(home) ?? 0) > clock.monotonic()) return takeShare(team, amount)
