--- a/packages/magnoliabay/src/node/store/feeds.ts
+++ b/packages/magnoliabay/src/node/store/feeds.ts
@@ -53,6 +53,21 @@
   logger: Logger
 }
 
+/** Why a watch was ended here. */
+type CutReason = 'sent before the store was lost or back' | 'waits for longer than is now wanted' | 'stopped'
+
+interface OpenWatch {
+  feed: WatchFeed
+  /** Monotonic milliseconds. */
+  sentMs: number
+  cut: AbortController
+}
+
+interface Run extends FeedsOptions {
+  /** Watches that wait for an answer. */
+  open: Set<OpenWatch>
+}
+
 /** Runs until `signal` aborts. While the store is out of reach the first feed tries, and the others follow when it gets through. */
 export function runFeeds (options: FeedsOptions, feeds: readonly WatchFeed[], signal: AbortSignal): void {
   const open = new Set<OpenWatch>()
@@ -71,21 +86,6 @@
   feeds.forEach((feed, index) => { runFeed({ ...options, open }, feed, index === 0, signal) })
 }
 
-/** Why a watch was ended here. */
-type CutReason = 'sent before the store was lost or back' | 'waits for longer than is now wanted' | 'stopped'
-
-interface OpenWatch {
-  feed: WatchFeed
-  /** Monotonic milliseconds. */
-  sentMs: number
-  cut: AbortController
-}
-
-interface Run extends FeedsOptions {
-  /** Watches that wait for an answer. */
-  open: Set<OpenWatch>
-}
-
 async function runFeed (run: Run, feed: WatchFeed, isProber: boolean, signal: AbortSignal): Promise<void> {
   const { calls, reach, clock } = run
   let at: number | undefined
