--- a/packages/magnoliabay/src/node/serving/placement/placementClient.ts
+++ b/packages/magnoliabay/src/node/serving/placement/placementClient.ts
@@ -24,6 +24,7 @@
   | { kind: 'not-in-time', inMs: number }
   | { kind: 'no-orderer' }
   | { kind: 'stopped' }
+  | { kind: 'closing' }
 
 export interface AwaitOptions {
   model: string
@@ -32,6 +33,8 @@
   /** Longest time that it makes sense to wait, milliseconds. */
   patienceMs: number
   signal: AbortSignal
+  /** This process ends too soon for a request that begins now. */
+  isClosing: () => boolean
   /** Processes of servers that are no use to the request. */
   except: ReadonlySet<string>
 }
@@ -81,11 +84,13 @@
     wakers.add(wake)
     return sleep(clock, delayMs, AbortSignal.any([signal, woken.signal])).finally(() => wakers.delete(wake))
   }
-  const waitFor = async ({ model, adapter, service, patienceMs, signal, except }: AwaitOptions): Promise<Awaited> => {
+  const waitFor = async ({ model, adapter, service, patienceMs, signal, isClosing, except }: AwaitOptions): Promise<Awaited> => {
     const sinceMs = clock.monotonic()
     let askedMs = -Infinity
     let hasOrderer = false
     for (;;) {
+      // Waiting on, or beginning now, a caller would be cut when the process ends, the one with no answer at all.
+      if (isClosing()) return { kind: 'closing' }
       const found = holders(service, model, adapter).filter(server => !except.has(processOf(server)))
       if (found.length > 0) return { kind: 'ready', servers: found }
       if (signal.aborted) return { kind: 'stopped' }
--- a/packages/magnoliabay/src/node/serving/serve.ts
+++ b/packages/magnoliabay/src/node/serving/serve.ts
@@ -75,9 +75,18 @@
     const ready = pick(run, placement.holders(service.name, model, adapter).filter(server => !run.tried.has(processOf(server))))
     if (ready !== undefined) return ready
     const sinceMs = clock.monotonic()
-    const awaited = await placement.await({ model, adapter, service: service.name, patienceMs: patienceMs(run), signal: run.stop.signal, except: run.tried })
+    const awaited = await placement.await({
+      model,
+      adapter,
+      service: service.name,
+      patienceMs: patienceMs(run),
+      signal: run.stop.signal,
+      isClosing: () => ctx.isClosingFor(run.admitted.route.kind),
+      except: run.tried
+    })
     run.waitedMs += clock.monotonic() - sinceMs
     if (awaited.kind === 'ready') return pick(run, awaited.servers) ?? { reason: 'no-server', retryAfterMs: FULL_RETRY_MS }
+    if (awaited.kind === 'closing') return { reason: 'leaving', retryAfterMs: LEAVING_RETRY_MS }
     if (awaited.kind === 'not-in-time') return { reason: 'model-not-in-time', retryAfterMs: awaited.inMs }
     return { reason: awaited.kind === 'stopped' ? run.why ?? 'caller-gone' : 'no-orderer', retryAfterMs: NO_ORDERER_RETRY_MS }
   }
