--- a/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
@@ -32,6 +32,11 @@
 const RECORD_PATIENCE_MS = 100
 /** The same for the last record of the home before; a store that is slow answers in some tenths of a second. */
 const BEGIN_PATIENCE_MS = 400
+/**
+ * What is told is up to half a second old, a sixteenth of the window: it still holds what has left the window since. Less
+ * than this part of the limit is no sign of spending that is in no record.
+ */
+const TOLD_LAG_PART = 1 / 16
 /** Two homes that record in turns, as members change, each begin again; a request goes through this often. */
 const MAX_TURNS = 3
 const SUPERSEDED_RETRY_MS = 300
@@ -122,6 +127,9 @@
     // Without a record nothing was ever granted but what needs none.
     if (record !== undefined) countRecord(spending, record, windowMs, now)
     cover.reset(record ?? NOTHING_RECORDED)
+    // The home before may have ended with what it could not record: what was spent in a cut, and told to it.
+    const unrecorded = options.toldSpent() - spending.spent(now)
+    if (unrecorded > limit().allowed * TOLD_LAG_PART) spending.note(unrecorded, now)
   }
   /** Goes by what was told; the record that the next home will find holds about that. A young process was told too little. */
   const beginUnread = (now: number): void => {
