--- a/packages/magnoliabay/src/node/serving/__tests__/servers.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/servers.spec.ts
@@ -63,6 +63,23 @@
     expect(usable(world)).to.deep.equal(['s1'])
   })
 
+  /**
+   * Requests reach a server for three seconds after its entry was removed.
+   * 1. The leader hears the store again, and holds a removal for two seconds as a possible lapse. 2. Meanwhile it orders
+   * a load there, and the server, which serves on for a while, reports what it holds. 3. The report was taken for a
+   * return of the entry, and the removal forgotten.
+   */
+  it('go when their entry is not back, though they report what they hold', async () => {
+    const world = createWorld()
+    world.servers.snapshot([{ key: 's1', value: '{}' }])
+    world.steadySinceMs.value = world.clock.monotonic()
+    world.servers.remove('s1')
+    await world.clock.advance(1500)
+    world.servers.noteModels(world.servers.get('s1')!, [{ name: 'a', version: 1, adapters: [] }])
+    await world.clock.advance(600)
+    expect(usable(world)).to.deep.equal([])
+  })
+
   it('that were draining are not held when they lapse', () => {
     const world = createWorld()
     world.servers.snapshot([{ key: 's1', value: '{"state":"draining"}' }])
--- a/packages/magnoliabay/src/node/serving/servers.ts
+++ b/packages/magnoliabay/src/node/serving/servers.ts
@@ -115,11 +115,15 @@
     const isUndrained = known?.bornMs === server.bornMs && known.state === 'draining' && server.state === 'ready'
     return isUndrained || (known?.bornMs ?? 0) > server.bornMs || clock.monotonic() - (departedMs.get(processOf(server)) ?? -Infinity) < PEER_LAG_MS
   }
-  const takeFromPeer = (list: readonly ListedServer[]): void => list.filter(server => !isOutdated(server)).map(withCopies).forEach(take)
+  const takeFromPeer = (list: readonly ListedServer[]): void => list.filter(server => !isOutdated(server)).map(withCopies).forEach(takeListed)
+  /** One that is listed again is not to be removed. What a server says of itself is no such sign: one that leaves still answers. */
+  const takeListed = (server: BackendServer): boolean => {
+    cancelRemoval(server.id)
+    return take(server)
+  }
   /** Returns whether anything is new that requests are sent by. */
   const take = (server: BackendServer): boolean => {
     const { id } = server
-    cancelRemoval(id)
     const before = servers.get(id)
     servers.set(id, server)
     if (before === undefined || identityOf(before) !== identityOf(server)) {
@@ -137,7 +141,7 @@
       logger.warn('server-entry-unreadable', { key })
       return false
     }
-    const isNew = take(server)
+    const isNew = takeListed(server)
     listedListeners.forEach(listener => listener(server))
     return isNew
   }
