--- a/packages/magnoliabay/src/node/logger.ts
+++ b/packages/magnoliabay/src/node/logger.ts
@@ -51,7 +51,8 @@
 /** Creates a logger whose lines read `time=… level=… event=… key=value …`. */
 export function createLogger (options: LoggerOptions = {}): Logger {
   const write = options.write ?? ((line: string) => { process.stdout.write(`${line}\n`) })
-  const backend = new TsLogger<LogRecord>({ type: 'hidden', minLevel: TSLOG_LEVELS[options.level ?? 'info'] })
+  // The position in the code is in no line; finding it by a stack trace would take far longer than the line itself.
+  const backend = new TsLogger<LogRecord>({ type: 'hidden', hideLogPositionForProduction: true, minLevel: TSLOG_LEVELS[options.level ?? 'info'] })
   backend.attachTransport(entry => {
     const record = entry as unknown as LogRecord & { _meta: { date: Date } }
     const head = { time: record._meta.date.toISOString(), level: record.level, event: record.event }
--- a/packages/magnoliabay/src/node/metrics/index.ts
+++ b/packages/magnoliabay/src/node/metrics/index.ts
@@ -1,5 +1,7 @@
 /** Metrics by `prom-client`, one registry for each instance. */
-import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
+import { Counter, Gauge, Histogram } from 'prom-client'
+import type { Registry } from 'prom-client'
+import { createRegistry } from './registry'
 
 const LATENCY_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.83, 1, 2.5, 5, 10, 30, 60]
 
@@ -13,8 +15,7 @@
 }
 
 export function createMetrics (): Metrics {
-  const registry = new Registry()
-  collectDefaultMetrics({ register: registry, prefix: 'magnoliabay_' })
+  const registry = createRegistry()
   return {
     registry,
     requests: new Counter({
--- a/packages/magnoliabay/src/node/serving/metrics.ts
+++ b/packages/magnoliabay/src/node/serving/metrics.ts
@@ -1,5 +1,7 @@
 /** Counters and histograms of the serving path. */
-import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
+import { Counter, Gauge, Histogram } from 'prom-client'
+import type { Registry } from 'prom-client'
+import { createRegistry } from '../metrics/registry'
 
 const LATENCY_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30]
 
@@ -12,8 +14,7 @@
 }
 
 export function createServingMetrics (): ServingMetrics {
-  const registry = new Registry()
-  collectDefaultMetrics({ register: registry, prefix: 'magnoliabay_' })
+  const registry = createRegistry()
   return {
     registry,
     ended: new Counter({ name: 'magnoliabay_serving_ended_total', help: 'Requests by how they ended.', labelNames: ['reason'], registers: [registry] }),
