--- a/packages/magnoliabay/src/node/members/__tests__/neighbours.spec.ts
+++ b/packages/magnoliabay/src/node/members/__tests__/neighbours.spec.ts
@@ -3,11 +3,15 @@
 import { createVirtualClock } from '../../clock/virtual'
 import { createGossip } from '../gossip'
 import type { GossipMessage } from '../gossip'
-import { FULL_MESH, mapNeighbours } from '../neighbours'
+import { FULL_MESH, neighboursOf, placeOnRing } from '../neighbours'
 import type { MemberRecord } from '../record'
 
 const idsOf = (count: number): string[] => Array.from({ length: count }, (_, index) => `member-${index}`)
 const MOST_LINKS = 28
+const mapNeighbours = (ids: readonly string[]): Map<string, ReadonlySet<string>> => {
+  const ring = placeOnRing(ids)
+  return new Map(ids.map(id => [id, neighboursOf(id, ring)]))
+}
 
 /** Members that can be reached from the first over links between members that are alive. */
 function reached (ids: readonly string[], dead: ReadonlySet<string>): number {
@@ -44,6 +48,16 @@
   })
 })
 
+/** Guards against links that are cut and dialled anew by everybody at each member that comes: 195 did at their start. */
+describe('one member more', () => {
+  it('changes the neighbours of few others', () => {
+    const before = mapNeighbours(idsOf(194))
+    const after = mapNeighbours(idsOf(195))
+    const changed = idsOf(194).filter(id => [...before.get(id)!].some(other => !after.get(id)!.has(other)))
+    expect(changed.length).to.be.at.most(4)
+  })
+})
+
 describe('gossip', () => {
   /* Every member hands a notice on once, so it ends, and each handles it once however many copies reach it. */
   it('brings a notice to each of 420 members once', () => {
--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -15,7 +15,7 @@
 import type { GossipMessage } from './gossip'
 import { runLink } from './link'
 import type { Link } from './link'
-import { mapNeighbours } from './neighbours'
+import { neighboursOf, placeOnRing } from './neighbours'
 import type { PeerError, Peers } from './peers'
 import type { MemberRecord } from './record'
 import { PLAIN_TRANSPORT } from './transport'
@@ -175,7 +175,7 @@
   }
   const setMembers = (records: readonly MemberRecord[]): void => {
     known = [...records.filter(record => record.id !== self.id), self].sort((left, right) => left.id < right.id ? -1 : 1)
-    neighbours = mapNeighbours(known.map(member => member.id)).get(self.id) ?? new Set()
+    neighbours = neighboursOf(self.id, placeOnRing(known.map(member => member.id)))
     dialling.setTargets(known.filter(member => neighbours.has(member.id) && self.id < member.id))
     changed.emit()
   }
