--- a/packages/magnoliabay/src/node/allowance/__tests__/testFleet.ts
+++ b/packages/magnoliabay/src/node/allowance/__tests__/testFleet.ts
@@ -93,7 +93,8 @@
       peerAddress: '',
       entryAddress: '',
       operatorAddress: '',
-      leaving: false
+      leaving: false,
+      processorShare: 0
     }
     const own = createPausableClock(clock)
     const cfg = createTeamsInForce(rate, burst)
--- a/packages/magnoliabay/src/node/cells/__tests__/support/world.ts
+++ b/packages/magnoliabay/src/node/cells/__tests__/support/world.ts
@@ -120,7 +120,8 @@
       peerAddress: `${id}:1`,
       entryAddress: `${id}:2`,
       operatorAddress: `${id}:3`,
-      leaving: false
+      leaving: false,
+      processorShare: 0
     }
     list.set({ id, role: 'entry', address: member.entryAddress, failureDomain: member.failureDomain, region: 'r', status: 'live' })
     const peers = network.join(member)
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -66,7 +66,8 @@
     peerAddress,
     entryAddress,
     operatorAddress,
-    leaving: false
+    leaving: false,
+    processorShare: 0
   }
   const stop = new AbortController()
   // Every subsystem's loop waits on it; Node takes more than ten waiters for a leak.
--- a/packages/magnoliabay/src/node/members/frames.ts
+++ b/packages/magnoliabay/src/node/members/frames.ts
@@ -41,7 +41,8 @@
   peerAddress: 'string',
   entryAddress: 'string',
   operatorAddress: 'string',
-  leaving: 'boolean'
+  leaving: 'boolean',
+  processorShare: 'number'
 }
 
 const isFields = (value: unknown): value is Fields => typeof value === 'object' && value !== null
--- a/packages/magnoliabay/src/node/members/index.ts
+++ b/packages/magnoliabay/src/node/members/index.ts
@@ -1,6 +1,6 @@
 /** Membership and the links between members. */
 export { createMembership } from './membership'
-export type { Membership } from './membership'
+export type { MemberChanges, MemberList, Membership } from './membership'
 export { createPeerNetwork } from './network'
 export type { PeerNetwork } from './network'
 export { definePeerCall, definePeerNotice } from './peers'
--- a/packages/magnoliabay/src/node/members/membership.ts
+++ b/packages/magnoliabay/src/node/members/membership.ts
@@ -3,12 +3,13 @@
  */
 import type { Clock } from '../clock'
 import { repeat } from '../clock'
+import { createListeners } from './dispatch'
 import type { Logger } from '../logger'
 import type { KeyValue, Store } from '../store'
 import type { PeerNetwork } from './network'
 import { MEMBERS_PREFIX, memberKey } from './record'
 import type { MemberRecord } from './record'
-import { parseJson } from '../utils'
+import { parseJson, stableHash } from '../utils'
 
 /** Seconds after which the store drops what hangs on a lease that nobody renews. */
 const LEASE_TTL_SECONDS = 10
@@ -30,7 +31,26 @@
   logger: Logger
 }
 
-export interface Membership {
+/** What changed among the members since it was last asked. */
+export interface MemberChanges {
+  put: readonly MemberRecord[]
+  gone: readonly string[]
+}
+
+/** The members' records as an instance that watches the store knows them, for others to follow. */
+export interface MemberList {
+  listed (): readonly MemberRecord[]
+  /** The same for two instances exactly when both know the same records. */
+  digest (): string
+  /** Takes over the whole list of a peer. */
+  adopt (list: readonly MemberRecord[]): void
+  /** Takes over what changed in a peer's list. */
+  follow (changes: MemberChanges): void
+  takeChanges (): MemberChanges | undefined
+  onChanged (listener: () => void): void
+}
+
+export interface Membership extends MemberList {
   /** The process's one lease, or undefined while none stands. */
   leaseId (): string | undefined
   /** Whether the store holds the record of this very process, as far as is known here. */
@@ -49,6 +69,9 @@
   const records = new Map<string, MemberRecord>()
   /** Records that are gone from the store, of members that may be there all the same. */
   const lapsed = new Map<string, LapsedRecord>()
+  const changed = createListeners<[]>()
+  const changedIds = new Set<string>()
+  let digest: string | undefined
   let leaseId: string | undefined
 
   const register = async (): Promise<void> => {
@@ -84,29 +107,66 @@
   const apply = (): void => {
     lapsed.forEach((held, id) => { if (records.has(id) || !isStillThere(held)) lapsed.delete(id) })
     network.setMembers([...records.values(), ...[...lapsed.values()].map(held => held.record)])
+    changed.emit()
+  }
+  const noteChanged = (id: string): void => {
+    changedIds.add(id)
+    digest = undefined
   }
   const dropRecord = (id: string): void => {
     const record = records.get(id)
     if (record === undefined) return
     records.delete(id)
+    noteChanged(id)
     if (!record.leaving) lapsed.set(id, { record, sinceMs: clock.monotonic() })
   }
   const addRecord = (entry: Pick<KeyValue, 'key' | 'value'>): void => {
     // A damaged record must not cost the rest of a snapshot.
     const record = parseJson(entry.value) as MemberRecord | undefined
     if (record?.id === undefined) return logger.warn('member-record-refused', { key: entry.key })
+    takeRecord(record)
+  }
+  const takeRecord = (record: MemberRecord): void => {
+    const known = records.get(record.id)
+    if (known !== undefined && identityOf(known) === identityOf(record)) return
     records.set(record.id, record)
+    noteChanged(record.id)
+  }
+  /** A list that is whole: who is not in it is gone. */
+  const dropMissing = (ids: ReadonlySet<string>): void => {
+    const missing = [...records.keys()].filter(id => !ids.has(id))
+    missing.forEach(dropRecord)
   }
 
   return {
     leaseId: () => leaseId,
+    listed: () => [...records.values()],
+    digest: () => {
+      digest ??= stableHash([...records.values()].map(identityOf).sort().join('\n')).toString(36)
+      return digest
+    },
+    adopt: list => {
+      dropMissing(new Set(list.map(record => record.id)))
+      list.forEach(takeRecord)
+      apply()
+    },
+    follow: ({ put, gone }) => {
+      gone.forEach(dropRecord)
+      put.forEach(takeRecord)
+      apply()
+    },
+    takeChanges: () => {
+      if (changedIds.size === 0) return undefined
+      const ids = [...changedIds]
+      changedIds.clear()
+      return { put: ids.flatMap(id => records.get(id) ?? []), gone: ids.filter(id => !records.has(id)) }
+    },
+    onChanged: changed.add,
     isRegistered: incarnation => [...records.values()].some(record => record.incarnation === incarnation),
     start: signal => {
       store.watch(MEMBERS_PREFIX, {
         onSnapshot: snapshot => {
-          const present = new Set(snapshot.entries.map(entry => entry.key))
-          const missing = [...records.keys()].filter(id => !present.has(memberKey(id)))
-          missing.forEach(dropRecord)
+          dropMissing(new Set(snapshot.entries.map(entry => entry.key.slice(MEMBERS_PREFIX.length))))
           snapshot.entries.forEach(addRecord)
           apply()
         },
@@ -129,3 +189,8 @@
     }
   }
 }
+
+/** What of a record others go by. */
+function identityOf ({ id, incarnation, leaving }: MemberRecord): string {
+  return `${id} ${incarnation} ${leaving}`
+}
--- a/packages/magnoliabay/src/node/members/record.ts
+++ b/packages/magnoliabay/src/node/members/record.ts
@@ -18,6 +18,8 @@
   operatorAddress: string
   /** Set once the instance shuts down: callers are no longer sent to it. */
   leaving: boolean
+  /** Processor time a second that the process may use, seconds; 0 where it is not known. */
+  processorShare: number
 }
 
 export const MEMBERS_PREFIX = `${STORE_ROOT}/members/`
--- a/packages/magnoliabay/src/node/platform/kvStore.ts
+++ b/packages/magnoliabay/src/node/platform/kvStore.ts
@@ -4,16 +4,19 @@
  */
 import { Pool } from 'undici'
 import type { Clock } from '../clock'
+import { repeat } from '../clock'
 import type { Logger } from '../logger'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
 import { createReach, runFeeds } from '../store'
 import type { Compare, KeyValue, RangeResult, Reach, Store, StoreError, StoreResult, Transaction, TransactionResult, WatchCall, WatchEnd, WatchEvent, WatchFeed, WatchHandlers } from '../store'
-import { messageOf, parseJson } from '../utils'
+import { addCount, messageOf, parseJson } from '../utils'
 
 /** A call that nobody answered for this long counts as lost; the store answers in milliseconds, slow ones in tenths of a second. */
 const CALL_TIMEOUT_MS = 1500
 const MAX_CONNECTIONS = 6
+/** How often it is told what calls were made for: each is paid for. */
+const TELL_CALLS_PERIOD_MS = 10_000
 
 export interface KvStoreOptions {
   /** `ip:port` */
@@ -66,9 +69,12 @@
   return { kind: item.deleted === true ? 'delete' : 'put', key: item.key, value: decode(item.value), createRevision: item.created ?? 0, modRevision: item.revision }
 }
 
-/** Method and kind of a call, for logs: without query, and without the id of a lease. */
+/** Method and kind of a call, for logs: without the id of a lease, and with what is read or watched. */
 function callName (method: string, path: string): string {
-  return `${method} ${path.split('?')[0]!.split('/').slice(0, 3).join('/')}`
+  const [call = '', query] = path.split('?')
+  const parameters = new URLSearchParams(query)
+  const subject = parameters.get('prefix') ?? parameters.get('key') ?? ''
+  return `${method} ${call.split('/').slice(0, 3).join('/')} ${subject}`.trim()
 }
 
 /** The store's conditions are on the last change alone; an absent key has revision 0 either way. */
@@ -82,6 +88,12 @@
   const pool = new Pool(`http://${address}`, { connections: MAX_CONNECTIONS, pipelining: 1, connect: { timeout: CALL_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: 0 })
   const subscribers: Subscriber[] = []
   const reach = createReach({ address, clock, logger })
+  /** Since they were last told, by name. */
+  const calls = new Map<string, number>()
+  const tellCalls = (): void => {
+    if (calls.size > 0) logger.info('store-calls', { calls: [...calls].map(([name, count]) => `${name}: ${count}`) })
+    calls.clear()
+  }
 
   const call = async (method: 'GET' | 'POST' | 'DELETE', path: string, { body, timeoutMs = CALL_TIMEOUT_MS, signal }: CallOptions = {}): Promise<Result<Answer, StoreError>> => {
     const abort = new AbortController()
@@ -89,6 +101,7 @@
     const cancel = clock.schedule(timeoutMs, end)
     signal?.addEventListener('abort', end, { once: true })
     const name = callName(method, path)
+    addCount(calls, name, 1)
     try {
       const res = await pool.request({
         method,
@@ -169,13 +182,15 @@
     return res.err ? res : Ok(undefined)
   }
 
-  /** Reads every prefix of a feed whole; returns the revision from which to watch, or undefined where a read failed. */
+  /** Reads all prefixes of a feed in one; returns the revision from which to watch, or undefined where the read failed. */
   const readAll = async (feed: WatchFeed): Promise<number | undefined> => {
-    const ofFeed = subscribers.filter(({ prefix }) => prefix.startsWith(feed.prefix))
-    const reads = await Promise.all(ofFeed.map(async ({ prefix, handlers }) => ({ handlers, res: await range(prefix) })))
-    if (reads.some(({ res }) => res.err)) return undefined
-    reads.forEach(({ handlers, res }) => handlers.onSnapshot(res.unwrap()))
-    return Math.min(...reads.map(({ res }) => res.unwrap().revision))
+    const read = await range(feed.prefix)
+    if (read.err) return undefined
+    const { entries, revision } = read.val
+    subscribers
+      .filter(({ prefix }) => prefix.startsWith(feed.prefix))
+      .forEach(({ prefix, handlers }) => handlers.onSnapshot({ revision, entries: entries.filter(entry => entry.key.startsWith(prefix)) }))
+    return revision
   }
   const deliver = (items: readonly WireItem[]): void => items.forEach(item =>
     subscribers.filter(({ prefix }) => item.key.startsWith(prefix)).forEach(({ handlers }) => handlers.onEvent(toEvent(item))))
@@ -198,7 +213,10 @@
     watch: (prefix, handlers) => { subscribers.push({ prefix, handlers }) },
     lastContactMs: reach.lastContactMs,
     steadySinceMs: reach.steadySinceMs,
-    start: (signal, feeds) => runFeeds({ calls: { readAll, watch }, reach, clock, logger }, feeds, signal),
+    start: (signal, feeds) => {
+      runFeeds({ calls: { readAll, watch }, reach, clock, logger }, feeds, signal)
+      repeat(clock, TELL_CALLS_PERIOD_MS, signal, tellCalls)
+    },
     close: () => pool.destroy()
   }
 }
--- a/packages/magnoliabay/src/node/serving/__tests__/storeFeeds.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/storeFeeds.spec.ts
@@ -122,6 +122,8 @@
     servers: undefined as never,
     memberCount: () => 8,
     isFollowing: () => following,
+    isOwnTurn: () => !following,
+    isProxy: () => false,
     isOrdering: () => false
   })
   const renew = async (): Promise<void> => {
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/fleetWorld.ts
@@ -0,0 +1,263 @@
+/** A fleet of any size in virtual time: the real modules of the control plane over a network and a store in memory. */
+import { createDirectStore, createKvFaults, createKvState } from '@magnoliabay/standins'
+import type { FaultSwitches, KvEvent, KvFaults, KvState } from '@magnoliabay/standins'
+import { createVirtualClock } from '../../../clock/virtual'
+import type { VirtualClock } from '../../../clock/virtual'
+import { createSilentLogger } from '../../../logger'
+import { createMembership } from '../../../members'
+import type { MemberRecord, PeerNetwork } from '../../../members'
+import { createMemoryNetwork } from '../../../members/memoryNetwork'
+import type { MemoryNetwork } from '../../../members/memoryNetwork'
+import { createReach, runFeeds } from '../../../store'
+import type { FeedCalls, Store, WatchEnd, WatchFeed, WatchHandlers } from '../../../store'
+import { createConfigInForce } from '../../configInForce'
+import type { ConfigInForce } from '../../configInForce'
+import { createFleetTable } from '../../fleetTable'
+import type { FleetTable, FleetTeller } from '../../fleetTable'
+import { createLeadership } from '../../placement/leadership'
+import type { Leadership } from '../../placement/leadership'
+import { createServers } from '../../servers'
+import type { Servers } from '../../servers'
+import { createSpread } from '../../spread'
+import { createStoreFeeds, watchStore } from '../../storeFeeds'
+import { createStoreProxy } from '../../storeProxy'
+import { createStoreTurn } from '../../storeTurn'
+import type { BackendServer } from '../../types'
+import { configOf, memberRecord, reportOf, serverOf } from '../fixtures'
+
+const CONFIG = 'op/config'
+const SERVERS = 'servers/'
+const DOMAINS = 5
+/** So many of each failure domain are large machines. */
+const LARGE = 3
+const ORDER_LEASE_MS = 3000
+
+export interface Instance {
+  record: MemberRecord
+  cfg: ConfigInForce
+  servers: Servers
+  table: FleetTable & FleetTeller
+  leadership: Leadership
+  faults: FaultSwitches<KvFaults>
+  stop: AbortController
+  /** Of the store, since they were last reset. */
+  calls: number
+  /** Messages sent and received, since they were last reset. */
+  messages: number
+  /** Requests that it has under way, by server. */
+  inFlight: Map<string, number>
+}
+
+export interface FleetWorld {
+  clock: VirtualClock
+  network: MemoryNetwork
+  state: KvState
+  instances: Map<string, Instance>
+  start (index: number): void
+  /** The process is gone; nothing of it is given back. */
+  kill (id: string): void
+  /** The operators accept a configuration. */
+  setConfig (version: number): void
+  putServer (server: BackendServer): void
+  removeServer (id: string): void
+  leader (): string | undefined
+  resetCounts (): void
+}
+
+export const idOf = (index: number): string => `m${String(index).padStart(3, '0')}`
+
+interface Subscriber {
+  prefix: string
+  handlers: WatchHandlers
+}
+
+const prefixEnd = (prefix: string): string => prefix.slice(0, -1) + String.fromCharCode(prefix.charCodeAt(prefix.length - 1) + 1)
+
+export function createFleetWorld (random: () => number): FleetWorld {
+  const clock = createVirtualClock()
+  const logger = createSilentLogger()
+  const instances = new Map<string, Instance>()
+  const network = createMemoryNetwork({
+    clock,
+    fate: ({ from, to }) => {
+      [from, to].map(id => instances.get(id)).forEach(instance => { if (instance !== undefined) instance.messages += 1 })
+      return [1 + random() * 2]
+    }
+  })
+  const state = createKvState({ clock })
+
+  /** The store as one instance calls it; calls are counted, and a watch is one call at a time. */
+  const createCalls = (instance: () => Instance, faults: FaultSwitches<KvFaults>): { store: Store, calls: FeedCalls, reach: ReturnType<typeof createReach> } => {
+    const reach = createReach({ address: 'store', clock, logger })
+    const subscribers: Subscriber[] = []
+    const direct = createDirectStore(state, { clock, faults })
+    const isDown = (): boolean => faults.now.down !== 'no'
+    const counted = async <T extends { ok: boolean }>(call: Promise<T>): Promise<T> => {
+      instance().calls += 1
+      const res = await call
+      reach.note(!isDown(), 'a call', 'turned away')
+      return res
+    }
+    const store: Store = {
+      get: (key, options) => counted(direct.get(key, options)),
+      range: (prefix, options) => counted(direct.range(prefix, options)),
+      transact: (transaction, options) => counted(direct.transact(transaction, options)),
+      grantLease: ttl => counted(direct.grantLease(ttl)),
+      renewLease: id => counted(direct.renewLease(id)),
+      revokeLease: id => counted(direct.revokeLease(id)),
+      watch: (prefix, handlers) => { subscribers.push({ prefix, handlers }) }
+    }
+    const ofFeed = ({ prefix: root }: WatchFeed): Subscriber[] => subscribers.filter(({ prefix }) => prefix.startsWith(root))
+    const calls: FeedCalls = {
+      readAll: async feed => {
+        const read = await store.range(feed.prefix)
+        if (read.err) return undefined
+        const { entries, revision } = read.val
+        ofFeed(feed).forEach(({ prefix, handlers }) => handlers.onSnapshot({ revision, entries: entries.filter(({ key }) => key.startsWith(prefix)) }))
+        return revision
+      },
+      watch: (feed, { after, waitMs, signal }) => new Promise(resolve => {
+        instance().calls += 1
+        let cancelWatch = (): void => {}
+        const end = (result: WatchEnd): void => {
+          cancelWait()
+          cancelWatch()
+          resolve(result)
+        }
+        const answer = (events: readonly KvEvent[], at: number): void => {
+          if (signal.aborted) return
+          reach.note(!isDown(), 'a watch', 'turned away')
+          if (isDown()) return end({ kind: 'failed', err: { kind: 'unavailable', message: 'turned away' } })
+          events.forEach(({ kind, entry }) => ofFeed(feed)
+            .filter(({ prefix }) => entry.key.startsWith(prefix))
+            .forEach(({ handlers }) => handlers.onEvent({ ...entry, kind })))
+          end({ kind: 'answered', at, hadEvents: events.length > 0 })
+        }
+        const cancelWait = clock.schedule(isDown() ? 0 : waitMs, () => answer([], state.revision()))
+        signal.addEventListener('abort', () => end({ kind: 'cut' }), { once: true })
+        const atOf = (events: readonly KvEvent[]): number => Math.max(...events.map(({ entry }) => entry.modRevision))
+        const watch = state.watch({ key: feed.prefix, end: prefixEnd(feed.prefix) }, after + 1, events => { if (!isDown()) answer(events, atOf(events)) })
+        if (watch.kind === 'compacted') return end({ kind: 'history-gone' })
+        cancelWatch = watch.cancel
+        if (watch.backlog.length > 0 && !isDown()) clock.schedule(0, () => answer(watch.backlog, atOf(watch.backlog)))
+      })
+    }
+    return { store, calls, reach }
+  }
+
+  const start = (index: number): void => {
+    const id = idOf(index)
+    const record = memberRecord(id, { incarnation: `${id} ${clock.monotonic()}`, failureDomain: `d${index % DOMAINS}`, processorShare: index < DOMAINS * LARGE ? 1.35 : 0.324 })
+    const faults = createKvFaults()
+    const stop = new AbortController()
+    const joined = network.join(record)
+    let known: readonly MemberRecord[] = [record]
+    const peers: PeerNetwork = {
+      ...joined,
+      members: () => known,
+      setMembers: records => { known = [...records.filter(each => each.id !== id), record].sort((left, right) => left.id < right.id ? -1 : 1) },
+      evidenceOf: other => joined.isConnected(other) ? 'linked' : 'unlinked',
+      greet: async () => {},
+      start: async () => {},
+      close: async () => {}
+    }
+    const { store, calls, reach } = createCalls(() => instances.get(id)!, faults)
+    const storeAgeMs = (): number => clock.monotonic() - reach.lastContactMs()
+    const steadyMs = (): number => clock.monotonic() - reach.steadySinceMs()
+    const cfg = createConfigInForce({ decode: text => configOf(Number(text)), clock, logger })
+    const servers = createServers({ decode: (_key, text) => JSON.parse(text) as BackendServer, idOf: key => key.slice(SERVERS.length), storeSteadySinceMs: reach.steadySinceMs, clock, logger })
+    const membership = createMembership({ store, network: peers, clock, logger })
+    const inFlight = new Map<string, number>()
+    const table = createFleetTable({
+      peers,
+      clock,
+      isLinked: joined.isConnected,
+      leader: () => leadership.isHolder() ? id : leadership.holder(),
+      own: () => reportOf({ inFlight: [...inFlight].map(([server, count]) => ({ server, model: 'a', count })), storeAgeMs: storeAgeMs(), isReady: cfg.version() > 0 }),
+      spentWithBelow: () => [],
+      leading: () => leadership.leading(),
+      latestClaim: () => leadership.latestClaim(),
+      summary: () => ({ configVersion: cfg.version(), storeAgeMs: proxy.sight().ageMs, storeSteadyMs: proxy.sight().steadyMs, spent: [], listDigest: servers.digest(), membersDigest: membership.digest() }),
+      beforeSummary: () => spread.tellChanges(),
+      onReport: () => {},
+      onSummary: (member, summary) => spread.noteSummary(member.id, summary)
+    })
+    const leadership: Leadership = createLeadership({
+      store,
+      self: id,
+      machine: `${id} at home`,
+      renewByPeer: async leaseId => [...instances.values()].some(other => other.faults.now.down === 'no') ? await createDirectStore(state, { clock }).renewLease(leaseId) : undefined,
+      hasEnded: async other => !instances.has(other),
+      isFollowing: table.isFollowing,
+      yieldMs: () => table.isRelayed() && !table.isRelay() ? 800 : 0,
+      orderLeaseMs: ORDER_LEASE_MS,
+      minLeaseMs: 1000,
+      processorShare: record.processorShare,
+      clock,
+      logger,
+      random
+    })
+    const proxy = createStoreProxy({ peers, isLeading: leadership.isHolder, own: () => ({ ageMs: storeAgeMs(), steadyMs: steadyMs() }), candidates: table.peersAtStore, onProxied: member => spread.noteProxy(member), clock, logger })
+    const spread = createSpread({
+      peers,
+      cfg,
+      servers,
+      members: membership,
+      storeAgeMs,
+      leading: () => leadership.leading() ?? leadership.known(),
+      followers: () => [...table.reporters(), ...proxy.clients()],
+      isFollowing: table.isFollowing,
+      isLinked: joined.isConnected,
+      isProxy: member => proxy.current() === member,
+      onLeaderTold: leading => leadership.noteTold(leading),
+      clock,
+      logger,
+      random
+    })
+    const isProxy = (): boolean => proxy.clients().length > 0
+    const turn = createStoreTurn({ isLeading: leadership.isHolder, isProxy, isFollowing: table.isFollowing, memberCount: () => known.length, clock, logger, random })
+    const feeds = { store, wire: { keys: { config: CONFIG, servers: SERVERS } }, cfg, servers, memberCount: () => known.length, isFollowing: table.isFollowing, isOwnTurn: turn.isOwn, isProxy, isOrdering: () => false }
+    instances.set(id, { record, cfg, servers, table, leadership, faults, stop, calls: 0, messages: 0, inFlight })
+    watchStore(feeds, stop.signal)
+    membership.start(stop.signal)
+    leadership.start(stop.signal)
+    runFeeds({ calls, reach, clock, logger }, createStoreFeeds(feeds), stop.signal)
+    table.start(stop.signal)
+    spread.start(stop.signal)
+    proxy.start(stop.signal)
+  }
+
+  return {
+    clock,
+    network,
+    state,
+    instances,
+    start,
+    kill: id => {
+      const instance = instances.get(id)
+      instance?.stop.abort()
+      instance?.faults.set({ down: 'refused' })
+      network.kill(id)
+      instances.delete(id)
+    },
+    setConfig: version => { state.transact({ compares: [], success: [{ kind: 'put', key: CONFIG, value: String(version) }], failure: [] }) },
+    putServer: server => { state.transact({ compares: [], success: [{ kind: 'put', key: `${SERVERS}${server.id}`, value: JSON.stringify(server) }], failure: [] }) },
+    removeServer: id => { state.transact({ compares: [], success: [{ kind: 'delete', range: { key: `${SERVERS}${id}` } }], failure: [] }) },
+    leader: () => [...instances.values()].find(({ leadership }) => leadership.isHolder())?.record.id,
+    resetCounts: () => instances.forEach(instance => {
+      instance.calls = 0
+      instance.messages = 0
+    })
+  }
+}
+
+/** A fleet that has run for some seconds, with a configuration and some servers. */
+export async function createSettledFleet (size: number, random: () => number): Promise<FleetWorld> {
+  const world = createFleetWorld(random)
+  world.setConfig(1)
+  const servers = ['s1', 's2', 's3']
+  servers.forEach(id => world.putServer(serverOf(id)))
+  Array.from({ length: size }, (_, index) => index).forEach(index => world.clock.schedule(random() * 300, () => world.start(index)))
+  await world.clock.advance(6000)
+  return world
+}
--- a/packages/magnoliabay/src/node/serving/allowance/__tests__/support/world.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/__tests__/support/world.ts
@@ -65,7 +65,7 @@
       peers,
       store: storeOf(id),
       isOutOfReach: () => faults.get(id)?.now.down !== 'no',
-      peerAtStore: () => IDS.find(other => other !== id && isAtStore(other) && peers.isConnected(other))
+      peersAtStore: () => IDS.filter(other => other !== id && isAtStore(other) && peers.isConnected(other)).slice(0, 1)
     })
     return createTeamAllowance({ peers, teamNamed: () => team.current, windowMs: WINDOW_MS, isFirstStart: isFirst, store, tolerance: TOLERANCE, clock, logger })
   }
--- a/packages/magnoliabay/src/node/serving/allowance/recordsByPeer.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/recordsByPeer.ts
@@ -16,6 +16,8 @@
 
 /** A peer in touch with the store answers in milliseconds, while the store is slow in tenths of a second. */
 const PEER_TIMEOUT_MS = 700
+/** So many peers are asked, one after the other. */
+const MAX_PEERS = 3
 
 export type RecordStore = Pick<Store, 'get' | 'transact'>
 
@@ -24,23 +26,30 @@
   store: RecordStore
   /** The last call that the store answered here is older than one that it did not. */
   isOutOfReach: () => boolean
-  /** A linked peer that is in touch with the store, as far as known. */
-  peerAtStore: () => string | undefined
+  /** Peers that are likely in touch with the store, the likeliest first. */
+  peersAtStore: () => readonly string[]
 }
 
 /** Serves reads and writes for others as well. */
-export function createRecordsByPeer ({ peers, store, isOutOfReach, peerAtStore }: RecordsByPeerOptions): RecordStore {
+export function createRecordsByPeer ({ peers, store, isOutOfReach, peersAtStore }: RecordsByPeerOptions): RecordStore {
   const toDone = <T>(res: Result<T, StoreError>): Done<T> => res.ok ? { kind: 'done', value: res.val } : { kind: 'failed', err: res.val }
   peers.serve(readCall, async ({ key }) => toDone(await store.get(key)))
   peers.serve(writeCall, async transaction => toDone(await store.transact(transaction)))
 
-  const byPeer = async <Req, T>(call: ReturnType<typeof definePeerCall<Req, Done<T>>>, req: Req): Promise<Result<T, StoreError> | undefined> => {
-    const peer = peerAtStore()
-    if (peer === undefined) return undefined
+  const askPeer = async <Req, T>(peer: string, call: ReturnType<typeof definePeerCall<Req, Done<T>>>, req: Req): Promise<Result<T, StoreError>> => {
     const reply = await peers.call(peer, call, req, { timeoutMs: PEER_TIMEOUT_MS })
     if (reply.err) return Err({ kind: 'unknown', message: reply.val.message })
     return reply.val.kind === 'done' ? Ok(reply.val.value) : Err(reply.val.err)
   }
+  /** The store may turn a part of all instances away: one after the other is asked, and what none of them did, nobody did. */
+  const byPeer = async <Req, T>(call: ReturnType<typeof definePeerCall<Req, Done<T>>>, req: Req): Promise<Result<T, StoreError> | undefined> => {
+    let last: Result<T, StoreError> | undefined
+    for (const peer of peersAtStore().slice(0, MAX_PEERS)) {
+      last = await askPeer(peer, call, req)
+      if (last.ok) return last
+    }
+    return last
+  }
   /** A store that is known to be out of reach is not waited for. */
   const either = async <T>(here: () => Promise<Result<T, StoreError>>, there: () => Promise<Result<T, StoreError> | undefined>): Promise<Result<T, StoreError>> => {
     if (isOutOfReach()) return await there() ?? await here()
--- a/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
@@ -63,6 +63,8 @@
   spent (): readonly TeamSpent[]
   /** A process told what it has spent. What it told stands for a window after its end. */
   noteSpent (incarnation: string, spent: readonly TeamSpent[]): void
+  /** What this instance and those who told it have spent. */
+  spentWithBelow (): readonly TeamSpent[]
   /** What all have spent, as far as they told this instance. */
   spentByAll (): readonly TeamSpent[]
   /** One who hears everybody told what all have spent. */
@@ -130,11 +132,15 @@
   /** What a process told as it ended leaves the window bit by bit: it counts for less the older it is. */
   const toldBy = (team: string): number[] => [...told.values()].filter(isStanding)
     .map(each => (each.spent.get(team) ?? 0) * (1 - (clock.monotonic() - each.atMs) / windowMs))
+  const spentWithTold = (team: string): number => toldBy(team).reduce((sum, units) => sum + units, ownOf(team).spent(clock.monotonic()))
   /** Each process tells this instance, or one tells it of all: both are the same sum, and one of the two may be older. */
   const spentOverall = (team: string): number => {
-    const byProcess = toldBy(team).reduce((sum, units) => sum + units, ownOf(team).spent(clock.monotonic()))
     const ofAll = toldOfAll !== undefined && isStanding(toldOfAll) ? toldOfAll.spent.get(team) ?? 0 : 0
-    return Math.max(byProcess, ofAll)
+    return Math.max(spentWithTold(team), ofAll)
+  }
+  const sumsBy = (sumOf: (team: string) => number): TeamSpent[] => {
+    const teams = new Set([...own.keys(), ...[...told.values()].flatMap(each => [...each.spent.keys()])])
+    return [...teams].map(team => ({ team, units: Math.round(sumOf(team)) })).filter(({ units }) => units > 0)
   }
   const toTold = (spent: readonly TeamSpent[]): Told => ({ spent: new Map(spent.map(({ team, units }) => [team, units])), atMs: clock.monotonic() })
   /** The whole allowance, but for the equal parts of those who cannot ask. */
@@ -240,10 +246,8 @@
       told.forEach((each, key) => { if (clock.monotonic() - each.atMs > windowMs) told.delete(key) })
       told.set(incarnation, toTold(spent))
     },
-    spentByAll: () => {
-      const teams = new Set([...own.keys(), ...[...told.values()].flatMap(each => [...each.spent.keys()])])
-      return [...teams].map(team => ({ team, units: Math.round(spentOverall(team)) })).filter(({ units }) => units > 0)
-    },
+    spentWithBelow: () => sumsBy(spentWithTold),
+    spentByAll: () => sumsBy(spentOverall),
     noteSpentByAll: spent => { toldOfAll = toTold(spent) }
   }
 }
--- a/packages/magnoliabay/src/node/serving/fleetMessages.ts
+++ b/packages/magnoliabay/src/node/serving/fleetMessages.ts
@@ -1,6 +1,8 @@
-/** What instances tell the leader, and what it tells them back. */
+/** What instances tell the leader, and what it tells them back; relays in between add up the one and pass on the other. */
 import { definePeerNotice } from '../members'
+import type { MemberChanges } from '../members'
 import type { TeamSpent } from './allowance/teamAllowance'
+import type { LeaderClaim } from './placement/leaderRecords'
 import type { BackendServer } from './types'
 
 /** Requests under way at one server for one model. */
@@ -18,7 +20,19 @@
   waiting: number
 }
 
-/** One instance to the leader. */
+/** An instance that reports by way of another. */
+export interface MemberState {
+  id: string
+  isReady: boolean
+}
+
+/** Instances that hear nothing from a server though they have requests there. */
+export interface SilentServer {
+  server: string
+  tellers: number
+}
+
+/** One instance to the leader or to its relay; a relay's is the sum of its own and of those below it. */
 export interface InstanceReport {
   configVersion: number
   /** Milliseconds since the instance last heard the store. */
@@ -26,11 +40,15 @@
   inFlight: readonly InFlight[]
   demand: readonly ModelDemand[]
   leavingServers: readonly string[]
-  /** Servers that say nothing to this instance, though it has requests there. */
-  silentServers: readonly string[]
+  silentServers: readonly SilentServer[]
   /** Of teams' allowances, within the window. */
   spent: readonly TeamSpent[]
+  /** Of the reporting instance itself. */
   isReady: boolean
+  /** Those who report by way of it. */
+  below: readonly MemberState[]
+  /** Told ahead of time: whoever hears it passes it on soon. */
+  isUrgent: boolean
 }
 
 /** Requests that all instances have at one server. */
@@ -39,8 +57,17 @@
   count: number
 }
 
-/** The leader to those who report to it. */
+/** By what an instance leads, and the revision of the store at which it was claimed: a later claim has a higher one. */
+export interface Leading {
+  claim: LeaderClaim
+  revision: number
+}
+
+/** The leader to those who report to it, and by them to those below. */
 export interface FleetSummary {
+  leading: Leading
+  /** Counts the summaries of one claim. */
+  count: number
   configVersion: number
   /** Milliseconds since the leader last heard the store. */
   storeAgeMs: number
@@ -54,6 +81,8 @@
   spent: readonly TeamSpent[]
   /** Stands for the list of servers as the leader knows it, what they hold included. */
   listDigest: string
+  /** Stands for the members as the leader knows them. */
+  membersDigest: string
 }
 
 /** A server as instances need it to choose one; where its copies of weights lie concerns only the leader. */
@@ -67,6 +96,13 @@
   gone: readonly string[]
 }
 
+/** The configuration in force, as it was read, packed. */
+export interface ConfigNotice {
+  packed: Uint8Array
+}
+
 export const reportNotice = definePeerNotice<InstanceReport>('serving.report')
 export const summaryNotice = definePeerNotice<FleetSummary>('serving.summary')
 export const serversNotice = definePeerNotice<ServersNotice>('serving.servers-changed')
+export const membersNotice = definePeerNotice<MemberChanges>('serving.members-changed')
+export const configNotice = definePeerNotice<ConfigNotice>('serving.config-changed')
--- a/packages/magnoliabay/src/node/serving/fleetTotals.ts
+++ b/packages/magnoliabay/src/node/serving/fleetTotals.ts
@@ -4,7 +4,7 @@
  * thousands of questions a second.
  */
 import { addCount } from '../utils'
-import type { InstanceReport, ServerLoad } from './fleetMessages'
+import type { InFlight, InstanceReport, MemberState, ModelDemand, ServerLoad, SilentServer } from './fleetMessages'
 
 interface Held {
   report: InstanceReport
@@ -14,10 +14,16 @@
 export interface FleetTotals {
   /** Replaces what the member reported before. */
   put (member: string, report: InstanceReport, nowMs: number): void
+  /** Forgets what the member reported. */
+  drop (member: string): void
   /** Drops what is older than this; returns whose reports these were. */
   expire (maxAgeMs: number, nowMs: number): readonly string[]
   reporters (): readonly string[]
   report (member: string): InstanceReport | undefined
+  /** Of a member that reports, here or by way of another. */
+  stateOf (member: string): (MemberState & { via: string }) | undefined
+  /** Everybody who reports, here or by way of another. */
+  states (): readonly MemberState[]
   /** Requests at a server, of all models. */
   atServer (server: string): number
   /** Requests for a model at a server. */
@@ -30,6 +36,9 @@
   /** Instances that hear nothing from a server. */
   silentFor (server: string): number
   loads (): readonly ServerLoad[]
+  inFlightByServer (): readonly InFlight[]
+  demandByModel (): readonly ModelDemand[]
+  silentServers (): readonly SilentServer[]
   leavingServers (): readonly string[]
 }
 
@@ -49,6 +58,7 @@
   const byModel = new Map<string, number>()
   const asked = new Map<string, Asked>()
   const silent = new Map<string, number>()
+  const states = new Map<string, MemberState & { via: string }>()
 
   const addInFlight = (server: string, model: string, change: number): void => {
     const models = byServer.get(server) ?? new Map<string, number>()
@@ -66,13 +76,16 @@
   const apply = (report: InstanceReport, sign: 1 | -1): void => {
     report.inFlight.forEach(({ server, model, count }) => addInFlight(server, model, sign * count))
     report.demand.forEach(({ model, rate, waiting }) => addAsked(model, sign * rate, sign * waiting))
-    report.silentServers.forEach(server => addCount(silent, server, sign))
+    report.silentServers.forEach(({ server, tellers }) => addCount(silent, server, sign * tellers))
   }
   const drop = (member: string): void => {
     const found = held.get(member)
     if (found === undefined) return
     apply(found.report, -1)
     held.delete(member)
+    // One that reports by way of another meanwhile is there still.
+    const told = [member, ...found.report.below.map(({ id }) => id)]
+    told.filter(id => states.get(id)?.via === member).forEach(id => states.delete(id))
   }
 
   return {
@@ -80,7 +93,10 @@
       drop(member)
       apply(report, 1)
       held.set(member, { report, atMs: nowMs })
+      report.below.forEach(state => states.set(state.id, { ...state, via: member }))
+      states.set(member, { id: member, isReady: report.isReady, via: member })
     },
+    drop,
     expire: (maxAgeMs, nowMs) => {
       const stale = [...held].filter(([, { atMs }]) => nowMs - atMs > maxAgeMs).map(([member]) => member)
       stale.forEach(drop)
@@ -88,6 +104,8 @@
     },
     reporters: () => [...held.keys()],
     report: member => held.get(member)?.report,
+    stateOf: member => states.get(member),
+    states: () => [...states.values()].map(({ id, isReady }) => ({ id, isReady })),
     atServer: server => [...byServer.get(server)?.values() ?? []].reduce((sum, count) => sum + count, 0),
     inFlight: (server, model) => byServer.get(server)?.get(model) ?? 0,
     running: model => byModel.get(model) ?? 0,
@@ -95,6 +113,9 @@
     models: () => [...asked.keys()],
     silentFor: server => silent.get(server) ?? 0,
     loads: () => [...byServer].map(([server, models]) => ({ server, count: [...models.values()].reduce((sum, count) => sum + count, 0) })),
+    inFlightByServer: () => [...byServer].flatMap(([server, models]) => [...models].map(([model, count]) => ({ server, model, count }))),
+    demandByModel: () => [...asked].map(([model, { rate, waiting }]) => ({ model, rate, waiting })),
+    silentServers: () => [...silent].map(([server, tellers]) => ({ server, tellers })),
     leavingServers: () => [...new Set([...held.values()].flatMap(({ report }) => report.leavingServers))]
   }
 }
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/packedText.ts
@@ -0,0 +1,26 @@
+/**
+ * A document as it goes between instances. Failure: a configuration of hundreds of models, sent as it is to everybody,
+ * fills the link of the one who tells it for a second, and the summaries behind it come too late. It shrinks to a tenth.
+ */
+import { deflateRawSync, inflateRawSync } from 'node:zlib'
+import { messageOf } from '../utils'
+import { Err, Ok } from '../result'
+import type { Result } from '../result'
+
+/** Of six and more, hardly a byte less for several times the processor time. */
+const LEVEL = 3
+/** The store takes no value larger than a megabyte; what claims more is damaged. */
+const MOST_BYTES = 8 * 1024 * 1024
+
+export function packText (text: string): Uint8Array {
+  return deflateRawSync(text, { level: LEVEL })
+}
+
+/** The error says what is wrong with the bytes. */
+export function unpackText (packed: Uint8Array): Result<string, string> {
+  try {
+    return Ok(inflateRawSync(packed, { maxOutputLength: MOST_BYTES }).toString('utf8'))
+  } catch (err) {
+    return Err(messageOf(err))
+  }
+}
--- a/packages/magnoliabay/src/node/serving/placement/leaderRecords.ts
+++ b/packages/magnoliabay/src/node/serving/placement/leaderRecords.ts
@@ -76,14 +76,18 @@
   return entry.val?.value === proof.value ? { kind: 'done', revision: entry.val.modRevision } : { kind: 'failed', reason: put.val.message }
 }
 
+export function createClaim (holder: string, machine: string): LeaderClaim {
+  return { holder, machine, claim: createId('claim') }
+}
+
 const lastOrderer = (machine: string): LastOrderer => ({ machine, mark: createId('last') })
 
 /**
  * Takes the claim, if neither record has changed since it was read. One who was the last to order says so anew, so
  * that others see that orders may have gone out since.
  */
-export function writeClaim (store: Store, known: LeaderRecords, holder: string, machine: string, leaseId: string): Promise<Written> {
-  const claim: LeaderClaim = { holder, machine, claim: createId('claim') }
+export function writeClaim (store: Store, known: LeaderRecords, claim: LeaderClaim, leaseId: string): Promise<Written> {
+  const { machine } = claim
   const value = JSON.stringify(claim)
   const isLast = known.last.value?.machine === machine
   return write(store, [unchanged(LEADER_KEY, known.leader.revision), unchanged(LAST_ORDERER_KEY, known.last.revision)], [
--- a/packages/magnoliabay/src/node/serving/placement/leadership.ts
+++ b/packages/magnoliabay/src/node/serving/placement/leadership.ts
@@ -8,7 +8,8 @@
 import type { Logger } from '../../logger'
 import type { Result } from '../../result'
 import type { Store, StoreError } from '../../store'
-import { LAST_ORDERER_KEY, LEADER_KEY, readLeaderRecords, versionedOf, writeClaim, writeLastOrderer } from './leaderRecords'
+import type { Leading } from '../fleetMessages'
+import { LAST_ORDERER_KEY, LEADER_KEY, createClaim, readLeaderRecords, versionedOf, writeClaim, writeLastOrderer } from './leaderRecords'
 import type { LastOrderer, LeaderClaim, LeaderRecords, Versioned } from './leaderRecords'
 
 export { LEADER_KEY }
@@ -45,8 +46,16 @@
   startsInMs (): number | undefined
   /** Whether this instance holds the lease, though it may have to wait before its first order. */
   isHolder (): boolean
-  /** The instance that holds the lease, as far as the store has told. */
+  /** The instance that holds the lease, by the latest claim that the store or a peer has told. */
   holder (): string | undefined
+  /** By what this instance leads; undefined where it does not hold the lease. */
+  leading (): Leading | undefined
+  /** The claim that stands, as far as known. */
+  known (): Leading | undefined
+  /** Revision of the latest claim, or of its end, that is known. */
+  latestClaim (): number
+  /** A peer tells of a claim. */
+  noteTold (leading: Leading): void
   start (signal: AbortSignal): void
   /** Gives the lease back; no orders are sent any more. */
   resign (): Promise<void>
@@ -64,6 +73,10 @@
   processorShare: number
   /** Renews a lease by way of a peer that reaches the store; undefined where none does. */
   renewByPeer: (leaseId: string) => Promise<Result<number, StoreError> | undefined>
+  /** Another leads and says so: the store need not be asked. */
+  isFollowing: () => boolean
+  /** Tries for the lease later than others do, milliseconds. */
+  yieldMs: () => number
   /** Whether the instance's process is proven to have ended. */
   hasEnded: (instance: string) => Promise<boolean>
   clock: Clock
@@ -72,6 +85,7 @@
 }
 
 interface Term {
+  claim: LeaderClaim
   leaseId: string
   fence: number
   /** Monotonic milliseconds of the first order. */
@@ -105,6 +119,8 @@
   /** Until the first snapshot nobody knows whether there is a holder. */
   let isInformed = false
   let leader: Versioned<LeaderClaim> = versionedOf(undefined)
+  /** Of claims and of their ends, as far as known: what a peer tells may be older. */
+  let latestRevision = 0
   let last: Versioned<LastOrderer> = versionedOf(undefined)
   let freed: Freed | undefined
   let hasResigned = false
@@ -143,18 +159,20 @@
     const known = await readLeaderRecords(store)
     if (known.err) return
     leader = known.val.leader
+    latestRevision = Math.max(latestRevision, leader.revision)
     last = known.val.last
     if (!mayClaim(known.val) || hasResigned) return
     const lease = await store.grantLease(leaseMs / 1000)
     if (lease.err) return
     const fromMs = firstOrderMs(known.val)
-    const claimed = await writeClaim(store, known.val, self, machine, lease.val)
+    const claim = createClaim(self, machine)
+    const claimed = await writeClaim(store, known.val, claim, lease.val)
     if (claimed.kind !== 'done') {
       await store.revokeLease(lease.val)
       return
     }
     const isLast = wasLast(known.val)
-    term = { leaseId: lease.val, fence: claimed.revision, fromMs, isLast, lastRevision: isLast ? claimed.revision : known.val.last.revision }
+    term = { claim, leaseId: lease.val, fence: claimed.revision, fromMs, isLast, lastRevision: isLast ? claimed.revision : known.val.last.revision }
     confirmed = sentAt
     logger.info('orderer-won', { fence: term.fence, firstOrderInMs: Math.max(0, Math.round(fromMs - clock.monotonic())), orderedLast: known.val.last.value?.machine })
   }
@@ -204,13 +222,13 @@
   }
   const step = async (): Promise<void> => {
     if (term !== undefined) return await renew(term)
-    if (!isInformed || hasResigned) return
+    if (!isInformed || hasResigned || options.isFollowing()) return
     if (!mayClaim({ leader, last })) return await releaseEnded()
     if (!wasLast({ last })) {
       const age = Math.min(1, (clock.monotonic() - startedMs) / OLD_MS)
       const lacking = Math.max(0, 1 - options.processorShare)
-      await sleep(clock, options.random() * MAX_CANDIDATE_DELAY_MS + age * AGE_DELAY_MS + lacking * SLOW_DELAY_MS)
-      if (!mayClaim({ leader, last }) || hasResigned) return
+      await sleep(clock, options.random() * MAX_CANDIDATE_DELAY_MS + age * AGE_DELAY_MS + lacking * SLOW_DELAY_MS + options.yieldMs())
+      if (!mayClaim({ leader, last }) || hasResigned || options.isFollowing()) return
     }
     // Changes are gathered before they are told: in a large fleet most have missed that another has won.
     await candidate()
@@ -232,6 +250,7 @@
   /** `revision`: of the change that is told, which may be older than the claim of this instance. */
   const noteLeader = (next: Versioned<LeaderClaim>, revision: number): void => {
     leader = next
+    latestRevision = Math.max(latestRevision, revision)
     if (term !== undefined && revision > term.fence) lose(next.value === undefined ? 'lease ended' : 'another machine took the lease')
     if (next.value === undefined) freed = { atMs: clock.monotonic(), lastRevision: last.revision }
     if (mayClaim({ leader, last })) wake.abort()
@@ -253,6 +272,12 @@
     },
     isHolder: () => term !== undefined && !hasResigned && isConfirmed(),
     holder: () => leader.value?.holder,
+    leading: () => term === undefined || hasResigned || !isConfirmed() ? undefined : { claim: term.claim, revision: term.fence },
+    known: () => leader.value === undefined ? undefined : { claim: leader.value, revision: leader.revision },
+    latestClaim: () => Math.max(latestRevision, term?.fence ?? 0),
+    noteTold: ({ claim, revision }) => {
+      if (revision > Math.max(latestRevision, term?.fence ?? 0)) noteLeader({ value: claim, revision, leaseId: undefined }, revision)
+    },
     start: signal => {
       store.watch(LEADER_KEY, {
         onSnapshot: ({ entries }) => {
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -35,6 +35,8 @@
 import { createServers } from './servers'
 import { createStoreFeeds, watchStore } from './storeFeeds'
 import type { StoreFeedsOptions } from './storeFeeds'
+import { createStoreProxy } from './storeProxy'
+import { createStoreTurn } from './storeTurn'
 import { createSpread } from './spread'
 import { processOf } from './types'
 import type { RequestKind } from './types'
@@ -106,8 +108,8 @@
 const ISOLATED_STORE_MS = 5500
 /** An instance that has links to fewer than this part of the others is on the wrong side of a cut. */
 const ISOLATED_PART = 0.4
-/** What the store said last goes before what peers say while it is younger than this, milliseconds. */
-const TRUST_STORE_MS = 3000
+/** Those that are no relays try for the lease this much later, milliseconds: a leader is best found by relays, and tells the others. */
+const YIELD_TO_RELAYS_MS = 800
 /** What is left of the grace period when the process ends by itself, milliseconds. */
 const GRACE_MARGIN_MS = 600
 
@@ -127,7 +129,8 @@
     peerAddress: settings.listen.peers,
     entryAddress: settings.listen.entry,
     operatorAddress: '',
-    leaving: false
+    leaving: false,
+    processorShare: settings.processorShare
   }
   const stop = new AbortController()
   setMaxListeners(0, stop.signal)
@@ -184,25 +187,32 @@
         .map(model => ({ model, rate: demand.get(model)?.read(now) ?? 0, waiting: waiting.get(model) ?? 0 }))
         .filter(entry => entry.rate > LEAST_RATE || entry.waiting > 0),
       leavingServers: servers.leaving(),
-      silentServers: servers.all().map(processOf).filter(health.isSilent),
+      silentServers: servers.all().map(processOf).filter(health.isSilent).map(server => ({ server, tellers: 1 })),
       spent: allowance.spent(),
-      isReady: isReady()
+      isReady: isReady(),
+      below: [],
+      isUrgent: false
     }
   }
-  let namedLeader: string | undefined
-  /** Who leads by the store's word, or, where that is old, by that of peers who hear the store. */
-  const leader = (): string | undefined => {
-    if (leadership.isHolder()) return id
-    return storeAgeMs() < TRUST_STORE_MS ? leadership.holder() : namedLeader ?? leadership.holder()
-  }
-  const nameLeader = (member: string): void => { namedLeader = member }
+  const leader = (): string | undefined => leadership.isHolder() ? id : leadership.holder()
   const table = createFleetTable({
     peers,
     clock,
     isLinked,
     leader,
     own: ownReport,
-    summary: () => ({ configVersion: cfg.version(), storeAgeMs: Math.round(storeAgeMs()), storeSteadyMs: clock.monotonic() - store.steadySinceMs(), spent: allowance.spentByAll(), listDigest: servers.digest() }),
+    spentWithBelow: () => allowance.spentWithBelow(),
+    leading: () => leadership.leading(),
+    latestClaim: () => leadership.latestClaim(),
+    beforeSummary: () => spread.tellChanges(),
+    summary: () => ({
+      configVersion: cfg.version(),
+      storeAgeMs: Math.round(proxy.sight().ageMs),
+      storeSteadyMs: proxy.sight().steadyMs,
+      spent: allowance.spentByAll(),
+      listDigest: servers.digest(),
+      membersDigest: membership.digest()
+    }),
     onReport: (member, report) => {
       report.leavingServers.forEach(servers.noteLeaving)
       allowance.noteSpent(member.incarnation, report.spent)
@@ -212,11 +222,21 @@
       allowance.noteSpentByAll(summary.spent)
     }
   })
-  const spread = createSpread({ peers, cfg, servers, storeAgeMs, leader, followers: table.reporters, isFollowing: table.isFollowing, isLinked, onLeaderNamed: nameLeader, clock, logger, random })
-  /** Neighbours alone look: in a large fleet they are a few, and whether others are linked says nothing. */
+  const proxy = createStoreProxy({
+    peers,
+    isLeading: () => leadership.isHolder(),
+    own: () => ({ ageMs: storeAgeMs(), steadyMs: clock.monotonic() - store.steadySinceMs() }),
+    candidates: table.peersAtStore,
+    onProxied: member => spread.noteProxy(member),
+    clock,
+    logger
+  })
+  const spread = createSpread({ peers, cfg, servers, members: membership, storeAgeMs, leading: () => leadership.leading() ?? leadership.known(), followers: () => [...table.reporters(), ...proxy.clients()], isProxy: member => proxy.current() === member, isFollowing: table.isFollowing, isLinked, onLeaderTold: leading => leadership.noteTold(leading), clock, logger, random })
+  /** Neighbours and relays look: they are a few, hold links to the leader, and see one end. */
   const hasEnded = async (member: string): Promise<boolean> => {
     const record = peers.members().find(each => each.id === member)
-    return record !== undefined && peers.evidenceOf(member) === 'unlinked' && await probeAddress(clock, parseHostPort(record.peerAddress), ENDED_PATIENCE_MS) === 'refused'
+    const mayTell = peers.evidenceOf(member) === 'unlinked' || (table.isRelay() && !isLinked(member))
+    return record !== undefined && mayTell && await probeAddress(clock, parseHostPort(record.peerAddress), ENDED_PATIENCE_MS) === 'refused'
   }
   const leadership = createLeadership({
     store,
@@ -227,6 +247,8 @@
     processorShare: settings.processorShare,
     renewByPeer: createLeaseByPeer({ peers, store, closestToStore: table.closestToStore }),
     hasEnded,
+    isFollowing: table.isFollowing,
+    yieldMs: () => table.isRelayed() && !table.isRelay() ? YIELD_TO_RELAYS_MS : 0,
     clock,
     logger,
     random
@@ -241,7 +263,7 @@
     clock,
     logger
   })
-  const records = createRecordsByPeer({ peers, store, isOutOfReach: () => store.steadySinceMs() === Infinity, peerAtStore: table.peerAtStore })
+  const records = createRecordsByPeer({ peers, store, isOutOfReach: () => store.steadySinceMs() === Infinity, peersAtStore: table.peersAtStore })
   const allowance = createTeamAllowance({
     peers,
     teamNamed: name => cfg.current()?.teams?.find(team => team.name === name),
@@ -306,7 +328,9 @@
       known = now
     })
   }
-  const feeds: StoreFeedsOptions = { store, wire, cfg, servers, memberCount: () => peers.members().length, isFollowing: table.isFollowing, isOrdering: orderer.isWaiting }
+  const isProxy = (): boolean => proxy.clients().length > 0
+  const turn = createStoreTurn({ isLeading: leadership.isHolder, isProxy, isFollowing: table.isFollowing, memberCount: () => peers.members().length, clock, logger, random })
+  const feeds: StoreFeedsOptions = { store, wire, cfg, servers, memberCount: () => peers.members().length, isFollowing: table.isFollowing, isOwnTurn: turn.isOwn, isProxy, isOrdering: orderer.isWaiting }
   const isLonely = (): boolean => cfg.version() === 0 || !servers.isKnown() || peers.members().length < 2
 
   return {
@@ -326,6 +350,7 @@
       store.start(stop.signal, createStoreFeeds(feeds))
       table.start(stop.signal)
       spread.start(stop.signal)
+      proxy.start(stop.signal)
       greetSeeds({ network: peers, seeds: settings.seeds, isNeeded: isLonely, clock }, stop.signal)
       await door.start()
       await listenOn(metricsServer, settings.listen.metrics)
--- a/packages/magnoliabay/src/node/serving/spread.ts
+++ b/packages/magnoliabay/src/node/serving/spread.ts
@@ -1,37 +1,40 @@
 /**
- * Brings configuration and server list to every instance. The leader follows the store's list for all and tells what
- * changed; an instance that hears neither the leader nor the store asks a peer.
+ * Brings configuration, members and server list to every instance. The leader watches the store for all and tells what
+ * changed; whoever hears it tells those who report to it in turn. An instance that hears neither the leader nor the
+ * store asks a peer.
  */
 import type { Clock } from '../clock'
 import { repeat } from '../clock'
 import type { Logger } from '../logger'
 import { definePeerCall } from '../members'
-import type { Peers } from '../members'
+import type { MemberList, MemberRecord, PeerCall, Peers } from '../members'
 import type { ConfigInForce } from './configInForce'
-import { serversNotice } from './fleetMessages'
-import type { FleetSummary, ListedServer } from './fleetMessages'
+import { configNotice, membersNotice, serversNotice } from './fleetMessages'
+import type { FleetSummary, Leading, ListedServer } from './fleetMessages'
+import { packText, unpackText } from './packedText'
 import type { Servers } from './servers'
 
 /** What an instance knows of the store, for one that does not reach it. */
 export interface News {
   configVersion: number
   storeAgeMs: number
-  /** The instance that leads, as far as it knows. */
-  leader: string | undefined
+  /** The claim by which an instance leads, as far as it knows. */
+  leading: Leading | undefined
   leavingServers: readonly string[]
   isListKnown: boolean
 }
 
-const configCall = definePeerCall<Record<string, never>, { text: string | undefined }>('serving.config')
+const configCall = definePeerCall<Record<string, never>, { packed: Uint8Array | undefined }>('serving.config')
 const serversCall = definePeerCall<Record<string, never>, { servers: readonly ListedServer[] }>('serving.servers')
+const membersCall = definePeerCall<Record<string, never>, { members: readonly MemberRecord[] }>('serving.members')
 const newsCall = definePeerCall<Record<string, never>, News>('serving.news')
 
-/** Changes of the list are gathered for this long, milliseconds, for each member and at least. */
-const GATHER_PER_MEMBER_MS = 0.5
+/** Changes of a list are gathered for this long, milliseconds, for each who is told and at least. */
+const GATHER_PER_FOLLOWER_MS = 0.5
 const MIN_GATHER_MS = 4
-/** A configuration that the leader has comes by the instance's own watch within this time, unless that is broken. */
-const CONFIG_PATIENCE_MS = 400
-/** The whole list is asked for at most this often. */
+/** A configuration that is told about comes with a notice of its own within this time, unless that was lost. */
+const CONFIG_PATIENCE_MS = 100
+/** A whole list is asked for at most this often. */
 const LIST_PERIOD_MS = 700
 /** An instance that hears nothing of the store asks a peer this often. */
 const NEWS_PERIOD_MS = 400
@@ -43,17 +46,21 @@
   peers: Peers
   cfg: ConfigInForce
   servers: Servers
+  members: MemberList
   /** Milliseconds since the store last answered here. */
   storeAgeMs: () => number
-  leader: () => string | undefined
-  /** Those who report here, and follow this instance's list. */
+  /** The claim by which an instance leads, as far as known here. */
+  leading: () => Leading | undefined
+  /** Those who report here, and follow what this instance knows. */
   followers: () => readonly string[]
-  /** The leader tells this instance what changes. */
+  /** Another tells this instance what changes. */
   isFollowing: () => boolean
   /** Whether a link to the member stands. */
   isLinked: (member: string) => boolean
-  /** A peer that hears the store names the leader. */
-  onLeaderNamed: (leader: string) => void
+  /** Whether the member watches the store for this instance. */
+  isProxy: (member: string) => boolean
+  /** A peer tells who leads. */
+  onLeaderTold: (leading: Leading) => void
   clock: Clock
   logger: Logger
   random: () => number
@@ -61,21 +68,41 @@
 
 export interface Spread {
   start (signal: AbortSignal): void
-  /** To be called with each summary that comes in. */
+  /** To be called with each summary that is news, and who told it. */
   noteSummary (member: string, summary: FleetSummary): void
+  /** Another watches the store for this instance from now on: takes over what it knows. */
+  noteProxy (member: string): void
+  /** Tells now what has changed: a summary that shows it would else come first, and the whole lists be fetched. */
+  tellChanges (): void
 }
 
 export function createSpread (options: SpreadOptions): Spread {
-  const { peers, cfg, servers, storeAgeMs, clock, logger } = options
+  const { peers, cfg, servers, members, storeAgeMs, clock, logger } = options
   let isFetchingConfig = false
   let behindSinceMs: number | undefined
-  let listFetchedMs = -Infinity
   let isTelling = false
+  let configTold = 0
+  let packedOf = { version: 0, packed: undefined as Uint8Array | undefined }
 
-  peers.serve(configCall, () => ({ text: cfg.text() }))
+  const packedConfig = (): Uint8Array | undefined => {
+    const text = cfg.text()
+    if (text !== undefined && packedOf.version !== cfg.version()) packedOf = { version: cfg.version(), packed: packText(text) }
+    return packedOf.packed
+  }
+  const takeConfig = (member: string, packed: Uint8Array): void => {
+    const text = unpackText(packed)
+    if (text.ok) cfg.offer(text.val, 'peer')
+    else logger.warn('config-unreadable', { source: 'peer', peer: member, reason: text.val })
+  }
+
+  peers.serve(configCall, () => ({ packed: packedConfig() }))
   peers.serve(serversCall, () => ({ servers: servers.isKnown() ? servers.listed() : [] }))
-  peers.serve(newsCall, () => ({ configVersion: cfg.version(), storeAgeMs: storeAgeMs(), leader: options.leader(), leavingServers: servers.leaving(), isListKnown: servers.isKnown() }))
+  peers.serve(membersCall, () => ({ members: members.listed() }))
+  peers.serve(newsCall, () => ({ configVersion: cfg.version(), storeAgeMs: storeAgeMs(), leading: options.leading(), leavingServers: servers.leaving(), isListKnown: servers.isKnown() }))
   peers.listen(serversNotice, notice => servers.follow(notice))
+  peers.listen(configNotice, ({ packed }, from) => takeConfig(from.id, packed))
+  // One who reads the members itself is not to go back to what another knew before.
+  peers.listen(membersNotice, (changes, from) => { if (options.isFollowing() || options.isProxy(from.id)) members.follow(changes) })
 
   const fetchConfig = async (member: string): Promise<void> => {
     if (isFetchingConfig) return
@@ -83,26 +110,44 @@
     const reply = await peers.call(member, configCall, {}, { timeoutMs: CALL_TIMEOUT_MS })
     isFetchingConfig = false
     if (reply.err) return logger.info('config-not-fetched', { peer: member, reason: reply.val.kind })
-    if (reply.val.text !== undefined) cfg.offer(reply.val.text, 'peer')
+    if (reply.val.packed !== undefined) takeConfig(member, reply.val.packed)
   }
-  const fetchServers = async (member: string): Promise<void> => {
-    if (clock.monotonic() - listFetchedMs < LIST_PERIOD_MS) return
-    listFetchedMs = clock.monotonic()
-    const reply = await peers.call(member, serversCall, {}, { timeoutMs: CALL_TIMEOUT_MS })
-    if (reply.err) return logger.info('server-list-not-fetched', { peer: member, reason: reply.val.kind })
-    if (reply.val.servers.length > 0) servers.adopt(reply.val.servers)
+  /** Fetches a whole list, never twice within a short time. */
+  const createFetch = <Res>(call: PeerCall<Record<string, never>, Res>, adopt: (res: Res) => void): (member: string) => Promise<void> => {
+    let fetchedMs = -Infinity
+    return async member => {
+      if (clock.monotonic() - fetchedMs < LIST_PERIOD_MS) return
+      fetchedMs = clock.monotonic()
+      const reply = await peers.call(member, call, {}, { timeoutMs: CALL_TIMEOUT_MS })
+      if (reply.ok) adopt(reply.val)
+      else logger.info('list-not-fetched', { list: call.kind, peer: member, reason: reply.val.kind })
+    }
   }
-  /** Tells followers what changed. All changes of a moment go in one notice. */
+  const fetchServers = createFetch(serversCall, reply => { if (reply.servers.length > 0) servers.adopt(reply.servers) })
+  const fetchMembers = createFetch(membersCall, reply => { if (reply.members.length > 0) members.adopt(reply.members) })
+
+  /** All changes of a moment go in one notice for each list. */
   const tellChanges = (): void => {
     isTelling = false
-    const changes = servers.takeChanges()
-    if (changes !== undefined) peers.notifyLinked(options.followers(), serversNotice, changes)
+    const followers = options.followers()
+    const changedServers = servers.takeChanges()
+    const changedMembers = members.takeChanges()
+    if (followers.length === 0) return
+    if (changedServers !== undefined) peers.notifyLinked(followers, serversNotice, changedServers)
+    if (changedMembers !== undefined) peers.notifyLinked(followers, membersNotice, changedMembers)
+    if (cfg.version() === configTold) return
+    configTold = cfg.version()
+    const packed = packedConfig()
+    if (packed !== undefined) peers.notifyLinked(followers, configNotice, { packed })
   }
-  servers.onChanged(() => {
+  const tellSoon = (): void => {
     if (isTelling || options.followers().length === 0) return
     isTelling = true
-    clock.schedule(Math.max(MIN_GATHER_MS, peers.members().length * GATHER_PER_MEMBER_MS), tellChanges)
-  })
+    clock.schedule(Math.max(MIN_GATHER_MS, options.followers().length * GATHER_PER_FOLLOWER_MS), () => { if (isTelling) tellChanges() })
+  }
+  servers.onChanged(tellSoon)
+  members.onChanged(tellSoon)
+  cfg.onChanged(tellSoon)
 
   const isLacking = (): boolean => cfg.version() === 0 || !servers.isKnown()
   const isBlind = (): boolean => isLacking() || (!options.isFollowing() && storeAgeMs() > STORE_LOST_MS)
@@ -119,19 +164,32 @@
     if (news.configVersion > cfg.version()) await fetchConfig(member)
     news.leavingServers.forEach(servers.noteLeaving)
     const isPeerBetter = news.storeAgeMs < storeAgeMs()
-    if (isPeerBetter && news.leader !== undefined) options.onLeaderNamed(news.leader)
+    if (news.leading !== undefined) options.onLeaderTold(news.leading)
     if (news.isListKnown && (isPeerBetter || !servers.isKnown())) await fetchServers(member)
   }
+  const noteConfigVersion = (member: string, version: number): void => {
+    if (version <= cfg.version()) {
+      behindSinceMs = undefined
+      return
+    }
+    behindSinceMs ??= clock.monotonic()
+    if (cfg.version() === 0 || clock.monotonic() - behindSinceMs >= CONFIG_PATIENCE_MS) fetchConfig(member)
+  }
 
   return {
     start: signal => repeat(clock, NEWS_PERIOD_MS, signal, askNews),
+    tellChanges,
+    noteProxy: member => {
+      fetchServers(member)
+      fetchMembers(member)
+    },
     noteSummary: (member, summary) => {
+      options.onLeaderTold(summary.leading)
       summary.leavingServers.forEach(servers.noteLeaving)
-      if (summary.configVersion <= cfg.version()) behindSinceMs = undefined
-      else behindSinceMs ??= clock.monotonic()
-      if (behindSinceMs !== undefined && clock.monotonic() - behindSinceMs >= CONFIG_PATIENCE_MS) fetchConfig(member)
-      if (summary.storeAgeMs < storeAgeMs()) options.onLeaderNamed(member)
-      if (options.isFollowing() && summary.listDigest !== servers.digest()) fetchServers(member)
+      noteConfigVersion(member, summary.configVersion)
+      if (!options.isFollowing()) return
+      if (summary.listDigest !== servers.digest()) fetchServers(member)
+      if (summary.membersDigest !== members.digest()) fetchMembers(member)
     }
   }
 }
--- a/packages/magnoliabay/src/node/serving/storeFeeds.ts
+++ b/packages/magnoliabay/src/node/serving/storeFeeds.ts
@@ -1,4 +1,4 @@
-/** What an instance watches in the store, and how closely: the leader watches the servers' entries for all. */
+/** What an instance reads and watches in the store, and how closely: the leader does so for all who follow it. */
 import { STORE_ROOT } from '../constants'
 import type { Store, WatchFeed } from '../store'
 import type { ConfigInForce } from './configInForce'
@@ -13,6 +13,8 @@
 const PROMPT_WATCH_WAIT_MS = 1500
 /** The same for members and leases, which links between instances tell of as well, milliseconds. */
 const MEMBERS_WATCH_WAIT_MS = 4000
+/** The same for one who watches for a leader out of the store's reach: how lately the store was heard decides whether others go by it. */
+const PROXY_WATCH_WAIT_MS = 500
 /** The same where another tells what changes: each call that waits is paid for. */
 const FOLLOWER_WATCH_WAIT_MS = 25_000
 /**
@@ -31,8 +33,12 @@
   cfg: ConfigInForce
   servers: Servers
   memberCount: () => number
-  /** The leader tells this instance what changes. */
+  /** Another tells this instance what changes. */
   isFollowing: () => boolean
+  /** Whether this instance is to ask the store itself; members and leader are read once in any case. */
+  isOwnTurn: () => boolean
+  /** This instance watches for a leader out of the store's reach. */
+  isProxy: () => boolean
   /** The end of an order is awaited. */
   isOrdering: () => boolean
 }
@@ -50,12 +56,15 @@
 }
 
 /** One watching call for each; servers' entries change with each beat of each server. */
-export function createStoreFeeds ({ wire, memberCount, isFollowing, isOrdering }: StoreFeedsOptions): WatchFeed[] {
-  const waitMs = (alone: number) => (): number => isFollowing() ? FOLLOWER_WATCH_WAIT_MS : alone
+export function createStoreFeeds ({ wire, memberCount, isFollowing, isOwnTurn, isProxy, isOrdering }: StoreFeedsOptions): WatchFeed[] {
+  const waitMs = (alone: number) => (): number => {
+    if (isProxy()) return PROXY_WATCH_WAIT_MS
+    return isFollowing() ? FOLLOWER_WATCH_WAIT_MS : alone
+  }
   const gatherMembersMs = (): number => Math.min(MAX_GATHER_MS, Math.max(MIN_GATHER_MS, memberCount() * GATHER_PER_MEMBER_MS))
   return [
-    { prefix: wire.keys.config, isWanted: () => true, gatherMs: () => MIN_GATHER_MS, waitMs: waitMs(PROMPT_WATCH_WAIT_MS) },
-    { prefix: STORE_ROOT, isWanted: () => true, gatherMs: gatherMembersMs, waitMs: waitMs(MEMBERS_WATCH_WAIT_MS) },
-    { prefix: wire.keys.servers, isWanted: () => !isFollowing(), gatherMs: () => isOrdering() ? GATHER_ORDERS_MS : GATHER_SERVERS_MS, waitMs: () => PROMPT_WATCH_WAIT_MS }
+    { prefix: wire.keys.config, isWanted: isOwnTurn, gatherMs: () => MIN_GATHER_MS, waitMs: waitMs(PROMPT_WATCH_WAIT_MS) },
+    { prefix: STORE_ROOT, isWanted: isOwnTurn, isReadAtStart: true, gatherMs: gatherMembersMs, waitMs: waitMs(MEMBERS_WATCH_WAIT_MS) },
+    { prefix: wire.keys.servers, isWanted: isOwnTurn, gatherMs: () => isOrdering() ? GATHER_ORDERS_MS : GATHER_SERVERS_MS, waitMs: () => isProxy() ? PROXY_WATCH_WAIT_MS : PROMPT_WATCH_WAIT_MS }
   ]
 }
--- a/packages/magnoliabay/src/node/store/feeds.ts
+++ b/packages/magnoliabay/src/node/store/feeds.ts
@@ -90,18 +90,21 @@
   const { calls, reach, clock } = run
   let at: number | undefined
   let retryMs = RETRY_MS
+  let isFirst = feed.isReadAtStart ?? false
   const pauseAfterFailure = async (): Promise<void> => {
     await sleep(clock, retryMs, signal)
     retryMs = Math.min(MAX_RETRY_MS, retryMs * 2)
   }
   while (!signal.aborted) {
-    if (!feed.isWanted()) at = undefined
-    if (!feed.isWanted() || (reach.isReachable() === false && !isProber)) {
+    const isWanted = feed.isWanted() || isFirst
+    if (!isWanted) at = undefined
+    if (!isWanted || (reach.isReachable() === false && !isProber)) {
       await sleep(clock, REST_MS, signal)
       continue
     }
     if (at === undefined) {
       at = await calls.readAll(feed)
+      isFirst &&= at === undefined
       if (at === undefined) await pauseAfterFailure()
       continue
     }
--- a/packages/magnoliabay/src/node/store/store.ts
+++ b/packages/magnoliabay/src/node/store/store.ts
@@ -92,6 +92,11 @@
   prefix: string
   /** While it is not, nothing is read; when it is again, everything is read anew. */
   isWanted: () => boolean
+  /**
+   * Read once at the start, whether or not it is wanted.
+   * @default false
+   */
+  isReadAtStart?: boolean
   /** Pause after a watch that brought events, milliseconds: what changes meanwhile comes in one answer instead of many. */
   gatherMs: () => number
   /** How long one call waits for events, milliseconds. Longer waits cost fewer calls; a watch gone silent is noticed this much later. */
