--- a/packages/magnoliabay/src/node/cli.ts
+++ b/packages/magnoliabay/src/node/cli.ts
@@ -1,13 +1,6 @@
 /** The command line: finds the command, checks its options, runs it. */
 import { parseArgs } from 'node:util'
-import { configCommand } from './commands/config'
-import { UsageError } from './commands/connection'
-import { devCommand } from './commands/dev'
-import { operatorCommands } from './commands/operatorCommands'
-import { platformCommand } from './commands/platform'
-import { serveCommand } from './commands/serve'
-import { traceCommand } from './commands/trace'
-import { EXIT_DONE, EXIT_FAILED, EXIT_USAGE } from './commands/types'
+import { EXIT_DONE, EXIT_FAILED, EXIT_USAGE, isUsageError } from './commands/types'
 import type { Command, ExitCode, OptionDescription } from './commands/types'
 import { VERSION } from './constants'
 import { createLogger } from './logger'
@@ -26,10 +19,28 @@
   env: process.env
 }
 
-export const productCommands: readonly Command[] = [serveCommand, platformCommand, traceCommand, devCommand, configCommand, ...operatorCommands]
+type CommandLoader = () => Promise<Command>
+
+const operatorCommand = (name: string): CommandLoader => async () => {
+  const { operatorCommands } = await import('./commands/operatorCommands')
+  return operatorCommands.find(command => command.name === name)!
+}
+
+/**
+ * Commands by name, in the order of the overview. Each is loaded when it is used: an instance that starts, perhaps with
+ * hundreds of others on small machines, must not load what operators' commands need.
+ */
+export const productCommands: Readonly<Record<string, CommandLoader>> = {
+  serve: async () => (await import('./commands/serve')).serveCommand,
+  platform: async () => (await import('./commands/platform')).platformCommand,
+  trace: async () => (await import('./commands/trace')).traceCommand,
+  dev: async () => (await import('./commands/dev')).devCommand,
+  config: async () => (await import('./commands/config')).configCommand,
+  ...Object.fromEntries(['key', 'team', 'service', 'model', 'adapter', 'status', 'explain', 'report', 'drain', 'declare-gone', 'audit'].map(name => [name, operatorCommand(name)]))
+}
 
 /** Runs the command line and returns the exit code. */
-export async function runCli (args: readonly string[], context: CliContext = PROCESS_CONTEXT, commands: readonly Command[] = productCommands): Promise<ExitCode> {
+export async function runCli (args: readonly string[], context: CliContext = PROCESS_CONTEXT, commands: Readonly<Record<string, CommandLoader>> = productCommands): Promise<ExitCode> {
   const { print, printError } = context
   const [name, ...rest] = args
   if (name === '--version') {
@@ -37,15 +48,15 @@
     return EXIT_DONE
   }
   if (name === undefined || name === '--help') {
-    print(formatOverview(commands))
+    print(formatOverview(await Promise.all(Object.values(commands).map(load => load()))))
     return name === undefined ? EXIT_USAGE : EXIT_DONE
   }
-  const command = commands.find(candidate => candidate.name === name)
-  if (command === undefined) {
+  const load = Object.hasOwn(commands, name) ? commands[name] : undefined
+  if (load === undefined) {
     printError(`There is no command ${name}. magnoliabay --help lists those there are.`)
     return EXIT_USAGE
   }
-  return await runCommand(command, rest, context)
+  return await runCommand(await load(), rest, context)
 }
 
 async function runCommand (command: Command, args: string[], context: CliContext): Promise<ExitCode> {
@@ -62,7 +73,7 @@
   try {
     return await command.run({ ...parsed, ...context, logger: createLogger() })
   } catch (err) {
-    if (err instanceof UsageError) {
+    if (isUsageError(err)) {
       printError(err.message)
       return EXIT_USAGE
     }
--- a/packages/magnoliabay/src/node/commands/connection.ts
+++ b/packages/magnoliabay/src/node/commands/connection.ts
@@ -4,6 +4,7 @@
 import { formatProblem, parseConfig } from '../config'
 import { createOperatorClient } from '../operators/client'
 import type { OperatorClient } from '../operators/client'
+import { UsageError } from './types'
 import type { CommandContext, OptionDescription } from './types'
 
 export const CONNECTION_OPTIONS: Readonly<Record<string, OptionDescription>> = {
@@ -28,9 +29,6 @@
 
 type ClientSettings = v.InferOutput<typeof clientSchema>
 
-/** What the user left out or got wrong; its message says how to give it. */
-export class UsageError extends Error {}
-
 export async function connect ({ values, env }: Pick<CommandContext, 'values' | 'env'>): Promise<OperatorClient> {
   const fromFile = await readClientFile(textOf(values.client) ?? env.MAGNOLIABAY_CLIENT)
   const instances = textOf(values.instance) ?? env.MAGNOLIABAY_INSTANCE
--- a/packages/magnoliabay/src/node/commands/operatorCommands.ts
+++ b/packages/magnoliabay/src/node/commands/operatorCommands.ts
@@ -9,9 +9,9 @@
 import type { FleetStatus } from '../operators/status'
 import { renderReport } from '../report/html'
 import { formatReport } from '../report/table'
-import { CONNECTION_OPTIONS, JSON_OPTION, UsageError, connect } from './connection'
+import { CONNECTION_OPTIONS, JSON_OPTION, connect } from './connection'
 import { formatTable } from './table'
-import { EXIT_DONE } from './types'
+import { EXIT_DONE, UsageError } from './types'
 import type { Command, CommandContext, ExitCode } from './types'
 
 const QUERY_OPTIONS = { ...CONNECTION_OPTIONS, ...JSON_OPTION }
--- a/packages/magnoliabay/src/node/commands/types.ts
+++ b/packages/magnoliabay/src/node/commands/types.ts
@@ -34,3 +34,11 @@
   options: Readonly<Record<string, OptionDescription>>
   run (context: CommandContext): Promise<ExitCode>
 }
+
+/** What the user left out or got wrong; its message says how to give it. */
+export class UsageError extends Error {
+  override readonly name = 'UsageError'
+}
+
+/** By name: commands are loaded when used, and a loader may give them a class of their own. */
+export const isUsageError = (err: unknown): err is UsageError => err instanceof Error && err.name === 'UsageError'
--- a/packages/magnoliabay/src/node/members/neighbours.ts
+++ b/packages/magnoliabay/src/node/members/neighbours.ts
@@ -11,7 +11,7 @@
 /** Next members on the ring, on each side. */
 const RING = 2
 /** Partners far away, on average between this and twice as many. */
-const PARTNERS = 4
+const PARTNERS = 2
 /** {@link mix} gives each number below this alike. */
 const MIXED_RANGE = 2 ** 32
 
--- a/packages/magnoliabay/src/node/platform/engineCalls.ts
+++ b/packages/magnoliabay/src/node/platform/engineCalls.ts
@@ -1,10 +1,11 @@
 /** Reports of engines and orders to them. */
-import { Pool } from 'undici'
+import type { Pool } from 'undici'
 import type { Clock } from '../clock'
 import type { EngineCalls, EngineOrder, EngineReport, OrderOutcome } from '../serving/engineCalls'
 import type { BackendServer } from '../serving/types'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
+import { createPool } from './pool'
 import { messageOf, parseJson } from '../utils'
 
 /** An engine answers within milliseconds; one that does not is out of reach, or its answer is lost. */
@@ -33,7 +34,7 @@
 export function createEngineCalls (clock: Clock): EngineCalls {
   const pools = new Map<string, Pool>()
   const poolOf = (address: string): Pool => {
-    const pool = pools.get(address) ?? new Pool(`http://${address}`, { connections: 2, pipelining: 1, connect: { timeout: CALL_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: 0 })
+    const pool = pools.get(address) ?? createPool(`http://${address}`, { connections: 2, pipelining: 1, connect: { timeout: CALL_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: 0 })
     pools.set(address, pool)
     return pool
   }
--- a/packages/magnoliabay/src/node/platform/kvStore.ts
+++ b/packages/magnoliabay/src/node/platform/kvStore.ts
@@ -2,14 +2,15 @@
  * The `Store` interface over the platform's metadata store. A watch serves all prefixes of a feed, since the store
  * counts each waiting call.
  */
-import { Pool } from 'undici'
 import type { Clock } from '../clock'
 import { repeat } from '../clock'
 import type { Logger } from '../logger'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
-import { createReach, runFeeds } from '../store'
+import { runFeeds } from '../store/feeds'
+import { createReach } from '../store/reach'
 import type { Compare, KeyValue, RangeResult, Reach, Store, StoreError, StoreResult, Transaction, TransactionResult, WatchCall, WatchEnd, WatchEvent, WatchFeed, WatchHandlers } from '../store'
+import { createPool } from './pool'
 import { addCount, messageOf, parseJson } from '../utils'
 
 /** A call that nobody answered for this long counts as lost; the store answers in milliseconds, slow ones in tenths of a second. */
@@ -85,7 +86,7 @@
 
 export function createKvStore (options: KvStoreOptions): KvStore {
   const { address, clock, logger } = options
-  const pool = new Pool(`http://${address}`, { connections: MAX_CONNECTIONS, pipelining: 1, connect: { timeout: CALL_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: 0 })
+  const pool = createPool(`http://${address}`, { connections: MAX_CONNECTIONS, pipelining: 1, connect: { timeout: CALL_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: 0 })
   const subscribers: Subscriber[] = []
   const reach = createReach({ address, clock, logger })
   /** Since they were last told, by name. */
--- /dev/null
+++ b/packages/magnoliabay/src/node/platform/undiciPool.d.ts
@@ -0,0 +1,5 @@
+/** The library types only its whole. */
+declare module 'undici/lib/dispatcher/pool.js' {
+  const Pool: unknown
+  export default Pool
+}
--- a/packages/magnoliabay/src/node/serving/placement/leadership.ts
+++ b/packages/magnoliabay/src/node/serving/placement/leadership.ts
@@ -23,6 +23,8 @@
 const RENEW_PATIENCE_MS = 350
 /** How often one who does not lead looks whether the leader is gone, milliseconds. */
 const LOOK_PERIOD_MS = 300
+/** The same for one whom a leader tells that it is there, milliseconds. */
+const FOLLOWER_LOOK_PERIOD_MS = 600
 /** Pause before this instance tries again to be named as the last to order, milliseconds. */
 const BEGIN_RETRY_MS = 100
 /** Candidates try at different moments; the first one wins without a race. */
@@ -234,7 +236,7 @@
     await candidate()
   }
   const untilNextMs = (): number => {
-    if (term === undefined) return LOOK_PERIOD_MS
+    if (term === undefined) return options.isFollowing() ? FOLLOWER_LOOK_PERIOD_MS : LOOK_PERIOD_MS
     const untilFirstMs = term.fromMs - clock.monotonic()
     if (term.isLast) return RENEW_PERIOD_MS
     return untilFirstMs > 0 ? Math.min(RENEW_PERIOD_MS, untilFirstMs) : BEGIN_RETRY_MS
--- a/packages/magnoliabay/src/node/serving/storeProxy.ts
+++ b/packages/magnoliabay/src/node/serving/storeProxy.ts
@@ -5,7 +5,7 @@
  * watch for it, goes by what that one tells, and says in its summaries how old that is.
  */
 import type { Clock } from '../clock'
-import { repeat } from '../clock'
+import { sleep } from '../clock'
 import type { Logger } from '../logger'
 import { definePeerCall } from '../members'
 import type { Peers } from '../members'
@@ -24,6 +24,8 @@
 /** How often a proxy is asked, and says how it hears the store, milliseconds. */
 const ASK_PERIOD_MS = 300
 const ASK_TIMEOUT_MS = 300
+/** How often one who does not lead looks whether it does, milliseconds. */
+const LOOK_PERIOD_MS = 1000
 /** A leader that has not heard the store for this long asks for a proxy, milliseconds: well before those who follow give it up. */
 const LOST_MS = 800
 /** A proxy that has heard nothing of the store for this long is of no use, milliseconds. */
@@ -113,6 +115,11 @@
     },
     current: () => proxy?.member,
     clients,
-    start: signal => repeat(clock, ASK_PERIOD_MS, signal, ask)
+    start: async signal => {
+      while (!signal.aborted) {
+        await ask()
+        await sleep(clock, isLeading() ? ASK_PERIOD_MS : LOOK_PERIOD_MS, signal)
+      }
+    }
   }
 }
