--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/allowance/__tests__/recordsByPeer.spec.ts
@@ -0,0 +1,42 @@
+import { createDirectStore, createKvFaults, createKvState } from '@magnoliabay/standins'
+import { expect } from 'chai'
+import { createVirtualClock } from '../../../clock/virtual'
+import { createMemoryNetwork } from '../../../members/memoryNetwork'
+import { memberRecord } from '../../__tests__/fixtures'
+import { createRecordsByPeer } from '../recordsByPeer'
+import type { RecordStore } from '../recordsByPeer'
+
+/** Members of which all but the last are turned away by the store; the first one's records. */
+function createWorld (ids: readonly string[]): { home: RecordStore, state: ReturnType<typeof createKvState> } {
+  const clock = createVirtualClock()
+  const network = createMemoryNetwork({ clock })
+  const state = createKvState({ clock })
+  const stores = ids.map((id, index) => {
+    const faults = createKvFaults()
+    if (index < ids.length - 1) faults.set({ down: 'refused' })
+    const peers = network.join(memberRecord(id))
+    return createRecordsByPeer({ peers, store: createDirectStore(state, { clock, faults }), isOutOfReach: () => index < ids.length - 1, peersAtStore: () => ids.slice(1) })
+  })
+  const advance = async (): Promise<void> => {
+    for (let turn = 0; turn < 50; turn += 1) await clock.advance(20)
+  }
+  advance()
+  return { home: stores[0]!, state }
+}
+
+describe('records by way of a peer', () => {
+  const write = { compares: [], writes: [{ kind: 'put' as const, key: 'spent', value: '1' }] }
+
+  /** Guards against a home whose teams are refused everything since the one peer that it asks is turned away as well. */
+  it('are written where the first two peers are turned away too', async () => {
+    const { home, state } = createWorld(['home', 'one', 'two', 'three'])
+    expect((await home.transact(write)).ok).to.equal(true)
+    expect(state.range({ key: 'spent' }).map(entry => entry.value)).to.deep.equal(['1'])
+  })
+
+  it('fail where nobody asked reaches the store', async () => {
+    const { home, state } = createWorld(['home', 'one', 'two', 'three', 'four'])
+    expect((await home.transact(write)).ok).to.equal(false)
+    expect(state.range({ key: 'spent' })).to.have.length(0)
+  })
+})
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -110,6 +110,8 @@
 const ISOLATED_PART = 0.4
 /** Those that are no relays try for the lease this much later, milliseconds: a leader is best found by relays, and tells the others. */
 const YIELD_TO_RELAYS_MS = 800
+/** Members asked at random to reach the store for this one, where those above cannot. */
+const OTHERS_AT_STORE = 2
 /** What is left of the grace period when the process ends by itself, milliseconds. */
 const GRACE_MARGIN_MS = 600
 
@@ -263,7 +265,11 @@
     clock,
     logger
   })
-  const records = createRecordsByPeer({ peers, store, isOutOfReach: () => store.steadySinceMs() === Infinity, peersAtStore: table.peersAtStore })
+  const records = createRecordsByPeer({ peers, store, isOutOfReach: () => store.steadySinceMs() === Infinity, peersAtStore: () => [...table.peersAtStore(), ...anyMembers(OTHERS_AT_STORE)] })
+  const anyMembers = (count: number): string[] => {
+    const others = otherMembers().map(member => member.id)
+    return Array.from({ length: Math.min(count, others.length) }, () => others[Math.floor(random() * others.length)]!)
+  }
   const allowance = createTeamAllowance({
     peers,
     teamNamed: name => cfg.current()?.teams?.find(team => team.name === name),
