--- a/packages/magnoliabay/src/node/members/__tests__/link.spec.ts
+++ b/packages/magnoliabay/src/node/members/__tests__/link.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
+import { createTicker } from '../../clock/ticker'
 import { createVirtualClock } from '../../clock/virtual'
 import type { VirtualClock } from '../../clock/virtual'
 import { createLogger } from '../../logger'
@@ -61,6 +62,7 @@
       socket,
       self: memberOf('self'),
       clock,
+      ticker: createTicker(clock, BEAT_PERIOD_MS),
       logger,
       dispatch,
       onHello: established => {
--- a/packages/magnoliabay/src/node/members/link.ts
+++ b/packages/magnoliabay/src/node/members/link.ts
@@ -3,6 +3,7 @@
  */
 import type { Socket } from 'node:net'
 import type { Clock } from '../clock'
+import type { Ticker } from '../clock/ticker'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
 import type { Logger } from '../logger'
@@ -44,6 +45,8 @@
   socket: Socket
   self: MemberRecord
   clock: Clock
+  /** Beats once in {@link BEAT_PERIOD_MS}, for all links of a process. */
+  ticker: Ticker
   logger: Logger
   dispatch: Dispatch
   /** The peer has said hello. Answer false to refuse it. */
@@ -139,7 +142,7 @@
   socket.setNoDelay(true)
   socket.on('error', () => {})
   send({ type: 'hello', member: run.self })
-  const cancelBeat = keepBeating(clock, () => {
+  const cancelBeat = run.ticker.add(() => {
     send({ type: 'beat' })
     if (clock.monotonic() - lastHeardMs > SILENT_LINK_MS) close('silent')
   })
@@ -166,13 +169,3 @@
     calls.forEach(waiting => waiting.settle(Err(lost)))
   }
 }
-
-function keepBeating (clock: Clock, beat: () => void): () => void {
-  let cancel = (): void => {}
-  const next = (): void => {
-    beat()
-    cancel = clock.schedule(BEAT_PERIOD_MS, next)
-  }
-  cancel = clock.schedule(BEAT_PERIOD_MS, next)
-  return () => cancel()
-}
--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -4,6 +4,7 @@
  */
 import type { Socket } from 'node:net'
 import type { Clock } from '../clock'
+import { createTicker } from '../clock/ticker'
 import type { Logger } from '../logger'
 import { Err } from '../result'
 import type { Result } from '../result'
@@ -13,7 +14,7 @@
 import { encodeFrame } from './frames'
 import { GOSSIP_KIND, createGossip } from './gossip'
 import type { GossipMessage } from './gossip'
-import { runLink } from './link'
+import { BEAT_PERIOD_MS, runLink } from './link'
 import type { Link } from './link'
 import { neighboursOf, placeOnRing } from './neighbours'
 import type { PeerError, Peers } from './peers'
@@ -61,6 +62,7 @@
 export function createPeerNetwork (options: PeerNetworkOptions): PeerNetwork {
   const { self, clock, logger, transport = PLAIN_TRANSPORT } = options
   const dispatch = createDispatch()
+  const ticker = createTicker(clock, BEAT_PERIOD_MS)
   const changed = createListeners<[]>()
   const connected = createListeners<[MemberRecord]>()
   const links = new Map<string, OpenLink>()
@@ -96,6 +98,7 @@
       socket,
       self,
       clock,
+      ticker,
       logger,
       dispatch,
       onHello: established => {
