--- a/packages/magnoliabay/src/node/clock/index.ts
+++ b/packages/magnoliabay/src/node/clock/index.ts
@@ -42,11 +42,20 @@
   })
 }
 
-/** Runs `task` every `periodMs` milliseconds, never two at once, until `signal` aborts. */
+/**
+ * Time until the next whole number of periods since the clock's origin, milliseconds. What a process does at the same
+ * pace then falls due at the same moments, and wakes it once: with a phase for each, hundreds of processes that have
+ * nothing to do wake for little else.
+ */
+export function untilNextPeriod (clock: Clock, periodMs: number): number {
+  return periodMs - clock.monotonic() % periodMs
+}
+
+/** Runs `task` once in each `periodMs` milliseconds, never two at once, until `signal` aborts. */
 export async function repeat (clock: Clock, periodMs: number, signal: AbortSignal, task: () => unknown): Promise<void> {
   while (!signal.aborted) {
     await task()
-    await sleep(clock, periodMs, signal)
+    await sleep(clock, untilNextPeriod(clock, periodMs), signal)
   }
 }
 
--- a/packages/magnoliabay/src/node/clock/ticker.ts
+++ b/packages/magnoliabay/src/node/clock/ticker.ts
@@ -2,6 +2,7 @@
  * One timer for what several parts of a process do at the same pace: a timer of each of a process's links would wake it
  * once for each of them, hundreds of times a second over a fleet that has nothing to do.
  */
+import { untilNextPeriod } from '.'
 import type { CancelTimer, Clock } from '.'
 
 export interface Ticker {
@@ -14,7 +15,7 @@
   const listeners = new Set<() => void>()
   let cancel: CancelTimer | undefined
   const tick = (): void => {
-    cancel = clock.schedule(periodMs, tick)
+    cancel = clock.schedule(untilNextPeriod(clock, periodMs), tick)
     const current = [...listeners]
     current.forEach(listener => listener())
   }
@@ -22,7 +23,7 @@
     add: listener => {
       const own = (): void => listener()
       listeners.add(own)
-      cancel ??= clock.schedule(periodMs, tick)
+      cancel ??= clock.schedule(untilNextPeriod(clock, periodMs), tick)
       return () => {
         listeners.delete(own)
         if (listeners.size > 0) return
--- a/packages/magnoliabay/src/node/serving/fleetTable.ts
+++ b/packages/magnoliabay/src/node/serving/fleetTable.ts
@@ -3,6 +3,7 @@
  * up and tells everybody the sums. In a large fleet relays in between (`upstream.ts`) add up what those below report,
  * and pass on what the leader tells as it comes.
  */
+import { untilNextPeriod } from '../clock'
 import type { Clock } from '../clock'
 import type { MemberRecord, Peers } from '../members'
 import { reportNotice, summaryNotice } from './fleetMessages'
@@ -262,13 +263,13 @@
         cancelNext()
         report()
         isSoon = false
-        cancelNext = clock.schedule(periodMs(), tell)
+        cancelNext = clock.schedule(untilNextPeriod(clock, periodMs()), tell)
       }
       const sum = (): void => {
         if (signal.aborted) return
         noteLeading()
         summarize()
-        clock.schedule(periodMs(), sum)
+        clock.schedule(untilNextPeriod(clock, periodMs()), sum)
       }
       tellNow = tell
       cancelNext = clock.schedule(MIN_PERIOD_MS, tell)
--- a/packages/magnoliabay/src/node/serving/placement/leadership.ts
+++ b/packages/magnoliabay/src/node/serving/placement/leadership.ts
@@ -4,7 +4,7 @@
  * waits before its first order.
  */
 import type { Clock } from '../../clock'
-import { TIMED_OUT, sleep, withDeadline } from '../../clock'
+import { TIMED_OUT, sleep, untilNextPeriod, withDeadline } from '../../clock'
 import type { Logger } from '../../logger'
 import type { Result } from '../../result'
 import type { Store, StoreError } from '../../store'
@@ -236,7 +236,7 @@
     await candidate()
   }
   const untilNextMs = (): number => {
-    if (term === undefined) return options.isFollowing() ? FOLLOWER_LOOK_PERIOD_MS : LOOK_PERIOD_MS
+    if (term === undefined) return untilNextPeriod(clock, options.isFollowing() ? FOLLOWER_LOOK_PERIOD_MS : LOOK_PERIOD_MS)
     const untilFirstMs = term.fromMs - clock.monotonic()
     if (term.isLast) return RENEW_PERIOD_MS
     return untilFirstMs > 0 ? Math.min(RENEW_PERIOD_MS, untilFirstMs) : BEGIN_RETRY_MS
--- a/packages/magnoliabay/src/node/serving/spread.ts
+++ b/packages/magnoliabay/src/node/serving/spread.ts
@@ -37,7 +37,7 @@
 /** A whole list is asked for at most this often. */
 const LIST_PERIOD_MS = 700
 /** An instance that hears nothing of the store asks a peer this often. */
-const NEWS_PERIOD_MS = 400
+const NEWS_PERIOD_MS = 300
 /** Own contact with the store that is older than this counts as lost: its watch would have brought something. */
 const STORE_LOST_MS = 5500
 const CALL_TIMEOUT_MS = 700
--- a/packages/magnoliabay/src/node/serving/storeProxy.ts
+++ b/packages/magnoliabay/src/node/serving/storeProxy.ts
@@ -5,7 +5,7 @@
  * watch for it, goes by what that one tells, and says in its summaries how old that is.
  */
 import type { Clock } from '../clock'
-import { sleep } from '../clock'
+import { sleep, untilNextPeriod } from '../clock'
 import type { Logger } from '../logger'
 import { definePeerCall } from '../members'
 import type { Peers } from '../members'
@@ -15,7 +15,7 @@
 export interface StoreSight {
   /** Milliseconds since it last answered. */
   ageMs: number
-  /** How long it has answered without a break, milliseconds. */
+  /** How long it has answered without a break, milliseconds; below 0 while it does not answer. */
   steadyMs: number
 }
 
@@ -25,7 +25,7 @@
 const ASK_PERIOD_MS = 300
 const ASK_TIMEOUT_MS = 300
 /** How often one who does not lead looks whether it does, milliseconds. */
-const LOOK_PERIOD_MS = 1000
+const LOOK_PERIOD_MS = 900
 /** A leader that has not heard the store for this long asks for a proxy, milliseconds: well before those who follow give it up. */
 const LOST_MS = 800
 /** A proxy that has heard nothing of the store for this long is of no use, milliseconds. */
@@ -99,8 +99,9 @@
     const reply = await peers.call(member, watchCall, {}, { timeoutMs: ASK_TIMEOUT_MS })
     if (reply.err) return give(member, reply.val.kind)
     const isNew = proxy === undefined
-    // Its first answer may be of before it began to watch.
-    if (!isNew && reply.val.ageMs > MAX_PROXY_AGE_MS) return give(member, 'does not hear the store')
+    // Its first answer may be of before it began to watch; one that knows itself turned away says so at once.
+    const isDeaf = reply.val.steadyMs < 0 || (!isNew && reply.val.ageMs > MAX_PROXY_AGE_MS)
+    if (isDeaf) return give(member, 'does not hear the store')
     if (isNew) logger.info('store-proxy', { peer: member, itsAgeMs: Math.round(reply.val.ageMs), ownAgeMs: Math.round(own().ageMs) })
     proxy = { member, sight: reply.val, atMs: sentMs }
     onProxied(member)
@@ -118,7 +119,7 @@
     start: async signal => {
       while (!signal.aborted) {
         await ask()
-        await sleep(clock, isLeading() ? ASK_PERIOD_MS : LOOK_PERIOD_MS, signal)
+        await sleep(clock, untilNextPeriod(clock, isLeading() ? ASK_PERIOD_MS : LOOK_PERIOD_MS), signal)
       }
     }
   }
--- a/packages/magnoliabay/src/node/store/feeds.ts
+++ b/packages/magnoliabay/src/node/store/feeds.ts
@@ -4,7 +4,7 @@
  * connection that the network has lost track of stays open and silent.
  */
 import type { Clock } from '../clock'
-import { repeat, sleep } from '../clock'
+import { repeat, sleep, untilNextPeriod } from '../clock'
 import type { Logger } from '../logger'
 import type { Reach } from './reach'
 import type { StoreError, WatchFeed } from './store'
@@ -99,7 +99,7 @@
     const isWanted = feed.isWanted() || isFirst
     if (!isWanted) at = undefined
     if (!isWanted || (reach.isReachable() === false && !isProber)) {
-      await sleep(clock, REST_MS, signal)
+      await sleep(clock, untilNextPeriod(clock, REST_MS), signal)
       continue
     }
     if (at === undefined) {
