--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/__tests__/relays.spec.ts
@@ -0,0 +1,83 @@
+import { expect } from 'chai'
+import { createVirtualClock } from '../../clock/virtual'
+import { createMemoryNetwork } from '../../members/memoryNetwork'
+import { STAR_MOST, chooseRelays, rankRelays } from '../relays'
+import type { RelayCandidate } from '../relays'
+import { createUpstream } from '../upstream'
+import { memberRecord } from './fixtures'
+
+const DOMAINS = ['a', 'b', 'c', 'd']
+const candidates = (count: number): RelayCandidate[] => Array.from({ length: count }, (_, index) =>
+  memberRecord(`m${index}`, { failureDomain: DOMAINS[index % DOMAINS.length]!, processorShare: index < 8 ? 1.35 : 0.3 }))
+const relayIds = (members: readonly RelayCandidate[]): string[] => [...chooseRelays(members).values()].flat()
+
+describe('relays', () => {
+  it('are none where few enough talk to the leader', () => {
+    expect(relayIds(candidates(STAR_MOST))).to.deep.equal([])
+  });
+
+  [STAR_MOST + 1, 87, 195, 420].forEach(count => it(`of ${count} grow with the root of the number, over all failure domains`, () => {
+    const relays = chooseRelays(candidates(count))
+    expect([...relays.keys()].sort()).to.deep.equal(DOMAINS)
+    expect(relayIds(candidates(count)).length).to.be.within(Math.sqrt(count), Math.sqrt(count) + DOMAINS.length)
+  }))
+
+  it('are those with the most processor time, none that leaves, and the same whatever the order of the members', () => {
+    const members = candidates(40).map(member => member.id === 'm0' ? { ...member, leaving: true } : member)
+    const relays = relayIds(members)
+    expect(relays).to.include.members(['m1', 'm2', 'm3', 'm4', 'm5', 'm6', 'm7'])
+    expect(relays).to.not.include('m0')
+    expect(relayIds([...members].reverse()).sort()).to.deep.equal([...relays].sort())
+  })
+
+  it('are tried by an instance in its own failure domain first', () => {
+    const members = candidates(100)
+    const relays = chooseRelays(members)
+    const self = { id: 'm50', failureDomain: 'c' }
+    const ranked = rankRelays(self, relays)
+    const near = relays.get('c')!
+    expect([...ranked.slice(0, near.length)].sort()).to.deep.equal([...near].sort())
+    expect([...ranked].sort()).to.deep.equal([...relays.values()].flat().sort())
+  })
+})
+
+describe('to whom an instance reports', () => {
+  const SILENT_MS = 2500
+  const createWorld = (id: string) => {
+    const clock = createVirtualClock()
+    const network = createMemoryNetwork({ clock })
+    const members = candidates(100).map(member => memberRecord(member.id, member))
+    const peers = new Map(members.map(member => [member.id, network.join(member)]))
+    const self = peers.get(id)!
+    // The list stays the same one until members change.
+    const list = self.members()
+    const upstream = createUpstream({ peers: { ...self, members: () => list }, leader: () => 'm0', silentMs: () => SILENT_MS, clock })
+    return { clock, network, upstream, relays: rankRelays(self.self, chooseRelays(members)) }
+  }
+
+  it('is the leader for a relay, and a relay for others', () => {
+    expect(createWorld('m1').upstream.current()).to.equal('m0')
+    const { upstream, relays } = createWorld('m50')
+    expect(upstream.current()).to.equal(relays[0])
+  })
+
+  /** Guards against an instance that hears nothing for good since its relay is frozen, or cut off from the leader. */
+  it('is another relay when the first says nothing', async () => {
+    const { clock, upstream, relays } = createWorld('m50')
+    expect(upstream.current()).to.equal(relays[0])
+    await clock.advance(SILENT_MS - 500)
+    upstream.noteHeard(relays[0]!)
+    await clock.advance(SILENT_MS - 500)
+    expect(upstream.current()).to.equal(relays[0])
+    await clock.advance(1000)
+    expect(upstream.current()).to.equal(relays[1])
+  })
+
+  it('is another relay when the first is out of reach, and the leader when all are', () => {
+    const { network, upstream, relays } = createWorld('m50')
+    network.cut('m50', relays[0]!)
+    expect(upstream.current()).to.equal(relays[1])
+    relays.forEach(relay => network.cut('m50', relay))
+    expect(upstream.current()).to.equal('m0')
+  })
+})
