--- a/packages/magnoliabay/src/node/serving/__tests__/spread.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/spread.spec.ts
@@ -168,6 +168,7 @@
     const { clock, leader, follower } = createWorld()
     leader.cfg.offer('5', 'store')
     list(leader, serverOf('s1'))
+    leader.members.adopt([memberRecord('leader'), memberRecord('other')])
     leader.servers.takeChanges()
     follower.storeAgeMs = Infinity
     follower.isFollowing = false
@@ -176,5 +177,6 @@
     expect(follower.cfg.version()).to.equal(5)
     expect(known(follower)).to.deep.equal(['s1 ready '])
     expect(follower.named).to.equal('leader')
+    expect(follower.members.listed().map(({ id }) => id)).to.deep.equal(['leader', 'other'])
   })
 })
--- a/packages/magnoliabay/src/node/serving/spread.ts
+++ b/packages/magnoliabay/src/node/serving/spread.ts
@@ -165,6 +165,8 @@
     news.leavingServers.forEach(servers.noteLeaving)
     const isPeerBetter = news.storeAgeMs < storeAgeMs()
     if (news.leading !== undefined) options.onLeaderTold(news.leading)
+    // Without members it could report to nobody, and be told nothing.
+    if (members.listed().length === 0) await fetchMembers(member)
     if (news.isListKnown && (isPeerBetter || !servers.isKnown())) await fetchServers(member)
   }
   const noteConfigVersion = (member: string, version: number): void => {
