--- a/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
@@ -14,6 +14,7 @@
 import { adapterPlacesTaken, createEngineBook } from './engineBook'
 import type { EngineBook, EngineEntry, PendingOrder } from './engineBook'
 import type { Leadership } from './leadership'
+import type { WeightTier } from './plan'
 
 /** Reports lag by some hundred milliseconds and are paid for; asking more often tells nothing new. */
 const REPORT_PERIOD_MS = 250
@@ -61,7 +62,8 @@
   isSending (process: string): boolean
   /** Whether the next order may be tried: nothing is under way, or an unload that should be done soon. */
   mayTry (engine: Engine): boolean
-  load (process: string, model: string, fromStore: boolean, expectedMs: number): Promise<void>
+  /** `tier`: where the engine has the weights. */
+  load (process: string, model: string, tier: WeightTier, expectedMs: number): Promise<void>
   unload (process: string, model: string): Promise<void>
   loadAdapter (process: string, model: string, adapter: string): Promise<boolean>
   unloadAdapter (process: string, model: string, adapter: string): Promise<boolean>
@@ -147,11 +149,11 @@
     queues.set(process, next)
     return next
   }
-  const send = async ({ server, entry }: Engine, order: Pick<EngineOrder, 'operation' | 'model' | 'adapter'>): Promise<OrderOutcome> => {
+  const send = async ({ server, entry }: Engine, order: Pick<EngineOrder, 'operation' | 'model' | 'adapter'>, tier?: WeightTier): Promise<OrderOutcome> => {
     const fence = leadership.fence()
     if (fence === undefined || entry.orders === undefined) return 'refused'
     const outcome = await engines.order(server, { ...order, expectedOrders: entry.orders, holder: self, fence })
-    logger.info('order-sent', { server: server.id, operation: order.operation, model: order.model, adapter: order.adapter, expectedOrders: entry.orders, fence, outcome })
+    logger.info('order-sent', { server: server.id, operation: order.operation, model: order.model, adapter: order.adapter, tier, expectedOrders: entry.orders, fence, outcome })
     return outcome
   }
   const sendAdapter = (process: string, operation: 'load' | 'unload', model: string, adapter: string): Promise<boolean> => serially(process, async engine => {
@@ -187,14 +189,14 @@
       const periodMs = sinceMs < QUICK_TRIES_MS ? TRY_PERIOD_MS : SLOW_TRY_PERIOD_MS
       return sinceMs >= FIRST_TRY_MS && clock.monotonic() - (triedMs.get(process) ?? -Infinity) >= periodMs
     },
-    load: (process, model, fromStore, expectedMs) => serially(process, async engine => {
+    load: (process, model, tier, expectedMs) => serially(process, async engine => {
       // An engine that loads the model already accepts the order once more, and counts it once.
       if (engine.entry.pending?.operation === 'load') return
       triedMs.set(process, clock.monotonic())
       const isTry = engine.entry.pending !== undefined
-      const outcome = await send(engine, { operation: 'load', model })
+      const outcome = await send(engine, { operation: 'load', model }, tier)
       // One that nobody answered may begin as well: it counts as begun.
-      if (fromStore && (outcome === 'accepted' || outcome === 'unanswered')) options.onStoreLoad(process)
+      if (tier === 'store' && (outcome === 'accepted' || outcome === 'unanswered')) options.onStoreLoad(process)
       if (outcome === 'accepted') return book.noteAccepted(process, { operation: 'load', model, sentMs: clock.monotonic(), expectedMs })
       if (!isTry || outcome !== 'conflict') book.doubt(process)
     }, undefined),
--- a/packages/magnoliabay/src/node/serving/placement/orderer.ts
+++ b/packages/magnoliabay/src/node/serving/placement/orderer.ts
@@ -112,7 +112,7 @@
 
   const load = (engine: Engine, model: string): void => {
     const tier = tierOf(engine.entry, model)
-    orders.load(engine.process, model, tier === 'store', loadMsOf(model, tier))
+    orders.load(engine.process, model, tier, loadMsOf(model, tier))
   }
   const handlers: Record<PlanStep['kind'], (step: PlanStep, engine: Engine) => void> = {
     load: (step, engine) => {
