--- a/packages/magnoliabay/src/node/members/__tests__/link.spec.ts
+++ b/packages/magnoliabay/src/node/members/__tests__/link.spec.ts
@@ -39,6 +39,7 @@
   let server: Server
   let dispatch: Dispatch
   const sockets: Socket[] = []
+  let isKept = true
   const log: string[] = []
   const logger = createLogger({ write: line => { log.push(line) } })
 
@@ -65,6 +66,7 @@
       ticker: createTicker(clock, BEAT_PERIOD_MS),
       logger,
       dispatch,
+      isKept: () => isKept,
       onHello: established => {
         link = established
         return true
@@ -117,6 +119,59 @@
     expect(setting.ended()).to.equal('silent')
   })
 
+  describe('that is not kept', () => {
+    before(() => { isKept = false })
+    after(() => { isKept = true })
+    const beats = ({ received }: Setting): number => received.filter(frame => frame.type === 'beat').length
+    /** As long as a new link is watched over. */
+    const settle = (): Promise<void> => clock.advance(2 * SILENT_LINK_MS)
+    const openQuiet = async (): Promise<Setting> => {
+      const setting = await open()
+      for (let elapsed = 0; elapsed < 2 * SILENT_LINK_MS; elapsed += BEAT_PERIOD_MS) {
+        write(setting, { type: 'beat' })
+        await clock.advance(BEAT_PERIOD_MS)
+      }
+      return setting
+    }
+
+    /** Guards against hundreds of links to one member that beat for nothing. */
+    it('stands without beats of its own, and answers those of the peer', async () => {
+      const setting = await openQuiet()
+      const before = beats(setting)
+      await settle()
+      expect(beats(setting)).to.equal(before)
+      write(setting, { type: 'beat' })
+      await until(() => beats(setting) > before)
+      expect(setting.ended()).to.equal(undefined)
+    })
+
+    /** Guards against calls that fail one after the other on a link that something between the two ends has lost track of. */
+    it('is cut a second after a call that nobody answered', async () => {
+      const setting = await openQuiet()
+      await settle()
+      const call = setting.link().call(echo.kind, 'x', { timeoutMs: 150 })
+      await clock.advance(200)
+      expect(outcomeOf(await call)).to.equal('timeout')
+      await clock.advance(1100)
+      await until(() => setting.ended() !== undefined)
+      expect(setting.ended()).to.equal('silent')
+    })
+
+    it('stands after a call that came to nothing where the peer still answers', async () => {
+      const setting = await openQuiet()
+      await settle()
+      const call = setting.link().call(echo.kind, 'x', { timeoutMs: 150 })
+      const before = beats(setting)
+      await clock.advance(200)
+      expect(outcomeOf(await call)).to.equal('timeout')
+      await until(() => beats(setting) > before)
+      write(setting, { type: 'beat' })
+      for (let turn = 0; turn < 20; turn += 1) await new Promise(resolve => setImmediate(resolve))
+      await clock.advance(2000)
+      expect(setting.ended()).to.equal(undefined)
+    })
+  })
+
   it('is cut when the peer says nothing at all after connecting', async () => {
     const setting = await open({ hello: false })
     await clock.advance(SILENT_LINK_MS + 2 * BEAT_PERIOD_MS)
--- a/packages/magnoliabay/src/node/members/link.ts
+++ b/packages/magnoliabay/src/node/members/link.ts
@@ -14,7 +14,7 @@
 import type { PeerCallOptions, PeerError } from './peers'
 import type { MemberRecord } from './record'
 
-/** How often each side says that it is there, in milliseconds. */
+/** How often a side that watches over a link says that it is there, in milliseconds. */
 export const BEAT_PERIOD_MS = 1000
 /**
  * A link that brought nothing for this long is cut and dialled anew. A connection that something
@@ -22,6 +22,13 @@
  * one after another. Three missed beats tell it from a short pause, and a new connection works.
  */
 export const SILENT_LINK_MS = 3500
+/**
+ * A link that is not kept is watched over for this long after a notice, milliseconds. One made for a call now and then
+ * is not: a member that counts for a team holds one to each of hundreds, and all would beat for nothing.
+ */
+const WATCHED_MS = 5000
+/** On a link that is not watched over, a peer that left a call unanswered is to answer a beat by then, milliseconds. */
+const PROBE_MS = 1000
 const DEFAULT_CALL_TIMEOUT_MS = 1000
 /** A peer that reads more slowly than this is behind by so much that the link is cut. */
 const MAX_UNSENT_BYTES = 16 * 1024 * 1024
@@ -49,6 +56,8 @@
   ticker: Ticker
   logger: Logger
   dispatch: Dispatch
+  /** Whether the link to a member is kept for its own sake, and so watched over all the time. */
+  isKept: (member: MemberRecord) => boolean
   /** The peer has said hello. Answer false to refuse it. */
   onHello: (link: Link) => boolean
   onGoodbye: (member: MemberRecord) => void
@@ -62,7 +71,18 @@
   let endReason = 'closed by the peer'
   let lastHeardMs = clock.monotonic()
   let member: MemberRecord | undefined
+  let watchedUntilMs = clock.monotonic() + WATCHED_MS
+  let isWatching = true
 
+  const watchOver = (): void => { watchedUntilMs = clock.monotonic() + WATCHED_MS }
+  const isWatched = (): boolean => clock.monotonic() < watchedUntilMs || member === undefined || run.isKept(member)
+  /** Such a link may have fallen silent long ago: the call after this one is to find a new one. */
+  const probe = (): void => {
+    if (isWatched()) return
+    const askedMs = clock.monotonic()
+    send({ type: 'beat' })
+    clock.schedule(PROBE_MS, () => { if (lastHeardMs < askedMs) close('silent') })
+  }
   /**
    * Tells what hindered it. A frame that is too long for the peer is not sent: the peer would cut the
    * link, the caller would try again on the next one, and every other call would be lost with it.
@@ -88,7 +108,10 @@
   }
   const call: Link['call'] = (kind, body, options = {}) => new Promise(resolve => {
     const id = nextCallId++
-    const cancelTimeout = clock.schedule(options.timeoutMs ?? DEFAULT_CALL_TIMEOUT_MS, () => settle(Err({ kind: 'timeout', message: `No answer to ${kind} in time.` })))
+    const cancelTimeout = clock.schedule(options.timeoutMs ?? DEFAULT_CALL_TIMEOUT_MS, () => {
+      probe()
+      settle(Err({ kind: 'timeout', message: `No answer to ${kind} in time.` }))
+    })
     const settle = (result: Result<unknown, PeerError>): void => {
       cancelTimeout()
       pending.delete(id)
@@ -102,13 +125,17 @@
     member: peer,
     call,
     notify: (kind, body) => {
+      watchOver()
       const hindrance = send({ type: 'notice', kind, body })
       if (hindrance === undefined) return
       // On a link that has ended nothing is amiss: its end has an event of its own.
       const log = hindrance.kind === 'not-connected' ? logger.debug : logger.warn
       log('peer-notice-not-sent', { peer: peer.id, kind, reason: hindrance.message })
     },
-    sendEncoded: write,
+    sendEncoded: bytes => {
+      watchOver()
+      write(bytes)
+    },
     close,
     goodbye: () => {
       send({ type: 'goodbye' })
@@ -132,7 +159,8 @@
   }
   const handlers: { [Type in Frame['type']]: (frame: Extract<Frame, { type: Type }>, from: MemberRecord) => void } = {
     hello: () => {},
-    beat: () => {},
+    // Whoever beats goes by what it hears; on a link that is kept both sides beat.
+    beat: () => { if (!isWatched()) send({ type: 'beat' }) },
     call: (frame, from) => { answerCall(frame, from) },
     reply: frame => pending.get(frame.id)?.settle(frame.ok ? Ok(frame.body) : Err(frame.body as PeerError)),
     notice: takeNotice,
@@ -143,6 +171,11 @@
   socket.on('error', () => {})
   send({ type: 'hello', member: run.self })
   const cancelBeat = run.ticker.add(() => {
+    const wasWatching = isWatching
+    isWatching = isWatched()
+    if (!isWatching) return
+    // Nothing was to be heard before.
+    if (!wasWatching) lastHeardMs = clock.monotonic()
     send({ type: 'beat' })
     if (clock.monotonic() - lastHeardMs > SILENT_LINK_MS) close('silent')
   })
--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -101,6 +101,7 @@
       ticker,
       logger,
       dispatch,
+      isKept: member => neighbours.has(member.id),
       onHello: established => {
         const { member } = established
         link = established
