--- a/packages/magnoliabay/src/node/platform/pool.ts
+++ b/packages/magnoliabay/src/node/platform/pool.ts
@@ -3,7 +3,12 @@
  * clients take a fifth of the memory of an idle process, and of the processor time of its start.
  */
 import type { Pool } from 'undici'
-import PoolWithoutTypes from 'undici/lib/dispatcher/pool.js'
+import api from 'undici/lib/api/index.js'
+import PoolAlone from 'undici/lib/dispatcher/pool.js'
 
-export const createPool = (...args: ConstructorParameters<typeof Pool>): Pool =>
-  new (PoolWithoutTypes as typeof Pool)(...args)
+/** The library gives its clients their calls only where it is loaded whole. */
+class CallPool extends (PoolAlone as typeof Pool) {
+  override request = (api as Pick<Pool, 'request'>).request
+}
+
+export const createPool = (...args: ConstructorParameters<typeof Pool>): Pool => new CallPool(...args)
