--- a/packages/magnoliabay/src/node/platform/pool.ts
+++ b/packages/magnoliabay/src/node/platform/pool.ts
@@ -1,6 +1,6 @@
 /**
  * Connections for calls of the platform and of engines: `undici`'s pool without the rest of that library, whose other
- * clients take a fifth of the memory of an idle process, and of the processor time of its start.
+ * clients would cost each process memory, and time at its start, for nothing.
  */
 import type { Pool } from 'undici'
 import api from 'undici/lib/api/index.js'
--- a/packages/magnoliabay/src/node/serving/packedText.ts
+++ b/packages/magnoliabay/src/node/serving/packedText.ts
@@ -1,13 +1,13 @@
 /**
  * A document as it goes between instances. Failure: a configuration of hundreds of models, sent as it is to everybody,
- * fills the link of the one who tells it for a second, and the summaries behind it come too late. It shrinks to a tenth.
+ * fills the link of the one who tells it, and the summaries behind it come too late. Packed it is a small part of that.
  */
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import { messageOf } from '../utils'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
 
-/** Of six and more, hardly a byte less for several times the processor time. */
+/** Quick rather than small: it is packed again for each change. */
 const LEVEL = 3
 /** The store takes no value larger than a megabyte; what claims more is damaged. */
 const MOST_BYTES = 8 * 1024 * 1024
