--- a/packages/magnoliabay/src/node/serving/__tests__/support/fleetWorld.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/fleetWorld.ts
@@ -216,7 +216,7 @@
     })
     const isProxy = (): boolean => proxy.clients().length > 0
     const turn = createStoreTurn({ isLeading: leadership.isHolder, isProxy, isFollowing: table.isFollowing, memberCount: () => known.length, clock, logger, random })
-    const feeds = { store, wire: { keys: { config: CONFIG, servers: SERVERS } }, cfg, servers, memberCount: () => known.length, isFollowing: table.isFollowing, isOwnTurn: turn.isOwn, isProxy, isOrdering: () => false }
+    const feeds = { store, wire: { keys: { config: CONFIG, servers: SERVERS } }, cfg, servers, memberCount: () => known.length, isOwnTurn: turn.isOwn, isProxy, isOrdering: () => false }
     instances.set(id, { record, cfg, servers, table, leadership, faults, stop, calls: 0, messages: 0, inFlight })
     watchStore(feeds, stop.signal)
     membership.start(stop.signal)
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -336,7 +336,7 @@
   }
   const isProxy = (): boolean => proxy.clients().length > 0
   const turn = createStoreTurn({ isLeading: leadership.isHolder, isProxy, isFollowing: table.isFollowing, memberCount: () => peers.members().length, clock, logger, random })
-  const feeds: StoreFeedsOptions = { store, wire, cfg, servers, memberCount: () => peers.members().length, isFollowing: table.isFollowing, isOwnTurn: turn.isOwn, isProxy, isOrdering: orderer.isWaiting }
+  const feeds: StoreFeedsOptions = { store, wire, cfg, servers, memberCount: () => peers.members().length, isOwnTurn: turn.isOwn, isProxy, isOrdering: orderer.isWaiting }
   const isLonely = (): boolean => cfg.version() === 0 || !servers.isKnown() || peers.members().length < 2
 
   return {
--- a/packages/magnoliabay/src/node/serving/storeFeeds.ts
+++ b/packages/magnoliabay/src/node/serving/storeFeeds.ts
@@ -15,8 +15,6 @@
 const MEMBERS_WATCH_WAIT_MS = 4000
 /** The same for one who watches for a leader out of the store's reach: how lately the store was heard decides whether others go by it. */
 const PROXY_WATCH_WAIT_MS = 500
-/** The same where another tells what changes: each call that waits is paid for. */
-const FOLLOWER_WATCH_WAIT_MS = 25_000
 /**
  * Pause after changes, milliseconds: of members, a little for each, since each change wakes everybody and members
  * change in series; of servers, for one who follows nobody; and of servers for the leader, to whom the end of an
@@ -33,8 +31,6 @@
   cfg: ConfigInForce
   servers: Servers
   memberCount: () => number
-  /** Another tells this instance what changes. */
-  isFollowing: () => boolean
   /** Whether this instance is to ask the store itself; members and leader are read once in any case. */
   isOwnTurn: () => boolean
   /** This instance watches for a leader out of the store's reach. */
@@ -56,15 +52,12 @@
 }
 
 /** One watching call for each; servers' entries change with each beat of each server. */
-export function createStoreFeeds ({ wire, memberCount, isFollowing, isOwnTurn, isProxy, isOrdering }: StoreFeedsOptions): WatchFeed[] {
-  const waitMs = (alone: number) => (): number => {
-    if (isProxy()) return PROXY_WATCH_WAIT_MS
-    return isFollowing() ? FOLLOWER_WATCH_WAIT_MS : alone
-  }
+export function createStoreFeeds ({ wire, memberCount, isOwnTurn, isProxy, isOrdering }: StoreFeedsOptions): WatchFeed[] {
+  const waitMs = (otherwise: number) => (): number => isProxy() ? PROXY_WATCH_WAIT_MS : otherwise
   const gatherMembersMs = (): number => Math.min(MAX_GATHER_MS, Math.max(MIN_GATHER_MS, memberCount() * GATHER_PER_MEMBER_MS))
   return [
     { prefix: wire.keys.config, isWanted: isOwnTurn, gatherMs: () => MIN_GATHER_MS, waitMs: waitMs(PROMPT_WATCH_WAIT_MS) },
     { prefix: STORE_ROOT, isWanted: isOwnTurn, isReadAtStart: true, gatherMs: gatherMembersMs, waitMs: waitMs(MEMBERS_WATCH_WAIT_MS) },
-    { prefix: wire.keys.servers, isWanted: isOwnTurn, gatherMs: () => isOrdering() ? GATHER_ORDERS_MS : GATHER_SERVERS_MS, waitMs: () => isProxy() ? PROXY_WATCH_WAIT_MS : PROMPT_WATCH_WAIT_MS }
+    { prefix: wire.keys.servers, isWanted: isOwnTurn, gatherMs: () => isOrdering() ? GATHER_ORDERS_MS : GATHER_SERVERS_MS, waitMs: waitMs(PROMPT_WATCH_WAIT_MS) }
   ]
 }
--- a/packages/magnoliabay/src/node/store/feeds.ts
+++ b/packages/magnoliabay/src/node/store/feeds.ts
@@ -72,8 +72,8 @@
 export function runFeeds (options: FeedsOptions, feeds: readonly WatchFeed[], signal: AbortSignal): void {
   const open = new Set<OpenWatch>()
   const cutAll = (reason: CutReason): void => open.forEach(watch => watch.cut.abort(reason))
-  // An instance that has another to tell it what changes lets its own watch wait for long, and cannot tell whether
-  // that is still heard. When the other ends, nothing would bring a change in time but a new watch.
+  // A watch may have been sent to wait for longer than is wanted now, and nothing tells whether it is still heard: only
+  // a new one brings a change in time.
   const cutOverdue = (): void => [...open]
     .filter(({ feed, sentMs }) => options.clock.monotonic() - sentMs > feed.waitMs() + WATCH_GRACE_MS)
     .forEach(watch => watch.cut.abort('waits for longer than is now wanted'))
