--- a/packages/magnoliabay/src/node/clock/__tests__/repeat.spec.ts
+++ b/packages/magnoliabay/src/node/clock/__tests__/repeat.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 import { repeat } from '..'
 import { createVirtualClock } from '../virtual'
+import type { Clock } from '..'
 
 describe('what is repeated', () => {
   /** Guards against a wake-up of its own for each task that a process repeats. */
@@ -17,4 +18,16 @@
     expect([...new Set(ranMs)]).to.deep.equal([0, 130, 170, 300, 600, 900])
     expect(ranMs.filter(ms => ms === 600)).to.have.length(3)
   })
+
+  /** Guards against doing everything twice: the runtime's timers fire up to a millisecond before their time. */
+  it('does not fall due again for the rest of a millisecond by which a timer was early', async () => {
+    const clock = createVirtualClock()
+    const early: Clock = { ...clock, monotonic: () => clock.monotonic() - 0.4, schedule: (delayMs, callback) => clock.schedule(Math.floor(delayMs), callback) }
+    const stop = new AbortController()
+    let runs = 0
+    repeat(early, 100, stop.signal, () => { runs += 1 })
+    await clock.advance(1050)
+    stop.abort()
+    expect(runs).to.equal(11)
+  })
 })
--- a/packages/magnoliabay/src/node/clock/index.ts
+++ b/packages/magnoliabay/src/node/clock/index.ts
@@ -42,13 +42,18 @@
   })
 }
 
+/** Timers of the runtime count whole milliseconds, and may fire by so much too early. */
+const TIMER_EARLY_MS = 1.5
+
 /**
  * Time until the next whole number of periods since the clock's origin, milliseconds. What a process does at the same
  * pace then falls due at the same moments, and wakes it once: with a phase for each, hundreds of processes that have
- * nothing to do wake for little else.
+ * nothing to do wake for little else. A timer that fired a little early has done its period: it would else fire again
+ * for the rest of the millisecond, and everything that is repeated would be done twice.
  */
 export function untilNextPeriod (clock: Clock, periodMs: number): number {
-  return periodMs - clock.monotonic() % periodMs
+  const leftMs = periodMs - clock.monotonic() % periodMs
+  return leftMs > TIMER_EARLY_MS ? leftMs : leftMs + periodMs
 }
 
 /** Runs `task` once in each `periodMs` milliseconds, never two at once, until `signal` aborts. */
