--- a/packages/magnoliabay/src/node/clock/index.ts
+++ b/packages/magnoliabay/src/node/clock/index.ts
@@ -56,6 +56,16 @@
   return leftMs > TIMER_EARLY_MS ? leftMs : leftMs + periodMs
 }
 
+/**
+ * The same for all processes together, as far as their times of day agree: time until the next whole number of periods
+ * of the day, and `offsetMs` after it. Messages that all send then arrive together and wake whoever hears them once; and
+ * what is added up on the way to one of them can be sent in the order in which it is needed.
+ */
+export function untilNextMoment (clock: Clock, periodMs: number, offsetMs = 0): number {
+  const leftMs = periodMs - (clock.now() - offsetMs) % periodMs
+  return leftMs > TIMER_EARLY_MS ? leftMs : leftMs + periodMs
+}
+
 /** Runs `task` once in each `periodMs` milliseconds, never two at once, until `signal` aborts. */
 export async function repeat (clock: Clock, periodMs: number, signal: AbortSignal, task: () => unknown): Promise<void> {
   while (!signal.aborted) {
--- a/packages/magnoliabay/src/node/clock/ticker.ts
+++ b/packages/magnoliabay/src/node/clock/ticker.ts
@@ -1,8 +1,9 @@
 /**
  * One timer for what several parts of a process do at the same pace: a timer of each of a process's links would wake it
- * once for each of them, hundreds of times a second over a fleet that has nothing to do.
+ * once for each of them, hundreds of times a second over a fleet that has nothing to do. Tickers of all processes tick
+ * together, so that what they send to each other arrives together as well.
  */
-import { untilNextPeriod } from '.'
+import { untilNextMoment } from '.'
 import type { CancelTimer, Clock } from '.'
 
 export interface Ticker {
@@ -15,7 +16,7 @@
   const listeners = new Set<() => void>()
   let cancel: CancelTimer | undefined
   const tick = (): void => {
-    cancel = clock.schedule(untilNextPeriod(clock, periodMs), tick)
+    cancel = clock.schedule(untilNextMoment(clock, periodMs), tick)
     const current = [...listeners]
     current.forEach(listener => listener())
   }
@@ -23,7 +24,7 @@
     add: listener => {
       const own = (): void => listener()
       listeners.add(own)
-      cancel ??= clock.schedule(untilNextPeriod(clock, periodMs), tick)
+      cancel ??= clock.schedule(untilNextMoment(clock, periodMs), tick)
       return () => {
         listeners.delete(own)
         if (listeners.size > 0) return
--- a/packages/magnoliabay/src/node/logSink.ts
+++ b/packages/magnoliabay/src/node/logSink.ts
@@ -6,6 +6,7 @@
  * out and counted, and the count is written as soon as there is room.
  */
 import { write as writeFile } from 'node:fs'
+import { untilNextPeriod } from './clock'
 import type { Clock } from './clock'
 import type { LogLevel } from './logger'
 
@@ -36,6 +37,9 @@
 const STANDARD_OUTPUT = 1
 const MS_PER_SECOND = 1000
 const FLUSH_POLL_MS = 10
+/** Lines wait for this long at most, milliseconds, or until there are so many characters: each write wakes the process twice. */
+const GATHER_MS = 250
+const GATHER_CHARACTERS = 16_384
 
 export function createLogSink (options: LogSinkOptions): LogSink {
   const { clock, linesPerSecond = LINES_PER_SECOND, maxWaiting = MAX_WAITING } = options
@@ -47,6 +51,7 @@
   let refilledMs = clock.monotonic()
   let waiting = ''
   let isWriting = false
+  let isDue = false
   let dropped = 0
   let untold = 0
 
@@ -67,7 +72,17 @@
     isWriting = true
     write(text, () => {
       isWriting = false
+      const isAnyLeftOut = untold > 0
       tellDropped()
+      if (isAnyLeftOut || waiting.length >= GATHER_CHARACTERS) pump()
+      else if (waiting !== '') pumpSoon()
+    })
+  }
+  const pumpSoon = (): void => {
+    if (isDue) return
+    isDue = true
+    clock.schedule(untilNextPeriod(clock, GATHER_MS), () => {
+      isDue = false
       pump()
     })
   }
@@ -86,8 +101,8 @@
       }
       left -= 1
       waiting += `${line}\n`
-      // Lines of one turn go out in one write.
-      if (!isWriting) setImmediate(pump)
+      if (waiting.length >= GATHER_CHARACTERS) pump()
+      else pumpSoon()
     },
     dropped: () => dropped,
     flush: async limitMs => {
--- a/packages/magnoliabay/src/node/members/link.ts
+++ b/packages/magnoliabay/src/node/members/link.ts
@@ -70,6 +70,7 @@
   let nextCallId = 1
   let endReason = 'closed by the peer'
   let lastHeardMs = clock.monotonic()
+  let lastSentMs = -Infinity
   let member: MemberRecord | undefined
   let watchedUntilMs = clock.monotonic() + WATCHED_MS
   let isWatching = true
@@ -99,6 +100,7 @@
   }
   const write = (bytes: Buffer): void => {
     if (!socket.writable) return
+    lastSentMs = clock.monotonic()
     socket.write(bytes)
     if (socket.writableLength > MAX_UNSENT_BYTES) close('peer reads too slowly')
   }
@@ -176,7 +178,8 @@
     if (!isWatching) return
     // Nothing was to be heard before.
     if (!wasWatching) lastHeardMs = clock.monotonic()
-    send({ type: 'beat' })
+    // Whatever was sent lately says as much, and a beat of its own would wake the peer once more.
+    if (clock.monotonic() - lastSentMs >= BEAT_PERIOD_MS / 2) send({ type: 'beat' })
     if (clock.monotonic() - lastHeardMs > SILENT_LINK_MS) close('silent')
   })
   try {
--- a/packages/magnoliabay/src/node/serving/__tests__/spread.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/spread.spec.ts
@@ -52,6 +52,7 @@
       storeAgeMs: () => instance.storeAgeMs,
       leading: () => leadingOf('leader'),
       followers: () => followers,
+      isLeadingRelays: () => false,
       isFollowing: () => instance.isFollowing,
       isLinked: peers.isConnected,
       isProxy: () => false,
--- a/packages/magnoliabay/src/node/serving/__tests__/support/fleetWorld.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/fleetWorld.ts
@@ -206,6 +206,7 @@
       storeAgeMs,
       leading: () => leadership.leading() ?? leadership.known(),
       followers: () => [...table.reporters(), ...proxy.clients()],
+      isLeadingRelays: () => leadership.isHolder() && table.isRelayed(),
       isFollowing: table.isFollowing,
       isLinked: joined.isConnected,
       isProxy: member => proxy.current() === member,
--- a/packages/magnoliabay/src/node/serving/fleetTable.ts
+++ b/packages/magnoliabay/src/node/serving/fleetTable.ts
@@ -3,7 +3,7 @@
  * up and tells everybody the sums. In a large fleet relays in between (`upstream.ts`) add up what those below report,
  * and pass on what the leader tells as it comes.
  */
-import { untilNextPeriod } from '../clock'
+import { untilNextMoment } from '../clock'
 import type { Clock } from '../clock'
 import type { MemberRecord, Peers } from '../members'
 import { reportNotice, summaryNotice } from './fleetMessages'
@@ -17,6 +17,12 @@
 const MIN_PERIOD_MS = 125
 /** The same where relays add up reports, milliseconds. */
 const RELAYED_PERIOD_MS = 500
+/**
+ * All report at one moment; a relay does so by so much later, when those below it have, and the leader tells the sums
+ * when the relays have, milliseconds.
+ */
+const RELAY_OFFSET_MS = 20
+const SUM_OFFSET_MS = 40
 /** Changes that cannot wait are gathered for this long, milliseconds, for each member and at least. */
 const SOON_PER_MEMBER_MS = 1
 const MIN_SOON_MS = 15
@@ -116,6 +122,7 @@
   const perMember = (ms: number, least: number): number => Math.max(least, peers.members().length * ms)
   const upstream = createUpstream({ peers, leader, silentMs: () => staleMs(), clock })
   const periodMs = (): number => upstream.isRelayed() ? RELAYED_PERIOD_MS : perMember(PERIOD_PER_MEMBER_MS, MIN_PERIOD_MS)
+  const tellOffsetMs = (): number => upstream.isRelay() ? RELAY_OFFSET_MS : 0
   const staleMs = (): number => Math.max(MIN_STALE_MS, STALE_PERIODS * periodMs())
   const isLeading = (): boolean => leader() === self
   const standing = (): HeldSummary | undefined =>
@@ -263,13 +270,13 @@
         cancelNext()
         report()
         isSoon = false
-        cancelNext = clock.schedule(untilNextPeriod(clock, periodMs()), tell)
+        cancelNext = clock.schedule(untilNextMoment(clock, periodMs(), tellOffsetMs()), tell)
       }
       const sum = (): void => {
         if (signal.aborted) return
         noteLeading()
         summarize()
-        clock.schedule(untilNextPeriod(clock, periodMs()), sum)
+        clock.schedule(untilNextMoment(clock, periodMs(), SUM_OFFSET_MS), sum)
       }
       tellNow = tell
       cancelNext = clock.schedule(MIN_PERIOD_MS, tell)
--- a/packages/magnoliabay/src/node/serving/placement/leadership.ts
+++ b/packages/magnoliabay/src/node/serving/placement/leadership.ts
@@ -22,9 +22,9 @@
 /** A renewal that the store has not answered by then is tried by way of a peer, milliseconds. */
 const RENEW_PATIENCE_MS = 350
 /** How often one who does not lead looks whether the leader is gone, milliseconds. */
-const LOOK_PERIOD_MS = 300
+const LOOK_PERIOD_MS = 250
 /** The same for one whom a leader tells that it is there, milliseconds. */
-const FOLLOWER_LOOK_PERIOD_MS = 600
+const FOLLOWER_LOOK_PERIOD_MS = 500
 /** Pause before this instance tries again to be named as the last to order, milliseconds. */
 const BEGIN_RETRY_MS = 100
 /** Candidates try at different moments; the first one wins without a race. */
--- a/packages/magnoliabay/src/node/serving/placement/orderer.ts
+++ b/packages/magnoliabay/src/node/serving/placement/orderer.ts
@@ -2,7 +2,7 @@
  * The instance that gives orders to engines: hears what is wanted, plans what is loaded where, and has it ordered.
  */
 import type { Clock } from '../../clock'
-import { sleep } from '../../clock'
+import { sleep, untilNextPeriod } from '../../clock'
 import type { Logger } from '../../logger'
 import type { Peers } from '../../members'
 import { createAverage } from '../average'
@@ -26,6 +26,8 @@
 
 /** How often the plan is made anew, milliseconds; a waiting request and the end of an order make it at once. */
 const TICK_MS = 100
+/** How often one who does not lead looks whether it does, milliseconds: each look wakes the process. */
+const REST_MS = 250
 /** A want that is not repeated counts no more. */
 const WANT_KEPT_MS = 1200
 /** An engine that was emptied for a model and has not got it by then is free for others. */
@@ -325,7 +327,7 @@
       const loop = async (): Promise<void> => {
         while (!signal.aborted) {
           tick()
-          await sleep(clock, TICK_MS, signal)
+          await sleep(clock, leadership.isHolder() ? TICK_MS : untilNextPeriod(clock, REST_MS), signal)
         }
       }
       loop()
--- a/packages/magnoliabay/src/node/serving/spread.ts
+++ b/packages/magnoliabay/src/node/serving/spread.ts
@@ -32,12 +32,14 @@
 /** Changes of a list are gathered for this long, milliseconds, for each who is told and at least. */
 const GATHER_PER_FOLLOWER_MS = 0.5
 const MIN_GATHER_MS = 4
+/** The same for a leader whom relays stand below: each change goes to everybody, and wakes hundreds, milliseconds. */
+const RELAYED_GATHER_MS = 80
 /** A configuration that is told about comes with a notice of its own within this time, unless that was lost. */
 const CONFIG_PATIENCE_MS = 100
 /** A whole list is asked for at most this often. */
 const LIST_PERIOD_MS = 700
 /** An instance that hears nothing of the store asks a peer this often. */
-const NEWS_PERIOD_MS = 300
+const NEWS_PERIOD_MS = 250
 /** Own contact with the store that is older than this counts as lost: its watch would have brought something. */
 const STORE_LOST_MS = 5500
 const CALL_TIMEOUT_MS = 700
@@ -53,6 +55,8 @@
   leading: () => Leading | undefined
   /** Those who report here, and follow what this instance knows. */
   followers: () => readonly string[]
+  /** This instance leads, and relays pass on what it tells. */
+  isLeadingRelays: () => boolean
   /** Another tells this instance what changes. */
   isFollowing: () => boolean
   /** Whether a link to the member stands. */
@@ -140,10 +144,12 @@
     const packed = packedConfig()
     if (packed !== undefined) peers.notifyLinked(followers, configNotice, { packed })
   }
+  const gatherMs = (): number =>
+    options.isLeadingRelays() ? RELAYED_GATHER_MS : Math.max(MIN_GATHER_MS, options.followers().length * GATHER_PER_FOLLOWER_MS)
   const tellSoon = (): void => {
     if (isTelling || options.followers().length === 0) return
     isTelling = true
-    clock.schedule(Math.max(MIN_GATHER_MS, options.followers().length * GATHER_PER_FOLLOWER_MS), () => { if (isTelling) tellChanges() })
+    clock.schedule(gatherMs(), () => { if (isTelling) tellChanges() })
   }
   servers.onChanged(tellSoon)
   members.onChanged(tellSoon)
--- a/packages/magnoliabay/src/node/serving/storeProxy.ts
+++ b/packages/magnoliabay/src/node/serving/storeProxy.ts
@@ -22,10 +22,10 @@
 const watchCall = definePeerCall<Record<string, never>, StoreSight>('serving.watch-for-me')
 
 /** How often a proxy is asked, and says how it hears the store, milliseconds. */
-const ASK_PERIOD_MS = 300
+const ASK_PERIOD_MS = 250
 const ASK_TIMEOUT_MS = 300
 /** How often one who does not lead looks whether it does, milliseconds. */
-const LOOK_PERIOD_MS = 900
+const LOOK_PERIOD_MS = 1000
 /** A leader that has not heard the store for this long asks for a proxy, milliseconds: well before those who follow give it up. */
 const LOST_MS = 800
 /** A proxy that has heard nothing of the store for this long is of no use, milliseconds. */
--- a/packages/magnoliabay/src/node/store/feeds.ts
+++ b/packages/magnoliabay/src/node/store/feeds.ts
@@ -15,7 +15,7 @@
 const RETRY_MS = 300
 const MAX_RETRY_MS = 1200
 /** How often a feed that rests looks whether it is wanted, or the store back, milliseconds: each look wakes the process. */
-const REST_MS = 300
+const REST_MS = 250
 /** A store that is out of reach is asked for what there is, and answers at once when it is back, milliseconds. */
 const PROBE_WAIT_MS = 0
 /** How often it is looked whether a watch has waited for too long, milliseconds. */
