--- a/packages/magnoliabay/src/node/platform/__tests__/kvStore.spec.ts
+++ b/packages/magnoliabay/src/node/platform/__tests__/kvStore.spec.ts
@@ -139,4 +139,73 @@
     state.transact({ compares: [], success: [{ kind: 'put', key: 'a/1', value: 'x' }], failure: [] })
     await seen
   })
+
+  describe('that goes back to an older copy of itself', () => {
+    const on = (key: string, equals: number, value: string): Transaction => ({ compares: [{ key, target: 'mod', equals }], writes: [{ kind: 'put', key, value }] })
+
+    /** Guards against two who both hold one record: a revision is given out again, and a condition on it holds by chance. */
+    it('is sent no condition of an earlier era', async () => {
+      await store.transact(put('other', 'x'))
+      const copy = state.copy()
+      const written = (await store.transact(put('mine', 'before'))).unwrap()
+      state.setBack(copy)
+      await store.transact(put('mine', 'of another'))
+      expect((await store.transact(on('mine', written.revision, 'after'))).unwrap().succeeded).to.equal(false)
+      expect((await store.get('mine')).unwrap()).to.include({ value: 'of another' })
+    })
+
+    /** Guards against a success that means nothing: the condition was sent in one era and held in the next. */
+    it('leaves it open whether a write took effect that was sent before and done after', async () => {
+      const copy = state.copy()
+      const written = (await store.transact(put('mine', 'before'))).unwrap()
+      state.setBack(copy)
+      state.transact({ compares: [], success: [{ kind: 'put', key: 'mine', value: 'of another' }], failure: [] })
+      expect(await store.transact(on('mine', written.revision, 'after'))).to.have.nested.property('val.kind', 'unknown')
+    })
+
+    /** Guards against a leader that goes on under a number that is somebody else's lease by now. */
+    it('has no lease of an earlier era renewed, written under or ended', async () => {
+      const copy = state.copy()
+      const lease = (await store.grantLease(60)).unwrap()
+      state.setBack(copy)
+      const others = state.grantLease(60).unwrap()
+      await store.get('anything')
+      expect(await store.renewLease(lease)).to.have.nested.property('val.kind', 'lease-lost')
+      expect(await store.transact(put('mine', 'x', lease))).to.have.nested.property('val.kind', 'lease-lost')
+      expect((await store.revokeLease(lease)).ok).to.equal(true)
+      expect(state.leases().map(({ id }) => id)).to.deep.equal([others.id])
+    })
+
+    it('has its renewal told from that of another who has the number now', async () => {
+      const copy = state.copy()
+      const lease = (await store.grantLease(60)).unwrap()
+      state.setBack(copy)
+      state.grantLease(60).unwrap()
+      expect(await store.renewLease(lease)).to.have.nested.property('val.kind', 'lease-lost')
+    })
+
+    /** Guards against a leader whom nobody follows: each claim of the new history would count as older than the last of the old. */
+    it('gives revisions that are later than all of the era before', async () => {
+      const copy = state.copy()
+      const before = (await store.transact(put('a', 'x'))).unwrap().revision
+      state.setBack(copy)
+      expect((await store.transact(put('a', 'y'))).unwrap().revision).to.be.greaterThan(before)
+      expect(Number.isSafeInteger((await store.get('a')).unwrap()!.modRevision)).to.equal(true)
+    })
+
+    /** Guards against changes that nobody is told: the new history has passed the revision from which the watch goes on. */
+    it('is read anew, though its new history has passed what was known of the old', async () => {
+      const copy = state.copy()
+      await store.transact(put('w/lost', 'x'))
+      const seen = watchUntil('w/', ({ snapshots }) => snapshots.at(-1)?.join() === 'w/new')
+      const started = watchUntil('w/', ({ snapshots }) => snapshots.length > 0)
+      store.start(stop.signal, [EVERYTHING])
+      await started
+      state.setBack(copy)
+      state.transact({ compares: [], success: [{ kind: 'put', key: 'w/new', value: 'y' }], failure: [] })
+      state.transact({ compares: [], success: [{ kind: 'put', key: 'w/new', value: 'z' }], failure: [] })
+      await store.get('anything')
+      await seen
+    })
+  })
 })
--- a/packages/magnoliabay/src/node/platform/kvStore.ts
+++ b/packages/magnoliabay/src/node/platform/kvStore.ts
@@ -1,6 +1,7 @@
 /**
  * The `Store` interface over the platform's metadata store. A watch serves all prefixes of a feed, since the store
- * counts each waiting call.
+ * counts each waiting call. The store may go on from a copy some seconds old (`eras.ts`): conditions, leases and
+ * watches of an earlier era are never sent, and what was sent in one era and answered in another counts as unknown.
  */
 import type { Clock } from '../clock'
 import { repeat } from '../clock'
@@ -10,6 +11,7 @@
 import { runFeeds } from '../store/feeds'
 import { createReach } from '../store/reach'
 import type { Compare, KeyValue, RangeResult, Reach, Store, StoreError, StoreResult, Transaction, TransactionResult, WatchCall, WatchEnd, WatchEvent, WatchFeed, WatchHandlers } from '../store'
+import { decodeEra, eraOfLease, eraOfRevision, toLeaseId, toRevision, toStoredLease, toStoredRevision } from './eras'
 import { createPool } from './pool'
 import { addCount, messageOf, parseJson } from '../utils'
 
@@ -27,6 +29,8 @@
 }
 
 export interface KvStore extends Store, Pick<Reach, 'lastContactMs' | 'steadySinceMs'> {
+  /** Rises whenever the store has gone on from an older copy of itself; 0 while none is known. */
+  era (): number
   /** Begins to watch; prefixes are to be registered before, each within one of the feeds. */
   start (signal: AbortSignal, feeds: readonly WatchFeed[]): void
   close (): Promise<void>
@@ -44,6 +48,7 @@
 interface Answer {
   status: number
   body: unknown
+  era: number
 }
 
 interface CallOptions {
@@ -62,12 +67,19 @@
 const encode = (text: string): string => Buffer.from(text, 'utf8').toString('base64')
 const decode = (value: string | undefined): string => Buffer.from(value ?? '', 'base64').toString('utf8')
 
-function toKeyValue (item: WireItem): KeyValue {
-  return { key: item.key, value: decode(item.value), createRevision: item.created ?? 0, modRevision: item.revision, leaseId: String(item.lease ?? 0) }
+function toKeyValue (item: WireItem, era: number): KeyValue {
+  return { key: item.key, value: decode(item.value), createRevision: toRevision(era, item.created ?? 0), modRevision: toRevision(era, item.revision), leaseId: toLeaseId(era, item.lease ?? 0) }
 }
 
-function toEvent (item: WireItem): WatchEvent {
-  return { kind: item.deleted === true ? 'delete' : 'put', key: item.key, value: decode(item.value), createRevision: item.created ?? 0, modRevision: item.revision }
+function toEvent (item: WireItem, era: number): WatchEvent {
+  return { kind: item.deleted === true ? 'delete' : 'put', key: item.key, value: decode(item.value), createRevision: toRevision(era, item.created ?? 0), modRevision: toRevision(era, item.revision) }
+}
+
+/** Eras of all that a transaction rests on: of its conditions, and of the leases that it writes under. */
+function erasOf ({ compares, writes }: Transaction): number[] {
+  const ofCompares = compares.flatMap(({ equals }) => typeof equals === 'number' && equals !== 0 ? [eraOfRevision(equals)] : [])
+  const ofLeases = writes.flatMap(op => op.kind === 'put' && op.leaseId !== undefined ? [eraOfLease(op.leaseId)] : [])
+  return [...ofCompares, ...ofLeases]
 }
 
 /** Method and kind of a call, for logs: without the id of a lease, and with what is read or watched. */
@@ -81,7 +93,7 @@
 /** The store's conditions are on the last change alone; an absent key has revision 0 either way. */
 function toPrecondition ({ key, target, equals }: Compare): { key: string, revision: number } | undefined {
   if (typeof equals !== 'number' || target === 'value' || (target === 'create' && equals !== 0)) return undefined
-  return { key, revision: equals }
+  return { key, revision: toStoredRevision(equals) }
 }
 
 export function createKvStore (options: KvStoreOptions): KvStore {
@@ -89,6 +101,16 @@
   const pool = createPool(`http://${address}`, { connections: MAX_CONNECTIONS, pipelining: 1, connect: { timeout: CALL_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: 0 })
   const subscribers: Subscriber[] = []
   const reach = createReach({ address, clock, logger })
+  let era = 0
+  const noteEra = (answered: number): void => {
+    if (answered <= era) return
+    const before = era
+    era = answered
+    // The first one that a process hears of is no news.
+    if (before === 0) return
+    logger.warn('store-set-back', { era, before, outcome: 'everything is read anew' })
+    reach.noteSetBack()
+  }
   /** Since they were last told, by name. */
   const calls = new Map<string, number>()
   const tellCalls = (): void => {
@@ -112,10 +134,13 @@
         body: body === undefined ? undefined : JSON.stringify(body)
       })
       const text = await res.body.text()
+      const answeredEra = decodeEra(res.headers['store-era'])
+      noteEra(answeredEra)
       const isRefused = res.statusCode === 503 || res.statusCode === 429
       reach.note(!isRefused, name, `status ${res.statusCode}`)
       if (isRefused) return Err({ kind: 'unavailable', message: `The store answered ${res.statusCode}.` })
-      return Ok({ status: res.statusCode, body: parseJson(text) })
+      if (answeredEra < era) return Err({ kind: 'unknown', message: `${name}: answered in an era that has ended` })
+      return Ok({ status: res.statusCode, body: parseJson(text), era: answeredEra })
     } catch (err) {
       // Ended from here: that says nothing of the store.
       if (signal?.aborted) return Err({ kind: 'given-up', message: `${name}: not wanted any more` })
@@ -127,59 +152,74 @@
       signal?.removeEventListener('abort', end)
     }
   }
-  const invalid = (answer: Answer): StoreError => ({ kind: 'invalid', message: `The store answered ${answer.status}.` })
+  const acrossEras: StoreError = { kind: 'unknown', message: 'The store went back to an older copy meanwhile.' }
+  const leaseGone: StoreError = { kind: 'lease-lost', message: 'The lease was granted before the store went back to an older copy.' }
+  /** Its number may be another's by now. */
+  const isLeaseGone = (leaseId: string | undefined): boolean => leaseId !== undefined && eraOfLease(leaseId) < era
+  const invalid = (answer: Pick<Answer, 'status'>): StoreError => ({ kind: 'invalid', message: `The store answered ${answer.status}.` })
 
   const get = async (key: string): Promise<Result<KeyValue | undefined, StoreError>> => {
     const res = await call('GET', `/-/kv-key?key=${encodeURIComponent(key)}`)
     if (res.err) return res
     if (res.val.status === 404) return Ok(undefined)
-    return res.val.status === 200 ? Ok(toKeyValue(res.val.body as WireItem)) : Err(invalid(res.val))
+    return res.val.status === 200 ? Ok(toKeyValue(res.val.body as WireItem, res.val.era)) : Err(invalid(res.val))
   }
   const range = async (prefix: string): Promise<Result<RangeResult, StoreError>> => {
     const entries: KeyValue[] = []
     let revision = Infinity
+    let firstEra: number | undefined
     let after = ''
     for (;;) {
       const res = await call('GET', `/-/kv-range?prefix=${encodeURIComponent(prefix)}${after === '' ? '' : `&after=${encodeURIComponent(after)}`}`)
       if (res.err) return res
       if (res.val.status !== 200) return Err(invalid(res.val))
+      firstEra ??= res.val.era
+      if (res.val.era !== firstEra) return Err(acrossEras)
       const page = res.val.body as { items: WireItem[], 'has-more'?: boolean, at: number }
-      entries.push(...page.items.map(toKeyValue))
+      entries.push(...page.items.map(item => toKeyValue(item, res.val.era)))
       // Pages are not a snapshot: a watch from the first page's revision on repeats what later pages had, and loses nothing.
-      revision = Math.min(revision, page.at)
+      revision = Math.min(revision, toRevision(res.val.era, page.at))
       if (page['has-more'] !== true || page.items.length === 0) return Ok({ entries, revision })
       after = page.items.at(-1)!.key
     }
   }
-  const transact = async ({ compares, writes }: Transaction): Promise<Result<TransactionResult, StoreError>> => {
+  const transact = async (transaction: Transaction): Promise<Result<TransactionResult, StoreError>> => {
+    const { compares, writes } = transaction
     const preconditions = compares.map(toPrecondition)
     if (preconditions.includes(undefined)) return Err({ kind: 'invalid', message: 'The store compares the revision of the last change only.' })
+    // Such a condition may hold by chance, for what another has written since under the same revision.
+    if (compares.some(({ equals }) => typeof equals === 'number' && equals !== 0 && eraOfRevision(equals) < era)) return Ok({ succeeded: false, revision: 0 })
+    if (writes.some(op => op.kind === 'put' && isLeaseGone(op.leaseId))) return Err(leaseGone)
     const res = await call('POST', '/-/kv-txn', {
       body: {
         precondition: preconditions,
-        write: writes.flatMap(op => op.kind === 'put' ? [{ key: op.key, value: encode(op.value), ...(op.leaseId === undefined ? {} : { lease: Number(op.leaseId) }) }] : []),
+        write: writes.flatMap(op => op.kind === 'put' ? [{ key: op.key, value: encode(op.value), ...(op.leaseId === undefined ? {} : { lease: toStoredLease(op.leaseId) }) }] : []),
         remove: writes.flatMap(op => op.kind === 'delete' ? [op.key] : [])
       }
     })
     if (res.err) return res
     const { status, body } = res.val
-    if (status === 200) return Ok({ succeeded: true, revision: (body as { revision: number }).revision })
+    if (erasOf(transaction).some(each => each !== res.val.era)) return Err(acrossEras)
+    if (status === 200) return Ok({ succeeded: true, revision: toRevision(res.val.era, (body as { revision: number }).revision) })
     if (status === 412) return Ok({ succeeded: false, revision: 0 })
     return Err(status === 404 ? { kind: 'lease-lost', message: 'The lease does not exist any more.' } : invalid(res.val))
   }
   const grantLease = async (ttlSeconds: number): Promise<Result<string, StoreError>> => {
     const res = await call('POST', '/-/kv-lease', { body: { 'ttl-ms': Math.round(ttlSeconds * 1000) } })
     if (res.err) return res
-    return res.val.status === 200 ? Ok(String((res.val.body as { lease: number }).lease)) : Err(invalid(res.val))
+    return res.val.status === 200 ? Ok(toLeaseId(res.val.era, (res.val.body as { lease: number }).lease)) : Err(invalid(res.val))
   }
   const renewLease = async (leaseId: string): Promise<Result<number, StoreError>> => {
-    const res = await call('POST', `/-/kv-keep/${leaseId}`)
+    if (isLeaseGone(leaseId)) return Err(leaseGone)
+    const res = await call('POST', `/-/kv-keep/${toStoredLease(leaseId)}`)
     if (res.err) return res
     if (res.val.status === 404) return Err({ kind: 'lease-lost', message: `Lease ${leaseId} has ended.` })
+    if (res.val.era !== eraOfLease(leaseId)) return Err(leaseGone)
     return res.val.status === 200 ? Ok((res.val.body as { 'ttl-ms': number })['ttl-ms'] / 1000) : Err(invalid(res.val))
   }
   const revokeLease = async (leaseId: string): Promise<Result<void, StoreError>> => {
-    const res = await call('DELETE', `/-/kv-lease-end/${leaseId}`)
+    if (isLeaseGone(leaseId)) return Ok(undefined)
+    const res = await call('DELETE', `/-/kv-lease-end/${toStoredLease(leaseId)}`)
     return res.err ? res : Ok(undefined)
   }
 
@@ -193,15 +233,17 @@
       .forEach(({ prefix, handlers }) => handlers.onSnapshot({ revision, entries: entries.filter(entry => entry.key.startsWith(prefix)) }))
     return revision
   }
-  const deliver = (items: readonly WireItem[]): void => items.forEach(item =>
-    subscribers.filter(({ prefix }) => item.key.startsWith(prefix)).forEach(({ handlers }) => handlers.onEvent(toEvent(item))))
+  const deliver = (items: readonly WireItem[], answeredEra: number): void => items.forEach(item =>
+    subscribers.filter(({ prefix }) => item.key.startsWith(prefix)).forEach(({ handlers }) => handlers.onEvent(toEvent(item, answeredEra))))
   const watch = async (feed: WatchFeed, { after, waitMs, timeoutMs, signal }: WatchCall): Promise<WatchEnd> => {
-    const res = await call('GET', `/-/kv-watch?prefix=${encodeURIComponent(feed.prefix)}&after=${after}&wait-ms=${waitMs}`, { timeoutMs, signal })
+    // The new history may have passed that revision: its changes below would never be told.
+    if (eraOfRevision(after) < era) return { kind: 'history-gone' }
+    const res = await call('GET', `/-/kv-watch?prefix=${encodeURIComponent(feed.prefix)}&after=${toStoredRevision(after)}&wait-ms=${waitMs}`, { timeoutMs, signal })
     if (res.err) return res.val.kind === 'given-up' ? { kind: 'cut' } : { kind: 'failed', err: res.val }
-    if (res.val.status !== 200) return { kind: 'history-gone' }
+    if (res.val.status !== 200 || res.val.era !== eraOfRevision(after)) return { kind: 'history-gone' }
     const { events, at } = res.val.body as { events: WireItem[], at: number }
-    deliver(events)
-    return { kind: 'answered', at, hadEvents: events.length > 0 }
+    deliver(events, res.val.era)
+    return { kind: 'answered', at: toRevision(res.val.era, at), hadEvents: events.length > 0 }
   }
 
   return {
@@ -212,6 +254,7 @@
     renewLease,
     revokeLease,
     watch: (prefix, handlers) => { subscribers.push({ prefix, handlers }) },
+    era: () => era,
     lastContactMs: reach.lastContactMs,
     steadySinceMs: reach.steadySinceMs,
     start: (signal, feeds) => {
--- a/packages/magnoliabay/src/node/serving/__tests__/servers.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/servers.spec.ts
@@ -94,4 +94,22 @@
     world.servers.put({ key: 's1', value: 'spoilt' })
     expect(usable(world)).to.deep.equal(['s1'])
   })
+
+  /**
+   * A request reaches a server that has long left.
+   * 1. One server drains, another has gone. 2. The store goes back to a copy from before, and lists both as ready.
+   */
+  it('are not brought back by a store that goes back to an older copy', async () => {
+    const world = createWorld()
+    const copy = ['s1', 's2', 's3'].map(key => ({ key, value: '{}' }))
+    world.servers.snapshot(copy)
+    world.servers.put({ key: 's1', value: '{"state":"draining"}' })
+    world.servers.remove('s2')
+    await world.clock.advance(5000)
+    world.steadySinceMs.value = world.clock.monotonic()
+    world.servers.snapshot(copy)
+    expect(usable(world)).to.deep.equal(['s3'])
+    world.servers.put({ key: 's2', value: '{}' })
+    expect(usable(world)).to.deep.equal(['s3', 's2'])
+  })
 })
--- a/packages/magnoliabay/src/node/serving/__tests__/support/fleetWorld.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/fleetWorld.ts
@@ -189,6 +189,8 @@
       renewByPeer: async leaseId => [...instances.values()].some(other => other.faults.now.down === 'no') ? await createDirectStore(state, { clock }).renewLease(leaseId) : undefined,
       hasEnded: async other => !instances.has(other),
       isFollowing: table.isFollowing,
+      era: state.era,
+      isFirstStart: true,
       yieldMs: () => table.isRelayed() && !table.isRelay() ? 800 : 0,
       orderLeaseMs: ORDER_LEASE_MS,
       minLeaseMs: 1000,
--- a/packages/magnoliabay/src/node/serving/allowance/__tests__/teamAllowance.spec.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/__tests__/teamAllowance.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { teamOf } from '../../__tests__/fixtures'
-import { IDS, LIMIT, TOLERANCE, WINDOW_MS, createWorld, dayEvent, playDay, restartAll } from './support/world'
+import { IDS, LIMIT, TOLERANCE, WINDOW_MS, createWorld, dayEvent, playDay, restartAll, setBackDayEvent } from './support/world'
 import type { World } from './support/world'
 
 /** In any window, with what the settings allow for counting over instances. */
@@ -305,4 +305,16 @@
       expect(await playDay(events, amount)).to.be.at.most(ALLOWED)
     }), { seed, numRuns: 40, endOnFailure: true })
   }).timeout(60_000))
+
+  /**
+   * A team gets its allowance twice within a window.
+   * 1. Its home grants, and records what it has granted. 2. The store goes back to an older copy, which lacks that.
+   * 3. All processes are killed, and the next home finds the older record, or none.
+   */
+  const SET_BACK_SEEDS = [5, 17, 101, 404, 909, 2020]
+  SET_BACK_SEEDS.forEach(seed => it(`keeps every window on random days on which the store goes back to older copies, seed ${seed}`, async () => {
+    await fc.assert(fc.asyncProperty(fc.array(setBackDayEvent, { minLength: 1, maxLength: 8 }), fc.integer({ min: 3, max: 60 }), async (events, amount) => {
+      expect(await playDay(events, amount)).to.be.at.most(ALLOWED)
+    }), { seed, numRuns: 40, endOnFailure: true })
+  }).timeout(60_000))
 })
--- a/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
@@ -3,7 +3,8 @@
  * what teams have spent; counting all of it as spent refuses every team for seconds, counting nothing gives a team its
  * allowance twice. So the home records in the store what was spent, and reserves ahead what it may grant until the next
  * record; the next home counts both. A home grants what its record covers (`recordCover.ts`), and, while the store takes
- * none, little more: so the next home may trust any record that it finds, however old, whatever clocks say. Two homes at
+ * none, little more: so the next home may trust any record that it finds, however old, whatever clocks say, as long as
+ * the store has not gone back to an older copy of itself since: then all that may have been spent counts as spent. Two homes at
  * once, as members change, exclude each other: records change by compare-and-swap, and the one that comes too late
  * begins again with what the other has recorded.
  */
@@ -13,7 +14,7 @@
 import type { Store } from '../../store'
 import { NOTHING_RECORDED, createRecordCover } from './recordCover'
 import type { CoveringRecord } from './recordCover'
-import { RECORD_PARTS, RECORD_PERIOD_MS, countRecord, readSpendingRecord, spendingKey } from './spendingRecord'
+import { RECORD_PARTS, RECORD_PERIOD_MS, countRecord, mergeByAge, readSpendingRecord, spendingKey } from './spendingRecord'
 import type { SpendingRecord } from './spendingRecord'
 import { createSpending } from './spending'
 
@@ -79,6 +80,8 @@
   isYoung: () => boolean
   /** What all have told to have spent, as far as known here. */
   toldSpent: () => number
+  /** Of the store: it rises whenever the store goes on from an older copy of itself. */
+  era: () => number
   clock: Clock
   logger: Logger
 }
@@ -100,6 +103,11 @@
   /** Undefined until the first request, and after another home has recorded. */
   let beginning: Promise<void> | undefined
   let writing: Promise<void> | undefined
+  let hasBegun = false
+  /** It knows what was spent before it, by a record. */
+  let hasRead = false
+  /** Of the last record. */
+  let recordedEra = 0
   const cover = createRecordCover()
   /** Reserved with the last record. */
   let reserveNow = 0
@@ -123,20 +131,25 @@
     beginning = undefined
   }
   const coverLeft = (): number => cover.left(spending.byAge(RECORD_PARTS, clock.monotonic()))
-  const beginWithRecord = (record: SpendingRecord | undefined, now: number): void => {
-    // Without a record nothing was ever granted but what needs none.
-    if (record !== undefined) countRecord(spending, record, windowMs, now)
+  const beginWithRecord = (record: SpendingRecord | undefined, own: readonly number[], now: number): void => {
+    // Without a record nothing was ever granted but what needs none, or by this home.
+    const found = record ?? NOTHING_RECORDED
+    countRecord(spending, { byAge: mergeByAge(found.byAge, own), reserved: found.reserved }, windowMs, now)
     cover.reset(record ?? NOTHING_RECORDED)
     // The home before may have ended with what it could not record: what was spent in a cut, and told to it.
-    const unrecorded = options.toldSpent() - spending.spent(now)
+    const unrecorded = Math.max(options.toldSpent(), mostSpentUnseen(record)) - spending.spent(now)
     if (unrecorded > limit().allowed * TOLD_LAG_PART) spending.note(unrecorded, now)
   }
+  /** A later record was lost with the store's last seconds; only a home that counted then knows what was spent. */
+  const mostSpentUnseen = (record: SpendingRecord | undefined): number =>
+    record !== undefined && record.era < options.era() && !hasRead ? limit().allowed : 0
   /** Goes by what was told; the record that the next home will find holds about that. A young process was told too little. */
-  const beginUnread = (now: number): void => {
+  const beginUnread = (own: readonly number[], now: number): void => {
+    countRecord(spending, { byAge: own, reserved: 0 }, windowMs, now)
     isIgnorant = options.isYoung()
-    const told = isIgnorant ? 0 : options.toldSpent()
+    const told = isIgnorant ? 0 : Math.max(0, options.toldSpent() - spending.spent(now))
     spending.note(told, now)
-    cover.reset({ byAge: [], reserved: told })
+    cover.reset({ byAge: own, reserved: told })
     fail('the last record cannot be read')
   }
   const begin = async (): Promise<void> => {
@@ -145,14 +158,18 @@
     const isRead = read !== TIMED_OUT && read.ok
     const entry = isRead ? read.val : undefined
     const record = entry === undefined ? undefined : readSpendingRecord(entry.value)
+    // Another home may have recorded meanwhile, or the store may have gone back: what this one has granted stays spent.
+    const own = hasBegun ? spending.byAge(RECORD_PARTS, now) : []
     spending = createSpending(windowMs)
     isUncovered = false
     isIgnorant = false
     recordedMs = now
     revision = entry?.modRevision ?? 0
-    if (isRead) beginWithRecord(record, now)
-    else beginUnread(now)
-    spending.note(apart.spent(now), now)
+    if (isRead) beginWithRecord(record, own, now)
+    else beginUnread(own, now)
+    if (!hasBegun) spending.note(apart.spent(now), now)
+    hasBegun = true
+    hasRead ||= isRead
     logger.info('allowance-home', {
       team,
       spentBefore: Math.round(spending.spent(now)),
@@ -181,7 +198,7 @@
     // The parts of instances that cannot ask are theirs to spend, and cover nothing here.
     const covering: CoveringRecord = { byAge, reserved: reserve }
     const heldBack = Math.round(limit().heldBack)
-    const value: SpendingRecord = { home, byAge, reserved: reserve + heldBack, wallMs: clock.now() }
+    const value: SpendingRecord = { home, era: options.era(), byAge, reserved: reserve + heldBack, wallMs: clock.now() }
     // Its answer may be lost, and the next home find it or the one before.
     cover.add(covering)
     const put = await store.transact({
@@ -195,6 +212,7 @@
     reserveNow = reserve
     heldBackRecorded = heldBack
     recordedMs = madeMs
+    recordedEra = value.era
     if (isUncovered) logger.info('allowance-recorded-again', { team })
     isUncovered = false
   }
@@ -204,10 +222,11 @@
   }
   /**
    * Instances that begin to be cut off spend parts of their own from then on, and tell of them afterwards, whether or not
-   * anything is granted here: were all killed before the next record, the next home would take nothing to be spent.
+   * anything is granted here: were all killed before the next record, the next home would take nothing to be spent. A
+   * store that has gone back may have lost the last record.
    */
   const isDue = (): boolean =>
-    clock.monotonic() - recordedMs >= RECORD_PERIOD_MS || limit().heldBack > heldBackRecorded + 1 || coverLeft() < 0
+    clock.monotonic() - recordedMs >= RECORD_PERIOD_MS || options.era() > recordedEra || limit().heldBack > heldBackRecorded + 1 || coverLeft() < 0
   /** Records go on until the last of what was spent has left the window. */
   const keepRecording = (): void => {
     if (isTimed || isClosed) return
--- a/packages/magnoliabay/src/node/serving/allowance/recordCover.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/recordCover.ts
@@ -5,7 +5,7 @@
  * the last five, what the record holds for its own last second or five, and its reserve. A team that goes on as it did
  * is covered for as long as the store may be away; one that begins to spend more is so up to the reserve.
  */
-import { RECORD_PARTS } from './spendingRecord'
+import { sumsWithinAges } from './spendingRecord'
 import type { SpendingRecord } from './spendingRecord'
 
 export type CoveringRecord = Pick<SpendingRecord, 'byAge' | 'reserved'>
@@ -19,13 +19,8 @@
   left (byAge: readonly number[]): number
 }
 
-/** What is counted as spent within each age, the youngest first. */
 function countedWithin ({ byAge, reserved }: CoveringRecord): number[] {
-  let sum = reserved
-  return Array.from({ length: RECORD_PARTS }, (_, part) => {
-    sum += byAge[part] ?? 0
-    return sum
-  })
+  return sumsWithinAges(byAge, reserved)
 }
 
 export const NOTHING_RECORDED: CoveringRecord = { byAge: [], reserved: 0 }
--- a/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
@@ -88,6 +88,8 @@
   /** Nothing was spent before this process: the whole system starts for the first time. */
   isFirstStart: boolean
   store: Pick<Store, 'get' | 'transact'>
+  /** Of the store: it rises whenever the store goes on from an older copy of itself. */
+  era: () => number
   tolerance: AllowanceTolerance
   clock: Clock
   logger: Logger
@@ -158,6 +160,7 @@
     limit: () => ledgerLimit(teamNamed(team.name) ?? team),
     isYoung,
     toldSpent: () => spentOverall(team.name),
+    era: options.era,
     clock,
     logger
   })
--- a/packages/magnoliabay/src/node/serving/placement/leaderRecords.ts
+++ b/packages/magnoliabay/src/node/serving/placement/leaderRecords.ts
@@ -26,6 +26,11 @@
 /** The machine that may have sent the last order. */
 export interface LastOrderer {
   machine: string
+  /**
+   * Of the store as it was written. Found in a later one, the record is from before the store went back to an older copy
+   * of itself, and another machine may have ordered since.
+   */
+  era: number
   /** Unique for each write. */
   mark: string
 }
@@ -80,25 +85,32 @@
   return { holder, machine, claim: createId('claim') }
 }
 
-const lastOrderer = (machine: string): LastOrderer => ({ machine, mark: createId('last') })
+const lastOrderer = (machine: string, era: number): LastOrderer => ({ machine, era, mark: createId('last') })
+
+export interface ClaimBasis {
+  leaseId: string
+  /** Of the store, when the records were read. */
+  era: number
+  /** The machine was the last to order. */
+  isLast: boolean
+}
 
 /**
  * Takes the claim, if neither record has changed since it was read. One who was the last to order says so anew, so
  * that others see that orders may have gone out since.
  */
-export function writeClaim (store: Store, known: LeaderRecords, claim: LeaderClaim, leaseId: string): Promise<Written> {
+export function writeClaim (store: Store, known: LeaderRecords, claim: LeaderClaim, { leaseId, era, isLast }: ClaimBasis): Promise<Written> {
   const { machine } = claim
   const value = JSON.stringify(claim)
-  const isLast = known.last.value?.machine === machine
   return write(store, [unchanged(LEADER_KEY, known.leader.revision), unchanged(LAST_ORDERER_KEY, known.last.revision)], [
     { kind: 'put', key: LEADER_KEY, value, leaseId },
-    ...(isLast ? [{ kind: 'put' as const, key: LAST_ORDERER_KEY, value: JSON.stringify(lastOrderer(machine)) }] : [])
+    ...(isLast ? [{ kind: 'put' as const, key: LAST_ORDERER_KEY, value: JSON.stringify(lastOrderer(machine, era)) }] : [])
   ], { key: LEADER_KEY, value })
 }
 
 /** Names the machine as the last to order, if its claim of that revision stands and nobody has ordered meanwhile. */
-export function writeLastOrderer (store: Store, machine: string, claimRevision: number, lastRevision: number): Promise<Written> {
-  const value = JSON.stringify(lastOrderer(machine))
+export function writeLastOrderer (store: Store, by: Pick<LastOrderer, 'machine' | 'era'>, claimRevision: number, lastRevision: number): Promise<Written> {
+  const value = JSON.stringify(lastOrderer(by.machine, by.era))
   return write(store, [unchanged(LEADER_KEY, claimRevision), unchanged(LAST_ORDERER_KEY, lastRevision)], [
     { kind: 'put', key: LAST_ORDERER_KEY, value }
   ], { key: LAST_ORDERER_KEY, value })
--- a/packages/magnoliabay/src/node/serving/placement/leadership.ts
+++ b/packages/magnoliabay/src/node/serving/placement/leadership.ts
@@ -79,6 +79,10 @@
   isFollowing: () => boolean
   /** Tries for the lease later than others do, milliseconds. */
   yieldMs: () => number
+  /** Of the store: it rises whenever the store goes on from an older copy of itself. */
+  era: () => number
+  /** The whole fleet starts for the first time, so a record that is not there was never written. */
+  isFirstStart: boolean
   /** Whether the instance's process is proven to have ended. */
   hasEnded: (instance: string) => Promise<boolean>
   clock: Clock
@@ -88,6 +92,8 @@
 
 interface Term {
   claim: LeaderClaim
+  /** Of the store, as the claim was written. */
+  era: number
   leaseId: string
   fence: number
   /** Monotonic milliseconds of the first order. */
@@ -128,18 +134,32 @@
   let hasResigned = false
   let wake = new AbortController()
   const startedMs = clock.monotonic()
+  /** Of the first answer that this process had. */
+  let firstEra = 0
+  /**
+   * The era in which this machine's lease was lost though its time had not run out: nobody else can have ordered before
+   * that era, and whoever does in it says so in the store first.
+   */
+  let heldIntoEra: number | undefined
 
   const mark = (): Moment => ({ steadyMs: clock.monotonic(), wallMs: clock.now() })
   const since = (moment: Moment): number => Math.max(clock.monotonic() - moment.steadyMs, clock.now() - moment.wallMs)
   const isConfirmed = (): boolean => confirmed !== undefined && since(confirmed) < leaseMs - STOP_BEFORE_END_MS
   const lose = (reason: string): void => {
     if (term === undefined) return
-    logger.warn('orderer-lost', { fence: term.fence, reason })
+    logger.warn('orderer-lost', { fence: term.fence, era: term.era, reason })
+    if (term.era < options.era() && term.isLast && isConfirmed()) heldIntoEra = options.era()
     term = undefined
     confirmed = undefined
     wake.abort()
   }
-  const wasLast = ({ last: known }: Pick<LeaderRecords, 'last'>): boolean => known.value?.machine === machine
+  const wasLast = ({ last: known }: Pick<LeaderRecords, 'last'>): boolean => {
+    const era = options.era()
+    if (known.value?.era === era) return known.value.machine === machine
+    return heldIntoEra === era && era > 0
+  }
+  /** A store that went back to an older copy may have lost the record. */
+  const hasNobodyOrdered = ({ last: known }: LeaderRecords): boolean => known.revision === 0 && options.isFirstStart && options.era() === firstEra
   /**
    * Whether the claim may be taken now. One of this machine's own is that of a process before this one. One of a
    * machine that was not the last to order has ordered nothing yet: this machine, which was, need not wait at all,
@@ -152,14 +172,16 @@
    * since: the record of who ordered last changes with each claim of the one it names.
    */
   const firstOrderMs = (known: LeaderRecords): number => {
-    if (wasLast(known) || known.last.revision === 0) return clock.monotonic()
-    const freeSinceMs = freed?.lastRevision === known.last.revision ? freed.atMs : clock.monotonic()
+    if (wasLast(known) || hasNobodyOrdered(known)) return clock.monotonic()
+    const isFreedKnown = freed?.lastRevision === known.last.revision && known.last.value?.era === options.era()
+    const freeSinceMs = isFreedKnown ? freed!.atMs : clock.monotonic()
     return freeSinceMs + options.orderLeaseMs
   }
   const candidate = async (): Promise<void> => {
     const sentAt = mark()
     const known = await readLeaderRecords(store)
     if (known.err) return
+    const era = options.era()
     leader = known.val.leader
     latestRevision = Math.max(latestRevision, leader.revision)
     last = known.val.last
@@ -168,19 +190,20 @@
     if (lease.err) return
     const fromMs = firstOrderMs(known.val)
     const claim = createClaim(self, machine)
-    const claimed = await writeClaim(store, known.val, claim, lease.val)
-    if (claimed.kind !== 'done') {
+    const isLast = wasLast(known.val)
+    const claimed = await writeClaim(store, known.val, claim, { leaseId: lease.val, era, isLast })
+    // What was read may be of a store that has gone back to an older copy since.
+    if (claimed.kind !== 'done' || options.era() !== era) {
       await store.revokeLease(lease.val)
       return
     }
-    const isLast = wasLast(known.val)
-    term = { claim, leaseId: lease.val, fence: claimed.revision, fromMs, isLast, lastRevision: isLast ? claimed.revision : known.val.last.revision }
+    term = { claim, era, leaseId: lease.val, fence: claimed.revision, fromMs, isLast, lastRevision: isLast ? claimed.revision : known.val.last.revision }
     confirmed = sentAt
     logger.info('orderer-won', { fence: term.fence, firstOrderInMs: Math.max(0, Math.round(fromMs - clock.monotonic())), orderedLast: known.val.last.value?.machine })
   }
   /** The first order goes out only once the store names this machine as the last to order. */
   const beginOrdering = async (held: Term): Promise<void> => {
-    const written = await writeLastOrderer(store, machine, held.fence, held.lastRevision)
+    const written = await writeLastOrderer(store, { machine, era: held.era }, held.fence, held.lastRevision)
     if (term !== held) return
     if (written.kind === 'lost') return lose('another machine took the lease back')
     if (written.kind === 'failed') return logger.warn('orderer-not-named', { fence: held.fence, reason: written.reason })
@@ -283,6 +306,7 @@
     start: signal => {
       store.watch(LEADER_KEY, {
         onSnapshot: ({ entries }) => {
+          if (!isInformed) firstEra = options.era()
           isInformed = true
           const found = entries.find(entry => entry.key === LEADER_KEY)
           noteLeader(versionedOf(found), found?.modRevision ?? 0)
--- a/packages/magnoliabay/src/node/serving/servers.ts
+++ b/packages/magnoliabay/src/node/serving/servers.ts
@@ -18,6 +18,8 @@
 
 /** What a peer tells may be older than a removal that the store told here by so much, milliseconds. */
 const PEER_LAG_MS = 4000
+/** A store that goes back to an older copy lists again what had gone for up to so long, milliseconds. */
+const COPY_AGE_MS = 15_000
 
 export interface ListedEntry {
   key: string
@@ -97,7 +99,7 @@
   }
   const dropByStore = (id: string, reason: string): void => {
     const nowMs = clock.monotonic()
-    departedMs.forEach((atMs, process) => { if (nowMs - atMs > PEER_LAG_MS) departedMs.delete(process) })
+    departedMs.forEach((atMs, process) => { if (nowMs - atMs > COPY_AGE_MS) departedMs.delete(process) })
     const server = servers.get(id)
     if (server !== undefined) departedMs.set(processOf(server), nowMs)
     drop(id, reason)
@@ -110,11 +112,14 @@
     pendingRemovals.set(id, clock.schedule(LAPSE_HOLD_MS, () => dropByStore(id, 'entry not back after the store was away')))
   }
   /** What a peer tells may be older than what the store told here: a server that leaves does not come back by it. */
-  const isOutdated = (server: ListedServer): boolean => {
+  const isOutdated = (server: ListedServer): boolean => isOlderThanKnown(server) || hasDeparted(server, PEER_LAG_MS)
+  /** A process that leaves does not come back, nor does the one before it. */
+  const isOlderThanKnown = (server: ListedServer): boolean => {
     const known = servers.get(server.id)
     const isUndrained = known?.bornMs === server.bornMs && known.state === 'draining' && server.state === 'ready'
-    return isUndrained || (known?.bornMs ?? 0) > server.bornMs || clock.monotonic() - (departedMs.get(processOf(server)) ?? -Infinity) < PEER_LAG_MS
+    return isUndrained || (known?.bornMs ?? 0) > server.bornMs
   }
+  const hasDeparted = (server: ListedServer, withinMs: number): boolean => clock.monotonic() - (departedMs.get(processOf(server)) ?? -Infinity) < withinMs
   const takeFromPeer = (list: readonly ListedServer[]): void => list.filter(server => !isOutdated(server)).map(withCopies).forEach(takeListed)
   /** One that is listed again is not to be removed. What a server says of itself is no such sign: one that leaves still answers. */
   const takeListed = (server: BackendServer): boolean => {
@@ -141,10 +146,16 @@
       logger.warn('server-entry-unreadable', { key })
       return false
     }
+    // The store may have gone back to a copy from before.
+    if (isOlderThanKnown(server)) return false
     const isNew = takeListed(server)
     listedListeners.forEach(listener => listener(server))
     return isNew
   }
+  const isGhost = ({ key, value }: ListedEntry): boolean => {
+    const server = departedMs.size === 0 ? undefined : decode(key, value)
+    return server !== undefined && !servers.has(server.id) && hasDeparted(server, COPY_AGE_MS)
+  }
   const noteModels = (server: Pick<BackendServer, 'id' | 'bornMs'>, models: BackendServer['models']): boolean => {
     const known = servers.get(server.id)
     if (known === undefined || known.bornMs !== server.bornMs) return false
@@ -176,7 +187,9 @@
       const present = new Set(entries.map(entry => idOf(entry.key)))
       const missing = [...servers.keys()].filter(id => !present.has(id))
       missing.forEach(remove)
-      entries.forEach(put)
+      // A store that has gone back lists servers that had gone before; one that lives after all says so with its next beat.
+      const standing = entries.filter(entry => !isGhost(entry))
+      standing.forEach(put)
       changed()
     },
     adopt: list => {
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -61,6 +61,8 @@
 export interface ServingStore extends Store {
   lastContactMs (): number
   steadySinceMs (): number
+  /** Rises whenever the store has gone on from an older copy of itself. */
+  era (): number
   /** Begins to watch. */
   start (signal: AbortSignal, feeds: readonly WatchFeed[]): void
   close (): Promise<void>
@@ -250,6 +252,8 @@
     renewByPeer: createLeaseByPeer({ peers, store, closestToStore: table.closestToStore }),
     hasEnded,
     isFollowing: table.isFollowing,
+    era: store.era,
+    isFirstStart: settings.isFirstStart,
     yieldMs: () => table.isRelayed() && !table.isRelay() ? YIELD_TO_RELAYS_MS : 0,
     clock,
     logger,
@@ -276,6 +280,7 @@
     windowMs: settings.allowanceWindowMs,
     isFirstStart: settings.isFirstStart,
     store: records,
+    era: store.era,
     tolerance: settings.allowanceTolerance,
     clock,
     logger
--- a/packages/magnoliabay/src/node/store/reach.ts
+++ b/packages/magnoliabay/src/node/store/reach.ts
@@ -9,10 +9,15 @@
   lastContactMs (): number
   /** Since when the store has answered every call, monotonic milliseconds; -Infinity from the start on, Infinity while it does not. */
   steadySinceMs (): number
-  /** The listener is called when the store is lost, and when it answers again. */
+  /** The listener is called when the store is lost, when it answers again, and when it has gone back to an older copy. */
   onChanged (listener: () => void): void
   /** To be told how each call ended; `call` names it for the log. */
   note (reached: boolean, call: string, reason: string): void
+  /**
+   * The store answers, from an older copy of itself: what it has lacks whatever was written since, until that is written
+   * again. As after an outage, what waits for an answer is asked anew, and what is missing counts as not known yet.
+   */
+  noteSetBack (): void
 }
 
 export interface ReachOptions {
@@ -42,6 +47,10 @@
       steadySinceMs = reached ? (isFirst ? -Infinity : clock.monotonic()) : Infinity
       logger.info(reached ? 'store-reached' : 'store-lost', { address, call, reason })
       listeners.forEach(listener => listener())
+    },
+    noteSetBack: () => {
+      if (isReachable !== false) steadySinceMs = clock.monotonic()
+      listeners.forEach(listener => listener())
     }
   }
 }
--- a/packages/standins/src/node/kv/history.ts
+++ b/packages/standins/src/node/kv/history.ts
@@ -8,6 +8,8 @@
   publish (revision: number, events: readonly KvEvent[]): void
   watch (range: KvRange, startRevision: number, listener: KvEventListener): KvWatch
   compact (revision: number): void
+  /** Forgets everything; those who watch are told nothing more. */
+  reset (): void
 }
 
 interface Watcher {
@@ -28,6 +30,11 @@
 
   return {
     compact,
+    reset: () => {
+      watchers.clear()
+      past = []
+      compacted = 0
+    },
     publish: (revision, events) => {
       past.push(...events)
       // Trimmed by halves, so that the cost is spread over many writes.
--- a/packages/standins/src/node/kv/leases.ts
+++ b/packages/standins/src/node/kv/leases.ts
@@ -15,10 +15,18 @@
   renew (id: string): Result<KvLease, KvError>
   revoke (id: string): Result<void, KvError>
   list (): readonly KvLease[]
+  copy (): KvLeasesCopy
+  /** Goes on from a copy: its leases have as long to live as they had then. */
+  setBack (copy: KvLeasesCopy): void
   /** Stops all timers. */
   close (): void
 }
 
+export interface KvLeasesCopy {
+  nextId: number
+  leases: ReadonlyArray<{ id: string, ttlSeconds: number, leftMs: number, keys: readonly string[] }>
+}
+
 interface HeldLease {
   id: string
   ttlSeconds: number
@@ -83,6 +91,20 @@
       return Ok(undefined)
     },
     list: () => [...held.values()].map(describe),
+    copy: () => ({
+      nextId,
+      leases: [...held.values()].map(({ id, ttlSeconds, deadlineMs, keys }) => ({ id, ttlSeconds, leftMs: deadlineMs - clock.monotonic(), keys: [...keys] }))
+    }),
+    setBack: copy => {
+      held.forEach(lease => lease.cancelTimer())
+      held.clear()
+      nextId = copy.nextId
+      copy.leases.forEach(({ id, ttlSeconds, leftMs, keys }) => {
+        const lease: HeldLease = { id, ttlSeconds, deadlineMs: clock.monotonic() + leftMs, keys: new Set(keys), cancelTimer: () => {} }
+        held.set(id, lease)
+        lease.cancelTimer = arm(lease)
+      })
+    },
     close: () => held.forEach(lease => lease.cancelTimer())
   }
 }
