--- a/packages/magnoliabay/src/node/platform/__tests__/endToEnd.spec.ts
+++ b/packages/magnoliabay/src/node/platform/__tests__/endToEnd.spec.ts
@@ -93,6 +93,7 @@
         isFirstStart: true,
         retryBudget: { ratio: 0.2, slack: 20 },
         loadWindowMs: 5000,
+        coldTolerance: { part: 1.5, requests: 5 },
         store: { minLeaseMs: 1000 }
       },
       wire: platformWire,
--- a/packages/magnoliabay/src/node/platform/configDocument.ts
+++ b/packages/magnoliabay/src/node/platform/configDocument.ts
@@ -3,8 +3,12 @@
 import type { ModelSpec, RequestKind, Route, Service, ServingConfig, Team } from '../serving/types'
 import { parseJson } from '../utils'
 
+/** Prefix of all that the operator writes. */
+export const OPERATOR_PREFIX = 'op/'
 /** Key of the newest configuration. */
 export const CONFIG_KEY = 'op/config'
+/** Each key below names a failure domain whose servers are to get nothing new while it is there. */
+export const EVACUATIONS_PREFIX = 'op/evacuate/'
 
 const KINDS: Record<string, RequestKind> = { idempotent: 'idempotent', non_idempotent: 'non-idempotent', streaming: 'stream' }
 const DEFAULT_TIMEOUT_MS = 30_000
@@ -39,6 +43,9 @@
 const wireService = v.object({
   name: v.string(),
   'connection-limit': v.optional(v.number(), 100),
+  'cold-start-s': v.optional(v.number(), 0),
+  // 0 where nothing is bounded.
+  'cold-per-s': v.optional(v.number(), 0),
   engine: v.optional(v.nullable(v.object({
     slots: v.number(),
     'kv-cache-tokens': v.optional(v.number(), 0),
@@ -114,6 +121,9 @@
   return {
     name: wire.name,
     connectionLimit: wire['connection-limit'],
+    coldStart: wire['cold-start-s'] > 0 && wire['cold-per-s'] > 0
+      ? { lastsMs: wire['cold-start-s'] * MS_PER_SECOND, requestsPerSecond: wire['cold-per-s'] }
+      : undefined,
     engine: engine == null
       ? undefined
       : {
--- a/packages/magnoliabay/src/node/platform/index.ts
+++ b/packages/magnoliabay/src/node/platform/index.ts
@@ -1,5 +1,5 @@
 /** The adapter to the users' platform: names, formats and calls, and nothing that decides. */
-import { CONFIG_KEY, decodeConfig } from './configDocument'
+import { CONFIG_KEY, EVACUATIONS_PREFIX, OPERATOR_PREFIX, decodeConfig } from './configDocument'
 import { decodeAnswer, decodeCaller, forwardedHeaders, returnedHeaders } from './requestHeaders'
 import { SERVERS_PREFIX, decodeServer } from './serverEntry'
 import type { ServingWire } from '../serving/wire'
@@ -17,5 +17,5 @@
   decodeConfig,
   decodeServer,
   serverIdOf: key => key.slice(SERVERS_PREFIX.length),
-  keys: { config: CONFIG_KEY, servers: SERVERS_PREFIX }
+  keys: { operator: OPERATOR_PREFIX, config: CONFIG_KEY, evacuations: EVACUATIONS_PREFIX, servers: SERVERS_PREFIX }
 }
--- a/packages/magnoliabay/src/node/platform/serverEntry.ts
+++ b/packages/magnoliabay/src/node/platform/serverEntry.ts
@@ -14,6 +14,7 @@
   state: v.picklist(['ready', 'draining']),
   born: v.optional(v.number(), 0),
   'remaining-ms': v.optional(v.nullable(v.number())),
+  'cold-remaining-ms': v.optional(v.nullable(v.number())),
   models: v.optional(v.nullable(v.array(v.object({
     name: v.string(),
     version: v.optional(v.number(), 0),
@@ -38,6 +39,7 @@
     failureDomain: wire.zone,
     slots: wire.slots,
     state: wire.state,
+    coldMs: wire['cold-remaining-ms'] ?? 0,
     models: (wire.models ?? []).map(model => ({ name: model.name, version: model.version, adapters: model.adapters ?? [] })),
     copies: { memory: wire.available?.['in-memory'] ?? [], disk: wire.available?.['on-disk'] ?? [] },
     remainingMs: wire['remaining-ms'] ?? undefined
--- a/packages/magnoliabay/src/node/platform/settings.ts
+++ b/packages/magnoliabay/src/node/platform/settings.ts
@@ -35,7 +35,9 @@
     ttl_max_s: v.optional(v.number(), 5),
     'quota-window-s': v.optional(v.number(), 8),
     'quota-overshoot': v.optional(v.number(), 0),
-    'quota-slack': v.optional(v.number(), 0)
+    'quota-slack': v.optional(v.number(), 0),
+    'cold-overshoot': v.optional(v.number(), 1),
+    'cold-slack': v.optional(v.number(), 0)
   }),
   platform: v.object({
     address: v.string(),
@@ -61,6 +63,8 @@
   allowanceWindowMs: number
   /** What a team may get beyond its limit, since instances count apart: part of the limit, and units besides. */
   allowanceTolerance: { part: number, units: number }
+  /** What a cold server may get in a second: part of the rate that it bears, and requests besides. */
+  coldTolerance: { part: number, requests: number }
   /** Loads from the weight store are counted in this window, milliseconds. */
   loadWindowMs: number
   /** Longest time that callers keep a list of addresses, milliseconds. */
@@ -113,6 +117,7 @@
     retryBudget: { ratio: bounds['retry-budget-ratio'], slack: bounds['retry-budget-slack'] },
     allowanceWindowMs: bounds['quota-window-s'] * 1000,
     allowanceTolerance: { part: bounds['quota-overshoot'], units: bounds['quota-slack'] },
+    coldTolerance: { part: bounds['cold-overshoot'], requests: bounds['cold-slack'] },
     loadWindowMs: bounds['ceiling-window-s'] * 1000,
     maxResolutionMs: bounds.ttl_max_s * 1000,
     store: {
--- a/packages/magnoliabay/src/node/serving/__tests__/controlPlane.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/controlPlane.spec.ts
@@ -96,6 +96,20 @@
     expect(await untilInForce(world, 2, boundMs)).to.be.at.most(boundMs)
   })))
 
+  /** Guards against requests to engines whose failure domain is about to lose power, by instances that hear of it late or never. */
+  LOSSES.forEach(({ name, boundMs, lose }) => [9, 195].forEach(size => it(`empties a failure domain, and uses it again, at all of ${size} in time ${name}`, async () => {
+    const world = await createSettledFleet(size, createRandom(6))
+    const using = (): number => all(world).filter(({ servers }) => servers.usable('app').length > 0).length
+    lose(world)
+    await world.clock.advance(700)
+    world.setEvacuated('a', true)
+    await world.clock.advance(boundMs)
+    expect(using()).to.equal(0)
+    world.setEvacuated('a', false)
+    await world.clock.advance(boundMs)
+    expect(using()).to.equal(world.instances.size)
+  })))
+
   /** Guards against hundreds of instances that read and watch for themselves while the store turns the leader away alone. */
   it('asks the store for little while it turns the leader away', async () => {
     const world = await createSettledFleet(195, createRandom(4))
--- a/packages/magnoliabay/src/node/serving/__tests__/support/fleetWorld.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/fleetWorld.ts
@@ -12,6 +12,7 @@
 import type { FeedCalls, Store, WatchEnd, WatchFeed, WatchHandlers } from '../../../store'
 import { createConfigInForce } from '../../configInForce'
 import type { ConfigInForce } from '../../configInForce'
+import { createEvacuations } from '../../evacuations'
 import { createFleetTable } from '../../fleetTable'
 import type { FleetTable, FleetTeller } from '../../fleetTable'
 import { createLeadership } from '../../placement/leadership'
@@ -25,7 +26,9 @@
 import type { BackendServer } from '../../types'
 import { configOf, memberRecord, reportOf, serverOf } from '../fixtures'
 
+const OPERATOR = 'op/'
 const CONFIG = 'op/config'
+const EVACUATIONS = 'op/evacuate/'
 const SERVERS = 'servers/'
 const DOMAINS = 5
 /** So many of each failure domain are large machines. */
@@ -60,6 +63,8 @@
   setConfig (version: number): void
   putServer (server: BackendServer): void
   removeServer (id: string): void
+  /** The operator begins or ends an evacuation of a failure domain. */
+  setEvacuated (failureDomain: string, isEvacuated: boolean): void
   leader (): string | undefined
   resetCounts (): void
 }
@@ -165,7 +170,8 @@
     const storeAgeMs = (): number => clock.monotonic() - reach.lastContactMs()
     const steadyMs = (): number => clock.monotonic() - reach.steadySinceMs()
     const cfg = createConfigInForce({ decode: text => configOf(Number(text)), clock, logger })
-    const servers = createServers({ decode: (_key, text) => JSON.parse(text) as BackendServer, idOf: key => key.slice(SERVERS.length), storeSteadySinceMs: reach.steadySinceMs, clock, logger })
+    const evacuations = createEvacuations({ storeSteadySinceMs: reach.steadySinceMs, clock, logger })
+    const servers = createServers({ decode: (_key, text) => JSON.parse(text) as BackendServer, idOf: key => key.slice(SERVERS.length), isEvacuated: evacuations.isEvacuated, storeSteadySinceMs: reach.steadySinceMs, clock, logger })
     const membership = createMembership({ store, network: peers, clock, logger })
     const inFlight = new Map<string, number>()
     const table = createFleetTable({
@@ -177,7 +183,7 @@
       spentWithBelow: () => [],
       leading: () => leadership.leading(),
       latestClaim: () => leadership.latestClaim(),
-      summary: () => ({ configVersion: cfg.version(), storeAgeMs: proxy.sight().ageMs, storeSteadyMs: proxy.sight().steadyMs, spent: [], listDigest: servers.digest(), membersDigest: membership.digest() }),
+      summary: () => ({ configVersion: cfg.version(), storeAgeMs: proxy.sight().ageMs, storeSteadyMs: proxy.sight().steadyMs, spent: [], evacuation: evacuations.state(), listDigest: servers.digest(), membersDigest: membership.digest() }),
       beforeSummary: () => spread.tellChanges(),
       onReport: () => {},
       onSummary: (member, summary) => spread.noteSummary(member.id, summary)
@@ -204,6 +210,7 @@
       peers,
       cfg,
       servers,
+      evacuations,
       members: membership,
       storeAgeMs,
       leading: () => leadership.leading() ?? leadership.known(),
@@ -219,7 +226,7 @@
     })
     const isProxy = (): boolean => proxy.clients().length > 0
     const turn = createStoreTurn({ isLeading: leadership.isHolder, isProxy, isFollowing: table.isFollowing, memberCount: () => known.length, clock, logger, random })
-    const feeds = { store, wire: { keys: { config: CONFIG, servers: SERVERS } }, cfg, servers, memberCount: () => known.length, isOwnTurn: turn.isOwn, isProxy, isOrdering: () => false }
+    const feeds = { store, wire: { keys: { operator: OPERATOR, config: CONFIG, evacuations: EVACUATIONS, servers: SERVERS } }, cfg, evacuations, servers, memberCount: () => known.length, isOwnTurn: turn.isOwn, isProxy, isOrdering: () => false }
     instances.set(id, { record, cfg, servers, table, leadership, faults, stop, calls: 0, messages: 0, inFlight })
     watchStore(feeds, stop.signal)
     membership.start(stop.signal)
@@ -246,6 +253,10 @@
     setConfig: version => { state.transact({ compares: [], success: [{ kind: 'put', key: CONFIG, value: String(version) }], failure: [] }) },
     putServer: server => { state.transact({ compares: [], success: [{ kind: 'put', key: `${SERVERS}${server.id}`, value: JSON.stringify(server) }], failure: [] }) },
     removeServer: id => { state.transact({ compares: [], success: [{ kind: 'delete', range: { key: `${SERVERS}${id}` } }], failure: [] }) },
+    setEvacuated: (domain, isEvacuated) => {
+      const key = `${EVACUATIONS}${domain}`
+      state.transact({ compares: [], success: [isEvacuated ? { kind: 'put', key, value: '{}' } : { kind: 'delete', range: { key } }], failure: [] })
+    },
     leader: () => [...instances.values()].find(({ leadership }) => leadership.isHolder())?.record.id,
     resetCounts: () => instances.forEach(instance => {
       instance.calls = 0
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/coldStarts.ts
@@ -0,0 +1,84 @@
+/**
+ * Requests to backend servers that are cold. Failure: a server that has just started is the emptiest of all, every
+ * instance sends to it at once, and it crashes above a few requests a second. The bound is on all instances together,
+ * so one of them, the server's home, counts for all: each request that is to go to a cold server asks there first. Two
+ * homes may count at once as members change, and one that has just begun does not know what the one before it granted:
+ * each grants half of the bound. Whoever cannot ask sends nothing to a cold server.
+ */
+import type { Clock } from '../clock'
+import type { Logger } from '../logger'
+import { definePeerCall } from '../members'
+import type { Peers } from '../members'
+import { rankByRendezvous } from '../utils'
+import { processOf } from './types'
+import type { BackendServer, ColdStart } from './types'
+
+const admitCall = definePeerCall<{ process: string, most: number }, { isAdmitted: boolean }>('serving.admit-cold')
+
+const WINDOW_MS = 1000
+/** Two homes may count for one server. */
+const HOME_PART = 1 / 2
+/** The home answers within a round trip; a request waits for a cold server no longer than it would take elsewhere. */
+const ASK_TIMEOUT_MS = 200
+/** What is known of servers that are cold no more is dropped when there are so many. */
+const MAX_COUNTED = 1000
+
+/** What the users allow at a cold server in a second, over all instances: part of its rate, and requests beside that. */
+export interface ColdTolerance {
+  part: number
+  requests: number
+}
+
+export interface ColdStarts {
+  isCold (server: BackendServer): boolean
+  /** Whether a request may go to a cold server now. */
+  admit (server: BackendServer): Promise<boolean>
+}
+
+export interface ColdStartsOptions {
+  peers: Peers
+  /** What the service says of its servers' start. */
+  startOf: (service: string) => ColdStart | undefined
+  /** How much longer the server says that it is cold, milliseconds. */
+  coldMs: (process: string) => number
+  /** Since the evacuation of its failure domain ended, after which servers come back cold, milliseconds. */
+  backSinceMs: (failureDomain: string) => number
+  tolerance: ColdTolerance
+  clock: Clock
+  logger: Logger
+}
+
+export function createColdStarts (options: ColdStartsOptions): ColdStarts {
+  const { peers, clock, logger } = options
+  /** Moments of what this instance granted as home, by server process. */
+  const granted = new Map<string, number[]>()
+
+  const homeOf = (process: string): string =>
+    rankByRendezvous(process, peers.members().filter(member => !member.leaving), member => member.id)[0]?.id ?? peers.self.id
+  const grant = (process: string, most: number): boolean => {
+    if (granted.size > MAX_COUNTED) granted.clear()
+    const recent = (granted.get(process) ?? []).filter(atMs => clock.monotonic() - atMs < WINDOW_MS)
+    const isAdmitted = recent.length < most
+    granted.set(process, isAdmitted ? [...recent, clock.monotonic()] : recent)
+    return isAdmitted
+  }
+  peers.serve(admitCall, ({ process, most }) => ({ isAdmitted: grant(process, most) }))
+
+  return {
+    isCold: server => {
+      const start = options.startOf(server.service)
+      if (start === undefined) return false
+      return options.coldMs(processOf(server)) > 0 || options.backSinceMs(server.failureDomain) < start.lastsMs
+    },
+    admit: async server => {
+      const process = processOf(server)
+      const perSecond = options.startOf(server.service)?.requestsPerSecond ?? 0
+      const most = Math.floor((perSecond * options.tolerance.part + options.tolerance.requests) * HOME_PART)
+      const home = homeOf(process)
+      if (home === peers.self.id) return grant(process, most)
+      const reply = await peers.call(home, admitCall, { process, most }, { timeoutMs: ASK_TIMEOUT_MS })
+      if (reply.err) logger.info('cold-server-not-asked', { server: server.id, home, reason: reply.val.kind })
+      return reply.ok && reply.val.isAdmitted
+    }
+  }
+}
--- a/packages/magnoliabay/src/node/serving/context.ts
+++ b/packages/magnoliabay/src/node/serving/context.ts
@@ -3,6 +3,7 @@
 import type { Logger } from '../logger'
 import type { RetryBudget, Suspects } from '../outcomes'
 import type { TeamAllowance } from './allowance/teamAllowance'
+import type { ColdStarts } from './coldStarts'
 import type { ConfigInForce } from './configInForce'
 import type { Connections } from './exchange'
 import type { FleetTable } from './fleetTable'
@@ -22,6 +23,7 @@
   placement: PlacementClient
   allowance: TeamAllowance
   connections: Connections
+  coldStarts: ColdStarts
   /** Requests that were under way on servers that died. */
   suspects: Suspects
   /** The budget for sending requests of a service more than once. */
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/evacuations.ts
@@ -0,0 +1,68 @@
+/**
+ * Failure domains whose backend servers are to get nothing new until the operator says otherwise. What runs there
+ * finishes. What is known is ordered by the store's revision: an instance that hears of it from several peers, or late,
+ * never goes back to what was before.
+ */
+import type { Clock } from '../clock'
+import type { Logger } from '../logger'
+
+export interface EvacuationState {
+  domains: readonly string[]
+  /** Of the store, when this was so; 0 while nothing is known. */
+  revision: number
+}
+
+export interface Evacuations {
+  isEvacuated (failureDomain: string): boolean
+  /** Milliseconds since the evacuation of a failure domain ended; Infinity where none has. */
+  endedAgoMs (failureDomain: string): number
+  state (): EvacuationState
+  /** By the store: all that there are. */
+  snapshot (domains: readonly string[], revision: number): void
+  begin (failureDomain: string, revision: number): void
+  end (failureDomain: string, revision: number): void
+  /** A peer tells what it knows; an instance of an older version tells nothing. */
+  noteTold (state: EvacuationState | undefined): void
+  onChanged (listener: () => void): void
+}
+
+export interface EvacuationsOptions {
+  /** Monotonic milliseconds since when the store has been answering without a break. */
+  storeSteadySinceMs: () => number
+  clock: Clock
+  logger: Logger
+}
+
+/** What a store that was away, or went back to an older copy, lacks is written again within this time, milliseconds. */
+const REWRITTEN_MS = 2500
+
+export function createEvacuations ({ storeSteadySinceMs, clock, logger }: EvacuationsOptions): Evacuations {
+  const listeners: Array<() => void> = []
+  const endedMs = new Map<string, number>()
+  let current: EvacuationState = { domains: [], revision: 0 }
+
+  const take = (next: EvacuationState, source: 'store' | 'peer'): void => {
+    if (next.revision <= current.revision) return
+    const ended = current.domains.filter(domain => !next.domains.includes(domain))
+    const isChanged = ended.length > 0 || next.domains.length !== current.domains.length
+    current = next
+    ended.forEach(domain => endedMs.set(domain, clock.monotonic()))
+    if (!isChanged) return
+    logger.info('evacuation', { domains: next.domains, ended, revision: next.revision, source })
+    listeners.forEach(listener => listener())
+  }
+  return {
+    isEvacuated: failureDomain => current.domains.includes(failureDomain),
+    endedAgoMs: failureDomain => clock.monotonic() - (endedMs.get(failureDomain) ?? -Infinity),
+    state: () => current,
+    snapshot: (domains, revision) => {
+      const isDoubtful = clock.monotonic() - storeSteadySinceMs() < REWRITTEN_MS && current.domains.some(domain => !domains.includes(domain))
+      if (isDoubtful) clock.schedule(REWRITTEN_MS, () => take({ domains, revision }, 'store'))
+      else take({ domains, revision }, 'store')
+    },
+    begin: (failureDomain, revision) => take({ domains: [...new Set([...current.domains, failureDomain])], revision }, 'store'),
+    end: (failureDomain, revision) => take({ domains: current.domains.filter(domain => domain !== failureDomain), revision }, 'store'),
+    noteTold: state => { if (state !== undefined) take(state, 'peer') },
+    onChanged: listener => { listeners.push(listener) }
+  }
+}
--- a/packages/magnoliabay/src/node/serving/fleetMessages.ts
+++ b/packages/magnoliabay/src/node/serving/fleetMessages.ts
@@ -1,6 +1,7 @@
 /** What instances tell the leader, and what it tells them back; relays in between add up the one and pass on the other. */
 import { definePeerNotice } from '../members'
 import type { MemberChanges } from '../members'
+import type { EvacuationState } from './evacuations'
 import type { TeamSpent } from './allowance/teamAllowance'
 import type { LeaderClaim } from './placement/leaderRecords'
 import type { BackendServer } from './types'
@@ -79,6 +80,7 @@
   leavingServers: readonly string[]
   /** Of teams' allowances, over all instances, within the window. */
   spent: readonly TeamSpent[]
+  evacuation: EvacuationState
   /** Stands for the list of servers as the leader knows it, what they hold included. */
   listDigest: string
   /** Stands for the members as the leader knows them. */
@@ -105,4 +107,5 @@
 export const summaryNotice = definePeerNotice<FleetSummary>('serving.summary')
 export const serversNotice = definePeerNotice<ServersNotice>('serving.servers-changed')
 export const membersNotice = definePeerNotice<MemberChanges>('serving.members-changed')
+export const evacuationNotice = definePeerNotice<EvacuationState>('serving.evacuation-changed')
 export const configNotice = definePeerNotice<ConfigNotice>('serving.config-changed')
--- a/packages/magnoliabay/src/node/serving/fleetTable.ts
+++ b/packages/magnoliabay/src/node/serving/fleetTable.ts
@@ -69,7 +69,7 @@
   /** The latest claim that is known here, by its revision. */
   latestClaim: () => number
   /** What the leader tells beside the sums that this module keeps. */
-  summary: () => Pick<FleetSummary, 'configVersion' | 'storeAgeMs' | 'storeSteadyMs' | 'spent' | 'listDigest' | 'membersDigest'>
+  summary: () => Pick<FleetSummary, 'configVersion' | 'storeAgeMs' | 'storeSteadyMs' | 'spent' | 'evacuation' | 'listDigest' | 'membersDigest'>
   /** What has changed is to be told before a summary that shows it. */
   beforeSummary: () => void
   /** Called with each report that comes in from another instance. */
--- a/packages/magnoliabay/src/node/serving/outcome.ts
+++ b/packages/magnoliabay/src/node/serving/outcome.ts
@@ -12,6 +12,7 @@
   | 'model-not-in-time'
   | 'no-orderer'
   | 'server-full'
+  | 'server-cold'
   | 'retry-budget-spent'
   | 'crashes-servers'
   | 'route-timeout'
@@ -38,6 +39,7 @@
   'model-not-in-time': 503,
   'no-orderer': 503,
   'server-full': 503,
+  'server-cold': 503,
   'retry-budget-spent': 503,
   'crashes-servers': 503,
   'route-timeout': 503,
--- a/packages/magnoliabay/src/node/serving/reasons.ts
+++ b/packages/magnoliabay/src/node/serving/reasons.ts
@@ -10,6 +10,7 @@
   'model-not-in-time': 'No engine had the model, and it could not be loaded before the caller would have left. retryAfterMs is when it was expected.',
   'no-orderer': 'No engine had the model, and nobody gave orders: a hand-over was under way, or this instance was cut off.',
   'server-full': 'Servers turned the request back, not run, each time that it was sent.',
+  'server-cold': 'The servers that could take it had just started, and had got as many requests in the second as they bear.',
   'retry-budget-spent': 'A server turned the request back, not run, and the service had had its share of retries.',
   'crashes-servers': 'Servers died while they ran the same request before. It is not sent any more for a minute.',
   'route-timeout': 'The route\'s timeout or the caller\'s deadline was reached.',
--- a/packages/magnoliabay/src/node/serving/serve.ts
+++ b/packages/magnoliabay/src/node/serving/serve.ts
@@ -25,6 +25,9 @@
 const NO_ORDERER_RETRY_MS = 2000
 /** Other instances are there at once. */
 const LEAVING_RETRY_MS = 20
+/** Pause before a cold server is asked for again, and when its callers are told to come back, milliseconds. */
+const COLD_PAUSE_MS = 150
+const COLD_RETRY_MS = 500
 /** Times that a request goes out again after servers said that they have not run it. */
 const MAX_REJECTIONS = 3
 /** Pause before the same server is asked again, milliseconds. */
@@ -59,20 +62,36 @@
         slots: server.slots,
         isNear: server.failureDomain === ctx.failureDomain,
         failureRate: health.failureRate(id),
-        isSilent: health.isSilent(id)
+        isSilent: health.isSilent(id),
+        isCold: ctx.coldStarts.isCold(server)
       }
     }), ctx.random())
     return options.find(server => processOf(server) === chosen?.id)
   }
+  /** The best server that may get the request now: one that is cold may have had enough of them. */
+  const pickAdmitted = async (run: Run, from: readonly BackendServer[]): Promise<BackendServer | undefined> => {
+    const server = pick(run, from)
+    if (server === undefined || !ctx.coldStarts.isCold(server) || await ctx.coldStarts.admit(server)) return server
+    return await pickAdmitted(run, from.filter(other => other !== server))
+  }
+  /** Waits for a cold server that has had enough in this second, where there is no other. */
+  const choose = async (run: Run, from: readonly BackendServer[]): Promise<BackendServer | Refusal | undefined> => {
+    for (;;) {
+      const server = await pickAdmitted(run, from)
+      if (server !== undefined || pick(run, from) === undefined) return server
+      if (run.stop.signal.aborted || patienceMs(run) <= COLD_PAUSE_MS) return { reason: 'server-cold', retryAfterMs: COLD_RETRY_MS }
+      await ctx.pause(COLD_PAUSE_MS)
+    }
+  }
   /** Finds a server that can run the request, waiting for its model if that makes sense. */
   const findServer = async (run: Run): Promise<BackendServer | Refusal> => {
     const { service } = run.admitted
     const { model, adapter } = run.caller
     if (service.engine === undefined || model === undefined) {
-      return pick(run, servers.usable(service.name)) ?? { reason: 'no-server', retryAfterMs: FULL_RETRY_MS }
+      return await choose(run, servers.usable(service.name)) ?? { reason: 'no-server', retryAfterMs: FULL_RETRY_MS }
     }
     if (!service.engine.models.has(model)) return { reason: 'no-server', retryAfterMs: FULL_RETRY_MS }
-    const ready = pick(run, placement.holders(service.name, model, adapter).filter(server => !run.tried.has(processOf(server))))
+    const ready = await choose(run, placement.holders(service.name, model, adapter).filter(server => !run.tried.has(processOf(server))))
     if (ready !== undefined) return ready
     const sinceMs = clock.monotonic()
     const awaited = await placement.await({
@@ -85,7 +104,7 @@
       except: run.tried
     })
     run.waitedMs += clock.monotonic() - sinceMs
-    if (awaited.kind === 'ready') return pick(run, awaited.servers) ?? { reason: 'no-server', retryAfterMs: FULL_RETRY_MS }
+    if (awaited.kind === 'ready') return await choose(run, awaited.servers) ?? { reason: 'no-server', retryAfterMs: FULL_RETRY_MS }
     if (awaited.kind === 'closing') return { reason: 'leaving', retryAfterMs: LEAVING_RETRY_MS }
     if (awaited.kind === 'not-in-time') return { reason: 'model-not-in-time', retryAfterMs: awaited.inMs }
     return { reason: awaited.kind === 'stopped' ? run.why ?? 'caller-gone' : 'no-orderer', retryAfterMs: NO_ORDERER_RETRY_MS }
--- a/packages/magnoliabay/src/node/serving/servers.ts
+++ b/packages/magnoliabay/src/node/serving/servers.ts
@@ -49,6 +49,10 @@
   /** A peer has heard that the server leaves. */
   noteLeaving (serverProcess: string): void
   leaving (): readonly string[]
+  /** How much longer the server's process is cold, by what it says, milliseconds. */
+  coldMs (process: string): number
+  /** What decides which servers are usable has changed elsewhere. */
+  noteChanged (): void
   /** Takes over a report that is newer than the entry: what the engine holds. */
   noteModels (server: BackendServer, models: BackendServer['models']): void
   onChanged (listener: () => void): void
@@ -59,6 +63,8 @@
 export interface ServersOptions {
   decode: (key: string, text: string) => BackendServer | undefined
   idOf: (key: string) => string
+  /** Failure domains whose servers get nothing new. */
+  isEvacuated: (failureDomain: string) => boolean
   /** Monotonic milliseconds since when the store has been answering without a break. */
   storeSteadySinceMs: () => number
   clock: Clock
@@ -77,6 +83,8 @@
   /** Ids whose entry changed, and those of which only what they hold did, since changes were last taken. */
   const changedIds = new Set<string>()
   const holdingIds = new Set<string>()
+  /** Monotonic milliseconds, by process. */
+  const coldUntilMs = new Map<string, number>()
   let digest: string | undefined
   let isKnown = false
 
@@ -93,6 +101,7 @@
     const server = servers.get(id)
     if (server === undefined) return
     servers.delete(id)
+    coldUntilMs.delete(processOf(server))
     changedIds.add(id)
     logger.info('server-gone', { server: id, service: server.service, reason })
     changed()
@@ -126,17 +135,28 @@
     cancelRemoval(server.id)
     return take(server)
   }
+  const coldMs = (process: string): number => Math.max(0, (coldUntilMs.get(process) ?? -Infinity) - clock.monotonic())
+  /** Returns whether it is news that the server is cold. */
+  const noteCold = (server: BackendServer): boolean => {
+    const process = processOf(server)
+    const isNews = server.coldMs > 0 && coldMs(process) === 0
+    if (server.coldMs > 0) coldUntilMs.set(process, Math.max(coldUntilMs.get(process) ?? 0, clock.monotonic() + server.coldMs))
+    if (isNews) logger.info('server-cold', { server: server.id, forMs: Math.round(server.coldMs) })
+    return isNews
+  }
   /** Returns whether anything is new that requests are sent by. */
   const take = (server: BackendServer): boolean => {
     const { id } = server
     const before = servers.get(id)
     servers.set(id, server)
+    const hasTurnedCold = noteCold(server)
+    if (hasTurnedCold) changedIds.add(id)
     if (before === undefined || identityOf(before) !== identityOf(server)) {
       changedIds.add(id)
       logger.info('server-listed', { server: id, service: server.service, address: server.address, state: server.state, bornMs: server.bornMs })
       return true
     }
-    if (holdingsOf(before) === holdingsOf(server)) return false
+    if (holdingsOf(before) === holdingsOf(server)) return hasTurnedCold
     holdingIds.add(id)
     return true
   }
@@ -159,7 +179,7 @@
   const noteModels = (server: Pick<BackendServer, 'id' | 'bornMs'>, models: BackendServer['models']): boolean => {
     const known = servers.get(server.id)
     if (known === undefined || known.bornMs !== server.bornMs) return false
-    return take({ ...known, models })
+    return take({ ...known, models, coldMs: 0 })
   }
   /** A peer's list does not say where copies of weights lie. */
   const withCopies = (server: ListedServer): BackendServer => {
@@ -168,9 +188,9 @@
   }
   const listed = (server: BackendServer): ListedServer => {
     const { copies, ...rest } = server
-    return rest
+    return { ...rest, coldMs: coldMs(processOf(server)) }
   }
-  const isUsable = (server: BackendServer): boolean => server.state === 'ready' && !leaving.has(processOf(server))
+  const isUsable = (server: BackendServer): boolean => server.state === 'ready' && !leaving.has(processOf(server)) && !options.isEvacuated(server.failureDomain)
 
   return {
     usable: service => [...servers.values()].filter(server => server.service === service && isUsable(server)),
@@ -224,6 +244,8 @@
       changed()
     },
     leaving: () => [...servers.values()].filter(server => server.state === 'draining').map(processOf),
+    coldMs,
+    noteChanged: changed,
     noteModels: (server, models) => { if (noteModels(server, models)) changed() },
     onChanged: listener => { listeners.push(listener) },
     onListed: listener => { listedListeners.push(listener) }
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -19,9 +19,12 @@
 import { createRecordsByPeer } from './allowance/recordsByPeer'
 import { createTeamAllowance } from './allowance/teamAllowance'
 import type { AllowanceTolerance } from './allowance/teamAllowance'
+import { createColdStarts } from './coldStarts'
+import type { ColdTolerance } from './coldStarts'
 import { createConfigInForce } from './configInForce'
 import type { EngineCalls } from './engineCalls'
 import { createConnections } from './exchange'
+import { createEvacuations } from './evacuations'
 import { createFleetTable } from './fleetTable'
 import type { InstanceReport } from './fleetMessages'
 import { createFrontDoor } from './frontDoor'
@@ -53,6 +56,7 @@
   retryBudget: { ratio: number, slack: number }
   allowanceWindowMs: number
   allowanceTolerance: AllowanceTolerance
+  coldTolerance: ColdTolerance
   isFirstStart: boolean
   loadWindowMs: number
   store: { minLeaseMs: number }
@@ -142,7 +146,8 @@
   const peers = createPeerNetwork({ self, clock, logger })
   const membership = createMembership({ store, network: peers, clock, logger })
   const cfg = createConfigInForce({ decode: wire.decodeConfig, clock, logger })
-  const servers = createServers({ decode: wire.decodeServer, idOf: wire.serverIdOf, storeSteadySinceMs: store.steadySinceMs, clock, logger })
+  const evacuations = createEvacuations({ storeSteadySinceMs: store.steadySinceMs, clock, logger })
+  const servers = createServers({ decode: wire.decodeServer, idOf: wire.serverIdOf, isEvacuated: evacuations.isEvacuated, storeSteadySinceMs: store.steadySinceMs, clock, logger })
   const health = createServerHealth(clock)
   const connections = createConnections(clock)
   const demand = new Map<string, DecayingRate>()
@@ -214,6 +219,7 @@
       storeAgeMs: Math.round(proxy.sight().ageMs),
       storeSteadyMs: proxy.sight().steadyMs,
       spent: allowance.spentByAll(),
+      evacuation: evacuations.state(),
       listDigest: servers.digest(),
       membersDigest: membership.digest()
     }),
@@ -235,7 +241,7 @@
     clock,
     logger
   })
-  const spread = createSpread({ peers, cfg, servers, members: membership, storeAgeMs, leading: () => leadership.leading() ?? leadership.known(), followers: () => [...table.reporters(), ...proxy.clients()], isProxy: member => proxy.current() === member, isLeadingRelays: () => leadership.isHolder() && table.isRelayed(), isFollowing: table.isFollowing, isLinked, onLeaderTold: leading => leadership.noteTold(leading), clock, logger, random })
+  const spread = createSpread({ peers, cfg, servers, evacuations, members: membership, storeAgeMs, leading: () => leadership.leading() ?? leadership.known(), followers: () => [...table.reporters(), ...proxy.clients()], isProxy: member => proxy.current() === member, isLeadingRelays: () => leadership.isHolder() && table.isRelayed(), isFollowing: table.isFollowing, isLinked, onLeaderTold: leading => leadership.noteTold(leading), clock, logger, random })
   /** Neighbours and relays look: they are a few, hold links to the leader, and see one end. */
   const hasEnded = async (member: string): Promise<boolean> => {
     const record = peers.members().find(each => each.id === member)
@@ -293,6 +299,15 @@
     holdMs: SUSPECT_HELD_MS,
     crashesToRefuse: CRASHES_TO_REFUSE
   })
+  const coldStarts = createColdStarts({
+    peers,
+    startOf: service => cfg.service(service)?.coldStart,
+    coldMs: servers.coldMs,
+    backSinceMs: evacuations.endedAgoMs,
+    tolerance: settings.coldTolerance,
+    clock,
+    logger
+  })
   const serve = createServe({
     suspects,
     cfg,
@@ -303,6 +318,7 @@
     placement,
     allowance,
     connections,
+    coldStarts,
     retryBudget,
     noteDemand,
     noteUse: table.tellSoon,
@@ -320,6 +336,7 @@
     res.end(await metrics.registry.metrics())
   }).handler as never)
 
+  evacuations.onChanged(servers.noteChanged)
   cfg.onChanged(() => {
     metrics.configVersion.set(cfg.version())
     door.setLimits(cfg.current()!.limits)
@@ -341,7 +358,7 @@
   }
   const isProxy = (): boolean => proxy.clients().length > 0
   const turn = createStoreTurn({ isLeading: leadership.isHolder, isProxy, isFollowing: table.isFollowing, memberCount: () => peers.members().length, clock, logger, random })
-  const feeds: StoreFeedsOptions = { store, wire, cfg, servers, memberCount: () => peers.members().length, isOwnTurn: turn.isOwn, isProxy, isOrdering: orderer.isWaiting }
+  const feeds: StoreFeedsOptions = { store, wire, cfg, evacuations, servers, memberCount: () => peers.members().length, isOwnTurn: turn.isOwn, isProxy, isOrdering: orderer.isWaiting }
   const isLonely = (): boolean => cfg.version() === 0 || !servers.isKnown() || peers.members().length < 2
 
   return {
--- a/packages/magnoliabay/src/node/serving/spread.ts
+++ b/packages/magnoliabay/src/node/serving/spread.ts
@@ -9,9 +9,10 @@
 import { definePeerCall } from '../members'
 import type { MemberList, MemberRecord, PeerCall, Peers } from '../members'
 import type { ConfigInForce } from './configInForce'
-import { configNotice, membersNotice, serversNotice } from './fleetMessages'
+import { configNotice, evacuationNotice, membersNotice, serversNotice } from './fleetMessages'
 import type { FleetSummary, Leading, ListedServer } from './fleetMessages'
 import { packText, unpackText } from './packedText'
+import type { EvacuationState, Evacuations } from './evacuations'
 import type { Servers } from './servers'
 
 /** What an instance knows of the store, for one that does not reach it. */
@@ -22,6 +23,7 @@
   leading: Leading | undefined
   leavingServers: readonly string[]
   isListKnown: boolean
+  evacuation: EvacuationState
 }
 
 const configCall = definePeerCall<Record<string, never>, { packed: Uint8Array | undefined }>('serving.config')
@@ -48,6 +50,7 @@
   peers: Peers
   cfg: ConfigInForce
   servers: Servers
+  evacuations: Evacuations
   members: MemberList
   /** Milliseconds since the store last answered here. */
   storeAgeMs: () => number
@@ -86,6 +89,8 @@
   let behindSinceMs: number | undefined
   let isTelling = false
   let configTold = 0
+  /** Revision. */
+  let evacuationTold = 0
   let packedOf = { version: 0, packed: undefined as Uint8Array | undefined }
 
   const packedConfig = (): Uint8Array | undefined => {
@@ -102,8 +107,9 @@
   peers.serve(configCall, () => ({ packed: packedConfig() }))
   peers.serve(serversCall, () => ({ servers: servers.isKnown() ? servers.listed() : [] }))
   peers.serve(membersCall, () => ({ members: members.listed() }))
-  peers.serve(newsCall, () => ({ configVersion: cfg.version(), storeAgeMs: storeAgeMs(), leading: options.leading(), leavingServers: servers.leaving(), isListKnown: servers.isKnown() }))
+  peers.serve(newsCall, () => ({ configVersion: cfg.version(), storeAgeMs: storeAgeMs(), leading: options.leading(), leavingServers: servers.leaving(), isListKnown: servers.isKnown(), evacuation: options.evacuations.state() }))
   peers.listen(serversNotice, notice => servers.follow(notice))
+  peers.listen(evacuationNotice, state => options.evacuations.noteTold(state))
   peers.listen(configNotice, ({ packed }, from) => takeConfig(from.id, packed))
   // One who reads the members itself is not to go back to what another knew before.
   peers.listen(membersNotice, (changes, from) => { if (options.isFollowing() || options.isProxy(from.id)) members.follow(changes) })
@@ -139,6 +145,9 @@
     if (followers.length === 0) return
     if (changedServers !== undefined) peers.notifyLinked(followers, serversNotice, changedServers)
     if (changedMembers !== undefined) peers.notifyLinked(followers, membersNotice, changedMembers)
+    const evacuation = options.evacuations.state()
+    if (evacuation.revision !== evacuationTold) peers.notifyLinked(followers, evacuationNotice, evacuation)
+    evacuationTold = evacuation.revision
     if (cfg.version() === configTold) return
     configTold = cfg.version()
     const packed = packedConfig()
@@ -154,6 +163,7 @@
   servers.onChanged(tellSoon)
   members.onChanged(tellSoon)
   cfg.onChanged(tellSoon)
+  options.evacuations.onChanged(tellSoon)
 
   const isLacking = (): boolean => cfg.version() === 0 || !servers.isKnown()
   const isBlind = (): boolean => isLacking() || (!options.isFollowing() && storeAgeMs() > STORE_LOST_MS)
@@ -169,6 +179,7 @@
     const news = reply.val
     if (news.configVersion > cfg.version()) await fetchConfig(member)
     news.leavingServers.forEach(servers.noteLeaving)
+    options.evacuations.noteTold(news.evacuation)
     const isPeerBetter = news.storeAgeMs < storeAgeMs()
     if (news.leading !== undefined) options.onLeaderTold(news.leading)
     // Without members it could report to nobody, and be told nothing.
@@ -194,6 +205,7 @@
     noteSummary: (member, summary) => {
       options.onLeaderTold(summary.leading)
       summary.leavingServers.forEach(servers.noteLeaving)
+      options.evacuations.noteTold(summary.evacuation)
       noteConfigVersion(member, summary.configVersion)
       if (!options.isFollowing()) return
       if (summary.listDigest !== servers.digest()) fetchServers(member)
--- a/packages/magnoliabay/src/node/serving/storeFeeds.ts
+++ b/packages/magnoliabay/src/node/serving/storeFeeds.ts
@@ -2,6 +2,7 @@
 import { STORE_ROOT } from '../constants'
 import type { Store, WatchFeed } from '../store'
 import type { ConfigInForce } from './configInForce'
+import type { Evacuations } from './evacuations'
 import type { Servers } from './servers'
 import type { ServingWire } from './wire'
 
@@ -29,6 +30,7 @@
   store: Pick<Store, 'watch'>
   wire: Pick<ServingWire, 'keys'>
   cfg: ConfigInForce
+  evacuations: Evacuations
   servers: Servers
   memberCount: () => number
   /** Whether this instance is to ask the store itself; members and leader are read once in any case. */
@@ -39,12 +41,17 @@
   isOrdering: () => boolean
 }
 
-/** Passes on what the store tells of configuration and servers. */
-export function watchStore ({ store, wire, cfg, servers }: StoreFeedsOptions, signal: AbortSignal): void {
+/** Passes on what the store tells of configuration, evacuations and servers. */
+export function watchStore ({ store, wire, cfg, evacuations, servers }: StoreFeedsOptions, signal: AbortSignal): void {
   store.watch(wire.keys.config, {
     onSnapshot: ({ entries }) => entries.filter(entry => entry.key === wire.keys.config).forEach(entry => cfg.offer(entry.value, 'store')),
     onEvent: event => { if (event.kind === 'put' && event.key === wire.keys.config) cfg.offer(event.value, 'store') }
   }, signal)
+  const domainOf = (key: string): string => key.slice(wire.keys.evacuations.length)
+  store.watch(wire.keys.evacuations, {
+    onSnapshot: ({ entries, revision }) => evacuations.snapshot(entries.map(entry => domainOf(entry.key)), revision),
+    onEvent: ({ kind, key, modRevision }) => kind === 'put' ? evacuations.begin(domainOf(key), modRevision) : evacuations.end(domainOf(key), modRevision)
+  }, signal)
   store.watch(wire.keys.servers, {
     onSnapshot: ({ entries }) => servers.snapshot(entries),
     onEvent: event => event.kind === 'put' ? servers.put(event) : servers.remove(event.key)
@@ -56,7 +63,7 @@
   const waitMs = (otherwise: number) => (): number => isProxy() ? PROXY_WATCH_WAIT_MS : otherwise
   const gatherMembersMs = (): number => Math.min(MAX_GATHER_MS, Math.max(MIN_GATHER_MS, memberCount() * GATHER_PER_MEMBER_MS))
   return [
-    { prefix: wire.keys.config, isWanted: isOwnTurn, gatherMs: () => MIN_GATHER_MS, waitMs: waitMs(PROMPT_WATCH_WAIT_MS) },
+    { prefix: wire.keys.operator, isWanted: isOwnTurn, gatherMs: () => MIN_GATHER_MS, waitMs: waitMs(PROMPT_WATCH_WAIT_MS) },
     { prefix: STORE_ROOT, isWanted: isOwnTurn, isReadAtStart: true, gatherMs: gatherMembersMs, waitMs: waitMs(MEMBERS_WATCH_WAIT_MS) },
     { prefix: wire.keys.servers, isWanted: isOwnTurn, gatherMs: () => isOrdering() ? GATHER_ORDERS_MS : GATHER_SERVERS_MS, waitMs: waitMs(PROMPT_WATCH_WAIT_MS) }
   ]
--- a/packages/magnoliabay/src/node/serving/types.ts
+++ b/packages/magnoliabay/src/node/serving/types.ts
@@ -55,8 +55,16 @@
   models: ReadonlyMap<string, ModelSpec>
 }
 
+/** Servers of a service are cold for a while after their start, and crash well above some requests a second meanwhile. */
+export interface ColdStart {
+  lastsMs: number
+  requestsPerSecond: number
+}
+
 export interface Service {
   name: string
+  /** Undefined where servers take their full load from their start on. */
+  coldStart: ColdStart | undefined
   /** Connections that one backend server accepts from all callers together. */
   connectionLimit: number
   /** Undefined for a plain service. */
@@ -113,6 +121,8 @@
   failureDomain: string
   slots: number
   state: ServerState
+  /** How much longer it is cold after its start, milliseconds. */
+  coldMs: number
   models: readonly LoadedModel[]
   /** Models whose weights it holds a copy of. */
   copies: { memory: readonly string[], disk: readonly string[] }
--- a/packages/magnoliabay/src/node/serving/wire.ts
+++ b/packages/magnoliabay/src/node/serving/wire.ts
@@ -16,6 +16,16 @@
   lastEventId?: string
 }
 
+export interface WireKeys {
+  /** Prefix of all that the operator writes. */
+  operator: string
+  config: string
+  /** Prefix of the keys that name failure domains under evacuation. */
+  evacuations: string
+  /** Prefix of the entries of backend servers. */
+  servers: string
+}
+
 export interface ServingWire {
   decodeCaller (headers: IncomingHttpHeaders): CallerRequest
   forwardedHeaders (rawHeaders: readonly string[], own: ForwardedWith): string[]
@@ -24,6 +34,6 @@
   decodeConfig (text: string): ServingConfig | undefined
   decodeServer (key: string, text: string): BackendServer | undefined
   serverIdOf (key: string): string
-  /** Where the store keeps the configuration and the entries of servers. */
-  keys: { config: string, servers: string }
+  /** Where the store keeps what the operator and backend servers write. */
+  keys: WireKeys
 }
