--- a/packages/magnoliabay/src/node/clock/index.ts
+++ b/packages/magnoliabay/src/node/clock/index.ts
@@ -14,13 +14,16 @@
   schedule (delayMs: number, callback: () => void): CancelTimer
 }
 
-/** The clock of the running process. */
-export function createSystemClock (): Clock {
+/** The clock of the running process; `onTimer` is called with each timer that falls due. */
+export function createSystemClock (onTimer: () => void = () => {}): Clock {
   return {
     now: () => Date.now(),
     monotonic: () => performance.now(),
     schedule: (delayMs, callback) => {
-      const timer = setTimeout(callback, delayMs)
+      const timer = setTimeout(() => {
+        onTimer()
+        callback()
+      }, delayMs)
       return () => clearTimeout(timer)
     }
   }
--- a/packages/magnoliabay/src/node/commands/platform.ts
+++ b/packages/magnoliabay/src/node/commands/platform.ts
@@ -1,6 +1,7 @@
 /** `magnoliabay platform`: one instance on the users' platform, which lays down its settings. */
 import { readFile } from 'node:fs/promises'
-import { createSystemClock } from '../clock'
+import { createActivity, loopTurns } from '../activity'
+import { createSystemClock, repeat } from '../clock'
 import { createLogger } from '../logger'
 import { createLogSink } from '../logSink'
 import { SETTINGS_VARIABLE, createDiscovery, createEngineCalls, createKvStore, platformWire, readPlatformSettings } from '../platform'
@@ -10,6 +11,9 @@
 import type { Command } from './types'
 import { untilSignal } from './untilSignal'
 
+/** How often it is told what has woken the process so far, milliseconds. */
+const TELL_ACTIVITY_PERIOD_MS = 10_000
+const MICROSECONDS_PER_MS = 1000
 /** For the last lines to be read, milliseconds; a reader that has stopped must not keep the process. */
 const LAST_LINES_MS = 200
 
@@ -33,11 +37,12 @@
       settings.val.forEach(({ path, message }) => printError(`${file}: ${path}: ${message}`))
       return EXIT_USAGE
     }
-    const clock = createSystemClock()
+    const activity = createActivity()
+    const clock = createSystemClock(() => activity.note('timer'))
     const sink = createLogSink({ clock })
     const logger = createLogger({ write: sink.write })
     const store = createKvStore({ address: settings.val.store.address, clock, logger })
-    const instance = createServingInstance({ settings: settings.val, wire: platformWire, store, engines: createEngineCalls(clock), clock, logger, random: Math.random })
+    const instance = createServingInstance({ settings: settings.val, wire: platformWire, store, engines: createEngineCalls(clock), activity, clock, logger, random: Math.random })
     const discovery = createDiscovery({
       readiness: settings.val.listen.readiness,
       resolution: settings.val.listen.resolution,
@@ -46,6 +51,11 @@
       maxResolutionMs: settings.val.maxResolutionMs
     })
     process.on('SIGHUP', () => logger.info('settings-reload', { outcome: 'nothing that changes while a process runs' }))
+    const tellActivity = (): void => {
+      const { user, system } = process.cpuUsage()
+      logger.info('process-activity', { turns: loopTurns(), processorMs: Math.round((user + system) / MICROSECONDS_PER_MS), causes: [...activity.counts()].map(([cause, count]) => `${cause}: ${count}`) })
+    }
+    repeat(clock, TELL_ACTIVITY_PERIOD_MS, new AbortController().signal, tellActivity)
     await discovery.start()
     await instance.start()
     await untilSignal()
--- a/packages/magnoliabay/src/node/members/link.ts
+++ b/packages/magnoliabay/src/node/members/link.ts
@@ -58,6 +58,8 @@
   dispatch: Dispatch
   /** Whether the link to a member is kept for its own sake, and so watched over all the time. */
   isKept: (member: MemberRecord) => boolean
+  /** Called with each frame that comes in: with its kind, or with its type where it has none. */
+  onFrame?: (kind: string) => void
   /** The peer has said hello. Answer false to refuse it. */
   onHello: (link: Link) => boolean
   onGoodbye: (member: MemberRecord) => void
@@ -185,6 +187,7 @@
   try {
     for await (const frame of readFrames(socket)) {
       lastHeardMs = clock.monotonic()
+      run.onFrame?.('kind' in frame ? frame.kind : frame.type)
       if (member === undefined) {
         if (frame.type !== 'hello') return 'no hello'
         member = frame.member
--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -35,6 +35,8 @@
   logger: Logger
   /** @default TCP in plain text */
   transport?: PeerTransport
+  /** Called with each frame that comes in: with its kind, or with its type where it has none. */
+  onFrame?: (kind: string) => void
   /** A peer said that its process ends. */
   onGoodbye?: (member: MemberRecord) => void
 }
@@ -101,6 +103,7 @@
       ticker,
       logger,
       dispatch,
+      onFrame: options.onFrame,
       isKept: member => neighbours.has(member.id),
       onHello: established => {
         const { member } = established
--- a/packages/magnoliabay/src/node/platform/__tests__/endToEnd.spec.ts
+++ b/packages/magnoliabay/src/node/platform/__tests__/endToEnd.spec.ts
@@ -4,6 +4,7 @@
 import { request } from 'node:http'
 import { createServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
+import { createActivity } from '../../activity'
 import { createSystemClock } from '../../clock'
 import { createSilentLogger } from '../../logger'
 import { createServingInstance } from '../../serving/servingInstance'
@@ -97,6 +98,7 @@
         store: { minLeaseMs: 1000 }
       },
       wire: platformWire,
+      activity: createActivity(),
       store: kv,
       engines: createEngineCalls(clock),
       clock,
--- a/packages/magnoliabay/src/node/serving/context.ts
+++ b/packages/magnoliabay/src/node/serving/context.ts
@@ -1,4 +1,5 @@
 /** What serving a request needs from the rest of the process. */
+import type { Activity } from '../activity'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import type { RetryBudget, Suspects } from '../outcomes'
@@ -32,6 +33,8 @@
   noteDemand: (model: string) => void
   /** A model came into use at a server, or out of it: whoever gives orders must know before it unloads anything. */
   noteUse: () => void
+  /** Counts what wakes the process. */
+  noteActivity: Activity['note']
   /** This process ends too soon for a request of that kind to finish. */
   isClosingFor: (kind: RequestKind) => boolean
   metrics: ServingMetrics
--- a/packages/magnoliabay/src/node/serving/metrics.ts
+++ b/packages/magnoliabay/src/node/serving/metrics.ts
@@ -1,6 +1,8 @@
 /** Counters and histograms of the serving path. */
 import { Counter, Gauge, Histogram } from 'prom-client'
 import type { Registry } from 'prom-client'
+import { loopTurns } from '../activity'
+import type { Activity } from '../activity'
 import { createRegistry } from '../metrics/registry'
 
 const LATENCY_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30]
@@ -11,14 +13,31 @@
   ended: Counter<'reason'>
   answerSeconds: Histogram
   configVersion: Gauge
+  /** Turns of the event loop. */
+  loopTurns: Gauge
+  /** What woke the process. */
+  activity: Gauge<'cause'>
 }
 
-export function createServingMetrics (): ServingMetrics {
+export function createServingMetrics (activity: Activity): ServingMetrics {
   const registry = createRegistry()
   return {
     registry,
     ended: new Counter({ name: 'magnoliabay_serving_ended_total', help: 'Requests by how they ended.', labelNames: ['reason'], registers: [registry] }),
     answerSeconds: new Histogram({ name: 'magnoliabay_serving_answer_seconds', help: 'Time to the end of an answer.', buckets: LATENCY_BUCKETS_SECONDS, registers: [registry] }),
+    loopTurns: new Gauge({
+      name: 'magnoliabay_loop_turns_total',
+      help: 'Turns of the event loop.',
+      registers: [registry],
+      collect () { this.set(loopTurns()) }
+    }),
+    activity: new Gauge({
+      name: 'magnoliabay_activity_total',
+      help: 'What woke the process, by cause.',
+      labelNames: ['cause'],
+      registers: [registry],
+      collect () { activity.counts().forEach((count, cause) => this.set({ cause }, count)) }
+    }),
     configVersion: new Gauge({ name: 'magnoliabay_serving_config_version', help: 'Version of the configuration in force.', registers: [registry] })
   }
 }
--- a/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
@@ -83,12 +83,20 @@
   /** Orders to one engine go one after the other. */
   const queues = new Map<string, Promise<unknown>>()
 
+  const engineOf = (server: BackendServer, spec: EngineSpec): Engine => {
+    const process = processOf(server)
+    return { server, spec, entry: book.entry(process), process }
+  }
   const all = (): Engine[] => [...cfg.current()?.services.values() ?? []].flatMap(service => {
     const spec = service.engine
-    if (spec === undefined) return []
-    return servers.usable(service.name).map(server => ({ server, spec, entry: book.entry(processOf(server)), process: processOf(server) }))
+    return spec === undefined ? [] : servers.usable(service.name).map(server => engineOf(server, spec))
   })
-  const find = (process: string): Engine | undefined => all().find(engine => engine.process === process)
+  /** Asked for with each entry that changes, hundreds of times a second. */
+  const find = (process: string): Engine | undefined => {
+    const server = servers.usableProcess(process)
+    const spec = server === undefined ? undefined : cfg.service(server.service)?.engine
+    return spec === undefined ? undefined : engineOf(server!, spec)
+  }
   /** Nothing is to be followed while another instance gives orders. */
   const isOrdering = (): boolean => leadership.fence() !== undefined
   const specOf = (model: string): ModelSpec | undefined =>
--- a/packages/magnoliabay/src/node/serving/placement/orderer.ts
+++ b/packages/magnoliabay/src/node/serving/placement/orderer.ts
@@ -26,6 +26,10 @@
 
 /** How often the plan is made anew, milliseconds; a waiting request and the end of an order make it at once. */
 const TICK_MS = 100
+/** How often free places are filled with adapters that nobody has asked for, milliseconds. */
+const SPARE_PERIOD_MS = 500
+/** Two plans are at least so far apart, milliseconds. */
+const MIN_STEP_MS = 25
 /** How often one who does not lead looks whether it does, milliseconds: each look wakes the process. */
 const REST_MS = 250
 /** A want that is not repeated counts no more. */
@@ -99,7 +103,7 @@
     ...options,
     onDone: (process, tookMs) => {
       storeLoads.noteEnded(process, tookMs, storeLoadMs())
-      tick()
+      tickSoon()
     },
     onStoreLoad: process => storeLoads.noteBegun(process, clock.monotonic())
   })
@@ -111,6 +115,9 @@
     (orders.specOf(model)?.loadMs[tier] ?? SWAP_MS) * (tier === 'store' ? storeLoads.slowness(ahead) : 1)
   let ledFence: number | undefined
   let isTicking = false
+  let isDue = false
+  let steppedMs = -Infinity
+  let sparedMs = -Infinity
 
   const load = (engine: Engine, model: string): void => {
     const tier = tierOf(engine.entry, model)
@@ -239,10 +246,22 @@
     const names = new Set([...table.models(), ...wants.keys(), ...plans.flatMap(plan => plan.models)])
     const needs = [...names].filter(model => !model.includes('/')).map(needOf)
     planSteps({ engines: plans, needs, specs: specs(), storeLoads: storeLoads.left(now) }).forEach(carryOut)
+    if (now - sparedMs < SPARE_PERIOD_MS) return
+    sparedMs = now
     loadSpareAdapters()
   }
+  /** Orders that end and models that are asked for come in hundreds a second: a plan serves all of a moment. */
+  const tickSoon = (): void => {
+    if (isDue) return
+    isDue = true
+    clock.schedule(Math.max(0, steppedMs + MIN_STEP_MS - clock.monotonic()), () => {
+      isDue = false
+      tick()
+    })
+  }
   const tick = (): void => {
     if (isTicking) return
+    steppedMs = clock.monotonic()
     isTicking = true
     try {
       step()
@@ -306,7 +325,7 @@
     // Whoever is told to come back later must find it then.
     const keptMs = WANT_KEPT_MS + (inMs > req.patienceMs ? inMs : 0)
     wants.set(req.model, { sinceMs: Math.min(before?.sinceMs ?? Infinity, now - req.waitedMs), untilMs: Math.max(before?.untilMs ?? 0, now + keptMs) })
-    if (before === undefined) tick()
+    if (before === undefined) tickSoon()
     return { kind: 'coming', inMs }
   }
   const want = async (req: WantRequest): Promise<WantReply> => {
--- a/packages/magnoliabay/src/node/serving/serve.ts
+++ b/packages/magnoliabay/src/node/serving/serve.ts
@@ -150,7 +150,10 @@
       decodeAnswer: wire.decodeAnswer,
       returnedHeaders: wire.returnedHeaders,
       holdsBack: status => status >= SERVER_ERROR_FROM && mayRepeat(run),
-      onHeard: () => health.noteHeard(id),
+      onHeard: () => {
+        ctx.noteActivity('server')
+        health.noteHeard(id)
+      },
       onFirst: () => { run.firstMs ??= clock.monotonic() - inbound.arrivedMs }
     })
     run.attempt = attempt
@@ -266,6 +269,7 @@
 
   return async inbound => {
     const { req, res } = inbound
+    ctx.noteActivity('caller')
     const caller = wire.decodeCaller(req.headers)
     const admitted = admit(cfg, hostOf(req), pathOf(req), caller, ctx.random)
     if (admitted.err) return refuse(inbound, caller, admitted.val, false, { path: pathOf(req) })
--- a/packages/magnoliabay/src/node/serving/servers.ts
+++ b/packages/magnoliabay/src/node/serving/servers.ts
@@ -29,6 +29,8 @@
 export interface Servers {
   /** Servers that take new requests. */
   usable (service: string): readonly BackendServer[]
+  /** The server whose process this is, if it takes new requests. */
+  usableProcess (process: string): BackendServer | undefined
   get (id: string): BackendServer | undefined
   all (): readonly BackendServer[]
   /** Whether the list has been read at all. */
@@ -194,6 +196,10 @@
 
   return {
     usable: service => [...servers.values()].filter(server => server.service === service && isUsable(server)),
+    usableProcess: process => {
+      const server = servers.get(process.slice(0, process.lastIndexOf('@')))
+      return server !== undefined && processOf(server) === process && isUsable(server) ? server : undefined
+    },
     get: id => servers.get(id),
     all: () => [...servers.values()],
     isKnown: () => isKnown,
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http'
 import { setMaxListeners } from 'node:events'
 import polka from 'polka'
+import type { Activity } from '../activity'
 import type { Clock } from '../clock'
 import { sleep } from '../clock'
 import { createDecayingRate } from '../decayingRate'
@@ -77,6 +78,8 @@
   wire: ServingWire
   store: ServingStore
   engines: EngineCalls
+  /** Counts what wakes the process. */
+  activity: Activity
   clock: Clock
   logger: Logger
   /** 0 to below 1. */
@@ -125,7 +128,7 @@
 const ENDED_PATIENCE_MS = 500
 
 export function createServingInstance (options: ServingInstanceOptions): ServingInstance {
-  const { settings, wire, store, clock, random } = options
+  const { settings, wire, store, activity, clock, random } = options
   const { id, region, failureDomain } = settings.instance
   const logger = options.logger.with({ instance: id })
   const self: MemberRecord = {
@@ -142,8 +145,8 @@
   }
   const stop = new AbortController()
   setMaxListeners(0, stop.signal)
-  const metrics = createServingMetrics()
-  const peers = createPeerNetwork({ self, clock, logger })
+  const metrics = createServingMetrics(activity)
+  const peers = createPeerNetwork({ self, clock, logger, onFrame: kind => activity.note(`peer ${kind}`) })
   const membership = createMembership({ store, network: peers, clock, logger })
   const cfg = createConfigInForce({ decode: wire.decodeConfig, clock, logger })
   const evacuations = createEvacuations({ storeSteadySinceMs: store.steadySinceMs, clock, logger })
@@ -322,6 +325,7 @@
     retryBudget,
     noteDemand,
     noteUse: table.tellSoon,
+    noteActivity: activity.note,
     isClosingFor: kind => clock.monotonic() - leavingSinceMs > lastRequestMs[kind],
     metrics,
     clock,
