--- /dev/null
+++ b/scripts/start/index.ts
@@ -0,0 +1,4 @@
+/** Starts the program as it was built. */
+import { readProgram } from './program'
+
+readProgram().run()
