--- a/packages/magnoliabay/src/node/serving/__tests__/controlPlane.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/controlPlane.spec.ts
@@ -19,6 +19,8 @@
 const MOST_MESSAGES = 10
 /** The same for any instance: four a second with each who reports to it, root of the size of them, and more where they choose unevenly. */
 const MOST_MESSAGES_PER_ROOT = 11
+/** An idle instance may wake so often a second. */
+const MOST_WAKES = 11
 /** In a small fleet the leader exchanges sixteen a second with each of the others. */
 const STAR_MESSAGES = 16
 const mostMessages = (size: number): number => size > STAR_MOST ? MOST_MESSAGES_PER_ROOT * Math.sqrt(size) : STAR_MESSAGES * size
@@ -58,6 +60,18 @@
     if (size > STAR_MOST) expect(perSecond[Math.floor(size / 2)]).to.be.at.most(MOST_MESSAGES)
   }))
 
+  /**
+   * Guards against a fleet that spends its processors on having nothing to do: each wake-up costs a small machine 0.7 ms,
+   * whatever it does, and an idle instance is to cost no more than 0.008 of a core.
+   */
+  ;[87, 195].forEach(size => it(`wakes an idle instance of ${size} a few times a second`, async () => {
+    const world = await createSettledFleet(size, createRandom(size + 1))
+    world.resetCounts()
+    await world.clock.advance(QUIET_MS)
+    const perSecond = all(world).map(({ wakes }) => wakes.size * 1000 / QUIET_MS).sort((left, right) => left - right)
+    expect(perSecond[Math.floor(size / 2)]).to.be.at.most(MOST_WAKES)
+  }))
+
   it('costs an instance of 195 that starts beside the others three calls', async () => {
     const world = await createSettledFleet(194, createRandom(1))
     world.start(194)
--- a/packages/magnoliabay/src/node/serving/__tests__/support/fleetWorld.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/fleetWorld.ts
@@ -1,6 +1,7 @@
 /** A fleet of any size in virtual time: the real modules of the control plane over a network and a store in memory. */
 import { createDirectStore, createKvFaults, createKvState } from '@magnoliabay/standins'
 import type { FaultSwitches, KvEvent, KvFaults, KvState } from '@magnoliabay/standins'
+import type { Clock } from '../../../clock'
 import { createVirtualClock } from '../../../clock/virtual'
 import type { VirtualClock } from '../../../clock/virtual'
 import { createSilentLogger } from '../../../logger'
@@ -47,6 +48,8 @@
   calls: number
   /** Messages sent and received, since they were last reset. */
   messages: number
+  /** Moments at which a timer or a message woke it, since they were last reset, whole milliseconds. */
+  wakes: Set<number>
   /** Requests that it has under way, by server. */
   inFlight: Map<string, number>
 }
@@ -86,13 +89,28 @@
     clock,
     fate: ({ from, to }) => {
       [from, to].map(id => instances.get(id)).forEach(instance => { if (instance !== undefined) instance.messages += 1 })
-      return [1 + random() * 2]
+      const delayMs = 1 + random() * 2
+      noteWake(to, delayMs)
+      return [delayMs]
     }
   })
+  const noteWake = (id: string, inMs: number): void => { instances.get(id)?.wakes.add(Math.floor(clock.monotonic() + inMs)) }
   const state = createKvState({ clock })
 
+  /** Begins at a moment of its own, and its timers count whole milliseconds, as those of a process do. */
+  const createOwnClock = (id: string): Clock => {
+    const originMs = clock.monotonic() - random()
+    return {
+      now: clock.now,
+      monotonic: () => clock.monotonic() - originMs,
+      schedule: (delayMs, callback) => clock.schedule(Math.max(1, Math.floor(delayMs)), () => {
+        noteWake(id, 0)
+        callback()
+      })
+    }
+  }
   /** The store as one instance calls it; calls are counted, and a watch is one call at a time. */
-  const createCalls = (instance: () => Instance, faults: FaultSwitches<KvFaults>): { store: Store, calls: FeedCalls, reach: ReturnType<typeof createReach> } => {
+  const createCalls = (instance: () => Instance, faults: FaultSwitches<KvFaults>, clock: Clock): { store: Store, calls: FeedCalls, reach: ReturnType<typeof createReach> } => {
     const reach = createReach({ address: 'store', clock, logger })
     const subscribers: Subscriber[] = []
     const direct = createDirectStore(state, { clock, faults })
@@ -152,7 +170,9 @@
 
   const start = (index: number): void => {
     const id = idOf(index)
-    const record = memberRecord(id, { incarnation: `${id} ${clock.monotonic()}`, failureDomain: `d${index % DOMAINS}`, processorShare: index < DOMAINS * LARGE ? 1.35 : 0.324 })
+    const incarnation = `${id} ${clock.monotonic()}`
+    const own = createOwnClock(id)
+    const record = memberRecord(id, { incarnation, failureDomain: `d${index % DOMAINS}`, processorShare: index < DOMAINS * LARGE ? 1.35 : 0.324 })
     const faults = createKvFaults()
     const stop = new AbortController()
     const joined = network.join(record)
@@ -166,17 +186,17 @@
       start: async () => {},
       close: async () => {}
     }
-    const { store, calls, reach } = createCalls(() => instances.get(id)!, faults)
-    const storeAgeMs = (): number => clock.monotonic() - reach.lastContactMs()
-    const steadyMs = (): number => clock.monotonic() - reach.steadySinceMs()
-    const cfg = createConfigInForce({ decode: text => configOf(Number(text)), clock, logger })
-    const evacuations = createEvacuations({ storeSteadySinceMs: reach.steadySinceMs, clock, logger })
-    const servers = createServers({ decode: (_key, text) => JSON.parse(text) as BackendServer, idOf: key => key.slice(SERVERS.length), isEvacuated: evacuations.isEvacuated, storeSteadySinceMs: reach.steadySinceMs, clock, logger })
-    const membership = createMembership({ store, network: peers, clock, logger })
+    const { store, calls, reach } = createCalls(() => instances.get(id)!, faults, own)
+    const storeAgeMs = (): number => own.monotonic() - reach.lastContactMs()
+    const steadyMs = (): number => own.monotonic() - reach.steadySinceMs()
+    const cfg = createConfigInForce({ decode: text => configOf(Number(text)), clock: own, logger })
+    const evacuations = createEvacuations({ storeSteadySinceMs: reach.steadySinceMs, clock: own, logger })
+    const servers = createServers({ decode: (_key, text) => JSON.parse(text) as BackendServer, idOf: key => key.slice(SERVERS.length), isEvacuated: evacuations.isEvacuated, storeSteadySinceMs: reach.steadySinceMs, clock: own, logger })
+    const membership = createMembership({ store, network: peers, clock: own, logger })
     const inFlight = new Map<string, number>()
     const table = createFleetTable({
       peers,
-      clock,
+      clock: own,
       isLinked: joined.isConnected,
       leader: () => leadership.isHolder() ? id : leadership.holder(),
       own: () => reportOf({ inFlight: [...inFlight].map(([server, count]) => ({ server, model: 'a', count })), storeAgeMs: storeAgeMs(), isReady: cfg.version() > 0 }),
@@ -192,7 +212,7 @@
       store,
       self: id,
       machine: `${id} at home`,
-      renewByPeer: async leaseId => [...instances.values()].some(other => other.faults.now.down === 'no') ? await createDirectStore(state, { clock }).renewLease(leaseId) : undefined,
+      renewByPeer: async leaseId => [...instances.values()].some(other => other.faults.now.down === 'no') ? await createDirectStore(state, { clock: own }).renewLease(leaseId) : undefined,
       hasEnded: async other => !instances.has(other),
       isFollowing: table.isFollowing,
       era: state.era,
@@ -201,11 +221,11 @@
       orderLeaseMs: ORDER_LEASE_MS,
       minLeaseMs: 1000,
       processorShare: record.processorShare,
-      clock,
+      clock: own,
       logger,
       random
     })
-    const proxy = createStoreProxy({ peers, isLeading: leadership.isHolder, own: () => ({ ageMs: storeAgeMs(), steadyMs: steadyMs() }), candidates: table.peersAtStore, onProxied: member => spread.noteProxy(member), clock, logger })
+    const proxy = createStoreProxy({ peers, isLeading: leadership.isHolder, own: () => ({ ageMs: storeAgeMs(), steadyMs: steadyMs() }), candidates: table.peersAtStore, onProxied: member => spread.noteProxy(member), clock: own, logger })
     const spread = createSpread({
       peers,
       cfg,
@@ -220,18 +240,18 @@
       isLinked: joined.isConnected,
       isProxy: member => proxy.current() === member,
       onLeaderTold: leading => leadership.noteTold(leading),
-      clock,
+      clock: own,
       logger,
       random
     })
     const isProxy = (): boolean => proxy.clients().length > 0
-    const turn = createStoreTurn({ isLeading: leadership.isHolder, isProxy, isFollowing: table.isFollowing, memberCount: () => known.length, clock, logger, random })
+    const turn = createStoreTurn({ isLeading: leadership.isHolder, isProxy, isFollowing: table.isFollowing, memberCount: () => known.length, clock: own, logger, random })
     const feeds = { store, wire: { keys: { operator: OPERATOR, config: CONFIG, evacuations: EVACUATIONS, servers: SERVERS } }, cfg, evacuations, servers, memberCount: () => known.length, isOwnTurn: turn.isOwn, isProxy, isOrdering: () => false }
-    instances.set(id, { record, cfg, servers, table, leadership, faults, stop, calls: 0, messages: 0, inFlight })
+    instances.set(id, { record, cfg, servers, table, leadership, faults, stop, calls: 0, messages: 0, wakes: new Set(), inFlight })
     watchStore(feeds, stop.signal)
     membership.start(stop.signal)
     leadership.start(stop.signal)
-    runFeeds({ calls, reach, clock, logger }, createStoreFeeds(feeds), stop.signal)
+    runFeeds({ calls, reach, clock: own, logger }, createStoreFeeds(feeds), stop.signal)
     table.start(stop.signal)
     spread.start(stop.signal)
     proxy.start(stop.signal)
@@ -261,6 +281,7 @@
     resetCounts: () => instances.forEach(instance => {
       instance.calls = 0
       instance.messages = 0
+      instance.wakes.clear()
     })
   }
 }
