--- a/packages/magnoliabay/src/node/platform/kvStore.ts
+++ b/packages/magnoliabay/src/node/platform/kvStore.ts
@@ -1,6 +1,6 @@
 /**
  * The `Store` interface over the platform's metadata store. A watch serves all prefixes of a feed, since the store
- * counts each waiting call. The store may go on from a copy some seconds old (`eras.ts`): conditions, leases and
+ * counts each waiting call. The store may go on from a copy some seconds old (`store/eras.ts`): conditions, leases and
  * watches of an earlier era are never sent, and what was sent in one era and answered in another counts as unknown.
  */
 import type { Clock } from '../clock'
@@ -8,10 +8,10 @@
 import type { Logger } from '../logger'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
+import { eraOfLease, eraOfRevision, toLeaseId, toRevision, toStoredLease, toStoredRevision } from '../store/eras'
 import { runFeeds } from '../store/feeds'
 import { createReach } from '../store/reach'
 import type { Compare, KeyValue, RangeResult, Reach, Store, StoreError, StoreResult, Transaction, TransactionResult, WatchCall, WatchEnd, WatchEvent, WatchFeed, WatchHandlers } from '../store'
-import { decodeEra, eraOfLease, eraOfRevision, toLeaseId, toRevision, toStoredLease, toStoredRevision } from './eras'
 import { createPool } from './pool'
 import { addCount, messageOf, parseJson } from '../utils'
 
@@ -64,6 +64,12 @@
   handlers: WatchHandlers
 }
 
+/** Of the store that gave an answer; 0 where it names none. */
+function decodeEra (header: string | string[] | undefined): number {
+  const era = Number(header ?? 0)
+  return Number.isSafeInteger(era) && era > 0 ? era : 0
+}
+
 const encode = (text: string): string => Buffer.from(text, 'utf8').toString('base64')
 const decode = (value: string | undefined): string => Buffer.from(value ?? '', 'base64').toString('utf8')
 
--- a/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
@@ -12,6 +12,7 @@
 import { TIMED_OUT, withDeadline } from '../../clock'
 import type { Logger } from '../../logger'
 import type { Store } from '../../store'
+import { eraOfRevision } from '../../store/eras'
 import { NOTHING_RECORDED, createRecordCover } from './recordCover'
 import type { CoveringRecord } from './recordCover'
 import { RECORD_PARTS, RECORD_PERIOD_MS, countRecord, mergeByAge, readSpendingRecord, spendingKey } from './spendingRecord'
@@ -130,6 +131,8 @@
     logger.info('allowance-home-superseded', { team })
     beginning = undefined
   }
+  /** A process that never reached the store itself knows its era by what a peer has read there. */
+  const eraNow = (): number => Math.max(options.era(), eraOfRevision(revision ?? 0))
   const coverLeft = (): number => cover.left(spending.byAge(RECORD_PARTS, clock.monotonic()))
   const beginWithRecord = (record: SpendingRecord | undefined, own: readonly number[], now: number): void => {
     // Without a record nothing was ever granted but what needs none, or by this home.
@@ -142,7 +145,7 @@
   }
   /** A later record was lost with the store's last seconds; only a home that counted then knows what was spent. */
   const mostSpentUnseen = (record: SpendingRecord | undefined): number =>
-    record !== undefined && record.era < options.era() && !hasRead ? limit().allowed : 0
+    record !== undefined && record.era < eraNow() && !hasRead ? limit().allowed : 0
   /** Goes by what was told; the record that the next home will find holds about that. A young process was told too little. */
   const beginUnread = (own: readonly number[], now: number): void => {
     countRecord(spending, { byAge: own, reserved: 0 }, windowMs, now)
@@ -198,7 +201,7 @@
     // The parts of instances that cannot ask are theirs to spend, and cover nothing here.
     const covering: CoveringRecord = { byAge, reserved: reserve }
     const heldBack = Math.round(limit().heldBack)
-    const value: SpendingRecord = { home, era: options.era(), byAge, reserved: reserve + heldBack, wallMs: clock.now() }
+    const value: SpendingRecord = { home, era: eraNow(), byAge, reserved: reserve + heldBack, wallMs: clock.now() }
     // Its answer may be lost, and the next home find it or the one before.
     cover.add(covering)
     const put = await store.transact({
@@ -226,7 +229,7 @@
    * store that has gone back may have lost the last record.
    */
   const isDue = (): boolean =>
-    clock.monotonic() - recordedMs >= RECORD_PERIOD_MS || options.era() > recordedEra || limit().heldBack > heldBackRecorded + 1 || coverLeft() < 0
+    clock.monotonic() - recordedMs >= RECORD_PERIOD_MS || eraNow() > recordedEra || limit().heldBack > heldBackRecorded + 1 || coverLeft() < 0
   /** Records go on until the last of what was spent has left the window. */
   const keepRecording = (): void => {
     if (isTimed || isClosed) return
--- a/packages/magnoliabay/src/node/platform/eras.ts
+++ b/packages/magnoliabay/src/node/store/eras.ts
@@ -1,18 +1,12 @@
 /**
  * Numbers of a store that may go on from an older copy of itself. It then gives the same revisions and lease numbers out
- * again, and only its era, in all its answers, tells the two apart. Outside the adapter revisions are ordered over all
- * eras, and a lease's id names its era: so what rests on an earlier one is known for what it is wherever it turns up.
+ * again, and only its era, which it tells with each answer, keeps the two apart. So a revision here is ordered over all
+ * eras, and a lease's id names its era: what rests on an earlier one is known for what it is wherever it turns up.
  */
 
 /** Far above any revision: at a thousand changes a second it is reached in thirty years. */
 const REVISIONS_PER_ERA = 2 ** 40
 
-/** Where an answer came from: a store that names no era has but one, 0. */
-export function decodeEra (header: string | string[] | undefined): number {
-  const era = Number(header ?? 0)
-  return Number.isSafeInteger(era) && era > 0 ? era : 0
-}
-
 /** 0, which stands for no revision, stays 0. */
 export function toRevision (era: number, stored: number): number {
   return stored === 0 ? 0 : era * REVISIONS_PER_ERA + stored
