--- a/packages/magnoliabay/src/node/serving/allowance/__tests__/teamAllowance.spec.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/__tests__/teamAllowance.spec.ts
@@ -306,6 +306,25 @@
     }), { seed, numRuns: 40, endOnFailure: true })
   }).timeout(60_000))
 
+  /**
+   * A team gets any number of requests through while its home starts.
+   * 1. A team has spent its allowance. 2. Its home is killed and starts anew. 3. It knows no configuration yet, and so
+   * no such team, when it is asked: only what the others may let through without it goes out.
+   */
+  it('is not given out by a home that does not know the team yet', async () => {
+    const world = createWorld()
+    await world.drain(IDS, 10)
+    world.tell()
+    world.kill(world.home)
+    world.unknowing.add(world.home)
+    world.join(world.home, { incarnation: `${world.home}-2` })
+    await world.clock.advance(50)
+    const asked = Array.from({ length: 30 }, (_, index) => world.members.get(world.others[index % world.others.length]!)!.take(world.team.current, 100))
+    await world.clock.advance(1000)
+    const granted = (await Promise.all(asked)).filter(({ waitMs }) => waitMs === 0).length * 100
+    expect(granted).to.be.at.most(TOLERANCE.part * LIMIT + TOLERANCE.units)
+  })
+
   /**
    * A team gets its allowance twice within a window.
    * 1. Its home grants, and records what it has granted. 2. The store goes back to an older copy, which lacks that.
--- a/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
@@ -36,8 +36,8 @@
 }
 
 export interface TakeReply {
-  /** 0 when granted, else milliseconds until it may be there. */
-  waitMs: number
+  /** 0 when granted, else milliseconds until it may be there; undefined where the home knows no such team. */
+  waitMs: number | undefined
 }
 
 const takeCall = definePeerCall<TakeRequest, TakeReply>('allowance.take')
@@ -176,7 +176,9 @@
   }
   peers.serve(takeCall, async ({ team: name, amount, apart: spentApart }) => {
     const team = teamNamed(name)
-    return { waitMs: team === undefined || team.rate === 0 ? 0 : await takeHere(team, amount, spentApart) }
+    // One that has just started knows no team: whatever it let through would come on top of what the team has spent.
+    if (team === undefined) return { waitMs: undefined }
+    return { waitMs: team.rate === 0 ? 0 : await takeHere(team, amount, spentApart) }
   })
   peers.listen(giveBackNotice, ({ team: name, amount }) => ledgers.get(name)?.giveBack(amount))
   const noteOwn = (team: Team, amount: number, waitMs: number): Taken => {
@@ -211,7 +213,7 @@
   const askHome = async (home: string, team: string, amount: number): Promise<Result<TakeReply, PeerError>> => {
     const spentApart = takeApart(team)
     const reply = await peers.call(home, takeCall, { team, amount, apart: spentApart }, { timeoutMs: ASK_TIMEOUT_MS })
-    if (reply.err) addCount(apart, team, spentApart)
+    if (reply.err || reply.val.waitMs === undefined) addCount(apart, team, spentApart)
     return reply
   }
   peers.onConnected(member => [...apart.keys()]
@@ -228,9 +230,9 @@
       dropLedger(team.name)
       if (!peers.isConnected(home) || (avoidedUntilMs.get(home) ?? 0) > clock.monotonic()) return takeShare(team, amount)
       const reply = await askHome(home, team.name, amount)
-      if (reply.ok) return noteOwn(team, amount, reply.val.waitMs)
+      if (reply.ok && reply.val.waitMs !== undefined) return noteOwn(team, amount, reply.val.waitMs)
       avoidedUntilMs.set(home, clock.monotonic() + AVOID_HOME_MS)
-      logger.warn('allowance-home-unreached', { team: team.name, home, reason: reply.val.kind })
+      logger.warn('allowance-home-unreached', { team: team.name, home, reason: reply.ok ? 'knows no such team' : reply.val.kind })
       return takeShare(team, amount)
     },
     giveBack: (team, amount) => {
