--- a/packages/magnoliabay/src/node/serving/__tests__/servers.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/servers.spec.ts
@@ -138,4 +138,22 @@
     await told.clock.advance(200)
     expect(told.servers.coldMs('s1@1')).to.equal(0)
   })
+
+  /**
+   * A request reaches a server three seconds after it has left.
+   * 1. The store turns an instance away; peers tell it that a server is gone. 2. The store answers again, and the watch
+   * goes on where it was: with beats of that server from before its end.
+   */
+  it('are not brought back by what a watch tells late of those that a peer has told to be gone', async () => {
+    const world = createWorld()
+    world.servers.snapshot(['s1', 's2'].map(key => ({ key, value: '{}' })))
+    world.servers.follow({ changed: [], holding: [], gone: ['s1'] })
+    await world.clock.advance(3000)
+    world.steadySinceMs.value = world.clock.monotonic()
+    world.servers.put({ key: 's1', value: '{}' })
+    expect(usable(world)).to.deep.equal(['s2'])
+    await world.clock.advance(3100)
+    world.servers.put({ key: 's1', value: '{}' })
+    expect(usable(world)).to.deep.equal(['s2', 's1'])
+  })
 })
--- a/packages/magnoliabay/src/node/serving/servers.ts
+++ b/packages/magnoliabay/src/node/serving/servers.ts
@@ -82,6 +82,8 @@
   /** When the store told here that servers went, by process. */
   const departedMs = new Map<string, number>()
   const pendingRemovals = new Map<string, () => void>()
+  /** When peers told that servers went, by process. */
+  const toldGoneMs = new Map<string, number>()
   /** Ids whose entry changed, and those of which only what they hold did, since changes were last taken. */
   const changedIds = new Set<string>()
   const holdingIds = new Set<string>()
@@ -131,7 +133,25 @@
     return isUndrained || (known?.bornMs ?? 0) > server.bornMs
   }
   const hasDeparted = (server: ListedServer, withinMs: number): boolean => clock.monotonic() - (departedMs.get(processOf(server)) ?? -Infinity) < withinMs
-  const takeFromPeer = (list: readonly ListedServer[]): void => list.filter(server => !isOutdated(server)).map(withCopies).forEach(takeListed)
+  const takeFromPeer = (list: readonly ListedServer[]): void => {
+    const standing = list.filter(server => !isOutdated(server))
+    standing.forEach(server => toldGoneMs.delete(processOf(server)))
+    standing.map(withCopies).forEach(takeListed)
+  }
+  const dropByPeer = (id: string, reason: string): void => {
+    const server = servers.get(id)
+    if (server !== undefined) toldGoneMs.set(processOf(server), clock.monotonic())
+    drop(id, reason)
+  }
+  /**
+   * A watch that goes on after a time out of the store's reach tells all that happened meanwhile, the beats of servers
+   * first that peers have long told to be gone: each would get requests until its end is told as well.
+   */
+  const isReplayed = (server: BackendServer): boolean => {
+    const nowMs = clock.monotonic()
+    toldGoneMs.forEach((atMs, process) => { if (nowMs - atMs > COPY_AGE_MS) toldGoneMs.delete(process) })
+    return nowMs - storeSteadySinceMs() < DOUBT_MS && toldGoneMs.has(processOf(server))
+  }
   /** One that is listed again is not to be removed. What a server says of itself is no such sign: one that leaves still answers. */
   const takeListed = (server: BackendServer): boolean => {
     cancelRemoval(server.id)
@@ -169,7 +189,7 @@
       return false
     }
     // The store may have gone back to a copy from before.
-    if (isOlderThanKnown(server)) return false
+    if (isOlderThanKnown(server) || isReplayed(server)) return false
     const isNew = takeListed(server)
     listedListeners.forEach(listener => listener(server))
     return isNew
@@ -222,12 +242,12 @@
       isKnown = true
       const present = new Set(list.map(server => server.id))
       const missing = [...servers.keys()].filter(id => !present.has(id))
-      missing.forEach(id => drop(id, 'not in the list of a peer'))
+      missing.forEach(id => dropByPeer(id, 'not in the list of a peer'))
       takeFromPeer(list)
       changed()
     },
     follow: ({ changed: entries, holding, gone }) => {
-      gone.forEach(id => drop(id, 'a peer told'))
+      gone.forEach(id => dropByPeer(id, 'a peer told'))
       takeFromPeer(entries)
       holding.forEach(server => noteModels(server, server.models))
       changed()
