--- a/packages/magnoliabay/src/node/serving/fleetTable.ts
+++ b/packages/magnoliabay/src/node/serving/fleetTable.ts
@@ -3,7 +3,7 @@
  * up and tells everybody the sums. In a large fleet relays in between (`upstream.ts`) add up what those below report,
  * and pass on what the leader tells as it comes.
  */
-import { untilNextMoment } from '../clock'
+import { untilNextMoment, untilNextPeriod } from '../clock'
 import type { Clock } from '../clock'
 import type { MemberRecord, Peers } from '../members'
 import { reportNotice, summaryNotice } from './fleetMessages'
@@ -18,8 +18,8 @@
 /** The same where relays add up reports, milliseconds. */
 const RELAYED_PERIOD_MS = 500
 /**
- * All report at one moment; a relay does so by so much later, when those below it have, and the leader tells the sums
- * when the relays have, milliseconds.
+ * Where relays add up reports all report at one moment, so that what several send wakes an instance once; a relay does so
+ * by so much later, when those below it have, and the leader tells the sums when the relays have, milliseconds.
  */
 const RELAY_OFFSET_MS = 20
 const SUM_OFFSET_MS = 40
@@ -122,7 +122,8 @@
   const perMember = (ms: number, least: number): number => Math.max(least, peers.members().length * ms)
   const upstream = createUpstream({ peers, leader, silentMs: () => staleMs(), clock })
   const periodMs = (): number => upstream.isRelayed() ? RELAYED_PERIOD_MS : perMember(PERIOD_PER_MEMBER_MS, MIN_PERIOD_MS)
-  const tellOffsetMs = (): number => upstream.isRelay() ? RELAY_OFFSET_MS : 0
+  const untilNextMs = (offsetMs: number): number =>
+    upstream.isRelayed() ? untilNextMoment(clock, periodMs(), offsetMs) : untilNextPeriod(clock, periodMs())
   const staleMs = (): number => Math.max(MIN_STALE_MS, STALE_PERIODS * periodMs())
   const isLeading = (): boolean => leader() === self
   const standing = (): HeldSummary | undefined =>
@@ -270,13 +271,13 @@
         cancelNext()
         report()
         isSoon = false
-        cancelNext = clock.schedule(untilNextMoment(clock, periodMs(), tellOffsetMs()), tell)
+        cancelNext = clock.schedule(untilNextMs(upstream.isRelay() ? RELAY_OFFSET_MS : 0), tell)
       }
       const sum = (): void => {
         if (signal.aborted) return
         noteLeading()
         summarize()
-        clock.schedule(untilNextMoment(clock, periodMs(), SUM_OFFSET_MS), sum)
+        clock.schedule(untilNextMs(SUM_OFFSET_MS), sum)
       }
       tellNow = tell
       cancelNext = clock.schedule(MIN_PERIOD_MS, tell)
