--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -29,6 +29,7 @@
 import { createFleetTable } from './fleetTable'
 import type { InstanceReport } from './fleetMessages'
 import { createFrontDoor } from './frontDoor'
+import { forgetGoneServers } from './goneServers'
 import { createServingMetrics } from './metrics'
 import { LEADER_KEY, createLeadership } from './placement/leadership'
 import { createLeaseByPeer } from './placement/leaseByPeer'
@@ -345,21 +346,7 @@
     metrics.configVersion.set(cfg.version())
     door.setLimits(cfg.current()!.limits)
   })
-  forgetGoneServers()
-
-  function forgetGoneServers (): void {
-    let known = new Map<string, string>()
-    servers.onChanged(() => {
-      const now = new Map(servers.all().map(server => [processOf(server), server.address]))
-      const gone = [...known].filter(([process]) => !now.has(process))
-      gone.forEach(([process, address]) => {
-        if (health.inFlight(process) === 0) health.forget(process)
-        connections.forget(address)
-        options.engines.forget(address)
-      })
-      known = now
-    })
-  }
+  forgetGoneServers({ servers, health, connections, engines: options.engines })
   const isProxy = (): boolean => proxy.clients().length > 0
   const turn = createStoreTurn({ isLeading: leadership.isHolder, isProxy, isFollowing: table.isFollowing, memberCount: () => peers.members().length, clock, logger, random })
   const feeds: StoreFeedsOptions = { store, wire, cfg, evacuations, servers, memberCount: () => peers.members().length, isOwnTurn: turn.isOwn, isProxy, isOrdering: orderer.isWaiting }
