--- a/packages/magnoliabay/src/node/platform/kvStore.ts
+++ b/packages/magnoliabay/src/node/platform/kvStore.ts
@@ -8,7 +8,7 @@
 import type { Logger } from '../logger'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
-import { eraOfLease, eraOfRevision, toLeaseId, toRevision, toStoredLease, toStoredRevision } from '../store/eras'
+import { eraOfCompare, eraOfLease, eraOfRevision, toLeaseId, toRevision, toStoredLease, toStoredRevision } from '../store/eras'
 import { runFeeds } from '../store/feeds'
 import { createReach } from '../store/reach'
 import type { Compare, KeyValue, RangeResult, Reach, Store, StoreError, StoreResult, Transaction, TransactionResult, WatchCall, WatchEnd, WatchEvent, WatchFeed, WatchHandlers } from '../store'
@@ -83,7 +83,7 @@
 
 /** Eras of all that a transaction rests on: of its conditions, and of the leases that it writes under. */
 function erasOf ({ compares, writes }: Transaction): number[] {
-  const ofCompares = compares.flatMap(({ equals }) => typeof equals === 'number' && equals !== 0 ? [eraOfRevision(equals)] : [])
+  const ofCompares = compares.flatMap(compare => eraOfCompare(compare) ?? [])
   const ofLeases = writes.flatMap(op => op.kind === 'put' && op.leaseId !== undefined ? [eraOfLease(op.leaseId)] : [])
   return [...ofCompares, ...ofLeases]
 }
@@ -194,7 +194,7 @@
     const preconditions = compares.map(toPrecondition)
     if (preconditions.includes(undefined)) return Err({ kind: 'invalid', message: 'The store compares the revision of the last change only.' })
     // Such a condition may hold by chance, for what another has written since under the same revision.
-    if (compares.some(({ equals }) => typeof equals === 'number' && equals !== 0 && eraOfRevision(equals) < era)) return Ok({ succeeded: false, revision: 0 })
+    if (compares.some(compare => (eraOfCompare(compare) ?? era) < era)) return Ok({ succeeded: false, revision: 0 })
     if (writes.some(op => op.kind === 'put' && isLeaseGone(op.leaseId))) return Err(leaseGone)
     const res = await call('POST', '/-/kv-txn', {
       body: {
--- a/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/teamAllowance.ts
@@ -6,10 +6,11 @@
 import type { Clock } from '../../clock'
 import type { Logger } from '../../logger'
 import { definePeerCall, definePeerNotice } from '../../members'
-import type { MemberRecord, PeerError, Peers } from '../../members'
+import type { PeerError, Peers } from '../../members'
 import type { Result } from '../../result'
 import type { Store } from '../../store'
-import { addCount, rankByRendezvous } from '../../utils'
+import { addCount } from '../../utils'
+import { homeOf } from '../homes'
 import type { Team } from '../types'
 import { createHomeLedger } from './homeLedger'
 import type { HomeLedger, LedgerLimit } from './homeLedger'
@@ -118,9 +119,6 @@
 
   const limitOf = (team: Team): number => team.rate * windowMs / MS_PER_SECOND + team.burst
   const toleranceOf = (team: Team): number => limitOf(team) * options.tolerance.part + options.tolerance.units
-  const staying = (): readonly MemberRecord[] => peers.members().filter(member => !member.leaving)
-  /** By id alone: all must agree on it while members start anew. */
-  const homeOf = (team: string): string => rankByRendezvous(team, staying(), member => member.id)[0]?.id ?? peers.self.id
   /** Has not heard what was spent in the window, and others may have spent it. */
   const isYoung = (): boolean => !options.isFirstStart && clock.monotonic() - startedMs < windowMs
   /** Whether the other members are known. Alone, each would take itself for the home of every team. */
@@ -217,14 +215,14 @@
     return reply
   }
   peers.onConnected(member => [...apart.keys()]
-    .filter(team => homeOf(team) === member.id)
+    .filter(team => homeOf(peers, team) === member.id)
     .forEach(team => askHome(member.id, team, 0)))
 
   return {
     take: async (team, amount) => {
       if (team.rate === 0) return { waitMs: 0, decidedBy: 'share' }
       if (!isSettled()) return { waitMs: ALONE_RETRY_MS, decidedBy: 'share' }
-      const home = homeOf(team.name)
+      const home = homeOf(peers, team.name)
       if (home === peers.self.id) return noteOwn(team, amount, await takeHere(team, amount, takeApart(team.name)))
       // What was counted here is out of date as soon as another counts.
       dropLedger(team.name)
@@ -240,7 +238,7 @@
       ownOf(team.name).giveBack(amount, clock.monotonic())
       // What no home has counted yet is not to be given back there.
       if ((apart.get(team.name) ?? 0) >= amount) return addCount(apart, team.name, -amount)
-      const home = homeOf(team.name)
+      const home = homeOf(peers, team.name)
       if (home === peers.self.id) ledgers.get(team.name)?.giveBack(amount)
       else peers.notify(home, giveBackNotice, { team: team.name, amount })
     },
--- a/packages/magnoliabay/src/node/serving/coldStarts.ts
+++ b/packages/magnoliabay/src/node/serving/coldStarts.ts
@@ -9,7 +9,7 @@
 import type { Logger } from '../logger'
 import { definePeerCall } from '../members'
 import type { Peers } from '../members'
-import { rankByRendezvous } from '../utils'
+import { homeOf } from './homes'
 import { processOf } from './types'
 import type { BackendServer, ColdStart } from './types'
 
@@ -53,8 +53,6 @@
   /** Moments of what this instance granted as home, by server process. */
   const granted = new Map<string, number[]>()
 
-  const homeOf = (process: string): string =>
-    rankByRendezvous(process, peers.members().filter(member => !member.leaving), member => member.id)[0]?.id ?? peers.self.id
   const grant = (process: string, most: number): boolean => {
     if (granted.size > MAX_COUNTED) granted.clear()
     const recent = (granted.get(process) ?? []).filter(atMs => clock.monotonic() - atMs < WINDOW_MS)
@@ -74,7 +72,7 @@
       const process = processOf(server)
       const perSecond = options.startOf(server.service)?.requestsPerSecond ?? 0
       const most = Math.floor((perSecond * options.tolerance.part + options.tolerance.requests) * HOME_PART)
-      const home = homeOf(process)
+      const home = homeOf(peers, process)
       if (home === peers.self.id) return grant(process, most)
       const reply = await peers.call(home, admitCall, { process, most }, { timeoutMs: ASK_TIMEOUT_MS })
       if (reply.err) logger.info('cold-server-not-asked', { server: server.id, home, reason: reply.val.kind })
--- a/packages/magnoliabay/src/node/store/eras.ts
+++ b/packages/magnoliabay/src/node/store/eras.ts
@@ -4,6 +4,8 @@
  * eras, and a lease's id names its era: what rests on an earlier one is known for what it is wherever it turns up.
  */
 
+import type { Compare } from './store'
+
 /** Far above any revision: at a thousand changes a second it is reached in thirty years. */
 const REVISIONS_PER_ERA = 2 ** 40
 
@@ -17,6 +19,11 @@
   return Math.floor(revision / REVISIONS_PER_ERA)
 }
 
+/** Of the revision that a condition names; undefined where it names none. */
+export function eraOfCompare ({ target, equals }: Compare): number | undefined {
+  return target === 'value' || typeof equals !== 'number' || equals === 0 ? undefined : eraOfRevision(equals)
+}
+
 export function toStoredRevision (revision: number): number {
   return revision % REVISIONS_PER_ERA
 }
