--- a/packages/magnoliabay/src/node/platform/requestHeaders.ts
+++ b/packages/magnoliabay/src/node/platform/requestHeaders.ts
@@ -4,6 +4,7 @@
 import type { ResponseHead } from '../serving/exchange'
 import type { CallerRequest } from '../serving/types'
 import type { ForwardedMetadata } from '../serving/servingProtocol'
+import { NO_STATEMENT, decodeServerStatement } from './serverStatement'
 
 const ATTEMPT_ID = 'x-magnoliabay-attempt-id'
 const DEADLINE_MS = 'x-magnoliabay-deadline-ms'
@@ -11,6 +12,7 @@
 const TEAM = 'x-magnoliabay-tenant'
 const PRIORITY = 'x-magnoliabay-request-priority'
 const NOT_EXECUTED = 'x-magnoliabay-not-executed'
+const MISDIRECTED = 421
 const API_KEY_PATTERN = /^Token (\S+)$/
 
 /** Headers that apply to a single connection only. */
@@ -99,7 +101,9 @@
 export function decodeResponseHead ({ status, headers }: ResponseHead): ResponseMetadata {
   return {
     attemptId: firstValueOf(headers[ATTEMPT_ID]),
-    isNotRun: headers[NOT_EXECUTED] !== undefined || (status === 421 && headers['x-magnoliabay-server-signature'] === undefined),
-    isSigned: headers['x-magnoliabay-server-signature'] !== undefined
+    isNotRun: headers[NOT_EXECUTED] !== undefined || (status === MISDIRECTED && headers['x-magnoliabay-server-signature'] === undefined),
+    isSigned: headers['x-magnoliabay-server-signature'] !== undefined,
+    // 421 also comes from another process that has the server's former address.
+    statement: status === MISDIRECTED ? NO_STATEMENT : decodeServerStatement(headers)
   }
 }
--- a/packages/magnoliabay/src/node/serving/__tests__/requestHandler.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/requestHandler.spec.ts
@@ -18,6 +18,7 @@
 import { createPlacementClient } from '../placement/placementClient'
 import { createRequestHandler } from '../requestHandler'
 import { createServerHealth } from '../serverHealth'
+import { createServerLimits } from '../serverLimits'
 import { createServerList } from '../serverList'
 import type { RequestKind, ServingConfig } from '../types'
 import { NO_EVACUATION, configOf, leadingOf, memberRecord, reportOf, routeOf, serverOf, teamOf } from './fixtures'
@@ -82,6 +83,7 @@
     protocol: platformProtocol,
     servers: serverList,
     health: createServerHealth(clock),
+    serverLimits: createServerLimits({ clock, logger, onChanged: () => {} }),
     fleetView,
     placement: createPlacementClient({ peers, servers: serverList, leader: () => undefined, isServerResponding: () => true, isIsolated: () => false, clock, logger }),
     allowance: createAllowanceLimiter({ peers, findTeam: name => cfg.teams?.find(team => team.name === name), windowMs: 8000, isFirstStart: true, store: createDirectStore(createKvState({ clock }), { clock }), era: () => 0, tolerance: { ratio: 0, slack: 0 }, clock, logger }),
--- a/packages/magnoliabay/src/node/serving/attempt.ts
+++ b/packages/magnoliabay/src/node/serving/attempt.ts
@@ -2,7 +2,7 @@
 import type { ServerResponse } from 'node:http'
 import type { EventStream } from './eventStream'
 import type { ResponseHead, Connections, Exchange } from './exchange'
-import type { BackendServer } from './types'
+import type { BackendServer, ServerStatement } from './types'
 
 /** Largest response that is buffered until it is complete, so that an incomplete one can be replaced, bytes. */
 const MAX_BUFFERED_BYTES = 262_144
@@ -14,6 +14,7 @@
   attemptId: string | undefined
   isNotRun: boolean
   isSigned: boolean
+  statement: ServerStatement
 }
 
 /**
@@ -50,6 +51,8 @@
   toCallerHeaders: (rawHeaders: readonly string[]) => string[]
   /** Whether a response with this status is withheld, since the request may be sent to another server. */
   isRetryableStatus: (status: number) => boolean
+  /** Called with the head of a response of the server to this request. */
+  onServerStatement?: (metadata: ResponseMetadata) => void
   /** Called with the head and with each chunk of the response. */
   onActivity?: () => void
   /** Called before the first bytes of the response go to the caller. */
@@ -100,6 +103,7 @@
     options.onActivity?.()
     const metadata = options.decodeResponseHead(response)
     if (metadata.attemptId !== undefined && metadata.attemptId !== options.attemptId) return fail('response belongs to another request')
+    options.onServerStatement?.(metadata)
     isRejected = metadata.isNotRun
     if (isRejected) return
     if (isOk() && !metadata.isSigned) return fail('response is not signed')
--- a/packages/magnoliabay/src/node/serving/metrics.ts
+++ b/packages/magnoliabay/src/node/serving/metrics.ts
@@ -13,6 +13,8 @@
   ended: Counter<'reason'>
   answerSeconds: Histogram
   configVersion: Gauge
+  /** Servers whose stated rate limit this instance knows. */
+  limitedServers: Gauge
   /** Iterations of the event loop. */
   loopIterations: Gauge
   /** Wakeups of the process by cause. */
@@ -38,6 +40,7 @@
       registers: [registry],
       collect () { wakeupCounter.counts().forEach((count, cause) => this.set({ cause }, count)) }
     }),
+    limitedServers: new Gauge({ name: 'magnoliabay_serving_limited_servers', help: 'Servers that state a rate limit.', registers: [registry] }),
     configVersion: new Gauge({ name: 'magnoliabay_serving_config_version', help: 'Version of the configuration in force.', registers: [registry] })
   }
 }
--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -153,6 +153,7 @@
       decodeResponseHead: protocol.decodeResponseHead,
       toCallerHeaders: protocol.toCallerHeaders,
       isRetryableStatus: status => status >= MIN_SERVER_ERROR_STATUS && canRetry(run),
+      onServerStatement: metadata => ctx.serverLimits.record(id, metadata),
       onActivity: () => {
         ctx.recordWakeup('server')
         health.recordActivity(id)
--- a/packages/magnoliabay/src/node/serving/servingContext.ts
+++ b/packages/magnoliabay/src/node/serving/servingContext.ts
@@ -11,6 +11,7 @@
 import type { ServingMetrics } from './metrics'
 import type { PlacementClient } from './placement/placementClient'
 import type { ServerHealth } from './serverHealth'
+import type { ServerLimits } from './serverLimits'
 import type { ServerList } from './serverList'
 import type { RequestKind } from './types'
 import type { ServingProtocol } from './servingProtocol'
@@ -20,6 +21,7 @@
   protocol: ServingProtocol
   servers: ServerList
   health: ServerHealth
+  serverLimits: ServerLimits
   fleetView: FleetView
   placement: PlacementClient
   allowance: AllowanceLimiter
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -37,6 +37,7 @@
 import { createPlacementClient } from './placement/placementClient'
 import { createRequestHandler } from './requestHandler'
 import { createServerHealth } from './serverHealth'
+import { createServerLimits } from './serverLimits'
 import { createServerList } from './serverList'
 import { createPrefixWatches, watchStore } from './storeWatches'
 import type { StoreWatchOptions } from './storeWatches'
@@ -153,6 +154,7 @@
   const evacuations = createEvacuations({ storeReachableSinceMs: store.reachableSinceMs, clock, logger })
   const servers = createServerList({ decode: protocol.decodeServer, idOf: protocol.serverIdOf, isEvacuated: evacuations.isEvacuated, storeReachableSinceMs: store.reachableSinceMs, clock, logger })
   const health = createServerHealth(clock)
+  const serverLimits = createServerLimits({ clock, logger, onChanged: count => metrics.limitedServers.set(count) })
   const connections = createConnections(clock)
   const demand = new Map<string, DecayingRate>()
   const budgets = new Map<string, RetryBudget>()
@@ -318,6 +320,7 @@
     protocol,
     servers,
     health,
+    serverLimits,
     fleetView,
     placement,
     allowance,
@@ -346,7 +349,7 @@
     metrics.configVersion.set(cfg.version())
     entryServer.setLimits(cfg.current()!.limits)
   })
-  cleanUpDepartedServers({ servers, health, connections, engines: options.engines })
+  cleanUpDepartedServers({ servers, health, serverLimits, connections, engines: options.engines })
   const isProxy = (): boolean => storeProxy.clients().length > 0
   const storeReadPolicy = createStoreReadPolicy({ isLeading: leadership.isLeaseHolder, isProxy, isFollowing: fleetView.isFollowing, memberCount: () => peers.members().length, clock, logger, random })
   const watchOptions: StoreWatchOptions = { store, protocol, cfg, evacuations, servers, memberCount: () => peers.members().length, readsStore: storeReadPolicy.readsStore, isProxy, hasPendingOrders: placementController.hasPendingOrders }
--- a/packages/magnoliabay/src/node/serving/types.ts
+++ b/packages/magnoliabay/src/node/serving/types.ts
@@ -135,6 +135,12 @@
   return `${server.id}@${server.bornMs}`
 }
 
+/** What an answer of a backend server states about the server itself. */
+export interface ServerStatement {
+  /** Requests a second that the server takes from all instances together; undefined if it states no limit. */
+  requestsPerSecond: number | undefined
+}
+
 /** A caller's request, as decoded from its headers. */
 export interface CallerRequest {
   /** Unique for each attempt of a client. */
