--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
@@ -0,0 +1,227 @@
+/** Simulates the path of requests in virtual time: the request handlers of many instances, and backend servers that answer with the platform's headers. */
+import { createDirectStore, createKvState } from '@magnoliabay/standins'
+import { createVirtualClock } from '../../../clock/virtual'
+import type { VirtualClock } from '../../../clock/virtual'
+import { createSilentLogger } from '../../../logger'
+import type { MemberRecord, Peers } from '../../../members'
+import { createMemoryNetwork } from '../../../members/memoryNetwork'
+import type { MemoryNetwork } from '../../../members/memoryNetwork'
+import { createRetryBudget, createSuspects } from '../../../outcomes'
+import { platformProtocol } from '../../../platform'
+import { createWakeupCounter } from '../../../wakeups'
+import { createAllowanceLimiter } from '../../allowance/allowanceLimiter'
+import { createFleetView } from '../../fleetView'
+import { createServingMetrics } from '../../metrics'
+import { createPlacementClient } from '../../placement/placementClient'
+import { createRequestHandler } from '../../requestHandler'
+import { createServerHealth } from '../../serverHealth'
+import { createServerLimits } from '../../serverLimits'
+import { createServerList } from '../../serverList'
+import type { ServerList } from '../../serverList'
+import { createServingConfigProvider } from '../../servingConfigProvider'
+import type { Connections, OutboundRequest, ResponseHandler } from '../../exchange'
+import type { BackendServer, ServingConfig } from '../../types'
+import { NO_EVACUATION, configOf, leadingOf, memberRecord, reportOf, routeOf } from '../fixtures'
+import { createCall } from './callerResponse'
+import type { CallerResponse } from './callerResponse'
+
+const LEADER = 'm000'
+/** Delay of a request or an answer between an instance and a server, milliseconds. */
+const HOP_MS = 1
+
+export interface Arrival {
+  atMs: number
+  from: string
+  attemptId: string
+}
+
+export interface ServerAnswer {
+  status: number
+  headers: Record<string, string>
+  /** Time from the arrival to the answer, milliseconds. @default 20 */
+  afterMs?: number
+}
+
+export interface SimulatedServer {
+  server: BackendServer
+  arrivals: Arrival[]
+  /** Returns the answer to a request that arrives now, or `broken` to close its connection. */
+  answer: (arrival: Arrival) => ServerAnswer | 'broken'
+}
+
+export interface SimulatedEntry {
+  id: string
+  servers: ServerList
+  send (path: string, headers?: Record<string, string>): CallerResponse
+  stop (): void
+}
+
+export interface SimulatedEntries {
+  clock: VirtualClock
+  network: MemoryNetwork
+  entries: Map<string, SimulatedEntry>
+  servers: Map<string, SimulatedServer>
+  start (index: number): SimulatedEntry
+  kill (id: string): void
+  /** Adds a server, or replaces the process of one that has the id; all instances list it at once. */
+  addServer (server: BackendServer, answer: SimulatedServer['answer']): SimulatedServer
+}
+
+export interface SimulatedEntriesOptions {
+  size: number
+  cfg?: ServingConfig
+}
+
+export const instanceId = (index: number): string => `m${String(index).padStart(3, '0')}`
+
+const ROUTES = [
+  routeOf('/read/', { isAnonymous: true, maxAttempts: 3 }),
+  routeOf('/write/', { isAnonymous: true, kind: 'non-idempotent' }),
+  routeOf('/resumable/', { isAnonymous: true, kind: 'stream', isResumable: true, maxAttempts: 3 })
+]
+
+export const SIGNED = { 'x-magnoliabay-server-signature': 'sig', 'content-length': '4' }
+export const answered = (headers: Record<string, string> = {}): ServerAnswer => ({ status: 200, headers: { ...SIGNED, ...headers } })
+export const rejected = (headers: Record<string, string> = {}): ServerAnswer => ({ status: 503, headers: { 'x-magnoliabay-not-executed': '1', 'content-length': '0', ...headers } })
+
+export function createSimulatedEntries ({ size, cfg = configOf(1, { routes: ROUTES }) }: SimulatedEntriesOptions): SimulatedEntries {
+  const clock = createVirtualClock()
+  const logger = createSilentLogger()
+  const network = createMemoryNetwork({ clock })
+  const entries = new Map<string, SimulatedEntry>()
+  const servers = new Map<string, SimulatedServer>()
+  const store = createDirectStore(createKvState({ clock }), { clock })
+  let attempts = 0
+
+  const listEverywhere = (): void => entries.forEach(entry => listServers(entry.servers))
+  const listServers = (list: ServerList): void => list.snapshot([...servers.keys()].map(key => ({ key, value: '' })))
+  const findByAddress = (address: string): SimulatedServer | undefined => [...servers.values()].find(({ server }) => server.address === address)
+
+  /** Delivers a request to the server at its address, and the answer to the instance, unless it was cancelled. */
+  const exchange = (from: string, outbound: OutboundRequest, handler: ResponseHandler): { cancel (reason: string): void } => {
+    let hasEnded = false
+    const end: ResponseHandler['onEnd'] = (kind, reason) => {
+      if (hasEnded) return
+      hasEnded = true
+      handler.onEnd(kind, reason)
+    }
+    const header = (name: string): string => outbound.headers[outbound.headers.findIndex((each, index) => index % 2 === 0 && each.toLowerCase() === name) + 1]!
+    const deliver = (answer: ServerAnswer): void => {
+      if (hasEnded || !entries.has(from)) return
+      const headers: Record<string, string> = { 'x-magnoliabay-attempt-id': header('x-magnoliabay-attempt-id'), ...answer.headers }
+      handler.onHead({ status: answer.status, headers, rawHeaders: Object.entries(headers).flat() })
+      if (!hasEnded && headers['content-length'] === '4') handler.onData(Buffer.from('done'))
+      end('whole', 'response ended')
+    }
+    const arrive = (): void => {
+      const target = findByAddress(outbound.address)
+      if (target === undefined) return end('unsent', 'no server has the address')
+      if (header('x-magnoliabay-expected-instance') !== target.server.id) return deliver({ status: 421, headers: {} })
+      const arrival = { atMs: clock.monotonic(), from, attemptId: header('x-magnoliabay-attempt-id') }
+      target.arrivals.push(arrival)
+      const answer = target.answer(arrival)
+      if (answer === 'broken') return end('broken', 'connection closed')
+      clock.schedule((answer.afterMs ?? 20) + HOP_MS, () => deliver(answer))
+    }
+    clock.schedule(HOP_MS, arrive)
+    return { cancel: reason => end('broken', reason) }
+  }
+
+  const start = (index: number): SimulatedEntry => {
+    const id = instanceId(index)
+    const stop = new AbortController()
+    const peers = withCachedMembers(network.join(memberRecord(id, { incarnation: `${id} ${clock.monotonic()}` })))
+    const activeConfig = createServingConfigProvider({ decode: () => cfg, clock, logger })
+    activeConfig.applyIfNewer('', 'store')
+    const list = createServerList({ decode: key => servers.get(key)?.server, idOf: key => key, isEvacuated: () => false, storeReachableSinceMs: () => -Infinity, clock, logger })
+    listServers(list)
+    const health = createServerHealth(clock)
+    const serverLimits = createServerLimits({ clock, logger, onChanged: () => {} })
+    const fleetView = createFleetView({
+      peers,
+      clock,
+      isLinked: peers.isConnected,
+      leader: () => LEADER,
+      own: () => reportOf({ inFlight: health.inFlightByModel() }),
+      spendingWithDownstream: () => [],
+      leading: () => id === LEADER ? leadingOf(LEADER) : undefined,
+      latestClaim: () => 0,
+      beforeSummary: () => {},
+      summary: () => ({ configVersion: 1, storeAgeMs: 0, storeSteadyMs: Infinity, spent: [], evacuation: NO_EVACUATION, listDigest: '', membersDigest: '' }),
+      onReport: () => {},
+      onSummary: () => {}
+    })
+    const connections: Connections = { exchange: (req, handler) => exchange(id, req, handler), isAccepting: async () => true, forget: () => {}, close: () => {} }
+    const serve = createRequestHandler({
+      cfg: activeConfig,
+      protocol: platformProtocol,
+      servers: list,
+      health,
+      serverLimits,
+      fleetView,
+      placement: createPlacementClient({ peers, servers: list, leader: () => LEADER, isServerResponding: process => !health.isSilent(process), isIsolated: () => false, clock, logger }),
+      allowance: createAllowanceLimiter({ peers, findTeam: () => undefined, windowMs: 8000, isFirstStart: true, store, era: () => 0, tolerance: { ratio: 0, slack: 0 }, clock, logger }),
+      connections,
+      coldStarts: { isCold: () => false, admit: async () => true },
+      suspects: createSuspects({ peers, clock, logger, hasCrashed: async () => false }),
+      retryBudget: () => createRetryBudget({ retriesPerRequest: 1, burst: () => 1000 }),
+      recordDemand: () => {},
+      onModelUseChanged: () => {},
+      recordWakeup: () => {},
+      isClosingFor: () => false,
+      metrics: createServingMetrics(createWakeupCounter()),
+      clock,
+      logger,
+      failureDomain: 'a',
+      random: () => 0,
+      pause: ms => new Promise(resolve => clock.schedule(ms, resolve))
+    })
+    fleetView.start(stop.signal)
+    const entry: SimulatedEntry = {
+      id,
+      servers: list,
+      send: (path, headers = {}) => {
+        attempts += 1
+        const { inbound, response } = createCall(path, { host: 'site.example', 'x-magnoliabay-attempt-id': `try-${attempts}`, 'x-magnoliabay-deadline-ms': '4000', ...headers }, clock.monotonic)
+        serve(inbound)
+        return response
+      },
+      stop: () => stop.abort()
+    }
+    entries.set(id, entry)
+    return entry
+  }
+  Array.from({ length: size }, (_, index) => start(index))
+
+  return {
+    clock,
+    network,
+    entries,
+    servers,
+    start,
+    kill: id => {
+      entries.get(id)?.stop()
+      entries.delete(id)
+      network.kill(id)
+    },
+    addServer: (server, answer) => {
+      const simulated = { server, answer, arrivals: [] }
+      servers.set(server.id, simulated)
+      listEverywhere()
+      return simulated
+    }
+  }
+}
+
+/** Keeps the list of members until it changes, as a process does: what is derived from it is cached by its identity. */
+function withCachedMembers (peers: Peers): Peers {
+  let members: readonly MemberRecord[] | undefined
+  peers.onMembersChanged(() => { members = undefined })
+  return { ...peers, members: () => members ??= peers.members() }
+}
+
+/** Returns the highest number of arrivals within any span of this length that begins at `fromMs` or later. */
+export function maxArrivalsWithin (arrivals: readonly Arrival[], spanMs: number, fromMs: number): number {
+  const times = arrivals.map(({ atMs }) => atMs).filter(atMs => atMs >= fromMs)
+  return Math.max(0, ...times.map(from => times.filter(atMs => atMs >= from && atMs < from + spanMs).length))
+}
