--- a/packages/magnoliabay/src/node/serving/__tests__/fixtures.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/fixtures.ts
@@ -50,7 +50,7 @@
 }
 
 export function reportOf (changes: Partial<InstanceReport> = {}): InstanceReport {
-  return { configVersion: 1, storeAgeMs: 0, inFlight: [], demand: [], leavingServers: [], silentServers: [], spent: [], isReady: true, below: [], isUrgent: false, ...changes }
+  return { configVersion: 1, storeAgeMs: 0, inFlight: [], demand: [], leavingServers: [], silentServers: [], limits: [], spent: [], isReady: true, below: [], isUrgent: false, ...changes }
 }
 
 /** The claim of a leader, at a revision of the store. */
--- a/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
@@ -11,6 +11,7 @@
 import { createWakeupCounter } from '../../../wakeups'
 import { createAllowanceLimiter } from '../../allowance/allowanceLimiter'
 import { createFleetView } from '../../fleetView'
+import { createLimitedServers } from '../../limitedServers'
 import { createServingMetrics } from '../../metrics'
 import { createPlacementClient } from '../../placement/placementClient'
 import { createRequestHandler } from '../../requestHandler'
@@ -137,19 +138,20 @@
     listServers(list)
     const health = createServerHealth(clock)
     const serverLimits = createServerLimits({ clock, logger, onChanged: () => {} })
+    const limitedServers = createLimitedServers({ peers, limits: serverLimits, clock, logger })
     const fleetView = createFleetView({
       peers,
       clock,
       isLinked: peers.isConnected,
       leader: () => LEADER,
-      own: () => reportOf({ inFlight: health.inFlightByModel() }),
+      own: () => reportOf({ inFlight: health.inFlightByModel(), limits: serverLimits.stated() }),
       spendingWithDownstream: () => [],
       leading: () => id === LEADER ? leadingOf(LEADER) : undefined,
       latestClaim: () => 0,
       beforeSummary: () => {},
-      summary: () => ({ configVersion: 1, storeAgeMs: 0, storeSteadyMs: Infinity, spent: [], evacuation: NO_EVACUATION, listDigest: '', membersDigest: '' }),
-      onReport: () => {},
-      onSummary: () => {}
+      summary: () => ({ configVersion: 1, storeAgeMs: 0, storeSteadyMs: Infinity, spent: [], limits: serverLimits.stated(), evacuation: NO_EVACUATION, listDigest: '', membersDigest: '' }),
+      onReport: (_member, report) => serverLimits.recordFromPeer(report.limits),
+      onSummary: (_member, summary) => serverLimits.recordFromPeer(summary.limits)
     })
     const connections: Connections = { exchange: (req, handler) => exchange(id, req, handler), isAccepting: async () => true, forget: () => {}, close: () => {} }
     const serve = createRequestHandler({
@@ -158,6 +160,7 @@
       servers: list,
       health,
       serverLimits,
+      limitedServers,
       fleetView,
       placement: createPlacementClient({ peers, servers: list, leader: () => LEADER, isServerResponding: process => !health.isSilent(process), isIsolated: () => false, clock, logger }),
       allowance: createAllowanceLimiter({ peers, findTeam: () => undefined, windowMs: 8000, isFirstStart: true, store, era: () => 0, tolerance: { ratio: 0, slack: 0 }, clock, logger }),
@@ -216,8 +219,12 @@
 /** Keeps the list of members until it changes, as a process does: what is derived from it is cached by its identity. */
 function withCachedMembers (peers: Peers): Peers {
   let members: readonly MemberRecord[] | undefined
+  const read = (): readonly MemberRecord[] => {
+    members ??= peers.members()
+    return members
+  }
   peers.onMembersChanged(() => { members = undefined })
-  return { ...peers, members: () => members ??= peers.members() }
+  return { ...peers, members: read }
 }
 
 /** Returns the highest number of arrivals within any span of this length that begins at `fromMs` or later. */
--- a/packages/magnoliabay/src/node/serving/fleetMessages.ts
+++ b/packages/magnoliabay/src/node/serving/fleetMessages.ts
@@ -4,6 +4,7 @@
 import type { EvacuationState } from './evacuations'
 import type { TeamSpending } from './allowance/allowanceLimiter'
 import type { LeaderClaim } from './placement/leaderRecords'
+import type { StatedLimit } from './serverLimits'
 import type { BackendServer } from './types'
 
 /** Requests in flight at one server for one model. */
@@ -43,6 +44,8 @@
   demand: readonly ModelDemand[]
   leavingServers: readonly string[]
   silentServers: readonly SilentServer[]
+  /** Rate limits that servers have stated. */
+  limits: readonly StatedLimit[]
   /** Spending of teams' allowances within the window. */
   spent: readonly TeamSpending[]
   /** Whether the reporting instance itself is ready. */
@@ -79,6 +82,8 @@
   /** Members to which no caller should be directed: not ready, or without recent reports. */
   unavailable: readonly string[]
   leavingServers: readonly string[]
+  /** Rate limits that servers have stated to any instance. */
+  limits: readonly StatedLimit[]
   /** Spending of teams' allowances by all instances within the window. */
   spent: readonly TeamSpending[]
   evacuation: EvacuationState
--- a/packages/magnoliabay/src/node/serving/fleetView.ts
+++ b/packages/magnoliabay/src/node/serving/fleetView.ts
@@ -71,7 +71,7 @@
   /** Revision of the latest known claim. */
   latestClaim: () => number
   /** Fields of the summary that this module does not maintain. */
-  summary: () => Pick<FleetSummary, 'configVersion' | 'storeAgeMs' | 'storeSteadyMs' | 'spent' | 'evacuation' | 'listDigest' | 'membersDigest'>
+  summary: () => Pick<FleetSummary, 'configVersion' | 'storeAgeMs' | 'storeSteadyMs' | 'spent' | 'limits' | 'evacuation' | 'listDigest' | 'membersDigest'>
   /** Called before a summary is sent, to send the changes that the summary reflects. */
   beforeSummary: () => void
   /** Called with each report of another instance. */
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/limitedServers.ts
@@ -0,0 +1,122 @@
+/**
+ * Keeps the requests of all instances together to the rate that a backend server states. One instance, the server's home,
+ * counts for all, and each request to a limited server asks it first. An instance that cannot reach the home asks the
+ * deputy, the next in the same ranking; one that reaches neither has an equal part of a small share. The shares of all
+ * three together stay within one and a half times the limit, also while members change and two instances take themselves
+ * for the home for a moment.
+ */
+import type { Clock } from '../clock'
+import type { Logger } from '../logger'
+import { definePeerCall } from '../members'
+import type { Peers } from '../members'
+import { rankHomeInstances } from './homeInstance'
+import { createRateBucket } from './rateBucket'
+import type { Grant, RateBucket } from './rateBucket'
+import type { ServerLimits } from './serverLimits'
+import { serverProcessId } from './types'
+import type { BackendServer } from './types'
+
+type Role = 'home' | 'deputy' | 'apart'
+
+interface AdmitRequest {
+  process: string
+  role: Role
+  requestsPerSecond: number
+}
+
+const admitCall = definePeerCall<AdmitRequest, Grant>('serving.admit-limited')
+
+/** Part of the limit that an instance grants in each role; `apart` is divided by the number of members. */
+const SHARES: Record<Role, number> = { home: 1, deputy: 0.25, apart: 0.25 }
+/** A limit of zero would never be lifted, since only an answer lifts it. */
+const MIN_REQUESTS_PER_SECOND = 0.1
+/** The home replies within a round trip. Waiting longer would cost more than sending the request elsewhere. */
+const ASK_TIMEOUT_MS = 200
+/** An instance that has not replied is asked again after this time, milliseconds. */
+const ASK_RETRY_MS = 1000
+/** Above this number of buckets all are dropped: those of processes that have ended would accumulate. */
+const MAX_BUCKETS = 1000
+
+export interface LimitedServers {
+  /** Takes a request for the server; the grant is immediate for one that states no limit. */
+  admit (server: BackendServer): Promise<Grant>
+}
+
+export interface LimitedServersOptions {
+  peers: Peers
+  limits: Pick<ServerLimits, 'limitOf'>
+  clock: Clock
+  logger: Logger
+}
+
+const GRANTED: Grant = { freeInMs: 0, retryInMs: 0 }
+
+export function createLimitedServers ({ peers, limits, clock, logger }: LimitedServersOptions): LimitedServers {
+  const buckets = new Map<string, RateBucket>()
+  /** The last refusal for each process: until it has a free place again, nobody needs to be asked. */
+  const refusals = new Map<string, { grant: Grant, atMs: number }>()
+  const unreachedUntilMs = new Map<string, number>()
+  /** Home and deputy by process, until members change. */
+  const rankings = new Map<string, readonly string[]>()
+  peers.onMembersChanged(() => rankings.clear())
+
+  const bucketOf = (process: string, role: Role): RateBucket => {
+    const key = `${role} ${process}`
+    if (buckets.size > MAX_BUCKETS) buckets.clear()
+    // An instance that is cut off starts without a burst: many may be cut off at once.
+    const bucket = buckets.get(key) ?? createRateBucket({ nowMs: clock.monotonic(), ...(role === 'apart' ? { initialTokens: 0 } : {}) })
+    buckets.set(key, bucket)
+    return bucket
+  }
+  const take = ({ process, role, requestsPerSecond }: AdmitRequest): Grant => {
+    const limit = Math.max(MIN_REQUESTS_PER_SECOND, limits.limitOf(process) ?? requestsPerSecond)
+    const parts = role === 'apart' ? Math.max(1, peers.members().length) : 1
+    return bucketOf(process, role).take(limit * SHARES[role] / parts, clock.monotonic())
+  }
+  peers.serve(admitCall, take)
+
+  const rankingOf = (process: string): readonly string[] => {
+    const ranking = rankings.get(process) ?? rankHomeInstances(peers, process).slice(0, 2)
+    rankings.set(process, ranking)
+    return ranking
+  }
+  /** Returns undefined if the instance does not reply. */
+  const ask = async (member: string, req: AdmitRequest): Promise<Grant | undefined> => {
+    if (member === peers.self.id) return take(req)
+    if (!peers.isConnected(member) || (unreachedUntilMs.get(member) ?? -Infinity) > clock.monotonic()) return undefined
+    const reply = await peers.call(member, admitCall, req, { timeoutMs: ASK_TIMEOUT_MS })
+    if (reply.ok) return reply.val
+    unreachedUntilMs.set(member, clock.monotonic() + ASK_RETRY_MS)
+    logger.info('limited-server-not-asked', { server: req.process, home: member, role: req.role, reason: reply.val.kind })
+    return undefined
+  }
+  const askRanked = async (process: string, requestsPerSecond: number): Promise<Grant> => {
+    const [home, deputy] = rankingOf(process)
+    const granted = (home === undefined ? undefined : await ask(home, { process, role: 'home', requestsPerSecond })) ??
+      (deputy === undefined ? undefined : await ask(deputy, { process, role: 'deputy', requestsPerSecond }))
+    if (granted === undefined) return take({ process, role: 'apart', requestsPerSecond })
+    buckets.delete(`apart ${process}`)
+    return granted
+  }
+  const pendingRefusal = (process: string): Grant | undefined => {
+    const refusal = refusals.get(process)
+    if (refusal === undefined) return undefined
+    const elapsedMs = clock.monotonic() - refusal.atMs
+    if (elapsedMs >= refusal.grant.freeInMs) return undefined
+    return { freeInMs: refusal.grant.freeInMs - elapsedMs, retryInMs: Math.max(1, refusal.grant.retryInMs - elapsedMs) }
+  }
+
+  return {
+    admit: async server => {
+      const process = serverProcessId(server)
+      const limit = limits.limitOf(process)
+      if (limit === undefined) return GRANTED
+      const pending = pendingRefusal(process)
+      if (pending !== undefined) return pending
+      const grant = await askRanked(process, limit)
+      if (grant.freeInMs > 0) refusals.set(process, { grant, atMs: clock.monotonic() })
+      else refusals.delete(process)
+      return grant
+    }
+  }
+}
--- a/packages/magnoliabay/src/node/serving/placement/messages.ts
+++ b/packages/magnoliabay/src/node/serving/placement/messages.ts
@@ -8,6 +8,8 @@
   waitedMs: number
   /** Longest further wait, milliseconds; a caller that would have to wait longer is refused at once. */
   patienceMs: number
+  /** Processes of engines that have the model and take no requests for it now; undefined from a peer of an older version. */
+  unavailable?: readonly string[]
 }
 
 /**
--- a/packages/magnoliabay/src/node/serving/placement/placementClient.ts
+++ b/packages/magnoliabay/src/node/serving/placement/placementClient.ts
@@ -40,6 +40,8 @@
   isShuttingDown: () => boolean
   /** Processes of servers that must not serve the request. */
   excludedProcesses: ReadonlySet<string>
+  /** Processes of servers that have the model and take no requests now: the leader places the model elsewhere. */
+  unavailableProcesses: ReadonlySet<string>
 }
 
 export interface PlacementClient {
@@ -87,7 +89,8 @@
     wakers.add(wake)
     return sleep(clock, delayMs, AbortSignal.any([signal, woken.signal])).finally(() => wakers.delete(wake))
   }
-  const waitUntilReady = async ({ model, adapter, service, maxWaitMs, signal, isShuttingDown, excludedProcesses }: ModelWaitOptions): Promise<ModelWaitResult> => {
+  const waitUntilReady = async ({ model, adapter, service, maxWaitMs, signal, isShuttingDown, excludedProcesses, unavailableProcesses }: ModelWaitOptions): Promise<ModelWaitResult> => {
+    const mayServe = (process: string): boolean => !excludedProcesses.has(process) && !unavailableProcesses.has(process)
     const sinceMs = clock.monotonic()
     let lastRequestMs = -Infinity
     let hasLeader = false
@@ -95,17 +98,17 @@
       // When the process ends, a request that begins now would be cut off, and one that is still waiting would get no
       // response at all.
       if (isShuttingDown()) return { kind: 'closing' }
-      const usableServers = serversWithModel(service, model, adapter).filter(server => !excludedProcesses.has(serverProcessId(server)))
+      const usableServers = serversWithModel(service, model, adapter).filter(server => mayServe(serverProcessId(server)))
       if (usableServers.length > 0) return { kind: 'ready', servers: usableServers }
       if (signal.aborted) return { kind: 'stopped' }
       const waitedMs = clock.monotonic() - sinceMs
       if (waitedMs >= maxWaitMs) return hasLeader ? { kind: 'not-in-time', inMs: REQUEST_INTERVAL_MS } : { kind: 'no-orderer' }
       if (clock.monotonic() - lastRequestMs >= REQUEST_INTERVAL_MS) {
         lastRequestMs = clock.monotonic()
-        const reply = await sendRequest({ model, adapter, waitedMs, patienceMs: maxWaitMs - waitedMs })
+        const reply = await sendRequest({ model, adapter, waitedMs, patienceMs: maxWaitMs - waitedMs, unavailable: [...unavailableProcesses] })
         if (reply.kind === 'ready') {
           const server = servers.get(reply.server)
-          if (server !== undefined && !excludedProcesses.has(serverProcessId(server))) return { kind: 'ready', servers: [server] }
+          if (server !== undefined && mayServe(serverProcessId(server))) return { kind: 'ready', servers: [server] }
         }
         if (reply.kind === 'unavailable' && (options.isIsolated() || waitedMs > MAX_WAIT_WITHOUT_LEADER_MS)) return { kind: 'no-orderer' }
         hasLeader ||= reply.kind === 'coming'
--- a/packages/magnoliabay/src/node/serving/placement/placementController.ts
+++ b/packages/magnoliabay/src/node/serving/placement/placementController.ts
@@ -5,6 +5,7 @@
 import { sleep, delayToNextPeriod } from '../../clock'
 import type { Logger } from '../../logger'
 import type { Peers } from '../../members'
+import { addCount } from '../../utils'
 import { createDecayingAverage } from '../decayingAverage'
 import type { DecayingAverage } from '../decayingAverage'
 import type { ServingConfigProvider } from '../servingConfigProvider'
@@ -16,6 +17,8 @@
 import type { EngineAdapters } from './adapterPlacement'
 import { freeWeightsMb } from './engineTracker'
 import { createEngineOrders } from './engineOrders'
+import { assessLimitedEngine } from './limitedEngines'
+import type { LimitedEngineUse } from './limitedEngines'
 import type { Engine } from './engineOrders'
 import type { LeaderElection } from './leaderElection'
 import { placementCall } from './messages'
@@ -50,9 +53,13 @@
  * outlasts it.
  */
 const IN_FLIGHT_AVERAGE_MS = 2000
+/** Stated to requests whose engines take none while there is no other engine, milliseconds: longer than any of them waits. */
+const NO_OTHER_ENGINE_MS = 60_000
 /** Delay after which a caller retries an adapter that could not be ordered, milliseconds. */
 const ADAPTER_RETRY_DELAY_MS = 250
 
+const NO_LIMITED_ENGINES: ReadonlyMap<string, LimitedEngineUse> = new Map()
+
 export interface PlacementControllerOptions {
   self: string
   leadership: LeaderElection
@@ -60,6 +67,8 @@
   cfg: ServingConfigProvider
   table: FleetView
   engines: EngineCalls
+  /** Requests a second that an engine's process takes, if it states a limit. */
+  limitOf: (process: string) => number | undefined
   /** Time since which the store has answered every call, monotonic milliseconds. */
   storeReachableSinceMs: () => number
   peers: Peers
@@ -70,6 +79,8 @@
 }
 
 interface OpenRequest {
+  /** Processes of engines that have the model and take no requests for it now. */
+  unavailable: ReadonlySet<string>
   sinceMs: number
   /** Expiry time, monotonic milliseconds. */
   untilMs: number
@@ -166,7 +177,16 @@
       .filter((model): model is string => model !== undefined && !loaded.includes(model))
     return [...loaded, ...new Set(coming)]
   }
-  const snapshotOf = (engine: Engine): EngineSnapshot => {
+  const rateAt = (replicas: ReadonlyMap<string, number>) => (model: string): number => fleetView.demand(model).rate / Math.max(1, replicas.get(model) ?? 1)
+  /** Returns the use of each engine that states a limit, by process. */
+  const assessLimitedEngines = (engines: readonly Engine[]): ReadonlyMap<string, LimitedEngineUse> => {
+    const limited = engines.filter(({ process }) => options.limitOf(process) !== undefined)
+    if (limited.length === 0) return NO_LIMITED_ENGINES
+    const replicas = new Map<string, number>()
+    engines.flatMap(plannedModels).forEach(model => addCount(replicas, model, 1))
+    return new Map(limited.map(engine => [engine.process, assessLimitedEngine({ requestsPerSecond: options.limitOf(engine.process)!, models: plannedModels(engine) }, rateAt(replicas))]))
+  }
+  const snapshotOf = (engine: Engine, use: LimitedEngineUse | undefined): EngineSnapshot => {
     const { process, tracked, spec, server } = engine
     const models = plannedModels(engine)
     return {
@@ -178,6 +198,7 @@
       // A single instance may have lost its own path to the engine, so reports from two are needed.
       isResponding: (tracked.acceptedOrders !== undefined || tracked.models.length > 0) && fleetView.silenceReportCount(process) < MIN_SILENCE_REPORTS,
       copies: tracked.copies,
+      spareRequestsPerSecond: use?.spareRequestsPerSecond ?? Infinity,
       inFlight: new Map(models.map(model => [model, fleetView.inFlight(process, model)])),
       slots: server.slots
     }
@@ -187,7 +208,12 @@
     inFlightAverages.set(model, average)
     return average.update(inFlight, clock.monotonic())
   }
-  const needOf = (model: string): ModelNeed => {
+  /** Engines whose replica of the model does not count: it states a limit that the model exceeds, or takes none from an instance that has requests for it. */
+  const unusableEnginesOf = (model: string, limitedEngines: ReadonlyMap<string, LimitedEngineUse>): ReadonlySet<string> => {
+    const beyondLimit = [...limitedEngines].filter(([, use]) => use.modelsBeyondLimit.includes(model)).map(([process]) => process)
+    return new Set([...beyondLimit, ...openRequests.get(model)?.unavailable ?? []])
+  }
+  const needOf = (model: string, limitedEngines: ReadonlyMap<string, LimitedEngineUse>): ModelNeed => {
     const now = clock.monotonic()
     const demand = fleetView.demand(model)
     const openRequest = openRequests.get(model)
@@ -201,7 +227,8 @@
       waitedMs: openRequest === undefined ? 0 : now - openRequest.sinceMs,
       inFlight,
       averageInFlight: averageInFlightOf(model, inFlight),
-      idleMs: now - (lastActiveMs.get(model) ?? -Infinity)
+      idleMs: now - (lastActiveMs.get(model) ?? -Infinity),
+      unusableOn: unusableEnginesOf(model, limitedEngines)
     }
   }
   /** Sends the next order of an engine's reservation as soon as the engine may accept it. */
@@ -250,9 +277,11 @@
     openRequests.forEach((openRequest, model) => { if (now > openRequest.untilMs) openRequests.delete(model) })
     orders.requestReports()
     orders.listEngines().forEach(continueReservation)
-    const snapshots = orders.listEngines().map(snapshotOf)
+    const engines = orders.listEngines()
+    const limitedEngines = assessLimitedEngines(engines)
+    const snapshots = engines.map(engine => snapshotOf(engine, limitedEngines.get(engine.process)))
     const names = new Set([...fleetView.modelsInDemand(), ...openRequests.keys(), ...snapshots.flatMap(snapshot => snapshot.models)])
-    const needs = [...names].filter(model => !model.includes('/')).map(needOf)
+    const needs = [...names].filter(model => !model.includes('/')).map(model => needOf(model, limitedEngines))
     planSteps({ engines: snapshots, needs, specs: specs(), allowedStoreLoads: storeLoads.remaining(now) }).forEach(executeStep)
     if (now - lastPreloadMs < ADAPTER_PRELOAD_INTERVAL_MS) return
     lastPreloadMs = now
@@ -302,8 +331,8 @@
     planAdapterPreloads(orders.listEngines().map(engineAdaptersOf), idleEngines.map(engine => engine.process), adaptersOf)
       .forEach(({ id, model, adapter }) => { orders.loadAdapter(id, model, adapter) })
   }
-  const requestAdapter = async (model: string, adapter: string): Promise<PlacementReply> => {
-    const enginesWithModel = orders.listEngines().filter(engine => engine.tracked.models.some(loaded => loaded.name === model))
+  const requestAdapter = async (model: string, adapter: string, unavailable: ReadonlySet<string>): Promise<PlacementReply> => {
+    const enginesWithModel = orders.listEngines().filter(engine => !unavailable.has(engine.process) && engine.tracked.models.some(loaded => loaded.name === model))
     const available = enginesWithModel.filter(engine => engine.tracked.acceptedOrders !== undefined && engine.tracked.pending === undefined)
     const placement = chooseAdapterPlacement(available.map(engineAdaptersOf), model, adapter)
     const soonestMs = Math.min(...enginesWithModel.map(remainingMs))
@@ -313,8 +342,8 @@
     const engine = orders.listEngines().find(({ process }) => process === placement.id)
     return engine === undefined ? { kind: 'unavailable' } : { kind: 'ready', server: engine.server.id }
   }
-  const remainingLoadMs = (model: string): number | undefined => {
-    const remainingTimes = orders.listEngines().filter(engine => plannedModels(engine).includes(model)).map(remainingMs)
+  const remainingLoadMs = ({ model, unavailable = [] }: PlacementRequest): number | undefined => {
+    const remainingTimes = orders.listEngines().filter(engine => !unavailable.includes(engine.process) && plannedModels(engine).includes(model)).map(remainingMs)
     return remainingTimes.length === 0 ? undefined : Math.min(...remainingTimes)
   }
   /** Estimates the time until a model for which nothing is ordered yet could be loaded, milliseconds. */
@@ -326,13 +355,13 @@
     if (tierFor(model) === 'store') return expectedLoadMs(model, 'store', queued.filter(name => tierFor(name) === 'store').length)
     return MODEL_SWAP_MS * (1 + queued.length / Math.max(1, engines.length))
   }
-  const requestLoad = (req: PlacementRequest, expectedMs = remainingLoadMs(req.model) ?? estimateQueuedLoadMs(req.model)): PlacementReply => {
+  const requestLoad = (req: PlacementRequest, expectedMs = remainingLoadMs(req) ?? estimateQueuedLoadMs(req.model)): PlacementReply => {
     const now = clock.monotonic()
     const previous = openRequests.get(req.model)
     const expectedInMs = Math.round(expectedMs)
     // A caller that is refused must find the model loaded when it retries.
     const ttlMs = REQUEST_TTL_MS + (expectedInMs > req.patienceMs ? expectedInMs : 0)
-    openRequests.set(req.model, { sinceMs: Math.min(previous?.sinceMs ?? Infinity, now - req.waitedMs), untilMs: Math.max(previous?.untilMs ?? 0, now + ttlMs) })
+    openRequests.set(req.model, { unavailable: new Set([...previous?.unavailable ?? [], ...req.unavailable ?? []]), sinceMs: Math.min(previous?.sinceMs ?? Infinity, now - req.waitedMs), untilMs: Math.max(previous?.untilMs ?? 0, now + ttlMs) })
     if (previous === undefined) schedulePlan()
     return { kind: 'coming', inMs: expectedInMs }
   }
@@ -341,9 +370,11 @@
     if (startsInMs === undefined) return { kind: 'unavailable' }
     // The state of the engines is not known yet; most models take a swap once orders are given again.
     if (startsInMs > 0) return requestLoad(req, startsInMs + MODEL_SWAP_MS)
-    const isModelLoaded = orders.listEngines().some(({ tracked, process }) => fleetView.silenceReportCount(process) < MIN_SILENCE_REPORTS && tracked.models.some(loaded => loaded.name === req.model))
+    const unavailable = new Set(req.unavailable)
+    if (unavailable.size > 0 && orders.listEngines().every(({ process }) => unavailable.has(process))) return { kind: 'coming', inMs: NO_OTHER_ENGINE_MS }
+    const isModelLoaded = orders.listEngines().some(({ tracked, process }) => !unavailable.has(process) && fleetView.silenceReportCount(process) < MIN_SILENCE_REPORTS && tracked.models.some(loaded => loaded.name === req.model))
     if (req.adapter === undefined || !isModelLoaded) return requestLoad(req)
-    return await requestAdapter(req.model, req.adapter)
+    return await requestAdapter(req.model, req.adapter, unavailable)
   }
   peers.serve(placementCall, requestModel)
 
--- a/packages/magnoliabay/src/node/serving/placement/plan.ts
+++ b/packages/magnoliabay/src/node/serving/placement/plan.ts
@@ -18,6 +18,8 @@
   isLoadingFromStore: boolean
   isResponding: boolean
   copies: { memory: readonly string[], disk: readonly string[] }
+  /** Request rate that it can take beyond that for its own models, per second; Infinity if it states no limit. */
+  spareRequestsPerSecond: number
   /** Requests in flight for each model. */
   inFlight: ReadonlyMap<string, number>
   slots: number
@@ -36,6 +38,8 @@
   averageInFlight: number
   /** Time since the last request, milliseconds. */
   idleMs: number
+  /** Engines whose replica does not count: it cannot take the model's requests. */
+  unusableOn: ReadonlySet<string>
 }
 
 export interface PlacementPlanInput {
@@ -129,7 +133,9 @@
   let storeLoads = input.allowedStoreLoads
   const steps: PlanStep[] = []
   const replicasOf = new Map<string, number>()
-  input.engines.filter(engine => engine.isResponding).flatMap(engine => engine.models).forEach(model => replicasOf.set(model, (replicasOf.get(model) ?? 0) + 1))
+  input.engines.filter(engine => engine.isResponding).forEach(engine => engine.models
+    .filter(model => !isUnusable(needs.get(model), engine))
+    .forEach(model => replicasOf.set(model, (replicasOf.get(model) ?? 0) + 1)))
   const replicas = (model: string): number => replicasOf.get(model) ?? 0
 
   const takeOption = (option: PlacementOption, model: string, reason: 'waiting' | 'more-replicas'): void => {
@@ -149,13 +155,13 @@
    * Checks each engine and each eviction set: some hundred thousand per second at 63 engines, so no lists are
    * allocated.
    */
-  const findBestOption = (model: string, maxEvictionCostMs: number): PlacementOption | undefined => {
+  const findBestOption = ({ model, rate }: ModelNeed, maxEvictionCostMs: number): PlacementOption | undefined => {
     const spec = input.specs.get(model)
     if (spec === undefined) return undefined
     let found: PlacementOption | undefined
     engines.forEach(engine => {
       const tier = tierOf(engine, model)
-      if ((tier === 'store' && storeLoads <= 0) || engine.models.includes(model)) return
+      if ((tier === 'store' && storeLoads <= 0) || engine.models.includes(model) || engine.spareRequestsPerSecond < rate) return
       const loadMs = engine.busyMs + spec.loadMs[tier]
       evictionSetsFor(engine, spec.weightsMb).forEach(({ modelsToUnload, delayMs, evictionCostMs: lossMs }) => {
         const costMs = loadMs + delayMs + lossMs
@@ -174,7 +180,7 @@
     .filter(({ urgency }) => urgency >= 1)
     .sort((left, right) => right.urgency - left.urgency || right.need.waitedMs - left.need.waitedMs)
     .forEach(({ need, urgency }) => {
-      const option = findBestOption(need.model, loadGainMs(urgency, need.waitedMs))
+      const option = findBestOption(need, loadGainMs(urgency, need.waitedMs))
       if (option !== undefined) takeOption(option, need.model, replicas(need.model) === 0 ? 'waiting' : 'more-replicas')
     })
   // Replicas for streams that are not late yet must leave most engines free for loads from their own disks.
@@ -187,7 +193,7 @@
     .forEach(need => {
       // Another replica speeds streams up only a little, which does not justify unloading a model that is likely to be
       // requested.
-      const option = findBestOption(need.model, MODEL_RELOAD_MS)
+      const option = findBestOption(need, MODEL_RELOAD_MS)
       if (option === undefined) return
       if (option.tier === 'store') {
         if (replicaStoreLoads <= 0 || replicas(need.model) >= replicasForLoad(need.averageInFlight, input.engines)) return
@@ -198,6 +204,10 @@
   return steps
 }
 
+function isUnusable (need: ModelNeed | undefined, engine: EngineSnapshot): boolean {
+  return need?.unusableOn.has(engine.id) ?? false
+}
+
 function loadGainMs (urgency: number, waitedMs: number): number {
   return urgency * LOAD_GAIN_MS * (1 + waitedMs / GAIN_INCREASE_INTERVAL_MS)
 }
@@ -236,7 +246,8 @@
   const setOf = (engine: EngineSnapshot, modelsToUnload: readonly string[]): EvictionSet => {
     const runningRequests = (model: string): number => engine.inFlight.get(model) ?? 0
     const runningRequestMs = modelsToUnload.some(model => runningRequests(model) > 0) ? RUNNING_REQUEST_MS : 0
-    const costs = modelsToUnload.map(model => evictionCostMs(model, runningRequests(model), needs.get(model), replicas(model), engine.slots))
+    const replicasWith = (model: string): number => replicas(model) + (isUnusable(needs.get(model), engine) ? 1 : 0)
+    const costs = modelsToUnload.map(model => evictionCostMs(model, runningRequests(model), needs.get(model), replicasWith(model), engine.slots))
     return { modelsToUnload, delayMs: modelsToUnload.length * UNLOAD_MS + runningRequestMs, evictionCostMs: costs.reduce((sum, each) => sum + each, 0) }
   }
   const find = (engine: EngineSnapshot, weightsMb: number): EvictionSet[] => {
--- a/packages/magnoliabay/src/node/serving/refusal.ts
+++ b/packages/magnoliabay/src/node/serving/refusal.ts
@@ -11,6 +11,7 @@
   | 'no-orderer'
   | 'server-full'
   | 'server-cold'
+  | 'server-limited'
   | 'retry-budget-spent'
   | 'crashes-servers'
   | 'route-timeout'
@@ -38,6 +39,7 @@
   'no-orderer': 503,
   'server-full': 503,
   'server-cold': 503,
+  'server-limited': 503,
   'retry-budget-spent': 503,
   'crashes-servers': 503,
   'route-timeout': 503,
--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -4,7 +4,8 @@
 import { admitRequest, unitsOf } from './requestAdmission'
 import { startAttempt } from './attempt'
 import type { Attempt, AttemptEnd } from './attempt'
-import { chooseServer } from './chooseServer'
+import { createServerChooser } from './serverChoice'
+import type { ServerChoice } from './serverChoice'
 import type { ServingContext } from './servingContext'
 import { createRequestCompletion } from './requestCompletion'
 import { createEventStream } from './eventStream'
@@ -28,9 +29,6 @@
 const NO_LEADER_RETRY_AFTER_MS = 2000
 /** Retry delay, milliseconds: other instances can take the request at once. */
 const LEAVING_RETRY_AFTER_MS = 20
-/** Delay before a cold server is tried again, and the delay after which its callers may retry, milliseconds. */
-const COLD_SERVER_DELAY_MS = 150
-const COLD_SERVER_RETRY_AFTER_MS = 500
 /** How often a request is sent again after servers rejected it without running it. */
 const MAX_REJECTIONS = 3
 /** Delay before the next attempt after a rejection, milliseconds. */
@@ -39,8 +37,21 @@
 const SILENCE_CHECK_INTERVAL_MS = 400
 const MIN_SERVER_ERROR_STATUS = 500
 
+const NO_SERVER: Refusal = { reason: 'no-server', retryAfterMs: SERVER_FULL_RETRY_AFTER_MS }
+
+function serverOf (choice: ServerChoice): BackendServer | Refusal {
+  if (choice.kind === 'chosen') return choice.server
+  return choice.kind === 'refused' ? choice.refusal : NO_SERVER
+}
+
+/** Returns the refusal after which a caller may return first. */
+function soonerOf (one: Refusal, other: Refusal): Refusal {
+  return (other.retryAfterMs ?? Infinity) < (one.retryAfterMs ?? Infinity) ? other : one
+}
+
 export function createRequestHandler (ctx: ServingContext): (inbound: Inbound) => Promise<void> {
-  const { cfg, protocol, clock, logger, servers, health, fleetView, placement, allowance } = ctx
+  const { cfg, protocol, clock, logger, servers, health, placement, allowance } = ctx
+  const chooser = createServerChooser(ctx)
   const { refuse, fail, recordAnswered } = createRequestCompletion(ctx)
   const pathOf = (req: IncomingMessage): string => (req.url ?? '/').split('?')[0]!
 
@@ -53,49 +64,19 @@
   }
   const modelKey = (caller: CallerRequest): string => caller.model === undefined ? '' : (caller.adapter === undefined ? caller.model : `${caller.model}/${caller.adapter}`)
 
-  const pickServer = (run: RequestRun, from: readonly BackendServer[]): BackendServer | undefined => {
-    const untried = from.filter(server => !run.tried.has(serverProcessId(server)))
-    const notRejected = untried.filter(server => !run.rejectedBy.has(serverProcessId(server)))
-    const candidates = notRejected.length > 0 ? notRejected : untried
-    const chosen = chooseServer(candidates.map(server => {
-      const id = serverProcessId(server)
-      return {
-        id,
-        load: health.inFlight(id) + fleetView.inFlightElsewhere(id),
-        slots: server.slots,
-        isNear: server.failureDomain === ctx.failureDomain,
-        failureRate: health.failureRate(id),
-        isSilent: health.isSilent(id),
-        isCold: ctx.coldStarts.isCold(server)
-      }
-    }), ctx.random())
-    return candidates.find(server => serverProcessId(server) === chosen?.id)
-  }
-  /** Returns the best server that may get the request now; a cold server may have reached its limit for this second. */
-  const pickAdmittedServer = async (run: RequestRun, from: readonly BackendServer[]): Promise<BackendServer | undefined> => {
-    const server = pickServer(run, from)
-    if (server === undefined || !ctx.coldStarts.isCold(server) || await ctx.coldStarts.admit(server)) return server
-    return await pickAdmittedServer(run, from.filter(other => other !== server))
-  }
-  /** Returns a server; waits if the only ones are cold and have reached their limit for this second. */
-  const waitForServer = async (run: RequestRun, from: readonly BackendServer[]): Promise<BackendServer | Refusal | undefined> => {
-    for (;;) {
-      const server = await pickAdmittedServer(run, from)
-      if (server !== undefined || pickServer(run, from) === undefined) return server
-      if (run.stop.signal.aborted || maxWaitMs(run) <= COLD_SERVER_DELAY_MS) return { reason: 'server-cold', retryAfterMs: COLD_SERVER_RETRY_AFTER_MS }
-      await ctx.pause(COLD_SERVER_DELAY_MS)
-    }
-  }
   /** Finds a server that can run the request, and waits for its model if it can be loaded in time. */
   const findServer = async (run: RequestRun): Promise<BackendServer | Refusal> => {
     const { service } = run.admitted
     const { model, adapter } = run.caller
-    if (service.engine === undefined || model === undefined) {
-      return await waitForServer(run, servers.usable(service.name)) ?? { reason: 'no-server', retryAfterMs: SERVER_FULL_RETRY_AFTER_MS }
-    }
-    if (!service.engine.models.has(model)) return { reason: 'no-server', retryAfterMs: SERVER_FULL_RETRY_AFTER_MS }
-    const ready = await waitForServer(run, placement.serversWithModel(service.name, model, adapter).filter(server => !run.tried.has(serverProcessId(server))))
-    if (ready !== undefined) return ready
+    const choose = (from: readonly BackendServer[]): Promise<ServerChoice> => chooser.choose(run, from, () => maxWaitMs(run))
+    if (service.engine === undefined || model === undefined) return serverOf(await choose(servers.usable(service.name)))
+    if (!service.engine.models.has(model)) return NO_SERVER
+    const withModel = placement.serversWithModel(service.name, model, adapter).filter(server => !run.tried.has(serverProcessId(server)))
+    const choice = await choose(withModel)
+    if (choice.kind === 'chosen') return choice.server
+    if (choice.kind === 'refused' && choice.refusal.reason === 'server-cold') return choice.refusal
+    // What limited engines cannot take goes to another one, if the model can be loaded there in time.
+    const unavailableProcesses = new Set(choice.kind === 'refused' ? withModel.map(serverProcessId) : [])
     const startedMs = clock.monotonic()
     const modelWait = await placement.waitForModel({
       model,
@@ -104,13 +85,17 @@
       maxWaitMs: maxWaitMs(run),
       signal: run.stop.signal,
       isShuttingDown: () => ctx.isClosingFor(run.admitted.route.kind),
-      excludedProcesses: run.tried
+      excludedProcesses: run.tried,
+      unavailableProcesses
     })
     run.waitedMs += clock.monotonic() - startedMs
-    if (modelWait.kind === 'ready') return await waitForServer(run, modelWait.servers) ?? { reason: 'no-server', retryAfterMs: SERVER_FULL_RETRY_AFTER_MS }
+    if (modelWait.kind === 'ready') return serverOf(await choose(modelWait.servers))
     if (modelWait.kind === 'closing') return { reason: 'leaving', retryAfterMs: LEAVING_RETRY_AFTER_MS }
-    if (modelWait.kind === 'not-in-time') return { reason: 'model-not-in-time', retryAfterMs: modelWait.inMs }
-    return { reason: modelWait.kind === 'stopped' ? run.stopReason ?? 'caller-gone' : 'no-orderer', retryAfterMs: NO_LEADER_RETRY_AFTER_MS }
+    if (modelWait.kind === 'stopped') return { reason: run.stopReason ?? 'caller-gone', retryAfterMs: NO_LEADER_RETRY_AFTER_MS }
+    const refusal: Refusal = modelWait.kind === 'not-in-time'
+      ? { reason: 'model-not-in-time', retryAfterMs: modelWait.inMs }
+      : { reason: 'no-orderer', retryAfterMs: NO_LEADER_RETRY_AFTER_MS }
+    return choice.kind === 'refused' ? soonerOf(choice.refusal, refusal) : refusal
   }
   const reserveAllowance = async (run: RequestRun): Promise<Refusal | undefined> => {
     const { team } = run.admitted
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/serverChoice.ts
@@ -0,0 +1,83 @@
+/** Chooses the backend server for a request among those that may get it: by load, and within the rates of cold and limited servers. */
+import { chooseServer } from './chooseServer'
+import type { Refusal } from './refusal'
+import type { RequestRun } from './requestRun'
+import type { ServingContext } from './servingContext'
+import { serverProcessId } from './types'
+import type { BackendServer } from './types'
+
+/** Delay before a cold server is tried again, and the delay after which its callers may retry, milliseconds. */
+const COLD_SERVER_DELAY_MS = 150
+const COLD_SERVER_RETRY_AFTER_MS = 500
+
+/**
+ * `none`: there is no server that may get the request. `refused`: those that may have reached their rate, and
+ * `refusal.retryAfterMs` is when one has a place again.
+ */
+export type ServerChoice =
+  | { kind: 'chosen', server: BackendServer }
+  | { kind: 'none' }
+  | { kind: 'refused', refusal: Refusal }
+
+export interface ServerChooser {
+  /** Chooses a server; waits while the only ones are cold and have reached their rate. `maxWaitMs` is asked anew after each wait. */
+  choose (run: RequestRun, from: readonly BackendServer[], maxWaitMs: () => number): Promise<ServerChoice>
+}
+
+interface Denials {
+  isColdDenied: boolean
+  /** Shortest time after which a limited server has a place again, milliseconds. */
+  limitRetryMs: number
+}
+
+export function createServerChooser (ctx: ServingContext): ServerChooser {
+  const { health, fleetView } = ctx
+
+  const pickServer = (run: RequestRun, from: readonly BackendServer[]): BackendServer | undefined => {
+    const untried = from.filter(server => !run.tried.has(serverProcessId(server)))
+    const notRejected = untried.filter(server => !run.rejectedBy.has(serverProcessId(server)))
+    const candidates = notRejected.length > 0 ? notRejected : untried
+    const chosen = chooseServer(candidates.map(server => {
+      const id = serverProcessId(server)
+      return {
+        id,
+        load: health.inFlight(id) + fleetView.inFlightElsewhere(id),
+        slots: server.slots,
+        isNear: server.failureDomain === ctx.failureDomain,
+        failureRate: health.failureRate(id),
+        isSilent: health.isSilent(id),
+        isCold: ctx.coldStarts.isCold(server)
+      }
+    }), ctx.random())
+    return candidates.find(server => serverProcessId(server) === chosen?.id)
+  }
+  /** Returns the best server that may get the request now, or why none may. */
+  const pickAdmitted = async (run: RequestRun, from: readonly BackendServer[], denials: Denials): Promise<BackendServer | Denials> => {
+    const server = pickServer(run, from)
+    if (server === undefined) return denials
+    const others = from.filter(other => other !== server)
+    if (ctx.coldStarts.isCold(server) && !await ctx.coldStarts.admit(server)) return await pickAdmitted(run, others, { ...denials, isColdDenied: true })
+    const { freeInMs, retryInMs } = await ctx.limitedServers.admit(server)
+    if (freeInMs === 0) return server
+    return await pickAdmitted(run, others, { ...denials, limitRetryMs: Math.min(denials.limitRetryMs, retryInMs) })
+  }
+
+  return {
+    choose: async (run, from, maxWaitMs) => {
+      for (;;) {
+        const picked = await pickAdmitted(run, from, { isColdDenied: false, limitRetryMs: Infinity })
+        if ('id' in picked) return { kind: 'chosen', server: picked }
+        const { isColdDenied, limitRetryMs } = picked
+        if (!isColdDenied && limitRetryMs === Infinity) return { kind: 'none' }
+        const mayWait = isColdDenied && !run.stop.signal.aborted && maxWaitMs() > COLD_SERVER_DELAY_MS
+        if (!mayWait) {
+          const refusal: Refusal = limitRetryMs === Infinity
+            ? { reason: 'server-cold', retryAfterMs: COLD_SERVER_RETRY_AFTER_MS }
+            : { reason: 'server-limited', retryAfterMs: limitRetryMs }
+          return { kind: 'refused', refusal }
+        }
+        await ctx.pause(COLD_SERVER_DELAY_MS)
+      }
+    }
+  }
+}
--- a/packages/magnoliabay/src/node/serving/servingContext.ts
+++ b/packages/magnoliabay/src/node/serving/servingContext.ts
@@ -8,6 +8,7 @@
 import type { ServingConfigProvider } from './servingConfigProvider'
 import type { Connections } from './exchange'
 import type { FleetView } from './fleetView'
+import type { LimitedServers } from './limitedServers'
 import type { ServingMetrics } from './metrics'
 import type { PlacementClient } from './placement/placementClient'
 import type { ServerHealth } from './serverHealth'
@@ -22,6 +23,7 @@
   servers: ServerList
   health: ServerHealth
   serverLimits: ServerLimits
+  limitedServers: LimitedServers
   fleetView: FleetView
   placement: PlacementClient
   allowance: AllowanceLimiter
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -27,6 +27,7 @@
 import { createConnections } from './exchange'
 import { createEvacuations } from './evacuations'
 import { createFleetView } from './fleetView'
+import { createLimitedServers } from './limitedServers'
 import type { InstanceReport } from './fleetMessages'
 import { createEntryServer } from './entryServer'
 import { cleanUpDepartedServers } from './departedServers'
@@ -155,6 +156,7 @@
   const servers = createServerList({ decode: protocol.decodeServer, idOf: protocol.serverIdOf, isEvacuated: evacuations.isEvacuated, storeReachableSinceMs: store.reachableSinceMs, clock, logger })
   const health = createServerHealth(clock)
   const serverLimits = createServerLimits({ clock, logger, onChanged: count => metrics.limitedServers.set(count) })
+  const limitedServers = createLimitedServers({ peers, limits: serverLimits, clock, logger })
   const connections = createConnections(clock)
   const demand = new Map<string, DecayingRate>()
   const budgets = new Map<string, RetryBudget>()
@@ -203,6 +205,7 @@
         .filter(entry => entry.rate > MIN_REPORTED_RATE || entry.waiting > 0),
       leavingServers: servers.leaving(),
       silentServers: servers.all().map(serverProcessId).filter(health.isSilent).map(server => ({ server, tellers: 1 })),
+      limits: serverLimits.stated(),
       spent: allowance.ownSpending(),
       isReady: isReady(),
       below: [],
@@ -225,16 +228,19 @@
       storeAgeMs: Math.round(storeProxy.contact().ageMs),
       storeSteadyMs: storeProxy.contact().steadyMs,
       spent: allowance.fleetSpending(),
+      limits: serverLimits.stated(),
       evacuation: evacuations.state(),
       listDigest: servers.digest(),
       membersDigest: membership.digest()
     }),
     onReport: (member, report) => {
       report.leavingServers.forEach(servers.recordLeaving)
+      serverLimits.recordFromPeer(report.limits)
       allowance.recordPeerSpending(member.incarnation, report.spent)
     },
     onSummary: (member, summary) => {
       dissemination.applySummary(member.id, summary)
+      serverLimits.recordFromPeer(summary.limits)
       allowance.recordFleetSpending(summary.spent)
     }
   })
@@ -271,7 +277,7 @@
     logger,
     random
   })
-  const placementController = createPlacementController({ self: id, leadership, servers, cfg, table: fleetView, engines: options.engines, storeReachableSinceMs: store.reachableSinceMs, peers, clock, logger, loadWindowMs: settings.storeLoadWindowMs })
+  const placementController = createPlacementController({ self: id, leadership, servers, cfg, table: fleetView, engines: options.engines, limitOf: serverLimits.limitOf, storeReachableSinceMs: store.reachableSinceMs, peers, clock, logger, loadWindowMs: settings.storeLoadWindowMs })
   const placement = createPlacementClient({
     peers,
     servers,
@@ -321,6 +327,7 @@
     servers,
     health,
     serverLimits,
+    limitedServers,
     fleetView,
     placement,
     allowance,
