--- a/packages/magnoliabay/src/node/platform/requestHeaders.ts
+++ b/packages/magnoliabay/src/node/platform/requestHeaders.ts
@@ -104,6 +104,6 @@
     isNotRun: headers[NOT_EXECUTED] !== undefined || (status === MISDIRECTED && headers['x-magnoliabay-server-signature'] === undefined),
     isSigned: headers['x-magnoliabay-server-signature'] !== undefined,
     // 421 also comes from another process that has the server's former address.
-    statement: status === MISDIRECTED ? NO_STATEMENT : decodeServerStatement(headers)
+    statement: status === MISDIRECTED ? NO_STATEMENT : decodeServerStatement(status, headers)
   }
 }
--- a/packages/magnoliabay/src/node/platform/serverStatement.ts
+++ b/packages/magnoliabay/src/node/platform/serverStatement.ts
@@ -3,16 +3,26 @@
 import type { ServerStatement } from '../serving/types'
 
 const LIMIT = 'server-limit'
-export const NO_STATEMENT: ServerStatement = { requestsPerSecond: undefined }
-
+const LEAVING = 'server-leaving'
+const IS_LEAVING = '1'
+const REST_S = 'retry-after'
+const SERVICE_UNAVAILABLE = 503
+const MS_PER_SECOND = 1000
 const DECIMAL_PATTERN = /^\d+(\.\d+)?$/
 
+export const NO_STATEMENT: ServerStatement = { requestsPerSecond: undefined, isLeaving: false, restMs: 0 }
+
 /** Returns undefined for a value that is missing or no decimal number. */
 function parseDecimal (value: string | string[] | undefined): number | undefined {
   const text = typeof value === 'string' ? value.trim() : ''
   return DECIMAL_PATTERN.test(text) ? Number(text) : undefined
 }
 
-export function decodeServerStatement (headers: IncomingHttpHeaders): ServerStatement {
-  return { requestsPerSecond: parseDecimal(headers[LIMIT]) }
+export function decodeServerStatement (status: number, headers: IncomingHttpHeaders): ServerStatement {
+  const restS = status === SERVICE_UNAVAILABLE ? parseDecimal(headers[REST_S]) : undefined
+  return {
+    requestsPerSecond: parseDecimal(headers[LIMIT]),
+    isLeaving: headers[LEAVING] === IS_LEAVING,
+    restMs: (restS ?? 0) * MS_PER_SECOND
+  }
 }
--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -138,7 +138,11 @@
       decodeResponseHead: protocol.decodeResponseHead,
       toCallerHeaders: protocol.toCallerHeaders,
       isRetryableStatus: status => status >= MIN_SERVER_ERROR_STATUS && canRetry(run),
-      onServerStatement: metadata => ctx.serverLimits.record(id, metadata),
+      onServerStatement: metadata => {
+        ctx.serverLimits.record(id, metadata)
+        const { isLeaving, restMs } = metadata.statement
+        if (isLeaving || restMs > 0) logger.info('server-statement', { request: caller.attemptId, server: server.id, leaving: isLeaving, restMs })
+      },
       onActivity: () => {
         ctx.recordWakeup('server')
         health.recordActivity(id)
