--- a/packages/magnoliabay/src/node/serving/__tests__/serverStatements.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/serverStatements.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { answered, createSimulatedEntries, instanceId, maxArrivalsWithin, rejected } from './support/simulatedEntries'
-import type { SimulatedEntries, SimulatedServer } from './support/simulatedEntries'
+import type { ServerAnswer, SimulatedEntries, SimulatedServer } from './support/simulatedEntries'
 import type { CallerResponse } from './support/callerResponse'
 import { serverOf } from './fixtures'
 
@@ -133,3 +133,46 @@
     }), { seed: 5, numRuns: 25 })
   })
 })
+
+describe('a server that states in its answers that it leaves', () => {
+  const DRAIN_MS = 2000
+
+  /** Guards against requests to a server that has said that it leaves, while the store cannot tell. */
+  it('gets no request from an instance that has heard it, and soon none from any', async () => {
+    const fleet = createSimulatedEntries({ size: 9 })
+    let headers: Record<string, string> = {}
+    const leaving = fleet.addServer(LIMITED, () => answered(headers))
+    fleet.addServer(OTHER, () => answered())
+    await fleet.clock.advance(1000)
+    await sendSteadily(fleet, 1000)
+    headers = { 'server-leaving': '1' }
+    const saidMs = fleet.clock.monotonic()
+    const responses = await sendSteadily(fleet, 6000)
+    await fleet.clock.advance(100)
+    expect(leaving.arrivals.filter(({ atMs }) => atMs > saidMs + DRAIN_MS)).to.have.length(0)
+    expect(statusesOf(responses)).to.deep.equal([200])
+  })
+})
+
+describe('a server that asks an instance for rest', () => {
+  const REST_MS = 3000
+  const REST_DELAY_MS = 500
+  const MAX_WHILE_RESTING = 2
+  const resting = (): ServerAnswer => rejected({ 'retry-after': String(REST_MS / 1000) })
+
+  /** Most requests of one instance while the server rests from it. */
+  const maxWhileResting = ({ arrivals }: SimulatedServer): number => Math.max(...arrivals.map(asked =>
+    arrivals.filter(({ from, atMs }) => from === asked.from && atMs > asked.atMs + REST_DELAY_MS && atMs < asked.atMs + REST_MS).length))
+
+  /** Guards against requests that pile up at a server that turns them away, each of them lost for its caller. */
+  it('gets none from it in that time, and its callers are served elsewhere', async () => {
+    const fleet = createSimulatedEntries({ size: 9 })
+    const server = fleet.addServer(LIMITED, resting)
+    fleet.addServer(OTHER, () => answered())
+    await fleet.clock.advance(1000)
+    const responses = await sendSteadily(fleet, 8000, '/write/1')
+    await fleet.clock.advance(100)
+    expect(maxWhileResting(server)).to.be.at.most(MAX_WHILE_RESTING)
+    expect(statusesOf(responses)).to.deep.equal([200])
+  })
+})
