--- a/packages/magnoliabay/src/node/platform/engineCalls.ts
+++ b/packages/magnoliabay/src/node/platform/engineCalls.ts
@@ -2,14 +2,17 @@
 import type { Pool } from 'undici'
 import type { Clock } from '../clock'
 import type { EngineCalls, EngineOrder, EngineReport, OrderOutcome } from '../serving/engineCalls'
-import type { BackendServer } from '../serving/types'
+import type { BackendServer, ServerStatement } from '../serving/types'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
 import { createPool } from './httpPool'
+import { NO_STATEMENT, decodeServerStatement } from './serverStatement'
 import { messageOf, parseJson } from '../utils'
 
 /** Engines answer within milliseconds; on a timeout the engine is unreachable, or its response is lost. */
 const CALL_TIMEOUT_MS = 1000
+/** Another process has the engine's former address. */
+const MISDIRECTED = 421
 
 interface WireReport {
   models?: Array<{ name: string, version?: number, adapters?: string[] | null }>
@@ -33,6 +36,7 @@
 
 export function createEngineCalls (clock: Clock): EngineCalls {
   const pools = new Map<string, Pool>()
+  const listeners: Array<(server: BackendServer, statement: ServerStatement) => void> = []
   const poolOf = (address: string): Pool => {
     const pool = pools.get(address) ?? createPool(`http://${address}`, { connections: 2, pipelining: 1, connect: { timeout: CALL_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: 0 })
     pools.set(address, pool)
@@ -49,6 +53,8 @@
         headers: { 'x-magnoliabay-expected-instance': server.id, ...(body === undefined ? {} : { 'content-type': 'application/json' }) },
         body: body === undefined ? undefined : JSON.stringify(body)
       })
+      const statement = res.statusCode === MISDIRECTED ? NO_STATEMENT : decodeServerStatement(res.statusCode, res.headers)
+      listeners.forEach(listener => listener(server, statement))
       return Ok({ status: res.statusCode, body: parseJson(await res.body.text()) })
     } catch (err) {
       return Err(abort.signal.aborted ? 'no answer in time' : messageOf(err))
@@ -68,6 +74,7 @@
       if (res.err) return 'unanswered'
       return ORDER_OUTCOMES[res.val.status] ?? 'refused'
     },
+    onStatement: listener => { listeners.push(listener) },
     closeConnections: address => {
       pools.get(address)?.destroy()
       pools.delete(address)
--- a/packages/magnoliabay/src/node/serving/engineCalls.ts
+++ b/packages/magnoliabay/src/node/serving/engineCalls.ts
@@ -1,6 +1,6 @@
 /** Interface to an engine: reports and orders. */
 import type { Result } from '../result'
-import type { BackendServer, LoadedModel } from './types'
+import type { BackendServer, LoadedModel, ServerStatement } from './types'
 
 export interface EngineReport {
   /** Start of the engine's process, if the report contains it. */
@@ -38,6 +38,8 @@
 export interface EngineCalls {
   fetchReport (server: BackendServer): Promise<Result<EngineReport, string>>
   sendOrder (server: BackendServer, engineOrder: EngineOrder): Promise<OrderOutcome>
+  /** The listener is called with what each answer to a report or an order states about the engine. */
+  onStatement (listener: (server: BackendServer, statement: ServerStatement) => void): void
   /** Closes the connections to an address that is no longer in use. */
   closeConnections (address: string): void
 }
--- a/packages/magnoliabay/src/node/serving/placement/__tests__/engineOrders.spec.ts
+++ b/packages/magnoliabay/src/node/serving/placement/__tests__/engineOrders.spec.ts
@@ -94,6 +94,7 @@
         const outcome = acceptOrder(order)
         return engine.losesResponses ? 'unanswered' : outcome
       }),
+      onStatement: () => {},
       closeConnections: () => {}
     },
     storeReachableSinceMs: () => storeConnectivity.reachableSinceMs,
--- a/packages/magnoliabay/src/node/serving/placement/__tests__/placementController.spec.ts
+++ b/packages/magnoliabay/src/node/serving/placement/__tests__/placementController.spec.ts
@@ -83,6 +83,7 @@
         clock.schedule(order.operation === 'load' ? LOAD_MS : UNLOAD_MS, () => finish(order))
         resolve('accepted')
       })),
+      onStatement: () => {},
       closeConnections: () => {}
     },
     limitOf: () => undefined,
--- a/packages/magnoliabay/src/node/serving/serverLimits.ts
+++ b/packages/magnoliabay/src/node/serving/serverLimits.ts
@@ -18,6 +18,8 @@
 export interface ServerLimits {
   /** Records what an answer of the server process states. */
   record (process: string, answer: Pick<ResponseMetadata, 'isNotRun' | 'isSigned' | 'statement'>): void
+  /** Records a limit that the process states in an answer to a report or an order; a missing one lifts nothing. */
+  recordLimit (process: string, requestsPerSecond: number | undefined): void
   /** Records what answers to other instances state; undefined from a peer of an older version. */
   recordFromPeer (stated: readonly StatedLimit[] | undefined): void
   /** Returns the latest statements, for other instances. */
@@ -70,6 +72,7 @@
       const canLift = statements.has(process) && isSigned && !isNotRun
       if (requestsPerSecond !== undefined || canLift) set(process, { requestsPerSecond, atMs: clock.monotonic(), source: 'answer' })
     },
+    recordLimit: (process, requestsPerSecond) => { if (requestsPerSecond !== undefined) set(process, { requestsPerSecond, atMs: clock.monotonic(), source: 'answer' }) },
     recordFromPeer: stated => stated?.forEach(({ server, requestsPerSecond, ageMs }) => {
       const atMs = clock.monotonic() - ageMs
       if (atMs > (statements.get(server)?.atMs ?? -Infinity)) set(server, { requestsPerSecond, atMs, source: 'peer' })
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -351,6 +351,7 @@
     res.end(await metrics.registry.metrics())
   }).handler as never)
 
+  options.engines.onStatement((server, statement) => serverLimits.recordLimit(serverProcessId(server), statement.requestsPerSecond))
   evacuations.onChanged(servers.notifyChanged)
   cfg.onChanged(() => {
     metrics.configVersion.set(cfg.version())
