--- a/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
@@ -10,6 +10,7 @@
 import { platformProtocol } from '../../../platform'
 import { createWakeupCounter } from '../../../wakeups'
 import { createAllowanceLimiter } from '../../allowance/allowanceLimiter'
+import type { InstanceReport } from '../../fleetMessages'
 import { createFleetView } from '../../fleetView'
 import { createLimitedServers } from '../../limitedServers'
 import { createServingMetrics } from '../../metrics'
@@ -139,19 +140,23 @@
     const health = createServerHealth(clock)
     const serverLimits = createServerLimits({ clock, logger, onChanged: () => {} })
     const limitedServers = createLimitedServers({ peers, limits: serverLimits, clock, logger })
+    const recordStatements = ({ limits, leavingServers }: Pick<InstanceReport, 'limits' | 'leavingServers'>): void => {
+      serverLimits.recordFromPeer(limits)
+      leavingServers.forEach(process => list.recordLeaving(process, 'peer'))
+    }
     const fleetView = createFleetView({
       peers,
       clock,
       isLinked: peers.isConnected,
       leader: () => LEADER,
-      own: () => reportOf({ inFlight: health.inFlightByModel(), limits: serverLimits.stated() }),
+      own: () => reportOf({ inFlight: health.inFlightByModel(), leavingServers: list.leaving(), limits: serverLimits.stated() }),
       spendingWithDownstream: () => [],
       leading: () => id === LEADER ? leadingOf(LEADER) : undefined,
       latestClaim: () => 0,
       beforeSummary: () => {},
       summary: () => ({ configVersion: 1, storeAgeMs: 0, storeSteadyMs: Infinity, spent: [], limits: serverLimits.stated(), evacuation: NO_EVACUATION, listDigest: '', membersDigest: '' }),
-      onReport: (_member, report) => serverLimits.recordFromPeer(report.limits),
-      onSummary: (_member, summary) => serverLimits.recordFromPeer(summary.limits)
+      onReport: (_member, report) => recordStatements(report),
+      onSummary: (_member, summary) => recordStatements(summary)
     })
     const connections: Connections = { exchange: (req, handler) => exchange(id, req, handler), isAccepting: async () => true, forget: () => {}, close: () => {} }
     const serve = createRequestHandler({
--- a/packages/magnoliabay/src/node/serving/dissemination.ts
+++ b/packages/magnoliabay/src/node/serving/dissemination.ts
@@ -181,7 +181,7 @@
     if (reply.err) return logger.info('news-not-heard', { peer: member, reason: reply.val.kind })
     const status = reply.val
     if (status.configVersion > cfg.version()) await fetchConfig(member)
-    status.leavingServers.forEach(servers.recordLeaving)
+    status.leavingServers.forEach(process => servers.recordLeaving(process, 'peer'))
     options.evacuations.applyFromPeer(status.evacuation)
     const isPeerBetter = status.storeAgeMs < storeAgeMs()
     if (status.leading !== undefined) options.onLeaderLearned(status.leading)
@@ -207,7 +207,7 @@
     },
     applySummary: (member, summary) => {
       options.onLeaderLearned(summary.leading)
-      summary.leavingServers.forEach(servers.recordLeaving)
+      summary.leavingServers.forEach(process => servers.recordLeaving(process, 'peer'))
       options.evacuations.applyFromPeer(summary.evacuation)
       observeConfigVersion(member, summary.configVersion)
       if (!options.isFollowing()) return
--- a/packages/magnoliabay/src/node/serving/placement/placementClient.ts
+++ b/packages/magnoliabay/src/node/serving/placement/placementClient.ts
@@ -107,7 +107,8 @@
         lastRequestMs = clock.monotonic()
         const reply = await sendRequest({ model, adapter, waitedMs, patienceMs: maxWaitMs - waitedMs, unavailable: [...unavailableProcesses] })
         if (reply.kind === 'ready') {
-          const server = servers.get(reply.server)
+          // The server may leave, which the leader does not know yet.
+          const server = servers.usable(service).find(({ id }) => id === reply.server)
           if (server !== undefined && mayServe(serverProcessId(server))) return { kind: 'ready', servers: [server] }
         }
         if (reply.kind === 'unavailable' && (options.isIsolated() || waitedMs > MAX_WAIT_WITHOUT_LEADER_MS)) return { kind: 'no-orderer' }
--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -141,7 +141,8 @@
       onServerStatement: metadata => {
         ctx.serverLimits.record(id, metadata)
         const { isLeaving, restMs } = metadata.statement
-        if (isLeaving || restMs > 0) logger.info('server-statement', { request: caller.attemptId, server: server.id, leaving: isLeaving, restMs })
+        if (isLeaving) servers.recordLeaving(id, 'answer')
+        if (restMs > 0) logger.info('server-statement', { request: caller.attemptId, server: server.id, restMs })
       },
       onActivity: () => {
         ctx.recordWakeup('server')
--- a/packages/magnoliabay/src/node/serving/serverList.ts
+++ b/packages/magnoliabay/src/node/serving/serverList.ts
@@ -19,9 +19,13 @@
 
 /** How much older a peer's information may be than a removal that the store has reported here, milliseconds. */
 const MAX_PEER_LAG_MS = 4000
+/** Above this number of leaving processes those that are not listed any more are dropped. */
+const MAX_LEAVING_PROCESSES = 1000
 /** A store that is restored from an older copy lists again servers that were removed up to this long ago, milliseconds. */
 const MAX_STORE_COPY_AGE_MS = 15_000
 
+export type LeavingSource = 'answer' | 'peer'
+
 export interface StoreEntry {
   key: string
   value: string
@@ -49,8 +53,9 @@
   applyChanges (notice: ServersNotice): void
   /** Returns the changes since the last call, for instances that follow this list. */
   takeChanges (): ServersNotice | undefined
-  /** Records a peer's report that the server is leaving. */
-  recordLeaving (serverProcess: string): void
+  /** Records that the server's process is leaving, as one of its answers states or a peer reports. It never returns. */
+  recordLeaving (serverProcess: string, source: LeavingSource): void
+  /** Listed processes that are leaving, from any source. */
   leaving (): readonly string[]
   /** Remaining time for which the server's process is cold by its own entry, milliseconds. */
   coldMs (process: string): number
@@ -213,6 +218,7 @@
     const { copies, ...rest } = server
     return { ...rest, coldMs: coldMs(serverProcessId(server)) }
   }
+  const isListed = (process: string): boolean => [...servers.values()].some(server => serverProcessId(server) === process)
   const isUsable = (server: BackendServer): boolean => server.state === 'ready' && !leaving.has(serverProcessId(server)) && !options.isEvacuated(server.failureDomain)
 
   return {
@@ -264,13 +270,14 @@
     },
     put: entry => { if (applyEntry(entry)) notifyChanged() },
     remove: key => removeOrHold(idOf(key)),
-    recordLeaving: serverProcess => {
+    recordLeaving: (serverProcess, source) => {
       if (leaving.has(serverProcess)) return
+      if (leaving.size >= MAX_LEAVING_PROCESSES) [...leaving].filter(process => !isListed(process)).forEach(process => leaving.delete(process))
       leaving.add(serverProcess)
-      logger.info('server-leaving', { server: serverProcess, source: 'peer' })
+      logger.info('server-leaving', { server: serverProcess, source })
       notifyChanged()
     },
-    leaving: () => [...servers.values()].filter(server => server.state === 'draining').map(serverProcessId),
+    leaving: () => [...servers.values()].filter(server => server.state === 'draining' || leaving.has(serverProcessId(server))).map(serverProcessId),
     coldMs,
     notifyChanged,
     updateModels: (server, models) => { if (applyModels(server, models)) notifyChanged() },
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -234,7 +234,7 @@
       membersDigest: membership.digest()
     }),
     onReport: (member, report) => {
-      report.leavingServers.forEach(servers.recordLeaving)
+      report.leavingServers.forEach(process => servers.recordLeaving(process, 'peer'))
       serverLimits.recordFromPeer(report.limits)
       allowance.recordPeerSpending(member.incarnation, report.spent)
     },
@@ -351,7 +351,11 @@
     res.end(await metrics.registry.metrics())
   }).handler as never)
 
-  options.engines.onStatement((server, statement) => serverLimits.recordLimit(serverProcessId(server), statement.requestsPerSecond))
+  options.engines.onStatement((server, statement) => {
+    const process = serverProcessId(server)
+    serverLimits.recordLimit(process, statement.requestsPerSecond)
+    if (statement.isLeaving) servers.recordLeaving(process, 'answer')
+  })
   evacuations.onChanged(servers.notifyChanged)
   cfg.onChanged(() => {
     metrics.configVersion.set(cfg.version())
