--- a/packages/magnoliabay/src/node/serving/__tests__/requestHandler.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/requestHandler.spec.ts
@@ -21,6 +21,7 @@
 import { createServerHealth } from '../serverHealth'
 import { createServerLimits } from '../serverLimits'
 import { createServerList } from '../serverList'
+import { createServerRests } from '../serverRests'
 import type { RequestKind, ServingConfig } from '../types'
 import { NO_EVACUATION, configOf, leadingOf, memberRecord, reportOf, routeOf, serverOf, teamOf } from './fixtures'
 import { startRawServer } from './rawServer'
@@ -86,6 +87,7 @@
     servers: serverList,
     health: createServerHealth(clock),
     serverLimits,
+    serverRests: createServerRests({ clock, logger }),
     limitedServers: createLimitedServers({ peers, limits: serverLimits, clock, logger }),
     fleetView,
     placement: createPlacementClient({ peers, servers: serverList, leader: () => undefined, isServerResponding: () => true, isIsolated: () => false, clock, logger }),
--- a/packages/magnoliabay/src/node/serving/__tests__/serverStatements.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/serverStatements.spec.ts
@@ -205,4 +205,60 @@
     expect(maxWhileResting(server)).to.be.at.most(MAX_WHILE_RESTING)
     expect(statusesOf(responses)).to.deep.equal([200])
   })
+
+  /** Guards against requests that go past the time of rest because they are repeats or resumed streams. */
+  const WAYS = [
+    { name: 'reads that fail and are repeated', path: '/read/1', answer: (count: number) => count % 2 === 0 ? resting() : { ...answered(), status: 500 } },
+    { name: 'streams that break and are resumed', path: '/resumable/1', answer: (count: number) => count % 2 === 0 ? resting() : 'broken' as const }
+  ]
+  WAYS.forEach(({ name, path, answer }) => it(`gets none of the ${name}`, async () => {
+    const fleet = createSimulatedEntries({ size: 9 })
+    const server: SimulatedServer = fleet.addServer(LIMITED, () => answer(server.arrivals.length))
+    fleet.addServer(OTHER, () => answered())
+    await fleet.clock.advance(1000)
+    await sendSteadily(fleet, 8000, path)
+    const asked = server.arrivals.filter((_, index) => (index + 1) % 2 === 0)
+    const counts = asked.map(({ from, atMs }) => server.arrivals.filter(each => each.from === from && each.atMs > atMs + REST_DELAY_MS && each.atMs < atMs + REST_MS).length)
+    expect(Math.max(0, ...counts)).to.be.at.most(MAX_WHILE_RESTING)
+  }))
+
+  /** Guards against callers that are sent away with a time at which the server still rests, or long after it. */
+  it('has callers that nobody else can serve refused at once with the time that is left, and takes them after it', async () => {
+    const fleet = createSimulatedEntries({ size: 9 })
+    let answer: ServerAnswer = resting()
+    const server = fleet.addServer(LIMITED, () => answer)
+    await fleet.clock.advance(1000)
+    const caller = fleet.entries.get(instanceId(4))!
+    caller.send('/write/1')
+    await fleet.clock.advance(1000)
+    answer = answered()
+    const sentMs = fleet.clock.monotonic()
+    const refused = caller.send('/write/1')
+    await fleet.clock.advance(100)
+    expect(refused.status).to.equal(503)
+    expect(refused.endedMs! - sentMs).to.be.at.most(10)
+    await fleet.clock.advance(Number(refused.headers['retry-after']) * 1000 - 200)
+    caller.send('/write/1')
+    await fleet.clock.advance(50)
+    expect(server.arrivals).to.have.length(1)
+    await fleet.clock.advance(100)
+    const repeated = caller.send('/write/1')
+    await fleet.clock.advance(100)
+    expect(repeated.status).to.equal(200)
+  })
+
+  /** Guards against an instance that keeps its callers from a server that asked only another instance for rest. */
+  it('is used by instances that it has not asked, and by its own after a restart at the same address', async () => {
+    const fleet = createSimulatedEntries({ size: 9 })
+    fleet.addServer(LIMITED, ({ from }) => from === instanceId(4) ? resting() : answered())
+    await fleet.clock.advance(1000)
+    const send = async (index: number): Promise<number | undefined> => {
+      const response = fleet.entries.get(instanceId(index))!.send('/write/1')
+      await fleet.clock.advance(300)
+      return response.status
+    }
+    expect([await send(4), await send(5), await send(4)]).to.deep.equal([503, 200, 503])
+    fleet.addServer({ ...LIMITED, bornMs: 2 }, () => answered())
+    expect(await send(4)).to.equal(200)
+  })
 })
--- a/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
@@ -19,6 +19,7 @@
 import { createServerHealth } from '../../serverHealth'
 import { createServerLimits } from '../../serverLimits'
 import { createServerList } from '../../serverList'
+import { createServerRests } from '../../serverRests'
 import type { ServerList } from '../../serverList'
 import { createServingConfigProvider } from '../../servingConfigProvider'
 import type { Connections, OutboundRequest, ResponseHandler } from '../../exchange'
@@ -166,6 +167,7 @@
       health,
       serverLimits,
       limitedServers,
+      serverRests: createServerRests({ clock, logger }),
       fleetView,
       placement: createPlacementClient({ peers, servers: list, leader: () => LEADER, isServerResponding: process => !health.isSilent(process), isIsolated: () => false, clock, logger }),
       allowance: createAllowanceLimiter({ peers, findTeam: () => undefined, windowMs: 8000, isFirstStart: true, store, era: () => 0, tolerance: { ratio: 0, slack: 0 }, clock, logger }),
--- a/packages/magnoliabay/src/node/serving/placement/__tests__/engineOrders.spec.ts
+++ b/packages/magnoliabay/src/node/serving/placement/__tests__/engineOrders.spec.ts
@@ -97,6 +97,7 @@
       onStatement: () => {},
       closeConnections: () => {}
     },
+    restMs: () => 0,
     storeReachableSinceMs: () => storeConnectivity.reachableSinceMs,
     clock,
     logger,
--- a/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
@@ -47,6 +47,8 @@
   servers: ServerList
   cfg: ServingConfigProvider
   engines: EngineCalls
+  /** Remaining time for which an engine's process wants nothing from this instance, milliseconds. */
+  restMs: (process: string) => number
   /** Time since which the store has answered every call, monotonic milliseconds. */
   storeReachableSinceMs: () => number
   clock: Clock
@@ -123,8 +125,9 @@
     if (!tracker.applyReport(process, report.val, clock.monotonic())) return
     if (pending !== undefined && tracker.get(process).pending === undefined) finishOrder(engine, pending, 'report')
   }
-  const isReportDue = ({ tracked }: Engine): boolean => {
+  const isReportDue = ({ tracked, process }: Engine): boolean => {
     const now = clock.monotonic()
+    if (options.restMs(process) > 0) return false
     if (now - tracked.reportedMs < REPORT_INTERVAL_MS) return false
     if (tracked.acceptedOrders === undefined) return true
     return tracked.pending !== undefined && now - tracked.pending.sentMs >= tracked.pending.expectedMs
@@ -196,7 +199,7 @@
     specOf,
     hasOrderInFlight: process => ordersInFlight.has(process),
     mayTryNextOrder: ({ process, tracked }) => {
-      if (tracked.acceptedOrders === undefined || ordersInFlight.has(process)) return false
+      if (tracked.acceptedOrders === undefined || ordersInFlight.has(process) || options.restMs(process) > 0) return false
       if (tracked.pending === undefined) return true
       if (tracked.pending.operation === 'load') return false
       const sinceMs = clock.monotonic() - tracked.pending.sentMs
--- a/packages/magnoliabay/src/node/serving/placement/placementClient.ts
+++ b/packages/magnoliabay/src/node/serving/placement/placementClient.ts
@@ -40,8 +40,8 @@
   isShuttingDown: () => boolean
   /** Processes of servers that must not serve the request. */
   excludedProcesses: ReadonlySet<string>
-  /** Processes of servers that have the model and take no requests now: the leader places the model elsewhere. */
-  unavailableProcesses: ReadonlySet<string>
+  /** Returns the processes of servers that have the model and take no requests now: the leader places the model elsewhere. */
+  unavailableProcesses: () => ReadonlySet<string>
 }
 
 export interface PlacementClient {
@@ -90,7 +90,7 @@
     return sleep(clock, delayMs, AbortSignal.any([signal, woken.signal])).finally(() => wakers.delete(wake))
   }
   const waitUntilReady = async ({ model, adapter, service, maxWaitMs, signal, isShuttingDown, excludedProcesses, unavailableProcesses }: ModelWaitOptions): Promise<ModelWaitResult> => {
-    const mayServe = (process: string): boolean => !excludedProcesses.has(process) && !unavailableProcesses.has(process)
+    const mayServe = (process: string): boolean => !excludedProcesses.has(process) && !unavailableProcesses().has(process)
     const sinceMs = clock.monotonic()
     let lastRequestMs = -Infinity
     let hasLeader = false
@@ -105,7 +105,7 @@
       if (waitedMs >= maxWaitMs) return hasLeader ? { kind: 'not-in-time', inMs: REQUEST_INTERVAL_MS } : { kind: 'no-orderer' }
       if (clock.monotonic() - lastRequestMs >= REQUEST_INTERVAL_MS) {
         lastRequestMs = clock.monotonic()
-        const reply = await sendRequest({ model, adapter, waitedMs, patienceMs: maxWaitMs - waitedMs, unavailable: [...unavailableProcesses] })
+        const reply = await sendRequest({ model, adapter, waitedMs, patienceMs: maxWaitMs - waitedMs, unavailable: [...unavailableProcesses()] })
         if (reply.kind === 'ready') {
           // The server may leave, which the leader does not know yet.
           const server = servers.usable(service).find(({ id }) => id === reply.server)
--- a/packages/magnoliabay/src/node/serving/placement/placementController.ts
+++ b/packages/magnoliabay/src/node/serving/placement/placementController.ts
@@ -69,6 +69,8 @@
   engines: EngineCalls
   /** Requests a second that an engine's process takes, if it states a limit. */
   limitOf: (process: string) => number | undefined
+  /** Remaining time for which an engine's process wants nothing from this instance, milliseconds. */
+  restMs: (process: string) => number
   /** Time since which the store has answered every call, monotonic milliseconds. */
   storeReachableSinceMs: () => number
   peers: Peers
@@ -159,7 +161,7 @@
   }
 
   const isIdle = ({ process, tracked }: Engine): boolean =>
-    tracked.acceptedOrders !== undefined && tracked.pending === undefined && !orders.hasOrderInFlight(process) && !reservations.has(process)
+    tracked.acceptedOrders !== undefined && options.restMs(process) === 0 && tracked.pending === undefined && !orders.hasOrderInFlight(process) && !reservations.has(process)
   /** Time until the engine has finished its pending order and its reservation, milliseconds. */
   const remainingMs = ({ process, tracked }: Engine): number => {
     const now = clock.monotonic()
@@ -167,7 +169,7 @@
     const reservation = reservations.get(process)
     const isLoadAhead = reservation !== undefined && tracked.pending?.operation !== 'load'
     const loadMs = isLoadAhead ? expectedLoadMs(reservation.model, tierOf(tracked, reservation.model)) : 0
-    return pendingMs + loadMs
+    return options.restMs(process) + pendingMs + loadMs
   }
   /** Models that an engine has or will load, without those that it is to unload. */
   const plannedModels = ({ process, tracked }: Engine): readonly string[] => {
@@ -333,7 +335,7 @@
   }
   const requestAdapter = async (model: string, adapter: string, unavailable: ReadonlySet<string>): Promise<PlacementReply> => {
     const enginesWithModel = orders.listEngines().filter(engine => !unavailable.has(engine.process) && engine.tracked.models.some(loaded => loaded.name === model))
-    const available = enginesWithModel.filter(engine => engine.tracked.acceptedOrders !== undefined && engine.tracked.pending === undefined)
+    const available = enginesWithModel.filter(engine => engine.tracked.acceptedOrders !== undefined && engine.tracked.pending === undefined && options.restMs(engine.process) === 0)
     const placement = chooseAdapterPlacement(available.map(engineAdaptersOf), model, adapter)
     const soonestMs = Math.min(...enginesWithModel.map(remainingMs))
     if (placement === undefined) return { kind: 'coming', inMs: Math.max(ADAPTER_RETRY_DELAY_MS, Number.isFinite(soonestMs) ? soonestMs : MODEL_SWAP_MS) }
--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -10,6 +10,7 @@
 import { createRequestCompletion } from './requestCompletion'
 import { createEventStream } from './eventStream'
 import type { EndReason, Refusal } from './refusal'
+import type { ModelWaitResult } from './placement/placementClient'
 import type { Inbound, RequestRun } from './requestRun'
 import { serverProcessId } from './types'
 import type { BackendServer, CallerRequest } from './types'
@@ -37,6 +38,7 @@
 const SILENCE_CHECK_INTERVAL_MS = 400
 const MIN_SERVER_ERROR_STATUS = 500
 
+const NO_PROCESSES: ReadonlySet<string> = new Set()
 const NO_SERVER: Refusal = { reason: 'no-server', retryAfterMs: SERVER_FULL_RETRY_AFTER_MS }
 
 function serverOf (choice: ServerChoice): BackendServer | Refusal {
@@ -44,6 +46,8 @@
   return choice.kind === 'refused' ? choice.refusal : NO_SERVER
 }
 
+const isColdRefusal = (choice: ServerChoice): boolean => choice.kind === 'refused' && choice.refusal.reason === 'server-cold'
+
 /** Returns the refusal after which a caller may return first. */
 function soonerOf (one: Refusal, other: Refusal): Refusal {
   return (other.retryAfterMs ?? Infinity) < (one.retryAfterMs ?? Infinity) ? other : one
@@ -64,38 +68,55 @@
   }
   const modelKey = (caller: CallerRequest): string => caller.model === undefined ? '' : (caller.adapter === undefined ? caller.model : `${caller.model}/${caller.adapter}`)
 
-  /** Finds a server that can run the request, and waits for its model if it can be loaded in time. */
-  const findServer = async (run: RequestRun): Promise<BackendServer | Refusal> => {
-    const { service } = run.admitted
-    const { model, adapter } = run.caller
-    const choose = (from: readonly BackendServer[]): Promise<ServerChoice> => chooser.choose(run, from, () => maxWaitMs(run))
-    if (service.engine === undefined || model === undefined) return serverOf(await choose(servers.usable(service.name)))
-    if (!service.engine.models.has(model)) return NO_SERVER
-    const withModel = placement.serversWithModel(service.name, model, adapter).filter(server => !run.tried.has(serverProcessId(server)))
-    const choice = await choose(withModel)
-    if (choice.kind === 'chosen') return choice.server
-    if (choice.kind === 'refused' && choice.refusal.reason === 'server-cold') return choice.refusal
-    // What limited engines cannot take goes to another one, if the model can be loaded there in time.
-    const unavailableProcesses = new Set(choice.kind === 'refused' ? withModel.map(serverProcessId) : [])
+  const choose = (run: RequestRun, from: readonly BackendServer[]): Promise<ServerChoice> => chooser.choose(run, from, () => maxWaitMs(run))
+  /** Waits for an engine with the model, other than those in `withModel` that have refused the request for the moment. */
+  const waitForEngine = async (run: RequestRun, model: string, withModel: readonly BackendServer[], choice: ServerChoice): Promise<ModelWaitResult> => {
+    const { route, service } = run.admitted
     const startedMs = clock.monotonic()
+    const refusedUntilMs = choice.kind === 'refused' ? startedMs + (choice.refusal.retryAfterMs ?? 0) : -Infinity
+    const refusing = new Set(withModel.map(serverProcessId))
     const modelWait = await placement.waitForModel({
       model,
-      adapter,
+      adapter: run.caller.adapter,
       service: service.name,
       maxWaitMs: maxWaitMs(run),
       signal: run.stop.signal,
-      isShuttingDown: () => ctx.isClosingFor(run.admitted.route.kind),
+      isShuttingDown: () => ctx.isClosingFor(route.kind),
       excludedProcesses: run.tried,
-      unavailableProcesses
+      unavailableProcesses: () => clock.monotonic() < refusedUntilMs ? refusing : NO_PROCESSES
     })
     run.waitedMs += clock.monotonic() - startedMs
-    if (modelWait.kind === 'ready') return serverOf(await choose(modelWait.servers))
+    return modelWait
+  }
+  const refusalOfWait = (run: RequestRun, modelWait: Exclude<ModelWaitResult, { kind: 'ready' }>): Refusal => {
     if (modelWait.kind === 'closing') return { reason: 'leaving', retryAfterMs: LEAVING_RETRY_AFTER_MS }
-    if (modelWait.kind === 'stopped') return { reason: run.stopReason ?? 'caller-gone', retryAfterMs: NO_LEADER_RETRY_AFTER_MS }
-    const refusal: Refusal = modelWait.kind === 'not-in-time'
-      ? { reason: 'model-not-in-time', retryAfterMs: modelWait.inMs }
-      : { reason: 'no-orderer', retryAfterMs: NO_LEADER_RETRY_AFTER_MS }
-    return choice.kind === 'refused' ? soonerOf(choice.refusal, refusal) : refusal
+    if (modelWait.kind === 'not-in-time') return { reason: 'model-not-in-time', retryAfterMs: modelWait.inMs }
+    return { reason: modelWait.kind === 'stopped' ? run.stopReason ?? 'caller-gone' : 'no-orderer', retryAfterMs: NO_LEADER_RETRY_AFTER_MS }
+  }
+  /**
+   * Finds an engine that has the model, or waits for one if the model can be loaded in time. What the engines that have it
+   * cannot take for the moment goes to another, or to one of them once it has a place.
+   */
+  const findEngine = async (run: RequestRun, model: string): Promise<BackendServer | Refusal> => {
+    for (;;) {
+      const withModel = placement.serversWithModel(run.admitted.service.name, model, run.caller.adapter).filter(server => !run.tried.has(serverProcessId(server)))
+      const choice = await choose(run, withModel)
+      if (choice.kind === 'chosen' || isColdRefusal(choice)) return serverOf(choice)
+      const modelWait = await waitForEngine(run, model, withModel, choice)
+      if (modelWait.kind !== 'ready') {
+        const refusal = refusalOfWait(run, modelWait)
+        return choice.kind === 'refused' && modelWait.kind !== 'stopped' ? soonerOf(choice.refusal, refusal) : refusal
+      }
+      const chosen = await choose(run, modelWait.servers)
+      // Others may have taken the place that the request waited for.
+      if (chosen.kind !== 'refused' || isColdRefusal(chosen)) return serverOf(chosen)
+    }
+  }
+  const findServer = async (run: RequestRun): Promise<BackendServer | Refusal> => {
+    const { service } = run.admitted
+    const { model } = run.caller
+    if (service.engine === undefined || model === undefined) return serverOf(await choose(run, servers.usable(service.name)))
+    return service.engine.models.has(model) ? await findEngine(run, model) : NO_SERVER
   }
   const reserveAllowance = async (run: RequestRun): Promise<Refusal | undefined> => {
     const { team } = run.admitted
@@ -142,7 +163,7 @@
         ctx.serverLimits.record(id, metadata)
         const { isLeaving, restMs } = metadata.statement
         if (isLeaving) servers.recordLeaving(id, 'answer')
-        if (restMs > 0) logger.info('server-statement', { request: caller.attemptId, server: server.id, restMs })
+        if (restMs > 0) ctx.serverRests.record(id, restMs)
       },
       onActivity: () => {
         ctx.recordWakeup('server')
--- a/packages/magnoliabay/src/node/serving/serverChoice.ts
+++ b/packages/magnoliabay/src/node/serving/serverChoice.ts
@@ -1,4 +1,4 @@
-/** Chooses the backend server for a request among those that may get it: by load, and within the rates of cold and limited servers. */
+/** Chooses the backend server for a request among those that may get it: by load, and within the rates of cold and limited servers, and not while they rest. */
 import { chooseServer } from './chooseServer'
 import type { Refusal } from './refusal'
 import type { RequestRun } from './requestRun'
@@ -28,6 +28,15 @@
   isColdDenied: boolean
   /** Shortest time after which a limited server has a place again, milliseconds. */
   limitRetryMs: number
+  /** Shortest time after which a server has had the rest that it asked for, milliseconds. */
+  restMs: number
+}
+
+const NO_DENIALS: Denials = { isColdDenied: false, limitRetryMs: Infinity, restMs: Infinity }
+
+function refusalOf ({ limitRetryMs, restMs }: Denials): Refusal {
+  if (limitRetryMs === Infinity && restMs === Infinity) return { reason: 'server-cold', retryAfterMs: COLD_SERVER_RETRY_AFTER_MS }
+  return limitRetryMs <= restMs ? { reason: 'server-limited', retryAfterMs: limitRetryMs } : { reason: 'server-resting', retryAfterMs: restMs }
 }
 
 export function createServerChooser (ctx: ServingContext): ServerChooser {
@@ -62,20 +71,20 @@
     return await pickAdmitted(run, others, { ...denials, limitRetryMs: Math.min(denials.limitRetryMs, retryInMs) })
   }
 
+  const restMsOf = (server: BackendServer): number => ctx.serverRests.remainingMs(serverProcessId(server))
+  const isRested = (server: BackendServer): boolean => restMsOf(server) === 0
+  const shortestRestMs = (run: RequestRun, from: readonly BackendServer[]): number =>
+    Math.min(Infinity, ...from.filter(server => !isRested(server) && !run.tried.has(serverProcessId(server))).map(restMsOf))
+
   return {
     choose: async (run, from, maxWaitMs) => {
       for (;;) {
-        const picked = await pickAdmitted(run, from, { isColdDenied: false, limitRetryMs: Infinity })
+        const picked = await pickAdmitted(run, from.filter(isRested), { ...NO_DENIALS, restMs: shortestRestMs(run, from) })
         if ('id' in picked) return { kind: 'chosen', server: picked }
-        const { isColdDenied, limitRetryMs } = picked
-        if (!isColdDenied && limitRetryMs === Infinity) return { kind: 'none' }
+        const { isColdDenied, limitRetryMs, restMs } = picked
+        if (!isColdDenied && limitRetryMs === Infinity && restMs === Infinity) return { kind: 'none' }
         const mayWait = isColdDenied && !run.stop.signal.aborted && maxWaitMs() > COLD_SERVER_DELAY_MS
-        if (!mayWait) {
-          const refusal: Refusal = limitRetryMs === Infinity
-            ? { reason: 'server-cold', retryAfterMs: COLD_SERVER_RETRY_AFTER_MS }
-            : { reason: 'server-limited', retryAfterMs: limitRetryMs }
-          return { kind: 'refused', refusal }
-        }
+        if (!mayWait) return { kind: 'refused', refusal: refusalOf(picked) }
         await ctx.pause(COLD_SERVER_DELAY_MS)
       }
     }
--- a/packages/magnoliabay/src/node/serving/servingContext.ts
+++ b/packages/magnoliabay/src/node/serving/servingContext.ts
@@ -14,6 +14,7 @@
 import type { ServerHealth } from './serverHealth'
 import type { ServerLimits } from './serverLimits'
 import type { ServerList } from './serverList'
+import type { ServerRests } from './serverRests'
 import type { RequestKind } from './types'
 import type { ServingProtocol } from './servingProtocol'
 
@@ -24,6 +25,7 @@
   health: ServerHealth
   serverLimits: ServerLimits
   limitedServers: LimitedServers
+  serverRests: ServerRests
   fleetView: FleetView
   placement: PlacementClient
   allowance: AllowanceLimiter
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -40,6 +40,7 @@
 import { createServerHealth } from './serverHealth'
 import { createServerLimits } from './serverLimits'
 import { createServerList } from './serverList'
+import { createServerRests } from './serverRests'
 import { createPrefixWatches, watchStore } from './storeWatches'
 import type { StoreWatchOptions } from './storeWatches'
 import { createStoreProxy } from './storeProxy'
@@ -157,6 +158,7 @@
   const health = createServerHealth(clock)
   const serverLimits = createServerLimits({ clock, logger, onChanged: count => metrics.limitedServers.set(count) })
   const limitedServers = createLimitedServers({ peers, limits: serverLimits, clock, logger })
+  const serverRests = createServerRests({ clock, logger })
   const connections = createConnections(clock)
   const demand = new Map<string, DecayingRate>()
   const budgets = new Map<string, RetryBudget>()
@@ -277,7 +279,7 @@
     logger,
     random
   })
-  const placementController = createPlacementController({ self: id, leadership, servers, cfg, table: fleetView, engines: options.engines, limitOf: serverLimits.limitOf, storeReachableSinceMs: store.reachableSinceMs, peers, clock, logger, loadWindowMs: settings.storeLoadWindowMs })
+  const placementController = createPlacementController({ self: id, leadership, servers, cfg, table: fleetView, engines: options.engines, limitOf: serverLimits.limitOf, restMs: serverRests.remainingMs, storeReachableSinceMs: store.reachableSinceMs, peers, clock, logger, loadWindowMs: settings.storeLoadWindowMs })
   const placement = createPlacementClient({
     peers,
     servers,
@@ -328,6 +330,7 @@
     health,
     serverLimits,
     limitedServers,
+    serverRests,
     fleetView,
     placement,
     allowance,
@@ -355,6 +358,7 @@
     const process = serverProcessId(server)
     serverLimits.recordLimit(process, statement.requestsPerSecond)
     if (statement.isLeaving) servers.recordLeaving(process, 'answer')
+    if (statement.restMs > 0) serverRests.record(process, statement.restMs)
   })
   evacuations.onChanged(servers.notifyChanged)
   cfg.onChanged(() => {
