--- a/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
@@ -1,5 +1,5 @@
 /** Simulates the path of requests in virtual time: the request handlers of many instances, and backend servers that answer with the platform's headers. */
-import { createDirectStore, createKvState } from '@magnoliabay/standins'
+import { createDirectStore, createKvState, createRandom } from '@magnoliabay/standins'
 import { createVirtualClock } from '../../../clock/virtual'
 import type { VirtualClock } from '../../../clock/virtual'
 import { createSilentLogger } from '../../../logger'
@@ -31,6 +31,7 @@
 const LEADER = 'm000'
 /** Delay of a request or an answer between an instance and a server, milliseconds. */
 const HOP_MS = 1
+const RANDOM_SEED = 1
 
 export interface Arrival {
   atMs: number
@@ -94,6 +95,7 @@
   const entries = new Map<string, SimulatedEntry>()
   const servers = new Map<string, SimulatedServer>()
   const store = createDirectStore(createKvState({ clock }), { clock })
+  const random = createRandom(RANDOM_SEED)
   let attempts = 0
 
   const listEverywhere = (): void => entries.forEach(entry => listServers(entry.servers))
@@ -140,7 +142,7 @@
     listServers(list)
     const health = createServerHealth(clock)
     const serverLimits = createServerLimits({ clock, logger, onChanged: () => {} })
-    const limitedServers = createLimitedServers({ peers, limits: serverLimits, clock, logger })
+    const limitedServers = createLimitedServers({ peers, limits: serverLimits, clock, logger, random })
     const recordStatements = ({ limits, leavingServers }: Pick<InstanceReport, 'limits' | 'leavingServers'>): void => {
       serverLimits.recordFromPeer(limits)
       leavingServers.forEach(process => list.recordLeaving(process, 'peer'))
--- a/packages/magnoliabay/src/node/serving/limitedServers.ts
+++ b/packages/magnoliabay/src/node/serving/limitedServers.ts
@@ -34,8 +34,15 @@
 const ASK_TIMEOUT_MS = 200
 /** An instance that has not replied is asked again after this time, milliseconds. */
 const ASK_RETRY_MS = 1000
-/** Above this number of buckets all are dropped: those of processes that have ended would accumulate. */
-const MAX_BUCKETS = 1000
+/**
+ * After a refusal an instance pauses, so that all instances together ask in vain this often: at least the first number a
+ * second, so that a small limit is used, and for a large limit this multiple of it.
+ */
+const MIN_ASKS_PER_SECOND = 20
+const ASKS_PER_GRANT = 2
+const MS_PER_SECOND = 1000
+/** Above this number of records, those of processes that have ended are dropped with all others. */
+const MAX_RECORDS = 1000
 
 export interface LimitedServers {
   /** Takes a request for the server; the grant is immediate for one that states no limit. */
@@ -47,13 +54,15 @@
   limits: Pick<ServerLimits, 'limitOf'>
   clock: Clock
   logger: Logger
+  /** Returns a number from 0 to below 1. */
+  random: () => number
 }
 
 const GRANTED: Grant = { freeInMs: 0, retryInMs: 0 }
 
-export function createLimitedServers ({ peers, limits, clock, logger }: LimitedServersOptions): LimitedServers {
+export function createLimitedServers ({ peers, limits, clock, logger, random }: LimitedServersOptions): LimitedServers {
   const buckets = new Map<string, RateBucket>()
-  /** The last refusal for each process: until it has a free place again, nobody needs to be asked. */
+  /** The last refusal for each process: until it has a free place again, and for the pause, nobody is asked. */
   const refusals = new Map<string, { grant: Grant, atMs: number }>()
   const unreachedUntilMs = new Map<string, number>()
   /** Home and deputy by process, until members change. */
@@ -62,7 +71,7 @@
 
   const bucketOf = (process: string, role: Role): RateBucket => {
     const key = `${role} ${process}`
-    if (buckets.size > MAX_BUCKETS) buckets.clear()
+    if (buckets.size > MAX_RECORDS) buckets.clear()
     // An instance that is cut off starts without a burst: many may be cut off at once.
     const bucket = buckets.get(key) ?? createRateBucket({ nowMs: clock.monotonic(), ...(role === 'apart' ? { initialTokens: 0 } : {}) })
     buckets.set(key, bucket)
@@ -98,6 +107,12 @@
     buckets.delete(`apart ${process}`)
     return granted
   }
+  const withPause = ({ freeInMs, retryInMs }: Grant, limit: number): Grant => {
+    const meanPauseMs = peers.members().length * MS_PER_SECOND / Math.max(MIN_ASKS_PER_SECOND, ASKS_PER_GRANT * limit)
+    // Instances that hear of the limit at the same moment must not ask at the same moment from then on.
+    const pauseMs = 2 * random() * meanPauseMs
+    return { freeInMs: Math.max(freeInMs, pauseMs), retryInMs: Math.max(retryInMs, pauseMs) }
+  }
   const pendingRefusal = (process: string): Grant | undefined => {
     const refusal = refusals.get(process)
     if (refusal === undefined) return undefined
@@ -114,9 +129,11 @@
       const pending = pendingRefusal(process)
       if (pending !== undefined) return pending
       const grant = await askRanked(process, limit)
-      if (grant.freeInMs > 0) refusals.set(process, { grant, atMs: clock.monotonic() })
-      else refusals.delete(process)
-      return grant
+      if (grant.freeInMs === 0) return grant
+      const refused = withPause(grant, limit)
+      if (refusals.size > MAX_RECORDS) refusals.clear()
+      refusals.set(process, { grant: refused, atMs: clock.monotonic() })
+      return refused
     }
   }
 }
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -157,7 +157,7 @@
   const servers = createServerList({ decode: protocol.decodeServer, idOf: protocol.serverIdOf, isEvacuated: evacuations.isEvacuated, storeReachableSinceMs: store.reachableSinceMs, clock, logger })
   const health = createServerHealth(clock)
   const serverLimits = createServerLimits({ clock, logger, onChanged: count => metrics.limitedServers.set(count) })
-  const limitedServers = createLimitedServers({ peers, limits: serverLimits, clock, logger })
+  const limitedServers = createLimitedServers({ peers, limits: serverLimits, clock, logger, random })
   const serverRests = createServerRests({ clock, logger })
   const connections = createConnections(clock)
   const demand = new Map<string, DecayingRate>()
