--- a/packages/magnoliabay/src/node/serving/homeInstance.ts
+++ b/packages/magnoliabay/src/node/members/homeInstance.ts
@@ -1,5 +1,5 @@
 /** Chooses the instance that counts for all instances: units of a team's allowance, or requests to a server. */
-import type { Peers } from '../members'
+import type { Peers } from './peers'
 import { rankByRendezvous } from '../utils'
 
 /**
--- a/packages/magnoliabay/src/node/members/index.ts
+++ b/packages/magnoliabay/src/node/members/index.ts
@@ -10,3 +10,4 @@
 export type { MemberRecord } from './record'
 export { createReachabilityProbe } from './reachabilityProbe'
 export type { ReachabilityProbe } from './reachabilityProbe'
+export { homeInstanceOf, rankHomeInstances } from './homeInstance'
--- a/packages/magnoliabay/src/node/platform/serverStatement.ts
+++ b/packages/magnoliabay/src/node/platform/serverStatement.ts
@@ -1,6 +1,6 @@
 /** Decodes what an answer of a backend server states about the server itself. */
 import type { IncomingHttpHeaders } from 'node:http'
-import type { ServerStatement } from '../serving/types'
+import type { ServerStatement } from '../statements'
 
 const LIMIT = 'server-limit'
 const LEAVING = 'server-leaving'
--- a/packages/magnoliabay/src/node/serving/allowance/allowanceLimiter.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/allowanceLimiter.ts
@@ -6,12 +6,11 @@
  */
 import type { Clock } from '../../clock'
 import type { Logger } from '../../logger'
-import { definePeerCall, definePeerNotice } from '../../members'
+import { definePeerCall, definePeerNotice, homeInstanceOf } from '../../members'
 import type { PeerError, Peers } from '../../members'
 import type { Result } from '../../result'
 import type { Store } from '../../store'
 import { addCount } from '../../utils'
-import { homeInstanceOf } from '../homeInstance'
 import type { Team } from '../types'
 import { createHomeLedger } from './homeLedger'
 import type { HomeLedger, LedgerLimit } from './homeLedger'
--- a/packages/magnoliabay/src/node/serving/attempt.ts
+++ b/packages/magnoliabay/src/node/serving/attempt.ts
@@ -1,8 +1,9 @@
 /** Sends a request to one backend server once, relays the response to the caller, and reports how the attempt ended. */
 import type { ServerResponse } from 'node:http'
+import type { ServerStatement } from '../statements'
 import type { EventStream } from './eventStream'
 import type { ResponseHead, Connections, Exchange } from './exchange'
-import type { BackendServer, ServerStatement } from './types'
+import type { BackendServer } from './types'
 
 /** Largest response that is buffered until it is complete, so that an incomplete one can be replaced, bytes. */
 const MAX_BUFFERED_BYTES = 262_144
--- a/packages/magnoliabay/src/node/serving/coldStarts.ts
+++ b/packages/magnoliabay/src/node/serving/coldStarts.ts
@@ -7,9 +7,8 @@
  */
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
-import { definePeerCall } from '../members'
+import { definePeerCall, homeInstanceOf } from '../members'
 import type { Peers } from '../members'
-import { homeInstanceOf } from './homeInstance'
 import { serverProcessId } from './types'
 import type { BackendServer, ColdStart } from './types'
 
--- a/packages/magnoliabay/src/node/serving/departedServers.ts
+++ b/packages/magnoliabay/src/node/serving/departedServers.ts
@@ -1,8 +1,8 @@
 /** Drops the health data, stated limits and idle connections of backend servers that have left the list. */
+import type { ServerLimits } from '../statements'
 import type { EngineCalls } from './engineCalls'
 import type { Connections } from './exchange'
 import type { ServerHealth } from './serverHealth'
-import type { ServerLimits } from './serverLimits'
 import type { ServerList } from './serverList'
 import { serverProcessId } from './types'
 
--- a/packages/magnoliabay/src/node/serving/engineCalls.ts
+++ b/packages/magnoliabay/src/node/serving/engineCalls.ts
@@ -1,6 +1,7 @@
 /** Interface to an engine: reports and orders. */
 import type { Result } from '../result'
-import type { BackendServer, LoadedModel, ServerStatement } from './types'
+import type { ServerStatement } from '../statements'
+import type { BackendServer, LoadedModel } from './types'
 
 export interface EngineReport {
   /** Start of the engine's process, if the report contains it. */
--- a/packages/magnoliabay/src/node/serving/fleetMessages.ts
+++ b/packages/magnoliabay/src/node/serving/fleetMessages.ts
@@ -1,10 +1,10 @@
 /** Messages between instances and the leader: relays aggregate reports and forward summaries and notices. */
 import { definePeerNotice } from '../members'
 import type { MemberChanges } from '../members'
+import type { StatedLimit } from '../statements'
 import type { EvacuationState } from './evacuations'
 import type { TeamSpending } from './allowance/allowanceLimiter'
 import type { LeaderClaim } from './placement/leaderRecords'
-import type { StatedLimit } from './serverLimits'
 import type { BackendServer } from './types'
 
 /** Requests in flight at one server for one model. */
--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -160,8 +160,8 @@
       toCallerHeaders: protocol.toCallerHeaders,
       isRetryableStatus: status => status >= MIN_SERVER_ERROR_STATUS && canRetry(run),
       onServerStatement: metadata => {
-        ctx.serverLimits.record(id, metadata)
-        const { isLeaving, restMs } = metadata.statement
+        const { isSigned, isNotRun, statement: { isLeaving, restMs } } = metadata
+        ctx.serverLimits.record(id, metadata.statement, isSigned && !isNotRun)
         if (isLeaving) servers.recordLeaving(id, 'answer')
         if (restMs > 0) ctx.serverRests.record(id, restMs)
       },
--- a/packages/magnoliabay/src/node/serving/serverChoice.ts
+++ b/packages/magnoliabay/src/node/serving/serverChoice.ts
@@ -66,7 +66,7 @@
     if (server === undefined) return denials
     const others = from.filter(other => other !== server)
     if (ctx.coldStarts.isCold(server) && !await ctx.coldStarts.admit(server)) return await pickAdmitted(run, others, { ...denials, isColdDenied: true })
-    const { freeInMs, retryInMs } = await ctx.limitedServers.admit(server)
+    const { freeInMs, retryInMs } = await ctx.limitedServers.admit(serverProcessId(server))
     if (freeInMs === 0) return server
     return await pickAdmitted(run, others, { ...denials, limitRetryMs: Math.min(denials.limitRetryMs, retryInMs) })
   }
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -15,6 +15,7 @@
 import type { RetryBudget } from '../outcomes'
 import { probeAddress } from '../probe'
 import { createShutdown } from '../shutdown'
+import { createLimitedServers, createServerLimits, createServerRests } from '../statements'
 import type { Store, PrefixWatch } from '../store'
 import { createId, listenOn, parseHostPort } from '../utils'
 import { createPeerFallbackStore } from './allowance/peerFallbackStore'
@@ -27,7 +28,6 @@
 import { createConnections } from './exchange'
 import { createEvacuations } from './evacuations'
 import { createFleetView } from './fleetView'
-import { createLimitedServers } from './limitedServers'
 import type { InstanceReport } from './fleetMessages'
 import { createEntryServer } from './entryServer'
 import { cleanUpDepartedServers } from './departedServers'
@@ -38,9 +38,7 @@
 import { createPlacementClient } from './placement/placementClient'
 import { createRequestHandler } from './requestHandler'
 import { createServerHealth } from './serverHealth'
-import { createServerLimits } from './serverLimits'
 import { createServerList } from './serverList'
-import { createServerRests } from './serverRests'
 import { createPrefixWatches, watchStore } from './storeWatches'
 import type { StoreWatchOptions } from './storeWatches'
 import { createStoreProxy } from './storeProxy'
@@ -356,7 +354,7 @@
 
   options.engines.onStatement((server, statement) => {
     const process = serverProcessId(server)
-    serverLimits.recordLimit(process, statement.requestsPerSecond)
+    serverLimits.record(process, statement, false)
     if (statement.isLeaving) servers.recordLeaving(process, 'answer')
     if (statement.restMs > 0) serverRests.record(process, statement.restMs)
   })
--- a/packages/magnoliabay/src/node/serving/limitedServers.ts
+++ b/packages/magnoliabay/src/node/statements/limitedServers.ts
@@ -7,14 +7,11 @@
  */
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
-import { definePeerCall } from '../members'
+import { definePeerCall, rankHomeInstances } from '../members'
 import type { Peers } from '../members'
-import { rankHomeInstances } from './homeInstance'
 import { createRateBucket } from './rateBucket'
 import type { Grant, RateBucket } from './rateBucket'
 import type { ServerLimits } from './serverLimits'
-import { serverProcessId } from './types'
-import type { BackendServer } from './types'
 
 type Role = 'home' | 'deputy' | 'apart'
 
@@ -45,8 +42,10 @@
 const MAX_RECORDS = 1000
 
 export interface LimitedServers {
-  /** Takes a request for the server; the grant is immediate for one that states no limit. */
-  admit (server: BackendServer): Promise<Grant>
+  /** Takes a request for the server's process; the grant is immediate for one that states no limit. */
+  admit (process: string): Promise<Grant>
+  /** Time for which the process certainly takes no request, as far as known without asking, milliseconds. */
+  refusedForMs (process: string): number
 }
 
 export interface LimitedServersOptions {
@@ -122,8 +121,8 @@
   }
 
   return {
-    admit: async server => {
-      const process = serverProcessId(server)
+    refusedForMs: process => limits.limitOf(process) === undefined ? 0 : pendingRefusal(process)?.freeInMs ?? 0,
+    admit: async process => {
       const limit = limits.limitOf(process)
       if (limit === undefined) return GRANTED
       const pending = pendingRefusal(process)
--- a/packages/magnoliabay/src/node/serving/serverLimits.ts
+++ b/packages/magnoliabay/src/node/statements/serverLimits.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
-import type { ResponseMetadata } from './attempt'
+import type { ServerStatement } from './types'
 
 /** What a server process last stated, as instances send it to each other. */
 export interface StatedLimit {
@@ -16,10 +16,11 @@
 }
 
 export interface ServerLimits {
-  /** Records what an answer of the server process states. */
-  record (process: string, answer: Pick<ResponseMetadata, 'isNotRun' | 'isSigned' | 'statement'>): void
-  /** Records a limit that the process states in an answer to a report or an order; a missing one lifts nothing. */
-  recordLimit (process: string, requestsPerSecond: number | undefined): void
+  /**
+   * Records what an answer of the server process states. `hasRun`: it answers a request that the process has run; any
+   * other answer may come from elsewhere, or lack the statement, so it lifts no limit.
+   */
+  record (process: string, statement: Pick<ServerStatement, 'requestsPerSecond'>, hasRun: boolean): void
   /** Records what answers to other instances state; undefined from a peer of an older version. */
   recordFromPeer (stated: readonly StatedLimit[] | undefined): void
   /** Returns the latest statements, for other instances. */
@@ -67,12 +68,10 @@
     onChanged(countLimited())
   }
   return {
-    record: (process, { isNotRun, isSigned, statement: { requestsPerSecond } }) => {
-      // A rejection may come from a proxy or from another process, so its silence lifts nothing.
-      const canLift = statements.has(process) && isSigned && !isNotRun
-      if (requestsPerSecond !== undefined || canLift) set(process, { requestsPerSecond, atMs: clock.monotonic(), source: 'answer' })
+    record: (process, { requestsPerSecond }, hasRun) => {
+      const isLifted = hasRun && statements.has(process)
+      if (requestsPerSecond !== undefined || isLifted) set(process, { requestsPerSecond, atMs: clock.monotonic(), source: 'answer' })
     },
-    recordLimit: (process, requestsPerSecond) => { if (requestsPerSecond !== undefined) set(process, { requestsPerSecond, atMs: clock.monotonic(), source: 'answer' }) },
     recordFromPeer: stated => stated?.forEach(({ server, requestsPerSecond, ageMs }) => {
       const atMs = clock.monotonic() - ageMs
       if (atMs > (statements.get(server)?.atMs ?? -Infinity)) set(server, { requestsPerSecond, atMs, source: 'peer' })
--- /dev/null
+++ b/packages/magnoliabay/src/node/statements/types.ts
@@ -0,0 +1,9 @@
+/** What an answer of a backend server states about the server itself. */
+export interface ServerStatement {
+  /** Requests a second that the server takes from all instances together; undefined if it states no limit. */
+  requestsPerSecond: number | undefined
+  /** It will end soon and wants no new requests. */
+  isLeaving: boolean
+  /** Time for which it wants no requests from this instance, milliseconds; 0 for none. */
+  restMs: number
+}
