--- a/packages/magnoliabay/src/node/__tests__/instanceFixture.ts
+++ b/packages/magnoliabay/src/node/__tests__/instanceFixture.ts
@@ -7,6 +7,7 @@
 import { EMBEDDED_CONFIG_TOML } from '../commands/embeddedConfig'
 import { resolveSettings } from '../config'
 import type { Settings } from '../config'
+import { decodeServerStatement } from '../platform'
 import { createInstance } from '../instance'
 import type { Instance } from '../instance'
 import { createLogger } from '../logger'
@@ -38,6 +39,7 @@
   const list = createInstanceListState({ clock })
   const [entry, peer, operator] = await Promise.all([freeAddress(), freeAddress(), freeAddress()])
   const instance = createInstance({
+    decodeStatement: decodeServerStatement,
     settings: resolveSettings({
       instance: {
         id: 'entry-1',
--- a/packages/magnoliabay/src/node/backend/relay.ts
+++ b/packages/magnoliabay/src/node/backend/relay.ts
@@ -18,7 +18,7 @@
 
 export async function relayCompletion (options: RelayOptions, req: RelayRequest, res: ServerResponse, onFirstByte: () => void): Promise<RelayResult> {
   const firstAttempt = await runAttempt(options, options.connectionPools.of(req.address), req, req.engineRequestId, res, onFirstByte)
-  if (firstAttempt.kind !== 'failed' || !firstAttempt.isConnectionSuspect || req.signal.aborted || !req.tryTakeRetry()) return firstAttempt.result
+  if (firstAttempt.kind !== 'failed' || !firstAttempt.isConnectionSuspect || req.signal.aborted || !req.tryTakeRetry() || !await options.statements.admit(req.address)) return firstAttempt.result
   // The pooled connection may have stopped responding, been closed meanwhile, or carried another request's
   // response, while new connections work; the caller would then wait until its deadline. One attempt on a new
   // connection distinguishes a faulty connection from a faulty engine.
@@ -53,7 +53,7 @@
 async function relayStreamed (options: RelayOptions, dispatcher: Dispatcher, req: RelayRequest, res: ServerResponse, onFirstByte: () => void): Promise<RelayAttempt> {
   const stream = createStreamState(options, req, res, onFirstByte)
   let part = await runPart(options, dispatcher, req, exchangeRequestOf(options, req), stream)
-  for (let resumes = 0; resumes < MAX_RESUMES && canResume(part, stream, req); resumes += 1) {
+  for (let resumes = 0; resumes < MAX_RESUMES && canResume(part, stream, req) && await options.statements.admit(req.address); resumes += 1) {
     const resumedPart = await resumePart(options, req, stream)
     // Refused because the engine no longer keeps the request: the failure of the earlier part is reported.
     if (resumedPart.kind === 'refused') break
--- a/packages/magnoliabay/src/node/backend/relayBuffered.ts
+++ b/packages/magnoliabay/src/node/backend/relayBuffered.ts
@@ -20,7 +20,8 @@
   const exchange = startExchange(dispatcher, options.clock, exchangeReq, {
     onHead: (status, headers) => {
       readResponseHead(head, req.engineRequestId, status, headers)
-      if (head.isForOtherRequest) exchange.stop('The engine answered another request.')
+      if (head.isForOtherRequest) return exchange.stop('The engine answered another request.')
+      options.statements.record(req.address, status, headers, status === HTTP_OK)
     },
     onData: chunk => {
       if (head.status !== HTTP_OK) return appendErrorText(head, chunk)
--- a/packages/magnoliabay/src/node/backend/relayTypes.ts
+++ b/packages/magnoliabay/src/node/backend/relayTypes.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../clock'
 import type { Failure } from '../failures'
 import type { ExecutionTracker } from '../outcomes'
+import type { BackendStatements } from './backendStatements'
 import type { EngineClient, ConnectionPools } from './engineClient'
 import type { PartResult } from './relayConnection'
 
@@ -19,6 +20,7 @@
 export interface RelayOptions {
   connectionPools: ConnectionPools
   engineClient: Pick<EngineClient, 'cancel'>
+  statements: Pick<BackendStatements, 'record' | 'admit'>
   clock: Clock
   limits: RelayLimits
 }
--- a/packages/magnoliabay/src/node/backend/serviceCall.ts
+++ b/packages/magnoliabay/src/node/backend/serviceCall.ts
@@ -1,5 +1,6 @@
 /** One call to a plain service, whose response is returned in full or not at all. */
 import type { Clock } from '../clock'
+import type { BackendStatements } from './backendStatements'
 import type { ConnectionPools } from './engineClient'
 import { startExchange } from './httpExchange'
 import type { ExchangeRequest, HttpMethod, ResponseHeaders } from './httpExchange'
@@ -38,6 +39,7 @@
 
 export interface ServiceCallOptions {
   connectionPools: ConnectionPools
+  statements: Pick<BackendStatements, 'record'>
   clock: Clock
 }
 
@@ -67,7 +69,7 @@
     onHead: (responseStatus, responseHeaders) => {
       status = responseStatus
       headers = responseHeaders
-      if (!isForOtherRequest(headers, req.requestId)) return
+      if (!isForOtherRequest(headers, req.requestId)) return options.statements.record(req.address, status, headers, headers[NOT_RUN_HEADER] !== 'true')
       problem = 'The service answered another request.'
       exchange.stop(problem)
     },
--- a/packages/magnoliabay/src/node/commands/embedded.ts
+++ b/packages/magnoliabay/src/node/commands/embedded.ts
@@ -14,6 +14,7 @@
 import { createOperatorClient } from '../operators/client'
 import type { OperatorClient } from '../operators/client'
 import { createEtcdStore, createInstanceListClient } from '../store'
+import { decodeServerStatement } from '../platform'
 import { createId } from '../utils'
 import { EMBEDDED_FAILURE_DOMAINS, EMBEDDED_CONFIG_TOML, EMBEDDED_MODELS, EMBEDDED_REGION, EMBEDDED_TEAM } from './embeddedConfig'
 import { addressesOf, startStandIns } from './standIns'
@@ -81,6 +82,7 @@
     }),
     store,
     list,
+    decodeStatement: decodeServerStatement,
     clock,
     logger
   }))
--- a/packages/magnoliabay/src/node/commands/serve.ts
+++ b/packages/magnoliabay/src/node/commands/serve.ts
@@ -4,6 +4,7 @@
 import { formatProblem, parseSettings } from '../config'
 import { createInstance } from '../instance'
 import { createLogger } from '../logger'
+import { decodeServerStatement } from '../platform'
 import { createEtcdStore, createInstanceListClient } from '../store'
 import { createCertificates } from '../tls'
 import { messageOf } from '../utils'
@@ -41,7 +42,7 @@
     certificates.start(stop.signal)
     const store = createEtcdStore({ endpoints: settings.val.platform.store, tls: certificates.current, clock, logger })
     const list = createInstanceListClient(settings.val.platform.instanceList)
-    const instance = createInstance({ settings: settings.val, store, list, clock, logger })
+    const instance = createInstance({ settings: settings.val, store, list, decodeStatement: decodeServerStatement, clock, logger })
     await instance.start()
     await waitForShutdownSignal()
     await instance.shutdown()
--- a/packages/magnoliabay/src/node/entry/__tests__/completions.spec.ts
+++ b/packages/magnoliabay/src/node/entry/__tests__/completions.spec.ts
@@ -168,3 +168,39 @@
     expect(contentOf(unrelated)).to.equal(EXPECTED_TEXT)
   })
 })
+
+describe('completions: engines that state a rate limit', () => {
+  let harness: EntryHarness
+  afterEach(() => harness.close())
+  const LIMIT = 1
+  const sendAll = (count: number): Promise<ClientResponse[]> => Promise.all(Array.from({ length: count }, (_, index) => harness.chat(index % 3, `${PROMPT} ${index}`)))
+  const requestsAt = (index: number): number => harness.fleet.engines[index]!.state.records().requests.length
+
+  /** Guards against an engine getting more than it takes, summed over the instances, because its answers are not read. */
+  it('get no more than that from three instances together, and the rest goes to another engine', async () => {
+    harness = await createEntryHarness({ entries: 3 })
+    await harness.fleet.engines[0]!.state.faults.set({ statedLimit: LIMIT })
+    await sendAll(3)
+    const beforeLimit = requestsAt(0)
+    const startedMs = harness.clock.monotonic()
+    const responses = [...await sendAll(30), ...await sendAll(30)]
+    const seconds = (harness.clock.monotonic() - startedMs) / 1000
+    expect(responses.map(({ status }) => status)).to.deep.equal(Array(60).fill(200))
+    expect(requestsAt(0) - beforeLimit).to.be.at.most(seconds * LIMIT * 1.5 + 5)
+    expect(requestsAt(0)).to.be.greaterThan(beforeLimit)
+  })
+
+  it('get as many as before once they state none any more', async () => {
+    harness = await createEntryHarness({ entries: 3, engines: [{}] })
+    const { faults } = harness.fleet.engines[0]!.state
+    await faults.set({ statedLimit: LIMIT })
+    await sendAll(3)
+    await faults.set({ statedLimit: 0 })
+    harness.clock.elapse(2000)
+    await harness.chat(0, PROMPT)
+    // The first answer lifts the limit at the instance that got it, and its notice at the others.
+    const isServedEverywhere = async (): Promise<boolean> => (await sendAll(3)).every(({ status }) => status === 200)
+    while (!await isServedEverywhere()) harness.clock.elapse(500)
+    expect((await sendAll(30)).map(({ status }) => status)).to.deep.equal(Array(30).fill(200))
+  })
+})
--- a/packages/magnoliabay/src/node/entry/__tests__/harness.ts
+++ b/packages/magnoliabay/src/node/entry/__tests__/harness.ts
@@ -12,6 +12,7 @@
 import { request } from 'undici'
 import type { Caller } from '../../admission'
 import { createEngineClient, createConnectionPools } from '../../backend'
+import { createBackendStatements } from '../../backend/backendStatements'
 import type { Clock } from '../../clock'
 import type { ServiceConfig } from '../../config'
 import { resolveSettings } from '../../config'
@@ -24,6 +25,7 @@
 import type { MemberRecord } from '../../members'
 import { createMetrics } from '../../metrics'
 import { createBatchWriter, createIdempotencyClaims, createRetentionLease, createForwardingWriter } from '../../once'
+import { decodeServerStatement } from '../../platform'
 import { Err, Ok } from '../../result'
 import { createEntryServer } from '..'
 import type { EntryServer, EntryServerOptions } from '..'
@@ -158,16 +160,18 @@
   const writer = createForwardingWriter({ peers, localWriter: createBatchWriter({ store, lease, clock }) })
   const pools = createConnectionPools(null)
   const engines = createEngineClient()
+  const statements = createBackendStatements({ peers, decode: decodeServerStatement, clock, logger, random: () => 0 })
   const entry = createEntryServer({
     settings,
     cfg: createFakeConfig(),
     keyring: createFakeKeyring(shared.withdrawals),
     allowance: createFakeAllowance(network, peers),
-    routing: createFakeRouting(options.engineAddresses ?? fleet.engines.map(engine => engine.address)),
+    routing: createFakeRouting(options.engineAddresses ?? fleet.engines.map(engine => engine.address), statements),
     directory: createFakeDirectory(fleet),
     idempotencyClaims: createIdempotencyClaims({ store, writer, owner: id, clock, logger, inProgressTimeoutMs: 90_000 }),
     connectionPools: pools,
     engineClient: engines,
+    statements,
     peers,
     clock,
     logger,
@@ -202,12 +206,12 @@
   } as unknown as EntryServerOptions['allowance']
 }
 
-function createFakeRouting (addresses: readonly string[]): EntryServerOptions['routing'] {
+function createFakeRouting (addresses: readonly string[], statements: EntryServerOptions['statements']): EntryServerOptions['routing'] {
   const replicas = addresses.map((address, index) => ({ engine: `engine-${index + 1}`, address }))
   return {
     inFlight: () => 0,
     acquireReplica: async ({ excludedEngines }: { excludedEngines: ReadonlySet<string> }) => {
-      const replica = replicas.find(({ engine }) => !excludedEngines.has(engine))
+      const replica = replicas.find(({ engine, address }) => !excludedEngines.has(engine) && statements.refusedForMs(address) === 0)
       return replica === undefined ? Err(createRefusal('no_capacity', 'No engine is left.', 1)) : Ok({ replica, release: () => {} })
     }
   } as unknown as EntryServerOptions['routing']
--- a/packages/magnoliabay/src/node/entry/__tests__/services.spec.ts
+++ b/packages/magnoliabay/src/node/entry/__tests__/services.spec.ts
@@ -131,6 +131,20 @@
     expect(runCount()).to.equal(1)
   })
 
+  /** Guards against a service getting more calls than it takes, because its answers are not read. */
+  it('sends a server that states a rate limit no more than that, and the rest to another', async () => {
+    harness = await createEntryHarness({ entries: 2 })
+    const [limited] = harness.fleet.services
+    await limited!.state.faults.set({ statedLimit: 1 })
+    const startedMs = harness.clock.monotonic()
+    await Promise.all([deposit(0, 'a'), deposit(0, 'b'), deposit(1, 'c'), deposit(1, 'd')])
+    const before = limited!.state.total()
+    const later = await Promise.all(Array.from({ length: 40 }, (_, index) => deposit(index % 2, `later-${index}`)))
+    const seconds = (harness.clock.monotonic() - startedMs) / 1000
+    expect(later.map(observedOutcomeOf)).to.deep.equal(Array(40).fill('answer'))
+    expect(limited!.state.total() - before).to.be.at.most(seconds * 1.5 + 5)
+  })
+
   // The instance list still shows the server as live. Its refusal stops new calls, at this instance and at peers.
   it('sends no more calls to a server that reported that it leaves', async () => {
     harness = await createEntryHarness({ entries: 2 })
--- a/packages/magnoliabay/src/node/entry/attempts.ts
+++ b/packages/magnoliabay/src/node/entry/attempts.ts
@@ -10,7 +10,8 @@
 import { fingerprintOf } from '../outcomes'
 import type { RequestOutcome, RetryBudget, Suspects } from '../outcomes'
 import { WORK_CLASS_HEADER, ENGINE_PRIORITY_BY_CLASS, parseWorkClass } from '../queue'
-import type { ReplicaRouter } from '../routing'
+import type { AcquiredReplica, ReplicaRouter } from '../routing'
+import type { Result } from '../result'
 import type { CompletionRequest } from './completionRequest'
 import type { EntryRequest } from './types'
 
@@ -38,17 +39,25 @@
 export function createAttempts (options: AttemptOptions): CompletionAttempts {
   const { routing, retryBudget, suspects, clock, logger, metrics } = options
 
+  /** Acquires a replica whose engine takes the request now; the router leaves out those that have refused it. */
+  const acquireAdmitted = async ({ excludedEngines, req, completion }: Attempt): Promise<Result<AcquiredReplica, Failure>> => {
+    for (;;) {
+      const route = await routing.acquireReplica({
+        modelOrAdapter: completion.model,
+        team: req.caller.team,
+        prefixHash: completion.prefixHash,
+        deadlineMs: req.deadline.atMs,
+        excludedEngines,
+        signal: req.deadline.signal
+      })
+      if (route.err || await options.relay.statements.admit(route.val.replica.address)) return route
+      route.val.release()
+    }
+  }
   const runAttempt = async (attempt: Attempt): Promise<AttemptResult> => {
     const { attemptIndex, excludedEngines, req, res, completion, onFirstByte } = attempt
     const requestedAtMs = clock.monotonic()
-    const route = await routing.acquireReplica({
-      modelOrAdapter: completion.model,
-      team: req.caller.team,
-      prefixHash: completion.prefixHash,
-      deadlineMs: req.deadline.atMs,
-      excludedEngines,
-      signal: req.deadline.signal
-    })
+    const route = await acquireAdmitted(attempt)
     if (route.err) return { kind: 'no-route', failure: route.val }
     req.observation.wasCold ||= clock.monotonic() - requestedAtMs > COLD_START_THRESHOLD_MS
     const { replica, release } = route.val
--- a/packages/magnoliabay/src/node/entry/index.ts
+++ b/packages/magnoliabay/src/node/entry/index.ts
@@ -4,6 +4,7 @@
 import type { Keyring } from '../admission'
 import type { Allowance } from '../allowance'
 import type { BackendDirectory, EngineClient, ConnectionPools } from '../backend'
+import type { BackendStatements } from '../backend/backendStatements'
 import { createLeavingBackends } from '../backend/leavingBackends'
 import type { Clock } from '../clock'
 import { TIMED_OUT, withTimeout } from '../clock'
@@ -51,6 +52,7 @@
   idempotencyClaims: IdempotencyClaims
   connectionPools: ConnectionPools
   engineClient: EngineClient
+  statements: BackendStatements
   peers: Peers
   clock: Clock
   logger: Logger
@@ -92,11 +94,11 @@
       sendFailure(res, failure, (req as unknown as EntryRequest).requestId)
     }
   })
-  const { clock, peers, connectionPools, engineClient } = options
+  const { clock, peers, connectionPools, engineClient, statements } = options
   const openRequests = createOpenRequests(limits)
   const leavingBackends = createLeavingBackends({ peers, clock })
   const suspects = createSuspects({ peers, clock, logger: options.logger, hasCrashed: createCrashCheck(engineClient) })
-  const handlerOptions = { ...options, retryBudget: createRetryBudget(), suspects, leavingBackends, relay: { connectionPools, engineClient, clock, limits } }
+  const handlerOptions = { ...options, retryBudget: createRetryBudget(), suspects, leavingBackends, relay: { connectionPools, engineClient, statements, clock, limits } }
   const authentication = [authenticateMiddleware(options.keyring)]
   const requestMiddleware = [
     openRequests.admit,
--- a/packages/magnoliabay/src/node/entry/serviceAttempts.ts
+++ b/packages/magnoliabay/src/node/entry/serviceAttempts.ts
@@ -4,6 +4,7 @@
 import type { HttpMethod } from '../backend/httpExchange'
 import { callService } from '../backend/serviceCall'
 import type { ServiceResponse, ServiceCallResult } from '../backend/serviceCall'
+import type { BackendStatements } from '../backend/backendStatements'
 import type { LeavingBackends } from '../backend/leavingBackends'
 import type { Clock } from '../clock'
 import { createIndeterminateFailure, createRefusal } from '../failures'
@@ -16,11 +17,13 @@
 import type { EntryRequest } from './types'
 
 const MAX_ATTEMPTS = 3
+const MS_PER_SECOND = 1000
 const FORWARDED_HEADERS: readonly string[] = ['content-type', 'accept', 'idempotency-key']
 
 export interface ServiceAttemptOptions {
   directory: BackendDirectory
   leavingBackends: LeavingBackends
+  statements: BackendStatements
   connectionPools: ConnectionPools
   clock: Clock
   logger: Logger
@@ -40,19 +43,32 @@
 }
 
 export function createServiceAttempts (options: ServiceAttemptOptions): ServiceAttempts {
-  const { directory, leavingBackends, logger, retryBudget } = options
+  const { directory, leavingBackends, statements, logger, retryBudget } = options
   let rotation = 0
 
+  const listUntried = (name: string, tried: readonly ListedInstance[]): ListedInstance[] => directory.services(name)
+    .filter(server => server.status === 'live' && !leavingBackends.isLeaving(server.address))
+    .filter(server => !tried.some(other => other.address === server.address))
   /** Picks an untried server round-robin, in an untried failure domain if there is one. */
   const chooseServer = (name: string, tried: readonly ListedInstance[]): ListedInstance | undefined => {
-    const available = directory.services(name)
-      .filter(server => server.status === 'live' && !leavingBackends.isLeaving(server.address))
-      .filter(server => !tried.some(other => other.address === server.address))
+    const available = listUntried(name, tried).filter(server => statements.refusedForMs(server.address) === 0)
     const inOtherDomains = available.filter(server => !tried.some(other => other.failureDomain === server.failureDomain))
     const candidates = inOtherDomains.length > 0 ? inOtherDomains : available
     rotation += 1
     return candidates[rotation % Math.max(1, candidates.length)]
   }
+  /** Chooses a server that takes the call now; one that refuses it is left out of the next choice. */
+  const chooseAdmitted = async (name: string, tried: readonly ListedInstance[]): Promise<ListedInstance | undefined> => {
+    for (;;) {
+      const server = chooseServer(name, tried)
+      if (server === undefined || await statements.admit(server.address)) return server
+    }
+  }
+  /** The failure of a call for which there is no server: when one that takes none for the moment takes calls again. */
+  const noServerFailure = (name: string, tried: readonly ListedInstance[]): Failure | undefined => {
+    const refusedMs = listUntried(name, tried).map(server => statements.refusedForMs(server.address))
+    return refusedMs.length === 0 ? undefined : createRefusal('overloaded', `The servers of ${name} take no more calls for the moment.`, Math.min(...refusedMs) / MS_PER_SECOND)
+  }
   const callAt = async (server: ListedInstance, req: EntryRequest, target: ServiceTarget, signal: AbortSignal): Promise<ServiceCallResult> => {
     req.execution.record('send')
     const result = await callService(options, {
@@ -81,8 +97,11 @@
       let lastFailure: Failure = createRefusal('no_capacity', `No server of ${target.name} is live.`, 1)
       retryBudget.recordFirstAttempt()
       while (tried.length < MAX_ATTEMPTS && !signal.aborted) {
-        const server = chooseServer(target.name, tried)
-        if (server === undefined) break
+        const server = await chooseAdmitted(target.name, tried)
+        if (server === undefined) {
+          if (tried.length === 0) lastFailure = noServerFailure(target.name, tried) ?? lastFailure
+          break
+        }
         if (tried.length > 0 && !retryBudget.tryTake()) {
           logger.info('retry-withheld', { request: req.requestId, reason: 'retry budget spent' })
           break
--- a/packages/magnoliabay/src/node/platform/index.ts
+++ b/packages/magnoliabay/src/node/platform/index.ts
@@ -6,6 +6,7 @@
 
 export { createDiscovery } from './discovery'
 export { createEngineCalls } from './engineCalls'
+export { decodeServerStatement } from './serverStatement'
 export { createMetadataStore } from './metadataStore'
 export { SETTINGS_PATH_VARIABLE, readPlatformSettings } from './settings'
 
--- a/packages/magnoliabay/src/node/platform/serverStatement.ts
+++ b/packages/magnoliabay/src/node/platform/serverStatement.ts
@@ -1,5 +1,4 @@
 /** Decodes what an answer of a backend server states about the server itself. */
-import type { IncomingHttpHeaders } from 'node:http'
 import type { ServerStatement } from '../statements'
 
 const LIMIT = 'server-limit'
@@ -18,7 +17,7 @@
   return DECIMAL_PATTERN.test(text) ? Number(text) : undefined
 }
 
-export function decodeServerStatement (status: number, headers: IncomingHttpHeaders): ServerStatement {
+export function decodeServerStatement (status: number, headers: Readonly<Record<string, string | string[] | undefined>>): ServerStatement {
   const restS = status === SERVICE_UNAVAILABLE ? parseDecimal(headers[REST_S]) : undefined
   return {
     requestsPerSecond: parseDecimal(headers[LIMIT]),
--- a/packages/magnoliabay/src/node/routing/index.ts
+++ b/packages/magnoliabay/src/node/routing/index.ts
@@ -46,6 +46,8 @@
   cfg: Pick<ConfigProvider, 'adapter' | 'team'>
   /** The platform's list of engines, to exclude those that are leaving. */
   directory: Pick<BackendDirectory, 'engine'>
+  /** Time for which the engine at an address takes no requests, as it has stated, milliseconds. */
+  refusedForMs: (address: string) => number
   clock: Clock
 }
 
@@ -55,6 +57,7 @@
 }
 
 const RETRY_AFTER_SECONDS = 5
+const MS_PER_SECOND = 1000
 
 export function createReplicaRouter (options: RouterOptions): ReplicaRouter {
   const { cells, cfg, clock, directory } = options
@@ -87,11 +90,16 @@
     const lost = [...excludedEngines].filter(engine => !all.some(replica => replica.engine === engine))
     lost.forEach(engine => excludedEngines.delete(engine))
   }
+  /** Returns the time after which the first replica takes requests again, if all that could serve this one take none now. */
+  const refusedForMs = (req: ReplicaRequest, target: Target): number => {
+    const usable = cells.replicas.replicasOf(target.model).filter(candidate => isUsable(req, target, candidate))
+    return usable.length === 0 ? 0 : Math.min(...usable.map(replica => options.refusedForMs(replica.address)))
+  }
   const choose = (req: ReplicaRequest, target: Target): AcquiredReplica | undefined => {
     const all = cells.replicas.replicasOf(target.model)
     clearLostExclusions(req.excludedEngines, all)
     const avoidDomains = new Set(all.filter(replica => req.excludedEngines.has(replica.engine)).map(replica => replica.failureDomain))
-    const replica = chooseReplica({ replicas: all.filter(candidate => isUsable(req, target, candidate)), prefix: req.prefixHash, loadOf, avoidDomains })
+    const replica = chooseReplica({ replicas: all.filter(candidate => isUsable(req, target, candidate) && options.refusedForMs(candidate.address) === 0), prefix: req.prefixHash, loadOf, avoidDomains })
     if (replica === undefined) return undefined
     changeInFlight(replica.engine, 1)
     cells.recordUse(target.model, target.adapter)
@@ -117,6 +125,8 @@
       const target = targetOf(req.modelOrAdapter)
       const acquiredNow = choose(req, target)
       if (acquiredNow !== undefined) return Ok(acquiredNow)
+      const refusedMs = refusedForMs(req, target)
+      if (refusedMs > 0) return Err(createRefusal('overloaded', `The engines with ${req.modelOrAdapter} take no more requests for the moment.`, refusedMs / MS_PER_SECOND))
       const acquired = await replicaWaits.wait({
         ...target,
         deadlineMs: req.deadlineMs,
--- a/packages/standins/src/node/engine/faults.ts
+++ b/packages/standins/src/node/engine/faults.ts
@@ -3,10 +3,12 @@
  */
 import { createFaultSwitches } from '../faults'
 import type { FaultSwitches } from '../faults'
+import { NO_STATEMENTS } from '../http/statements'
+import type { Statements } from '../http/statements'
 
 export type OrderAnswer = 'normal' | 'late' | 'twice' | 'never'
 
-export interface EngineFaults {
+export interface EngineFaults extends Statements {
   /** True kills the process: connections drop and are refused, loaded models are lost. False restarts it. */
   crash: boolean
   /** A prompt that contains this text kills the process; '' for none. */
@@ -43,6 +45,7 @@
 
 export function createEngineFaults (): FaultSwitches<EngineFaults> {
   return createFaultSwitches<EngineFaults>({
+    ...NO_STATEMENTS,
     crash: false,
     crashOnPrompt: '',
     restartAfterMs: 3000,
--- a/packages/standins/src/node/engine/server.ts
+++ b/packages/standins/src/node/engine/server.ts
@@ -10,6 +10,7 @@
 import type { AdminTarget } from '../admin'
 import { asText, parseObject, readText, sendJson } from '../http/json'
 import { createListener } from '../http/listener'
+import { stateInAnswer } from '../http/statements'
 import { sendStream, sendBody } from './delivery'
 import type { ResponseContent } from './delivery'
 import { readGenerateRequest, readOrder } from './requests'
@@ -138,6 +139,7 @@
   const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
     const url = new URL(req.url ?? '/', BASE_URL)
     if (handleAdmin(admin, url.pathname, req, res)) return
+    stateInAnswer(res, faults.current)
     const handler = handlers[`${req.method} ${url.pathname}`]
     if (handler === undefined) return sendJson(res, 404, { error: { type: 'not-found' } }, { [NOT_RUN_HEADER]: 'true' })
     await handler(req, res, url)
--- a/packages/standins/src/node/service/index.ts
+++ b/packages/standins/src/node/service/index.ts
@@ -11,8 +11,10 @@
 import type { FaultSwitches } from '../faults'
 import { asText, readText, sendJson } from '../http/json'
 import { createListener } from '../http/listener'
+import { NO_STATEMENTS, stateInAnswer } from '../http/statements'
+import type { Statements } from '../http/statements'
 
-export interface ServiceFaults {
+export interface ServiceFaults extends Statements {
   /** Time that a call takes, milliseconds. */
   delayMs: number
   /** Every call runs, then the connection breaks in the middle of its answer. */
@@ -68,7 +70,7 @@
 export function createServiceState (options: { name: string, clock: Clock }): ServiceState {
   const { name, clock } = options
   const faults = createFaultSwitches<ServiceFaults>({
-    delayMs: 0, crashMid: false, stall: false, silentConnections: false, loseAnswer: false, crossedAnswers: false, refuse: false, crash: false
+    ...NO_STATEMENTS, delayMs: 0, crashMid: false, stall: false, silentConnections: false, loseAnswer: false, crossedAnswers: false, refuse: false, crash: false
   })
   const records: ServiceCallRecord[] = []
   let leaving = false
@@ -104,6 +106,7 @@
   const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
     const path = req.url ?? '/'
     if (handleAdmin(admin, path, req, res)) return
+    stateInAnswer(res, faults.current)
     const body = await readText(req)
     const requestId = asText(req.headers[REQUEST_ID_HEADER])
     if (service.isLeaving() || faults.current.refuse) {
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -10,6 +10,8 @@
 
 const BURST_PER_ENTRY = 4
 const KEY_PROPAGATION_DELAY_MS = 500
+/** After this time the limited engine has a place again, and its next answer lifts the limit. */
+const LIMIT_LIFT_DELAY_MS = 2500
 
 interface HttpResponse {
   status: number
@@ -61,6 +63,23 @@
   check('a repeat at another instance returns the same response', first.text === second.text, second.text.slice(0, 60))
 }
 
+async function checkStatedLimit ({ entryUrls: entries, callerKey, models, standIns }: EmbeddedFleet): Promise<void> {
+  const engine = standIns.engines.find(candidate => candidate.state.state().models.some(model => model.model === models[0]))!
+  const body = { model: models[0], max_tokens: 4, messages: [{ role: 'user', content: 'gently' }] }
+  const sendToAll = (): Promise<HttpResponse[]> => Promise.all(entries.map(entry => call(`${entry}/v1/chat/completions`, callerKey, body)))
+  await engine.state.faults.set({ statedLimit: 1 })
+  await sendToAll()
+  const startedMs = Date.now()
+  const before = engine.state.records().requests.length
+  const responses = [...await sendToAll(), ...await sendToAll(), ...await sendToAll(), ...await sendToAll(), ...await sendToAll()]
+  const sent = engine.state.records().requests.length - before
+  const allowed = (Date.now() - startedMs) / 1000 * 1.5 + 5
+  await engine.state.faults.set({ statedLimit: 0 })
+  const refused = responses.filter(response => response.status === 503 && response.text.includes('"not_run":true'))
+  check('an engine that states a limit gets no more, and the rest is refused as not run', sent <= allowed && sent + refused.length === responses.length, `${sent} sent, ${refused.length} refused`)
+  await pause(LIMIT_LIFT_DELAY_MS)
+}
+
 async function checkOverAllowance ({ entryUrls: entries, operatorClient: operators, models }: EmbeddedFleet): Promise<void> {
   const { key } = await operators.createKey(EMBEDDED_SMALL_TEAM)
   await pause(KEY_PROPAGATION_DELAY_MS)
@@ -86,6 +105,7 @@
   const embedded = await startEmbeddedFleet({ logger: createLogger({ level: 'warn' }) })
   await checkColdStart(embedded)
   await checkRunsOnce(embedded)
+  await checkStatedLimit(embedded)
   await checkOverAllowance(embedded)
   await checkWithdrawnKey(embedded)
   checkKeyNotForwarded(embedded)
--- a/scripts/fleet/faults.ts
+++ b/scripts/fleet/faults.ts
@@ -14,6 +14,8 @@
 const CRASHING_PROMPT = 'poison-pill'
 const CRASHING_PROMPT_REPEATS = 6
 const FLOOD_FACTOR = 5
+const STATED_LIMIT = 1
+const STATED_LIMIT_MS = 12_000
 
 const killInstance = async (harness: Harness): Promise<void> => {
   await harness.processes.kill(harness.random.pick(harness.processes.live()))
@@ -55,6 +57,10 @@
 
 const requestCountOf = (engine: Harness['standIns']['engines'][number]): number => engine.state.records().requests.length
 
+/** The engine with the most requests so far. */
+const busiestOf = (harness: Harness): Harness['standIns']['engines'][number] =>
+  [...harness.standIns.engines].sort((left, right) => requestCountOf(right) - requestCountOf(left))[0]!
+
 const engineFault = (name: string, what: string, on: object, off: object): Fault => ({
   name,
   what,
@@ -107,8 +113,7 @@
     name: 'engine-dead',
     what: 'the busiest engine crashes permanently, and the instance list still reports it as live',
     run: async harness => {
-      const [busiestEngine] = [...harness.standIns.engines].sort((left, right) => requestCountOf(right) - requestCountOf(left))
-      await busiestEngine!.state.faults.set({ crash: true })
+      await busiestOf(harness).state.faults.set({ crash: true })
       await pause(10_000)
     }
   },
@@ -116,6 +121,18 @@
   engineFault('engine-stall', 'an engine stops sending tokens', { stall: true }, { stall: false }),
   engineFault('engine-crossed', 'an engine sends the responses of other requests', { crossedAnswers: true }, { crossedAnswers: false }),
   engineFault('engine-cut', 'an engine closes the connection before the end of each response', { dieBeforeEnd: true }, { dieBeforeEnd: false }),
+  {
+    name: 'engine-limited',
+    what: `the busiest engine states a limit of ${STATED_LIMIT} request a second for ${STATED_LIMIT_MS / 1000} s`,
+    run: async harness => {
+      const engine = busiestOf(harness)
+      const stated = { engine: engine.id, requestsPerSecond: STATED_LIMIT, fromMs: Date.now() }
+      await engine.state.faults.set({ statedLimit: STATED_LIMIT })
+      await pause(STATED_LIMIT_MS)
+      harness.observations.statedLimits.push({ ...stated, toMs: Date.now() })
+      await engine.state.faults.set({ statedLimit: 0 })
+    }
+  },
   engineFault('orders-late', 'an engine responds late to orders', { orderAnswer: 'late' }, { orderAnswer: 'normal' }),
   {
     name: 'engine-leaves',
--- a/scripts/fleet/guarantees.ts
+++ b/scripts/fleet/guarantees.ts
@@ -1,5 +1,5 @@
 /**
- * Checks the eleven guarantees of the brief. Each check uses only the records of stand-ins and callers, never
+ * Checks the guarantees of the brief, and that the limits which engines state are kept. Each check uses only the records of stand-ins and callers, never
  * what the product reports about itself.
  */
 import { countTokens, createAnswer } from '@magnoliabay/standins'
@@ -22,6 +22,10 @@
 const MAX_WITHDRAWAL_DELAY_MS = 5000
 const MAX_LEAVING_DELAY_MS = LIST_LAG_MS + 5000
 const MAX_ACTIVATION_DELAY_MS = 18_000
+const LIMIT_DELAY_MS = 3000
+const LIMIT_SPAN_MS = 4000
+const LIMIT_RATIO = 1.5
+const LIMIT_SLACK = 5
 
 interface RunFacts {
   harness: Harness
@@ -203,6 +207,19 @@
   return { checked: leavingEngines.length, violations }
 }
 
+/** From some seconds after a limit was first stated, an engine gets no more in any span than one and a half times the limit plus a slack. */
+const checkStatedLimits: Check = ({ harness }) => {
+  const { statedLimits } = harness.observations
+  const violations = statedLimits.flatMap(({ engine: id, requestsPerSecond, fromMs, toMs }) => {
+    const engine = harness.standIns.engines.find(candidate => candidate.id === id)
+    const times = (engine?.state.records().requests ?? []).map(({ receivedAtMs }) => receivedAtMs).filter(atMs => atMs > fromMs + LIMIT_DELAY_MS && atMs < toMs)
+    const allowed = requestsPerSecond * LIMIT_SPAN_MS / 1000 * LIMIT_RATIO + LIMIT_SLACK
+    const most = Math.max(0, ...times.map(from => times.filter(atMs => atMs >= from && atMs < from + LIMIT_SPAN_MS).length))
+    return most > allowed ? [`${id} received ${most} requests in ${LIMIT_SPAN_MS} ms; allowed ${allowed}`] : []
+  })
+  return { checked: statedLimits.length, violations }
+}
+
 const checkShutdowns: Check = ({ harness, calls }) => {
   const shutDown = harness.processes.all().filter(process => process.shutdownRequestedAtMs !== undefined)
   const violations = shutDown.flatMap(process => [
@@ -236,6 +253,7 @@
   { promise: '"not run" is true', isSafety: true, check: checkNotRun },
   { promise: 'non-idempotent at most once', isSafety: true, check: checkAtMostOnce },
   { promise: 'leaving server left alone', isSafety: false, check: checkLeavingServers },
+  { promise: 'stated limits kept', isSafety: false, check: checkStatedLimits },
   { promise: 'graceful shutdown cuts nothing', isSafety: false, check: checkShutdowns },
   { promise: 'configuration in force, never back', isSafety: false, check: checkConfigActivation }
 ]
--- a/scripts/fleet/harness.ts
+++ b/scripts/fleet/harness.ts
@@ -2,7 +2,7 @@
 import { createStandInFleet } from '@magnoliabay/standins'
 import type { StandInFleet } from '@magnoliabay/standins'
 import { request } from 'undici'
-import { createOperatorClient } from '../../packages/magnoliabay/src/node/operators/client'
+import { NoInstanceError, createOperatorClient } from '../../packages/magnoliabay/src/node/operators/client'
 import type { OperatorClient } from '../../packages/magnoliabay/src/node/operators/client'
 import { createCallers } from './callers'
 import type { Callers, TeamKey } from './callers'
@@ -42,10 +42,24 @@
 const SAMPLE_INTERVAL_MS = 50
 const PROBE_POLL_INTERVAL_MS = 100
 const PROBE_DURATION_MS = 18_000
+const START_POLL_INTERVAL_MS = 200
 const OPERATOR_KEY = 'op-fleet-check'
 
 const pause = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms))
 
+/** Applies the configuration as soon as an instance can be reached: how long a start takes depends on the machine. */
+async function applyFirstConfig (operators: () => OperatorClient): Promise<void> {
+  for (;;) {
+    try {
+      await operators().applyConfig(fleetConfigToml())
+      return
+    } catch (err) {
+      if (!(err instanceof NoInstanceError)) throw err
+      await pause(START_POLL_INTERVAL_MS)
+    }
+  }
+}
+
 export async function createHarness (options: HarnessOptions): Promise<Harness> {
   const random = createRandom(options.seed)
   const observations = createObservations()
@@ -72,8 +86,8 @@
     return processes.start(`entry-${number}`, number)
   }
   const first = Array.from({ length: options.instances }, addInstance)
-  await pause(1500)
-  await operators().applyConfig(fleetConfigToml())
+  while (processes.live().length === 0) await pause(START_POLL_INTERVAL_MS)
+  await applyFirstConfig(operators)
   await Promise.all(first)
   await Promise.all(TEAMS.map(async team => keys.set(team.name, await operators().createKey(team.name))))
 
--- a/scripts/fleet/records.ts
+++ b/scripts/fleet/records.ts
@@ -59,14 +59,23 @@
   atMs: number
 }
 
+/** A time in which an engine states a rate limit. */
+export interface StatedLimit {
+  engine: string
+  requestsPerSecond: number
+  fromMs: number
+  toMs: number
+}
+
 export interface Observations {
   calls: CallRecord[]
   engineSamples: EngineSample[]
   probes: ConfigProbe[]
   withdrawals: Withdrawal[]
   leavingEngines: LeavingEngine[]
+  statedLimits: StatedLimit[]
 }
 
 export function createObservations (): Observations {
-  return { calls: [], engineSamples: [], probes: [], withdrawals: [], leavingEngines: [] }
+  return { calls: [], engineSamples: [], probes: [], withdrawals: [], leavingEngines: [], statedLimits: [] }
 }
