--- a/packages/magnoliabay/src/node/backend/backendStatements.ts
+++ b/packages/magnoliabay/src/node/backend/backendStatements.ts
@@ -6,6 +6,7 @@
 import { createLimitedServers, createServerLimits } from '../statements'
 import type { ServerStatement, StatedLimit } from '../statements'
 import type { ResponseHeaders } from './httpExchange'
+import type { LeavingBackends } from './leavingBackends'
 
 export type DecodeStatement = (status: number, headers: ResponseHeaders) => ServerStatement
 
@@ -22,6 +23,7 @@
 
 export interface BackendStatementsOptions {
   peers: Peers
+  leavingBackends: Pick<LeavingBackends, 'markLeaving'>
   decode: DecodeStatement
   clock: Clock
   logger: Logger
@@ -29,15 +31,17 @@
   random?: () => number
 }
 
-export function createBackendStatements ({ peers, decode, clock, logger, random = Math.random }: BackendStatementsOptions): BackendStatements {
+export function createBackendStatements ({ peers, leavingBackends, decode, clock, logger, random = Math.random }: BackendStatementsOptions): BackendStatements {
   const limits = createServerLimits({ clock, logger, onChanged: () => {} })
   const limitedServers = createLimitedServers({ peers, limits, clock, logger, random })
   peers.listen(statedLimitsNotice, ({ stated }) => limits.recordFromPeer(stated))
 
   return {
     record: (address, status, headers, hasRun) => {
+      const statement = decode(status, headers)
+      if (statement.isLeaving) leavingBackends.markLeaving(address)
       const before = limits.limitOf(address)
-      limits.record(address, decode(status, headers), hasRun)
+      limits.record(address, statement, hasRun)
       if (limits.limitOf(address) !== before) peers.notifyAll(statedLimitsNotice, { stated: limits.stated() })
     },
     refusedForMs: limitedServers.refusedForMs,
--- a/packages/magnoliabay/src/node/backend/leavingBackends.ts
+++ b/packages/magnoliabay/src/node/backend/leavingBackends.ts
@@ -13,7 +13,7 @@
 export const backendLeavingNotice = definePeerNotice<BackendLeavingNotice>('backend.leaving')
 
 export interface LeavingBackends {
-  /** Records that the server refused a request because it is leaving, and notifies all peers. */
+  /** Records that the server states that it is leaving, or refused a request for that, and notifies all peers. */
   markLeaving (address: string): void
   isLeaving (address: string): boolean
 }
@@ -44,12 +44,15 @@
     removeExpired()
     expiryByAddress.set(address, clock.monotonic() + retentionMs)
   }
+  const expiryOf = (address: string): number => expiryByAddress.get(address) ?? -Infinity
   peers.listen(backendLeavingNotice, notice => recordLeaving(notice.address))
   return {
     markLeaving: address => {
+      // A leaving server says so in every answer: peers are notified again only when they would soon forget it.
+      if (expiryOf(address) - clock.monotonic() > retentionMs / 2) return
       recordLeaving(address)
       peers.notifyAll(backendLeavingNotice, { address })
     },
-    isLeaving: address => (expiryByAddress.get(address) ?? 0) > clock.monotonic()
+    isLeaving: address => expiryOf(address) > clock.monotonic()
   }
 }
--- a/packages/magnoliabay/src/node/cells/__tests__/support/harness.ts
+++ b/packages/magnoliabay/src/node/cells/__tests__/support/harness.ts
@@ -157,7 +157,7 @@
       id,
       member,
       cells,
-      routing: createReplicaRouter({ refusedForMs: () => 0, cells, cfg, directory, clock: pausable.clock }),
+      routing: createReplicaRouter({ isLeaving: () => false, refusedForMs: () => 0, cells, cfg, directory, clock: pausable.clock }),
       proofs,
       pause: () => {
         pausable.pause()
--- a/packages/magnoliabay/src/node/entry/__tests__/completions.spec.ts
+++ b/packages/magnoliabay/src/node/entry/__tests__/completions.spec.ts
@@ -204,3 +204,22 @@
     expect((await sendAll(30)).map(({ status }) => status)).to.deep.equal(Array(30).fill(200))
   })
 })
+
+describe('completions: engines that say that they leave', () => {
+  let harness: EntryHarness
+  afterEach(() => harness.close())
+  const requestsAt = (index: number): number => harness.fleet.engines[index]!.state.records().requests.length
+  const sendFrom = (entry: number, count: number): Promise<ClientResponse[]> => Promise.all(Array.from({ length: count }, (_, index) => harness.chat(entry, `${PROMPT} ${index}`)))
+
+  /** Guards against requests to an engine that has said that it leaves, while the instance list cannot tell. */
+  it('get none of any instance once they have said that they leave', async () => {
+    harness = await createEntryHarness({ entries: 2 })
+    harness.fleet.engines[0]!.state.startDraining()
+    expect((await harness.chat(0, PROMPT)).status).to.equal(200)
+    await new Promise(resolve => setTimeout(resolve, 20))
+    const before = requestsAt(0)
+    const responses = [...await sendFrom(0, 5), ...await sendFrom(1, 5)]
+    expect(responses.map(({ status }) => status)).to.deep.equal(Array(10).fill(200))
+    expect(requestsAt(0)).to.equal(before)
+  })
+})
--- a/packages/magnoliabay/src/node/entry/__tests__/harness.ts
+++ b/packages/magnoliabay/src/node/entry/__tests__/harness.ts
@@ -13,6 +13,7 @@
 import type { Caller } from '../../admission'
 import { createEngineClient, createConnectionPools } from '../../backend'
 import { createBackendStatements } from '../../backend/backendStatements'
+import { createLeavingBackends } from '../../backend/leavingBackends'
 import type { Clock } from '../../clock'
 import type { ServiceConfig } from '../../config'
 import { resolveSettings } from '../../config'
@@ -160,18 +161,20 @@
   const writer = createForwardingWriter({ peers, localWriter: createBatchWriter({ store, lease, clock }) })
   const pools = createConnectionPools(null)
   const engines = createEngineClient()
-  const statements = createBackendStatements({ peers, decode: decodeServerStatement, clock, logger, random: () => 0 })
+  const leavingBackends = createLeavingBackends({ peers, clock })
+  const statements = createBackendStatements({ peers, leavingBackends, decode: decodeServerStatement, clock, logger, random: () => 0 })
   const entry = createEntryServer({
     settings,
     cfg: createFakeConfig(),
     keyring: createFakeKeyring(shared.withdrawals),
     allowance: createFakeAllowance(network, peers),
-    routing: createFakeRouting(options.engineAddresses ?? fleet.engines.map(engine => engine.address), statements),
+    routing: createFakeRouting(options.engineAddresses ?? fleet.engines.map(engine => engine.address), statements, leavingBackends),
     directory: createFakeDirectory(fleet),
     idempotencyClaims: createIdempotencyClaims({ store, writer, owner: id, clock, logger, inProgressTimeoutMs: 90_000 }),
     connectionPools: pools,
     engineClient: engines,
     statements,
+    leavingBackends,
     peers,
     clock,
     logger,
@@ -206,12 +209,12 @@
   } as unknown as EntryServerOptions['allowance']
 }
 
-function createFakeRouting (addresses: readonly string[], statements: EntryServerOptions['statements']): EntryServerOptions['routing'] {
+function createFakeRouting (addresses: readonly string[], statements: EntryServerOptions['statements'], leavingBackends: EntryServerOptions['leavingBackends']): EntryServerOptions['routing'] {
   const replicas = addresses.map((address, index) => ({ engine: `engine-${index + 1}`, address }))
   return {
     inFlight: () => 0,
     acquireReplica: async ({ excludedEngines }: { excludedEngines: ReadonlySet<string> }) => {
-      const replica = replicas.find(({ engine, address }) => !excludedEngines.has(engine) && statements.refusedForMs(address) === 0)
+      const replica = replicas.find(({ engine, address }) => !excludedEngines.has(engine) && statements.refusedForMs(address) === 0 && !leavingBackends.isLeaving(address))
       return replica === undefined ? Err(createRefusal('no_capacity', 'No engine is left.', 1)) : Ok({ replica, release: () => {} })
     }
   } as unknown as EntryServerOptions['routing']
--- a/packages/magnoliabay/src/node/entry/index.ts
+++ b/packages/magnoliabay/src/node/entry/index.ts
@@ -5,7 +5,7 @@
 import type { Allowance } from '../allowance'
 import type { BackendDirectory, EngineClient, ConnectionPools } from '../backend'
 import type { BackendStatements } from '../backend/backendStatements'
-import { createLeavingBackends } from '../backend/leavingBackends'
+import type { LeavingBackends } from '../backend/leavingBackends'
 import type { Clock } from '../clock'
 import { TIMED_OUT, withTimeout } from '../clock'
 import type { ConfigProvider, ResolvedSettings } from '../config'
@@ -53,6 +53,7 @@
   connectionPools: ConnectionPools
   engineClient: EngineClient
   statements: BackendStatements
+  leavingBackends: LeavingBackends
   peers: Peers
   clock: Clock
   logger: Logger
@@ -96,9 +97,8 @@
   })
   const { clock, peers, connectionPools, engineClient, statements } = options
   const openRequests = createOpenRequests(limits)
-  const leavingBackends = createLeavingBackends({ peers, clock })
   const suspects = createSuspects({ peers, clock, logger: options.logger, hasCrashed: createCrashCheck(engineClient) })
-  const handlerOptions = { ...options, retryBudget: createRetryBudget(), suspects, leavingBackends, relay: { connectionPools, engineClient, statements, clock, limits } }
+  const handlerOptions = { ...options, retryBudget: createRetryBudget(), suspects, relay: { connectionPools, engineClient, statements, clock, limits } }
   const authentication = [authenticateMiddleware(options.keyring)]
   const requestMiddleware = [
     openRequests.admit,
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -6,6 +6,7 @@
 import { createAllowance } from './allowance'
 import { createBackendDirectory, createEngineClient, createConnectionPools } from './backend'
 import { createBackendStatements } from './backend/backendStatements'
+import { createLeavingBackends } from './backend/leavingBackends'
 import type { DecodeStatement } from './backend/backendStatements'
 import { createCells } from './cells'
 import type { Clock } from './clock'
@@ -104,8 +105,9 @@
   const inProgressTimeoutMs = settings.limits.deadlineMs + settings.limits.serviceAnswerMs
   const idempotencyClaims = createIdempotencyClaims({ store, writer, owner: self.incarnation, clock, logger, inProgressTimeoutMs })
   const cells = createCells({ store, peers, membership, proofs, directory, engines, cfg, clock, logger })
-  const statements = createBackendStatements({ peers, decode: options.decodeStatement, clock, logger })
-  const routing = createReplicaRouter({ cells, cfg, directory, refusedForMs: statements.refusedForMs, clock })
+  const leavingBackends = createLeavingBackends({ peers, clock })
+  const statements = createBackendStatements({ peers, leavingBackends, decode: options.decodeStatement, clock, logger })
+  const routing = createReplicaRouter({ cells, cfg, directory, isLeaving: leavingBackends.isLeaving, refusedForMs: statements.refusedForMs, clock })
   const queue = createRequestQueue({
     capacity: createEngineCapacity({
       enginesOf: model => cells.replicas.replicasOf(model).map(replica => replica.engine),
@@ -122,7 +124,7 @@
   cells.replicas.onChanged(queue.dispatch)
   const isReady = (): boolean => cfg.active().version > 0 && membership.leaseId() !== undefined && !self.leaving
   const report = createSloTracker({ cfg, peers, registry: metrics.registry, clock })
-  const entry = createEntryServer({ report, certificates: tls.callerCertificates, settings, cfg, keyring, allowance, queue, routing, directory, idempotencyClaims, connectionPools, engineClient: engines, statements, peers, clock, logger, metrics, isReady })
+  const entry = createEntryServer({ report, certificates: tls.callerCertificates, settings, cfg, keyring, allowance, queue, routing, directory, idempotencyClaims, connectionPools, engineClient: engines, statements, leavingBackends, peers, clock, logger, metrics, isReady })
   const audit = (manifest: Manifest): PutOperation => auditWrite({
     atMs: manifest.acceptedAtMs,
     operator: manifest.operator,
--- a/packages/magnoliabay/src/node/routing/index.ts
+++ b/packages/magnoliabay/src/node/routing/index.ts
@@ -46,6 +46,8 @@
   cfg: Pick<ConfigProvider, 'adapter' | 'team'>
   /** The platform's list of engines, to exclude those that are leaving. */
   directory: Pick<BackendDirectory, 'engine'>
+  /** Whether the engine at an address has said that it leaves. */
+  isLeaving: (address: string) => boolean
   /** Time for which the engine at an address takes no requests, as it has stated, milliseconds. */
   refusedForMs: (address: string) => number
   clock: Clock
@@ -75,7 +77,7 @@
    * A table may be out of date: its cell leader may be paused, unreachable from here, or terminated. Every instance
    * reads the platform's list itself, so that leaving engines get no new requests after the lag of that list.
    */
-  const isNotLeaving = (replica: ReplicaEntry): boolean => directory.engine(replica.engine)?.status !== 'leaving'
+  const isNotLeaving = (replica: ReplicaEntry): boolean => directory.engine(replica.engine)?.status !== 'leaving' && !options.isLeaving(replica.address)
   const targetOf = (name: string): Target => {
     const adapter = cfg.adapter(name)
     return adapter === undefined ? { model: name } : { model: adapter.model, adapter: name }
--- a/packages/standins/src/node/engine/server.ts
+++ b/packages/standins/src/node/engine/server.ts
@@ -139,7 +139,7 @@
   const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
     const url = new URL(req.url ?? '/', BASE_URL)
     if (handleAdmin(admin, url.pathname, req, res)) return
-    stateInAnswer(res, faults.current)
+    stateInAnswer(res, faults.current, engine.state().leaving)
     const handler = handlers[`${req.method} ${url.pathname}`]
     if (handler === undefined) return sendJson(res, 404, { error: { type: 'not-found' } }, { [NOT_RUN_HEADER]: 'true' })
     await handler(req, res, url)
--- a/packages/standins/src/node/http/statements.ts
+++ b/packages/standins/src/node/http/statements.ts
@@ -1,9 +1,10 @@
 /**
- * What a stand-in states about itself in each of its answers, by the names of the users' platform.
+ * What a stand-in states about itself in its answers, by the names of the users' platform.
  */
 import type { ServerResponse } from 'node:http'
 
 const LIMIT_HEADER = 'server-limit'
+const LEAVING_HEADER = 'server-leaving'
 
 /** Switches of what a backend server states. */
 export interface Statements {
@@ -13,7 +14,8 @@
 
 export const NO_STATEMENTS: Statements = { statedLimit: 0 }
 
-/** Adds the statements to an answer that has not begun. */
-export function stateInAnswer (res: ServerResponse, { statedLimit }: Statements): void {
+/** Adds what holds for every answer to one that has not begun. */
+export function stateInAnswer (res: ServerResponse, { statedLimit }: Statements, isLeaving: boolean): void {
   if (statedLimit > 0) res.setHeader(LIMIT_HEADER, String(statedLimit))
+  if (isLeaving) res.setHeader(LEAVING_HEADER, '1')
 }
--- a/packages/standins/src/node/service/index.ts
+++ b/packages/standins/src/node/service/index.ts
@@ -106,7 +106,7 @@
   const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
     const path = req.url ?? '/'
     if (handleAdmin(admin, path, req, res)) return
-    stateInAnswer(res, faults.current)
+    stateInAnswer(res, faults.current, service.isLeaving())
     const body = await readText(req)
     const requestId = asText(req.headers[REQUEST_ID_HEADER])
     if (service.isLeaving() || faults.current.refuse) {
