--- a/scripts/fleet/guarantees.ts
+++ b/scripts/fleet/guarantees.ts
@@ -1,5 +1,5 @@
 /**
- * Checks the guarantees of the brief, and that the limits which engines state are kept. Each check uses only the records of stand-ins and callers, never
+ * Checks the guarantees of the brief, and that what engines state is kept: limits and times of rest. Each check uses only the records of stand-ins and callers, never
  * what the product reports about itself.
  */
 import { countTokens, createAnswer } from '@magnoliabay/standins'
@@ -26,6 +26,8 @@
 const LIMIT_SPAN_MS = 4000
 const LIMIT_RATIO = 1.5
 const LIMIT_SLACK = 5
+const REST_DELAY_MS = 500
+const MAX_WHILE_RESTING = 2
 
 interface RunFacts {
   harness: Harness
@@ -220,6 +222,22 @@
   return { checked: statedLimits.length, violations }
 }
 
+/** An engine that has asked an instance for rest gets at most a few requests of it until the rest is over. */
+const checkRests: Check = ({ harness, calls }) => {
+  const { restingEngines } = harness.observations
+  const instances = new Map(calls.map(call => [call.id, call.instance]))
+  const violations = restingEngines.flatMap(({ engine: id, restMs, fromMs, toMs }) => {
+    const engine = harness.standIns.engines.find(candidate => candidate.id === id)
+    const arrivals = (engine?.state.records().requests ?? [])
+      .filter(({ receivedAtMs }) => receivedAtMs > fromMs && receivedAtMs < toMs)
+      .map(({ prompt, receivedAtMs }) => ({ instance: instances.get(prompt.split(' ', 1)[0]!), atMs: receivedAtMs }))
+    const counts = arrivals.map(asked => arrivals.filter(each => each.instance === asked.instance && each.atMs > asked.atMs + REST_DELAY_MS && each.atMs < asked.atMs + restMs).length)
+    const most = Math.max(0, ...counts)
+    return most > MAX_WHILE_RESTING ? [`${id} received ${most} requests of one instance while it rested`] : []
+  })
+  return { checked: restingEngines.length, violations }
+}
+
 const checkShutdowns: Check = ({ harness, calls }) => {
   const shutDown = harness.processes.all().filter(process => process.shutdownRequestedAtMs !== undefined)
   const violations = shutDown.flatMap(process => [
@@ -254,6 +272,7 @@
   { promise: 'non-idempotent at most once', isSafety: true, check: checkAtMostOnce },
   { promise: 'leaving server left alone', isSafety: false, check: checkLeavingServers },
   { promise: 'stated limits kept', isSafety: false, check: checkStatedLimits },
+  { promise: 'rest that a server asks for', isSafety: false, check: checkRests },
   { promise: 'graceful shutdown cuts nothing', isSafety: false, check: checkShutdowns },
   { promise: 'configuration in force, never back', isSafety: false, check: checkConfigActivation }
 ]
--- a/scripts/fleet/records.ts
+++ b/scripts/fleet/records.ts
@@ -67,6 +67,14 @@
   toMs: number
 }
 
+/** A time in which an engine refuses requests and asks for rest. */
+export interface RestingEngine {
+  engine: string
+  restMs: number
+  fromMs: number
+  toMs: number
+}
+
 export interface Observations {
   calls: CallRecord[]
   engineSamples: EngineSample[]
@@ -74,8 +82,9 @@
   withdrawals: Withdrawal[]
   leavingEngines: LeavingEngine[]
   statedLimits: StatedLimit[]
+  restingEngines: RestingEngine[]
 }
 
 export function createObservations (): Observations {
-  return { calls: [], engineSamples: [], probes: [], withdrawals: [], leavingEngines: [], statedLimits: [] }
+  return { calls: [], engineSamples: [], probes: [], withdrawals: [], leavingEngines: [], statedLimits: [], restingEngines: [] }
 }
