--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -17,7 +17,7 @@
 import { createShutdown } from '../shutdown'
 import { createLimitedServers, createServerLimits, createServerRests } from '../statements'
 import type { Store, PrefixWatch } from '../store'
-import { createId, listenOn, parseHostPort } from '../utils'
+import { closeServer, createId, listenOn, parseHostPort } from '../utils'
 import { createPeerFallbackStore } from './allowance/peerFallbackStore'
 import { createAllowanceLimiter } from './allowance/allowanceLimiter'
 import type { AllowanceTolerance } from './allowance/allowanceLimiter'
@@ -408,6 +408,7 @@
           stop.abort()
           await membership.deregister()
           await peers.close()
+          await closeServer(metricsServer)
           connections.close()
           await store.close()
         }
--- a/packages/magnoliabay/src/node/utils.ts
+++ b/packages/magnoliabay/src/node/utils.ts
@@ -1,5 +1,6 @@
 /** Helpers shared by several subsystems. */
 import { createHash, randomBytes } from 'node:crypto'
+import type { Server as HttpServer } from 'node:http'
 import type { Server } from 'node:net'
 
 const ID_BYTES = 9
@@ -46,6 +47,14 @@
   })
 }
 
+/** Stops listening and closes all connections. */
+export function closeServer (server: Server & Pick<HttpServer, 'closeAllConnections'>): Promise<void> {
+  return new Promise(resolve => {
+    server.close(() => resolve())
+    server.closeAllConnections()
+  })
+}
+
 /** Returns the message of a thrown value. */
 export function messageOf (err: unknown): string {
   return err instanceof Error ? err.message : String(err)
