--- a/packages/magnoliabay/src/node/serving/refusal.ts
+++ b/packages/magnoliabay/src/node/serving/refusal.ts
@@ -29,6 +29,11 @@
   retryAfterMs?: number
 }
 
+/** Retry delay, milliseconds: a full server has free slots again after about one service time. */
+export const SERVER_FULL_RETRY_AFTER_MS = 300
+/** Retry delay, milliseconds: other instances can take the request at once. */
+export const LEAVING_RETRY_AFTER_MS = 20
+
 /** Statuses that guarantee that the request has not run and never will. */
 const NOT_RUN_STATUS: Record<EndReason, number> = {
   'no-config': 503,
--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -4,32 +4,16 @@
 import { admitRequest, unitsOf } from './requestAdmission'
 import { startAttempt } from './attempt'
 import type { Attempt, AttemptEnd } from './attempt'
-import { createServerChooser } from './serverChoice'
-import type { ServerChoice } from './serverChoice'
 import type { ServingContext } from './servingContext'
 import { createRequestCompletion } from './requestCompletion'
 import { createEventStream } from './eventStream'
+import { LEAVING_RETRY_AFTER_MS, SERVER_FULL_RETRY_AFTER_MS } from './refusal'
 import type { EndReason, Refusal } from './refusal'
-import type { ModelWaitResult } from './placement/placementClient'
 import type { Inbound, RequestRun } from './requestRun'
+import { createServerSearch } from './serverSearch'
 import { serverProcessId } from './types'
 import type { BackendServer, CallerRequest } from './types'
 
-/**
- * The longest gap between events for which a stream's caller waits is the largest of three times: this minimum, and these
- * multiples of the route's latency objective and of its maximum event gap.
- */
-const MIN_CALLER_GAP_MS = 2000
-const CALLER_GAP_LATENCY_OBJECTIVES = 4
-const CALLER_GAP_EVENT_GAPS = 8
-/** Time for the response to reach the caller before it stops waiting, milliseconds. */
-const RESPONSE_MARGIN_MS = 250
-/** Retry delay, milliseconds: a full server has free slots again after about one service time. */
-const SERVER_FULL_RETRY_AFTER_MS = 300
-/** Retry delay, milliseconds: a new leader is elected within some seconds; callers retry within a third of their deadline. */
-const NO_LEADER_RETRY_AFTER_MS = 2000
-/** Retry delay, milliseconds: other instances can take the request at once. */
-const LEAVING_RETRY_AFTER_MS = 20
 /** How often a request is sent again after servers rejected it without running it. */
 const MAX_REJECTIONS = 3
 /** Delay before the next attempt after a rejection, milliseconds. */
@@ -38,86 +22,15 @@
 const SILENCE_CHECK_INTERVAL_MS = 400
 const MIN_SERVER_ERROR_STATUS = 500
 
-const NO_PROCESSES: ReadonlySet<string> = new Set()
-const NO_SERVER: Refusal = { reason: 'no-server', retryAfterMs: SERVER_FULL_RETRY_AFTER_MS }
-
-function serverOf (choice: ServerChoice): BackendServer | Refusal {
-  if (choice.kind === 'chosen') return choice.server
-  return choice.kind === 'refused' ? choice.refusal : NO_SERVER
-}
-
-const isColdRefusal = (choice: ServerChoice): boolean => choice.kind === 'refused' && choice.refusal.reason === 'server-cold'
-
-/** Returns the refusal after which a caller may return first. */
-function soonerOf (one: Refusal, other: Refusal): Refusal {
-  return (other.retryAfterMs ?? Infinity) < (one.retryAfterMs ?? Infinity) ? other : one
-}
-
 export function createRequestHandler (ctx: ServingContext): (inbound: Inbound) => Promise<void> {
-  const { cfg, protocol, clock, logger, servers, health, placement, allowance } = ctx
-  const chooser = createServerChooser(ctx)
+  const { cfg, protocol, clock, logger, servers, health, allowance } = ctx
+  const search = createServerSearch(ctx)
   const { refuse, fail, recordAnswered } = createRequestCompletion(ctx)
   const pathOf = (req: IncomingMessage): string => (req.url ?? '/').split('?')[0]!
 
   const remainingMs = (run: RequestRun): number => run.endMs - clock.monotonic()
-  const maxWaitMs = (run: RequestRun): number => {
-    const { route } = run.admitted
-    if (route.kind !== 'stream') return remainingMs(run)
-    const gapMs = Math.max(MIN_CALLER_GAP_MS, CALLER_GAP_LATENCY_OBJECTIVES * route.latencyObjectiveMs, CALLER_GAP_EVENT_GAPS * route.maxEventGapMs)
-    return Math.min(remainingMs(run), gapMs - (clock.monotonic() - run.inbound.arrivedMs) - RESPONSE_MARGIN_MS)
-  }
   const modelKey = (caller: CallerRequest): string => caller.model === undefined ? '' : (caller.adapter === undefined ? caller.model : `${caller.model}/${caller.adapter}`)
 
-  const choose = (run: RequestRun, from: readonly BackendServer[]): Promise<ServerChoice> => chooser.choose(run, from, () => maxWaitMs(run))
-  /** Waits for an engine with the model, other than those in `withModel` that have refused the request for the moment. */
-  const waitForEngine = async (run: RequestRun, model: string, withModel: readonly BackendServer[], choice: ServerChoice): Promise<ModelWaitResult> => {
-    const { route, service } = run.admitted
-    const startedMs = clock.monotonic()
-    const refusedUntilMs = choice.kind === 'refused' ? startedMs + (choice.refusal.retryAfterMs ?? 0) : -Infinity
-    const refusing = new Set(withModel.map(serverProcessId))
-    const modelWait = await placement.waitForModel({
-      model,
-      adapter: run.caller.adapter,
-      service: service.name,
-      maxWaitMs: maxWaitMs(run),
-      signal: run.stop.signal,
-      isShuttingDown: () => ctx.isClosingFor(route.kind),
-      excludedProcesses: run.tried,
-      unavailableProcesses: () => clock.monotonic() < refusedUntilMs ? refusing : NO_PROCESSES
-    })
-    run.waitedMs += clock.monotonic() - startedMs
-    return modelWait
-  }
-  const refusalOfWait = (run: RequestRun, modelWait: Exclude<ModelWaitResult, { kind: 'ready' }>): Refusal => {
-    if (modelWait.kind === 'closing') return { reason: 'leaving', retryAfterMs: LEAVING_RETRY_AFTER_MS }
-    if (modelWait.kind === 'not-in-time') return { reason: 'model-not-in-time', retryAfterMs: modelWait.inMs }
-    return { reason: modelWait.kind === 'stopped' ? run.stopReason ?? 'caller-gone' : 'no-orderer', retryAfterMs: NO_LEADER_RETRY_AFTER_MS }
-  }
-  /**
-   * Finds an engine that has the model, or waits for one if the model can be loaded in time. What the engines that have it
-   * cannot take for the moment goes to another, or to one of them once it has a place.
-   */
-  const findEngine = async (run: RequestRun, model: string): Promise<BackendServer | Refusal> => {
-    for (;;) {
-      const withModel = placement.serversWithModel(run.admitted.service.name, model, run.caller.adapter).filter(server => !run.tried.has(serverProcessId(server)))
-      const choice = await choose(run, withModel)
-      if (choice.kind === 'chosen' || isColdRefusal(choice)) return serverOf(choice)
-      const modelWait = await waitForEngine(run, model, withModel, choice)
-      if (modelWait.kind !== 'ready') {
-        const refusal = refusalOfWait(run, modelWait)
-        return choice.kind === 'refused' && modelWait.kind !== 'stopped' ? soonerOf(choice.refusal, refusal) : refusal
-      }
-      const chosen = await choose(run, modelWait.servers)
-      // Others may have taken the place that the request waited for.
-      if (chosen.kind !== 'refused' || isColdRefusal(chosen)) return serverOf(chosen)
-    }
-  }
-  const findServer = async (run: RequestRun): Promise<BackendServer | Refusal> => {
-    const { service } = run.admitted
-    const { model } = run.caller
-    if (service.engine === undefined || model === undefined) return serverOf(await choose(run, servers.usable(service.name)))
-    return service.engine.models.has(model) ? await findEngine(run, model) : NO_SERVER
-  }
   const reserveAllowance = async (run: RequestRun): Promise<Refusal | undefined> => {
     const { team } = run.admitted
     if (team === undefined || run.unitsTaken > 0) return undefined
@@ -265,7 +178,7 @@
   }
   const runAttempts = async (run: RequestRun): Promise<void> => {
     for (let rejections = 0; ; rejections += 1) {
-      const server = await findServer(run)
+      const server = await search.find(run)
       if (run.stop.signal.aborted) return fail(run, { reason: run.stopReason ?? 'fault', retryAfterMs: SERVER_FULL_RETRY_AFTER_MS })
       if ('reason' in server) return fail(run, server)
       const refusal = await reserveAllowance(run)
