--- a/packages/magnoliabay/src/node/backend/backendStatements.ts
+++ b/packages/magnoliabay/src/node/backend/backendStatements.ts
@@ -47,6 +47,6 @@
       if (limits.limitOf(address) !== before) peers.notifyAll(statedLimitsNotice, { stated: limits.stated() })
     },
     refusedForMs: address => Math.max(rests.remainingMs(address), limitedServers.refusedForMs(address)),
-    admit: async address => rests.remainingMs(address) === 0 && (await limitedServers.admit(address)).freeInMs === 0
+    admit: async address => rests.remainingMs(address) === 0 && (await limitedServers.admit(address, false)).freeInMs === 0
   }
 }
--- a/packages/magnoliabay/src/node/serving/placement/limitedEngines.ts
+++ b/packages/magnoliabay/src/node/serving/placement/limitedEngines.ts
@@ -9,7 +9,7 @@
 export interface LimitedEngineUse {
   /** Models whose requests do not fit; the rarest models fit first. */
   modelsBeyondLimit: readonly string[]
-  /** What is left for another model, requests per second. */
+  /** What is left beside the models that fit, for a model that is requested more rarely than the others. */
   spareRequestsPerSecond: number
 }
 
@@ -22,5 +22,5 @@
     spareRequestsPerSecond -= rate
     return false
   })
-  return { modelsBeyondLimit: modelsBeyondLimit.map(({ model }) => model), spareRequestsPerSecond: modelsBeyondLimit.length > 0 ? 0 : spareRequestsPerSecond }
+  return { modelsBeyondLimit: modelsBeyondLimit.map(({ model }) => model), spareRequestsPerSecond }
 }
--- a/packages/magnoliabay/src/node/serving/serverChoice.ts
+++ b/packages/magnoliabay/src/node/serving/serverChoice.ts
@@ -60,13 +60,17 @@
     }), ctx.random())
     return candidates.find(server => serverProcessId(server) === chosen?.id)
   }
+  const mayTakeFreely = (run: RequestRun, server: BackendServer): boolean => {
+    const id = serverProcessId(server)
+    return !run.tried.has(id) && ctx.serverLimits.limitOf(id) === undefined && !health.isSilent(id)
+  }
   /** Returns the best server that may get the request now, or why none may. */
   const pickAdmitted = async (run: RequestRun, from: readonly BackendServer[], denials: Denials): Promise<BackendServer | Denials> => {
     const server = pickServer(run, from)
     if (server === undefined) return denials
     const others = from.filter(other => other !== server)
     if (ctx.coldStarts.isCold(server) && !await ctx.coldStarts.admit(server)) return await pickAdmitted(run, others, { ...denials, isColdDenied: true })
-    const { freeInMs, retryInMs } = await ctx.limitedServers.admit(serverProcessId(server))
+    const { freeInMs, retryInMs } = await ctx.limitedServers.admit(serverProcessId(server), others.some(other => mayTakeFreely(run, other)))
     if (freeInMs === 0) return server
     return await pickAdmitted(run, others, { ...denials, limitRetryMs: Math.min(denials.limitRetryMs, retryInMs) })
   }
--- a/packages/magnoliabay/src/node/serving/serverSearch.ts
+++ b/packages/magnoliabay/src/node/serving/serverSearch.ts
@@ -24,6 +24,8 @@
 /** Retry delay, milliseconds: a new leader is elected within some seconds; callers retry within a third of their deadline. */
 const NO_LEADER_RETRY_AFTER_MS = 2000
 
+/** A load from an engine's disk takes longer, and may cost another model its place, milliseconds. */
+const MAX_PLACE_WAIT_MS = 1000
 /** Delay before a request that waited in vain for a place looks for one again, milliseconds. */
 const PLACE_TAKEN_DELAY_MS = 200
 
@@ -58,6 +60,13 @@
     return Math.min(remainingMs, gapMs - (clock.monotonic() - run.inbound.arrivedMs) - RESPONSE_MARGIN_MS)
   }
   const choose = (run: RequestRun, from: readonly BackendServer[]): Promise<ServerChoice> => chooser.choose(run, from, () => maxWaitMs(run))
+  /** Waits for a place at an engine if one is free soon, and returns whether it has: a load elsewhere would take longer. */
+  const waitForPlace = async (run: RequestRun, { retryAfterMs = Infinity }: Refusal): Promise<boolean> => {
+    if (retryAfterMs > MAX_PLACE_WAIT_MS || retryAfterMs >= maxWaitMs(run)) return false
+    await ctx.pause(retryAfterMs)
+    run.waitedMs += retryAfterMs
+    return true
+  }
   /** Waits for an engine with the model, other than those in `withModel` that have refused the request for the moment. */
   const waitForEngine = async (run: RequestRun, model: string, withModel: readonly BackendServer[], choice: ServerChoice): Promise<ModelWaitResult> => {
     const { route, service } = run.admitted
@@ -87,10 +96,11 @@
    * cannot take for the moment goes to another, or to one of them once it has a place.
    */
   const findEngine = async (run: RequestRun, model: string): Promise<BackendServer | Refusal> => {
-    for (;;) {
+    for (let hasWaited = false; ; hasWaited = true) {
       const withModel = placement.serversWithModel(run.admitted.service.name, model, run.caller.adapter).filter(server => !run.tried.has(serverProcessId(server)))
       const choice = await choose(run, withModel)
       if (choice.kind === 'chosen' || isColdRefusal(choice)) return serverOf(choice)
+      if (choice.kind === 'refused' && !hasWaited && await waitForPlace(run, choice.refusal)) continue
       const modelWait = await waitForEngine(run, model, withModel, choice)
       if (modelWait.kind !== 'ready') {
         const refusal = refusalOfWait(run, modelWait)
--- a/packages/magnoliabay/src/node/statements/limitedServers.ts
+++ b/packages/magnoliabay/src/node/statements/limitedServers.ts
@@ -17,6 +17,8 @@
 
 interface AdmitRequest {
   process: string
+  /** Tokens that the request leaves to others. */
+  reserve: number
   role: Role
   requestsPerSecond: number
 }
@@ -25,6 +27,11 @@
 
 /** Part of the limit that an instance grants in each role; `apart` is divided by the number of members. */
 const SHARES: Record<Role, number> = { home: 1, deputy: 0.25, apart: 0.25 }
+/**
+ * A request that another server can take leaves one token: busy models would otherwise take every place of an engine, and
+ * the callers of a rare model that only this engine has would be refused.
+ */
+const RESERVE_WITH_ALTERNATIVE = 1
 /** A limit of zero would never be lifted, since only an answer lifts it. */
 const MIN_REQUESTS_PER_SECOND = 0.1
 /** The home replies within a round trip. Waiting longer would cost more than sending the request elsewhere. */
@@ -42,8 +49,11 @@
 const MAX_RECORDS = 1000
 
 export interface LimitedServers {
-  /** Takes a request for the server's process; the grant is immediate for one that states no limit. */
-  admit (process: string): Promise<Grant>
+  /**
+   * Takes a request for the server's process; the grant is immediate for one that states no limit. `hasAlternative`: a
+   * server without a limit can take the request.
+   */
+  admit (process: string, hasAlternative: boolean): Promise<Grant>
   /** Time for which the process certainly takes no request, as far as known without asking, milliseconds. */
   refusedForMs (process: string): number
 }
@@ -61,7 +71,7 @@
 
 export function createLimitedServers ({ peers, limits, clock, logger, random }: LimitedServersOptions): LimitedServers {
   const buckets = new Map<string, RateBucket>()
-  /** The last refusal for each process: until it has a free place again, and for the pause, nobody is asked. */
+  /** The last refusal for each process and reserve: until it has a free place again, and for the pause, nobody is asked. */
   const refusals = new Map<string, { grant: Grant, atMs: number }>()
   const unreachedUntilMs = new Map<string, number>()
   /** Home and deputy by process, until members change. */
@@ -76,10 +86,10 @@
     buckets.set(key, bucket)
     return bucket
   }
-  const take = ({ process, role, requestsPerSecond }: AdmitRequest): Grant => {
+  const take = ({ process, reserve, role, requestsPerSecond }: AdmitRequest): Grant => {
     const limit = Math.max(MIN_REQUESTS_PER_SECOND, limits.limitOf(process) ?? requestsPerSecond)
     const parts = role === 'apart' ? Math.max(1, peers.members().length) : 1
-    return bucketOf(process, role).take(limit * SHARES[role] / parts, clock.monotonic())
+    return bucketOf(process, role).take(limit * SHARES[role] / parts, clock.monotonic(), reserve)
   }
   peers.serve(admitCall, take)
 
@@ -98,11 +108,12 @@
     logger.info('limited-server-not-asked', { server: req.process, home: member, role: req.role, reason: reply.val.kind })
     return undefined
   }
-  const askRanked = async (process: string, requestsPerSecond: number): Promise<Grant> => {
+  const askRanked = async (req: Omit<AdmitRequest, 'role'>): Promise<Grant> => {
+    const { process } = req
     const [home, deputy] = rankingOf(process)
-    const granted = (home === undefined ? undefined : await ask(home, { process, role: 'home', requestsPerSecond })) ??
-      (deputy === undefined ? undefined : await ask(deputy, { process, role: 'deputy', requestsPerSecond }))
-    if (granted === undefined) return take({ process, role: 'apart', requestsPerSecond })
+    const granted = (home === undefined ? undefined : await ask(home, { ...req, role: 'home' })) ??
+      (deputy === undefined ? undefined : await ask(deputy, { ...req, role: 'deputy' }))
+    if (granted === undefined) return take({ ...req, role: 'apart' })
     buckets.delete(`apart ${process}`)
     return granted
   }
@@ -112,8 +123,9 @@
     const pauseMs = 2 * random() * meanPauseMs
     return { freeInMs: Math.max(freeInMs, pauseMs), retryInMs: Math.max(retryInMs, pauseMs) }
   }
-  const pendingRefusal = (process: string): Grant | undefined => {
-    const refusal = refusals.get(process)
+  const refusalKey = (process: string, reserve: number): string => `${reserve} ${process}`
+  const pendingRefusal = (process: string, reserve: number): Grant | undefined => {
+    const refusal = refusals.get(refusalKey(process, reserve))
     if (refusal === undefined) return undefined
     const elapsedMs = clock.monotonic() - refusal.atMs
     if (elapsedMs >= refusal.grant.freeInMs) return undefined
@@ -121,17 +133,18 @@
   }
 
   return {
-    refusedForMs: process => limits.limitOf(process) === undefined ? 0 : pendingRefusal(process)?.freeInMs ?? 0,
-    admit: async process => {
+    refusedForMs: process => limits.limitOf(process) === undefined ? 0 : pendingRefusal(process, 0)?.freeInMs ?? 0,
+    admit: async (process, hasAlternative) => {
       const limit = limits.limitOf(process)
       if (limit === undefined) return GRANTED
-      const pending = pendingRefusal(process)
+      const reserve = hasAlternative ? RESERVE_WITH_ALTERNATIVE : 0
+      const pending = pendingRefusal(process, reserve)
       if (pending !== undefined) return pending
-      const grant = await askRanked(process, limit)
+      const grant = await askRanked({ process, reserve, requestsPerSecond: limit })
       if (grant.freeInMs === 0) return grant
       const refused = withPause(grant, limit)
       if (refusals.size > MAX_RECORDS) refusals.clear()
-      refusals.set(process, { grant: refused, atMs: clock.monotonic() })
+      refusals.set(refusalKey(process, reserve), { grant: refused, atMs: clock.monotonic() })
       return refused
     }
   }
--- a/packages/magnoliabay/src/node/statements/rateBucket.ts
+++ b/packages/magnoliabay/src/node/statements/rateBucket.ts
@@ -17,7 +17,8 @@
 }
 
 export interface RateBucket {
-  take (requestsPerSecond: number, nowMs: number): Grant
+  /** Takes a token if more than `reserve` are left with it. */
+  take (requestsPerSecond: number, nowMs: number, reserve: number): Grant
 }
 
 export interface RateBucketOptions {
@@ -32,15 +33,16 @@
   let promisedMs = startMs
 
   return {
-    take: (requestsPerSecond, nowMs) => {
+    take: (requestsPerSecond, nowMs, reserve) => {
       const tokenMs = MS_PER_SECOND / requestsPerSecond
       tokens = Math.min(BURST, tokens + (nowMs - filledMs) / tokenMs)
       filledMs = nowMs
-      if (tokens >= 1) {
+      const needed = Math.min(BURST, 1 + reserve)
+      if (tokens >= needed) {
         tokens -= 1
         return { freeInMs: 0, retryInMs: 0 }
       }
-      const freeInMs = Math.ceil((1 - tokens) * tokenMs)
+      const freeInMs = Math.ceil((needed - tokens) * tokenMs)
       promisedMs = Math.min(nowMs + Math.max(MAX_PROMISE_MS, freeInMs), Math.max(nowMs + freeInMs, promisedMs + tokenMs))
       return { freeInMs, retryInMs: Math.round(promisedMs - nowMs) }
     }
