--- a/packages/magnoliabay/src/node/serving/placement/placementController.ts
+++ b/packages/magnoliabay/src/node/serving/placement/placementController.ts
@@ -58,6 +58,7 @@
 /** Delay after which a caller retries an adapter that could not be ordered, milliseconds. */
 const ADAPTER_RETRY_DELAY_MS = 250
 
+const NO_PROCESSES: ReadonlySet<string> = new Set()
 const NO_LIMITED_ENGINES: ReadonlyMap<string, LimitedEngineUse> = new Map()
 
 export interface PlacementControllerOptions {
@@ -212,8 +213,11 @@
   }
   /** Engines whose replica of the model does not count: it states a limit that the model exceeds, or takes none from an instance that has requests for it. */
   const unusableEnginesOf = (model: string, limitedEngines: ReadonlyMap<string, LimitedEngineUse>): ReadonlySet<string> => {
+    const unavailable = openRequests.get(model)?.unavailable ?? NO_PROCESSES
+    // The plan needs this for hundreds of models, some dozen times a second.
+    if (limitedEngines.size === 0) return unavailable
     const beyondLimit = [...limitedEngines].filter(([, use]) => use.modelsBeyondLimit.includes(model)).map(([process]) => process)
-    return new Set([...beyondLimit, ...openRequests.get(model)?.unavailable ?? []])
+    return new Set([...beyondLimit, ...unavailable])
   }
   const needOf = (model: string, limitedEngines: ReadonlyMap<string, LimitedEngineUse>): ModelNeed => {
     const now = clock.monotonic()
