--- a/packages/magnoliabay/src/node/statements/limitedServers.ts
+++ b/packages/magnoliabay/src/node/statements/limitedServers.ts
@@ -25,8 +25,16 @@
 
 const admitCall = definePeerCall<AdmitRequest, Grant>('serving.admit-limited')
 
-/** Part of the limit that an instance grants in each role; `apart` is divided by the number of members. */
-const SHARES: Record<Role, number> = { home: 1, deputy: 0.25, apart: 0.25 }
+/**
+ * What an instance grants in each role: its part of the limit (for `apart` divided by the number of members), the burst, and
+ * the tokens at the beginning. Few tokens: in sum over a home and the one that takes over from it they must stay within
+ * what a server tolerates in a few seconds. None for those that are cut off: many may be at once.
+ */
+const ROLES: Record<Role, { share: number, burst: number, initialTokens: number }> = {
+  home: { share: 1, burst: 3, initialTokens: 1 },
+  deputy: { share: 0.25, burst: 2, initialTokens: 1 },
+  apart: { share: 0.25, burst: 2, initialTokens: 0 }
+}
 /**
  * A request that another server can take leaves one token: busy models would otherwise take every place of an engine, and
  * the callers of a rare model that only this engine has would be refused.
@@ -39,11 +47,13 @@
 /** An instance that has not replied is asked again after this time, milliseconds. */
 const ASK_RETRY_MS = 1000
 /**
- * After a refusal an instance pauses, so that all instances together ask in vain this often: at least the first number a
- * second, so that a small limit is used, and for a large limit this multiple of it.
+ * After a refusal of a request that can go elsewhere an instance pauses, so that all instances together ask in vain this
+ * often: at least the first number a second, so that a small limit is used, and for a large limit this multiple of it.
  */
 const MIN_ASKS_PER_SECOND = 20
 const ASKS_PER_GRANT = 2
+/** Longest mean pause before a request that nobody else can take asks again: there are few, and each would be refused. */
+const MAX_MEAN_PAUSE_MS = 500
 const MS_PER_SECOND = 1000
 /** Above this number of records, those of processes that have ended are dropped with all others. */
 const MAX_RECORDS = 1000
@@ -81,15 +91,14 @@
   const bucketOf = (process: string, role: Role): RateBucket => {
     const key = `${role} ${process}`
     if (buckets.size > MAX_RECORDS) buckets.clear()
-    // An instance that is cut off starts without a burst: many may be cut off at once.
-    const bucket = buckets.get(key) ?? createRateBucket({ nowMs: clock.monotonic(), ...(role === 'apart' ? { initialTokens: 0 } : {}) })
+    const bucket = buckets.get(key) ?? createRateBucket({ ...ROLES[role], nowMs: clock.monotonic() })
     buckets.set(key, bucket)
     return bucket
   }
   const take = ({ process, reserve, role, requestsPerSecond }: AdmitRequest): Grant => {
     const limit = Math.max(MIN_REQUESTS_PER_SECOND, limits.limitOf(process) ?? requestsPerSecond)
     const parts = role === 'apart' ? Math.max(1, peers.members().length) : 1
-    return bucketOf(process, role).take(limit * SHARES[role] / parts, clock.monotonic(), reserve)
+    return bucketOf(process, role).take(limit * ROLES[role].share / parts, clock.monotonic(), reserve)
   }
   peers.serve(admitCall, take)
 
@@ -117,8 +126,9 @@
     buckets.delete(`apart ${process}`)
     return granted
   }
-  const withPause = ({ freeInMs, retryInMs }: Grant, limit: number): Grant => {
-    const meanPauseMs = peers.members().length * MS_PER_SECOND / Math.max(MIN_ASKS_PER_SECOND, ASKS_PER_GRANT * limit)
+  const withPause = ({ freeInMs, retryInMs }: Grant, limit: number, hasAlternative: boolean): Grant => {
+    const sharedPauseMs = peers.members().length * MS_PER_SECOND / Math.max(MIN_ASKS_PER_SECOND, ASKS_PER_GRANT * limit)
+    const meanPauseMs = hasAlternative ? sharedPauseMs : Math.min(sharedPauseMs, MAX_MEAN_PAUSE_MS)
     // Instances that hear of the limit at the same moment must not ask at the same moment from then on.
     const pauseMs = 2 * random() * meanPauseMs
     return { freeInMs: Math.max(freeInMs, pauseMs), retryInMs: Math.max(retryInMs, pauseMs) }
@@ -142,7 +152,7 @@
       if (pending !== undefined) return pending
       const grant = await askRanked({ process, reserve, requestsPerSecond: limit })
       if (grant.freeInMs === 0) return grant
-      const refused = withPause(grant, limit)
+      const refused = withPause(grant, limit, hasAlternative)
       if (refusals.size > MAX_RECORDS) refusals.clear()
       refusals.set(refusalKey(process, reserve), { grant: refused, atMs: clock.monotonic() })
       return refused
--- a/packages/magnoliabay/src/node/statements/rateBucket.ts
+++ b/packages/magnoliabay/src/node/statements/rateBucket.ts
@@ -1,10 +1,5 @@
 /** Counts requests against a rate with a token bucket, and tells callers that it refuses when to come back. */
 
-/**
- * Requests that may come at once after a pause. Larger ones would exceed, in sum over two instances that count for one
- * server, what it tolerates in a few seconds.
- */
-const BURST = 2
 /** A promise further ahead would be too uncertain to be of use, milliseconds. */
 const MAX_PROMISE_MS = 5000
 const MS_PER_SECOND = 1000
@@ -22,12 +17,14 @@
 }
 
 export interface RateBucketOptions {
-  /** Tokens at the beginning. @default 2 */
-  initialTokens?: number
+  /** Requests that may come at once after a pause. */
+  burst: number
+  /** Tokens at the beginning. */
+  initialTokens: number
   nowMs: number
 }
 
-export function createRateBucket ({ initialTokens = BURST, nowMs: startMs }: RateBucketOptions): RateBucket {
+export function createRateBucket ({ burst, initialTokens, nowMs: startMs }: RateBucketOptions): RateBucket {
   let tokens = initialTokens
   let filledMs = startMs
   let promisedMs = startMs
@@ -35,14 +32,16 @@
   return {
     take: (requestsPerSecond, nowMs, reserve) => {
       const tokenMs = MS_PER_SECOND / requestsPerSecond
-      tokens = Math.min(BURST, tokens + (nowMs - filledMs) / tokenMs)
+      tokens = Math.min(burst, tokens + (nowMs - filledMs) / tokenMs)
       filledMs = nowMs
-      const needed = Math.min(BURST, 1 + reserve)
+      const needed = Math.min(burst, 1 + reserve)
       if (tokens >= needed) {
         tokens -= 1
         return { freeInMs: 0, retryInMs: 0 }
       }
       const freeInMs = Math.ceil((needed - tokens) * tokenMs)
+      // A request that leaves tokens to others has somewhere else to go, and nobody comes back for it.
+      if (reserve > 0) return { freeInMs, retryInMs: freeInMs }
       promisedMs = Math.min(nowMs + Math.max(MAX_PROMISE_MS, freeInMs), Math.max(nowMs + freeInMs, promisedMs + tokenMs))
       return { freeInMs, retryInMs: Math.round(promisedMs - nowMs) }
     }
