--- a/packages/magnoliabay/src/node/backend/backendStatements.ts
+++ b/packages/magnoliabay/src/node/backend/backendStatements.ts
@@ -3,7 +3,7 @@
 import type { Logger } from '../logger'
 import { definePeerNotice } from '../members'
 import type { Peers } from '../members'
-import { createLimitedServers, createServerLimits, createServerRests } from '../statements'
+import { createLimitedServers, createServerLimits, createServerBackoffs } from '../statements'
 import type { ServerStatement, StatedLimit } from '../statements'
 import type { ResponseHeaders } from './httpExchange'
 import type { LeavingBackends } from './leavingBackends'
@@ -34,19 +34,19 @@
 export function createBackendStatements ({ peers, leavingBackends, decode, clock, logger, random = Math.random }: BackendStatementsOptions): BackendStatements {
   const limits = createServerLimits({ clock, logger, onChanged: () => {} })
   const limitedServers = createLimitedServers({ peers, limits, clock, logger, random })
-  const rests = createServerRests({ clock, logger })
+  const backoffs = createServerBackoffs({ clock, logger })
   peers.listen(statedLimitsNotice, ({ stated }) => limits.recordFromPeer(stated))
 
   return {
     record: (address, status, headers, hasRun) => {
       const statement = decode(status, headers)
       if (statement.isLeaving) leavingBackends.markLeaving(address)
-      if (statement.restMs > 0) rests.record(address, statement.restMs)
+      if (statement.backoffMs > 0) backoffs.record(address, statement.backoffMs)
       const before = limits.limitOf(address)
       limits.record(address, statement, hasRun)
       if (limits.limitOf(address) !== before) peers.notifyAll(statedLimitsNotice, { stated: limits.stated() })
     },
-    refusedForMs: address => Math.max(rests.remainingMs(address), limitedServers.refusedForMs(address)),
-    admit: async address => rests.remainingMs(address) === 0 && (await limitedServers.admit(address, false)).freeInMs === 0
+    refusedForMs: address => Math.max(backoffs.remainingMs(address), limitedServers.refusedForMs(address)),
+    admit: async address => backoffs.remainingMs(address) === 0 && (await limitedServers.admit(address, false)).freeInMs === 0
   }
 }
--- a/packages/magnoliabay/src/node/platform/serverStatement.ts
+++ b/packages/magnoliabay/src/node/platform/serverStatement.ts
@@ -4,12 +4,12 @@
 const LIMIT = 'server-limit'
 const LEAVING = 'server-leaving'
 const IS_LEAVING = '1'
-const REST_S = 'retry-after'
+const BACKOFF_S = 'retry-after'
 const SERVICE_UNAVAILABLE = 503
 const MS_PER_SECOND = 1000
 const DECIMAL_PATTERN = /^\d+(\.\d+)?$/
 
-export const NO_STATEMENT: ServerStatement = { requestsPerSecond: undefined, isLeaving: false, restMs: 0 }
+export const NO_STATEMENT: ServerStatement = { requestsPerSecond: undefined, isLeaving: false, backoffMs: 0 }
 
 /** Returns undefined for a value that is missing or no decimal number. */
 function parseDecimal (value: string | string[] | undefined): number | undefined {
@@ -18,10 +18,10 @@
 }
 
 export function decodeServerStatement (status: number, headers: Readonly<Record<string, string | string[] | undefined>>): ServerStatement {
-  const restS = status === SERVICE_UNAVAILABLE ? parseDecimal(headers[REST_S]) : undefined
+  const backoffS = status === SERVICE_UNAVAILABLE ? parseDecimal(headers[BACKOFF_S]) : undefined
   return {
     requestsPerSecond: parseDecimal(headers[LIMIT]),
     isLeaving: headers[LEAVING] === IS_LEAVING,
-    restMs: (restS ?? 0) * MS_PER_SECOND
+    backoffMs: (backoffS ?? 0) * MS_PER_SECOND
   }
 }
--- a/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
@@ -8,7 +8,7 @@
 import type { MemoryNetwork } from '../../../members/memoryNetwork'
 import { createRetryBudget, createSuspects } from '../../../outcomes'
 import { platformProtocol } from '../../../platform'
-import { createLimitedServers, createServerLimits, createServerRests } from '../../../statements'
+import { createLimitedServers, createServerLimits, createServerBackoffs } from '../../../statements'
 import { createWakeupCounter } from '../../../wakeups'
 import { createAllowanceLimiter } from '../../allowance/allowanceLimiter'
 import type { InstanceReport } from '../../fleetMessages'
@@ -167,7 +167,7 @@
       health,
       serverLimits,
       limitedServers,
-      serverRests: createServerRests({ clock, logger }),
+      serverBackoffs: createServerBackoffs({ clock, logger }),
       fleetView,
       placement: createPlacementClient({ peers, servers: list, leader: () => LEADER, isServerResponding: process => !health.isSilent(process), isIsolated: () => false, clock, logger }),
       allowance: createAllowanceLimiter({ peers, findTeam: () => undefined, windowMs: 8000, isFirstStart: true, store, era: () => 0, tolerance: { ratio: 0, slack: 0 }, clock, logger }),
--- a/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
@@ -48,7 +48,7 @@
   cfg: ServingConfigProvider
   engines: EngineCalls
   /** Remaining time for which an engine's process wants nothing from this instance, milliseconds. */
-  restMs: (process: string) => number
+  backoffMs: (process: string) => number
   /** Time since which the store has answered every call, monotonic milliseconds. */
   storeReachableSinceMs: () => number
   clock: Clock
@@ -127,7 +127,7 @@
   }
   const isReportDue = ({ tracked, process }: Engine): boolean => {
     const now = clock.monotonic()
-    if (options.restMs(process) > 0) return false
+    if (options.backoffMs(process) > 0) return false
     if (now - tracked.reportedMs < REPORT_INTERVAL_MS) return false
     if (tracked.acceptedOrders === undefined) return true
     return tracked.pending !== undefined && now - tracked.pending.sentMs >= tracked.pending.expectedMs
@@ -199,7 +199,7 @@
     specOf,
     hasOrderInFlight: process => ordersInFlight.has(process),
     mayTryNextOrder: ({ process, tracked }) => {
-      if (tracked.acceptedOrders === undefined || ordersInFlight.has(process) || options.restMs(process) > 0) return false
+      if (tracked.acceptedOrders === undefined || ordersInFlight.has(process) || options.backoffMs(process) > 0) return false
       if (tracked.pending === undefined) return true
       if (tracked.pending.operation === 'load') return false
       const sinceMs = clock.monotonic() - tracked.pending.sentMs
--- a/packages/magnoliabay/src/node/serving/placement/placementController.ts
+++ b/packages/magnoliabay/src/node/serving/placement/placementController.ts
@@ -71,7 +71,7 @@
   /** Requests a second that an engine's process takes, if it states a limit. */
   limitOf: (process: string) => number | undefined
   /** Remaining time for which an engine's process wants nothing from this instance, milliseconds. */
-  restMs: (process: string) => number
+  backoffMs: (process: string) => number
   /** Time since which the store has answered every call, monotonic milliseconds. */
   storeReachableSinceMs: () => number
   peers: Peers
@@ -162,7 +162,7 @@
   }
 
   const isIdle = ({ process, tracked }: Engine): boolean =>
-    tracked.acceptedOrders !== undefined && options.restMs(process) === 0 && tracked.pending === undefined && !orders.hasOrderInFlight(process) && !reservations.has(process)
+    tracked.acceptedOrders !== undefined && options.backoffMs(process) === 0 && tracked.pending === undefined && !orders.hasOrderInFlight(process) && !reservations.has(process)
   /** Time until the engine has finished its pending order and its reservation, milliseconds. */
   const remainingMs = ({ process, tracked }: Engine): number => {
     const now = clock.monotonic()
@@ -170,7 +170,7 @@
     const reservation = reservations.get(process)
     const isLoadAhead = reservation !== undefined && tracked.pending?.operation !== 'load'
     const loadMs = isLoadAhead ? expectedLoadMs(reservation.model, tierOf(tracked, reservation.model)) : 0
-    return options.restMs(process) + pendingMs + loadMs
+    return options.backoffMs(process) + pendingMs + loadMs
   }
   /** Models that an engine has or will load, without those that it is to unload. */
   const plannedModels = ({ process, tracked }: Engine): readonly string[] => {
@@ -339,7 +339,7 @@
   }
   const requestAdapter = async (model: string, adapter: string, unavailable: ReadonlySet<string>): Promise<PlacementReply> => {
     const enginesWithModel = orders.listEngines().filter(engine => !unavailable.has(engine.process) && engine.tracked.models.some(loaded => loaded.name === model))
-    const available = enginesWithModel.filter(engine => engine.tracked.acceptedOrders !== undefined && engine.tracked.pending === undefined && options.restMs(engine.process) === 0)
+    const available = enginesWithModel.filter(engine => engine.tracked.acceptedOrders !== undefined && engine.tracked.pending === undefined && options.backoffMs(engine.process) === 0)
     const placement = chooseAdapterPlacement(available.map(engineAdaptersOf), model, adapter)
     const soonestMs = Math.min(...enginesWithModel.map(remainingMs))
     if (placement === undefined) return { kind: 'coming', inMs: Math.max(ADAPTER_RETRY_DELAY_MS, Number.isFinite(soonestMs) ? soonestMs : MODEL_SWAP_MS) }
--- a/packages/magnoliabay/src/node/serving/refusal.ts
+++ b/packages/magnoliabay/src/node/serving/refusal.ts
@@ -12,7 +12,7 @@
   | 'server-full'
   | 'server-cold'
   | 'server-limited'
-  | 'server-resting'
+  | 'server-backoff'
   | 'retry-budget-spent'
   | 'crashes-servers'
   | 'route-timeout'
@@ -46,7 +46,7 @@
   'server-full': 503,
   'server-cold': 503,
   'server-limited': 503,
-  'server-resting': 503,
+  'server-backoff': 503,
   'retry-budget-spent': 503,
   'crashes-servers': 503,
   'route-timeout': 503,
--- a/packages/magnoliabay/src/node/serving/refusalReasons.ts
+++ b/packages/magnoliabay/src/node/serving/refusalReasons.ts
@@ -12,7 +12,7 @@
   'server-full': 'Servers rejected the request, without running it, each time it was sent.',
   'server-cold': 'The servers that could take it had just started, and had already received as many requests in that second as they can handle.',
   'server-limited': 'The servers that could take it state a rate limit and had reached it, and the model could not be loaded elsewhere in time. retryAfterMs is when one has a place again.',
-  'server-resting': 'The servers that could take it have asked this instance for rest, and the model could not be loaded elsewhere in time. retryAfterMs is when the first of them takes requests again.',
+  'server-backoff': 'The servers that could take it have asked this instance for backoff, and the model could not be loaded elsewhere in time. retryAfterMs is when the first of them takes requests again.',
   'retry-budget-spent': 'A server rejected the request without running it, and the retry budget of the service was used up.',
   'crashes-servers': 'Servers crashed while they ran the same request before. It is not sent again for a minute.',
   'route-timeout': 'The route\'s timeout or the caller\'s deadline was reached.',
--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -73,10 +73,10 @@
       toCallerHeaders: protocol.toCallerHeaders,
       isRetryableStatus: status => status >= MIN_SERVER_ERROR_STATUS && canRetry(run),
       onServerStatement: metadata => {
-        const { isSigned, isNotRun, statement: { isLeaving, restMs } } = metadata
+        const { isSigned, isNotRun, statement: { isLeaving, backoffMs } } = metadata
         ctx.serverLimits.record(id, metadata.statement, isSigned && !isNotRun)
         if (isLeaving) servers.recordLeaving(id, 'answer')
-        if (restMs > 0) ctx.serverRests.record(id, restMs)
+        if (backoffMs > 0) ctx.serverBackoffs.record(id, backoffMs)
       },
       onActivity: () => {
         ctx.recordWakeup('server')
--- a/packages/magnoliabay/src/node/serving/serverChoice.ts
+++ b/packages/magnoliabay/src/node/serving/serverChoice.ts
@@ -1,4 +1,4 @@
-/** Chooses the backend server for a request among those that may get it: by load, and within the rates of cold and limited servers, and not while they rest. */
+/** Chooses the backend server for a request among those that may get it: by load, and within the rates of cold and limited servers, and not during the backoff that they ask for. */
 import { chooseServer } from './chooseServer'
 import type { Refusal } from './refusal'
 import type { RequestRun } from './requestRun'
@@ -28,15 +28,15 @@
   isColdDenied: boolean
   /** Shortest time after which a limited server has a place again, milliseconds. */
   limitRetryMs: number
-  /** Shortest time after which a server has had the rest that it asked for, milliseconds. */
-  restMs: number
+  /** Shortest time after which the backoff of a server is over, milliseconds. */
+  backoffMs: number
 }
 
-const NO_DENIALS: Denials = { isColdDenied: false, limitRetryMs: Infinity, restMs: Infinity }
+const NO_DENIALS: Denials = { isColdDenied: false, limitRetryMs: Infinity, backoffMs: Infinity }
 
-function refusalOf ({ limitRetryMs, restMs }: Denials): Refusal {
-  if (limitRetryMs === Infinity && restMs === Infinity) return { reason: 'server-cold', retryAfterMs: COLD_SERVER_RETRY_AFTER_MS }
-  return limitRetryMs <= restMs ? { reason: 'server-limited', retryAfterMs: limitRetryMs } : { reason: 'server-resting', retryAfterMs: restMs }
+function refusalOf ({ limitRetryMs, backoffMs }: Denials): Refusal {
+  if (limitRetryMs === Infinity && backoffMs === Infinity) return { reason: 'server-cold', retryAfterMs: COLD_SERVER_RETRY_AFTER_MS }
+  return limitRetryMs <= backoffMs ? { reason: 'server-limited', retryAfterMs: limitRetryMs } : { reason: 'server-backoff', retryAfterMs: backoffMs }
 }
 
 export function createServerChooser (ctx: ServingContext): ServerChooser {
@@ -75,18 +75,18 @@
     return await pickAdmitted(run, others, { ...denials, limitRetryMs: Math.min(denials.limitRetryMs, retryInMs) })
   }
 
-  const restMsOf = (server: BackendServer): number => ctx.serverRests.remainingMs(serverProcessId(server))
-  const isRested = (server: BackendServer): boolean => restMsOf(server) === 0
-  const shortestRestMs = (run: RequestRun, from: readonly BackendServer[]): number =>
-    Math.min(Infinity, ...from.filter(server => !isRested(server) && !run.tried.has(serverProcessId(server))).map(restMsOf))
+  const backoffMsOf = (server: BackendServer): number => ctx.serverBackoffs.remainingMs(serverProcessId(server))
+  const isBackoffOver = (server: BackendServer): boolean => backoffMsOf(server) === 0
+  const shortestBackoffMs = (run: RequestRun, from: readonly BackendServer[]): number =>
+    Math.min(Infinity, ...from.filter(server => !isBackoffOver(server) && !run.tried.has(serverProcessId(server))).map(backoffMsOf))
 
   return {
     choose: async (run, from, maxWaitMs) => {
       for (;;) {
-        const picked = await pickAdmitted(run, from.filter(isRested), { ...NO_DENIALS, restMs: shortestRestMs(run, from) })
+        const picked = await pickAdmitted(run, from.filter(isBackoffOver), { ...NO_DENIALS, backoffMs: shortestBackoffMs(run, from) })
         if ('id' in picked) return { kind: 'chosen', server: picked }
-        const { isColdDenied, limitRetryMs, restMs } = picked
-        if (!isColdDenied && limitRetryMs === Infinity && restMs === Infinity) return { kind: 'none' }
+        const { isColdDenied, limitRetryMs, backoffMs } = picked
+        if (!isColdDenied && limitRetryMs === Infinity && backoffMs === Infinity) return { kind: 'none' }
         const mayWait = isColdDenied && !run.stop.signal.aborted && maxWaitMs() > COLD_SERVER_DELAY_MS
         if (!mayWait) return { kind: 'refused', refusal: refusalOf(picked) }
         await ctx.pause(COLD_SERVER_DELAY_MS)
--- a/packages/magnoliabay/src/node/serving/servingContext.ts
+++ b/packages/magnoliabay/src/node/serving/servingContext.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import type { RetryBudget, Suspects } from '../outcomes'
-import type { LimitedServers, ServerLimits, ServerRests } from '../statements'
+import type { LimitedServers, ServerLimits, ServerBackoffs } from '../statements'
 import type { AllowanceLimiter } from './allowance/allowanceLimiter'
 import type { ColdStarts } from './coldStarts'
 import type { ServingConfigProvider } from './servingConfigProvider'
@@ -23,7 +23,7 @@
   health: ServerHealth
   serverLimits: ServerLimits
   limitedServers: LimitedServers
-  serverRests: ServerRests
+  serverBackoffs: ServerBackoffs
   fleetView: FleetView
   placement: PlacementClient
   allowance: AllowanceLimiter
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -15,7 +15,7 @@
 import type { RetryBudget } from '../outcomes'
 import { probeAddress } from '../probe'
 import { createShutdown } from '../shutdown'
-import { createLimitedServers, createServerLimits, createServerRests } from '../statements'
+import { createLimitedServers, createServerLimits, createServerBackoffs } from '../statements'
 import type { Store, PrefixWatch } from '../store'
 import { closeServer, createId, listenOn, parseHostPort } from '../utils'
 import { createPeerFallbackStore } from './allowance/peerFallbackStore'
@@ -156,7 +156,7 @@
   const health = createServerHealth(clock)
   const serverLimits = createServerLimits({ clock, logger, onChanged: count => metrics.limitedServers.set(count) })
   const limitedServers = createLimitedServers({ peers, limits: serverLimits, clock, logger, random })
-  const serverRests = createServerRests({ clock, logger })
+  const serverBackoffs = createServerBackoffs({ clock, logger })
   const connections = createConnections(clock)
   const demand = new Map<string, DecayingRate>()
   const budgets = new Map<string, RetryBudget>()
@@ -277,7 +277,7 @@
     logger,
     random
   })
-  const placementController = createPlacementController({ self: id, leadership, servers, cfg, table: fleetView, engines: options.engines, limitOf: serverLimits.limitOf, restMs: serverRests.remainingMs, storeReachableSinceMs: store.reachableSinceMs, peers, clock, logger, loadWindowMs: settings.storeLoadWindowMs })
+  const placementController = createPlacementController({ self: id, leadership, servers, cfg, table: fleetView, engines: options.engines, limitOf: serverLimits.limitOf, backoffMs: serverBackoffs.remainingMs, storeReachableSinceMs: store.reachableSinceMs, peers, clock, logger, loadWindowMs: settings.storeLoadWindowMs })
   const placement = createPlacementClient({
     peers,
     servers,
@@ -328,7 +328,7 @@
     health,
     serverLimits,
     limitedServers,
-    serverRests,
+    serverBackoffs,
     fleetView,
     placement,
     allowance,
@@ -356,7 +356,7 @@
     const process = serverProcessId(server)
     serverLimits.record(process, statement, false)
     if (statement.isLeaving) servers.recordLeaving(process, 'answer')
-    if (statement.restMs > 0) serverRests.record(process, statement.restMs)
+    if (statement.backoffMs > 0) serverBackoffs.record(process, statement.backoffMs)
   })
   evacuations.onChanged(servers.notifyChanged)
   cfg.onChanged(() => {
--- a/packages/magnoliabay/src/node/statements/serverRests.ts
+++ b/packages/magnoliabay/src/node/statements/serverBackoffs.ts
@@ -1,23 +1,23 @@
 /**
- * Keeps the times for which backend servers want no requests from this instance. They asked this instance alone, so the
+ * Keeps the backoff times for which backend servers want no requests from this instance. They asked this instance alone, so the
  * times are not shared: others may still be served.
  */
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 
-export interface ServerRests {
-  /** Records that an answer of the process asks for rest; a shorter time does not end a longer one. */
-  record (process: string, restMs: number): void
+export interface ServerBackoffs {
+  /** Records that an answer of the process asks for backoff; a shorter time does not end a longer one. */
+  record (process: string, backoffMs: number): void
   /** Remaining time for which the process wants no requests from this instance, milliseconds. */
   remainingMs (process: string): number
 }
 
-export interface ServerRestsOptions {
+export interface ServerBackoffsOptions {
   clock: Clock
   logger: Logger
 }
 
-export function createServerRests ({ clock, logger }: ServerRestsOptions): ServerRests {
+export function createServerBackoffs ({ clock, logger }: ServerBackoffsOptions): ServerBackoffs {
   /** Monotonic milliseconds, by process. */
   const untilMs = new Map<string, number>()
 
@@ -25,11 +25,11 @@
   const dropEnded = (): void => untilMs.forEach((_, process) => { if (remainingMs(process) === 0) untilMs.delete(process) })
   return {
     remainingMs,
-    record: (process, restMs) => {
-      if (restMs <= remainingMs(process)) return
+    record: (process, backoffMs) => {
+      if (backoffMs <= remainingMs(process)) return
       dropEnded()
-      untilMs.set(process, clock.monotonic() + restMs)
-      logger.info('server-rest', { server: process, restMs })
+      untilMs.set(process, clock.monotonic() + backoffMs)
+      logger.info('server-backoff', { server: process, backoffMs })
     }
   }
 }
--- a/packages/magnoliabay/src/node/statements/types.ts
+++ b/packages/magnoliabay/src/node/statements/types.ts
@@ -5,5 +5,5 @@
   /** It will end soon and wants no new requests. */
   isLeaving: boolean
   /** Time for which it wants no requests from this instance, milliseconds; 0 for none. */
-  restMs: number
+  backoffMs: number
 }
--- a/packages/standins/src/node/engine/server.ts
+++ b/packages/standins/src/node/engine/server.ts
@@ -10,7 +10,7 @@
 import type { AdminTarget } from '../admin'
 import { asText, parseObject, readText, sendJson } from '../http/json'
 import { createListener } from '../http/listener'
-import { restHeaders, stateInAnswer } from '../http/statements'
+import { backoffHeaders, stateInAnswer } from '../http/statements'
 import { sendStream, sendBody } from './delivery'
 import type { ResponseContent } from './delivery'
 import { readGenerateRequest, readOrder } from './requests'
@@ -81,7 +81,7 @@
     const submission = engine.submit(request)
     if (submission.err) {
       const { kind } = submission.val
-      const headers = { [NOT_RUN_HEADER]: 'true', [REQUEST_ID_HEADER]: request.requestId, ...(kind === 'refusing' ? restHeaders(faults.current) : {}) }
+      const headers = { [NOT_RUN_HEADER]: 'true', [REQUEST_ID_HEADER]: request.requestId, ...(kind === 'refusing' ? backoffHeaders(faults.current) : {}) }
       return sendJson(res, REFUSAL_STATUS[kind], { error: { type: kind } }, headers)
     }
     const run = submission.val
--- a/packages/standins/src/node/service/index.ts
+++ b/packages/standins/src/node/service/index.ts
@@ -11,7 +11,7 @@
 import type { FaultSwitches } from '../faults'
 import { asText, readText, sendJson } from '../http/json'
 import { createListener } from '../http/listener'
-import { NO_STATEMENTS, restHeaders, stateInAnswer } from '../http/statements'
+import { NO_STATEMENTS, backoffHeaders, stateInAnswer } from '../http/statements'
 import type { Statements } from '../http/statements'
 
 export interface ServiceFaults extends Statements {
@@ -110,7 +110,7 @@
     const body = await readText(req)
     const requestId = asText(req.headers[REQUEST_ID_HEADER])
     if (service.isLeaving() || faults.current.refuse) {
-      return sendJson(res, 503, { error: 'refused' }, { [NOT_RUN_HEADER]: 'true', [REQUEST_ID_HEADER]: requestId, ...restHeaders(faults.current) })
+      return sendJson(res, 503, { error: 'refused' }, { [NOT_RUN_HEADER]: 'true', [REQUEST_ID_HEADER]: requestId, ...backoffHeaders(faults.current) })
     }
     const record = service.run({
       requestId,
--- a/scripts/fleet/faults.ts
+++ b/scripts/fleet/faults.ts
@@ -14,8 +14,8 @@
 const CRASHING_PROMPT = 'poison-pill'
 const CRASHING_PROMPT_REPEATS = 6
 const FLOOD_FACTOR = 5
-const REST_SECONDS = 3
-const RESTING_MS = 9000
+const BACKOFF_SECONDS = 3
+const BACKOFF_FAULT_MS = 9000
 const STATED_LIMIT = 1
 const STATED_LIMIT_MS = 12_000
 
@@ -136,15 +136,15 @@
     }
   },
   {
-    name: 'engine-rests',
-    what: `the busiest engine refuses requests and asks for ${REST_SECONDS} s of rest, for ${RESTING_MS / 1000} s`,
+    name: 'engine-backoff',
+    what: `the busiest engine refuses requests and asks for ${BACKOFF_SECONDS} s of backoff, for ${BACKOFF_FAULT_MS / 1000} s`,
     run: async harness => {
       const engine = busiestOf(harness)
-      const resting = { engine: engine.id, restMs: REST_SECONDS * 1000, fromMs: Date.now() }
-      await engine.state.faults.set({ refuse: true, restSeconds: REST_SECONDS })
-      await pause(RESTING_MS)
-      harness.observations.restingEngines.push({ ...resting, toMs: Date.now() })
-      await engine.state.faults.set({ refuse: false, restSeconds: 0 })
+      const backoff = { engine: engine.id, backoffMs: BACKOFF_SECONDS * 1000, fromMs: Date.now() }
+      await engine.state.faults.set({ refuse: true, backoffSeconds: BACKOFF_SECONDS })
+      await pause(BACKOFF_FAULT_MS)
+      harness.observations.backoffs.push({ ...backoff, toMs: Date.now() })
+      await engine.state.faults.set({ refuse: false, backoffSeconds: 0 })
     }
   },
   engineFault('orders-late', 'an engine responds late to orders', { orderAnswer: 'late' }, { orderAnswer: 'normal' }),
--- a/scripts/fleet/guarantees.ts
+++ b/scripts/fleet/guarantees.ts
@@ -1,5 +1,5 @@
 /**
- * Checks the guarantees of the brief, and that what engines state is kept: limits and times of rest. Each check uses only the records of stand-ins and callers, never
+ * Checks the guarantees of the brief, and that what engines state is kept: limits and backoff times. Each check uses only the records of stand-ins and callers, never
  * what the product reports about itself.
  */
 import { countTokens, createAnswer } from '@magnoliabay/standins'
@@ -26,8 +26,8 @@
 const LIMIT_SPAN_MS = 4000
 const LIMIT_RATIO = 1.5
 const LIMIT_SLACK = 5
-const REST_DELAY_MS = 500
-const MAX_WHILE_RESTING = 2
+const BACKOFF_DELAY_MS = 500
+const MAX_DURING_BACKOFF = 2
 
 interface RunFacts {
   harness: Harness
@@ -222,20 +222,20 @@
   return { checked: statedLimits.length, violations }
 }
 
-/** An engine that has asked an instance for rest gets at most a few requests of it until the rest is over. */
-const checkRests: Check = ({ harness, calls }) => {
-  const { restingEngines } = harness.observations
+/** An engine that has asked an instance for backoff gets at most a few requests of it until that is over. */
+const checkBackoffs: Check = ({ harness, calls }) => {
+  const { backoffs } = harness.observations
   const instances = new Map(calls.map(call => [call.id, call.instance]))
-  const violations = restingEngines.flatMap(({ engine: id, restMs, fromMs, toMs }) => {
+  const violations = backoffs.flatMap(({ engine: id, backoffMs, fromMs, toMs }) => {
     const engine = harness.standIns.engines.find(candidate => candidate.id === id)
     const arrivals = (engine?.state.records().requests ?? [])
       .filter(({ receivedAtMs }) => receivedAtMs > fromMs && receivedAtMs < toMs)
       .map(({ prompt, receivedAtMs }) => ({ instance: instances.get(prompt.split(' ', 1)[0]!), atMs: receivedAtMs }))
-    const counts = arrivals.map(asked => arrivals.filter(each => each.instance === asked.instance && each.atMs > asked.atMs + REST_DELAY_MS && each.atMs < asked.atMs + restMs).length)
+    const counts = arrivals.map(asked => arrivals.filter(each => each.instance === asked.instance && each.atMs > asked.atMs + BACKOFF_DELAY_MS && each.atMs < asked.atMs + backoffMs).length)
     const most = Math.max(0, ...counts)
-    return most > MAX_WHILE_RESTING ? [`${id} received ${most} requests of one instance while it rested`] : []
+    return most > MAX_DURING_BACKOFF ? [`${id} received ${most} requests of one instance during the backoff`] : []
   })
-  return { checked: restingEngines.length, violations }
+  return { checked: backoffs.length, violations }
 }
 
 const checkShutdowns: Check = ({ harness, calls }) => {
@@ -272,7 +272,7 @@
   { promise: 'non-idempotent at most once', isSafety: true, check: checkAtMostOnce },
   { promise: 'leaving server left alone', isSafety: false, check: checkLeavingServers },
   { promise: 'stated limits kept', isSafety: false, check: checkStatedLimits },
-  { promise: 'rest that a server asks for', isSafety: false, check: checkRests },
+  { promise: 'backoff that a server asks for', isSafety: false, check: checkBackoffs },
   { promise: 'graceful shutdown cuts nothing', isSafety: false, check: checkShutdowns },
   { promise: 'configuration in force, never back', isSafety: false, check: checkConfigActivation }
 ]
--- a/scripts/fleet/records.ts
+++ b/scripts/fleet/records.ts
@@ -67,10 +67,10 @@
   toMs: number
 }
 
-/** A time in which an engine refuses requests and asks for rest. */
-export interface RestingEngine {
+/** A time in which an engine refuses requests and asks for backoff. */
+export interface EngineBackoff {
   engine: string
-  restMs: number
+  backoffMs: number
   fromMs: number
   toMs: number
 }
@@ -82,9 +82,9 @@
   withdrawals: Withdrawal[]
   leavingEngines: LeavingEngine[]
   statedLimits: StatedLimit[]
-  restingEngines: RestingEngine[]
+  backoffs: EngineBackoff[]
 }
 
 export function createObservations (): Observations {
-  return { calls: [], engineSamples: [], probes: [], withdrawals: [], leavingEngines: [], statedLimits: [], restingEngines: [] }
+  return { calls: [], engineSamples: [], probes: [], withdrawals: [], leavingEngines: [], statedLimits: [], backoffs: [] }
 }
