--- a/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
@@ -29,12 +29,19 @@
 const LEADER = 'm000'
 /** Delay of a request or an answer between an instance and a server, milliseconds. */
 const HOP_MS = 1
+/** Time after which a process gives up a connection that is not answered, milliseconds. */
+const CONNECT_TIMEOUT_MS = 800
+/** Time for which a connection that is not used stays open, milliseconds. */
+const KEEP_ALIVE_MS = 5000
+/** Requests after which a server closes a connection. */
+const MAX_REQUESTS_PER_CONNECTION = 5
 const RANDOM_SEED = 1
 
 export interface Arrival {
   atMs: number
   from: string
   attemptId: string
+  path: string
 }
 
 export interface ServerAnswer {
@@ -42,6 +49,8 @@
   headers: Record<string, string>
   /** Time from the arrival to the answer, milliseconds. @default 20 */
   afterMs?: number
+  /** @default four bytes where the headers state that length */
+  body?: string
 }
 
 export interface SimulatedServer {
@@ -51,6 +60,18 @@
   answer: (arrival: Arrival) => ServerAnswer | 'broken'
 }
 
+/**
+ * What happens to an instance's connections to all servers. `hang`: open and new ones are silent. `reset`: open and new ones
+ * are reset. `refused`: open ones work, new ones are refused.
+ */
+export type Partition = 'hang' | 'reset' | 'refused'
+
+interface Connection {
+  /** Requests that it has served. */
+  requests: number
+  idleSinceMs: number
+}
+
 export interface SimulatedEntry {
   id: string
   servers: ServerList
@@ -65,6 +86,9 @@
   servers: Map<string, SimulatedServer>
   start (index: number): SimulatedEntry
   kill (id: string): void
+  /** Partitions an instance from all servers; clients and the other instances still reach it. */
+  partition (id: string, how: Partition): void
+  heal (id: string): void
   /** Adds a server, or replaces the process of one that has the id; all instances list it at once. */
   addServer (server: BackendServer, answer: SimulatedServer['answer']): SimulatedServer
 }
@@ -84,6 +108,11 @@
 
 export const SIGNED = { 'x-magnoliabay-server-signature': 'sig', 'content-length': '4' }
 export const answered = (headers: Record<string, string> = {}): ServerAnswer => ({ status: 200, headers: { ...SIGNED, ...headers } })
+/** A stream of one event. */
+export const streamed = (headers: Record<string, string> = {}): ServerAnswer => {
+  const body = 'id: 1\ndata: event\n\n'
+  return { status: 200, headers: { ...SIGNED, 'content-length': String(body.length), ...headers }, body }
+}
 export const rejected = (headers: Record<string, string> = {}): ServerAnswer => ({ status: 503, headers: { 'x-magnoliabay-not-executed': '1', 'content-length': '0', ...headers } })
 
 export function createSimulatedEntries ({ size, cfg = configOf(1, { routes: ROUTES }) }: SimulatedEntriesOptions): SimulatedEntries {
@@ -94,14 +123,27 @@
   const servers = new Map<string, SimulatedServer>()
   const store = createDirectStore(createKvState({ clock }), { clock })
   const random = createRandom(RANDOM_SEED)
+  const partitions = new Map<string, Partition>()
+  /** Idle connections, by instance and server. */
+  const idleConnections = new Map<string, Connection[]>()
   let attempts = 0
 
   const listEverywhere = (): void => entries.forEach(entry => listServers(entry.servers))
   const listServers = (list: ServerList): void => list.snapshot([...servers.keys()].map(key => ({ key, value: '' })))
   const findByAddress = (address: string): SimulatedServer | undefined => [...servers.values()].find(({ server }) => server.address === address)
 
+  const connectionKey = (from: string, address: string): string => `${from} ${address}`
+  const takeIdleConnection = (from: string, address: string): Connection | undefined => {
+    const key = connectionKey(from, address)
+    const idle = (idleConnections.get(key) ?? []).filter(({ idleSinceMs }) => clock.monotonic() - idleSinceMs < KEEP_ALIVE_MS)
+    idleConnections.set(key, idle)
+    return idle.pop()
+  }
   /** Delivers a request to the server at its address, and the answer to the instance, unless it was cancelled. */
   const exchange = (from: string, outbound: OutboundRequest, handler: ResponseHandler): { cancel (reason: string): void } => {
+    const reused = takeIdleConnection(from, outbound.address)
+    const isReused = reused !== undefined
+    let isSent = isReused
     let hasEnded = false
     const end: ResponseHandler['onEnd'] = (kind, reason) => {
       if (hasEnded) return
@@ -109,25 +151,39 @@
       handler.onEnd(kind, reason)
     }
     const header = (name: string): string => outbound.headers[outbound.headers.findIndex((each, index) => index % 2 === 0 && each.toLowerCase() === name) + 1]!
+    const mustHang = (): boolean => partitions.get(from) === 'hang'
     const deliver = (answer: ServerAnswer): void => {
-      if (hasEnded || !entries.has(from)) return
+      if (hasEnded || !entries.has(from) || mustHang()) return
+      const requests = (reused?.requests ?? 0) + 1
+      if (requests < MAX_REQUESTS_PER_CONNECTION) idleConnections.get(connectionKey(from, outbound.address))!.push({ requests, idleSinceMs: clock.monotonic() })
       const headers: Record<string, string> = { 'x-magnoliabay-attempt-id': header('x-magnoliabay-attempt-id'), ...answer.headers }
       handler.onHead({ status: answer.status, headers, rawHeaders: Object.entries(headers).flat() })
-      if (!hasEnded && headers['content-length'] === '4') handler.onData(Buffer.from('done'))
+      const body = answer.body ?? (headers['content-length'] === '4' ? 'done' : '')
+      if (!hasEnded && body !== '') handler.onData(Buffer.from(body))
       end('whole', 'response ended')
     }
     const arrive = (): void => {
+      if (hasEnded) return
+      const partition = partitions.get(from)
+      if (partition === 'hang' && isReused) return
+      if (partition === 'hang') {
+        clock.schedule(CONNECT_TIMEOUT_MS, () => end('unsent', 'connection timed out'))
+        return
+      }
+      if (partition === 'reset') return end(isReused ? 'broken' : 'unsent', 'connection reset')
+      if (partition === 'refused' && !isReused) return end('unsent', 'connection refused')
+      isSent = true
       const target = findByAddress(outbound.address)
       if (target === undefined) return end('unsent', 'no server has the address')
       if (header('x-magnoliabay-expected-instance') !== target.server.id) return deliver({ status: 421, headers: {} })
-      const arrival = { atMs: clock.monotonic(), from, attemptId: header('x-magnoliabay-attempt-id') }
+      const arrival = { atMs: clock.monotonic(), from, attemptId: header('x-magnoliabay-attempt-id'), path: outbound.path }
       target.arrivals.push(arrival)
       const answer = target.answer(arrival)
       if (answer === 'broken') return end('broken', 'connection closed')
       clock.schedule((answer.afterMs ?? 20) + HOP_MS, () => deliver(answer))
     }
     clock.schedule(HOP_MS, arrive)
-    return { cancel: reason => end('broken', reason) }
+    return { cancel: reason => end(isSent ? 'broken' : 'unsent', reason) }
   }
 
   const start = (index: number): SimulatedEntry => {
@@ -214,6 +270,11 @@
       entries.delete(id)
       network.kill(id)
     },
+    partition: (id, how) => {
+      partitions.set(id, how)
+      if (how === 'reset') [...idleConnections.keys()].filter(key => key.startsWith(`${id} `)).forEach(key => idleConnections.set(key, []))
+    },
+    heal: id => { partitions.delete(id) },
     addServer: (server, answer) => {
       const simulated = { server, answer, arrivals: [] }
       servers.set(server.id, simulated)
