--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -177,6 +177,7 @@
         run.execution.record('disclaim')
         run.possibleRuns -= 1
         run.tried.add(id)
+        logger.info('attempt-unsent', { request: run.caller.attemptId, server: server.id, reason: ended.reason })
         if (rejections < MAX_REJECTIONS) return true
         fail(run, { reason: 'no-server', retryAfterMs: SERVER_FULL_RETRY_AFTER_MS })
         return false
