--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -11,6 +11,8 @@
 import { listenOn } from '../utils'
 import { createDialer } from './dialer'
 import { createDispatch, createListeners } from './dispatch'
+import { detectProtocol } from './firstByte'
+import type { PeerProtocol } from './firstByte'
 import { encodeFrame } from './frames'
 import { GOSSIP_KIND, createGossip } from './gossip'
 import type { GossipMessage } from './gossip'
@@ -39,6 +41,8 @@
   onFrame?: (kind: string) => void
   /** Called when a peer has said goodbye: its process ends. */
   onGoodbye?: (member: MemberRecord) => void
+  /** Takes over a connection by which a peer connects to a backend server through this instance. @default it is closed */
+  onTunnel?: (socket: Socket) => void
 }
 
 export interface PeerNetwork extends Peers {
@@ -199,7 +203,11 @@
     link?.notify(notice.kind, body)
   }
 
-  const server = transport.createServer(socket => { runSocket(socket, false) })
+  const accept: Record<PeerProtocol, (socket: Socket) => unknown> = {
+    link: socket => runSocket(socket, false),
+    tunnel: socket => options.onTunnel === undefined ? socket.destroy() : options.onTunnel(socket)
+  }
+  const server = transport.createServer(socket => detectProtocol(socket, clock, protocol => accept[protocol](socket)))
   return {
     self,
     members: () => knownMembers,
--- /dev/null
+++ b/packages/magnoliabay/src/node/paths/forwardingServer.ts
@@ -0,0 +1,132 @@
+/**
+ * Forwards connections of other instances to backend servers that they do not reach themselves. Bytes pass unchanged in
+ * both directions, with the back-pressure of the two sockets; an end, or a reset, of one side ends the other in the same way.
+ * Connections are made directly, never through a third instance, so that there are no loops.
+ */
+import { createServer } from 'node:http'
+import type { IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
+import { TLSSocket } from 'node:tls'
+import type { Clock } from '../clock'
+import { STATUS_BY_FAILURE } from './openTunnel'
+import { DialError, toDialError } from './types'
+
+/** Bounds sockets and memory: two sockets, and the buffers of both, for each. */
+const MAX_TUNNELS = 512
+const NOT_LISTED_STATUS = 403
+const CONNECTED = 'HTTP/1.1 200 Connection established\r\n\r\n'
+
+export interface ForwardingServer {
+  /** Takes over a connection of another instance that begins with an HTTP request. */
+  accept (socket: Socket): void
+  /** Resolves when no tunnel is open any more, or after `drainMs`. */
+  drain (drainMs: number): Promise<void>
+  close (): void
+}
+
+export interface ForwardingServerOptions {
+  /** Opens a direct connection to a server; rejects with a {@link DialError}. */
+  dialForPeer: (address: string) => Promise<Socket>
+  /** Whether the address is that of a backend server that is listed. Nothing else is connected to. */
+  isListed: (address: string) => boolean
+  /** Whether this process ends soon. */
+  isLeaving: () => boolean
+  /** Called with the number of open tunnels. */
+  onOpenChanged?: (open: number) => void
+  clock: Clock
+}
+
+export function createForwardingServer (options: ForwardingServerOptions): ForwardingServer {
+  const tunnels = new Set<Tunnel>()
+  let onAllClosed = (): void => {}
+  const server = createServer((_req, res) => {
+    res.writeHead(NOT_LISTED_STATUS, { connection: 'close' })
+    res.end()
+  })
+
+  const connect = async (address: string): Promise<Socket> => {
+    if (options.isLeaving()) throw new DialError('no-forwarder', 'the instance is leaving')
+    if (tunnels.size >= MAX_TUNNELS) throw new DialError('no-forwarder', 'the instance forwards too many connections')
+    return await options.dialForPeer(address)
+  }
+  const forward = (downstream: Duplex, upstream: Socket, head: Buffer): void => {
+    const tunnel = createTunnel(downstream as Socket, upstream, () => {
+      tunnels.delete(tunnel)
+      options.onOpenChanged?.(tunnels.size)
+      if (tunnels.size === 0) onAllClosed()
+    })
+    tunnels.add(tunnel)
+    options.onOpenChanged?.(tunnels.size)
+    downstream.write(CONNECTED)
+    if (head.length > 0) upstream.write(head)
+    tunnel.start()
+  }
+  const refuse = (downstream: Duplex, status: number): void => { downstream.end(`HTTP/1.1 ${status} \r\nConnection: close\r\n\r\n`) }
+  server.on('connect', async (req: IncomingMessage, downstream: Duplex, head: Buffer) => {
+    const address = req.url ?? ''
+    downstream.on('error', () => downstream.destroy())
+    if (!options.isListed(address)) return refuse(downstream, NOT_LISTED_STATUS)
+    try {
+      const upstream = await connect(address)
+      if (downstream.destroyed) upstream.destroy()
+      else forward(downstream, upstream, head)
+    } catch (err) {
+      refuse(downstream, STATUS_BY_FAILURE[toDialError(err).failure])
+    }
+  })
+
+  return {
+    accept: socket => { server.emit('connection', socket) },
+    drain: drainMs => tunnels.size === 0
+      ? Promise.resolve()
+      : new Promise(resolve => {
+        const cancel = options.clock.schedule(drainMs, resolve)
+        onAllClosed = () => {
+          cancel()
+          resolve()
+        }
+      }),
+    close: () => tunnels.forEach(tunnel => tunnel.destroy())
+  }
+}
+
+/** Resets a connection; one with TLS can only be closed. */
+function resetSocket (socket: Socket): void {
+  if (socket.destroyed) return
+  if (socket instanceof TLSSocket) socket.destroy()
+  else socket.resetAndDestroy()
+}
+
+interface Tunnel {
+  start (): void
+  destroy (): void
+}
+
+/** `downstream`: the connection of the other instance. `upstream`: the connection to the server. */
+function createTunnel (downstream: Socket, upstream: Socket, onClosed: () => void): Tunnel {
+  let hasClosed = false
+  const close = (end: (socket: Socket) => void): void => {
+    if (hasClosed) return
+    hasClosed = true
+    end(downstream)
+    end(upstream)
+    onClosed()
+  }
+  // A response without length that is reset must not look complete to the other instance.
+  const reset = (): void => close(resetSocket)
+  return {
+    start: () => {
+      downstream.setNoDelay(true)
+      upstream.on('error', reset)
+      downstream.on('error', reset)
+      // The other instance gave the request up: the server must see that its caller has gone.
+      downstream.on('end', reset)
+      upstream.on('close', () => close(socket => { socket.end() }))
+      downstream.on('close', reset)
+      downstream.pipe(upstream)
+      upstream.pipe(downstream)
+    },
+    destroy: reset
+  }
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/paths/openTunnel.ts
@@ -0,0 +1,57 @@
+/** Opens a connection to a backend server through another instance, with the `CONNECT` method of HTTP. */
+import { request } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Clock } from '../clock'
+import type { MemberRecord } from '../members'
+import type { PeerTransport } from '../members/transport'
+import { parseHostPort } from '../utils'
+import { DialError } from './types'
+import type { DialFailure } from './types'
+
+/** Longer than the forwarding instance waits for the server, so that it can say what happened, milliseconds. */
+const TUNNEL_TIMEOUT_MS = 500
+const HTTP_OK = 200
+
+/** Statuses of the forwarding instance. */
+export const STATUS_BY_FAILURE: Record<DialFailure, number> = { refused: 502, silent: 504, 'no-forwarder': 503 }
+const FAILURE_BY_STATUS = new Map(Object.entries(STATUS_BY_FAILURE).map(([failure, status]) => [status, failure as DialFailure]))
+
+/** Rejects with a {@link DialError}. */
+export function openTunnel (transport: PeerTransport, clock: Clock, forwarder: Pick<MemberRecord, 'peerAddress'>, address: string): Promise<Socket> {
+  return new Promise((resolve, reject) => {
+    const { host, port } = parseHostPort(forwarder.peerAddress)
+    const fail = (failure: DialFailure, message: string): void => {
+      cancelTimeout()
+      req.destroy()
+      reject(new DialError(failure, message))
+    }
+    const req = request({
+      method: 'CONNECT',
+      path: address,
+      host,
+      port,
+      agent: false,
+      createConnection: () => {
+        const socket = transport.dial({ host, port, timeout: TUNNEL_TIMEOUT_MS })
+        socket.allowHalfOpen = true
+        return socket
+      }
+    })
+    const cancelTimeout = clock.schedule(TUNNEL_TIMEOUT_MS, () => fail('no-forwarder', 'the forwarding instance does not answer'))
+    req.once('error', err => fail('no-forwarder', err.message))
+    req.once('response', res => fail('no-forwarder', `status ${res.statusCode}`))
+    req.once('connect', (res, socket: Socket) => {
+      const { statusCode } = res
+      if (statusCode !== HTTP_OK) {
+        socket.destroy()
+        return fail(FAILURE_BY_STATUS.get(statusCode ?? 0) ?? 'no-forwarder', `the forwarding instance answers ${statusCode}`)
+      }
+      cancelTimeout()
+      socket.setTimeout(0)
+      socket.removeAllListeners('timeout')
+      socket.setNoDelay(true)
+      resolve(socket)
+    })
+    req.end()
+  })
+}
--- a/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
@@ -8,6 +8,8 @@
 import type { MemoryNetwork } from '../../../members/memoryNetwork'
 import { createRetryBudget, createSuspects } from '../../../outcomes'
 import { platformProtocol } from '../../../platform'
+import { DialError, createServerRoutes } from '../../../paths'
+import type { ServerRoutes } from '../../../paths'
 import { createLimitedServers, createServerLimits, createServerBackoffs } from '../../../statements'
 import { createWakeupCounter } from '../../../wakeups'
 import { createAllowanceLimiter } from '../../allowance/allowanceLimiter'
@@ -16,7 +18,7 @@
 import { createServingMetrics } from '../../metrics'
 import { createPlacementClient } from '../../placement/placementClient'
 import { createRequestHandler } from '../../requestHandler'
-import { createServerHealth } from '../../serverHealth'
+import { createServerHealth, recordReachedServers } from '../../serverHealth'
 import { createServerList } from '../../serverList'
 import type { ServerList } from '../../serverList'
 import { createServingConfigProvider } from '../../servingConfigProvider'
@@ -29,8 +31,8 @@
 const LEADER = 'm000'
 /** Delay of a request or an answer between an instance and a server, milliseconds. */
 const HOP_MS = 1
-/** Time after which a process gives up a connection that is not answered, milliseconds. */
-const CONNECT_TIMEOUT_MS = 800
+/** Time after which an instance gives up one that does not answer a connection, milliseconds. */
+const TUNNEL_TIMEOUT_MS = 500
 /** Time for which a connection that is not used stays open, milliseconds. */
 const KEEP_ALIVE_MS = 5000
 /** Requests after which a server closes a connection. */
@@ -42,6 +44,9 @@
   from: string
   attemptId: string
   path: string
+  deadlineMs: number
+  /** The instance through which it came. */
+  through: string | undefined
 }
 
 export interface ServerAnswer {
@@ -70,6 +75,7 @@
   /** Requests that it has served. */
   requests: number
   idleSinceMs: number
+  forwarder: string | undefined
 }
 
 export interface SimulatedEntry {
@@ -124,6 +130,10 @@
   const store = createDirectStore(createKvState({ clock }), { clock })
   const random = createRandom(RANDOM_SEED)
   const partitions = new Map<string, Partition>()
+  /** Pairs of instances that do not reach each other. */
+  const cutPairs = new Set<string>()
+  /** Direct connections that were tried, by instance. */
+  const connectionCounts = new Map<string, number>()
   /** Idle connections, by instance and server. */
   const idleConnections = new Map<string, Connection[]>()
   let attempts = 0
@@ -132,6 +142,7 @@
   const listServers = (list: ServerList): void => list.snapshot([...servers.keys()].map(key => ({ key, value: '' })))
   const findByAddress = (address: string): SimulatedServer | undefined => [...servers.values()].find(({ server }) => server.address === address)
 
+  const routesOf = new Map<string, ServerRoutes<Connection>>()
   const connectionKey = (from: string, address: string): string => `${from} ${address}`
   const takeIdleConnection = (from: string, address: string): Connection | undefined => {
     const key = connectionKey(from, address)
@@ -139,50 +150,105 @@
     idleConnections.set(key, idle)
     return idle.pop()
   }
+  const dropIdle = (from: string, address: string | undefined, mustDrop: (connection: Connection) => boolean): void => idleConnections.forEach((idle, key) => {
+    if (address === undefined ? key.startsWith(`${from} `) : key === connectionKey(from, address)) idleConnections.set(key, idle.filter(connection => !mustDrop(connection)))
+  })
+  const wait = (ms: number): Promise<void> => new Promise(resolve => clock.schedule(ms, resolve))
+  const newConnection = (forwarder?: string): Connection => ({ requests: 0, idleSinceMs: clock.monotonic(), forwarder })
+  const isReachable = (from: string, to: string): boolean => entries.has(to) && !cutPairs.has([from, to].sort().join(' '))
+  const connectDirectly = async (from: string, address: string, timeoutMs: number): Promise<Connection> => {
+    connectionCounts.set(from, (connectionCounts.get(from) ?? 0) + 1)
+    const partition = partitions.get(from)
+    await wait(partition === 'hang' ? timeoutMs : 2 * HOP_MS)
+    if (partition === 'hang' || partition === 'reset') throw new DialError('silent', partition)
+    if (partition === 'refused' || findByAddress(address) === undefined) throw new DialError('refused', 'connection refused')
+    return newConnection()
+  }
+  const connectThrough = async (from: string, forwarder: string, address: string): Promise<Connection> => {
+    if (!isReachable(from, forwarder)) {
+      await wait(TUNNEL_TIMEOUT_MS)
+      throw new DialError('no-forwarder', 'no answer')
+    }
+    await wait(2 * HOP_MS)
+    await routesOf.get(forwarder)!.dialer.dialForPeer(address)
+    return newConnection(forwarder)
+  }
+  const createRoutes = (id: string, peers: Peers, list: ServerList): ServerRoutes<Connection> => {
+    const routes = createServerRoutes<Connection>({
+      primitives: {
+        connectDirectly: (address, timeoutMs) => connectDirectly(id, address, timeoutMs),
+        connectThrough: (forwarder, address) => connectThrough(id, forwarder.id, address),
+        close: () => {}
+      },
+      peers,
+      addresses: () => list.all().map(({ address }) => address),
+      clock,
+      logger,
+      random
+    })
+    routes.paths.onChanged(({ address, isBroken, failure }) => {
+      if (isBroken && failure === 'silent') dropIdle(id, address, ({ forwarder }) => forwarder === undefined)
+      if (!isBroken) dropIdle(id, address, ({ forwarder }) => forwarder !== undefined)
+    })
+    routes.forwarders.onGone(gone => dropIdle(id, undefined, ({ forwarder }) => forwarder === gone))
+    routesOf.set(id, routes)
+    return routes
+  }
   /** Delivers a request to the server at its address, and the answer to the instance, unless it was cancelled. */
   const exchange = (from: string, outbound: OutboundRequest, handler: ResponseHandler): { cancel (reason: string): void } => {
-    const reused = takeIdleConnection(from, outbound.address)
-    const isReused = reused !== undefined
-    let isSent = isReused
+    const { dialer, monitor } = routesOf.get(from)!
+    const watched = monitor.watch(outbound.address, () => handler.onPathBroken?.())
+    let isSent = false
     let hasEnded = false
     const end: ResponseHandler['onEnd'] = (kind, reason) => {
       if (hasEnded) return
       hasEnded = true
+      watched.end()
       handler.onEnd(kind, reason)
     }
     const header = (name: string): string => outbound.headers[outbound.headers.findIndex((each, index) => index % 2 === 0 && each.toLowerCase() === name) + 1]!
-    const mustHang = (): boolean => partitions.get(from) === 'hang'
-    const deliver = (answer: ServerAnswer): void => {
-      if (hasEnded || !entries.has(from) || mustHang()) return
-      const requests = (reused?.requests ?? 0) + 1
-      if (requests < MAX_REQUESTS_PER_CONNECTION) idleConnections.get(connectionKey(from, outbound.address))!.push({ requests, idleSinceMs: clock.monotonic() })
+    /** What happens to bytes between the instance and the server on this connection. */
+    const stateOf = ({ forwarder }: Connection): 'works' | 'hangs' | 'broken' => {
+      if (forwarder !== undefined && !entries.has(forwarder)) return 'broken'
+      if (forwarder !== undefined && !isReachable(from, forwarder)) return 'hangs'
+      const partition = partitions.get(forwarder ?? from)
+      if (partition === 'hang') return 'hangs'
+      return partition === 'reset' ? 'broken' : 'works'
+    }
+    const deliver = (answer: ServerAnswer, connection: Connection): void => {
+      if (hasEnded || !entries.has(from) || stateOf(connection) === 'hangs') return
+      if (stateOf(connection) === 'broken') return end('broken', 'connection reset')
+      const requests = connection.requests + 1
+      if (requests < MAX_REQUESTS_PER_CONNECTION) idleConnections.get(connectionKey(from, outbound.address))!.push({ ...connection, requests, idleSinceMs: clock.monotonic() })
+      watched.recordActivity()
       const headers: Record<string, string> = { 'x-magnoliabay-attempt-id': header('x-magnoliabay-attempt-id'), ...answer.headers }
       handler.onHead({ status: answer.status, headers, rawHeaders: Object.entries(headers).flat() })
       const body = answer.body ?? (headers['content-length'] === '4' ? 'done' : '')
       if (!hasEnded && body !== '') handler.onData(Buffer.from(body))
       end('whole', 'response ended')
     }
-    const arrive = (): void => {
-      if (hasEnded) return
-      const partition = partitions.get(from)
-      if (partition === 'hang' && isReused) return
-      if (partition === 'hang') {
-        clock.schedule(CONNECT_TIMEOUT_MS, () => end('unsent', 'connection timed out'))
-        return
-      }
-      if (partition === 'reset') return end(isReused ? 'broken' : 'unsent', 'connection reset')
-      if (partition === 'refused' && !isReused) return end('unsent', 'connection refused')
-      isSent = true
+    const arrive = (connection: Connection): void => {
+      if (hasEnded || stateOf(connection) === 'hangs') return
+      if (stateOf(connection) === 'broken') return end('broken', 'connection reset')
       const target = findByAddress(outbound.address)
-      if (target === undefined) return end('unsent', 'no server has the address')
-      if (header('x-magnoliabay-expected-instance') !== target.server.id) return deliver({ status: 421, headers: {} })
-      const arrival = { atMs: clock.monotonic(), from, attemptId: header('x-magnoliabay-attempt-id'), path: outbound.path }
+      if (target === undefined) return end('broken', 'connection closed')
+      if (header('x-magnoliabay-expected-instance') !== target.server.id) return deliver({ status: 421, headers: {} }, connection)
+      const arrival = { atMs: clock.monotonic(), from, attemptId: header('x-magnoliabay-attempt-id'), path: outbound.path, deadlineMs: Number(header('x-magnoliabay-deadline-ms')), through: connection.forwarder }
       target.arrivals.push(arrival)
       const answer = target.answer(arrival)
       if (answer === 'broken') return end('broken', 'connection closed')
-      clock.schedule((answer.afterMs ?? 20) + HOP_MS, () => deliver(answer))
+      clock.schedule((answer.afterMs ?? 20) + HOP_MS, () => deliver(answer, connection))
+    }
+    const send = (connection: Connection): void => {
+      if (hasEnded) return
+      isSent = true
+      watched.recordSent(connection.forwarder === undefined)
+      handler.onSent?.(connection.forwarder)
+      clock.schedule(HOP_MS, () => arrive(connection))
     }
-    clock.schedule(HOP_MS, arrive)
+    const idle = takeIdleConnection(from, outbound.address)
+    if (idle !== undefined) send(idle)
+    else dialer.dial(outbound.address).then(({ connection }) => send(connection), (err: DialError) => end('unsent', err.message))
     return { cancel: reason => end(isSent ? 'broken' : 'unsent', reason) }
   }
 
@@ -195,6 +261,8 @@
     const list = createServerList({ decode: key => servers.get(key)?.server, idOf: key => key, isEvacuated: () => false, storeReachableSinceMs: () => -Infinity, clock, logger })
     listServers(list)
     const health = createServerHealth(clock)
+    const routes = createRoutes(id, peers, list)
+    routes.paths.onChanged(change => recordReachedServers(list, health, change))
     const serverLimits = createServerLimits({ clock, logger, onChanged: () => {} })
     const limitedServers = createLimitedServers({ peers, limits: serverLimits, clock, logger, random })
     const recordStatements = ({ limits, leavingServers }: Pick<InstanceReport, 'limits' | 'leavingServers'>): void => {
@@ -215,7 +283,7 @@
       onReport: (_member, report) => recordStatements(report),
       onSummary: (_member, summary) => recordStatements(summary)
     })
-    const connections: Connections = { exchange: (req, handler) => exchange(id, req, handler), isAccepting: async () => true, forget: () => {}, close: () => {} }
+    const connections: Connections = { exchange: (req, handler) => exchange(id, req, handler), isAccepting: routes.dialer.isAccepting, forget: () => {}, close: () => {} }
     const serve = createRequestHandler({
       cfg: activeConfig,
       protocol: platformProtocol,
--- a/packages/magnoliabay/src/node/serving/attempt.ts
+++ b/packages/magnoliabay/src/node/serving/attempt.ts
@@ -67,6 +67,10 @@
   onEvents?: () => void
   /** Called before the first bytes of the response go to the caller. */
   onFirstByte?: () => void
+  /** Called when the request goes out; `forwarder` is the instance through which it goes, undefined for a direct connection. */
+  onSent?: (forwarder: string | undefined) => void
+  /** Called when this instance has lost its path to the server, on which the answer would have to arrive. */
+  onPathBroken?: () => void
   /** Called when reading from the server pauses, since the caller reads more slowly, and when the pause ends. */
   onPauseChanged?: (isPaused: boolean) => void
 }
@@ -198,6 +202,8 @@
     return exchangeEnd === 'whole' && failureReason === undefined ? concludeComplete() : concludeIncomplete(reason)
   }
   const exchange: Exchange = options.connections.exchange({ address: server.address, method: options.method, path: options.path, headers: options.headers, body: options.body }, {
+    onSent: options.onSent,
+    onPathBroken: options.onPathBroken,
     onHead,
     onData,
     onEnd: (exchangeEnd, reason) => {
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -7,7 +7,8 @@
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { Clock } from '../clock'
-import { probeAddress } from '../probe'
+import { createDirectRoutes } from '../paths'
+import type { ServerDialer, ServerRoutes } from '../paths'
 import { parseHostPort } from '../utils'
 
 /**
@@ -17,11 +18,6 @@
 const DEFAULT_REUSE_TIMEOUT_MS = 300
 /** Fraction of the stated idle timeout for which a connection is reused: requests must arrive before the server closes. */
 const REUSE_TIMEOUT_RATIO = 0.6
-/** Connecting takes a round trip; the system repeats a lost first packet only after seconds. */
-const CONNECT_TIMEOUT_MS = 800
-
-/** A running server accepts a connection within a round trip. */
-const PROBE_TIMEOUT_MS = 400
 
 export interface OutboundRequest {
   address: string
@@ -47,6 +43,10 @@
 export interface ResponseHandler {
   onHead (head: ResponseHead): void
   onData (chunk: Buffer): void
+  /** Called when the request goes out; `forwarder` is the instance through which it goes, undefined for a direct connection. */
+  onSent? (forwarder: string | undefined): void
+  /** Called when this instance has lost its path to the server on a connection of its own, while others still have one. */
+  onPathBroken? (): void
   /** Called exactly once, after all other calls. */
   onEnd (end: ExchangeEnd, reason: string): void
 }
@@ -67,12 +67,34 @@
   return statedSeconds === undefined ? DEFAULT_REUSE_TIMEOUT_MS : Math.max(DEFAULT_REUSE_TIMEOUT_MS, Number(statedSeconds) * 1000 * REUSE_TIMEOUT_RATIO)
 }
 
+/** Instances through which connections go; direct ones have none. */
+const forwarderBySocket = new WeakMap<Socket, string>()
+
 function destroySocket (this: Socket): void {
   this.destroy()
 }
 
 /** Reuses an idle connection only within its timeout, and drops one that receives unsolicited bytes. */
 class KeepAliveAgent extends Agent {
+  constructor (private readonly address: string, private readonly dialer: ServerDialer<Socket>) {
+    // Half-open connections allow a write after the server has ended, which shows whether the connection was reset.
+    super({ keepAlive: true, scheduling: 'lifo', allowHalfOpen: true } as AgentOptions)
+  }
+
+  /** Returns nothing; the callback gets the connection once there is one, or a `DialError`. */
+  override createConnection (_options: unknown, callback?: (err: Error | null, socket: Duplex) => void): undefined {
+    const settle = callback as (err: Error | null, socket?: Socket) => void
+    this.dialer.dial(this.address).then(({ connection, forwarder }) => {
+      if (forwarder !== undefined) forwarderBySocket.set(connection, forwarder)
+      settle(null, connection)
+    }, settle)
+    return undefined
+  }
+
+  idleSockets (): Socket[] {
+    return Object.values(this.freeSockets).flatMap(sockets => sockets ?? [])
+  }
+
   override keepSocketAlive (socket: Duplex): boolean {
     const connection = socket as Socket & { _httpMessage?: { res?: IncomingMessage } }
     const keepAlive = connection._httpMessage?.res?.headers['keep-alive']
@@ -99,25 +121,34 @@
   close (): void
 }
 
-export function createConnections (clock: Clock): Connections {
+/** `routes`: how servers are reached. @default direct connections only */
+export function createConnections (clock: Clock, routes: ServerRoutes<Socket> = createDirectRoutes(clock)): Connections {
+  const { dialer, forwarders, monitor, paths } = routes
   const agents = new Map<string, KeepAliveAgent>()
-  // Half-open connections allow a write after the server has ended, which shows whether the connection was reset.
   const agentOf = (address: string): KeepAliveAgent => {
-    const agent = agents.get(address) ?? new KeepAliveAgent({ keepAlive: true, scheduling: 'lifo', allowHalfOpen: true } as AgentOptions)
+    const agent = agents.get(address) ?? new KeepAliveAgent(address, dialer)
     agents.set(address, agent)
     return agent
   }
+  const dropIdle = (address: string | undefined, mustDrop: (socket: Socket) => boolean): void => [...agents]
+    .filter(([agentAddress]) => address === undefined || agentAddress === address)
+    .flatMap(([, agent]) => agent.idleSockets())
+    .filter(mustDrop)
+    .forEach(socket => socket.destroy())
+  paths.onChanged(({ address, isBroken, failure }) => {
+    // A request on an idle connection of a silent path would be lost. Those that live on while new ones are refused end by themselves.
+    if (isBroken && failure === 'silent') dropIdle(address, socket => !forwarderBySocket.has(socket))
+    if (!isBroken) dropIdle(address, socket => forwarderBySocket.has(socket))
+  })
+  forwarders.onGone(id => dropIdle(undefined, socket => forwarderBySocket.get(socket) === id))
   return {
-    exchange: (req, handler) => runExchange(agentOf(req.address), clock, req, handler),
-    isAccepting: address => {
-      const { host, port } = parseHostPort(address)
-      return checkAccepting(clock, host, port)
-    },
+    exchange: (req, handler) => runExchange(agentOf(req.address), { dialer, monitor }, req, handler),
+    isAccepting: dialer.isAccepting,
     forget: address => {
-      const idle = Object.values(agents.get(address)?.freeSockets ?? {}).flatMap(sockets => sockets ?? [])
       // Connections in use stay open: a server that has left the list still finishes its requests.
-      idle.forEach(socket => socket.destroy())
+      dropIdle(address, () => true)
       agents.delete(address)
+      paths.forget(address)
     },
     close: () => agents.forEach(agent => agent.destroy())
   }
@@ -133,17 +164,9 @@
   return new Promise(resolve => socket.write('\r\n', err => resolve(err === undefined || err === null)))
 }
 
-/**
- * Returns whether a server still accepts connections. A response without length ends with its connection, also when the
- * server has crashed midway, since its operating system closes the connection; the caller would get part of a response as
- * the complete one. A crashed server refuses new connections until it has restarted.
- */
-async function checkAccepting (clock: Clock, host: string, port: number): Promise<boolean> {
-  return await probeAddress(clock, { host, port }, PROBE_TIMEOUT_MS) === 'accepted'
-}
-
-function runExchange (agent: Agent, clock: Clock, outbound: OutboundRequest, handler: ResponseHandler): Exchange {
+function runExchange (agent: Agent, { dialer, monitor }: Pick<ServerRoutes<Socket>, 'dialer' | 'monitor'>, outbound: OutboundRequest, handler: ResponseHandler): Exchange {
   const { host, port } = parseHostPort(outbound.address)
+  const watched = monitor.watch(outbound.address, () => handler.onPathBroken?.())
   let isSent = false
   let hasEnded = false
   let failure: string | undefined
@@ -161,27 +184,27 @@
   const isEndUnread = (): boolean => wasPaused && response !== undefined && response.complete && !response.readableEnded && !response.destroyed
   /** Set when the connection of a response without length ends: whether it was closed, not reset. */
   let wasNotReset: Promise<boolean> = Promise.resolve(true)
-  const verifyComplete = async (): Promise<boolean> => await wasNotReset && await checkAccepting(clock, host, port)
+  /**
+   * Returns whether a response without length is complete. Such a response ends with its connection, also when the server has
+   * crashed midway, since its operating system closes the connection; the caller would get part of a response as the
+   * complete one. A crashed server refuses new connections until it has restarted. Through another instance a reset arrives
+   * a round trip later, so that only a second write shows it.
+   */
+  const verifyComplete = async (socket: Socket): Promise<boolean> =>
+    await wasNotReset && await dialer.isAccepting(outbound.address) && (!forwarderBySocket.has(socket) || await checkNotReset(socket))
   const finish = (kind: ExchangeEnd, reason: string): void => {
     if (hasEnded) return
     hasEnded = true
+    watched.end()
     handler.onEnd(kind, reason)
   }
   const hasBody = outbound.body.length > 0
   const headers = [...outbound.headers, ...(hasBody || outbound.method !== 'GET' ? ['Content-Length', String(outbound.body.length)] : [])]
   const req = request({ host, port, agent, method: outbound.method, path: outbound.path, headers: headers as never, setHost: false })
   req.on('socket', socket => {
-    socket.setNoDelay(true)
-    if (!socket.connecting) {
-      isSent = true
-      return
-    }
-    const cancelTimeout = clock.schedule(CONNECT_TIMEOUT_MS, () => socket.destroy(new Error('connection timed out')))
-    socket.once('connect', () => {
-      isSent = true
-      cancelTimeout()
-    })
-    socket.once('close', cancelTimeout)
+    isSent = true
+    watched.recordSent(!forwarderBySocket.has(socket))
+    handler.onSent?.(forwarderBySocket.get(socket))
   })
   req.on('error', err => {
     failure = err.message
@@ -193,14 +216,18 @@
     response = res
     const isFramed = res.headers['content-length'] !== undefined || res.headers['transfer-encoding'] !== undefined
     if (!isFramed) res.socket.prependOnceListener('end', () => { wasNotReset = checkNotReset(res.socket) })
+    watched.recordActivity()
     handler.onHead({ status: res.statusCode ?? 0, headers: res.headers, rawHeaders: res.rawHeaders })
-    res.on('data', (chunk: Buffer) => { if (!hasEnded) handler.onData(chunk) })
+    res.on('data', (chunk: Buffer) => {
+      watched.recordActivity()
+      if (!hasEnded) handler.onData(chunk)
+    })
     res.on('error', err => finish('broken', err.message))
     res.on('end', () => {
       if (isCompleteByFraming()) return finish('whole', 'response ended')
       if (!res.complete || !isClosedCleanly()) return finish('broken', failure ?? 'response cut')
       isVerifying = true
-      verifyComplete().then(isComplete => finish(isComplete ? 'whole' : 'broken', isComplete ? 'connection closed' : 'connection reset, or server has crashed'))
+      verifyComplete(res.socket).then(isComplete => finish(isComplete ? 'whole' : 'broken', isComplete ? 'connection closed' : 'connection reset, or server has crashed'))
     })
     res.on('close', () => { if (!isVerifying) finish('broken', failure ?? 'connection closed within the response') })
   })
--- a/packages/magnoliabay/src/node/serving/fleetMessages.ts
+++ b/packages/magnoliabay/src/node/serving/fleetMessages.ts
@@ -27,6 +27,8 @@
 export interface MemberState {
   id: string
   isReady: boolean
+  /** False if the instance reaches no server though others do; absent if it does, or from an older version. */
+  reachesServers?: boolean
 }
 
 /** A server that does not respond to instances with requests there. */
@@ -51,6 +53,8 @@
   spent: readonly TeamSpending[]
   /** Whether the reporting instance itself is ready. */
   isReady: boolean
+  /** False if the reporting instance reaches no server though others do; absent if it does, or from an older version. */
+  reachesServers?: boolean
   /** Instances that report through it. */
   below: readonly MemberState[]
   /** Sent before its regular time; a relay forwards it soon. */
@@ -86,6 +90,8 @@
   loads: readonly ServerLoad[]
   /** Members to which no caller should be directed: not ready, or without recent reports. */
   unavailable: readonly string[]
+  /** Some instances that connect partitioned ones to servers; absent without a partition, or from an older version. */
+  forwarders?: readonly string[]
   leavingServers: readonly string[]
   /** Rate limits that servers have stated to any instance. */
   limits: readonly StatedLimit[]
--- a/packages/magnoliabay/src/node/serving/fleetTotals.ts
+++ b/packages/magnoliabay/src/node/serving/fleetTotals.ts
@@ -95,7 +95,7 @@
       apply(report, 1)
       reports.set(member, { report, atMs: nowMs })
       report.below.forEach(state => states.set(state.id, { ...state, via: member }))
-      states.set(member, { id: member, isReady: report.isReady, via: member })
+      states.set(member, { ...toReachState(member, report), via: member })
     },
     drop,
     expire: (maxAgeMs, nowMs) => {
@@ -106,7 +106,7 @@
     reporters: () => [...reports.keys()],
     report: member => reports.get(member)?.report,
     stateOf: member => states.get(member),
-    states: () => [...states.values()].map(({ id, isReady }) => ({ id, isReady })),
+    states: () => [...states.values()].map(state => toReachState(state.id, state)),
     inFlightAtServer: server => [...byServer.get(server)?.values() ?? []].reduce((sum, count) => sum + count, 0),
     inFlight: (server, model) => byServer.get(server)?.get(model) ?? 0,
     inFlightOfModel: model => byModel.get(model) ?? 0,
@@ -120,3 +120,8 @@
     leavingServers: () => [...new Set([...reports.values()].flatMap(({ report }) => report.leavingServers))]
   }
 }
+
+/** Leaves the field out where an instance reaches servers, so that it costs nothing then. */
+function toReachState (id: string, { isReady, reachesServers }: Omit<MemberState, 'id'>): MemberState {
+  return reachesServers === false ? { id, isReady, reachesServers } : { id, isReady }
+}
--- a/packages/magnoliabay/src/node/serving/fleetView.ts
+++ b/packages/magnoliabay/src/node/serving/fleetView.ts
@@ -11,6 +11,8 @@
 import type { FleetSummary, InstanceReport, LeadershipTerm, MemberState } from './fleetMessages'
 import { createFleetTotals } from './fleetTotals'
 import { STORE_RECOVERY_MS } from './serverList'
+import { decideOnPartition } from './partitionedMembers'
+import type { PartitionDecision } from './partitionedMembers'
 import { createUpstream } from './upstream'
 
 /** Time between two reports for each member, which keeps the leader's work constant as the fleet grows, milliseconds. */
@@ -70,6 +72,8 @@
   clock: Clock
   /** Whether the link to the member is up. */
   isLinked: (member: string) => boolean
+  /** Returns a number from 0 to below 1. @default () => 0 */
+  random?: () => number
   /** The leader, if known. */
   leader: () => string | undefined
   /** The report of this instance alone. */
@@ -103,6 +107,8 @@
   peerWithLatestStoreContact (): string | undefined
   /** Peers that probably reach the store, the likeliest first. */
   peersWithStoreAccess (): readonly string[]
+  /** Instances that connect partitioned ones to servers; empty without a partition. */
+  forwarders (): readonly string[]
   /** Whether the fleet uses relays. */
   isRelayed (): boolean
   /** Whether this instance is a relay. */
@@ -165,7 +171,16 @@
     summaryCount += 1
     const loads = speedExchange?.withSpeeds(totals.loads()) ?? totals.loads()
     speedExchange?.apply(loads, staleMs())
-    return { leading, count: summaryCount, ...options.summary(), loads, unavailable: unavailable(), leavingServers: totals.leavingServers() }
+    const { avoided, forwarders } = partition()
+    return {
+      leading,
+      count: summaryCount,
+      ...options.summary(),
+      loads,
+      unavailable: [...new Set([...unavailable(), ...avoided])],
+      ...(forwarders.length > 0 ? { forwarders } : {}),
+      leavingServers: totals.leavingServers()
+    }
   }
   /** Adds the time since a summary arrived to the ages in it. */
   const withCurrentAge = ({ summary, atMs }: ReceivedSummary): FleetSummary => {
@@ -224,6 +239,7 @@
     return clock.monotonic() - leadingSinceMs > staleMs()
   }
   const unavailable = (): string[] => peers.members().map(member => member.id).filter(member => member !== self && isUnavailable(member))
+  const partition = (): PartitionDecision => decideOnPartition(totals.states(), (options.random ?? (() => 0))())
   const recordReportedLoads = (report: InstanceReport): void => {
     ownReportedLoads = new Map()
     report.inFlight.forEach(({ server, count }) => ownReportedLoads.set(server, (ownReportedLoads.get(server) ?? 0) + count))
@@ -249,7 +265,7 @@
       leavingServers: [...new Set([...current.leavingServers, ...totals.leavingServers()])],
       silentServers: [...current.silentServers, ...totals.silentServers()],
       spent: options.spendingWithDownstream(),
-      below: states.map(({ id }) => ({ id, isReady: isReadyAndLinked(totals.stateOf(id)!) }))
+      below: states.map(state => ({ ...state, isReady: isReadyAndLinked(totals.stateOf(state.id)!) }))
     }
   }
   const takeSpeeds = (): Pick<InstanceReport, 'speeds'> => {
@@ -298,7 +314,8 @@
     demand: totals.demand,
     modelsInDemand: totals.modelsInDemand,
     silenceReportCount: totals.silenceReportCount,
-    isAvailable: member => isLeading() ? !isUnavailable(member) : !(currentSummary()?.unavailable.has(member) ?? false),
+    forwarders: () => (isLeading() ? partition().forwarders : currentSummary()?.summary.forwarders) ?? [],
+    isAvailable: member => isLeading() ? !isUnavailable(member) && !partition().avoided.includes(member) : !(currentSummary()?.unavailable.has(member) ?? false),
     reporters,
     isRelayed: upstream.isRelayed,
     isRelay: upstream.isRelay,
--- a/packages/magnoliabay/src/node/serving/placement/leaderElection.ts
+++ b/packages/magnoliabay/src/node/serving/placement/leaderElection.ts
@@ -42,6 +42,8 @@
  * leader of a large fleet receives hundreds of reports per second.
  */
 const MAX_PROCESSOR_DELAY_MS = 450
+/** A partitioned instance leads only where no other one takes the lease within this time, milliseconds. */
+const PARTITIONED_CANDIDACY_DELAY_MS = 4000
 
 export interface LeaderElection {
   /** Fencing token under which orders may be sent now; undefined if none may be sent. */
@@ -61,6 +63,8 @@
   /** Applies a claim received from a peer, if it is newer than the known one. */
   recordClaimFromPeer (claim: LeadershipTerm): void
   start (signal: AbortSignal): void
+  /** Gives up the lease for now, since this instance cannot send orders; another one takes over. */
+  stepDown (reason: string): Promise<void>
   /** Revokes the lease; no orders are sent afterwards. */
   resign (): Promise<void>
 }
@@ -79,6 +83,8 @@
   renewLeaseViaPeer: (leaseId: string) => Promise<Result<number, StoreError> | undefined>
   /** Whether this instance receives summaries from another leader, so that it need not check the store. */
   isFollowing: () => boolean
+  /** Whether this instance reaches no engine though others do, so that its orders would be lost. @default () => false */
+  isPartitioned?: () => boolean
   /** Additional delay before this instance tries to claim the lease, milliseconds. */
   candidacyDelayMs: () => number
   /** Era of the store; it rises whenever the store goes on from an older copy. */
@@ -247,16 +253,20 @@
     logger.info('orderer-ended', { holder, lease: records.val.leader.leaseId })
     await store.revokeLease(records.val.leader.leaseId)
   }
+  const isPartitioned = (): boolean => options.isPartitioned?.() === true
+  /** A partitioned instance takes the lease from nobody: whoever holds it can send orders. */
+  const mustLeaveLease = (): boolean => isPartitioned() && leader.value !== undefined
   const step = async (): Promise<void> => {
     if (term !== undefined) return await renew(term)
-    if (!hasSnapshot || hasResigned || options.isFollowing()) return
+    if (!hasSnapshot || hasResigned || options.isFollowing() || mustLeaveLease()) return
     if (!mayClaim({ leader, lastOrder })) return await revokeEndedLeaderLease()
+    if (isPartitioned()) await sleep(clock, PARTITIONED_CANDIDACY_DELAY_MS)
     if (!wasLastToOrder({ lastOrder })) {
       const age = Math.min(1, (clock.monotonic() - startedMs) / MAX_AGE_DELAY_AFTER_MS)
       const missingShare = Math.max(0, 1 - options.processorShare)
       await sleep(clock, options.random() * MAX_CANDIDATE_DELAY_MS + age * MAX_AGE_DELAY_MS + missingShare * MAX_PROCESSOR_DELAY_MS + options.candidacyDelayMs())
-      if (!mayClaim({ leader, lastOrder }) || hasResigned || options.isFollowing()) return
     }
+    if (!mayClaim({ leader, lastOrder }) || hasResigned || options.isFollowing() || mustLeaveLease()) return
     // Changes are delivered in batches, so in a large fleet most candidates have not seen yet that another has won.
     await tryClaim()
   }
@@ -323,6 +333,12 @@
       }, signal)
       run(signal)
     },
+    stepDown: async reason => {
+      if (term === undefined) return
+      const { leaseId } = term
+      endTerm(reason)
+      await store.revokeLease(leaseId)
+    },
     resign: async () => {
       hasResigned = true
       if (term === undefined) return
--- a/packages/magnoliabay/src/node/serving/placement/schedule/__tests__/support/engineFleet.ts
+++ b/packages/magnoliabay/src/node/serving/placement/schedule/__tests__/support/engineFleet.ts
@@ -160,7 +160,7 @@
   const leadership: EngineFleet['leadership'] = { fence: 7, startsInMs: 0 }
   const controller = createPlacementController({
     self: 'leader',
-    leadership: { fencingToken: () => leadership.fence, firstOrderInMs: () => leadership.startsInMs, isLeaseHolder: () => true, leaseHolder: () => 'leader', ownClaim: () => leadingOf('leader'), knownClaim: () => leadingOf('leader'), latestClaimRevision: () => 1, recordClaimFromPeer: () => {}, start: () => {}, resign: async () => {} },
+    leadership: { fencingToken: () => leadership.fence, firstOrderInMs: () => leadership.startsInMs, isLeaseHolder: () => true, leaseHolder: () => 'leader', ownClaim: () => leadingOf('leader'), knownClaim: () => leadingOf('leader'), latestClaimRevision: () => 1, recordClaimFromPeer: () => {}, start: () => {}, stepDown: async () => {}, resign: async () => {} },
     servers,
     cfg,
     table: fleetView,
--- a/packages/magnoliabay/src/node/serving/requestCompletion.ts
+++ b/packages/magnoliabay/src/node/serving/requestCompletion.ts
@@ -51,6 +51,7 @@
     model: run.caller.model,
     adapter: run.caller.adapter,
     server: run.server?.id,
+    through: run.forwarder,
     sends: run.sends,
     waitedMs: Math.round(run.waitedMs),
     firstMs: run.firstMs === undefined ? undefined : Math.round(run.firstMs)
--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -60,6 +60,8 @@
     // A run that continues with its copy is the same run.
     if (runCopy === undefined) run.possibleRuns += 1
     run.server = server
+    run.forwarder = undefined
+    run.isPathBroken = false
     run.execution.record('send')
     health.recordStart(id, model)
     if (model !== '' && health.inFlightOf(id, model) === 1) ctx.onModelUseChanged()
@@ -84,6 +86,8 @@
       res: inbound.res,
       lease: run.lease,
       onPauseChanged: isPaused => health.recordPause(id, isPaused),
+      onSent: forwarder => { run.forwarder = forwarder },
+      onPathBroken: () => recordPathBroken(run, id),
       decodeResponseHead: protocol.decodeResponseHead,
       toCallerHeaders: protocol.toCallerHeaders,
       isRetryableStatus: status => status >= MIN_SERVER_ERROR_STATUS && canRetry(run),
@@ -116,10 +120,21 @@
     health.recordEnd(id, model)
     if (model !== '' && health.inFlightOf(id, model) === 0) ctx.onModelUseChanged()
     const ended = await streams.resolveEnd(run, attemptEnd)
+    if (run.isPathBroken) return ended
     recordHealth(id, ended)
     updateSuspects(run, server, ended)
     return ended
   }
+  /**
+   * The answer cannot arrive before the path is back. A request that may run again goes over another path; any other waits,
+   * since the answer may still come in its time, and its silence says nothing about the server.
+   */
+  const recordPathBroken = (run: RequestRun, id: string): void => {
+    run.isPathBroken = true
+    if (canRetry(run)) return run.attempt?.fail('path to the server is broken')
+    health.recordPause(id, true)
+    run.attempt?.end.then(() => health.recordPause(id, false))
+  }
   /** Ends an attempt at a server that has stopped responding, if the request may be retried at another. */
   const checkSilence = (run: RequestRun, attempt: Attempt, id: string): () => void => {
     let cancel = (): void => {}
@@ -165,6 +180,11 @@
     fail(run, { reason })
     return false
   }
+  /** A server whose path was lost is tried again, over another path, where no other server can take the request. */
+  const recordTried = (run: RequestRun, id: string): void => {
+    if (run.isPathBroken) run.rejectedBy.add(id)
+    else run.tried.add(id)
+  }
   /** Returns whether another attempt is to be made; ends the request if not. */
   const handleAttemptEnd = async (run: RequestRun, server: BackendServer, ended: AttemptOutcome, rejections: number): Promise<boolean> => {
     const id = serverProcessId(server)
@@ -196,11 +216,11 @@
         run.execution.record('lose')
         run.lastResponse = ended.response ?? run.lastResponse
         logger.info('attempt-failed', { request: run.caller.attemptId, server: server.id, reason: ended.reason, repeatable: canRetry(run) })
-        run.tried.add(id)
+        recordTried(run, id)
         return retryOrFail(run, 'server-failed')
       case 'cut':
         run.execution.record('lose')
-        run.tried.add(id)
+        recordTried(run, id)
         logger.info('attempt-cut', { request: run.caller.attemptId, server: server.id, why: ended.reason, lastEvent: run.events?.lastId(), repeatable: canRetry(run) })
         return retryOrFail(run, 'answer-cut')
       case 'moved':
@@ -261,6 +281,8 @@
       unitsTaken: 0,
       unitsTakenMs: 0,
       attempt: undefined,
+      forwarder: undefined,
+      isPathBroken: false,
       lastResponse: undefined,
       server: undefined,
       waitedMs: 0,
--- a/packages/magnoliabay/src/node/serving/requestRun.ts
+++ b/packages/magnoliabay/src/node/serving/requestRun.ts
@@ -39,6 +39,10 @@
   attempt: Attempt | undefined
   /** Counts what is held of the response; undefined where no budget is set. */
   lease?: BufferLease
+  /** Id of the instance through which the latest attempt was sent; undefined if it was sent directly. */
+  forwarder: string | undefined
+  /** This instance has lost its path to the server of the latest attempt. */
+  isPathBroken: boolean
   /** A failure response of a server, sent to the caller if no later attempt succeeds. */
   lastResponse: CompleteResponse | undefined
   server: BackendServer | undefined
--- a/packages/magnoliabay/src/node/serving/serverHealth.ts
+++ b/packages/magnoliabay/src/node/serving/serverHealth.ts
@@ -1,5 +1,6 @@
 /** Tracks what this instance observes of each backend server: requests in flight, failures, and how long it has sent nothing. */
 import type { Clock } from '../clock'
+import type { PathChange } from '../paths'
 import { createDecayingRate } from '../decayingRate'
 import type { DecayingRate } from '../decayingRate'
 import { addCount } from '../utils'
@@ -7,6 +8,8 @@
 import type { EngineSpeeds } from './choice/engineSpeeds'
 import { createServerRejections } from './choice/serverRejections'
 import type { ServerRejections } from './choice/serverRejections'
+import type { ServerList } from './serverList'
+import { serverProcessId } from './types'
 
 /** Failures decay within a few seconds, so that a server that has recovered is used again. */
 const FAILURE_DECAY_MS = 4000
@@ -97,3 +100,11 @@
     }
   }
 }
+
+/** A server whose path is broken answers other instances: that it was silent here does not count against it any more. */
+export function recordReachedServers (servers: Pick<ServerList, 'all'>, health: Pick<ServerHealth, 'recordActivity'>, { address, isBroken }: PathChange): void {
+  if (!isBroken) return
+  servers.all()
+    .filter(server => address === undefined || server.address === address)
+    .forEach(server => health.recordActivity(serverProcessId(server)))
+}
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -1,6 +1,7 @@
 /** Creates one instance from all its parts, for a platform with a store, engines and plain services. */
 import { createServer } from 'node:http'
 import { setMaxListeners } from 'node:events'
+import type { Socket } from 'node:net'
 import polka from 'polka'
 import type { WakeupCounter } from '../wakeups'
 import type { Clock } from '../clock'
@@ -11,8 +12,11 @@
 import { createMembership, createPeerNetwork } from '../members'
 import type { MemberRecord } from '../members'
 import { contactSeeds } from '../members/seeds'
+import { TCP_TRANSPORT } from '../members/transport'
 import { createRetryBudget, createSuspects } from '../outcomes'
 import type { RetryBudget } from '../outcomes'
+import { createForwardingServer, createPathMetrics, createServerRoutes, createSocketPrimitives } from '../paths'
+import type { DialPrimitives } from '../paths'
 import { probeAddress } from '../probe'
 import { createShutdown } from '../shutdown'
 import { createLimitedServers, createServerLimits, createServerBackoffs } from '../statements'
@@ -41,7 +45,7 @@
 import { createPlacementClient } from './placement/placementClient'
 import { createScheduleMetrics } from './placement/schedule/scheduleMetrics'
 import { createRequestHandler } from './requestHandler'
-import { createServerHealth } from './serverHealth'
+import { createServerHealth, recordReachedServers } from './serverHealth'
 import { createServerList } from './serverList'
 import { createPrefixWatches, watchStore } from './storeWatches'
 import type { StoreWatchOptions } from './storeWatches'
@@ -92,6 +96,8 @@
   protocol: ServingProtocol
   store: ServingStore
   engines: EngineCalls
+  /** How connections to backend servers are made. @default TCP */
+  dialPrimitives?: DialPrimitives<Socket>
   /** Counts wakeups of the process by cause. */
   activity: WakeupCounter
   clock: Clock
@@ -161,7 +167,7 @@
   const stop = new AbortController()
   setMaxListeners(0, stop.signal)
   const metrics = createServingMetrics(activity)
-  const peers = createPeerNetwork({ self, clock, logger, onFrame: kind => activity.note(`peer ${kind}`) })
+  const peers = createPeerNetwork({ self, clock, logger, onFrame: kind => activity.note(`peer ${kind}`), onTunnel: socket => forwardingServer.accept(socket) })
   const membership = createMembership({ store, network: peers, clock, logger })
   const cfg = createServingConfigProvider({ decode: protocol.decodeConfig, clock, logger })
   const evacuations = createEvacuations({ storeReachableSinceMs: store.reachableSinceMs, clock, logger })
@@ -170,7 +176,25 @@
   const serverLimits = createServerLimits({ clock, logger, onChanged: count => metrics.limitedServers.set(count) })
   const limitedServers = createLimitedServers({ peers, limits: serverLimits, clock, logger, random })
   const serverBackoffs = createServerBackoffs({ clock, logger })
-  const connections = createConnections(clock)
+  const pathMetrics = createPathMetrics(metrics.registry)
+  const routes = createServerRoutes({
+    primitives: options.dialPrimitives ?? createSocketPrimitives(TCP_TRANSPORT, clock),
+    peers,
+    addresses: () => servers.all().map(({ address }) => address),
+    preferredForwarders: () => fleetView.forwarders(),
+    metrics: pathMetrics,
+    clock,
+    logger,
+    random
+  })
+  const forwardingServer = createForwardingServer({
+    dialForPeer: routes.dialer.dialForPeer,
+    isListed: address => servers.all().some(server => server.address === address),
+    isLeaving: () => self.leaving,
+    onOpenChanged: open => pathMetrics.openTunnels.set(open),
+    clock
+  })
+  const connections = createConnections(clock, routes)
   const demand = new Map<string, DecayingRate>()
   const budgets = new Map<string, RetryBudget>()
 
@@ -221,6 +245,7 @@
       limits: serverLimits.stated(),
       spent: allowance.ownSpending(),
       isReady: isReady(),
+      ...(routes.paths.isPartitioned() ? { reachesServers: false } : {}),
       below: [],
       isUrgent: false
     }
@@ -230,6 +255,7 @@
     peers,
     clock,
     isLinked,
+    random,
     leader,
     own: ownReport,
     speedExchange: choosesByTime ? createSpeedExchange({ speeds: health.speeds, clock, logger, onSpread: ratio => metrics.speedSpread.set(ratio) }) : undefined,
@@ -286,6 +312,7 @@
     isFollowing: fleetView.isFollowing,
     era: store.era,
     isFirstStart: settings.isFirstStart,
+    isPartitioned: routes.paths.isPartitioned,
     candidacyDelayMs: () => fleetView.isRelayed() && !fleetView.isRelay() ? NON_RELAY_CANDIDACY_DELAY_MS : 0,
     clock,
     logger,
@@ -376,6 +403,12 @@
     if (statement.isLeaving) servers.recordLeaving(process, 'answer')
     if (statement.backoffMs > 0) serverBackoffs.record(process, statement.backoffMs)
   })
+  routes.paths.onChanged(change => {
+    recordReachedServers(servers, health, change)
+    if (change.address !== undefined) return
+    fleetView.reportSoon()
+    if (change.isBroken) leadership.stepDown('this instance reaches no engine')
+  })
   evacuations.onChanged(servers.notifyChanged)
   cfg.onChanged(() => {
     metrics.configVersion.set(cfg.version())
@@ -385,6 +418,8 @@
   const isProxy = (): boolean => storeProxy.clients().length > 0
   const storeReadPolicy = createStoreReadPolicy({ isLeading: leadership.isLeaseHolder, isProxy, isFollowing: fleetView.isFollowing, memberCount: () => peers.members().length, clock, logger, random })
   const watchOptions: StoreWatchOptions = { store, protocol, cfg, evacuations, servers, memberCount: () => peers.members().length, readsStore: storeReadPolicy.readsStore, isProxy, hasPendingOrders: placementController.hasPendingOrders }
+  /** Whether callers go elsewhere, since this instance reaches no server and enough others do. */
+  const isAvoided = (): boolean => routes.paths.isPartitioned() && !fleetView.isAvailable(id)
   const needsSeeds = (): boolean => cfg.version() === 0 || !servers.isKnown() || peers.members().length < 2
 
   return {
@@ -393,7 +428,7 @@
       // Members that this instance cannot reach are most likely healthy; callers sent to this instance would only be refused.
       if (isIsolated()) return otherMembers().filter(member => !peers.isConnected(member.id)).map(member => member.entryAddress)
       const others = otherMembers().filter(member => peers.isConnected(member.id) && fleetView.isAvailable(member.id))
-      return [...(isReady() ? [self] : []), ...others].map(member => member.entryAddress)
+      return [...(isReady() && !isAvoided() ? [self] : []), ...others].map(member => member.entryAddress)
     },
     start: async () => {
       await peers.start()
@@ -421,11 +456,12 @@
           await membership.announceLeaving()
         },
         handOver: () => leadership.resign(),
-        drain: entryServer.close,
+        drain: async drainMs => { await Promise.all([entryServer.close(drainMs), forwardingServer.drain(drainMs)]) },
         finish: async () => {
           stop.abort()
           await membership.deregister()
           await peers.close()
+          forwardingServer.close()
           await closeServer(metricsServer)
           connections.close()
           await store.close()
