--- a/packages/magnoliabay/src/node/paths/serverDialer.ts
+++ b/packages/magnoliabay/src/node/paths/serverDialer.ts
@@ -30,8 +30,11 @@
 /** Interval at which broken paths are checked, and the number that is checked each time. */
 const PROBE_INTERVAL_MS = 500
 const PROBES_AT_ONCE = 2
-/** Other servers that are tried when one path is found broken, to tell a partition from a single broken path. */
-const VERIFIED_PATHS = 4
+/**
+ * Other servers that are tried when a path is found broken: requests would otherwise find each further broken path by being
+ * lost on it. None of them reached is a partition. Bounds the connections of one round; rounds go on while they find more.
+ */
+const SURVEYED_PATHS = 16
 /** A server that neither this instance nor another reaches is not dialled again for this long, milliseconds. */
 const UNREACHED_MS = 500
 
@@ -74,7 +77,8 @@
   const unreached = new Map<string, { failure: DialFailure, untilMs: number }>()
   const confirming = new Set<string>()
   let isProbing = false
-  let lastVerifiedMs = -Infinity
+  let isSurveying = false
+  let lastSurveyMs = -Infinity
 
   const connectDirectly = async (address: string, timeoutMs: number): Promise<Connection | DialError> => {
     try {
@@ -128,30 +132,38 @@
     if (failed === undefined) return
     paths.recordBroken(address, failed.failure)
     startProbing()
-    detectPartition(address, failed.failure)
+    survey(failed.failure)
   }
-  const check = async (address: string): Promise<void> => {
-    const now = clock.monotonic()
-    if (paths.isBroken(address) || now - (checkedAtMs.get(address) ?? -Infinity) < CHECK_INTERVAL_MS) return
-    checkedAtMs.set(address, now)
-    if (await probe(address, CHECK_TIMEOUT_MS) === undefined) return
+  /** After a direct connection has failed: whether another instance reaches the server, and this one still does not. */
+  const compareWithOthers = async (address: string): Promise<void> => {
     const result = await dialThrough(address)
     if (result instanceof DialError) return
     primitives.close(result.connection)
     await confirmBroken(address)
   }
+  const check = async (address: string): Promise<void> => {
+    const now = clock.monotonic()
+    if (paths.isBroken(address) || now - (checkedAtMs.get(address) ?? -Infinity) < CHECK_INTERVAL_MS) return
+    checkedAtMs.set(address, now)
+    if (await probe(address, CHECK_TIMEOUT_MS) !== undefined) await compareWithOthers(address)
+  }
   const pickSome = (addresses: readonly string[], count: number): string[] => addresses
     .map(address => ({ address, order: random() }))
     .sort((left, right) => left.order - right.order)
     .slice(0, count)
     .map(({ address }) => address)
-  /** Where one path is broken and no other server is reached either, the instance is partitioned. */
-  const detectPartition = async (address: string, failure: DialFailure): Promise<void> => {
-    if (paths.isPartitioned() || clock.monotonic() - lastVerifiedMs < CHECK_INTERVAL_MS) return
-    lastVerifiedMs = clock.monotonic()
-    const others = pickSome(options.addresses().filter(other => other !== address && !paths.isBroken(other)), VERIFIED_PATHS)
-    const results = await Promise.all(others.map(other => probe(other, CHECK_TIMEOUT_MS)))
-    if (results.every(failed => failed !== undefined)) paths.recordPartition(failure)
+  /** Tries other servers after a path was found broken; where none is reached, the instance is partitioned. */
+  const survey = async (failure: DialFailure): Promise<void> => {
+    if (isSurveying || paths.isPartitioned()) return
+    isSurveying = true
+    await sleep(clock, Math.max(0, lastSurveyMs + CHECK_INTERVAL_MS - clock.monotonic()))
+    lastSurveyMs = clock.monotonic()
+    const others = pickSome(options.addresses().filter(other => !paths.isBroken(other)), SURVEYED_PATHS)
+    const results = await Promise.all(others.map(async other => ({ other, failed: await probe(other, CHECK_TIMEOUT_MS) })))
+    isSurveying = false
+    const unreached = results.filter(({ failed }) => failed !== undefined)
+    if (unreached.length === others.length) paths.recordPartition(failure)
+    else unreached.forEach(({ other }) => { compareWithOthers(other) })
   }
   /** Checks broken paths until none is left; without any, nothing runs. */
   const startProbing = async (): Promise<void> => {
--- a/packages/magnoliabay/src/node/serving/placement/leaderElection.ts
+++ b/packages/magnoliabay/src/node/serving/placement/leaderElection.ts
@@ -83,8 +83,8 @@
   renewLeaseViaPeer: (leaseId: string) => Promise<Result<number, StoreError> | undefined>
   /** Whether this instance receives summaries from another leader, so that it need not check the store. */
   isFollowing: () => boolean
-  /** Whether this instance reaches no engine though others do, so that its orders would be lost. @default () => false */
-  isPartitioned?: () => boolean
+  /** Whether this instance reaches the engines, so that its orders would arrive. @default () => true */
+  reachesEngines?: () => boolean
   /** Additional delay before this instance tries to claim the lease, milliseconds. */
   candidacyDelayMs: () => number
   /** Era of the store; it rises whenever the store goes on from an older copy. */
@@ -253,7 +253,7 @@
     logger.info('orderer-ended', { holder, lease: records.val.leader.leaseId })
     await store.revokeLease(records.val.leader.leaseId)
   }
-  const isPartitioned = (): boolean => options.isPartitioned?.() === true
+  const isPartitioned = (): boolean => options.reachesEngines?.() === false
   /** A partitioned instance takes the lease from nobody: whoever holds it can send orders. */
   const mustLeaveLease = (): boolean => isPartitioned() && leader.value !== undefined
   const step = async (): Promise<void> => {
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -32,6 +32,7 @@
 import { createServingConfigProvider } from './servingConfigProvider'
 import type { EngineCalls } from './engineCalls'
 import { createConnections } from './exchange'
+import { createEngineReach, withPathChecks } from './engineReach'
 import { createEvacuations } from './evacuations'
 import { createFleetView } from './fleetView'
 import type { InstanceReport } from './fleetMessages'
@@ -195,6 +196,8 @@
     clock
   })
   const connections = createConnections(clock, routes)
+  const engines = withPathChecks(options.engines, routes.dialer.check)
+  const reachesEngines = createEngineReach({ servers, cfg, paths: routes.paths })
   const demand = new Map<string, DecayingRate>()
   const budgets = new Map<string, RetryBudget>()
 
@@ -312,13 +315,13 @@
     isFollowing: fleetView.isFollowing,
     era: store.era,
     isFirstStart: settings.isFirstStart,
-    isPartitioned: routes.paths.isPartitioned,
+    reachesEngines,
     candidacyDelayMs: () => fleetView.isRelayed() && !fleetView.isRelay() ? NON_RELAY_CANDIDACY_DELAY_MS : 0,
     clock,
     logger,
     random
   })
-  const placementController = createPlacementController({ self: id, leadership, servers, cfg, table: fleetView, engines: options.engines, limitOf: serverLimits.limitOf, backoffMs: serverBackoffs.remainingMs, storeReachableSinceMs: store.reachableSinceMs, peers, clock, logger, loadWindowMs: settings.storeLoadWindowMs, reservations: createScheduleMetrics(metrics.registry), isFeasible: settings.schedulesEngineTime === true ? isScheduleFeasible : () => false })
+  const placementController = createPlacementController({ self: id, leadership, servers, cfg, table: fleetView, engines, limitOf: serverLimits.limitOf, backoffMs: serverBackoffs.remainingMs, storeReachableSinceMs: store.reachableSinceMs, peers, clock, logger, loadWindowMs: settings.storeLoadWindowMs, reservations: createScheduleMetrics(metrics.registry), isFeasible: settings.schedulesEngineTime === true ? isScheduleFeasible : () => false })
   const placement = createPlacementClient({
     peers,
     servers,
@@ -405,9 +408,8 @@
   })
   routes.paths.onChanged(change => {
     recordReachedServers(servers, health, change)
-    if (change.address !== undefined) return
-    fleetView.reportSoon()
-    if (change.isBroken) leadership.stepDown('this instance reaches no engine')
+    if (change.address === undefined) fleetView.reportSoon()
+    if (!reachesEngines()) leadership.stepDown('most engines are out of reach')
   })
   evacuations.onChanged(servers.notifyChanged)
   cfg.onChanged(() => {
