--- a/packages/magnoliabay/src/node/paths/forwardingServer.ts
+++ b/packages/magnoliabay/src/node/paths/forwardingServer.ts
@@ -115,6 +115,18 @@
   }
   // A response without length that is reset must not look complete to the other instance.
   const reset = (): void => close(resetSocket)
+  /**
+   * A reset that arrives with the last bytes looks like an end, and the other instance would take part of a response without
+   * length for the whole. A write distinguishes the two: it succeeds on a closed connection and fails on a reset one. It is
+   * an empty line, which a server that still reads has to ignore, unless a body is still on its way there.
+   */
+  const endDownstream = (): void => {
+    if (upstream.writableLength > 0) return reset()
+    upstream.write('\r\n', err => {
+      if (err === undefined || err === null) downstream.end()
+      else reset()
+    })
+  }
   return {
     start: () => {
       downstream.setNoDelay(true)
@@ -122,10 +134,10 @@
       downstream.on('error', reset)
       // The other instance gave the request up: the server must see that its caller has gone.
       downstream.on('end', reset)
-      upstream.on('close', () => close(socket => { socket.end() }))
+      upstream.on('end', endDownstream)
       downstream.on('close', reset)
       downstream.pipe(upstream)
-      upstream.pipe(downstream)
+      upstream.pipe(downstream, { end: false })
     },
     destroy: reset
   }
--- a/packages/magnoliabay/src/node/paths/serverDialer.ts
+++ b/packages/magnoliabay/src/node/paths/serverDialer.ts
@@ -69,6 +69,8 @@
   check (address: string): void
   /** Returns whether the server accepts connections of any instance. */
   isAccepting (address: string): Promise<boolean>
+  /** Ends the checks of broken paths. */
+  close (): void
 }
 
 export function createServerDialer<Connection> (options: ServerDialerOptions<Connection>): ServerDialer<Connection> {
@@ -76,6 +78,7 @@
   const checkedAtMs = new Map<string, number>()
   const unreached = new Map<string, { failure: DialFailure, untilMs: number }>()
   const confirming = new Set<string>()
+  const stop = new AbortController()
   let isProbing = false
   let isSurveying = false
   let lastSurveyMs = -Infinity
@@ -169,8 +172,8 @@
   const startProbing = async (): Promise<void> => {
     if (isProbing) return
     isProbing = true
-    while (paths.isPartitioned() || paths.broken().length > 0) {
-      await sleep(clock, PROBE_INTERVAL_MS)
+    while (!stop.signal.aborted && (paths.isPartitioned() || paths.broken().length > 0)) {
+      await sleep(clock, PROBE_INTERVAL_MS, stop.signal)
       const candidates = paths.isPartitioned() ? options.addresses() : paths.broken()
       const results = await Promise.all(pickSome(candidates, PROBES_AT_ONCE).map(address => probe(address, CHECK_TIMEOUT_MS)))
       if (results.every(failed => failed !== undefined)) paths.recordNoneReached()
@@ -221,6 +224,7 @@
       if (forwarded instanceof DialError) return false
       primitives.close(forwarded.connection)
       return true
-    }
+    },
+    close: () => stop.abort()
   }
 }
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/forwarder.ts
@@ -0,0 +1,50 @@
+/** Another instance that forwards connections over loopback, for an instance whose own connections all fail. */
+import { createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import type { Clock } from '../../../clock'
+import { createSilentLogger } from '../../../logger'
+import { detectProtocol } from '../../../members/firstByte'
+import { TCP_TRANSPORT } from '../../../members/transport'
+import { DialError, connectDirectly, createForwardingServer, createServerRoutes, createSocketPrimitives } from '../../../paths'
+import type { ForwardingServer, ServerRoutes } from '../../../paths'
+import { memberRecord } from '../fixtures'
+
+const FORWARDER = 'forwarder'
+const DIAL_TIMEOUT_MS = 1000
+
+export interface Forwarder {
+  server: ForwardingServer
+  /** How the instance without a path of its own reaches servers. */
+  routes: ServerRoutes<Socket>
+  /** Ends all connections at once, as the end of the process does. */
+  kill (): void
+  close (): Promise<void>
+}
+
+export async function startForwarder (clock: Clock, isListed: (address: string) => boolean = () => true): Promise<Forwarder> {
+  const sockets = new Set<Socket>()
+  const server = createForwardingServer({ dialForPeer: address => connectDirectly(clock, address, DIAL_TIMEOUT_MS), isListed, isLeaving: () => false, clock })
+  const listener = createServer(socket => {
+    sockets.add(socket)
+    detectProtocol(socket, clock, () => server.accept(socket))
+  })
+  await new Promise<void>(resolve => listener.listen(0, '127.0.0.1', resolve))
+  const members = [memberRecord(FORWARDER, { peerAddress: `127.0.0.1:${(listener.address() as AddressInfo).port}` })]
+  const routes = createServerRoutes({
+    primitives: { ...createSocketPrimitives(TCP_TRANSPORT, clock), connectDirectly: async () => { throw new DialError('silent', 'no path') } },
+    peers: { self: memberRecord('self'), members: () => members, isConnected: () => true, onMembersChanged: () => () => {} },
+    addresses: () => [],
+    clock,
+    logger: createSilentLogger(),
+    random: () => 0
+  })
+  return {
+    server,
+    routes,
+    kill: () => sockets.forEach(socket => socket.destroy()),
+    close: async () => {
+      sockets.forEach(socket => socket.destroy())
+      await new Promise(resolve => listener.close(() => resolve(undefined)))
+    }
+  }
+}
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -150,7 +150,10 @@
       agents.delete(address)
       paths.forget(address)
     },
-    close: () => agents.forEach(agent => agent.destroy())
+    close: () => {
+      dialer.close()
+      agents.forEach(agent => agent.destroy())
+    }
   }
 }
 
@@ -187,11 +190,9 @@
   /**
    * Returns whether a response without length is complete. Such a response ends with its connection, also when the server has
    * crashed midway, since its operating system closes the connection; the caller would get part of a response as the
-   * complete one. A crashed server refuses new connections until it has restarted. Through another instance a reset arrives
-   * a round trip later, so that only a second write shows it.
+   * complete one. A crashed server refuses new connections until it has restarted.
    */
-  const verifyComplete = async (socket: Socket): Promise<boolean> =>
-    await wasNotReset && await dialer.isAccepting(outbound.address) && (!forwarderBySocket.has(socket) || await checkNotReset(socket))
+  const verifyComplete = async (): Promise<boolean> => await wasNotReset && await dialer.isAccepting(outbound.address)
   const finish = (kind: ExchangeEnd, reason: string): void => {
     if (hasEnded) return
     hasEnded = true
@@ -227,7 +228,7 @@
       if (isCompleteByFraming()) return finish('whole', 'response ended')
       if (!res.complete || !isClosedCleanly()) return finish('broken', failure ?? 'response cut')
       isVerifying = true
-      verifyComplete(res.socket).then(isComplete => finish(isComplete ? 'whole' : 'broken', isComplete ? 'connection closed' : 'connection reset, or server has crashed'))
+      verifyComplete().then(isComplete => finish(isComplete ? 'whole' : 'broken', isComplete ? 'connection closed' : 'connection reset, or server has crashed'))
     })
     res.on('close', () => { if (!isVerifying) finish('broken', failure ?? 'connection closed within the response') })
   })
