--- a/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
@@ -65,6 +65,59 @@
   answer: (arrival: Arrival) => ServerAnswer | 'broken'
 }
 
+export interface BrittleServer {
+  answer: SimulatedServer['answer']
+  /** When it fell over, monotonic milliseconds. */
+  falls: number[]
+  rejections: () => number
+}
+
+export interface BrittleServerOptions {
+  clock: VirtualClock
+  slots: number
+  /** Requests that may wait for a slot. */
+  queue: number
+  /** It falls over when it has to reject more than this many requests in a second. */
+  maxRejections: number
+  workMs: number
+  downMs: number
+}
+
+/** A server that says that it is brittle, and falls over when it has to reject too many requests in a second. */
+export function createBrittleServer ({ clock, slots, queue, maxRejections, workMs, downMs }: BrittleServerOptions): BrittleServer {
+  const headers = { 'server-brittle': String(maxRejections) }
+  const falls: number[] = []
+  let rejectedAtMs: number[] = []
+  let rejectionCount = 0
+  /** When each slot is free again. */
+  let freeAtMs = Array.from({ length: slots }, () => 0)
+  let downUntilMs = -Infinity
+
+  const reject = (now: number): ServerAnswer | 'broken' => {
+    rejectionCount += 1
+    rejectedAtMs = [...rejectedAtMs.filter(atMs => now - atMs < 1000), now]
+    if (rejectedAtMs.length <= maxRejections) return { ...rejected(headers), afterMs: 1 }
+    falls.push(now)
+    downUntilMs = now + downMs
+    rejectedAtMs = []
+    freeAtMs = freeAtMs.map(() => downUntilMs)
+    return 'broken'
+  }
+  return {
+    falls,
+    rejections: () => rejectionCount,
+    answer: () => {
+      const now = clock.monotonic()
+      if (now < downUntilMs) return 'broken'
+      const waiting = freeAtMs.filter(atMs => atMs > now + workMs).length
+      const first = freeAtMs.indexOf(Math.min(...freeAtMs))
+      if (freeAtMs[first]! > now && waiting >= queue) return reject(now)
+      freeAtMs[first] = Math.max(now, freeAtMs[first]!) + workMs
+      return { ...answered(headers), afterMs: freeAtMs[first]! - now }
+    }
+  }
+}
+
 /**
  * What happens to an instance's connections to all servers. `hang`: open and new ones are silent. `reset`: open and new ones
  * are reset. `refused`: open ones work, new ones are refused.
