--- a/packages/magnoliabay/src/node/platform/serverStatement.ts
+++ b/packages/magnoliabay/src/node/platform/serverStatement.ts
@@ -2,6 +2,7 @@
 import type { ServerStatement } from '../statements'
 
 const LIMIT = 'server-limit'
+const BRITTLE = 'server-brittle'
 const LEAVING = 'server-leaving'
 const IS_LEAVING = '1'
 const BACKOFF_S = 'retry-after'
@@ -9,7 +10,7 @@
 const MS_PER_SECOND = 1000
 const DECIMAL_PATTERN = /^\d+(\.\d+)?$/
 
-export const NO_STATEMENT: ServerStatement = { requestsPerSecond: undefined, isLeaving: false, backoffMs: 0 }
+export const NO_STATEMENT: ServerStatement = { requestsPerSecond: undefined, maxRejectionsPerSecond: undefined, isLeaving: false, backoffMs: 0 }
 
 /** Returns undefined for a value that is missing or no decimal number. */
 function parseDecimal (value: string | string[] | undefined): number | undefined {
@@ -21,6 +22,7 @@
   const backoffS = status === SERVICE_UNAVAILABLE ? parseDecimal(headers[BACKOFF_S]) : undefined
   return {
     requestsPerSecond: parseDecimal(headers[LIMIT]),
+    maxRejectionsPerSecond: parseDecimal(headers[BRITTLE]),
     isLeaving: headers[LEAVING] === IS_LEAVING,
     backoffMs: (backoffS ?? 0) * MS_PER_SECOND
   }
--- a/packages/magnoliabay/src/node/serving/__tests__/fixtures.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/fixtures.ts
@@ -2,6 +2,7 @@
 import type { MemberRecord } from '../../members'
 import type { EvacuationState } from '../evacuations'
 import type { InstanceReport, LeadershipTerm } from '../fleetMessages'
+import type { ServingContext } from '../servingContext'
 import type { BackendServer, ModelSpec, Route, ServingConfig, Team } from '../types'
 
 export function memberRecord (id: string, changes: Partial<MemberRecord> = {}): MemberRecord {
@@ -59,3 +60,9 @@
 }
 
 export const NO_EVACUATION: EvacuationState = { domains: [], revision: 0 }
+
+/** No service is brittle. */
+export const NO_BRITTLE_SERVERS: Pick<ServingContext, 'brittleServices' | 'brittleServers'> = {
+  brittleServices: { record: () => {}, recordFromPeer: () => {}, stated: () => [], maxRejectionsOf: () => undefined },
+  brittleServers: { take: async () => true, release: () => {}, isRefused: () => false }
+}
--- a/packages/magnoliabay/src/node/serving/__tests__/requestHandler.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/requestHandler.spec.ts
@@ -21,7 +21,7 @@
 import { createServerHealth } from '../serverHealth'
 import { createServerList } from '../serverList'
 import type { RequestKind, ServingConfig } from '../types'
-import { NO_EVACUATION, configOf, leadingOf, memberRecord, reportOf, routeOf, serverOf, teamOf } from './fixtures'
+import { NO_BRITTLE_SERVERS, NO_EVACUATION, configOf, leadingOf, memberRecord, reportOf, routeOf, serverOf, teamOf } from './fixtures'
 import { startRawServer } from './rawServer'
 import type { RawServer } from './rawServer'
 
@@ -86,6 +86,7 @@
     health: createServerHealth(clock),
     serverLimits,
     serverBackoffs: createServerBackoffs({ clock, logger }),
+    ...NO_BRITTLE_SERVERS,
     limitedServers: createLimitedServers({ peers, limits: serverLimits, clock, logger, random: () => 0 }),
     fleetView,
     placement: createPlacementClient({ peers, servers: serverList, leader: () => undefined, isServerResponding: () => true, isIsolated: () => false, clock, logger }),
--- a/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
@@ -10,7 +10,7 @@
 import { platformProtocol } from '../../../platform'
 import { DialError, createServerRoutes } from '../../../paths'
 import type { ServerRoutes } from '../../../paths'
-import { createLimitedServers, createServerLimits, createServerBackoffs } from '../../../statements'
+import { createBrittleServers, createBrittleServices, createLimitedServers, createServerLimits, createServerBackoffs } from '../../../statements'
 import { createWakeupCounter } from '../../../wakeups'
 import { createAllowanceLimiter } from '../../allowance/allowanceLimiter'
 import type { InstanceReport } from '../../fleetMessages'
@@ -318,7 +318,10 @@
     routes.paths.onChanged(change => recordReachedServers(list, health, change))
     const serverLimits = createServerLimits({ clock, logger, onChanged: () => {} })
     const limitedServers = createLimitedServers({ peers, limits: serverLimits, clock, logger, random })
-    const recordStatements = ({ limits, leavingServers }: Pick<InstanceReport, 'limits' | 'leavingServers'>): void => {
+    const brittleServices = createBrittleServices({ clock, logger })
+    const brittleServers = createBrittleServers({ peers, reportedInFlight: server => fleetView.inFlightElsewhere(server) + health.inFlight(server), clock, logger, random })
+    const recordStatements = ({ brittle, limits, leavingServers }: Pick<InstanceReport, 'brittle' | 'limits' | 'leavingServers'>): void => {
+      brittleServices.recordFromPeer(brittle)
       serverLimits.recordFromPeer(limits)
       leavingServers.forEach(process => list.recordLeaving(process, 'peer'))
     }
@@ -327,12 +330,12 @@
       clock,
       isLinked: peers.isConnected,
       leader: () => LEADER,
-      own: () => reportOf({ inFlight: health.inFlightByModel(), leavingServers: list.leaving(), limits: serverLimits.stated() }),
+      own: () => reportOf({ inFlight: health.inFlightByModel(), leavingServers: list.leaving(), limits: serverLimits.stated(), brittle: brittleServices.stated() }),
       spendingWithDownstream: () => [],
       leading: () => id === LEADER ? leadingOf(LEADER) : undefined,
       latestClaim: () => 0,
       beforeSummary: () => {},
-      summary: () => ({ configVersion: 1, storeAgeMs: 0, storeSteadyMs: Infinity, spent: [], limits: serverLimits.stated(), evacuation: NO_EVACUATION, listDigest: '', membersDigest: '' }),
+      summary: () => ({ configVersion: 1, storeAgeMs: 0, storeSteadyMs: Infinity, spent: [], limits: serverLimits.stated(), brittle: brittleServices.stated(), evacuation: NO_EVACUATION, listDigest: '', membersDigest: '' }),
       onReport: (_member, report) => recordStatements(report),
       onSummary: (_member, summary) => recordStatements(summary)
     })
@@ -345,6 +348,8 @@
       serverLimits,
       limitedServers,
       serverBackoffs: createServerBackoffs({ clock, logger }),
+      brittleServices,
+      brittleServers,
       fleetView,
       placement: createPlacementClient({ peers, servers: list, leader: () => LEADER, isServerResponding: process => !health.isSilent(process), isIsolated: () => false, clock, logger }),
       allowance: createAllowanceLimiter({ peers, findTeam: () => undefined, windowMs: 8000, isFirstStart: true, store, era: () => 0, tolerance: { ratio: 0, slack: 0 }, clock, logger }),
--- a/packages/magnoliabay/src/node/serving/fleetMessages.ts
+++ b/packages/magnoliabay/src/node/serving/fleetMessages.ts
@@ -1,7 +1,7 @@
 /** Messages between instances and the leader: relays aggregate reports and forward summaries and notices. */
 import { definePeerNotice } from '../members'
 import type { MemberChanges } from '../members'
-import type { StatedLimit } from '../statements'
+import type { StatedBrittleness, StatedLimit } from '../statements'
 import type { EvacuationState } from './evacuations'
 import type { TeamSpending } from './allowance/allowanceLimiter'
 import type { SpeedSample } from './choice/engineSpeeds'
@@ -49,6 +49,8 @@
   silentServers: readonly SilentServer[]
   /** Rate limits that servers have stated. */
   limits: readonly StatedLimit[]
+  /** Services whose servers have stated that they are brittle; absent from an older version. */
+  brittle?: readonly StatedBrittleness[]
   /** Spending of teams' allowances within the window. */
   spent: readonly TeamSpending[]
   /** Whether the reporting instance itself is ready. */
@@ -95,6 +97,8 @@
   leavingServers: readonly string[]
   /** Rate limits that servers have stated to any instance. */
   limits: readonly StatedLimit[]
+  /** Services whose servers have stated that they are brittle; absent from an older version. */
+  brittle?: readonly StatedBrittleness[]
   /** Spending of teams' allowances by all instances within the window. */
   spent: readonly TeamSpending[]
   evacuation: EvacuationState
--- a/packages/magnoliabay/src/node/serving/fleetView.ts
+++ b/packages/magnoliabay/src/node/serving/fleetView.ts
@@ -85,7 +85,7 @@
   /** Revision of the latest known claim. */
   latestClaim: () => number
   /** Fields of the summary that this module does not maintain. */
-  summary: () => Pick<FleetSummary, 'configVersion' | 'storeAgeMs' | 'storeSteadyMs' | 'spent' | 'limits' | 'evacuation' | 'listDigest' | 'membersDigest'>
+  summary: () => Pick<FleetSummary, 'configVersion' | 'storeAgeMs' | 'storeSteadyMs' | 'spent' | 'limits' | 'brittle' | 'evacuation' | 'listDigest' | 'membersDigest'>
   /** Exchanges the speeds of engines. @default speeds are neither sent nor known */
   speedExchange?: SpeedExchange
   /** Called before a summary is sent, to send the changes that the summary reflects. */
--- a/packages/magnoliabay/src/node/serving/refusalReasons.ts
+++ b/packages/magnoliabay/src/node/serving/refusalReasons.ts
@@ -9,7 +9,7 @@
   'no-server': 'No server of the service was usable: none was listed, all were leaving, none could be reached, or the model is not in the configuration.',
   'model-not-in-time': 'No engine had the model, and it could not be loaded before the caller would have given up. retryAfterMs is when it was expected to be loaded.',
   'no-orderer': 'No engine had the model, and there was no leader to order a load: leadership was changing, or this instance was cut off.',
-  'server-full': 'Servers rejected the request, without running it, each time it was sent.',
+  'server-full': 'Servers rejected the request, without running it, each time it was sent; or they are brittle and had no place for it.',
   'server-cold': 'The servers that could take it had just started, and had already received as many requests in that second as they can handle.',
   'server-limited': 'The servers that could take it state a rate limit and had reached it, and the model could not be loaded elsewhere in time. retryAfterMs is when one has a place again.',
   'server-backoff': 'The servers that could take it have asked this instance for backoff, and the model could not be loaded elsewhere in time. retryAfterMs is when the first of them takes requests again.',
--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -12,6 +12,7 @@
 import { LEAVING_RETRY_AFTER_MS, SERVER_FULL_RETRY_AFTER_MS } from './refusal'
 import type { EndReason, Refusal } from './refusal'
 import type { Inbound, RequestRun } from './requestRun'
+import { releasePlace } from './serverChoice'
 import { createServerSearch } from './serverSearch'
 import { createStreamSupervision } from './streams/streamSupervision'
 import type { AttemptOutcome } from './streams/streamSupervision'
@@ -94,6 +95,7 @@
       onServerStatement: metadata => {
         const { isSigned, isNotRun, statement: { isLeaving, backoffMs } } = metadata
         ctx.serverLimits.record(id, metadata.statement, isSigned && !isNotRun)
+        ctx.brittleServices.record(server.service, metadata.statement, isSigned && !isNotRun)
         if (isLeaving) servers.recordLeaving(id, 'answer')
         if (backoffMs > 0) ctx.serverBackoffs.record(id, backoffMs)
       },
@@ -112,6 +114,7 @@
     const supervised = streams.supervise(run, attempt, server)
     const cancelCheck = checkSilence(run, attempt, id)
     const attemptEnd = await attempt.end
+    releasePlace(ctx, run, attemptEnd.kind === 'rejected')
     cancelCheck()
     supervised?.cancel()
     run.attempt = undefined
@@ -278,6 +281,7 @@
       possibleRuns: 0,
       tried: new Set(),
       rejectedBy: new Set(),
+      placeAt: undefined,
       unitsTaken: 0,
       unitsTakenMs: 0,
       attempt: undefined,
@@ -307,7 +311,10 @@
       if (!res.writableFinished) stopRun(run, 'caller-gone')
     })
     if (res.destroyed) stopRun(run, 'caller-gone')
-    await runAttempts(run).finally(() => streams.release(run))
+    await runAttempts(run).finally(() => {
+      releasePlace(ctx, run, false)
+      streams.release(run)
+    })
   }
 }
 
--- a/packages/magnoliabay/src/node/serving/requestRun.ts
+++ b/packages/magnoliabay/src/node/serving/requestRun.ts
@@ -33,6 +33,8 @@
   tried: Set<string>
   /** Server processes that rejected it without running it. */
   rejectedBy: Set<string>
+  /** Server process at which it holds a place; undefined without one. */
+  placeAt: string | undefined
   unitsTaken: number
   /** When the units were taken, monotonic milliseconds. */
   unitsTakenMs: number
--- a/packages/magnoliabay/src/node/serving/serverChoice.ts
+++ b/packages/magnoliabay/src/node/serving/serverChoice.ts
@@ -32,6 +32,8 @@
 
 interface Denials {
   isColdDenied: boolean
+  /** A brittle server has no place for the moment. */
+  isBrittleDenied: boolean
   /** Shortest time after which a limited server has a place again, milliseconds. */
   limitRetryMs: number
   /** Shortest time after which the backoff of a server is over, milliseconds. */
@@ -39,13 +41,21 @@
 }
 
 const SERVER_FULL: ServerChoice = { kind: 'refused', refusal: { reason: 'server-full', retryAfterMs: SERVER_FULL_RETRY_AFTER_MS } }
-const NO_DENIALS: Denials = { isColdDenied: false, limitRetryMs: Infinity, backoffMs: Infinity }
+const NO_DENIALS: Denials = { isColdDenied: false, isBrittleDenied: false, limitRetryMs: Infinity, backoffMs: Infinity }
 
-function refusalOf ({ limitRetryMs, backoffMs }: Denials): Refusal {
+function refusalOf ({ isBrittleDenied, limitRetryMs, backoffMs }: Denials): Refusal {
+  if (isBrittleDenied) return { reason: 'server-full', retryAfterMs: Math.min(limitRetryMs, backoffMs, SERVER_FULL_RETRY_AFTER_MS) }
   if (limitRetryMs === Infinity && backoffMs === Infinity) return { reason: 'server-cold', retryAfterMs: COLD_SERVER_RETRY_AFTER_MS }
   return limitRetryMs <= backoffMs ? { reason: 'server-limited', retryAfterMs: limitRetryMs } : { reason: 'server-backoff', retryAfterMs: backoffMs }
 }
 
+/** Frees the place that a request holds at a brittle server, if it holds one. */
+export function releasePlace (ctx: Pick<ServingContext, 'brittleServers'>, run: RequestRun, isRejected: boolean): void {
+  if (run.placeAt === undefined) return
+  ctx.brittleServers.release(run.placeAt, isRejected)
+  run.placeAt = undefined
+}
+
 export function createServerChooser (ctx: ServingContext): ServerChooser {
   const { health, fleetView } = ctx
   const engineChooser = createEngineChooser(ctx)
@@ -75,14 +85,25 @@
     const id = serverProcessId(server)
     return !run.tried.has(id) && ctx.serverLimits.limitOf(id) === undefined && !health.isSilent(id)
   }
+  /** Takes a place at a server of a brittle service; any other server needs none. */
+  const takePlace = async (run: RequestRun, server: BackendServer): Promise<boolean> => {
+    const maxRejections = ctx.brittleServices.maxRejectionsOf(server.service)
+    if (maxRejections === undefined) return true
+    const process = serverProcessId(server)
+    if (!await ctx.brittleServers.take(process, server.slots, maxRejections)) return false
+    run.placeAt = process
+    return true
+  }
   /** Returns the best server that may get the request now, or why none may. */
   const pickAdmitted = async (run: RequestRun, from: readonly BackendServer[], denials: Denials): Promise<BackendServer | Denials> => {
     const server = pickServer(run, from)
     if (server === undefined) return denials
     const others = from.filter(other => other !== server)
     if (ctx.coldStarts.isCold(server) && !await ctx.coldStarts.admit(server)) return await pickAdmitted(run, others, { ...denials, isColdDenied: true })
+    if (!await takePlace(run, server)) return await pickAdmitted(run, others, { ...denials, isBrittleDenied: true })
     const { freeInMs, retryInMs } = await ctx.limitedServers.admit(serverProcessId(server), others.some(other => mayTakeFreely(run, other)))
     if (freeInMs === 0) return server
+    releasePlace(ctx, run, false)
     return await pickAdmitted(run, others, { ...denials, limitRetryMs: Math.min(denials.limitRetryMs, retryInMs) })
   }
 
@@ -103,8 +124,8 @@
         if (areAllFull(run, from.filter(isBackoffOver))) return SERVER_FULL
         const picked = await pickAdmitted(run, from.filter(isBackoffOver), { ...NO_DENIALS, backoffMs: shortestBackoffMs(run, from) })
         if ('id' in picked) return { kind: 'chosen', server: picked }
-        const { isColdDenied, limitRetryMs, backoffMs } = picked
-        if (!isColdDenied && limitRetryMs === Infinity && backoffMs === Infinity) return { kind: 'none' }
+        const { isColdDenied, isBrittleDenied, limitRetryMs, backoffMs } = picked
+        if (!isColdDenied && !isBrittleDenied && limitRetryMs === Infinity && backoffMs === Infinity) return { kind: 'none' }
         const mayWait = isColdDenied && !run.stop.signal.aborted && maxWaitMs() > COLD_SERVER_DELAY_MS
         if (!mayWait) return { kind: 'refused', refusal: refusalOf(picked) }
         await ctx.pause(COLD_SERVER_DELAY_MS)
--- a/packages/magnoliabay/src/node/serving/serverSearch.ts
+++ b/packages/magnoliabay/src/node/serving/serverSearch.ts
@@ -60,6 +60,12 @@
     run.waitedMs += retryAfterMs
     return true
   }
+  /** Chooses once more after a wait where brittle servers had no place: one is free after about a service time. */
+  const chooseWithWait = async (run: RequestRun, from: () => readonly BackendServer[]): Promise<ServerChoice> => {
+    const choice = await choose(run, from())
+    const isFull = choice.kind === 'refused' && choice.refusal.reason === 'server-full'
+    return isFull && await waitForPlace(run, choice.refusal) ? await choose(run, from()) : choice
+  }
   /** Waits for an engine with the model, other than those in `withModel` that have refused the request for the moment. */
   const waitForEngine = async (run: RequestRun, model: string, withModel: readonly BackendServer[], choice: ServerChoice): Promise<ModelWaitResult> => {
     const { route, service } = run.admitted
@@ -110,7 +116,7 @@
     find: async run => {
       const { service } = run.admitted
       const { model } = run.caller
-      if (service.engine === undefined || model === undefined) return serverOf(await choose(run, servers.usable(service.name)))
+      if (service.engine === undefined || model === undefined) return serverOf(await chooseWithWait(run, () => servers.usable(service.name)))
       return service.engine.models.has(model) ? await findEngine(run, model) : NO_SERVER
     }
   }
--- a/packages/magnoliabay/src/node/serving/servingContext.ts
+++ b/packages/magnoliabay/src/node/serving/servingContext.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import type { RetryBudget, Suspects } from '../outcomes'
-import type { LimitedServers, ServerLimits, ServerBackoffs } from '../statements'
+import type { BrittleServers, BrittleServices, LimitedServers, ServerLimits, ServerBackoffs } from '../statements'
 import type { AnswerBuffers } from './answerBuffers'
 import type { AllowanceLimiter } from './allowance/allowanceLimiter'
 import type { ColdStarts } from './coldStarts'
@@ -26,6 +26,8 @@
   serverLimits: ServerLimits
   limitedServers: LimitedServers
   serverBackoffs: ServerBackoffs
+  brittleServices: BrittleServices
+  brittleServers: BrittleServers
   fleetView: FleetView
   /** Whether engines are chosen by predicted time where instances or speeds call for it. @default true */
   choosesByTime?: boolean
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -19,7 +19,7 @@
 import type { DialPrimitives } from '../paths'
 import { probeAddress } from '../probe'
 import { createShutdown } from '../shutdown'
-import { createLimitedServers, createServerLimits, createServerBackoffs } from '../statements'
+import { createBrittleServers, createBrittleServices, createLimitedServers, createServerLimits, createServerBackoffs } from '../statements'
 import type { Store, PrefixWatch } from '../store'
 import { closeServer, createId, listenOn, parseHostPort } from '../utils'
 import { createPeerFallbackStore } from './allowance/peerFallbackStore'
@@ -177,6 +177,8 @@
   const serverLimits = createServerLimits({ clock, logger, onChanged: count => metrics.limitedServers.set(count) })
   const limitedServers = createLimitedServers({ peers, limits: serverLimits, clock, logger, random })
   const serverBackoffs = createServerBackoffs({ clock, logger })
+  const brittleServices = createBrittleServices({ clock, logger })
+  const brittleServers = createBrittleServers({ peers, reportedInFlight: server => fleetView.inFlightElsewhere(server) + health.inFlight(server), clock, logger, random })
   const pathMetrics = createPathMetrics(metrics.registry)
   const routes = createServerRoutes({
     primitives: options.dialPrimitives ?? createSocketPrimitives(TCP_TRANSPORT, clock),
@@ -246,6 +248,7 @@
       leavingServers: servers.leaving(),
       silentServers: servers.all().map(serverProcessId).filter(health.isSilent).map(server => ({ server, tellers: 1 })),
       limits: serverLimits.stated(),
+      brittle: brittleServices.stated(),
       spent: allowance.ownSpending(),
       isReady: isReady(),
       ...(routes.paths.isPartitioned() ? { reachesServers: false } : {}),
@@ -272,6 +275,7 @@
       storeSteadyMs: storeProxy.contact().steadyMs,
       spent: allowance.fleetSpending(),
       limits: serverLimits.stated(),
+      brittle: brittleServices.stated(),
       evacuation: evacuations.state(),
       listDigest: servers.digest(),
       membersDigest: membership.digest()
@@ -279,11 +283,13 @@
     onReport: (member, report) => {
       report.leavingServers.forEach(process => servers.recordLeaving(process, 'peer'))
       serverLimits.recordFromPeer(report.limits)
+      brittleServices.recordFromPeer(report.brittle)
       allowance.recordPeerSpending(member.incarnation, report.spent)
     },
     onSummary: (member, summary) => {
       dissemination.applySummary(member.id, summary)
       serverLimits.recordFromPeer(summary.limits)
+      brittleServices.recordFromPeer(summary.brittle)
       allowance.recordFleetSpending(summary.spent)
     }
   })
@@ -375,6 +381,8 @@
     serverLimits,
     limitedServers,
     serverBackoffs,
+    brittleServices,
+    brittleServers,
     fleetView,
     placement,
     allowance,
@@ -403,6 +411,7 @@
   options.engines.onStatement((server, statement) => {
     const process = serverProcessId(server)
     serverLimits.record(process, statement, false)
+    brittleServices.record(server.service, statement, false)
     if (statement.isLeaving) servers.recordLeaving(process, 'answer')
     if (statement.backoffMs > 0) serverBackoffs.record(process, statement.backoffMs)
   })
--- a/packages/magnoliabay/src/node/serving/streams/__tests__/support/streamRig.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/support/streamRig.ts
@@ -9,7 +9,7 @@
 import { createLimitedServers, createServerBackoffs, createServerLimits } from '../../../../statements'
 import { sleep } from '../../../../clock'
 import { createWakeupCounter } from '../../../../wakeups'
-import { configOf, memberRecord, modelSpec, routeOf, serverOf } from '../../../__tests__/fixtures'
+import { NO_BRITTLE_SERVERS, configOf, memberRecord, modelSpec, routeOf, serverOf } from '../../../__tests__/fixtures'
 import { createAllowanceLimiter } from '../../../allowance/allowanceLimiter'
 import { createServingConfigProvider } from '../../../servingConfigProvider'
 import type { FleetView } from '../../../fleetView'
@@ -103,6 +103,7 @@
     health,
     serverLimits,
     serverBackoffs: createServerBackoffs({ clock, logger }),
+    ...NO_BRITTLE_SERVERS,
     limitedServers: createLimitedServers({ peers, limits: serverLimits, clock, logger, random: () => 0 }),
     fleetView: NOBODY_ELSEWHERE,
     placement: createPlacementClient({ peers, servers, leader: () => undefined, isServerResponding: process => !health.isSilent(process), isIsolated: () => false, clock, logger }),
--- a/packages/magnoliabay/src/node/statements/index.ts
+++ b/packages/magnoliabay/src/node/statements/index.ts
@@ -1,7 +1,11 @@
 /**
- * What backend servers state about themselves in their answers: rate limits, which hold for all instances together, and
- * backoff times, which hold for one. Servers are named by their process.
+ * What backend servers state about themselves in their answers: rate limits and brittleness, which hold for all instances
+ * together, and backoff times, which hold for one. Servers are named by their process.
  */
+export { createBrittleServers } from './brittleServers'
+export type { BrittleServers } from './brittleServers'
+export { createBrittleServices } from './brittleServices'
+export type { BrittleServices, StatedBrittleness } from './brittleServices'
 export { createLimitedServers } from './limitedServers'
 export type { LimitedServers } from './limitedServers'
 export { createServerLimits } from './serverLimits'
