--- a/packages/magnoliabay/src/node/serving/streams/__tests__/support/fakeEngines.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/support/fakeEngines.ts
@@ -18,6 +18,9 @@
   silentAfter: number
   /** Only each run of this number is silent; the others go on. */
   silentEvery: number
+  /** Until this time it sends nothing, and then goes on, monotonic milliseconds. */
+  pausedUntilMs: number
+  pauseFor (ms: number): void
   /** Rejects requests with a handle, as a full engine does. */
   rejectsCopies: boolean
   /** Whether the stream of a run that stops for a move is closed without the end of its framing. */
@@ -112,6 +115,8 @@
   const generate = (address: string, run: EngineRun, delayMs: number): void => {
     const engine = engines.get(address)!
     run.cancelTimer = clock.schedule(delayMs, () => {
+      const pausedMs = engine.pausedUntilMs - clock.monotonic()
+      if (pausedMs > 0) return generate(address, run, pausedMs)
       if (run.created >= engine.silentAfter && run.number % engine.silentEvery === 0) return
       // A run that is resumed after its last event has only its end left.
       if (run.created >= engine.events) return finish(address, run)
@@ -244,6 +249,8 @@
         moveMs: 20,
         runs,
         isCrashed: false,
+        pausedUntilMs: -Infinity,
+        pauseFor: (ms: number) => { engine.pausedUntilMs = clock.monotonic() + ms },
         running: () => [...runs.values()].filter(({ isOpen }) => isOpen).length,
         crash: () => {
           engine.isCrashed = true;
--- a/packages/magnoliabay/src/node/serving/streams/silenceLimits.ts
+++ b/packages/magnoliabay/src/node/serving/streams/silenceLimits.ts
@@ -11,6 +11,8 @@
 const FIRST_TIMEOUT_DEVIATIONS = 4
 /** Later events are overdue at this multiple of the route's gap: short slowdowns make an engine 2.5 times slower. */
 const LATER_TIMEOUT_GAPS = 4
+/** Shortest timeout for later events: a sound engine may be silent for a second or so, and go on. */
+const MIN_LATER_TIMEOUT_MS = 1500
 /** Time in which samples lose most of their weight, milliseconds: queues at engines build up and empty within such times. */
 const DECAY_MS = 20_000
 /** With a lower decayed number of samples the next more general mean is used. */
@@ -79,6 +81,6 @@
       const { mean, deviation } = usualOf(key) ?? { mean: latencyObjectiveMs, deviation: 0 }
       return Math.max(MIN_FIRST_TIMEOUT_MS, FIRST_TIMEOUT_MEANS * mean, mean + FIRST_TIMEOUT_DEVIATIONS * deviation)
     },
-    laterTimeoutMs: ({ maxEventGapMs }) => LATER_TIMEOUT_GAPS * maxEventGapMs
+    laterTimeoutMs: ({ maxEventGapMs }) => Math.max(MIN_LATER_TIMEOUT_MS, LATER_TIMEOUT_GAPS * maxEventGapMs)
   }
 }
