--- a/packages/magnoliabay/src/node/backend/engineClient.ts
+++ b/packages/magnoliabay/src/node/backend/engineClient.ts
@@ -1,8 +1,10 @@
 /**
  * Client for the engines' control API: sends orders and queries state, by their published protocol.
  */
+import type { Socket } from 'node:net'
 import { Client, Pool } from 'undici'
-import type { Dispatcher } from 'undici'
+import type { Dispatcher, buildConnector } from 'undici'
+import type { ServerRoutes } from '../paths'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
 import { messageOf } from '../utils'
@@ -73,24 +75,51 @@
   of (address: string): Pool
   /** Returns a new client outside the pool. Its user closes it with `destroy`. */
   createUnpooled (address: string): Client
+  /** Checks the path to a backend server that was silent. */
+  checkPath (address: string): void
   close (): Promise<void>
 }
 
-/** Keeps one connection pool for each address, created on first use. */
-export function createConnectionPools (connections: number | null): ConnectionPools {
+/**
+ * Keeps one connection pool for each address, created on first use. `routes`: how servers are reached; a pool whose
+ * connections hang on a broken path is replaced, as is one whose connections go through another instance without need.
+ *
+ * @default direct connections only
+ */
+export function createConnectionPools (connections: number | null, routes?: ServerRoutes<Socket>): ConnectionPools {
   const pools = new Map<string, Pool>()
+  const connectorOf = (address: string): { connect?: buildConnector.connector } => routes === undefined
+    ? {}
+    : { connect: (_options, callback) => { routes.dialer.dial(address).then(({ connection }) => callback(null, connection), (err: Error) => callback(toConnectError(err), null)) } }
+  const replace = (address: string): void => {
+    const replaced = pools.get(address)
+    pools.delete(address)
+    replaced?.close().catch(() => {})
+  }
+  routes?.paths.onChanged(({ address, isBroken, failure }) => {
+    if (isBroken && failure !== 'silent') return
+    const affected = address === undefined ? [...pools.keys()] : [address]
+    affected.forEach(replace)
+  })
   return {
     of: address => {
       const existing = pools.get(address)
       if (existing !== undefined) return existing
-      const created = new Pool(`http://${address}`, { connections, connectTimeout: CONNECT_TIMEOUT_MS })
+      const created = new Pool(`http://${address}`, { connections, connectTimeout: CONNECT_TIMEOUT_MS, ...connectorOf(address) })
       pools.set(address, created)
       return created
     },
-    createUnpooled: address => new Client(`http://${address}`, { connectTimeout: CONNECT_TIMEOUT_MS }),
+    createUnpooled: address => new Client(`http://${address}`, { connectTimeout: CONNECT_TIMEOUT_MS, ...connectorOf(address) }),
+    checkPath: address => routes?.dialer.check(address),
     close: async () => {
+      routes?.dialer.close()
       await Promise.all([...pools.values()].map(pool => pool.destroy()))
       pools.clear()
     }
   }
 }
+
+/** Nothing was sent, which `undici` and its users tell by the code of the error. */
+function toConnectError (err: Error): Error {
+  return Object.assign(err, { code: 'UND_ERR_CONNECT_TIMEOUT' })
+}
--- a/packages/magnoliabay/src/node/backend/relayBuffered.ts
+++ b/packages/magnoliabay/src/node/backend/relayBuffered.ts
@@ -33,6 +33,7 @@
     }
   })
   const end = await waitForEnd(exchange, req.signal)
+  if (end.kind === 'silent') options.connectionPools.checkPath(req.address)
   const text = Buffer.concat(chunks).toString('utf8')
   // A body without a content length ends with its connection, so a truncated one looks complete. Only a body that
   // parses as JSON counts as complete.
--- a/packages/magnoliabay/src/node/backend/relayConnection.ts
+++ b/packages/magnoliabay/src/node/backend/relayConnection.ts
@@ -86,6 +86,7 @@
   stream.setOnDrain(() => exchange.resume())
   const end = await waitForEnd(exchange, req.signal)
   cancelCloseTimer()
+  if (end.kind === 'silent') options.connectionPools.checkPath(req.address)
   return toPartResult(end, head, isDone, req.signal, problem)
 }
 
--- a/packages/magnoliabay/src/node/backend/serviceCall.ts
+++ b/packages/magnoliabay/src/node/backend/serviceCall.ts
@@ -82,6 +82,7 @@
     }
   })
   const end = await waitForEnd(exchange, req.signal)
+  if (end.kind === 'silent') options.connectionPools.checkPath(req.address)
   if (end.kind === 'complete') {
     const isNotRun = headers[NOT_RUN_HEADER] === 'true' && headers[REQUEST_ID_HEADER] === req.requestId
     if (isNotRun) return { kind: 'not-run', message: `The service refused with status ${status}.`, isLeaving: status === HTTP_UNAVAILABLE }
--- a/packages/magnoliabay/src/node/commands/embedded.ts
+++ b/packages/magnoliabay/src/node/commands/embedded.ts
@@ -3,6 +3,7 @@
  */
 import { randomInt } from 'node:crypto'
 import { createServer } from 'node:net'
+import type { Socket } from 'node:net'
 import type { StandInFleet, StandInFleetOptions } from '@magnoliabay/standins'
 import { createSystemClock, sleep } from '../clock'
 import type { Clock } from '../clock'
@@ -14,6 +15,7 @@
 import { createOperatorClient } from '../operators/client'
 import type { OperatorClient } from '../operators/client'
 import { createEtcdStore, createInstanceListClient } from '../store'
+import type { DialPrimitives } from '../paths'
 import { decodeServerStatement } from '../platform'
 import { createId } from '../utils'
 import { EMBEDDED_FAILURE_DOMAINS, EMBEDDED_CONFIG_TOML, EMBEDDED_MODELS, EMBEDDED_REGION, EMBEDDED_TEAM } from './embeddedConfig'
@@ -28,6 +30,8 @@
   standInPort?: number
   /** Configuration to apply, in TOML. @default the one in embeddedConfig.ts */
   configToml?: string
+  /** How an instance connects to backend servers, by its index; tests and the demo partition instances with it. @default TCP */
+  dialPrimitivesOf?: (index: number, clock: Clock) => DialPrimitives<Socket>
   /** Speed of the weight store. @default that of its stand-in */
   weights?: StandInFleetOptions['weights']
   logger: Logger
@@ -83,6 +87,7 @@
     store,
     list,
     decodeStatement: decodeServerStatement,
+    dialPrimitives: options.dialPrimitivesOf?.(index, clock),
     clock,
     logger
   }))
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -2,6 +2,7 @@
  * Creates one instance and connects its subsystems.
  */
 import { setMaxListeners } from 'node:events'
+import type { Socket } from 'node:net'
 import { createKeyring } from './admission'
 import { createAllowance } from './allowance'
 import { createBackendDirectory, createEngineClient, createConnectionPools } from './backend'
@@ -17,6 +18,7 @@
 import { createMembership, createPeerNetwork, createTerminationDetector } from './members'
 import type { MemberRecord } from './members'
 import { contactSeeds } from './members/seeds'
+import { TCP_TRANSPORT } from './members/transport'
 import { createMetrics } from './metrics'
 import { createBatchWriter, createIdempotencyClaims, createRetentionLease, createForwardingWriter } from './once'
 import { createOperatorServer } from './operators'
@@ -26,6 +28,8 @@
 import { createDrainer } from './operators/drain'
 import { createExplainer } from './operators/explain'
 import { createOperatorQueries } from './operators/queries'
+import { createForwardingServer, createPathMetrics, createServerRoutes, createSocketPrimitives } from './paths'
+import type { DialPrimitives } from './paths'
 import { createBudgetedStore } from './store'
 import { createStatus, createStoreHealthMonitor } from './operators/status'
 import type { InstanceList, PutOperation, Store, StoreCallReport } from './store'
@@ -48,6 +52,8 @@
   list: InstanceList
   /** Decodes what a backend server's answer states about the server. */
   decodeStatement: DecodeStatement
+  /** How connections to backend servers are made. @default TCP; through other instances over the transport of peers */
+  dialPrimitives?: DialPrimitives<Socket>
   clock: Clock
   logger: Logger
 }
@@ -90,15 +96,30 @@
   const store = createBudgetedStore(options.store, { callsPerSecond: () => Math.min(callsPerSecond, MAX_FLEET_STORE_CALLS_PER_SECOND / fleetSize()), burstCalls, clock, onCall })
   const fleetSize = (): number => peers.members().length
   const tls = createInstanceTls({ settings, clock, logger })
-  const connectionPools = createConnectionPools(null)
   const engines = createEngineClient()
-  const peers = createPeerNetwork({ self, transport: tls.peerTransport, clock, logger, onGoodbye: member => proofs.recordGoodbye(member) })
+  const peers = createPeerNetwork({ self, transport: tls.peerTransport, clock, logger, onGoodbye: member => proofs.recordGoodbye(member), onTunnel: socket => forwardingServer.accept(socket) })
   const proofs = createTerminationDetector({ peers, clock, logger })
   const membership = createMembership({ store, network: peers, clock, logger })
   const cfg = createConfigProvider({ store, peers, site: settings.instance.site, clock, logger })
   cfg.onChanged(() => cfg.active().documents.forEach(({ document, version }) => metrics.configVersion.set({ document }, version)))
   const keyring = createKeyring({ store, peers, clock, logger })
   const directory = createBackendDirectory({ list: options.list, peers, clock, logger, onRead: proofs.observeInstanceList })
+  const routes = createServerRoutes({
+    primitives: options.dialPrimitives ?? createSocketPrimitives(tls.peerTransport ?? TCP_TRANSPORT, clock),
+    peers,
+    addresses: () => directory.all().map(({ address }) => address),
+    metrics: createPathMetrics(metrics.registry),
+    clock,
+    logger,
+    random: Math.random
+  })
+  const forwardingServer = createForwardingServer({
+    dialForPeer: routes.dialer.dialForPeer,
+    isListed: address => directory.all().some(listed => listed.address === address),
+    isLeaving: () => self.leaving,
+    clock
+  })
+  const connectionPools = createConnectionPools(null, routes)
   const allowance = createAllowance({ cfg, peers, store, clock, logger, proofs })
   const retentionLease = createRetentionLease({ store, clock, retentionSeconds: settings.once.retentionSeconds })
   const writer = createForwardingWriter({ peers, localWriter: createBatchWriter({ store, lease: retentionLease, clock }) })
@@ -174,7 +195,7 @@
       steps: {
         leave: membership.announceLeaving,
         handOver,
-        drain: entry.close,
+        drain: async drainMs => { await Promise.all([entry.close(drainMs), forwardingServer.drain(drainMs)]) },
         finish: async () => {
           await idempotencyClaims.waitForPendingWrites()
           await allowance.handOver()
@@ -182,6 +203,7 @@
           stop.abort()
           await membership.deregister()
           await peers.close()
+          forwardingServer.close()
           await Promise.all([connectionPools.close(), engines.close()])
         }
       }
