--- a/packages/magnoliabay/src/node/backend/backendStatements.ts
+++ b/packages/magnoliabay/src/node/backend/backendStatements.ts
@@ -3,14 +3,24 @@
 import type { Logger } from '../logger'
 import { definePeerNotice } from '../members'
 import type { Peers } from '../members'
-import { createLimitedServers, createServerLimits, createServerBackoffs } from '../statements'
-import type { ServerStatement, StatedLimit } from '../statements'
+import { createBrittleServers, createBrittleServices, createLimitedServers, createServerLimits, createServerBackoffs } from '../statements'
+import type { ServerStatement, StatedBrittleness, StatedLimit } from '../statements'
 import type { ResponseHeaders } from './httpExchange'
 import type { LeavingBackends } from './leavingBackends'
 
 export type DecodeStatement = (status: number, headers: ResponseHeaders) => ServerStatement
 
-const statedLimitsNotice = definePeerNotice<{ stated: readonly StatedLimit[] }>('backend.stated-limits')
+/** The list does not say how many requests a backend server works on: its room is learned from what it takes and rejects. */
+const UNKNOWN_SLOTS = Infinity
+/** Time after which a brittle backend server without a free place may have one, milliseconds. */
+const NO_PLACE_MS = 300
+
+const statedLimitsNotice = definePeerNotice<{ stated: readonly StatedLimit[], brittle?: readonly StatedBrittleness[] }>('backend.stated-limits')
+
+/** A place at a backend server, held until its request has ended. */
+export interface Place {
+  release (isRejected: boolean): void
+}
 
 export interface BackendStatements {
   /** Records what an answer to a request states. `hasRun`: the backend server has run the request. */
@@ -19,6 +29,8 @@
   refusedForMs (address: string): number
   /** Takes a request for the backend server; returns whether it may be sent now. */
   admit (address: string): Promise<boolean>
+  /** Takes a request as `admit` does, and a place for it if the backend server is brittle; undefined if it may not be sent now. */
+  takePlace (address: string): Promise<Place | undefined>
 }
 
 export interface BackendStatementsOptions {
@@ -35,7 +47,13 @@
   const limits = createServerLimits({ clock, logger, onChanged: () => {} })
   const limitedServers = createLimitedServers({ peers, limits, clock, logger, random })
   const backoffs = createServerBackoffs({ clock, logger })
-  peers.listen(statedLimitsNotice, ({ stated }) => limits.recordFromPeer(stated))
+  const brittleServices = createBrittleServices({ clock, logger })
+  const brittleServers = createBrittleServers({ peers, reportedInFlight: () => 0, clock, logger, random })
+  const admit = async (address: string): Promise<boolean> => backoffs.remainingMs(address) === 0 && (await limitedServers.admit(address, false)).freeInMs === 0
+  peers.listen(statedLimitsNotice, ({ stated, brittle }) => {
+    limits.recordFromPeer(stated)
+    brittleServices.recordFromPeer(brittle)
+  })
 
   return {
     record: (address, status, headers, hasRun) => {
@@ -44,9 +62,21 @@
       if (statement.backoffMs > 0) backoffs.record(address, statement.backoffMs)
       const before = limits.limitOf(address)
       limits.record(address, statement, hasRun)
-      if (limits.limitOf(address) !== before) peers.notifyAll(statedLimitsNotice, { stated: limits.stated() })
+      const maxRejectionsBefore = brittleServices.maxRejectionsOf(address)
+      brittleServices.record(address, statement, hasRun)
+      const hasChanged = limits.limitOf(address) !== before || brittleServices.maxRejectionsOf(address) !== maxRejectionsBefore
+      if (hasChanged) peers.notifyAll(statedLimitsNotice, { stated: limits.stated(), brittle: brittleServices.stated() })
     },
-    refusedForMs: address => Math.max(backoffs.remainingMs(address), limitedServers.refusedForMs(address)),
-    admit: async address => backoffs.remainingMs(address) === 0 && (await limitedServers.admit(address, false)).freeInMs === 0
+    refusedForMs: address => Math.max(backoffs.remainingMs(address), limitedServers.refusedForMs(address), brittleServers.isRefused(address) ? NO_PLACE_MS : 0),
+    admit,
+    takePlace: async address => {
+      const maxRejections = brittleServices.maxRejectionsOf(address)
+      const mustHoldPlace = maxRejections !== undefined
+      if (mustHoldPlace && !await brittleServers.take(address, UNKNOWN_SLOTS, maxRejections)) return undefined
+      const release: Place['release'] = isRejected => { if (mustHoldPlace) brittleServers.release(address, isRejected) }
+      if (await admit(address)) return { release }
+      release(false)
+      return undefined
+    }
   }
 }
--- a/packages/magnoliabay/src/node/backend/relayTypes.ts
+++ b/packages/magnoliabay/src/node/backend/relayTypes.ts
@@ -20,7 +20,7 @@
 export interface RelayOptions {
   connectionPools: ConnectionPools
   engineClient: Pick<EngineClient, 'cancel'>
-  statements: Pick<BackendStatements, 'record' | 'admit'>
+  statements: Pick<BackendStatements, 'record' | 'admit' | 'takePlace'>
   clock: Clock
   limits: RelayLimits
 }
--- a/packages/magnoliabay/src/node/entry/attempts.ts
+++ b/packages/magnoliabay/src/node/entry/attempts.ts
@@ -1,6 +1,7 @@
 /** Runs the attempts of one completion, each at a different engine. */
 import type { ServerResponse } from 'node:http'
 import { relayCompletion } from '../backend/relay'
+import type { Place } from '../backend/backendStatements'
 import type { RelayOptions, RelayResult } from '../backend/relayTypes'
 import type { Clock } from '../clock'
 import { createRefusal } from '../failures'
@@ -11,6 +12,7 @@
 import type { RequestOutcome, RetryBudget, Suspects } from '../outcomes'
 import { WORK_CLASS_HEADER, ENGINE_PRIORITY_BY_CLASS, parseWorkClass } from '../queue'
 import type { AcquiredReplica, ReplicaRouter } from '../routing'
+import { Ok } from '../result'
 import type { Result } from '../result'
 import type { CompletionRequest } from './completionRequest'
 import type { EntryRequest } from './types'
@@ -40,7 +42,7 @@
   const { routing, retryBudget, suspects, clock, logger, metrics } = options
 
   /** Acquires a replica whose engine takes the request now; the router leaves out those that have refused it. */
-  const acquireAdmitted = async ({ excludedEngines, req, completion }: Attempt): Promise<Result<AcquiredReplica, Failure>> => {
+  const acquireAdmitted = async ({ excludedEngines, req, completion }: Attempt): Promise<Result<AdmittedReplica, Failure>> => {
     for (;;) {
       const route = await routing.acquireReplica({
         modelOrAdapter: completion.model,
@@ -50,7 +52,9 @@
         excludedEngines,
         signal: req.deadline.signal
       })
-      if (route.err || await options.relay.statements.admit(route.val.replica.address)) return route
+      if (route.err) return route
+      const place = await options.relay.statements.takePlace(route.val.replica.address)
+      if (place !== undefined) return Ok({ ...route.val, place })
       route.val.release()
     }
   }
@@ -60,7 +64,7 @@
     const route = await acquireAdmitted(attempt)
     if (route.err) return { kind: 'no-route', failure: route.val }
     req.observation.wasCold ||= clock.monotonic() - requestedAtMs > COLD_START_THRESHOLD_MS
-    const { replica, release } = route.val
+    const { replica, release, place } = route.val
     const result = await relayCompletion(options.relay, {
       address: replica.address,
       path: req.path,
@@ -74,6 +78,7 @@
       execution: req.execution,
       tryTakeRetry: retryBudget.tryTake
     }, res, onFirstByte).finally(release)
+    place.release(result.kind === 'not-run' || result.kind === 'refused')
     excludedEngines.add(replica.engine)
     const isConnectionBroken = 'isConnectionBroken' in result && result.isConnectionBroken
     if (isConnectionBroken && await suspects.hasCrashed(replica.address)) suspects.recordCrash(attempt.fingerprint, `${req.requestId}.${attemptIndex}`)
@@ -120,6 +125,9 @@
   }
 }
 
+/** A replica whose engine takes the request now. */
+type AdmittedReplica = AcquiredReplica & { place: Place }
+
 interface Attempt {
   attemptIndex: number
   /** Engines of earlier attempts. */
--- a/packages/magnoliabay/src/node/entry/serviceAttempts.ts
+++ b/packages/magnoliabay/src/node/entry/serviceAttempts.ts
@@ -4,7 +4,7 @@
 import type { HttpMethod } from '../backend/httpExchange'
 import { callService } from '../backend/serviceCall'
 import type { ServiceResponse, ServiceCallResult } from '../backend/serviceCall'
-import type { BackendStatements } from '../backend/backendStatements'
+import type { BackendStatements, Place } from '../backend/backendStatements'
 import type { LeavingBackends } from '../backend/leavingBackends'
 import type { Clock } from '../clock'
 import { createIndeterminateFailure, createRefusal } from '../failures'
@@ -58,10 +58,12 @@
     return candidates[rotation % Math.max(1, candidates.length)]
   }
   /** Chooses a server that takes the call now; one that refuses it is left out of the next choice. */
-  const chooseAdmitted = async (name: string, tried: readonly ListedInstance[]): Promise<ListedInstance | undefined> => {
+  const chooseAdmitted = async (name: string, tried: readonly ListedInstance[]): Promise<{ server: ListedInstance, place: Place } | undefined> => {
     for (;;) {
       const server = chooseServer(name, tried)
-      if (server === undefined || await statements.admit(server.address)) return server
+      if (server === undefined) return undefined
+      const place = await statements.takePlace(server.address)
+      if (place !== undefined) return { server, place }
     }
   }
   /** The failure of a call for which there is no server: when one that takes none for the moment takes calls again. */
@@ -97,17 +99,20 @@
       let lastFailure: Failure = createRefusal('no_capacity', `No server of ${target.name} is live.`, 1)
       retryBudget.recordFirstAttempt()
       while (tried.length < MAX_ATTEMPTS && !signal.aborted) {
-        const server = await chooseAdmitted(target.name, tried)
-        if (server === undefined) {
+        const admitted = await chooseAdmitted(target.name, tried)
+        if (admitted === undefined) {
           if (tried.length === 0) lastFailure = noServerFailure(target.name, tried) ?? lastFailure
           break
         }
+        const { server, place } = admitted
         if (tried.length > 0 && !retryBudget.tryTake()) {
+          place.release(false)
           logger.info('retry-withheld', { request: req.requestId, reason: 'retry budget spent' })
           break
         }
         tried.push(server)
         const result = await callAt(server, req, target, signal)
+        place.release(result.kind === 'not-run')
         if (result.kind === 'answered') return Ok(result.response)
         lastFailure = failureOf(result)
         logger.info('service-call-failed', { request: req.requestId, server: server.id, result: result.kind, reason: lastFailure.message })
--- a/packages/magnoliabay/src/node/statements/brittleServers.ts
+++ b/packages/magnoliabay/src/node/statements/brittleServers.ts
@@ -50,7 +50,10 @@
 const placeUseNotice = definePeerNotice<PlaceUse>('serving.place-used')
 
 export interface BrittleServers {
-  /** Takes a place for a request at a server that bears this many rejections a second; returns whether there is one. */
+  /**
+   * Takes a place for a request at a server that bears this many rejections a second; returns whether there is one.
+   * `slots`: Infinity if the server's size is not known.
+   */
   take (process: string, slots: number, maxRejectionsPerSecond: number): Promise<boolean>
   /** Frees a place after its request has ended, or was not sent after all. */
   release (process: string, isRejected: boolean): void
@@ -108,6 +111,7 @@
     const record = countedOf(process)
     record.held.set(from, { count: held, atMs: clock.monotonic() })
     if (isRejected) record.room.recordRejection(inFlightAt(process), clock.monotonic())
+    else record.room.recordTaken(inFlightAt(process))
   }
   peers.serve(placeCall, (req, from) => ({ isGranted: grant(req, from.id) }))
   peers.listen(placeUseNotice, (use, from) => recordUse(use, from.id))
--- a/packages/standins/src/node/engine/server.ts
+++ b/packages/standins/src/node/engine/server.ts
@@ -10,6 +10,7 @@
 import type { AdminTarget } from '../admin'
 import { asText, parseObject, readText, sendJson } from '../http/json'
 import { createListener } from '../http/listener'
+import { createBrittleness } from '../http/brittleness'
 import { backoffHeaders, stateInAnswer } from '../http/statements'
 import { sendStream, sendBody } from './delivery'
 import type { ResponseContent } from './delivery'
@@ -28,6 +29,8 @@
 export interface EngineServer {
   readonly address: string
   readonly admin: AdminTarget
+  /** How often the engine fell over while it was brittle. */
+  falls (): number
   close (): Promise<void>
 }
 
@@ -43,7 +46,8 @@
 export async function createEngineServer (options: EngineServerOptions): Promise<EngineServer> {
   const { engine, clock } = options
   const { faults } = engine
-  const admin = createAdminTarget(faults, () => engine.records())
+  const admin = createAdminTarget(faults, () => ({ ...engine.records(), falls: brittleness.falls() }))
+  const brittleness = createBrittleness({ current: () => faults.current, setDown: crash => { faults.set({ crash }) }, clock })
   const readerCounts = new Map<Run, number>()
 
   /** Ends a run that has no reader, at once or, when the engine supports resumes, after the resume timeout. */
@@ -78,6 +82,13 @@
   const complete = (shape: AnswerShape): Handler => async (req, res) => {
     const body = parseObject(await readText(req))
     const request = readGenerateRequest(shape, body, req.headers)
+    const admission = brittleness.take()
+    if (admission === 'fallen') {
+      res.destroy()
+      return
+    }
+    if (admission === 'rejected') return sendJson(res, REFUSAL_STATUS.refusing, { error: { type: 'full' } }, { [NOT_RUN_HEADER]: 'true', [REQUEST_ID_HEADER]: request.requestId })
+    res.once('close', brittleness.release)
     const submission = engine.submit(request)
     if (submission.err) {
       const { kind } = submission.val
@@ -157,6 +168,7 @@
   return {
     address: listener.address,
     admin,
+    falls: brittleness.falls,
     close: async () => {
       await engine.close()
       await listener.close()
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -2,11 +2,16 @@
  * Exercises the main use cases against the embedded fleet over real HTTP. Every step is checked, and the program
  * exits with code 0 only if every check passes.
  */
+import type { Socket } from 'node:net'
 import { request } from 'undici'
+import type { Clock } from '../packages/magnoliabay/src/node/clock'
 import { startEmbeddedFleet } from '../packages/magnoliabay/src/node/commands/embedded'
 import type { EmbeddedFleet } from '../packages/magnoliabay/src/node/commands/embedded'
 import { EMBEDDED_SERVICE, EMBEDDED_SMALL_TEAM } from '../packages/magnoliabay/src/node/commands/embeddedConfig'
 import { createLogger } from '../packages/magnoliabay/src/node/logger'
+import { TCP_TRANSPORT } from '../packages/magnoliabay/src/node/members/transport'
+import { DialError, createSocketPrimitives } from '../packages/magnoliabay/src/node/paths'
+import type { DialPrimitives } from '../packages/magnoliabay/src/node/paths'
 
 const BURST_PER_ENTRY = 4
 const KEY_PROPAGATION_DELAY_MS = 500
@@ -18,7 +23,24 @@
   text: string
 }
 
+/** Index of the instance that the demo partitions from all backend servers. */
+const PARTITIONED = 1
+const PRESS_PER_ENTRY = 12
+
 let failures = 0
+let isPartitioned = false
+
+/** New connections of one instance to backend servers fail while the demo partitions it; other instances still connect. */
+function dialPrimitivesOf (index: number, clock: Clock): DialPrimitives<Socket> {
+  const primitives = createSocketPrimitives(TCP_TRANSPORT, clock)
+  return {
+    ...primitives,
+    connectDirectly: async (address, timeoutMs) => {
+      if (isPartitioned && index === PARTITIONED) throw new DialError('refused', 'partitioned by the demo')
+      return await primitives.connectDirectly(address, timeoutMs)
+    }
+  }
+}
 
 function check (description: string, passed: boolean, detail: string): void {
   process.stdout.write(`${passed ? 'ok  ' : 'FAIL'} ${description}: ${detail}\n`)
@@ -80,6 +102,29 @@
   await pause(LIMIT_LIFT_DELAY_MS)
 }
 
+async function checkBrittleEngine ({ entryUrls: entries, callerKey, models, standIns }: EmbeddedFleet): Promise<void> {
+  const engine = standIns.engines.find(candidate => candidate.state.state().models.some(model => model.model === models[0]))!
+  const body = { model: models[0], max_tokens: 4, messages: [{ role: 'user', content: 'not all at once' }] }
+  const send = (entry: string): Promise<HttpResponse> => call(`${entry}/v1/chat/completions`, callerKey, body)
+  await engine.state.faults.set({ brittleRejections: 1, brittleRoom: 2 })
+  await Promise.all(entries.map(send))
+  await pause(LIMIT_LIFT_DELAY_MS)
+  const responses = await Promise.all(entries.flatMap(entry => Array.from({ length: PRESS_PER_ENTRY }, () => send(entry))))
+  await engine.state.faults.set({ brittleRejections: -1 })
+  const answered = responses.filter(response => response.status === 200).length
+  check('a brittle engine does not fall over while callers press', engine.falls() === 0 && answered > 0, `${engine.falls()} falls, ${answered} of ${responses.length} answered`)
+  await pause(LIMIT_LIFT_DELAY_MS)
+}
+
+async function checkPartitionedInstance ({ entryUrls: entries, callerKey, standIns }: EmbeddedFleet): Promise<void> {
+  isPartitioned = true
+  const before = standIns.services[0]!.state.total()
+  const notes = await Promise.all(Array.from({ length: 5 }, (_, index) => call(`${entries[PARTITIONED]}/v1/services/${EMBEDDED_SERVICE}/transfer-notes`, callerKey, { tins: index }, { 'idempotency-key': `cut-${index}` })))
+  isPartitioned = false
+  const ran = standIns.services[0]!.state.total() - before
+  check('an instance without a path to the servers serves through others, each note once', notes.every(note => note.status === 200) && ran === notes.length, `${notes.map(note => note.status).join(', ')}; executed ${ran}`)
+}
+
 async function checkOverAllowance ({ entryUrls: entries, operatorClient: operators, models }: EmbeddedFleet): Promise<void> {
   const { key } = await operators.createKey(EMBEDDED_SMALL_TEAM)
   await pause(KEY_PROPAGATION_DELAY_MS)
@@ -102,10 +147,12 @@
 }
 
 async function main (): Promise<void> {
-  const embedded = await startEmbeddedFleet({ logger: createLogger({ level: 'warn' }) })
+  const embedded = await startEmbeddedFleet({ logger: createLogger({ level: 'warn' }), dialPrimitivesOf })
   await checkColdStart(embedded)
   await checkRunsOnce(embedded)
   await checkStatedLimit(embedded)
+  await checkBrittleEngine(embedded)
+  await checkPartitionedInstance(embedded)
   await checkOverAllowance(embedded)
   await checkWithdrawnKey(embedded)
   checkKeyNotForwarded(embedded)
--- a/scripts/fleet/faults.ts
+++ b/scripts/fleet/faults.ts
@@ -16,6 +16,12 @@
 const FLOOD_FACTOR = 5
 const BACKOFF_SECONDS = 3
 const BACKOFF_FAULT_MS = 9000
+/** Rejections a second that a brittle engine bears, and the requests that it has room for. */
+const BRITTLE_REJECTIONS = 2
+const BRITTLE_ROOM = 3
+const BRITTLE_MS = 12_000
+/** Time that instances have to hear of it, milliseconds. */
+const BRITTLE_DELAY_MS = 3000
 const STATED_LIMIT = 1
 const STATED_LIMIT_MS = 12_000
 
@@ -147,6 +153,19 @@
       await engine.state.faults.set({ refuse: false, backoffSeconds: 0 })
     }
   },
+  {
+    name: 'engine-brittle',
+    what: `the busiest engine has room for ${BRITTLE_ROOM} requests and falls over beyond ${BRITTLE_REJECTIONS} rejections a second, for ${BRITTLE_MS / 1000} s`,
+    run: async harness => {
+      const engine = busiestOf(harness)
+      await engine.state.faults.set({ brittleRejections: BRITTLE_REJECTIONS, brittleRoom: BRITTLE_ROOM })
+      await pause(BRITTLE_DELAY_MS)
+      const before = engine.falls()
+      await pause(BRITTLE_MS)
+      harness.observations.brittleTimes.push({ engine: engine.id, falls: engine.falls() - before })
+      await engine.state.faults.set({ brittleRejections: -1 })
+    }
+  },
   engineFault('orders-late', 'an engine responds late to orders', { orderAnswer: 'late' }, { orderAnswer: 'normal' }),
   {
     name: 'engine-leaves',
--- a/scripts/fleet/guarantees.ts
+++ b/scripts/fleet/guarantees.ts
@@ -25,6 +25,8 @@
 const LIMIT_DELAY_MS = 3000
 const LIMIT_SPAN_MS = 4000
 const LIMIT_RATIO = 1.5
+const MAX_FALLS = 2
+const MAX_FALLS_PER_ENGINE = 0.1
 const LIMIT_SLACK = 5
 const BACKOFF_DELAY_MS = 500
 const MAX_DURING_BACKOFF = 2
@@ -238,6 +240,13 @@
   return { checked: backoffs.length, violations }
 }
 
+/** A brittle engine, once instances have heard of it, falls over no more than twice and a tenth of the number of engines. */
+const checkBrittleTimes: Check = ({ harness }) => {
+  const { brittleTimes } = harness.observations
+  const violations = brittleTimes.filter(({ falls }) => falls > MAX_FALLS + MAX_FALLS_PER_ENGINE).map(({ engine, falls }) => `${engine} fell over ${falls} times while it was brittle`)
+  return { checked: brittleTimes.length, violations }
+}
+
 const checkShutdowns: Check = ({ harness, calls }) => {
   const shutDown = harness.processes.all().filter(process => process.shutdownRequestedAtMs !== undefined)
   const violations = shutDown.flatMap(process => [
@@ -271,6 +280,7 @@
   { promise: '"not run" is true', isSafety: true, check: checkNotRun },
   { promise: 'non-idempotent at most once', isSafety: true, check: checkAtMostOnce },
   { promise: 'leaving server left alone', isSafety: false, check: checkLeavingServers },
+  { promise: 'brittle engines stand', isSafety: false, check: checkBrittleTimes },
   { promise: 'stated limits kept', isSafety: false, check: checkStatedLimits },
   { promise: 'backoff that a server asks for', isSafety: false, check: checkBackoffs },
   { promise: 'graceful shutdown cuts nothing', isSafety: false, check: checkShutdowns },
--- a/scripts/fleet/records.ts
+++ b/scripts/fleet/records.ts
@@ -75,6 +75,13 @@
   toMs: number
 }
 
+/** A time in which an engine is brittle. */
+export interface BrittleTime {
+  engine: string
+  /** How often it fell over, from some seconds after it first said so. */
+  falls: number
+}
+
 export interface Observations {
   calls: CallRecord[]
   engineSamples: EngineSample[]
@@ -83,8 +90,9 @@
   leavingEngines: LeavingEngine[]
   statedLimits: StatedLimit[]
   backoffs: EngineBackoff[]
+  brittleTimes: BrittleTime[]
 }
 
 export function createObservations (): Observations {
-  return { calls: [], engineSamples: [], probes: [], withdrawals: [], leavingEngines: [], statedLimits: [], backoffs: [] }
+  return { calls: [], engineSamples: [], probes: [], withdrawals: [], leavingEngines: [], statedLimits: [], backoffs: [], brittleTimes: [] }
 }
