--- a/packages/magnoliabay/src/node/paths/forwarders.ts
+++ b/packages/magnoliabay/src/node/paths/forwarders.ts
@@ -10,6 +10,8 @@
   ranked (): readonly MemberRecord[]
   /** Whether there is any instance to try. */
   areThereAny (): boolean
+  /** Whether connections through the instance can still be used. */
+  isUsable (id: string): boolean
   /** Records that an instance could not be reached, or forwards nothing. */
   recordUnable (id: string): void
   /** Calls the listener with the id of an instance that leaves or has left. */
@@ -52,6 +54,7 @@
       return [...candidates.filter(({ id }) => known.has(id)), ...candidates.filter(({ id }) => !known.has(id))]
     },
     areThereAny: () => peers.members().some(isCandidate),
+    isUsable: id => peers.members().some(member => member.id === id && isCandidate(member)),
     recordUnable: id => {
       dropEnded()
       avoidedUntilMs.set(id, clock.monotonic() + AVOIDANCE_MS)
--- a/packages/magnoliabay/src/node/paths/serverDialer.ts
+++ b/packages/magnoliabay/src/node/paths/serverDialer.ts
@@ -37,6 +37,8 @@
 const SURVEYED_PATHS = 16
 /** A server that neither this instance nor another reaches is not dialled again for this long, milliseconds. */
 const UNREACHED_MS = 500
+/** Above this number of records, those of servers that have left are dropped with all others. */
+const MAX_RECORDS = 2000
 
 /** The primitives that the network provides. */
 export interface DialPrimitives<Connection> {
@@ -76,7 +78,8 @@
 export function createServerDialer<Connection> (options: ServerDialerOptions<Connection>): ServerDialer<Connection> {
   const { primitives, paths, forwarders, clock, random } = options
   const checkedAtMs = new Map<string, number>()
-  const unreached = new Map<string, { failure: DialFailure, untilMs: number }>()
+  /** Monotonic milliseconds, by address. */
+  const unreachedUntilMs = new Map<string, number>()
   const confirming = new Set<string>()
   const stop = new AbortController()
   let isProbing = false
@@ -147,6 +150,7 @@
   const check = async (address: string): Promise<void> => {
     const now = clock.monotonic()
     if (paths.isBroken(address) || now - (checkedAtMs.get(address) ?? -Infinity) < CHECK_INTERVAL_MS) return
+    if (checkedAtMs.size > MAX_RECORDS) checkedAtMs.clear()
     checkedAtMs.set(address, now)
     if (await probe(address, CHECK_TIMEOUT_MS) !== undefined) await compareWithOthers(address)
   }
@@ -180,11 +184,13 @@
     }
     isProbing = false
   }
+  const recordUnreached = (address: string): void => {
+    if (unreachedUntilMs.size > MAX_RECORDS) unreachedUntilMs.clear()
+    unreachedUntilMs.set(address, clock.monotonic() + UNREACHED_MS)
+  }
   const throwIfUnreached = (address: string): void => {
-    const known = unreached.get(address)
-    if (known === undefined) return
-    if (known.untilMs > clock.monotonic()) throw new DialError(known.failure, 'neither this instance nor others reached the server a moment ago')
-    unreached.delete(address)
+    if ((unreachedUntilMs.get(address) ?? -Infinity) > clock.monotonic()) throw new DialError('silent', 'neither this instance nor others reached the server a moment ago')
+    unreachedUntilMs.delete(address)
   }
   const dialDirectlyFirst = async (address: string): Promise<DialledConnection<Connection>> => {
     const hasForwarders = forwarders.areThereAny()
@@ -196,7 +202,7 @@
       confirmBroken(address)
       return forwarded
     }
-    if (direct.failure === 'silent') unreached.set(address, { failure: direct.failure, untilMs: clock.monotonic() + UNREACHED_MS })
+    if (direct.failure === 'silent') recordUnreached(address)
     throw direct
   }
 
@@ -208,7 +214,7 @@
       if (!(forwarded instanceof DialError)) return forwarded
       const direct = await connectDirectly(address, CONNECT_TIMEOUT_WITH_FORWARDERS_MS)
       if (!(direct instanceof DialError)) return { connection: direct, forwarder: undefined }
-      unreached.set(address, { failure: 'silent', untilMs: clock.monotonic() + UNREACHED_MS })
+      recordUnreached(address)
       throw forwarded
     },
     dialForPeer: async address => {
--- a/packages/magnoliabay/src/node/paths/serverRoutes.ts
+++ b/packages/magnoliabay/src/node/paths/serverRoutes.ts
@@ -21,7 +21,7 @@
 export interface ServerRoutes<Connection> {
   paths: ServerPaths
   dialer: ServerDialer<Connection>
-  forwarders: Pick<Forwarders, 'onGone'>
+  forwarders: Pick<Forwarders, 'isUsable' | 'onGone'>
   monitor: PathMonitor
 }
 
--- a/packages/magnoliabay/src/node/serving/__tests__/exchange.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/exchange.spec.ts
@@ -236,6 +236,16 @@
     expect(server.connections()).to.equal(0)
   })
 
+  /** Guards against a request that is lost on an idle connection through an instance that was switched off. */
+  it('does not use an idle connection through an instance to which the link has ended', async () => {
+    const whole = await startRawServer(socket => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 4\r\nKeep-Alive: timeout=60\r\n\r\nfine'))
+    expect((await send(connections, whole.address)).end).to.equal('whole')
+    forwarder.setLinked(false)
+    expect((await send(connections, whole.address)).end).to.equal('unsent')
+    expect(whole.received).to.have.length(1)
+    await whole.close()
+  })
+
   /** Guards against an instance that waits out its grace period for connections that nobody uses. */
   it('holds up the end of that instance until it has ended, and no longer', async () => {
     const exchange = send(connections, server.address)
--- a/packages/magnoliabay/src/node/serving/__tests__/support/forwarder.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/forwarder.ts
@@ -16,6 +16,8 @@
   server: ForwardingServer
   /** How the instance without a path of its own reaches servers. */
   routes: ServerRoutes<Socket>
+  /** Sets whether the link between the two instances is up. */
+  setLinked (isLinked: boolean): void
   /** Ends all connections at once, as the end of the process does. */
   kill (): void
   close (): Promise<void>
@@ -23,6 +25,7 @@
 
 export async function startForwarder (clock: Clock, isListed: (address: string) => boolean = () => true): Promise<Forwarder> {
   const sockets = new Set<Socket>()
+  let isLinked = true
   const server = createForwardingServer({ dialForPeer: address => connectDirectly(clock, address, DIAL_TIMEOUT_MS), isListed, isLeaving: () => false, clock })
   const listener = createServer(socket => {
     sockets.add(socket)
@@ -32,7 +35,7 @@
   const members = [memberRecord(FORWARDER, { peerAddress: `127.0.0.1:${(listener.address() as AddressInfo).port}` })]
   const routes = createServerRoutes({
     primitives: { ...createSocketPrimitives(TCP_TRANSPORT, clock), connectDirectly: async () => { throw new DialError('silent', 'no path') } },
-    peers: { self: memberRecord('self'), members: () => members, isConnected: () => true, onMembersChanged: () => () => {} },
+    peers: { self: memberRecord('self'), members: () => members, isConnected: () => isLinked, onMembersChanged: () => () => {} },
     addresses: () => [],
     clock,
     logger: createSilentLogger(),
@@ -41,6 +44,7 @@
   return {
     server,
     routes,
+    setLinked: next => { isLinked = next },
     kill: () => sockets.forEach(socket => socket.destroy()),
     close: async () => {
       sockets.forEach(socket => socket.destroy())
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -130,9 +130,9 @@
     agents.set(address, agent)
     return agent
   }
-  const dropIdle = (address: string | undefined, mustDrop: (socket: Socket) => boolean): void => [...agents]
-    .filter(([agentAddress]) => address === undefined || agentAddress === address)
-    .flatMap(([, agent]) => agent.idleSockets())
+  const agentsOf = (address: string | undefined): KeepAliveAgent[] => address === undefined ? [...agents.values()] : [agents.get(address)].filter(agent => agent !== undefined)
+  const dropIdle = (address: string | undefined, mustDrop: (socket: Socket) => boolean): void => agentsOf(address)
+    .flatMap(agent => agent.idleSockets())
     .filter(mustDrop)
     .forEach(socket => socket.destroy())
   paths.onChanged(({ address, isBroken, failure }) => {
@@ -142,7 +142,11 @@
   })
   forwarders.onGone(id => dropIdle(undefined, socket => forwarderBySocket.get(socket) === id))
   return {
-    exchange: (req, handler) => runExchange(agentOf(req.address), { dialer, monitor }, req, handler),
+    exchange: (req, handler) => {
+      // The link to an instance that was switched off has ended; a request on an idle connection through it would be lost.
+      dropIdle(req.address, socket => forwarderBySocket.has(socket) && !forwarders.isUsable(forwarderBySocket.get(socket)!))
+      return runExchange(agentOf(req.address), { dialer, monitor }, req, handler)
+    },
     isAccepting: dialer.isAccepting,
     forget: address => {
       // Connections in use stay open: a server that has left the list still finishes its requests.
