--- a/packages/magnoliabay/src/node/members/memoryNetwork.ts
+++ b/packages/magnoliabay/src/node/members/memoryNetwork.ts
@@ -61,7 +61,12 @@
 
   const pairOf = (one: string, other: string): string => [one, other].sort().join(' ')
   const isConnected = (from: string, to: string): boolean => from === to || (nodes.has(to) && !partitions.has(pairOf(from, to)))
-  const records = (): MemberRecord[] => [...nodes.values()].map(node => node.member).filter(member => !unregistered.has(member.id)).sort((left, right) => left.id < right.id ? -1 : 1)
+  /** Kept until the members change: in a fleet of hundreds, sorting them for each query would take most of a test's time. */
+  let sortedRecords: readonly MemberRecord[] | undefined
+  const records = (): readonly MemberRecord[] => {
+    sortedRecords ??= [...nodes.values()].map(node => node.member).filter(member => !unregistered.has(member.id)).sort((left, right) => left.id < right.id ? -1 : 1)
+    return sortedRecords
+  }
   /** Copies bodies, as a network would. */
   const transmit = (message: Message, sender: Node, deliver: (receiver: Node, body: unknown) => void): void => {
     if (!isConnected(message.from, message.to)) return
@@ -106,7 +111,10 @@
       onConnected: node.connected.add
     }
   }
-  const emitMembersChanged = (): void => nodes.forEach(node => node.changed.emit())
+  const emitMembersChanged = (): void => {
+    sortedRecords = undefined
+    nodes.forEach(node => node.changed.emit())
+  }
 
   return {
     join: member => {
--- a/packages/magnoliabay/src/node/paths/forwarders.ts
+++ b/packages/magnoliabay/src/node/paths/forwarders.ts
@@ -6,20 +6,18 @@
 const AVOIDANCE_MS = 1000
 
 export interface Forwarders {
-  /** Instances to try, in this order; a new order each time, so that all of them share the load. */
-  ranked (): readonly MemberRecord[]
+  /** Up to `count` instances to try, in this order; others each time, so that all of them share the load. */
+  pick (count: number): readonly MemberRecord[]
   /** Whether there is any instance to try. */
   areThereAny (): boolean
   /** Whether connections through the instance can still be used. */
   isUsable (id: string): boolean
   /** Records that an instance could not be reached, or forwards nothing. */
   recordUnable (id: string): void
-  /** Calls the listener with the id of an instance that leaves or has left. */
-  onGone (listener: (id: string) => void): void
 }
 
 export interface ForwardersOptions {
-  peers: Pick<Peers, 'self' | 'members' | 'isConnected' | 'onMembersChanged'>
+  peers: Pick<Peers, 'self' | 'members' | 'isConnected'>
   /** Instances that are known to reach servers; they are tried first. @default none are known */
   preferred?: () => readonly string[]
   clock: Clock
@@ -30,35 +28,33 @@
 export function createForwarders ({ peers, preferred = () => [], clock, random }: ForwardersOptions): Forwarders {
   const avoidedUntilMs = new Map<string, number>()
 
-  const listeners: Array<(id: string) => void> = []
-  let stayingIds: readonly string[] = []
-  peers.onMembersChanged(() => {
-    const before = stayingIds
-    stayingIds = peers.members().filter(({ leaving }) => !leaving).map(({ id }) => id)
-    const staying = new Set(stayingIds)
-    before.filter(id => !staying.has(id)).forEach(id => listeners.forEach(listener => listener(id)))
-  })
-
   const isAvoided = (id: string): boolean => (avoidedUntilMs.get(id) ?? -Infinity) > clock.monotonic()
   const isCandidate = ({ id, leaving }: MemberRecord): boolean => id !== peers.self.id && !leaving && peers.isConnected(id) && !isAvoided(id)
-  const shuffled = (members: readonly MemberRecord[]): MemberRecord[] => members
-    .map(member => ({ member, order: random() }))
-    .sort((left, right) => left.order - right.order)
-    .map(({ member }) => member)
+  /** Returns some of the members in random order, without ordering all of them. */
+  const pickRandom = (members: readonly MemberRecord[], count: number): MemberRecord[] => {
+    const left = [...members]
+    return Array.from({ length: Math.min(count, left.length) }, () => {
+      const index = Math.floor(random() * left.length)
+      const picked = left[index]!
+      left[index] = left.at(-1)!
+      left.pop()
+      return picked
+    })
+  }
   const dropEnded = (): void => avoidedUntilMs.forEach((_, id) => { if (!isAvoided(id)) avoidedUntilMs.delete(id) })
 
   return {
-    ranked: () => {
+    pick: count => {
       const known = new Set(preferred())
-      const candidates = shuffled(peers.members().filter(isCandidate))
-      return [...candidates.filter(({ id }) => known.has(id)), ...candidates.filter(({ id }) => !known.has(id))]
+      const candidates = peers.members().filter(isCandidate)
+      const first = pickRandom(candidates.filter(({ id }) => known.has(id)), count)
+      return [...first, ...pickRandom(candidates.filter(({ id }) => !known.has(id)), count - first.length)]
     },
     areThereAny: () => peers.members().some(isCandidate),
     isUsable: id => peers.members().some(member => member.id === id && isCandidate(member)),
     recordUnable: id => {
       dropEnded()
       avoidedUntilMs.set(id, clock.monotonic() + AVOIDANCE_MS)
-    },
-    onGone: listener => { listeners.push(listener) }
+    }
   }
 }
--- a/packages/magnoliabay/src/node/paths/serverDialer.ts
+++ b/packages/magnoliabay/src/node/paths/serverDialer.ts
@@ -117,7 +117,7 @@
     const startedMs = clock.monotonic()
     let silent = 0
     let failure = new DialError('no-forwarder', 'no other instance reaches the server')
-    for (const forwarder of forwarders.ranked().slice(0, MAX_FORWARDERS_TRIED)) {
+    for (const forwarder of forwarders.pick(MAX_FORWARDERS_TRIED)) {
       const result = await connectThrough(forwarder, address)
       if (!(result instanceof DialError)) return result
       if (result.failure === 'refused') return result
--- a/packages/magnoliabay/src/node/paths/serverRoutes.ts
+++ b/packages/magnoliabay/src/node/paths/serverRoutes.ts
@@ -21,13 +21,13 @@
 export interface ServerRoutes<Connection> {
   paths: ServerPaths
   dialer: ServerDialer<Connection>
-  forwarders: Pick<Forwarders, 'isUsable' | 'onGone'>
+  forwarders: Pick<Forwarders, 'isUsable'>
   monitor: PathMonitor
 }
 
 export interface ServerRoutesOptions<Connection> {
   primitives: DialPrimitives<Connection>
-  peers: Pick<Peers, 'self' | 'members' | 'isConnected' | 'onMembersChanged'>
+  peers: Pick<Peers, 'self' | 'members' | 'isConnected'>
   /** Addresses of the backend servers that are listed. */
   addresses: () => readonly string[]
   /** Instances that are known to reach servers. @default none are known */
@@ -60,8 +60,7 @@
 const NO_PEERS: ServerRoutesOptions<Socket>['peers'] = {
   self: { id: '', incarnation: '', startedAtMs: 0, region: '', failureDomain: '', peerAddress: '', entryAddress: '', operatorAddress: '', leaving: false, processorShare: 0 },
   members: () => [],
-  isConnected: () => false,
-  onMembersChanged: () => () => {}
+  isConnected: () => false
 }
 
 /** Routes of a process without peers: direct connections only. */
--- a/packages/magnoliabay/src/node/serving/__tests__/support/forwarder.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/forwarder.ts
@@ -35,7 +35,7 @@
   const members = [memberRecord(FORWARDER, { peerAddress: `127.0.0.1:${(listener.address() as AddressInfo).port}` })]
   const routes = createServerRoutes({
     primitives: { ...createSocketPrimitives(TCP_TRANSPORT, clock), connectDirectly: async () => { throw new DialError('silent', 'no path') } },
-    peers: { self: memberRecord('self'), members: () => members, isConnected: () => isLinked, onMembersChanged: () => () => {} },
+    peers: { self: memberRecord('self'), members: () => members, isConnected: () => isLinked },
     addresses: () => [],
     clock,
     logger: createSilentLogger(),
--- a/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
@@ -203,9 +203,11 @@
     idleConnections.set(key, idle)
     return idle.pop()
   }
-  const dropIdle = (from: string, address: string | undefined, mustDrop: (connection: Connection) => boolean): void => idleConnections.forEach((idle, key) => {
-    if (address === undefined ? key.startsWith(`${from} `) : key === connectionKey(from, address)) idleConnections.set(key, idle.filter(connection => !mustDrop(connection)))
-  })
+  const dropIdleAt = (key: string, mustDrop: (connection: Connection) => boolean): void => { idleConnections.set(key, (idleConnections.get(key) ?? []).filter(connection => !mustDrop(connection))) }
+  const dropIdle = (from: string, address: string | undefined, mustDrop: (connection: Connection) => boolean): void => {
+    if (address !== undefined) return dropIdleAt(connectionKey(from, address), mustDrop)
+    ;[...idleConnections.keys()].filter(key => key.startsWith(`${from} `)).forEach(key => dropIdleAt(key, mustDrop))
+  }
   const wait = (ms: number): Promise<void> => new Promise(resolve => clock.schedule(ms, resolve))
   const newConnection = (forwarder?: string): Connection => ({ requests: 0, idleSinceMs: clock.monotonic(), forwarder })
   const isReachable = (to: string): boolean => entries.has(to)
@@ -243,13 +245,13 @@
       if (isBroken && failure === 'silent') dropIdle(id, address, ({ forwarder }) => forwarder === undefined)
       if (!isBroken) dropIdle(id, address, ({ forwarder }) => forwarder !== undefined)
     })
-    routes.forwarders.onGone(gone => dropIdle(id, undefined, ({ forwarder }) => forwarder === gone))
     routesOf.set(id, routes)
     return routes
   }
   /** Delivers a request to the server at its address, and the answer to the instance, unless it was cancelled. */
   const exchange = (from: string, outbound: OutboundRequest, handler: ResponseHandler): { cancel (reason: string): void } => {
-    const { dialer, monitor } = routesOf.get(from)!
+    const { dialer, forwarders, monitor } = routesOf.get(from)!
+    dropIdle(from, outbound.address, ({ forwarder }) => forwarder !== undefined && !forwarders.isUsable(forwarder))
     const watched = monitor.watch(outbound.address, () => handler.onPathBroken?.())
     let isSent = false
     let hasEnded = false
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -140,10 +140,9 @@
     if (isBroken && failure === 'silent') dropIdle(address, socket => !forwarderBySocket.has(socket))
     if (!isBroken) dropIdle(address, socket => forwarderBySocket.has(socket))
   })
-  forwarders.onGone(id => dropIdle(undefined, socket => forwarderBySocket.get(socket) === id))
   return {
     exchange: (req, handler) => {
-      // The link to an instance that was switched off has ended; a request on an idle connection through it would be lost.
+      // A request on an idle connection through an instance that was switched off, or is leaving, would be lost.
       dropIdle(req.address, socket => forwarderBySocket.has(socket) && !forwarders.isUsable(forwarderBySocket.get(socket)!))
       return runExchange(agentOf(req.address), { dialer, monitor }, req, handler)
     },
--- a/packages/magnoliabay/src/node/statements/brittleServers.ts
+++ b/packages/magnoliabay/src/node/statements/brittleServers.ts
@@ -116,7 +116,14 @@
   peers.serve(placeCall, (req, from) => ({ isGranted: grant(req, from.id) }))
   peers.listen(placeUseNotice, (use, from) => recordUse(use, from.id))
 
-  const rankingOf = (process: string): readonly string[] => rankHomeInstances(peers, process).slice(0, 2)
+  /** Home and deputy by process, until members change: ranking hundreds of members takes longer than the rest of a request. */
+  const rankings = new Map<string, readonly string[]>()
+  peers.onMembersChanged(() => rankings.clear())
+  const rankingOf = (process: string): readonly string[] => {
+    const ranking = rankings.get(process) ?? rankHomeInstances(peers, process).slice(0, 2)
+    rankings.set(process, ranking)
+    return ranking
+  }
   /** Returns undefined if the instance does not reply. */
   const ask = async (member: string, req: PlaceRequest): Promise<boolean | undefined> => {
     if (member === self) return grant(req, self)
