--- a/packages/magnoliabay/src/node/serving/choice/__tests__/engineChoice.spec.ts
+++ b/packages/magnoliabay/src/node/serving/choice/__tests__/engineChoice.spec.ts
@@ -12,7 +12,7 @@
 import type { ServingContext } from '../../servingContext'
 import { serverProcessId } from '../../types'
 import type { BackendServer, Service } from '../../types'
-import { routeOf, serverOf } from '../../__tests__/fixtures'
+import { NO_BRITTLE_SERVERS, routeOf, serverOf } from '../../__tests__/fixtures'
 import { startStreamTimer } from '../streamTimer'
 
 const SLOTS = 16
@@ -50,6 +50,7 @@
     serverLimits: { limitOf: () => undefined },
     limitedServers: { admit: async () => ({ freeInMs: 0, retryInMs: 0 }) },
     serverBackoffs: { remainingMs: () => 0 },
+    ...NO_BRITTLE_SERVERS,
     metrics: createServingMetrics(createWakeupCounter()),
     logger: createLogger({ write: line => lines.push(line) }),
     failureDomain: 'a',
