--- a/packages/magnoliabay/src/node/platform/requestHeaders.ts
+++ b/packages/magnoliabay/src/node/platform/requestHeaders.ts
@@ -2,7 +2,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import type { ResponseMetadata } from '../serving/attempt'
 import type { ResponseHead } from '../serving/exchange'
-import type { CallerRequest } from '../serving/types'
+import type { CallerRequest, StreamResumption } from '../serving/types'
 import type { ForwardedMetadata } from '../serving/servingProtocol'
 import { NO_STATEMENT, decodeServerStatement } from './serverStatement'
 
@@ -16,6 +16,10 @@
 /** Ids of events start at 1: a moved run of which no event has arrived continues from its first. */
 const NO_EVENT_ID = '0'
 const API_KEY_PATTERN = /^Token (\S+)$/
+const RESUMES = 'resumes'
+const LAST_EVENT_ID = 'last-event-id'
+/** An attempt id in `Resumes`; several, or other text, name no attempt. */
+const ATTEMPT_ID_PATTERN = /^[\w.:-]{1,128}$/
 
 /** Headers that apply to a single connection only. */
 const CONNECTION_HEADERS = ['connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', 'content-length']
@@ -52,6 +56,18 @@
   return prompt === undefined || output === undefined ? undefined : { prompt, output }
 }
 
+/** A caller takes a stream up if it names an attempt, or an event that it has received. */
+function decodeResumption (headers: IncomingHttpHeaders): StreamResumption | undefined {
+  const named = firstValueOf(headers[RESUMES])?.trim() ?? ''
+  const stated = firstValueOf(headers[LAST_EVENT_ID])?.trim() ?? ''
+  const hasReceivedNone = stated === '' || stated === NO_EVENT_ID
+  if (named === '' && hasReceivedNone) return undefined
+  return {
+    firstAttemptId: ATTEMPT_ID_PATTERN.test(named) ? named : undefined,
+    lastEventId: hasReceivedNone ? undefined : parseNonNegativeInteger(stated)
+  }
+}
+
 /** Decodes what the caller requests from its headers. */
 export function decodeCallerRequest (headers: IncomingHttpHeaders): CallerRequest {
   const [model, adapter] = (firstValueOf(headers['x-magnoliabay-model']) ?? '').split('/')
@@ -63,7 +79,8 @@
     model: model === '' ? undefined : model,
     adapter,
     tokens: parseTokenUsage(firstValueOf(headers['x-magnoliabay-token-usage'])),
-    promptParts: parts === undefined ? [] : parts.split(',').map(part => part.split(':')[0]!.trim())
+    promptParts: parts === undefined ? [] : parts.split(',').map(part => part.split(':')[0]!.trim()),
+    resumption: decodeResumption(headers)
   }
 }
 
@@ -74,7 +91,7 @@
   const kept = pairs
     .filter(([name]) => !NOT_FORWARDED.has(name.toLowerCase()))
     .filter(([name]) => !namedInConnection.has(name.toLowerCase()) || identifiesRequest(name))
-    .filter(([name]) => metadata.lastEventId === undefined || name.toLowerCase() !== 'last-event-id')
+    .filter(([name]) => metadata.lastEventId === undefined || name.toLowerCase() !== LAST_EVENT_ID)
   const added: Array<[string, string | undefined]> = [
     ['X-Magnoliabay-Deadline-Ms', String(Math.max(0, Math.floor(metadata.deadlineMs)))],
     ['X-Magnoliabay-Expected-Instance', metadata.serverId],
@@ -87,7 +104,7 @@
 }
 
 function hasLastEventId (pairs: ReadonlyArray<[string, string]>): boolean {
-  return pairs.some(([name]) => name.toLowerCase() === 'last-event-id')
+  return pairs.some(([name]) => name.toLowerCase() === LAST_EVENT_ID)
 }
 
 /** Headers that identify the request are forwarded even if the caller lists them in `Connection`. */
--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -19,6 +19,7 @@
 import { serverProcessId } from './types'
 import type { BackendServer, CallerRequest } from './types'
 import type { RunCopy } from './servingProtocol'
+import { createContinuations } from './versions/continuations'
 
 /** How often a request is sent again after servers rejected it without running it. */
 const MAX_REJECTIONS = 3
@@ -31,6 +32,7 @@
 export function createRequestHandler (ctx: ServingContext): (inbound: Inbound) => Promise<void> {
   const { cfg, protocol, clock, logger, servers, health, allowance } = ctx
   const search = createServerSearch(ctx)
+  const continuations = createContinuations({ logger, registry: ctx.metrics.registry })
   const { refuse, fail, recordAnswered } = createRequestCompletion(ctx)
   const pathOf = (req: IncomingMessage): string => (req.url ?? '/').split('?')[0]!
 
@@ -66,6 +68,7 @@
     run.execution.record('send')
     health.recordStart(id, model)
     if (model !== '' && health.inFlightOf(id, model) === 1) ctx.onModelUseChanged()
+    const recordEvents = continuations.startAttempt(run, server, runCopy !== undefined)
     const knownLoad = (): number => health.inFlight(id) + ctx.fleetView.inFlightElsewhereAtSummary(id)
     const timer = startStreamTimer({ speeds: health.speeds, clock, server: id, model: caller.model ?? '', promptTokens: caller.tokens?.prompt ?? 0, fill: () => knownLoad() / server.slots })
     const attempt: Attempt = startAttempt({
@@ -106,6 +109,7 @@
       onFirstByte: () => { run.firstMs ??= clock.monotonic() - inbound.arrivedMs },
       holdsEnd: () => streams.holdsEnd(run),
       onEvents: () => {
+        recordEvents()
         if (caller.model !== undefined && ctx.choosesByTime !== false) timer.recordEvents()
         supervised?.recordEvents()
       }
@@ -218,13 +222,13 @@
       case 'failed':
         run.execution.record('lose')
         run.lastResponse = ended.response ?? run.lastResponse
-        logger.info('attempt-failed', { request: run.caller.attemptId, server: server.id, reason: ended.reason, repeatable: canRetry(run) })
+        logger.info('attempt-failed', { request: run.caller.attemptId, server: server.id, softwareVersion: server.softwareVersion, reason: ended.reason, repeatable: canRetry(run) })
         recordTried(run, id)
         return retryOrFail(run, 'server-failed')
       case 'cut':
         run.execution.record('lose')
         recordTried(run, id)
-        logger.info('attempt-cut', { request: run.caller.attemptId, server: server.id, why: ended.reason, lastEvent: run.events?.lastId(), repeatable: canRetry(run) })
+        logger.info('attempt-cut', { request: run.caller.attemptId, server: server.id, softwareVersion: server.softwareVersion, why: ended.reason, lastEvent: run.events?.lastId(), repeatable: canRetry(run) })
         return retryOrFail(run, 'answer-cut')
       case 'moved':
         run.execution.record('lose')
@@ -293,7 +297,8 @@
       firstMs: undefined,
       lastEventMs: inbound.arrivedMs,
       isRetryReserved: false,
-      events: route.kind === 'stream' ? createEventStream() : undefined
+      events: route.kind === 'stream' ? createEventStream() : undefined,
+      firstEventServer: undefined
     }
     run.lease = ctx.answerBuffers?.open(caller.attemptId, () => {
       stopRun(run, 'caller-gone')
--- a/packages/magnoliabay/src/node/serving/requestRun.ts
+++ b/packages/magnoliabay/src/node/serving/requestRun.ts
@@ -57,4 +57,6 @@
   isRetryReserved: boolean
   /** Tracks the events of a stream over all attempts. */
   events: EventStream | undefined
+  /** Server process that sent the first event of this response; undefined before it. */
+  firstEventServer: BackendServer | undefined
 }
--- a/packages/magnoliabay/src/node/serving/serverList.ts
+++ b/packages/magnoliabay/src/node/serving/serverList.ts
@@ -181,7 +181,7 @@
     if (hasTurnedCold) changedIds.add(id)
     if (before === undefined || routingTextOf(before) !== routingTextOf(server)) {
       changedIds.add(id)
-      logger.info('server-listed', { server: id, service: server.service, address: server.address, state: server.state, bornMs: server.bornMs })
+      logger.info('server-listed', { server: id, service: server.service, address: server.address, state: server.state, bornMs: server.bornMs, softwareVersion: server.softwareVersion })
       return true
     }
     if (modelsTextOf(before) === modelsTextOf(server)) return hasTurnedCold
@@ -288,8 +288,8 @@
 
 /** Returns the fields that decide whether and how a server is reached, as a string. */
 function routingTextOf (server: ListedServer): string {
-  const { id, bornMs, service, address, failureDomain, slots, state } = server
-  return `${id} ${bornMs} ${service} ${address} ${failureDomain} ${slots} ${state}`
+  const { id, bornMs, service, address, failureDomain, slots, softwareVersion = '', state } = server
+  return `${id} ${bornMs} ${service} ${address} ${failureDomain} ${slots} ${state} ${softwareVersion}`
 }
 
 function modelsTextOf ({ models }: Pick<BackendServer, 'models'>): string {
--- a/packages/magnoliabay/src/node/serving/types.ts
+++ b/packages/magnoliabay/src/node/serving/types.ts
@@ -131,6 +131,8 @@
   address: string
   failureDomain: string
   slots: number
+  /** Version of its software, which is not that of any weights; undefined if its entry states none. */
+  softwareVersion?: string
   state: ServerState
   /** Remaining time for which it is cold after its start, milliseconds. */
   coldMs: number
@@ -146,6 +148,14 @@
   return `${server.id}@${server.bornMs}`
 }
 
+/** A stream that a caller takes up again after its connection broke. */
+export interface StreamResumption {
+  /** Client attempt that brought the stream's first event; undefined if the caller names none, or not a valid one. */
+  firstAttemptId: string | undefined
+  /** Last event that the caller has received; undefined if it states none, or not a number. */
+  lastEventId: number | undefined
+}
+
 /** A caller's request, as decoded from its headers. */
 export interface CallerRequest {
   /** Unique for each attempt of a client. */
@@ -159,4 +169,6 @@
   tokens: { prompt: number, output: number } | undefined
   /** Ids of the parts of the prompt, in order. */
   promptParts: readonly string[]
+  /** Undefined for a request whose caller has received no event. */
+  resumption?: StreamResumption
 }
