--- a/packages/magnoliabay/src/node/serving/streams/__tests__/support/fakeEngines.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/support/fakeEngines.ts
@@ -14,6 +14,8 @@
   /** Number of events of a complete stream. */
   events: number
   slots: number
+  /** Version of its software, which each event names. */
+  softwareVersion: string
   /** Runs send nothing after this many events; they stay until they are cancelled or stopped. */
   silentAfter: number
   /** Only each run of this number is silent; the others go on. */
@@ -32,6 +34,8 @@
   /** Runs whose connection is open. */
   running (): number
   crash (): void
+  /** Another process starts at the address after a crash, with this version of the software. */
+  restart (softwareVersion: string): void
   /** Breaks the connections of all streams; the runs go on. */
   cutLink (): void
 }
@@ -121,7 +125,7 @@
       // A run that is resumed after its last event has only its end left.
       if (run.created >= engine.events) return finish(address, run)
       run.created += 1
-      if (run.isOpen) run.handler.onData(Buffer.from(`id: ${run.created}\ndata: event\n\n`))
+      if (run.isOpen) run.handler.onData(Buffer.from(`id: ${run.created}\ndata: ${engine.softwareVersion}\n\n`))
       if (run.created < engine.events) return generate(address, run, engine.gapMs)
       finish(address, run)
     })
@@ -241,6 +245,7 @@
         gapMs: 50,
         events: 10,
         slots: 16,
+        softwareVersion: 'v1',
         silentAfter: Infinity,
         silentEvery: 1,
         rejectsCopies: false,
@@ -259,6 +264,10 @@
             run.handler.onEnd('broken', 'connection reset')
           })
         },
+        restart: (softwareVersion: string) => {
+          engine.isCrashed = false
+          engine.softwareVersion = softwareVersion
+        },
         cutLink: () => [...runs.values()].forEach(run => {
           run.isOpen = false
           run.handler.onEnd('broken', 'link failed')
--- a/packages/magnoliabay/src/node/serving/streams/__tests__/support/fakeResponse.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/support/fakeResponse.ts
@@ -11,6 +11,8 @@
   body (): string
   /** Ids of the events received, in order. */
   eventIds (): number[]
+  /** Software versions of the engines that made the events received. */
+  softwareVersions (): ReadonlySet<string>
   /** When each event arrived, milliseconds after the request. */
   eventTimesMs (): number[]
   /** `complete`: a regular end. `cut`: the connection was closed before. */
@@ -72,6 +74,7 @@
     headers: () => responseHeaders,
     body: () => body,
     eventIds: () => [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id)),
+    softwareVersions: () => new Set([...body.matchAll(/^data: (.*)$/gm)].map(([, version]) => version!)),
     eventTimesMs: () => times,
     end: () => end,
     leave: () => res.destroy(),
--- a/packages/magnoliabay/src/node/serving/streams/__tests__/support/streamRig.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/support/streamRig.ts
@@ -4,6 +4,7 @@
 import type { VirtualClock } from '../../../../clock/virtual'
 import { createLogger } from '../../../../logger'
 import { createMemoryNetwork } from '../../../../members/memoryNetwork'
+import type { MemoryNetwork } from '../../../../members/memoryNetwork'
 import { createRetryBudget, createSuspects } from '../../../../outcomes'
 import { platformProtocol } from '../../../../platform'
 import { createLimitedServers, createServerBackoffs, createServerLimits } from '../../../../statements'
@@ -43,8 +44,12 @@
   retries?: number
   /** @default always 0 */
   random?: () => number
-  /** Another instance, whose clock and engines this one uses. @default none */
+  /** Another instance, whose clock, engines and network of peers this one uses. @default none */
   beside?: StreamRig
+  /** Id of the instance. @default 'me' */
+  instance?: string
+  /** @default 'a' */
+  failureDomain?: string
   /** Calls over the network to engines at these addresses, by name. @default none */
   network?: Pick<FakeEngines, 'connections' | 'runCalls'> & { addresses: Readonly<Record<string, string>> }
 }
@@ -52,6 +57,7 @@
 export interface StreamRig {
   clock: VirtualClock
   fakes: FakeEngines
+  network: MemoryNetwork
   engine (name: string): FakeEngine
   /** Sends a request; the first sent gets the first id. */
   call (path: string, headers?: Record<string, string>): FakeCaller & { id: string }
@@ -59,6 +65,10 @@
   giveNotice (name: string, remainingMs: number): void
   /** Engines that have been given notice end. */
   remove (name: string): void
+  /** This instance hears that an engine has left; the engine does nothing. */
+  unlist (name: string): void
+  /** This instance hears of the process that runs at an engine now, which may have another software version. */
+  list (name: string): void
   logs (event: string): string[]
   metric (name: string): Promise<number>
 }
@@ -85,11 +95,13 @@
   const logger = createLogger({ write: line => { lines.push(line) } })
   const fakes = options.beside?.fakes ?? createFakeEngines(clock)
   const engines = new Map(Object.entries(options.engines).map(([name, changes]) => [name, options.beside?.engine(name) ?? fakes.add(name, changes)]))
-  const peers = createMemoryNetwork({ clock }).join(memberRecord('me'))
+  const network = options.beside?.network ?? createMemoryNetwork({ clock })
+  const { instance = 'me', failureDomain = 'a' } = options
+  const peers = network.join(memberRecord(instance, { failureDomain }))
   const cfg = createServingConfigProvider({ decode: () => configWith(options.hasMoves ?? false), clock, logger })
   cfg.applyIfNewer('', 'store')
   const entries = new Map<string, BackendServer>([...engines].map(([name, engine]) =>
-    [name, serverOf(name, { address: options.network?.addresses[name] ?? engine.address, slots: 16, failureDomain: name[0]!, models: [{ name: MODEL, version: 1, adapters: [] }] })]))
+    [name, serverOf(name, { address: options.network?.addresses[name] ?? engine.address, slots: 16, softwareVersion: engine.softwareVersion, failureDomain: name[0]!, models: [{ name: MODEL, version: 1, adapters: [] }] })]))
   const servers = createServerList({ decode: key => entries.get(key), idOf: key => key, isEvacuated: () => false, storeReachableSinceMs: () => 0, clock, logger })
   servers.snapshot([...entries.keys()].map(key => ({ key, value: '' })))
   const serverLimits = createServerLimits({ clock, logger, onChanged: () => {} })
@@ -120,7 +132,7 @@
     metrics,
     clock,
     logger,
-    failureDomain: 'a',
+    failureDomain,
     random: options.random ?? (() => 0),
     pause: ms => sleep(clock, ms)
   })
@@ -128,9 +140,11 @@
     entries.set(name, { ...entries.get(name)!, state: 'draining', remainingMs })
     servers.put({ key: name, value: '' })
   }
+  const processes = new Map<string, number>()
   return {
     clock,
     fakes,
+    network,
     engine: name => engines.get(name)!,
     call: (path, headers = {}) => {
       const id = fakes.nextId()
@@ -143,6 +157,13 @@
       engines.get(name)!.crash()
       servers.remove(name)
     },
+    unlist: name => servers.remove(name),
+    list: name => {
+      const bornMs = (processes.get(name) ?? 1) + 1
+      processes.set(name, bornMs)
+      entries.set(name, { ...entries.get(name)!, bornMs, softwareVersion: engines.get(name)!.softwareVersion })
+      servers.put({ key: name, value: '' })
+    },
     logs: event => lines.filter(line => line.includes(` event=${event} `)),
     metric: async name => {
       const found = await metrics.registry.getSingleMetric(name)!.get()
