--- a/packages/magnoliabay/src/node/serving/__tests__/fixtures.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/fixtures.ts
@@ -61,6 +61,11 @@
 
 export const NO_EVACUATION: EvacuationState = { domains: [], revision: 0 }
 
+/** Streams may go on at any server. */
+export const ANY_VERSION: Pick<ServingContext, 'streamVersions'> = {
+  streamVersions: { resolve: async () => undefined, mayServe: () => true, refusalOf: () => undefined, hasOtherServer: () => true, mayMove: () => true, confirmServers: () => {}, recordFirstEvent: () => {}, recordBreak: () => {} }
+}
+
 /** No service is brittle. */
 export const NO_BRITTLE_SERVERS: Pick<ServingContext, 'brittleServices' | 'brittleServers'> = {
   brittleServices: { record: () => {}, recordFromPeer: () => {}, stated: () => [], maxRejectionsOf: () => undefined },
--- a/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
@@ -18,12 +18,14 @@
 import { createServingMetrics } from '../../metrics'
 import { createPlacementClient } from '../../placement/placementClient'
 import { createRequestHandler } from '../../requestHandler'
+import { Err } from '../../../result'
 import { createServerHealth, recordReachedServers } from '../../serverHealth'
 import { createServerList } from '../../serverList'
 import type { ServerList } from '../../serverList'
 import { createServingConfigProvider } from '../../servingConfigProvider'
 import type { Connections, OutboundRequest, ResponseHandler } from '../../exchange'
 import type { BackendServer, ServingConfig } from '../../types'
+import { createVersionKeeping } from '../../versions'
 import { NO_EVACUATION, configOf, leadingOf, memberRecord, reportOf, routeOf } from '../fixtures'
 import { createCall } from './callerResponse'
 import type { CallerResponse } from './callerResponse'
@@ -355,6 +357,7 @@
       placement: createPlacementClient({ peers, servers: list, leader: () => LEADER, isServerResponding: process => !health.isSilent(process), isIsolated: () => false, clock, logger }),
       allowance: createAllowanceLimiter({ peers, findTeam: () => undefined, windowMs: 8000, isFirstStart: true, store, era: () => 0, tolerance: { ratio: 0, slack: 0 }, clock, logger }),
       connections,
+      streamVersions: createVersionKeeping({ peers, servers: list, cfg: activeConfig, fetchReport: async () => Err('no reports'), isListCurrent: () => true, clock, logger }),
       coldStarts: { isCold: () => false, admit: async () => true },
       suspects: createSuspects({ peers, clock, logger, hasCrashed: async () => false }),
       retryBudget: () => createRetryBudget({ retriesPerRequest: 1, burst: () => 1000 }),
--- a/packages/magnoliabay/src/node/serving/__tests__/unreadAnswers.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/unreadAnswers.spec.ts
@@ -23,7 +23,7 @@
 import type { ServerHealth } from '../serverHealth'
 import { createServerList } from '../serverList'
 import { createServingConfigProvider } from '../servingConfigProvider'
-import { NO_BRITTLE_SERVERS, NO_EVACUATION, configOf, leadingOf, memberRecord, reportOf, routeOf, serverOf } from './fixtures'
+import { ANY_VERSION, NO_BRITTLE_SERVERS, NO_EVACUATION, configOf, leadingOf, memberRecord, reportOf, routeOf, serverOf } from './fixtures'
 import { startRawServer } from './rawServer'
 
 const MB = 1_048_576
@@ -99,6 +99,7 @@
       serverLimits,
       serverBackoffs: createServerBackoffs({ clock, logger }),
       ...NO_BRITTLE_SERVERS,
+      ...ANY_VERSION,
       limitedServers: createLimitedServers({ peers, limits: serverLimits, clock, logger, random: () => 0 }),
       fleetView,
       placement: createPlacementClient({ peers, servers, leader: () => undefined, isServerResponding: () => true, isIsolated: () => false, clock, logger }),
--- a/packages/magnoliabay/src/node/serving/placement/messages.ts
+++ b/packages/magnoliabay/src/node/serving/placement/messages.ts
@@ -11,6 +11,8 @@
   patienceMs: number
   /** Processes of engines that have the model and take no requests for it now; undefined from a peer of an older version. */
   unavailable?: readonly string[]
+  /** The request continues a stream and needs an engine with this version of the software. @default any version */
+  softwareVersion?: string
   /** Requests of the sending instance that wait for the model, at most eight groups; undefined from a peer of an older version. */
   waiting?: readonly WaitingGroup[]
 }
--- a/packages/magnoliabay/src/node/serving/placement/placementClient.ts
+++ b/packages/magnoliabay/src/node/serving/placement/placementClient.ts
@@ -46,6 +46,10 @@
   signal: AbortSignal
   /** Whether this process will end too soon to run a request that begins now. */
   isShuttingDown: () => boolean
+  /** The request continues a stream of this software version. @default any version */
+  softwareVersion?: string
+  /** Whether the request may run at the server. @default at any */
+  mayServe?: (server: BackendServer) => boolean
   /** Processes of servers that must not serve the request. */
   excludedProcesses: ReadonlySet<string>
   /** Returns the processes of servers that have the model and take no requests now: the leader places the model elsewhere. */
@@ -115,8 +119,11 @@
     wakers.add(wake)
     return sleep(clock, delayMs, signal, woken.signal).finally(() => wakers.delete(wake))
   }
-  const waitUntilReady = async ({ model, adapter, service, maxWaitMs, signal, isShuttingDown, excludedProcesses, unavailableProcesses }: ModelWaitOptions): Promise<ModelWaitResult> => {
-    const mayServe = (process: string): boolean => !excludedProcesses.has(process) && !unavailableProcesses().has(process)
+  const waitUntilReady = async ({ model, adapter, service, maxWaitMs, signal, isShuttingDown, softwareVersion, mayServe: isAllowed = () => true, excludedProcesses, unavailableProcesses }: ModelWaitOptions): Promise<ModelWaitResult> => {
+    const mayServe = (server: BackendServer): boolean => {
+      const process = serverProcessId(server)
+      return !excludedProcesses.has(process) && !unavailableProcesses().has(process) && isAllowed(server)
+    }
     const sinceMs = clock.monotonic()
     let lastRequestMs = -Infinity
     let hasLeader = false
@@ -124,18 +131,18 @@
       // When the process ends, a request that begins now would be cut off, and one that is still waiting would get no
       // response at all.
       if (isShuttingDown()) return { kind: 'closing' }
-      const usableServers = serversWithModel(service, model, adapter).filter(server => mayServe(serverProcessId(server)))
+      const usableServers = serversWithModel(service, model, adapter).filter(mayServe)
       if (usableServers.length > 0) return { kind: 'ready', servers: usableServers }
       if (signal.aborted) return { kind: 'stopped' }
       const waitedMs = clock.monotonic() - sinceMs
       if (waitedMs >= maxWaitMs) return hasLeader ? { kind: 'not-in-time', inMs: REQUEST_INTERVAL_MS } : { kind: 'no-orderer' }
       if (clock.monotonic() - lastRequestMs >= REQUEST_INTERVAL_MS) {
         lastRequestMs = clock.monotonic()
-        const reply = await sendRequest({ model, adapter, waitedMs, patienceMs: maxWaitMs - waitedMs, unavailable: [...unavailableProcesses()], ...waitingGroupsOf(model) })
+        const reply = await sendRequest({ model, adapter, waitedMs, patienceMs: maxWaitMs - waitedMs, unavailable: [...unavailableProcesses()], ...(softwareVersion === undefined ? {} : { softwareVersion }), ...waitingGroupsOf(model) })
         if (reply.kind === 'ready') {
           // The server may leave, which the leader does not know yet.
           const server = servers.usable(service).find(({ id }) => id === reply.server)
-          if (server !== undefined && mayServe(serverProcessId(server))) return { kind: 'ready', servers: [server] }
+          if (server !== undefined && mayServe(server)) return { kind: 'ready', servers: [server] }
         }
         if (reply.kind === 'unavailable' && (options.isIsolated() || waitedMs > MAX_WAIT_WITHOUT_LEADER_MS)) return { kind: 'no-orderer' }
         hasLeader ||= reply.kind === 'coming'
--- a/packages/magnoliabay/src/node/serving/placement/placementController.ts
+++ b/packages/magnoliabay/src/node/serving/placement/placementController.ts
@@ -70,6 +70,7 @@
 const OUTCOME_TIMEOUT_MS = 600
 
 const NO_PROCESSES: ReadonlySet<string> = new Set()
+const NO_ENGINES: readonly string[] = []
 const NO_LIMITED_ENGINES: ReadonlyMap<string, LimitedEngineUse> = new Map()
 
 export interface PlacementControllerOptions {
@@ -101,6 +102,8 @@
 }
 
 interface OpenRequest {
+  /** Software versions of which streams that wait for the model need an engine, with their expiry, monotonic milliseconds. */
+  softwareVersions: ReadonlyMap<string, number>
   /** Processes of engines that have the model and take no requests for it now. */
   unavailable: ReadonlySet<string>
   sinceMs: number
@@ -253,9 +256,23 @@
     inFlightAverages.set(model, average)
     return average.update(inFlight, clock.monotonic())
   }
-  /** Engines whose replica of the model does not count: it states a limit that the model exceeds, or takes none from an instance that has requests for it. */
+  const hasVersion = ({ server }: Engine, softwareVersion: string | undefined): boolean => softwareVersion === undefined || server.softwareVersion === softwareVersion
+  /**
+   * Engines of other software versions than the first one of which streams wait for the model and no engine has it. The next
+   * version follows once that one is served: engines of all versions at once would leave none to place the model on.
+   */
+  const otherVersionsOf = (model: string): readonly string[] => {
+    const wanted = openRequests.get(model)?.softwareVersions
+    if (wanted === undefined || wanted.size === 0) return NO_ENGINES
+    const engines = orders.listEngines()
+    const unserved = [...wanted.keys()].find(version => !engines.some(engine => hasVersion(engine, version) && plannedModels(engine).includes(model)))
+    return unserved === undefined ? NO_ENGINES : engines.filter(engine => !hasVersion(engine, unserved)).map(({ process }) => process)
+  }
+  /** Engines whose replica of the model does not count: it states a limit that the model exceeds, takes none from an instance that has requests for it, or has another software version than the streams that wait. */
   const unusableEnginesOf = (model: string, limitedEngines: ReadonlyMap<string, LimitedEngineUse>): ReadonlySet<string> => {
-    const unavailable = openRequests.get(model)?.unavailable ?? NO_PROCESSES
+    const otherVersions = otherVersionsOf(model)
+    const declared = openRequests.get(model)?.unavailable ?? NO_PROCESSES
+    const unavailable = otherVersions.length === 0 ? declared : new Set([...declared, ...otherVersions])
     // The plan needs this for hundreds of models, some dozen times a second.
     if (limitedEngines.size === 0) return unavailable
     const beyondLimit = [...limitedEngines].filter(([, use]) => use.modelsBeyondLimit.includes(model)).map(([process]) => process)
@@ -430,8 +447,8 @@
     const engine = orders.listEngines().find(({ process }) => process === placement.id)
     return engine === undefined ? { kind: 'unavailable' } : { kind: 'ready', server: engine.server.id }
   }
-  const remainingLoadMs = ({ model, unavailable = [] }: PlacementRequest): number | undefined => {
-    const remainingTimes = orders.listEngines().filter(engine => !unavailable.includes(engine.process) && plannedModels(engine).includes(model)).map(remainingMs)
+  const remainingLoadMs = ({ model, unavailable = [], softwareVersion }: PlacementRequest): number | undefined => {
+    const remainingTimes = orders.listEngines().filter(engine => !unavailable.includes(engine.process) && hasVersion(engine, softwareVersion) && plannedModels(engine).includes(model)).map(remainingMs)
     return remainingTimes.length === 0 ? undefined : Math.min(...remainingTimes)
   }
   /** Estimates the time until a model for which nothing is ordered yet could be loaded, milliseconds. */
@@ -457,8 +474,10 @@
     recordWaiting(req, sender, expectedInMs)
     // A caller that is refused must find the model loaded when it retries.
     const ttlMs = REQUEST_TTL_MS + (expectedInMs > req.patienceMs ? expectedInMs : 0)
-    openRequests.set(req.model, { unavailable: new Set([...previous?.unavailable ?? [], ...req.unavailable ?? []]), sinceMs: Math.min(previous?.sinceMs ?? Infinity, now - req.waitedMs), untilMs: Math.max(previous?.untilMs ?? 0, now + ttlMs) })
-    if (previous === undefined) schedulePlan()
+    const softwareVersions = new Map([...previous?.softwareVersions ?? []].filter(([, untilMs]) => untilMs > now))
+    if (req.softwareVersion !== undefined) softwareVersions.set(req.softwareVersion, now + ttlMs)
+    openRequests.set(req.model, { softwareVersions, unavailable: new Set([...previous?.unavailable ?? [], ...req.unavailable ?? []]), sinceMs: Math.min(previous?.sinceMs ?? Infinity, now - req.waitedMs), untilMs: Math.max(previous?.untilMs ?? 0, now + ttlMs) })
+    if (previous === undefined || softwareVersions.size > previous.softwareVersions.size) schedulePlan()
     return { kind: 'coming', inMs: expectedInMs }
   }
   const requestModel = async (req: PlacementRequest, sender = options.self): Promise<PlacementReply> => {
@@ -466,7 +485,7 @@
     if (startsInMs === undefined) return { kind: 'unavailable' }
     // The state of the engines is not known yet; most models take a swap once orders are given again.
     if (startsInMs > 0) return requestLoad(req, sender, startsInMs + MODEL_SWAP_MS)
-    const unavailable = new Set(req.unavailable)
+    const unavailable = new Set([...req.unavailable ?? [], ...orders.listEngines().filter(engine => !hasVersion(engine, req.softwareVersion)).map(({ process }) => process)])
     if (unavailable.size > 0 && orders.listEngines().every(({ process }) => unavailable.has(process))) return { kind: 'coming', inMs: NO_OTHER_ENGINE_MS }
     const isModelLoaded = orders.listEngines().some(({ tracked, process }) => !unavailable.has(process) && fleetView.silenceReportCount(process) < MIN_SILENCE_REPORTS && tracked.models.some(loaded => loaded.name === req.model))
     if (req.adapter === undefined || !isModelLoaded) return requestLoad(req, sender)
--- a/packages/magnoliabay/src/node/serving/placement/plan.ts
+++ b/packages/magnoliabay/src/node/serving/placement/plan.ts
@@ -38,7 +38,7 @@
   averageInFlight: number
   /** Time since the last request, milliseconds. */
   idleMs: number
-  /** Engines whose replica does not count: it cannot take the model's requests. */
+  /** Engines whose replica does not count, and that get none: it could not take the model's requests. */
   unusableOn: ReadonlySet<string>
 }
 
@@ -161,13 +161,13 @@
    * Checks each engine and each eviction set: some hundred thousand per second at 63 engines, so no lists are
    * allocated.
    */
-  const findBestOption = ({ model, rate }: ModelNeed, maxEvictionCostMs: number): PlacementOption | undefined => {
+  const findBestOption = ({ model, rate, unusableOn }: ModelNeed, maxEvictionCostMs: number): PlacementOption | undefined => {
     const spec = input.specs.get(model)
     if (spec === undefined) return undefined
     let found: PlacementOption | undefined
     engines.forEach(engine => {
       const tier = tierOf(engine, model)
-      if ((tier === 'store' && storeLoads <= 0) || engine.models.includes(model) || engine.spareRequestsPerSecond < rate) return
+      if ((tier === 'store' && storeLoads <= 0) || engine.models.includes(model) || unusableOn.has(engine.id) || engine.spareRequestsPerSecond < rate) return
       const loadMs = engine.busyMs + spec.loadMs[tier]
       evictionSetsFor(engine, spec.weightsMb).forEach(({ modelsToUnload, delayMs, evictionCostMs: lossMs }) => {
         const costMs = loadMs + delayMs + lossMs
--- a/packages/magnoliabay/src/node/serving/refusal.ts
+++ b/packages/magnoliabay/src/node/serving/refusal.ts
@@ -9,6 +9,9 @@
   | 'no-server'
   | 'model-not-in-time'
   | 'no-orderer'
+  | 'stream-version-unknown'
+  | 'stream-version-absent'
+  | 'stream-version-gone'
   | 'server-full'
   | 'server-cold'
   | 'server-limited'
@@ -43,6 +46,9 @@
   'no-server': 503,
   'model-not-in-time': 503,
   'no-orderer': 503,
+  'stream-version-unknown': 503,
+  'stream-version-absent': 503,
+  'stream-version-gone': 503,
   'server-full': 503,
   'server-cold': 503,
   'server-limited': 503,
--- a/packages/magnoliabay/src/node/serving/requestCompletion.ts
+++ b/packages/magnoliabay/src/node/serving/requestCompletion.ts
@@ -2,7 +2,7 @@
 import { sendCompleteResponse } from './attempt'
 import type { ServingContext } from './servingContext'
 import { statusOf } from './refusal'
-import type { Refusal } from './refusal'
+import type { EndReason, Refusal } from './refusal'
 import type { Inbound, RequestRun } from './requestRun'
 import type { CallerRequest } from './types'
 
@@ -15,6 +15,10 @@
   recordAnswered (run: RequestRun, outcome: string): void
 }
 
+/** Reasons after which the stream cannot be taken up again. */
+const NEEDS_NEW_STREAM: ReadonlySet<EndReason> = new Set(['stream-version-unknown', 'stream-version-gone'])
+const NEW_STREAM_MESSAGE = 'The stream cannot go on. Drop its events and send the request again as a new one, without Last-Event-Id and Resumes.'
+
 export function createRequestCompletion (ctx: ServingContext): RequestCompletion {
   const { allowance, cfg, clock, logger, metrics, protocol } = ctx
 
@@ -37,7 +41,7 @@
       return
     }
     const sendsRetryAfter = !mayHaveRun && refusal.retryAfterMs !== undefined
-    const body = JSON.stringify({ error: refusal.reason })
+    const body = JSON.stringify({ error: refusal.reason, ...(NEEDS_NEW_STREAM.has(refusal.reason) ? { message: NEW_STREAM_MESSAGE } : {}) })
     res.writeHead(status, {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
--- a/packages/magnoliabay/src/node/serving/requestRun.ts
+++ b/packages/magnoliabay/src/node/serving/requestRun.ts
@@ -7,6 +7,7 @@
 import type { EventStream } from './eventStream'
 import type { EndReason } from './refusal'
 import type { BackendServer, CallerRequest } from './types'
+import type { StreamOrigin } from './versions'
 
 export interface Inbound {
   req: IncomingMessage
@@ -57,6 +58,6 @@
   isRetryReserved: boolean
   /** Tracks the events of a stream over all attempts. */
   events: EventStream | undefined
-  /** Server process that sent the first event of this response; undefined before it. */
-  firstEventServer: BackendServer | undefined
+  /** Where the stream began that the request continues; undefined before its first event. */
+  origin: StreamOrigin | undefined
 }
--- a/packages/magnoliabay/src/node/serving/serverList.ts
+++ b/packages/magnoliabay/src/node/serving/serverList.ts
@@ -59,6 +59,8 @@
   leaving (): readonly string[]
   /** Remaining time for which the server's process is cold by its own entry, milliseconds. */
   coldMs (process: string): number
+  /** Whether the server's entry has expired, and the server is kept for a while since the store was away. */
+  isHeld (id: string): boolean
   /** Called when a condition outside this list that decides which servers are usable has changed. */
   notifyChanged (): void
   /** Applies the models of an engine's report that is newer than its entry. */
@@ -279,6 +281,7 @@
     },
     leaving: () => [...servers.values()].filter(server => server.state === 'draining' || leaving.has(serverProcessId(server))).map(serverProcessId),
     coldMs,
+    isHeld: id => pendingRemovals.has(id),
     notifyChanged,
     updateModels: (server, models) => { if (applyModels(server, models)) notifyChanged() },
     onChanged: listener => { listeners.push(listener) },
--- a/packages/magnoliabay/src/node/serving/serverSearch.ts
+++ b/packages/magnoliabay/src/node/serving/serverSearch.ts
@@ -20,6 +20,8 @@
 
 /** A load from an engine's disk takes longer, and may cost another model its place, milliseconds. */
 const MAX_PLACE_WAIT_MS = 1000
+/** Interval at which a stream looks for a server of its version that has come back, milliseconds. */
+const VERSION_CHECK_INTERVAL_MS = 100
 /** Delay before a request that waited in vain for a place looks for one again, milliseconds. */
 const PLACE_TAKEN_DELAY_MS = 200
 
@@ -43,7 +45,7 @@
 }
 
 export function createServerSearch (ctx: ServingContext): ServerSearch {
-  const { clock, placement, servers } = ctx
+  const { clock, placement, servers, streamVersions } = ctx
   const chooser = createServerChooser(ctx)
 
   const maxWaitMs = (run: RequestRun): number => {
@@ -52,7 +54,30 @@
     if (route.kind !== 'stream') return remainingMs
     return Math.min(remainingMs, callerGapMs(route) - (clock.monotonic() - run.inbound.arrivedMs) - RESPONSE_MARGIN_MS)
   }
-  const choose = (run: RequestRun, from: readonly BackendServer[]): Promise<ServerChoice> => chooser.choose(run, from, () => maxWaitMs(run))
+  const choose = (run: RequestRun, from: readonly BackendServer[]): Promise<ServerChoice> =>
+    chooser.choose(run, from.filter(server => streamVersions.mayServe(run, server)), () => maxWaitMs(run))
+  /**
+   * Whether a server of the stream's version is left to be tried. Where all have been, they are tried again: one that
+   * has cut a response is still the only one that can continue it.
+   */
+  const hasServerOfVersion = (run: RequestRun): boolean => {
+    if (run.origin === undefined) return true
+    const processes = servers.usable(run.admitted.service.name).filter(server => streamVersions.mayServe(run, server)).map(serverProcessId)
+    if (processes.every(process => run.tried.has(process))) processes.forEach(process => run.tried.delete(process))
+    return processes.length > 0
+  }
+  /** Waits while no server of the stream's version is there and one may be back in time; returns a refusal if none will be. */
+  const waitForVersion = async (run: RequestRun): Promise<Refusal | undefined> => {
+    for (;;) {
+      const refusal = streamVersions.refusalOf(run)
+      if (refusal === undefined && hasServerOfVersion(run)) return undefined
+      if (refusal !== undefined && refusal.retryAfterMs === undefined) return refusal
+      streamVersions.confirmServers(run)
+      if (run.stop.signal.aborted || maxWaitMs(run) <= VERSION_CHECK_INTERVAL_MS) return refusal
+      await ctx.pause(VERSION_CHECK_INTERVAL_MS)
+      run.waitedMs += VERSION_CHECK_INTERVAL_MS
+    }
+  }
   /** Waits for a place at an engine if one is free soon, and returns whether it has: a load elsewhere would take longer. */
   const waitForPlace = async (run: RequestRun, { retryAfterMs = Infinity }: Refusal): Promise<boolean> => {
     if (retryAfterMs > MAX_PLACE_WAIT_MS || retryAfterMs >= maxWaitMs(run)) return false
@@ -81,6 +106,8 @@
       signal: run.stop.signal,
       isShuttingDown: () => ctx.isClosingFor(route.kind),
       excludedProcesses: run.tried,
+      softwareVersion: run.origin?.softwareVersion || undefined,
+      mayServe: server => streamVersions.mayServe(run, server),
       unavailableProcesses: () => clock.monotonic() < refusedUntilMs ? refusing : NO_PROCESSES
     })
     run.waitedMs += clock.monotonic() - startedMs
@@ -97,7 +124,8 @@
    */
   const findEngine = async (run: RequestRun, model: string): Promise<BackendServer | Refusal> => {
     for (let hasWaited = false; ; hasWaited = true) {
-      const withModel = placement.serversWithModel(run.admitted.service.name, model, run.caller.adapter).filter(server => !run.tried.has(serverProcessId(server)))
+      const withModel = placement.serversWithModel(run.admitted.service.name, model, run.caller.adapter)
+        .filter(server => !run.tried.has(serverProcessId(server)) && streamVersions.mayServe(run, server))
       const choice = await choose(run, withModel)
       if (choice.kind === 'chosen' || isColdRefusal(choice)) return serverOf(choice)
       if (choice.kind === 'refused' && !hasWaited && await waitForPlace(run, choice.refusal)) continue
@@ -114,6 +142,8 @@
   }
   return {
     find: async run => {
+      const refusal = await waitForVersion(run)
+      if (refusal !== undefined) return refusal
       const { service } = run.admitted
       const { model } = run.caller
       if (service.engine === undefined || model === undefined) return serverOf(await chooseWithWait(run, () => servers.usable(service.name)))
--- a/packages/magnoliabay/src/node/serving/servingContext.ts
+++ b/packages/magnoliabay/src/node/serving/servingContext.ts
@@ -17,6 +17,7 @@
 import type { RequestKind } from './types'
 import type { ServingProtocol } from './servingProtocol'
 import type { RunCalls } from './streams/runCalls'
+import type { StreamVersions } from './versions'
 
 export interface ServingContext {
   cfg: ServingConfigProvider
@@ -37,6 +38,7 @@
   /** Undefined if the engines of no service can move runs. */
   runCalls?: RunCalls
   coldStarts: ColdStarts
+  streamVersions: StreamVersions
   /** The budget for responses that callers have not read. @default each response is limited by itself */
   answerBuffers?: AnswerBuffers
   /** Requests that were running on servers when these crashed. */
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -56,6 +56,7 @@
 import { serverProcessId } from './types'
 import type { RequestKind } from './types'
 import type { ServingProtocol } from './servingProtocol'
+import { createVersionKeeping } from './versions'
 
 export interface ServingSettings {
   instance: { id: string, failureDomain: string, region: string }
@@ -134,7 +135,7 @@
 const CRASHES_TO_REFUSE = 3
 /** Callers send such a request again within seconds; the same bytes a minute later may be another request. */
 const SUSPECT_RETENTION_MS = 60_000
-/** Time without contact to the store after which an instance may count as isolated, milliseconds: longer than a watch takes to respond. */
+/** Time without contact to the store after which an instance may count as isolated, and its list of servers as outdated, milliseconds: longer than a watch takes to respond. */
 const ISOLATED_STORE_AGE_MS = 5500
 /** An instance with links to fewer than this part of the others is in the minority of a network partition. */
 const ISOLATED_LINK_RATIO = 0.4
@@ -371,7 +372,17 @@
     clock,
     logger
   })
+  const streamVersions = createVersionKeeping({
+    peers,
+    servers,
+    cfg,
+    fetchReport: engines.fetchReport,
+    isListCurrent: () => storeAgeMs() < ISOLATED_STORE_AGE_MS || fleetView.isFollowing(),
+    clock,
+    logger
+  })
   const handleRequest = createRequestHandler({
+    streamVersions,
     choosesByTime,
     suspects,
     cfg,
--- a/packages/magnoliabay/src/node/serving/streams/__tests__/support/fakeEngines.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/support/fakeEngines.ts
@@ -16,6 +16,8 @@
   slots: number
   /** Version of its software, which each event names. */
   softwareVersion: string
+  /** Counts the processes that have run at the address. */
+  bornMs: number
   /** Runs send nothing after this many events; they stay until they are cancelled or stopped. */
   silentAfter: number
   /** Only each run of this number is silent; the others go on. */
@@ -246,6 +248,7 @@
         events: 10,
         slots: 16,
         softwareVersion: 'v1',
+        bornMs: 1,
         silentAfter: Infinity,
         silentEvery: 1,
         rejectsCopies: false,
@@ -266,6 +269,7 @@
         },
         restart: (softwareVersion: string) => {
           engine.isCrashed = false
+          engine.bornMs += 1
           engine.softwareVersion = softwareVersion
         },
         cutLink: () => [...runs.values()].forEach(run => {
--- a/packages/magnoliabay/src/node/serving/streams/__tests__/support/streamRig.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/support/streamRig.ts
@@ -11,6 +11,8 @@
 import { sleep } from '../../../../clock'
 import { createWakeupCounter } from '../../../../wakeups'
 import { NO_BRITTLE_SERVERS, configOf, memberRecord, modelSpec, routeOf, serverOf } from '../../../__tests__/fixtures'
+import type { EngineCalls } from '../../../engineCalls'
+import { Err } from '../../../../result'
 import { createAllowanceLimiter } from '../../../allowance/allowanceLimiter'
 import { createServingConfigProvider } from '../../../servingConfigProvider'
 import type { FleetView } from '../../../fleetView'
@@ -20,6 +22,7 @@
 import { createServerHealth } from '../../../serverHealth'
 import { createServerList } from '../../../serverList'
 import type { BackendServer, Route, ServingConfig } from '../../../types'
+import { createVersionKeeping } from '../../../versions'
 import { createFakeEngines } from './fakeEngines'
 import type { FakeEngine, FakeEngines } from './fakeEngines'
 import { createFakeCaller } from './fakeResponse'
@@ -46,6 +49,8 @@
   random?: () => number
   /** Another instance, whose clock, engines and network of peers this one uses. @default none */
   beside?: StreamRig
+  /** @default no engine reports */
+  fetchReport?: EngineCalls['fetchReport']
   /** Id of the instance. @default 'me' */
   instance?: string
   /** @default 'a' */
@@ -69,6 +74,8 @@
   unlist (name: string): void
   /** This instance hears of the process that runs at an engine now, which may have another software version. */
   list (name: string): void
+  /** Whether changes of the list reach this instance. */
+  setListCurrent (isCurrent: boolean): void
   logs (event: string): string[]
   metric (name: string): Promise<number>
 }
@@ -101,9 +108,10 @@
   const cfg = createServingConfigProvider({ decode: () => configWith(options.hasMoves ?? false), clock, logger })
   cfg.applyIfNewer('', 'store')
   const entries = new Map<string, BackendServer>([...engines].map(([name, engine]) =>
-    [name, serverOf(name, { address: options.network?.addresses[name] ?? engine.address, slots: 16, softwareVersion: engine.softwareVersion, failureDomain: name[0]!, models: [{ name: MODEL, version: 1, adapters: [] }] })]))
+    [name, serverOf(name, { address: options.network?.addresses[name] ?? engine.address, slots: 16, bornMs: engine.bornMs, softwareVersion: engine.softwareVersion, failureDomain: name[0]!, models: [{ name: MODEL, version: 1, adapters: [] }] })]))
   const servers = createServerList({ decode: key => entries.get(key), idOf: key => key, isEvacuated: () => false, storeReachableSinceMs: () => 0, clock, logger })
   servers.snapshot([...entries.keys()].map(key => ({ key, value: '' })))
+  let isListCurrent = true
   const serverLimits = createServerLimits({ clock, logger, onChanged: () => {} })
   const metrics = createServingMetrics(createWakeupCounter())
   const budget = createRetryBudget({ burst: options.retries ?? 10 })
@@ -121,6 +129,7 @@
     placement: createPlacementClient({ peers, servers, leader: () => undefined, isServerResponding: process => !health.isSilent(process), isIsolated: () => false, clock, logger }),
     allowance: createAllowanceLimiter({ peers, findTeam: () => undefined, windowMs: 8000, isFirstStart: true, store: createDirectStore(createKvState({ clock }), { clock }), era: () => 0, tolerance: { ratio: 0, slack: 0 }, clock, logger }),
     connections: options.network?.connections ?? fakes.connections,
+    streamVersions: createVersionKeeping({ peers, servers, cfg, fetchReport: options.fetchReport ?? (async () => Err('no reports')), isListCurrent: () => isListCurrent, clock, logger }),
     runCalls: options.network?.runCalls ?? fakes.runCalls,
     coldStarts: { isCold: () => false, admit: async () => true },
     suspects: createSuspects({ peers, clock, logger, hasCrashed: async address => options.network === undefined && !await fakes.connections.isAccepting(address), refuseAfterCrashes: 3 }),
@@ -140,7 +149,6 @@
     entries.set(name, { ...entries.get(name)!, state: 'draining', remainingMs })
     servers.put({ key: name, value: '' })
   }
-  const processes = new Map<string, number>()
   return {
     clock,
     fakes,
@@ -158,10 +166,10 @@
       servers.remove(name)
     },
     unlist: name => servers.remove(name),
+    setListCurrent: isCurrent => { isListCurrent = isCurrent },
     list: name => {
-      const bornMs = (processes.get(name) ?? 1) + 1
-      processes.set(name, bornMs)
-      entries.set(name, { ...entries.get(name)!, bornMs, softwareVersion: engines.get(name)!.softwareVersion })
+      const { bornMs, softwareVersion } = engines.get(name)!
+      entries.set(name, { ...entries.get(name)!, bornMs, softwareVersion })
       servers.put({ key: name, value: '' })
     },
     logs: event => lines.filter(line => line.includes(` event=${event} `)),
--- a/packages/magnoliabay/src/node/serving/streams/streamMover.ts
+++ b/packages/magnoliabay/src/node/serving/streams/streamMover.ts
@@ -27,7 +27,7 @@
 }
 
 export interface StreamMoverOptions {
-  ctx: Pick<ServingContext, 'clock' | 'logger' | 'health' | 'fleetView' | 'placement' | 'serverLimits' | 'serverBackoffs' | 'coldStarts'>
+  ctx: Pick<ServingContext, 'clock' | 'logger' | 'health' | 'fleetView' | 'placement' | 'serverLimits' | 'serverBackoffs' | 'coldStarts' | 'streamVersions'>
   calls: RunCalls
   metrics: StreamMetrics
 }
@@ -59,7 +59,7 @@
     if (model === undefined) return undefined
     const eligible = placement.serversWithModel(run.admitted.service.name, model, adapter)
       .filter(server => server.address !== source.address && !stream.history.fullTargets.has(server.address) && !run.tried.has(serverProcessId(server)))
-      .filter(mayTake)
+      .filter(server => mayTake(server) && ctx.streamVersions.mayMove(source, server))
     const candidates = eligible.map(server => {
       const id = serverProcessId(server)
       return { address: server.address, load: health.inFlight(id) + fleetView.inFlightElsewhere(id), slots: server.slots, failureDomain: server.failureDomain }
--- a/packages/magnoliabay/src/node/serving/streams/streamSupervision.ts
+++ b/packages/magnoliabay/src/node/serving/streams/streamSupervision.ts
@@ -54,7 +54,7 @@
   continuation: Continuation
 }
 
-type StreamContext = Pick<ServingContext, 'clock' | 'logger' | 'metrics' | 'servers' | 'runCalls' | 'health' | 'fleetView' | 'placement' | 'serverLimits' | 'serverBackoffs' | 'coldStarts'>
+type StreamContext = Pick<ServingContext, 'clock' | 'logger' | 'metrics' | 'servers' | 'runCalls' | 'health' | 'fleetView' | 'placement' | 'serverLimits' | 'serverBackoffs' | 'coldStarts' | 'streamVersions'>
 
 /** Ends of an attempt after which a run that has stopped may continue elsewhere. */
 const CONTINUABLE: ReadonlySet<AttemptEnd['kind']> = new Set(['held', 'cut', 'failed'])
--- a/packages/magnoliabay/src/node/serving/versions/__tests__/support/versionedFleet.ts
+++ b/packages/magnoliabay/src/node/serving/versions/__tests__/support/versionedFleet.ts
@@ -21,6 +21,8 @@
   eventIds (): number[]
   /** Whether the caller has taken it up after at least one event. */
   isTakenUp (): boolean
+  /** Whether it has gone on after its caller took it up: another event has come, or its end. */
+  hasContinued (): boolean
   isComplete (): boolean
   /** The caller's connection breaks, and it comes back elsewhere. */
   breakConnection (): void
@@ -37,8 +39,10 @@
   advance (ms: number): Promise<void>
   kill (instance: string): void
   start (instance: string): void
-  /** An engine crashes, and another process starts in its place at once, under the same id. */
-  replaceEngine (name: string, softwareVersion: string): void
+  /** An engine crashes; instances hear of it after up to `lagMs`, at random. */
+  crashEngine (name: string, lagMs?: number): void
+  /** Another process starts in the place of a crashed engine, under the same id; instances hear of it after up to `lagMs`. */
+  startEngine (name: string, softwareVersion: string, lagMs?: number): void
   forEachRig (act: (rig: StreamRig) => void): void
 }
 
@@ -60,6 +64,8 @@
   const random = createRandom(seed)
   const rigs = new Map<string, StreamRig>()
   const streams: Array<CallerStream & { act: () => void }> = []
+  /** Engines that have crashed and not been started again. */
+  const down = new Set<string>()
   let first: StreamRig | undefined
 
   const start = (instance: string): void => {
@@ -75,6 +81,7 @@
     })
     first ??= rig
     rigs.set(instance, rig)
+    down.forEach(name => rig.unlist(name))
   }
   Array.from({ length: instances }, (_, index) => start(instanceAt(index)))
   const { clock } = first!
@@ -101,6 +108,7 @@
       eventIds,
       softwareVersions: () => new Set(tries.flatMap(each => [...each.softwareVersions()])),
       isTakenUp: () => tries.length > 1 && tries.slice(0, -1).some(each => each.eventIds().length > 0),
+      hasContinued: () => stream.isTakenUp() && tries.slice(tries.findIndex(each => each.eventIds().length > 0) + 1).some(each => each.status() === 200),
       isComplete: () => tries.at(-1)!.end() === 'complete' && tries.at(-1)!.status() === 200,
       breakConnection: () => tries.at(-1)!.leave(),
       act: () => {
@@ -116,6 +124,7 @@
     send(instance)
     return stream
   }
+  const tellAll = (lagMs: number, tell: (rig: StreamRig) => void): void => rigs.forEach(rig => { clock.schedule(Math.floor(random() * lagMs), () => tell(rig)) })
   const forEachRig = (act: (rig: StreamRig) => void): void => rigs.forEach(act)
 
   return {
@@ -137,11 +146,15 @@
       first!.network.kill(instance)
       streams.filter(stream => stream.tries.at(-1)!.at === instance && stream.tries.at(-1)!.end() === 'open').forEach(stream => stream.breakConnection())
     },
-    replaceEngine: (name, softwareVersion) => {
-      const engine = first!.engine(name)
-      engine.crash()
-      engine.restart(softwareVersion)
-      forEachRig(rig => rig.list(name))
+    crashEngine: (name, lagMs = 0) => {
+      down.add(name)
+      first!.engine(name).crash()
+      tellAll(lagMs, rig => { if (down.has(name)) rig.unlist(name) })
+    },
+    startEngine: (name, softwareVersion, lagMs = 0) => {
+      if (!down.delete(name)) return
+      first!.engine(name).restart(softwareVersion)
+      tellAll(lagMs, rig => { if (!down.has(name)) rig.list(name) })
     }
   }
 }
--- a/packages/magnoliabay/src/node/serving/versions/continuations.ts
+++ b/packages/magnoliabay/src/node/serving/versions/continuations.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '../../logger'
 import type { RequestRun } from '../requestRun'
 import type { BackendServer } from '../types'
+import { UNSTATED_VERSION } from './softwareVersions'
 
 /**
  * How a stream came to a second run. `response`: within one response, after an attempt had ended. `caller`: its caller has
@@ -20,12 +21,14 @@
 }
 
 export interface ContinuationsOptions {
+  /** Called with the server of each attempt that has sent an event. */
+  onFirstEvent: (run: RequestRun, server: BackendServer) => void
   logger: Logger
   registry: Registry
 }
 
 function matchOf (fromVersion: string | undefined, toVersion: string | undefined): VersionMatch {
-  if (fromVersion === undefined || toVersion === undefined) return 'unknown'
+  if (fromVersion === undefined || fromVersion === UNSTATED_VERSION || toVersion === undefined) return 'unknown'
   return fromVersion === toVersion ? 'same' : 'other'
 }
 
@@ -36,11 +39,11 @@
   return caller.resumption === undefined ? undefined : 'caller'
 }
 
-export function createContinuations ({ logger, registry }: ContinuationsOptions): Continuations {
+export function createContinuations ({ onFirstEvent, logger, registry }: ContinuationsOptions): Continuations {
   const counter = new Counter({ name: 'magnoliabay_stream_continuations_total', help: 'Streams that continued with a second run, by software version.', labelNames: ['kind', 'versions'], registers: [registry] })
 
-  const record = ({ caller, events, firstEventServer }: RequestRun, server: BackendServer, kind: ContinuationKind): void => {
-    const fromVersion = firstEventServer?.softwareVersion
+  const record = ({ caller, events, origin }: RequestRun, server: BackendServer, kind: ContinuationKind): void => {
+    const fromVersion = origin?.softwareVersion
     const versions = matchOf(fromVersion, server.softwareVersion)
     counter.inc({ kind, versions })
     logger.info('stream-continued', {
@@ -62,7 +65,7 @@
         if (hasEvents || run.events?.lastId() === undefined) return
         hasEvents = true
         if (kind !== undefined) record(run, server, kind)
-        run.firstEventServer ??= server
+        onFirstEvent(run, server)
       }
     }
   }
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/versions/processDoubts.ts
@@ -0,0 +1,75 @@
+/**
+ * Tells whether the server process that the list names is certainly the one that answers. A server may come back under its id
+ * with another software version, and answer before its new entry arrives here: its connections break then, its entry may
+ * have expired while the store was away, or no change of the list arrives at all.
+ */
+import type { Clock } from '../../clock'
+import type { EngineReport } from '../engineCalls'
+import type { Result } from '../../result'
+import { serverProcessId } from '../types'
+import type { BackendServer } from '../types'
+
+/** A server writes its entry when it starts; it arrives within this time while the list is current, milliseconds. */
+const ENTRY_DELAY_MS = 2000
+/** Time for which a confirmation holds, milliseconds: a server takes longer to restart. */
+const CONFIRMATION_TTL_MS = 500
+/** Above this number of records all are dropped; what they said is then found out anew. */
+const MAX_RECORDS = 2000
+
+export interface ProcessDoubts {
+  /** Records that a connection to the server broke, or was refused. */
+  recordBreak (server: BackendServer): void
+  /** Whether another process may answer in the place of the one that is listed. */
+  isDoubtful (server: BackendServer): boolean
+  /** Asks the server which process it is; returns whether it is the listed one. */
+  confirm (server: BackendServer): Promise<boolean>
+}
+
+export interface ProcessDoubtsOptions {
+  fetchReport: (server: BackendServer) => Promise<Result<EngineReport, string>>
+  /** Whether changes of the list of servers reach this instance. */
+  isListCurrent: () => boolean
+  /** Whether the server's entry has expired and is kept for a while, since the store was away. */
+  isEntryHeld: (server: BackendServer) => boolean
+  clock: Clock
+}
+
+export function createProcessDoubts ({ fetchReport, isListCurrent, isEntryHeld, clock }: ProcessDoubtsOptions): ProcessDoubts {
+  /** When a connection to the process last broke, and when it was last confirmed, monotonic milliseconds. */
+  const brokeMs = new Map<string, number>()
+  const confirmedMs = new Map<string, number>()
+  const pending = new Map<string, Promise<boolean>>()
+
+  const since = (times: ReadonlyMap<string, number>, process: string): number => clock.monotonic() - (times.get(process) ?? -Infinity)
+  const set = (times: Map<string, number>, process: string): void => {
+    if (times.size >= MAX_RECORDS) times.clear()
+    times.set(process, clock.monotonic())
+  }
+  const hasBrokenLately = (process: string): boolean => since(brokeMs, process) < ENTRY_DELAY_MS
+  const ask = async (server: BackendServer): Promise<boolean> => {
+    const askedMs = clock.monotonic()
+    const process = serverProcessId(server)
+    const report = await fetchReport(server)
+    if (report.err) return false
+    // Reports of some servers do not name their process. One that answers and has not broken a connection has not restarted here.
+    const isSame = report.val.bornMs === undefined ? !hasBrokenLately(process) : report.val.bornMs === server.bornMs
+    const hasBrokenMeanwhile = (brokeMs.get(process) ?? -Infinity) > askedMs
+    if (isSame && !hasBrokenMeanwhile) set(confirmedMs, process)
+    return isSame && !hasBrokenMeanwhile
+  }
+  const isConfirmed = (process: string): boolean => since(confirmedMs, process) < CONFIRMATION_TTL_MS && (confirmedMs.get(process) ?? 0) >= (brokeMs.get(process) ?? 0)
+
+  return {
+    recordBreak: server => set(brokeMs, serverProcessId(server)),
+    isDoubtful: server => {
+      const process = serverProcessId(server)
+      return (hasBrokenLately(process) || isEntryHeld(server) || !isListCurrent()) && !isConfirmed(process)
+    },
+    confirm: async server => {
+      const process = serverProcessId(server)
+      const asked = pending.get(process) ?? ask(server).finally(() => pending.delete(process))
+      pending.set(process, asked)
+      return await asked
+    }
+  }
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
@@ -0,0 +1,179 @@
+/** Decides at which software versions a request may run: a stream goes on only at the version that sent its first event. */
+import type { Logger } from '../../logger'
+import type { RequestRun } from '../requestRun'
+import type { Refusal } from '../refusal'
+import type { ServerList } from '../serverList'
+import type { BackendServer, Service } from '../types'
+import type { ProcessDoubts } from './processDoubts'
+import { UNSTATED_VERSION, versionOf } from './softwareVersions'
+import type { SoftwareVersions } from './softwareVersions'
+import { streamKey } from './streamOrigins'
+import type { FoundOrigin, StreamOrigin, StreamOrigins } from './streamOrigins'
+
+/** Time after its route's timeout for which a caller may take a stream up again, milliseconds. */
+const TAKE_UP_MS = 30_000
+/** A record that is still on its way to its keepers arrives within this time, milliseconds. */
+const RECORD_DELAY_MS = 150
+/** Stated where a server of the version may be back soon, milliseconds. */
+const VERSION_ABSENT_RETRY_AFTER_MS = 1000
+/** Stated where the instances that may know the version were not reached, milliseconds: another instance may reach them. */
+const UNREACHED_RETRY_AFTER_MS = 500
+
+/**
+ * How an instance knows where a stream began. `response`: it has sent the first event itself. `record`: it has a record.
+ * `peer`: another instance has one. `only-version`: all servers have had the same version. `none`: it does not know.
+ */
+export type OriginSource = 'response' | 'record' | 'peer' | 'only-version' | 'none'
+
+export interface StreamVersions {
+  /** Finds out where the stream of a request began that its caller takes up; returns a refusal if that stays unknown. */
+  resolve (run: RequestRun): Promise<Refusal | undefined>
+  /** Whether the request may run at the server. */
+  mayServe (run: RequestRun, server: BackendServer): boolean
+  /** Returns a refusal if no server of the stream's version takes requests. */
+  refusalOf (run: RequestRun): Refusal | undefined
+  /** Whether the stream could go on at a server that the request has not tried. */
+  hasOtherServer (run: RequestRun): boolean
+  /** Whether the memory of a run at one server may move to the other. */
+  mayMove (source: BackendServer, target: BackendServer): boolean
+  /** Asks servers of the stream's version that may have been replaced which process they are. */
+  confirmServers (run: RequestRun): void
+  /** Records the server that sent the first event of an attempt. */
+  recordFirstEvent (run: RequestRun, server: BackendServer): void
+  /** Records that a connection to the server broke, or was refused. */
+  recordBreak (server: BackendServer): void
+}
+
+export interface StreamVersionsOptions {
+  versions: SoftwareVersions
+  origins: StreamOrigins
+  doubts: ProcessDoubts
+  servers: Pick<ServerList, 'usable'>
+  /** Whether changes of the list of servers reach this instance. */
+  isListCurrent: () => boolean
+  /** Whether there are other instances. */
+  hasPeers: () => boolean
+  findService: (name: string) => Service | undefined
+  pause: (ms: number) => Promise<void>
+  logger: Logger
+}
+
+interface Resolution extends Omit<FoundOrigin, 'versions'> {
+  source: OriginSource
+}
+
+export function createStreamVersions (options: StreamVersionsOptions): StreamVersions {
+  const { versions, origins, doubts, servers, isListCurrent, hasPeers, findService, pause, logger } = options
+  const usable = ({ admitted }: RequestRun): readonly BackendServer[] => servers.usable(admitted.service.name)
+
+  const keepMs = ({ admitted }: RequestRun): number => admitted.route.timeoutMs + TAKE_UP_MS
+  const keyOf = ({ admitted, caller }: RequestRun, attemptId: string): string => streamKey(admitted.team?.name, attemptId)
+  const servicesOf = ({ admitted }: RequestRun): string[] => admitted.route.services.map(({ service }) => service)
+  /** Versions that servers have had, for each service of the route. */
+  const seenBy = (run: RequestRun): Array<ReadonlySet<string>> => servicesOf(run).map(service => versions.seenWithin(service, keepMs(run)))
+  const hasOneVersionEach = (seen: ReadonlyArray<ReadonlySet<string>>): boolean => seen.every(({ size }) => size <= 1)
+  /** The version of the service's servers, where no service of the route has had more than one. */
+  const onlyVersionOf = (run: RequestRun, seen: ReadonlyArray<ReadonlySet<string>>): StreamOrigin | undefined => {
+    const service = run.admitted.service.name
+    const [softwareVersion] = seen[servicesOf(run).indexOf(service)] ?? []
+    return softwareVersion !== undefined && hasOneVersionEach(seen) ? { service, softwareVersion } : undefined
+  }
+  /** Whether this instance has seen all versions that servers had while a stream may have begun that is taken up now. */
+  const hasSeenAll = (run: RequestRun): boolean => !hasPeers() || (versions.observedMs() >= keepMs(run) && isListCurrent())
+
+  const resolveLocally = (run: RequestRun, key: string | undefined): Resolution | undefined => {
+    const record = key === undefined ? undefined : origins.find(key)
+    if (record !== undefined) return { origin: record, source: 'record', asked: 0, replied: 0 }
+    const only = hasSeenAll(run) ? onlyVersionOf(run, seenBy(run)) : undefined
+    return only === undefined ? undefined : { origin: only, source: 'only-version', asked: 0, replied: 0 }
+  }
+  const resolveWithPeers = async (run: RequestRun, key: string | undefined): Promise<Resolution> => {
+    const { origin, versions: seenByPeers, asked, replied } = await origins.ask({ key: key ?? '', services: servicesOf(run), withinMs: keepMs(run) })
+    if (origin !== undefined) return { origin, source: 'peer', asked, replied }
+    const seen = seenBy(run).map((each, index) => new Set([...each, ...seenByPeers[index] ?? []]))
+    // An instance that is cut off may have missed versions.
+    const only = replied > 0 || isListCurrent() ? onlyVersionOf(run, seen) : undefined
+    return { origin: only, source: only === undefined ? 'none' : 'only-version', asked, replied }
+  }
+  const findOrigin = async (run: RequestRun, key: string | undefined): Promise<Resolution> => {
+    const resolution = resolveLocally(run, key) ?? await resolveWithPeers(run, key)
+    if (resolution.origin !== undefined || key === undefined || resolution.asked === 0) return resolution
+    await pause(RECORD_DELAY_MS)
+    return resolveLocally(run, key) ?? await resolveWithPeers(run, key)
+  }
+  const isUnstated = ({ softwareVersion }: StreamOrigin): boolean => softwareVersion === UNSTATED_VERSION
+  /** The stream began at a version that is not known, so it may go on only where there has been no other. */
+  const isSafeWithoutVersion = (run: RequestRun): boolean => hasOneVersionEach(seenBy(run))
+  /** A stream stays at its service while its route leads there. */
+  const setOrigin = (run: RequestRun, origin: StreamOrigin): void => {
+    run.origin = origin
+    const service = servicesOf(run).includes(origin.service) ? findService(origin.service) : undefined
+    if (service !== undefined) run.admitted = { ...run.admitted, service }
+  }
+  const mayServe: StreamVersions['mayServe'] = (run, server) => {
+    const { origin } = run
+    if (origin === undefined) return true
+    if (isUnstated(origin)) return isSafeWithoutVersion(run)
+    if (versionOf(server) !== origin.softwareVersion) return false
+    return !doubts.isDoubtful(server) || (isListCurrent() && isSafeWithoutVersion(run))
+  }
+  const recordOrigin = (run: RequestRun, origin: StreamOrigin): void => {
+    const { attemptId, resumption } = run.caller
+    const firstAttemptId = resumption === undefined ? attemptId : resumption.firstAttemptId
+    if (firstAttemptId !== undefined) origins.record({ key: keyOf(run, firstAttemptId), ...origin, keepMs: keepMs(run), services: servicesOf(run) })
+  }
+  /** The stream's connection is still open, so the process that is confirmed now is the one that began it. */
+  const recordOnceConfirmed = async (run: RequestRun, server: BackendServer): Promise<void> => {
+    if (isSafeWithoutVersion(run) || !await doubts.confirm(server) || run.server !== server || run.attempt === undefined) return
+    run.origin = { service: server.service, softwareVersion: versionOf(server) }
+    recordOrigin(run, run.origin)
+  }
+
+  return {
+    mayServe,
+    resolve: async run => {
+      const { resumption } = run.caller
+      if (resumption === undefined || run.events === undefined) return undefined
+      const key = resumption.firstAttemptId === undefined ? undefined : keyOf(run, resumption.firstAttemptId)
+      const { origin, source, asked, replied } = await findOrigin(run, key)
+      logger.info('stream-version-resolved', {
+        request: run.caller.attemptId,
+        stream: resumption.firstAttemptId,
+        lastEvent: resumption.lastEventId,
+        softwareVersion: origin?.softwareVersion,
+        source,
+        versions: [...new Set(seenBy(run).flatMap(seen => [...seen]))],
+        asked,
+        replied
+      })
+      if (origin !== undefined) {
+        setOrigin(run, origin)
+        return undefined
+      }
+      const mayBeKnownElsewhere = replied < asked || asked === 0
+      return { reason: 'stream-version-unknown', retryAfterMs: mayBeKnownElsewhere ? UNREACHED_RETRY_AFTER_MS : undefined }
+    },
+    refusalOf: run => {
+      const { origin } = run
+      if (origin === undefined) return undefined
+      if (isUnstated(origin)) return isSafeWithoutVersion(run) ? undefined : { reason: 'stream-version-unknown' }
+      const availability = versions.availabilityOf(run.admitted.service.name, origin.softwareVersion)
+      if (availability === 'usable') return undefined
+      return availability === 'gone' ? { reason: 'stream-version-gone' } : { reason: 'stream-version-absent', retryAfterMs: VERSION_ABSENT_RETRY_AFTER_MS }
+    },
+    hasOtherServer: run => run.origin === undefined || usable(run).some(server => server !== run.server && mayServe(run, server)),
+    mayMove: (source, target) => versionOf(source) === versionOf(target) && !doubts.isDoubtful(source) && !doubts.isDoubtful(target),
+    recordFirstEvent: (run, server) => {
+      const isDoubtful = run.origin === undefined && doubts.isDoubtful(server)
+      run.origin ??= { service: server.service, softwareVersion: isDoubtful ? UNSTATED_VERSION : versionOf(server) }
+      if (!isUnstated(run.origin)) return recordOrigin(run, run.origin)
+      if (isDoubtful && versionOf(server) !== UNSTATED_VERSION) recordOnceConfirmed(run, server)
+    },
+    confirmServers: run => {
+      const { origin } = run
+      if (origin === undefined || isUnstated(origin)) return
+      usable(run).filter(server => versionOf(server) === origin.softwareVersion && doubts.isDoubtful(server)).forEach(doubts.confirm)
+    },
+    recordBreak: doubts.recordBreak
+  }
+}
