--- a/packages/magnoliabay/src/node/logTrace.ts
+++ b/packages/magnoliabay/src/node/logTrace.ts
@@ -42,6 +42,7 @@
   'placement-step': ['model'],
   'order-sent': ['model'],
   'order-done': ['model'],
+  'software-versions': ['instance'],
   'server-listed': ['server'],
   'server-gone': ['server'],
   'server-lapsed': ['server'],
@@ -71,23 +72,31 @@
 export function traceRequest (lines: readonly string[], id: string): Trace {
   const entries = lines.flatMap(line => parseLogLine(line) ?? []).sort((left, right) => left.time < right.time ? -1 : 1)
   const requestEntries = entries.filter(entry => entry.fields.get('request') === id)
+  const streams = new Set(requestEntries.flatMap(entry => entry.fields.get('resumes') ?? entry.fields.get('stream') ?? []))
+  const streamEntries = entries.filter(entry => entry.fields.get('request') !== id && isOfStream(entry, streams))
   const last = requestEntries.at(-1)
   const reason = last?.fields.get('reason')
   return {
     requestEntries,
-    relatedEntries: requestEntries.length === 0 ? [] : entries.filter(entry => isRelated(entry, requestEntries)),
+    relatedEntries: requestEntries.length === 0 ? [] : entries.filter(entry => streamEntries.includes(entry) || isRelated(entry, requestEntries, streamEntries)),
     cause: reason === undefined ? undefined : (REFUSAL_REASON_DESCRIPTIONS as Readonly<Record<string, string>>)[reason],
     gaps: findGaps(entries, requestEntries, id)
   }
 }
 
-function isRelated (entry: LogEntry, requestEntries: readonly LogEntry[]): boolean {
+/** Whether a line belongs to the attempt that began the stream which the request takes up, or to another that took it up. */
+function isOfStream ({ fields }: LogEntry, streams: ReadonlySet<string>): boolean {
+  return ['request', 'resumes', 'stream'].some(field => streams.has(fields.get(field) ?? ''))
+}
+
+/** `streamEntries`: lines of other attempts at the same stream; what happened to their instances and servers is related as well. */
+function isRelated (entry: LogEntry, requestEntries: readonly LogEntry[], streamEntries: readonly LogEntry[]): boolean {
   const last = requestEntries.at(-1)!
   const tookMs = Number(last.fields.get('tookMs') ?? 0)
   const ageMs = Date.parse(last.time) - Date.parse(entry.time)
   if (ageMs < 0 || ageMs > tookMs + MAX_EVENT_AGE_MS) return false
   if (LEADER_EVENTS.has(entry.event)) return last.fields.has('model')
-  const values = (field: string): Array<string | undefined> => requestEntries.map(each => each.fields.get(field))
+  const values = (field: string): Array<string | undefined> => [...requestEntries, ...streamEntries].map(each => each.fields.get(field))
   return (RELATED_EVENT_FIELDS[entry.event] ?? []).some(field => values(field).includes(entry.fields.get(field) ?? '\0'))
 }
 
--- a/packages/magnoliabay/src/node/serving/placement/schedule/engineTimeline.ts
+++ b/packages/magnoliabay/src/node/serving/placement/schedule/engineTimeline.ts
@@ -53,6 +53,8 @@
   /** Requests that the load would serve. */
   served: number
   waitedMs: number
+  /** Engines that get no replica for these requests. @default none */
+  unusableOn?: ReadonlySet<string>
 }
 
 export interface EngineTimelinesOptions {
@@ -193,8 +195,8 @@
     const readyMs = startMs + evicted.length * UNLOAD_MS + Math.max(0, drainedMs - startMs) + loadMs
     return { startMs, readyMs, costMs: readyMs + lossMs }
   }
-  const canTake = (timeline: Timeline, { model, rate }: LoadDemand): boolean =>
-    timeline.engine.spareRequestsPerSecond >= rate && !hasModel(timeline, model)
+  const canTake = (timeline: Timeline, { model, rate, unusableOn }: LoadDemand): boolean =>
+    timeline.engine.spareRequestsPerSecond >= rate && !hasModel(timeline, model) && unusableOn?.has(timeline.engine.id) !== true
   /** Engines that cannot be ready before the best option so far are skipped: a plan has thousands of options. */
   const findAmong = (candidates: readonly Candidate[], demand: LoadDemand): SwapOption | undefined => {
     const sizeMb = sizeOf(demand.model)
--- a/packages/magnoliabay/src/node/serving/placement/schedule/scheduleLoads.ts
+++ b/packages/magnoliabay/src/node/serving/placement/schedule/scheduleLoads.ts
@@ -123,7 +123,7 @@
   let lateModels = 0
 
   const demandOf = (need: ScheduleNeed, count: number): LoadDemand =>
-    ({ model: need.model, rate: need.rate, served: count + Math.floor(need.rate * ARRIVAL_WINDOW_MS / 1000), waitedMs: need.waitedMs })
+    ({ model: need.model, rate: need.rate, served: count + Math.floor(need.rate * ARRIVAL_WINDOW_MS / 1000), waitedMs: need.waitedMs, unusableOn: need.unusableOn })
   const jobOf = (need: ScheduleNeed, reason: Job['reason'], count: number, keyMs: number): Job => {
     const demand = demandOf(need, count)
     return { need, reason, demand, keyMs, requestsPerMs: demand.served / timelines.shortestLoadMs(need.model) }
--- a/packages/magnoliabay/src/node/serving/versions/processDoubts.ts
+++ b/packages/magnoliabay/src/node/serving/versions/processDoubts.ts
@@ -19,6 +19,8 @@
 export interface ProcessDoubts {
   /** Records that a connection to the server broke, or was refused. */
   recordBreak (server: BackendServer): void
+  /** Whether a connection to the server broke so lately that the entry of another process may not have arrived. */
+  hasBrokenLately (server: BackendServer): boolean
   /** Whether another process may answer in the place of the one that is listed. */
   isDoubtful (server: BackendServer): boolean
   /** Asks the server which process it is; returns whether it is the listed one. */
@@ -61,6 +63,7 @@
 
   return {
     recordBreak: server => set(brokeMs, serverProcessId(server)),
+    hasBrokenLately: server => hasBrokenLately(serverProcessId(server)),
     isDoubtful: server => {
       const process = serverProcessId(server)
       return (hasBrokenLately(process) || isEntryHeld(server) || !isListCurrent()) && !isConfirmed(process)
--- a/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
@@ -110,17 +110,22 @@
     const service = servicesOf(run).includes(origin.service) ? findService(origin.service) : undefined
     if (service !== undefined) run.admitted = { ...run.admitted, service }
   }
+  /**
+   * Whether the server may have another version than the list says. Where all have had one version, the list being out of
+   * date is no reason to doubt each of them: streams could not go on while the store is away.
+   */
+  const isUncertain = (run: RequestRun, server: BackendServer): boolean =>
+    isSafeWithoutVersion(run) ? !isListCurrent() && doubts.hasBrokenLately(server) : doubts.isDoubtful(server)
   const mayServe: StreamVersions['mayServe'] = (run, server) => {
     const { origin } = run
     if (origin === undefined) return true
     if (isUnstated(origin)) return isSafeWithoutVersion(run)
-    if (versionOf(server) !== origin.softwareVersion) return false
-    return !doubts.isDoubtful(server) || (isListCurrent() && isSafeWithoutVersion(run))
+    return versionOf(server) === origin.softwareVersion && !isUncertain(run, server)
   }
   const recordOrigin = (run: RequestRun, origin: StreamOrigin): void => {
     const { attemptId, resumption } = run.caller
     const firstAttemptId = resumption === undefined ? attemptId : resumption.firstAttemptId
-    if (firstAttemptId !== undefined) origins.record({ key: keyOf(run, firstAttemptId), ...origin, keepMs: keepMs(run), services: servicesOf(run) })
+    if (run.admitted.route.isResumable && firstAttemptId !== undefined && firstAttemptId !== '') origins.record({ key: keyOf(run, firstAttemptId), ...origin, keepMs: keepMs(run), services: servicesOf(run) })
   }
   /** The stream's connection is still open, so the process that is confirmed now is the one that began it. */
   const recordOnceConfirmed = async (run: RequestRun, server: BackendServer): Promise<void> => {
@@ -164,10 +169,10 @@
     hasOtherServer: run => run.origin === undefined || usable(run).some(server => server !== run.server && mayServe(run, server)),
     mayMove: (source, target) => versionOf(source) === versionOf(target) && !doubts.isDoubtful(source) && !doubts.isDoubtful(target),
     recordFirstEvent: (run, server) => {
-      const isDoubtful = run.origin === undefined && doubts.isDoubtful(server)
-      run.origin ??= { service: server.service, softwareVersion: isDoubtful ? UNSTATED_VERSION : versionOf(server) }
+      const isNewlyUncertain = run.origin === undefined && isUncertain(run, server)
+      run.origin ??= { service: server.service, softwareVersion: isNewlyUncertain ? UNSTATED_VERSION : versionOf(server) }
       if (!isUnstated(run.origin)) return recordOrigin(run, run.origin)
-      if (isDoubtful && versionOf(server) !== UNSTATED_VERSION) recordOnceConfirmed(run, server)
+      if (isNewlyUncertain && versionOf(server) !== UNSTATED_VERSION) recordOnceConfirmed(run, server)
     },
     confirmServers: run => {
       const { origin } = run
