--- a/packages/magnoliabay/src/node/serving/placement/__tests__/plan.spec.ts
+++ b/packages/magnoliabay/src/node/serving/placement/__tests__/plan.spec.ts
@@ -40,6 +40,14 @@
     expect(plan({ engines, needs: [need('rare3', { waiting: 1 })] })).to.deep.equal([])
   })
 
+  /** Guards against a load that serves nobody: the streams that wait need another software version. */
+  it('loads no model on an engine that could not take the requests that wait', () => {
+    const engines = [engine('other', []), engine('wanted', ['busy'])]
+    expect(plan({ engines, needs: [need('rare3', { waiting: 1, unusableOn: new Set(['other']) })] })).to.deep.equal([
+      { kind: 'load', engine: 'wanted', model: 'rare3', tier: 'disk', reason: 'waiting' }
+    ])
+  })
+
   it('begins no more loads from the store than allowed', () => {
     const engines = [engine('e', [], { copies: { memory: [], disk: [] } })]
     expect(plan({ engines, needs: [need('rare3', { waiting: 1 })], allowedStoreLoads: 0 })).to.deep.equal([])
--- a/packages/magnoliabay/src/node/serving/streams/__tests__/streamMoves.spec.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/streamMoves.spec.ts
@@ -44,6 +44,24 @@
 const outcomesOf = (rig: StreamRig): string[] => rig.logs('stream-move').map(line => / outcome=(\S+)/.exec(line)![1]!)
 
 describe('a stream whose engine ends soon', () => {
+  /** Guards against the memory of a run that is read by another software version than the one that wrote it. */
+  it('continues only at an engine with the same software version, also before its first event', async () => {
+    const moving = await startMove({}, { softwareVersion: 'v1.1' }, { b1: LONG })
+    await moving.rig.clock.advance(2000)
+    moving.rig.remove('a1')
+    await moving.rig.clock.advance(6000)
+    expectWhole(moving)
+    expect([...moving.caller.softwareVersions()]).to.deep.equal(['v1'])
+    expect(moving.rig.fakes.moveCalls.every(({ target }) => target === 'b1:1')).to.equal(true)
+
+    const early = createStreamRig({ engines: { a1: { ...LONG, firstMs: 5000 }, a2: { ...LONG, softwareVersion: 'v1.1' } }, hasMoves: true })
+    early.call('/single/1', USAGE)
+    await early.clock.advance(100)
+    early.giveNotice('a1', 2000)
+    await early.clock.advance(1500)
+    expect(early.fakes.moveCalls).to.deep.equal([])
+  })
+
   it('continues at another engine within the same response', async () => {
     const moving = await startMove()
     const { rig, caller } = moving
