--- a/packages/magnoliabay/src/node/serving/serverSearch.ts
+++ b/packages/magnoliabay/src/node/serving/serverSearch.ts
@@ -6,7 +6,7 @@
 import { LEAVING_RETRY_AFTER_MS, SERVER_FULL_RETRY_AFTER_MS } from './refusal'
 import type { Refusal } from './refusal'
 import type { RequestRun } from './requestRun'
-import { createServerChooser } from './serverChoice'
+import { createServerChooser, releasePlace } from './serverChoice'
 import type { ServerChoice } from './serverChoice'
 import type { ServingContext } from './servingContext'
 import { callerGapMs } from './streams/callerGap'
@@ -140,14 +140,23 @@
       await ctx.pause(PLACE_TAKEN_DELAY_MS)
     }
   }
+  const findServer = async (run: RequestRun): Promise<BackendServer | Refusal> => {
+    const refusal = await waitForVersion(run)
+    if (refusal !== undefined) return refusal
+    const { service } = run.admitted
+    const { model } = run.caller
+    if (service.engine === undefined || model === undefined) return serverOf(await chooseWithWait(run, () => servers.usable(service.name)))
+    return service.engine.models.has(model) ? await findEngine(run, model) : NO_SERVER
+  }
   return {
     find: async run => {
-      const refusal = await waitForVersion(run)
-      if (refusal !== undefined) return refusal
-      const { service } = run.admitted
-      const { model } = run.caller
-      if (service.engine === undefined || model === undefined) return serverOf(await chooseWithWait(run, () => servers.usable(service.name)))
-      return service.engine.models.has(model) ? await findEngine(run, model) : NO_SERVER
+      for (;;) {
+        const server = await findServer(run)
+        if ('reason' in server || run.stop.signal.aborted || await streamVersions.isListedProcess(run, server)) return server
+        releasePlace(ctx, run, false)
+        streamVersions.recordBreak(server)
+        if (maxWaitMs(run) <= 0) return NO_SERVER
+      }
     }
   }
 }
--- a/packages/magnoliabay/src/node/serving/streams/__tests__/support/fakeEngines.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/support/fakeEngines.ts
@@ -18,6 +18,7 @@
   softwareVersion: string
   /** Counts the processes that have run at the address. */
   bornMs: number
+  isCrashed: boolean
   /** Runs send nothing after this many events; they stay until they are cancelled or stopped. */
   silentAfter: number
   /** Only each run of this number is silent; the others go on. */
@@ -93,7 +94,7 @@
 }
 
 export function createFakeEngines (clock: Clock): FakeEngines {
-  const engines = new Map<string, FakeEngine & { runs: Map<string, EngineRun>, isCrashed: boolean }>()
+  const engines = new Map<string, FakeEngine & { runs: Map<string, EngineRun> }>()
   const records = new Map<string, RunRecord>()
   const copies = new Map<string, Copy>()
   const received: FakeEngines['received'] = []
--- a/packages/magnoliabay/src/node/serving/streams/__tests__/support/streamRig.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/support/streamRig.ts
@@ -10,9 +10,9 @@
 import { createLimitedServers, createServerBackoffs, createServerLimits } from '../../../../statements'
 import { sleep } from '../../../../clock'
 import { createWakeupCounter } from '../../../../wakeups'
-import { NO_BRITTLE_SERVERS, configOf, memberRecord, modelSpec, routeOf, serverOf } from '../../../__tests__/fixtures'
+import { NO_BRITTLE_SERVERS, configOf, memberRecord, modelSpec, routeOf, serverOf, teamOf } from '../../../__tests__/fixtures'
 import type { EngineCalls } from '../../../engineCalls'
-import { Err } from '../../../../result'
+import { Err, Ok } from '../../../../result'
 import { createAllowanceLimiter } from '../../../allowance/allowanceLimiter'
 import { createServingConfigProvider } from '../../../servingConfigProvider'
 import type { FleetView } from '../../../fleetView'
@@ -43,14 +43,16 @@
   engines: Readonly<Record<string, Partial<FakeEngine>>>
   /** @default false */
   hasMoves?: boolean
+  /** Teams with keys; requests need a key then. @default none */
+  teams?: readonly string[]
   /** Unused retries at the start. @default 10 */
   retries?: number
   /** @default always 0 */
   random?: () => number
   /** Another instance, whose clock, engines and network of peers this one uses. @default none */
   beside?: StreamRig
-  /** @default no engine reports */
-  fetchReport?: EngineCalls['fetchReport']
+  /** Whether engines name their process in reports; `none` if reports are not answered. @default 'process' */
+  reports?: 'process' | 'unnamed' | 'none'
   /** Id of the instance. @default 'me' */
   instance?: string
   /** @default 'a' */
@@ -80,7 +82,7 @@
   metric (name: string): Promise<number>
 }
 
-function configWith (hasMoves: boolean): ServingConfig {
+function configWith (hasMoves: boolean, teams: readonly string[] | undefined): ServingConfig {
   const moves = hasMoves ? { moves: { bytesPerToken: 100_000, bandwidthMbps: 10_000, handleMs: 5000 } } : {}
   return configOf(1, {
     routes: ROUTES,
@@ -90,7 +92,7 @@
       coldStart: undefined,
       engine: { slots: 16, kvTokens: 88_381, weightMemoryMb: 200, adapterCapacity: 0, storeLoadsPerSecond: 41, models: new Map([[MODEL, modelSpec(MODEL)]]), ...moves }
     }]]),
-    teams: undefined
+    teams: teams?.map(name => teamOf(name, { rate: 0 }))
   })
 }
 
@@ -105,13 +107,19 @@
   const network = options.beside?.network ?? createMemoryNetwork({ clock })
   const { instance = 'me', failureDomain = 'a' } = options
   const peers = network.join(memberRecord(instance, { failureDomain }))
-  const cfg = createServingConfigProvider({ decode: () => configWith(options.hasMoves ?? false), clock, logger })
+  const cfg = createServingConfigProvider({ decode: () => configWith(options.hasMoves ?? false, options.teams), clock, logger })
   cfg.applyIfNewer('', 'store')
   const entries = new Map<string, BackendServer>([...engines].map(([name, engine]) =>
     [name, serverOf(name, { address: options.network?.addresses[name] ?? engine.address, slots: 16, bornMs: engine.bornMs, softwareVersion: engine.softwareVersion, failureDomain: name[0]!, models: [{ name: MODEL, version: 1, adapters: [] }] })]))
   const servers = createServerList({ decode: key => entries.get(key), idOf: key => key, isEvacuated: () => false, storeReachableSinceMs: () => 0, clock, logger })
   servers.snapshot([...entries.keys()].map(key => ({ key, value: '' })))
   let isListCurrent = true
+  const fetchReport: EngineCalls['fetchReport'] = async ({ id }) => {
+    const { reports = 'process' } = options
+    const { isCrashed, bornMs } = engines.get(id)!
+    if (isCrashed || reports === 'none') return Err('no answer in time')
+    return Ok({ bornMs: reports === 'process' ? bornMs : undefined, isOrderPending: false, acceptedOrders: 0, waiting: 0, running: 0, models: [], loadingAdapters: [], copies: { memory: [], disk: [] } })
+  }
   const serverLimits = createServerLimits({ clock, logger, onChanged: () => {} })
   const metrics = createServingMetrics(createWakeupCounter())
   const budget = createRetryBudget({ burst: options.retries ?? 10 })
@@ -129,7 +137,7 @@
     placement: createPlacementClient({ peers, servers, leader: () => undefined, isServerResponding: process => !health.isSilent(process), isIsolated: () => false, clock, logger }),
     allowance: createAllowanceLimiter({ peers, findTeam: () => undefined, windowMs: 8000, isFirstStart: true, store: createDirectStore(createKvState({ clock }), { clock }), era: () => 0, tolerance: { ratio: 0, slack: 0 }, clock, logger }),
     connections: options.network?.connections ?? fakes.connections,
-    streamVersions: createVersionKeeping({ peers, servers, cfg, fetchReport: options.fetchReport ?? (async () => Err('no reports')), isListCurrent: () => isListCurrent, clock, logger }),
+    streamVersions: createVersionKeeping({ peers, servers, cfg, fetchReport, isListCurrent: () => isListCurrent, clock, logger }),
     runCalls: options.network?.runCalls ?? fakes.runCalls,
     coldStarts: { isCold: () => false, admit: async () => true },
     suspects: createSuspects({ peers, clock, logger, hasCrashed: async address => options.network === undefined && !await fakes.connections.isAccepting(address), refuseAfterCrashes: 3 }),
--- a/packages/magnoliabay/src/node/serving/versions/processDoubts.ts
+++ b/packages/magnoliabay/src/node/serving/versions/processDoubts.ts
@@ -4,6 +4,7 @@
  * have expired while the store was away, or no change of the list arrives at all.
  */
 import type { Clock } from '../../clock'
+import { sleep } from '../../clock'
 import type { EngineReport } from '../engineCalls'
 import type { Result } from '../../result'
 import { serverProcessId } from '../types'
@@ -13,9 +14,14 @@
 const ENTRY_DELAY_MS = 2000
 /** Time for which a confirmation holds, milliseconds: a server takes longer to restart. */
 const CONFIRMATION_TTL_MS = 500
+/** A server that has not answered by then is asked again by the next request, milliseconds. */
+const ANSWER_TIMEOUT_MS = 300
 /** Above this number of records all are dropped; what they said is then found out anew. */
 const MAX_RECORDS = 2000
 
+/** `same`: the listed process answers. `other`: another one does, or may. `unanswered`: none has said which it is. */
+export type Identity = 'same' | 'other' | 'unanswered'
+
 export interface ProcessDoubts {
   /** Records that a connection to the server broke, or was refused. */
   recordBreak (server: BackendServer): void
@@ -23,8 +29,8 @@
   hasBrokenLately (server: BackendServer): boolean
   /** Whether another process may answer in the place of the one that is listed. */
   isDoubtful (server: BackendServer): boolean
-  /** Asks the server which process it is; returns whether it is the listed one. */
-  confirm (server: BackendServer): Promise<boolean>
+  /** Asks the server which process it is, unless it has said so a moment ago. */
+  identify (server: BackendServer): Promise<Identity>
 }
 
 export interface ProcessDoubtsOptions {
@@ -40,7 +46,7 @@
   /** When a connection to the process last broke, and when it was last confirmed, monotonic milliseconds. */
   const brokeMs = new Map<string, number>()
   const confirmedMs = new Map<string, number>()
-  const pending = new Map<string, Promise<boolean>>()
+  const pending = new Map<string, Promise<Identity>>()
 
   const since = (times: ReadonlyMap<string, number>, process: string): number => clock.monotonic() - (times.get(process) ?? -Infinity)
   const set = (times: Map<string, number>, process: string): void => {
@@ -48,16 +54,17 @@
     times.set(process, clock.monotonic())
   }
   const hasBrokenLately = (process: string): boolean => since(brokeMs, process) < ENTRY_DELAY_MS
-  const ask = async (server: BackendServer): Promise<boolean> => {
+  const ask = async (server: BackendServer): Promise<Identity> => {
     const askedMs = clock.monotonic()
     const process = serverProcessId(server)
-    const report = await fetchReport(server)
-    if (report.err) return false
+    const report = await Promise.race([fetchReport(server), sleep(clock, ANSWER_TIMEOUT_MS)])
+    if (report === undefined || report.err) return 'unanswered'
     // Reports of some servers do not name their process. One that answers and has not broken a connection has not restarted here.
     const isSame = report.val.bornMs === undefined ? !hasBrokenLately(process) : report.val.bornMs === server.bornMs
     const hasBrokenMeanwhile = (brokeMs.get(process) ?? -Infinity) > askedMs
-    if (isSame && !hasBrokenMeanwhile) set(confirmedMs, process)
-    return isSame && !hasBrokenMeanwhile
+    if (!isSame || hasBrokenMeanwhile) return 'other'
+    set(confirmedMs, process)
+    return 'same'
   }
   const isConfirmed = (process: string): boolean => since(confirmedMs, process) < CONFIRMATION_TTL_MS && (confirmedMs.get(process) ?? 0) >= (brokeMs.get(process) ?? 0)
 
@@ -68,8 +75,9 @@
       const process = serverProcessId(server)
       return (hasBrokenLately(process) || isEntryHeld(server) || !isListCurrent()) && !isConfirmed(process)
     },
-    confirm: async server => {
+    identify: async server => {
       const process = serverProcessId(server)
+      if (isConfirmed(process)) return 'same'
       const asked = pending.get(process) ?? ask(server).finally(() => pending.delete(process))
       pending.set(process, asked)
       return await asked
--- a/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
@@ -36,6 +36,8 @@
   hasOtherServer (run: RequestRun): boolean
   /** Whether the memory of a run at one server may move to the other. */
   mayMove (source: BackendServer, target: BackendServer): boolean
+  /** Whether the server that was chosen to continue a stream is the listed process; beside other versions it is asked. */
+  isListedProcess (run: RequestRun, server: BackendServer): Promise<boolean>
   /** Asks servers of the stream's version that may have been replaced which process they are. */
   confirmServers (run: RequestRun): void
   /** Records the server that sent the first event of an attempt. */
@@ -127,9 +129,17 @@
     const firstAttemptId = resumption === undefined ? attemptId : resumption.firstAttemptId
     if (run.admitted.route.isResumable && firstAttemptId !== undefined && firstAttemptId !== '') origins.record({ key: keyOf(run, firstAttemptId), ...origin, keepMs: keepMs(run), services: servicesOf(run) })
   }
-  /** The stream's connection is still open, so the process that is confirmed now is the one that began it. */
-  const recordOnceConfirmed = async (run: RequestRun, server: BackendServer): Promise<void> => {
-    if (isSafeWithoutVersion(run) || !await doubts.confirm(server) || run.server !== server || run.attempt === undefined) return
+  /** Beside other versions an entry that is late would name a wrong one, so the server itself says which process it is. */
+  const isListedProcess = async (run: RequestRun, server: BackendServer): Promise<boolean> => {
+    // Plain services have no reports.
+    const identity = run.admitted.service.engine === undefined ? 'unanswered' : await doubts.identify(server)
+    return identity === 'same' || (identity === 'unanswered' && !doubts.isDoubtful(server))
+  }
+  const recordOnceIdentified = async (run: RequestRun, server: BackendServer): Promise<void> => {
+    const isListed = await isListedProcess(run, server)
+    // While the stream's connection is open, the process that answers now is the one that began it.
+    const isOpen = run.server === server && run.attempt !== undefined
+    if (!isListed || !isOpen) return
     run.origin = { service: server.service, softwareVersion: versionOf(server) }
     recordOrigin(run, run.origin)
   }
@@ -169,15 +179,21 @@
     hasOtherServer: run => run.origin === undefined || usable(run).some(server => server !== run.server && mayServe(run, server)),
     mayMove: (source, target) => versionOf(source) === versionOf(target) && !doubts.isDoubtful(source) && !doubts.isDoubtful(target),
     recordFirstEvent: (run, server) => {
-      const isNewlyUncertain = run.origin === undefined && isUncertain(run, server)
-      run.origin ??= { service: server.service, softwareVersion: isNewlyUncertain ? UNSTATED_VERSION : versionOf(server) }
-      if (!isUnstated(run.origin)) return recordOrigin(run, run.origin)
-      if (isNewlyUncertain && versionOf(server) !== UNSTATED_VERSION) recordOnceConfirmed(run, server)
+      if (run.origin !== undefined && !isUnstated(run.origin)) return recordOrigin(run, run.origin)
+      if (run.origin !== undefined || versionOf(server) === UNSTATED_VERSION) {
+        run.origin ??= { service: server.service, softwareVersion: UNSTATED_VERSION }
+        return
+      }
+      const isCertain = isSafeWithoutVersion(run) && !isUncertain(run, server)
+      run.origin = { service: server.service, softwareVersion: isCertain ? versionOf(server) : UNSTATED_VERSION }
+      if (isCertain) recordOrigin(run, run.origin)
+      else if (!isSafeWithoutVersion(run)) recordOnceIdentified(run, server)
     },
+    isListedProcess: async (run, server) => run.origin === undefined || isSafeWithoutVersion(run) || await isListedProcess(run, server),
     confirmServers: run => {
       const { origin } = run
       if (origin === undefined || isUnstated(origin)) return
-      usable(run).filter(server => versionOf(server) === origin.softwareVersion && doubts.isDoubtful(server)).forEach(doubts.confirm)
+      usable(run).filter(server => versionOf(server) === origin.softwareVersion && doubts.isDoubtful(server)).forEach(doubts.identify)
     },
     recordBreak: doubts.recordBreak
   }
