--- /dev/null
+++ b/packages/standins/src/node/platformEngine/index.ts
@@ -0,0 +1,102 @@
+/**
+ * A model engine by the users' platform's protocol, as far as streams need it: an entry in the store with the version of its
+ * software, streams that a request may continue after `Last-Event-Id`, and reports. Each event names the version that made it.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { sleep } from 'magnoliabay/clock/index'
+import type { Clock } from 'magnoliabay/clock/index'
+import { readText, sendJson } from '../http/json'
+import { createListener } from '../http/listener'
+import type { KvState } from '../kv/state'
+
+export interface PlatformEngineOptions {
+  id: string
+  service: string
+  softwareVersion: string
+  /** Models that it has loaded. */
+  models: readonly string[]
+  failureDomain: string
+  /** Where it writes its entry. */
+  store: KvState
+  clock: Clock
+  /** Events of a stream. @default 40 */
+  events?: number
+  /** Time between events, milliseconds. @default 50 */
+  gapMs?: number
+}
+
+export interface PlatformEngine {
+  readonly id: string
+  readonly address: string
+  softwareVersion (): string
+  /** Its process dies: connections are reset, and new ones refused. Its entry is removed. */
+  crash (): Promise<void>
+  /** Another process starts under the same id, and writes its entry after `entryDelayMs`. */
+  start (softwareVersion: string, entryDelayMs?: number): Promise<void>
+  /** Breaks the connections of all streams. */
+  cutStreams (): void
+  close (): Promise<void>
+}
+
+const DEFAULT_EVENTS = 40
+const DEFAULT_GAP_MS = 50
+const SLOTS = 64
+const MISDIRECTED = 421
+
+export async function createPlatformEngine (options: PlatformEngineOptions): Promise<PlatformEngine> {
+  const { id, service, models, failureDomain, store, clock, events = DEFAULT_EVENTS, gapMs = DEFAULT_GAP_MS } = options
+  const key = `servers/${id}`
+  let { softwareVersion } = options
+  let bornMs = clock.now()
+
+  const loaded = models.map(name => ({ name, version: 1, adapters: [] }))
+  const writeEntry = (): void => {
+    const value = JSON.stringify({ service, address: listener.address, zone: failureDomain, version: softwareVersion, slots: SLOTS, state: 'ready', born: bornMs, models: loaded, sequence: 0 })
+    store.transact({ compares: [], success: [{ kind: 'put', key, value, leaseId: '0' }], failure: [] })
+  }
+  const removeEntry = (): void => { store.transact({ compares: [], success: [{ kind: 'delete', range: { key } }], failure: [] }) }
+  const headerOf = (req: IncomingMessage, name: string): string => String(req.headers[name] ?? '')
+  const report = (res: ServerResponse): void => sendJson(res, 200, { stage: 'prefill_decode', models: loaded, busy: false, sequence: 0, waiting: 0, running: 0, born: bornMs })
+  const stream = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    res.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'x-magnoliabay-attempt-id': headerOf(req, 'x-magnoliabay-attempt-id'),
+      'x-magnoliabay-server-signature': `${id}.${bornMs}`
+    })
+    for (let event = Number(headerOf(req, 'last-event-id')) + 1; event <= events; event += 1) {
+      await sleep(clock, gapMs)
+      if (res.destroyed) return
+      res.write(`id: ${event}\ndata: ${softwareVersion}\n\n`)
+    }
+    res.end()
+  }
+  const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    await readText(req)
+    const expected = headerOf(req, 'x-magnoliabay-expected-instance')
+    if (expected !== '' && expected !== id) return sendJson(res, MISDIRECTED, {})
+    if (req.url === '/-/report') return report(res)
+    // Its models stay as they are: each order already holds.
+    if (req.url === '/-/order') return sendJson(res, 200, {})
+    await stream(req, res)
+  }
+  const listener = await createListener({ handler: (req, res) => { handle(req, res).catch(() => res.destroy()) } })
+  writeEntry()
+
+  return {
+    id,
+    address: listener.address,
+    softwareVersion: () => softwareVersion,
+    crash: async () => {
+      await listener.refuse()
+      removeEntry()
+    },
+    start: async (version, entryDelayMs = 0) => {
+      softwareVersion = version
+      bornMs = clock.now()
+      await listener.accept()
+      clock.schedule(entryDelayMs, writeEntry)
+    },
+    cutStreams: listener.dropConnections,
+    close: listener.close
+  }
+}
--- a/scripts/fleet.ts
+++ b/scripts/fleet.ts
@@ -1,5 +1,5 @@
 /**
- * Runs a fleet of real processes under load and faults, and checks the eleven guarantees of the brief.
+ * Runs a fleet of real processes under load and faults, and checks the guarantees; beside them streams on the users' platform.
  * `npm run fleet -- --faults kill,store-down --instances 9 --rate 40 --seed 1`
  */
 import { parseArgs } from 'node:util'
@@ -10,6 +10,8 @@
 import { formatRuns, writeReports } from './fleet/report'
 import type { FaultRun } from './fleet/report'
 import { createHarness } from './fleet/harness'
+import { runStreamVersions } from './fleet/streamVersions'
+import type { GuaranteeResult } from './fleet/guarantees'
 
 const OPTIONS = {
   faults: { type: 'string', default: 'all' },
@@ -23,6 +25,11 @@
   safety: { type: 'boolean', default: false }
 } as const
 
+/** The run on the users' platform, beside the faults of the fleet. */
+const STREAM_VERSIONS = 'stream-versions'
+
+const MAX_PLATFORM_INSTANCES = 5
+
 interface RunOptions {
   instances: number
   rate: number
@@ -62,11 +69,17 @@
   }
 }
 
+function printVerdict ({ promise, checked, violations }: GuaranteeResult): void {
+  process.stdout.write(`${STREAM_VERSIONS}: ${promise}: ${violations.length}/${checked}\n${violations.map(violation => `  ${violation}\n`).join('')}`)
+}
+
 async function main (): Promise<void> {
   const { values } = parseArgs({ options: OPTIONS })
-  const selected = values.faults === 'all' ? FAULTS : FAULTS.filter(fault => values.faults.split(',').includes(fault.name))
-  if (selected.length === 0) {
-    process.stderr.write(`unknown value of --faults; expected all, or a list of: ${FAULTS.map(fault => fault.name).join(', ')}\n`)
+  const names = values.faults === 'all' ? [...FAULTS.map(fault => fault.name), STREAM_VERSIONS] : values.faults.split(',')
+  const selected = FAULTS.filter(fault => names.includes(fault.name))
+  const runsStreamVersions = names.includes(STREAM_VERSIONS)
+  if (selected.length === 0 && !runsStreamVersions) {
+    process.stderr.write(`unknown value of --faults; expected all, or a list of: ${[...FAULTS.map(fault => fault.name), STREAM_VERSIONS].join(', ')}\n`)
     process.exit(2)
   }
   const options: RunOptions = {
@@ -82,8 +95,10 @@
     writeReports(options.out, runs)
     process.stdout.write(`${fault.name}: completed in ${Math.round(runs.at(-1)!.tookMs / 1000)} s\n`)
   }
-  process.stdout.write(`\n${formatRuns(runs)}\n`)
-  const verdicts = runs.flatMap(run => run.verdicts).filter(verdict => !values.safety || verdict.isSafety)
+  if (runs.length > 0) process.stdout.write(`\n${formatRuns(runs)}\n`)
+  const streamVerdicts = runsStreamVersions ? await runStreamVersions({ seed: options.seed, instances: Math.min(options.instances, MAX_PLATFORM_INSTANCES), directory: `${options.out}/${STREAM_VERSIONS}` }) : []
+  streamVerdicts.forEach(printVerdict)
+  const verdicts = [...runs.flatMap(run => run.verdicts), ...streamVerdicts].filter(verdict => !values.safety || verdict.isSafety)
   const failed = verdicts.filter(verdict => verdict.violations.length > 0).length
   process.stdout.write(`\nfleet: ${verdicts.length - failed} passed, ${failed} failed\n`)
   process.exit(failed === 0 ? 0 : 1)
--- /dev/null
+++ b/scripts/fleet/platformSite.ts
@@ -0,0 +1,85 @@
+/** The users' platform on loopback: its store with a configuration, engines of two software versions, and settings of instances. */
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { createKvState, createMetadataStoreServer, createPlatformEngine } from '@magnoliabay/standins'
+import type { KvState, PlatformEngine } from '@magnoliabay/standins'
+import { createSystemClock } from '../../packages/magnoliabay/src/node/clock'
+
+export const STREAM_PATH = '/stream/1'
+export const STREAM_HEADERS: Readonly<Record<string, string>> = { host: 'site.example', 'x-magnoliabay-model': 'm1', 'x-magnoliabay-token-usage': '100,40', 'x-magnoliabay-deadline-ms': '15000' }
+export const FAILURE_DOMAINS = ['zone-a', 'zone-b', 'zone-c']
+
+const HOST = '127.0.0.1'
+const SERVICE = 'llm'
+const MODEL = 'm1'
+/** Two engines of each version: one may be lost. */
+const VERSIONS = ['v1', 'v1', 'v1.1', 'v1.1']
+
+const CONFIG = {
+  version: 1,
+  routes: [{ name: 'r1', hostname: 'site.example', prefix: '/stream/', 'route-kind': 'streaming', 'timeout-ms': 15_000, 'target-latency-ms': 1000, priority: 0, service: SERVICE, 'max-attempts': 2, anonymous: true, resumable: true, 'gap-target-ms': 300 }],
+  services: [{ name: SERVICE, 'connection-limit': 300, engine: { slots: 64, 'kv-cache-tokens': 100_000, 'weights-mb': 1000, 'adapter-capacity': 0, 'loads-per-s': 2, models: [{ name: MODEL, 'weights-mb': 100, 'load-time-s': 1 }] } }],
+  limits: { 'max-header-bytes': 16_384, 'max-body-bytes': 1_048_576, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000 }
+}
+
+export interface PlatformSite {
+  engines: readonly PlatformEngine[]
+  /** Returns the settings file of an instance, with ports that are free now. */
+  settingsOf (index: number): Promise<{ text: string, entryAddress: string, readyUrl: string }>
+  close (): Promise<void>
+}
+
+export async function createPlatformSite (): Promise<PlatformSite> {
+  const clock = createSystemClock()
+  const state: KvState = createKvState({ clock })
+  const store = await createMetadataStoreServer({ state, clock })
+  state.transact({ compares: [], success: [{ kind: 'put', key: 'op/config', value: JSON.stringify(CONFIG), leaseId: '0' }], failure: [] })
+  const engines = await Promise.all(VERSIONS.map((softwareVersion, index) =>
+    createPlatformEngine({ id: `engine-${index + 1}`, service: SERVICE, softwareVersion, models: [MODEL], failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!, store: state, clock })))
+  return {
+    engines,
+    settingsOf: async index => {
+      const [entry, ready, peers, resolution, metrics] = await freePorts(5)
+      const text = settingsText({ index, entry: entry!, ready: ready!, peers: peers!, resolution: resolution!, metrics: metrics!, store: store.address })
+      return { text, entryAddress: `${HOST}:${entry}`, readyUrl: `http://${HOST}:${ready}/-/readiness` }
+    },
+    close: async () => {
+      await Promise.all([...engines, store].map(server => server.close()))
+      state.close()
+    }
+  }
+}
+
+interface SettingsValues {
+  index: number
+  entry: number
+  ready: number
+  peers: number
+  resolution: number
+  metrics: number
+  store: string
+}
+
+function settingsText ({ index, entry, ready, peers, resolution, metrics, store }: SettingsValues): string {
+  return `node-name: "frontend-${index + 1}"
+zone: "${FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]}"
+region: "region-1"
+ip-address: "${HOST}"
+listen-addresses: { frontend: "${HOST}:${entry}", ready: "${HOST}:${ready}", control-plane: "${HOST}:${peers}", directory-service: "${HOST}:${resolution}" }
+internal-port-range: [${metrics}, ${metrics}]
+seed-nodes: []
+bootstrap: true
+bounds: { grace-period-s: 8, lease-ms: 3000, retry-budget-ratio: 1, retry-budget-slack: 1000, quota-window-s: 8, ttl_max_s: 5 }
+platform: { address: "${store}", ttl-min-ms: 1000 }
+`
+}
+
+async function freePorts (count: number): Promise<number[]> {
+  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>(resolve => {
+    const server = createServer()
+    server.listen(0, HOST, () => resolve(server))
+  })))
+  const ports = servers.map(server => (server.address() as AddressInfo).port)
+  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
+  return ports
+}
--- /dev/null
+++ b/scripts/fleet/streamVersions.ts
@@ -0,0 +1,128 @@
+/**
+ * Streams on the users' platform while engines of two software versions serve: real processes are killed, engines crash and come
+ * back at another version, connections break, and callers take their streams up at other instances.
+ */
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs'
+import { request } from 'undici'
+import { callStream } from '@magnoliabay/standins'
+import type { StreamCall } from '@magnoliabay/standins'
+import type { GuaranteeResult } from './guarantees'
+import { STREAM_HEADERS, STREAM_PATH, createPlatformSite } from './platformSite'
+import type { PlatformSite } from './platformSite'
+import { createRandom } from './random'
+
+export interface StreamVersionsOptions {
+  seed: number
+  instances: number
+  directory: string
+}
+
+/** Values of the platform's rules. */
+const MAX_MIXED_STREAMS = 2
+const MIN_TAKEN_UP = 12
+const MIN_CONTINUED_RATIO = 0.5
+
+const PROGRAM = 'dist/magnoliabay.cjs'
+const STREAM_INTERVAL_MS = 40
+const STEP_MS = 1500
+const READY_TIMEOUT_MS = 30_000
+const READY_POLL_INTERVAL_MS = 100
+/** Part of the callers whose own connection breaks. */
+const BREAK_RATIO = 0.2
+
+interface Instance {
+  entryAddress: string
+  child: ChildProcess
+}
+
+const pause = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms))
+
+async function isReady (url: string): Promise<boolean> {
+  return await request(url).then(async res => {
+    await res.body.dump()
+    return res.statusCode === 200
+  }).catch(() => false)
+}
+
+async function startInstance (site: PlatformSite, index: number, directory: string): Promise<Instance> {
+  const { text, entryAddress, readyUrl } = await site.settingsOf(index)
+  const file = `${directory}/frontend-${index + 1}.yaml`
+  writeFileSync(file, text)
+  const child = spawn(process.execPath, [PROGRAM, 'platform'], { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, MAGNOLIABAY_CONFIG: file } })
+  const log = createWriteStream(`${directory}/frontend-${index + 1}.log`, { flags: 'a' })
+  child.stdout.pipe(log, { end: false })
+  child.stderr.pipe(log, { end: false })
+  for (let waitedMs = 0; waitedMs < READY_TIMEOUT_MS && !await isReady(readyUrl); waitedMs += READY_POLL_INTERVAL_MS) await pause(READY_POLL_INTERVAL_MS)
+  return { entryAddress, child }
+}
+
+/** Faults one after the other; streams begin all the while. */
+async function injectFaults (site: PlatformSite, instances: Instance[], directory: string): Promise<void> {
+  const [first, second, third, fourth] = site.engines
+  const replace = async (index: number): Promise<void> => {
+    instances[index]!.child.kill('SIGKILL')
+    await pause(STEP_MS)
+    instances[index] = await startInstance(site, index, directory)
+  }
+  await pause(STEP_MS)
+  await replace(0)
+  await first!.crash()
+  await pause(STEP_MS)
+  await first!.start('v1')
+  third!.cutStreams()
+  await pause(STEP_MS)
+  // Back under its id with another version, which its entry tells late.
+  await fourth!.crash()
+  await pause(STEP_MS)
+  await fourth!.start('v1', STEP_MS / 3)
+  await pause(STEP_MS)
+  await replace(1)
+  second!.cutStreams()
+  await pause(STEP_MS)
+}
+
+function verdictsOf (calls: readonly StreamCall[]): GuaranteeResult[] {
+  const mixed = calls.filter(call => call.softwareVersions.size > 1)
+  const outOfOrder = calls.filter(({ eventIds }) => eventIds.some((id, index) => id !== index + 1))
+  const began = calls.filter(call => call.eventIds.length > 0)
+  const takenUp = calls.filter(call => call.isTakenUp)
+  const continued = takenUp.filter(call => call.hasContinued)
+  const enoughContinue = takenUp.length < MIN_TAKEN_UP || continued.length / takenUp.length >= MIN_CONTINUED_RATIO * began.length / calls.length
+  const describe = (call: StreamCall): string => `a stream over ${call.statuses.join(', ')} has events of ${[...call.softwareVersions].join(' and ')}`
+  return [
+    { promise: 'streams keep their version', checked: calls.length, violations: mixed.length > MAX_MIXED_STREAMS ? mixed.map(describe) : [], isSafety: true },
+    { promise: 'no event lost or repeated', checked: calls.length, violations: outOfOrder.map(({ eventIds }) => `events ${eventIds.join(' ')}`), isSafety: true },
+    { promise: 'streams taken up go on', checked: takenUp.length, violations: enoughContinue ? [] : [`${continued.length} of ${takenUp.length} went on, ${began.length} of ${calls.length} began`], isSafety: false }
+  ]
+}
+
+/** Runs the instances, the engines and the callers, and returns what was kept. */
+export async function runStreamVersions ({ seed, instances: count, directory }: StreamVersionsOptions): Promise<GuaranteeResult[]> {
+  mkdirSync(directory, { recursive: true })
+  const random = createRandom(seed)
+  const site = await createPlatformSite()
+  const instances = await Promise.all(Array.from({ length: count }, (_, index) => startInstance(site, index, directory)))
+  const calls: Array<Promise<StreamCall>> = []
+  let attempts = 0
+  const open = (): void => {
+    calls.push(callStream({
+      path: STREAM_PATH,
+      headers: STREAM_HEADERS,
+      addressFor: () => random.pick(instances).entryAddress,
+      nextAttemptId: () => `try-${attempts++}`,
+      breakAfterEvent: random.next() < BREAK_RATIO ? 1 + random.below(30) : undefined
+    }))
+  }
+  const timer = setInterval(open, STREAM_INTERVAL_MS)
+  try {
+    await injectFaults(site, instances, directory)
+    clearInterval(timer)
+    return verdictsOf(await Promise.all(calls))
+  } finally {
+    clearInterval(timer)
+    instances.forEach(({ child }) => child.kill('SIGKILL'))
+    await site.close()
+  }
+}
