--- a/packages/magnoliabay/src/node/backend/__tests__/resume.spec.ts
+++ b/packages/magnoliabay/src/node/backend/__tests__/resume.spec.ts
@@ -73,3 +73,46 @@
     expect(resumed).to.be.at.least(10)
   })
 })
+
+describe('relay of a stream whose engine comes back with another software version', () => {
+  const versionedEvent = (id: string, index: number, version: string): string => `id: ${id}:${index}\ndata: {"system_fingerprint":"${version}","choices":[{"delta":{"content":"t${index} "}}]}\n\n`
+  let engine: Server
+  let harness: EntryHarness
+  let runs = 0
+
+  /** The first process sends three events and dies; the second does not know its run, and would begin it anew. */
+  const serve = (req: IncomingMessage, res: ServerResponse): void => {
+    req.resume()
+    const url = new URL(req.url ?? '/', 'http://engine')
+    if (url.pathname === '/control/cancel') return sendText(res, '{}')
+    const id = String(req.headers['x-request-id'])
+    if (url.pathname === '/control/resume') {
+      res.writeHead(404)
+      return sendText(res, '{}')
+    }
+    if (!url.pathname.startsWith('/v1/')) return sendText(res, '{}')
+    runs += 1
+    const version = `v${runs}`
+    res.writeHead(200, { 'content-type': 'text/event-stream', 'x-request-id': id })
+    res.write([0, 1, 2].map(index => versionedEvent(id, index, version)).join(''), () => res.destroy())
+  }
+  before(async () => {
+    engine = createServer(serve)
+    await new Promise<void>(resolve => engine.listen(0, '127.0.0.1', resolve))
+    harness = await createEntryHarness({ engines: [{}], engineAddresses: [`127.0.0.1:${(engine.address() as AddressInfo).port}`] })
+  })
+  after(async () => {
+    await harness.close()
+    engine.closeAllConnections()
+    engine.close()
+  })
+
+  /** Guards against a response with events of two software versions: the first run is continued by its own process or not at all. */
+  it('ends with a typed error after the events of the first version', async () => {
+    const reply = await harness.chat(0, 'anything', { stream: true })
+    const versions = new Set([...reply.text.matchAll(/"system_fingerprint":"([^"]*)"/g)].map(([, version]) => version))
+    expect([...versions]).to.deep.equal(['v1'])
+    expect(reply.text).to.include('event: error')
+    expect(runs).to.equal(1)
+  })
+})
--- a/packages/standins/src/node/engine/delivery.ts
+++ b/packages/standins/src/node/engine/delivery.ts
@@ -124,7 +124,8 @@
     id: `${id}-${content.requestId}`,
     object,
     created: Math.floor(run.record.receivedAtMs / MS_PER_SECOND),
-    model: run.request.model
+    model: run.request.model,
+    system_fingerprint: run.record.softwareVersion
   }
 }
 
--- a/packages/standins/src/node/engine/faults.ts
+++ b/packages/standins/src/node/engine/faults.ts
@@ -13,6 +13,8 @@
   crash: boolean
   /** A prompt that contains this text kills the process; '' for none. */
   crashOnPrompt: string
+  /** Version of the software that the next process runs; each event names that of its process. */
+  softwareVersion: string
   /** Time until a process killed by a prompt restarts, milliseconds; 0 for never. */
   restartAfterMs: number
   /** New requests are refused as not run. */
@@ -48,6 +50,7 @@
     ...NO_STATEMENTS,
     crash: false,
     crashOnPrompt: '',
+    softwareVersion: 'v1',
     restartAfterMs: 3000,
     refuse: false,
     stall: false,
--- a/packages/standins/src/node/engine/standIn.ts
+++ b/packages/standins/src/node/engine/standIn.ts
@@ -77,6 +77,7 @@
   const pastOrders: OrderRecord[] = []
   let processAbort = new AbortController()
   let incarnationNumber = 1
+  let { softwareVersion } = faults.current
   let leaving = false
   let cancelRestart: CancelTimer = () => {}
 
@@ -108,6 +109,7 @@
     if (!processAbort.signal.aborted) return
     processAbort = new AbortController()
     incarnationNumber += 1
+    softwareVersion = faults.current.softwareVersion
     // An engine that checks fencing numbers keeps the highest over a restart; otherwise it would accept old orders again.
     orderExecutor = startOrderExecutor(orderExecutor.fence())
     await notifyLifecycle('started')
@@ -163,6 +165,7 @@
     const record: EngineRequestRecord = {
       engine: id,
       incarnation: incarnation(),
+      softwareVersion,
       requestId: request.requestId,
       model: model ?? request.model,
       adapter,
--- a/packages/standins/src/node/engine/types.ts
+++ b/packages/standins/src/node/engine/types.ts
@@ -69,6 +69,8 @@
 export interface EngineRequestRecord {
   engine: string
   incarnation: string
+  /** Version of the software of the process that got the request. */
+  softwareVersion: string
   requestId: string
   model: string
   adapter?: string
--- a/scripts/fleet/callers.ts
+++ b/scripts/fleet/callers.ts
@@ -128,7 +128,9 @@
         record.firstByteAtMs ??= Date.now()
         received.push(String(chunk))
       }
+      if (record.kind === 'completion') record.softwareVersions = versionsIn(received.join(''))
     } catch (err) {
+      record.softwareVersions = versionsIn(received.join(''))
       return classifyConnectionError(record, (err as { code?: string }).code ?? messageOf(err), received.join(''))
     }
     classifyResponse(record, status, received.join(''), body)
@@ -244,6 +246,8 @@
   return content === expectedText({ model: record.model!, prompt: record.prompt!, maxTokens: MAX_TOKENS })
 }
 
+const versionsIn = (text: string): string[] => [...new Set([...text.matchAll(/"system_fingerprint":"([^"]*)"/g)].map(([, version]) => version!))]
+
 interface StreamEvent {
   name?: string
   data: string
--- a/scripts/fleet/faults.ts
+++ b/scripts/fleet/faults.ts
@@ -22,6 +22,7 @@
 const BRITTLE_MS = 12_000
 /** Time that instances have to hear of it, milliseconds. */
 const BRITTLE_DELAY_MS = 3000
+const ROLL_STEP_MS = 1000
 const STATED_LIMIT = 1
 const STATED_LIMIT_MS = 12_000
 
@@ -166,6 +167,20 @@
       await engine.state.faults.set({ brittleRejections: -1 })
     }
   },
+  {
+    name: 'engines-rolled',
+    what: 'connections to engines break midway, and one engine after the other comes back under its id with another software version',
+    run: async harness => {
+      for (const engine of harness.standIns.engines) {
+        await engine.state.faults.set({ dieAfterFirstByte: true, softwareVersion: 'v2' })
+        await pause(ROLL_STEP_MS)
+        await engine.state.faults.set({ crash: true })
+        await pause(ROLL_STEP_MS)
+        await engine.state.faults.set({ crash: false, dieAfterFirstByte: false })
+        await pause(ROLL_STEP_MS)
+      }
+    }
+  },
   engineFault('orders-late', 'an engine responds late to orders', { orderAnswer: 'late' }, { orderAnswer: 'normal' }),
   {
     name: 'engine-leaves',
--- a/scripts/fleet/guarantees.ts
+++ b/scripts/fleet/guarantees.ts
@@ -270,6 +270,11 @@
   return { checked: probes.length, violations }
 }
 
+const checkSoftwareVersions: Check = ({ calls }) => {
+  const streams = calls.filter(call => (call.softwareVersions?.length ?? 0) > 0)
+  return { checked: streams.length, violations: streams.filter(call => call.softwareVersions!.length > 1).map(call => `${describe(call)}: events of ${call.softwareVersions!.join(' and ')}`) }
+}
+
 const CHECKS: readonly GuaranteeCheck[] = [
   { promise: 'no more replicas than decided', isSafety: true, check: checkReplicaCounts },
   { promise: 'memory never overcommitted', isSafety: true, check: checkMemory },
@@ -277,6 +282,7 @@
   { promise: 'own team only, key kept, withdrawn', isSafety: true, check: checkKeys },
   { promise: 'rate and burst over all instances', isSafety: true, check: checkAllowances },
   { promise: 'whole answer to its own request', isSafety: true, check: checkAnswers },
+  { promise: 'streams of one software version', isSafety: true, check: checkSoftwareVersions },
   { promise: '"not run" is true', isSafety: true, check: checkNotRun },
   { promise: 'non-idempotent at most once', isSafety: true, check: checkAtMostOnce },
   { promise: 'leaving server left alone', isSafety: false, check: checkLeavingServers },
--- a/scripts/fleet/records.ts
+++ b/scripts/fleet/records.ts
@@ -24,6 +24,8 @@
   result: CallResult
   code?: string
   notRun?: boolean
+  /** Software versions of the engines whose events a stream holds. */
+  softwareVersions?: readonly string[]
   detail?: string
 }
 
