--- a/bench/index.ts
+++ b/bench/index.ts
@@ -11,6 +11,7 @@
   cold: () => import('./cold'),
   config: () => import('./config'),
   relay: () => import('./relay'),
+  'stream-origins': () => import('./streamOrigins'),
   decusum: async () => await import('./decusum')
 }
 
--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -129,7 +129,7 @@
     const ended = await streams.resolveEnd(run, attemptEnd)
     if (run.isPathBroken) return ended
     recordHealth(id, ended)
-    if (isConnectionBroken(ended)) ctx.streamVersions.recordBreak(server)
+    if (ended.kind === 'unsent' || isConnectionBroken(ended)) ctx.streamVersions.recordBreak(server)
     updateSuspects(run, server, ended)
     return ended
   }
@@ -157,9 +157,11 @@
   const updateSuspects = async (run: RequestRun, server: BackendServer, ended: AttemptOutcome): Promise<void> => {
     const { suspects } = ctx
     if (ended.kind === 'relayed' && suspects.assess(run.fingerprint) === 'suspect') return suspects.clear(run.fingerprint)
-    if (isConnectionBroken(ended) && await suspects.hasCrashed(server.address)) suspects.recordCrash(run.fingerprint, serverProcessId(server))
+    if (!isConnectionBroken(ended)) return
+    if (await suspects.hasCrashed(server.address)) suspects.recordCrash(run.fingerprint, serverProcessId(server))
+    else ctx.streamVersions.recordAccepting(server)
   }
-  const isConnectionBroken = (ended: AttemptOutcome): boolean => ended.kind === 'cut' || ended.kind === 'unsent' || (ended.kind === 'failed' && ended.response === undefined)
+  const isConnectionBroken = (ended: AttemptOutcome): boolean => ended.kind === 'cut' || (ended.kind === 'failed' && ended.response === undefined)
   const recordHealth = (id: string, ended: AttemptOutcome): void => {
     if (ended.kind === 'unsent') return health.recordUnreachable(id)
     if (ended.kind === 'failed' || ended.kind === 'cut') return health.recordFailure(id)
--- a/packages/magnoliabay/src/node/serving/versions/processDoubts.ts
+++ b/packages/magnoliabay/src/node/serving/versions/processDoubts.ts
@@ -25,6 +25,8 @@
 export interface ProcessDoubts {
   /** Records that a connection to the server broke, or was refused. */
   recordBreak (server: BackendServer): void
+  /** Records that the server took a connection right after one broke: a process that has died refuses them until another starts. */
+  recordAccepting (server: BackendServer): void
   /** Whether a connection to the server broke so lately that the entry of another process may not have arrived. */
   hasBrokenLately (server: BackendServer): boolean
   /** Whether another process may answer in the place of the one that is listed. */
@@ -70,6 +72,7 @@
 
   return {
     recordBreak: server => set(brokeMs, serverProcessId(server)),
+    recordAccepting: server => { brokeMs.delete(serverProcessId(server)) },
     hasBrokenLately: server => hasBrokenLately(serverProcessId(server)),
     isDoubtful: server => {
       const process = serverProcessId(server)
--- a/packages/magnoliabay/src/node/serving/versions/softwareVersions.ts
+++ b/packages/magnoliabay/src/node/serving/versions/softwareVersions.ts
@@ -85,6 +85,7 @@
       listeners.forEach(listener => listener(service))
     })
   }
+  const observedMs = (): number => knownSinceMs === undefined ? 0 : clock.monotonic() - knownSinceMs
   servers.onChanged(update)
   update()
 
@@ -94,11 +95,13 @@
       const recent = [...seenByService.get(service) ?? []].filter(([, { isListed, lastListedMs }]) => isListed || now - lastListedMs < withinMs)
       return new Set(recent.map(([version]) => version))
     },
-    observedMs: () => knownSinceMs === undefined ? 0 : clock.monotonic() - knownSinceMs,
+    observedMs,
     availabilityOf: (service, version) => {
       if (servers.usable(service).some(server => versionOf(server) === version)) return 'usable'
       const seen = seenByService.get(service)?.get(version)
-      if (seen === undefined || seen.wasLeaving) return 'gone'
+      // An instance that has just started has not seen what crashed before.
+      if (seen === undefined) return observedMs() < RETURN_MS ? 'absent' : 'gone'
+      if (seen.wasLeaving) return 'gone'
       return seen.isListed || clock.monotonic() - seen.lastListedMs < RETURN_MS ? 'absent' : 'gone'
     },
     onAdded: listener => { listeners.push(listener) }
--- a/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
@@ -3,6 +3,7 @@
 import type { RequestRun } from '../requestRun'
 import type { Refusal } from '../refusal'
 import type { ServerList } from '../serverList'
+import { serverProcessId } from '../types'
 import type { BackendServer, Service } from '../types'
 import type { ProcessDoubts } from './processDoubts'
 import { UNSTATED_VERSION, versionOf } from './softwareVersions'
@@ -14,16 +15,18 @@
 const TAKE_UP_MS = 30_000
 /** A record that is still on its way to its keepers arrives within this time, milliseconds. */
 const RECORD_DELAY_MS = 150
+/** Servers that a request asks at a time which process they are, those that have its model first. */
+const MAX_IDENTIFIED = 3
 /** Stated where a server of the version may be back soon, milliseconds. */
 const VERSION_ABSENT_RETRY_AFTER_MS = 1000
 /** Stated where the instances that may know the version were not reached, milliseconds: another instance may reach them. */
 const UNREACHED_RETRY_AFTER_MS = 500
 
 /**
- * How an instance knows where a stream began. `response`: it has sent the first event itself. `record`: it has a record.
- * `peer`: another instance has one. `only-version`: all servers have had the same version. `none`: it does not know.
+ * How an instance knows where a stream began that is taken up. `record`: it has a record. `peer`: another instance has one.
+ * `only-version`: all servers have had the same version. `none`: it does not know.
  */
-export type OriginSource = 'response' | 'record' | 'peer' | 'only-version' | 'none'
+export type OriginSource = 'record' | 'peer' | 'only-version' | 'none'
 
 export interface StreamVersions {
   /** Finds out where the stream of a request began that its caller takes up; returns a refusal if that stays unknown. */
@@ -44,6 +47,8 @@
   recordFirstEvent (run: RequestRun, server: BackendServer): void
   /** Records that a connection to the server broke, or was refused. */
   recordBreak (server: BackendServer): void
+  /** Records that the server took a connection right after one broke. */
+  recordAccepting (server: BackendServer): void
 }
 
 export interface StreamVersionsOptions {
@@ -70,6 +75,7 @@
 
   const keepMs = ({ admitted }: RequestRun): number => admitted.route.timeoutMs + TAKE_UP_MS
   const keyOf = ({ admitted, caller }: RequestRun, attemptId: string): string => streamKey(admitted.team?.name, attemptId)
+  const currentProcessOf = ({ server }: RequestRun): string | undefined => server === undefined ? undefined : serverProcessId(server)
   const servicesOf = ({ admitted }: RequestRun): string[] => admitted.route.services.map(({ service }) => service)
   /** Versions that servers have had, for each service of the route. */
   const seenBy = (run: RequestRun): Array<ReadonlySet<string>> => servicesOf(run).map(service => versions.seenWithin(service, keepMs(run)))
@@ -138,7 +144,7 @@
   const recordOnceIdentified = async (run: RequestRun, server: BackendServer): Promise<void> => {
     const isListed = await isListedProcess(run, server)
     // While the stream's connection is open, the process that answers now is the one that began it.
-    const isOpen = run.server === server && run.attempt !== undefined
+    const isOpen = currentProcessOf(run) === serverProcessId(server) && run.attempt !== undefined
     if (!isListed || !isOpen) return
     run.origin = { service: server.service, softwareVersion: versionOf(server) }
     recordOrigin(run, run.origin)
@@ -174,9 +180,10 @@
       if (isUnstated(origin)) return isSafeWithoutVersion(run) ? undefined : { reason: 'stream-version-unknown' }
       const availability = versions.availabilityOf(run.admitted.service.name, origin.softwareVersion)
       if (availability === 'usable') return undefined
-      return availability === 'gone' ? { reason: 'stream-version-gone' } : { reason: 'stream-version-absent', retryAfterMs: VERSION_ABSENT_RETRY_AFTER_MS }
+      // A list that is out of date may lack servers of the version.
+      return availability === 'gone' && isListCurrent() ? { reason: 'stream-version-gone' } : { reason: 'stream-version-absent', retryAfterMs: VERSION_ABSENT_RETRY_AFTER_MS }
     },
-    hasOtherServer: run => run.origin === undefined || usable(run).some(server => server !== run.server && mayServe(run, server)),
+    hasOtherServer: run => run.origin === undefined || usable(run).some(server => serverProcessId(server) !== currentProcessOf(run) && mayServe(run, server)),
     mayMove: (source, target) => versionOf(source) === versionOf(target) && !doubts.isDoubtful(source) && !doubts.isDoubtful(target),
     recordFirstEvent: (run, server) => {
       if (run.origin !== undefined && !isUnstated(run.origin)) return recordOrigin(run, run.origin)
@@ -193,8 +200,11 @@
     confirmServers: run => {
       const { origin } = run
       if (origin === undefined || isUnstated(origin)) return
-      usable(run).filter(server => versionOf(server) === origin.softwareVersion && doubts.isDoubtful(server)).forEach(doubts.identify)
+      const doubtful = usable(run).filter(server => versionOf(server) === origin.softwareVersion && doubts.isDoubtful(server))
+      const hasModel = (server: BackendServer): boolean => server.models.some(({ name }) => name === run.caller.model)
+      ;[...doubtful.filter(hasModel), ...doubtful.filter(server => !hasModel(server))].slice(0, MAX_IDENTIFIED).forEach(doubts.identify)
     },
-    recordBreak: doubts.recordBreak
+    recordBreak: doubts.recordBreak,
+    recordAccepting: doubts.recordAccepting
   }
 }
