--- a/packages/magnoliabay/src/node/__tests__/logTrace.spec.ts
+++ b/packages/magnoliabay/src/node/__tests__/logTrace.spec.ts
@@ -47,6 +47,26 @@
   })
 })
 
+describe('the trace of a refused resumption', () => {
+  const at = (second: number, text: string): string => `time=2026-01-01T00:00:0${second}.000Z level=info ${text}`
+  const RESUMED = [
+    at(1, 'event=software-versions instance=i2 service=llm versions=v1,v1.1'),
+    at(2, 'event=attempt-cut instance=i1 request=r1 server=s1 softwareVersion=v1.1 why="connection closed" lastEvent=7'),
+    at(3, 'event=request-ended instance=i9 request=r9 outcome="relayed 200" tookMs=3 server=s9'),
+    at(4, 'event=instance-started instance=i1'),
+    at(5, 'event=stream-version-resolved instance=i2 request=r2 stream=r1 lastEvent=7 source=none versions=v1,v1.1 asked=6 replied=6'),
+    at(5, 'event=request-refused instance=i2 request=r2 reason=stream-version-unknown status=503 tookMs=160 resumes=r1 resumesAfter=7')
+  ]
+
+  /** Guards against a refusal whose cause cannot be found: it lies with the attempt that began the stream, at another instance. */
+  it('has the lines of the attempt that began the stream, and what happened to its instance', () => {
+    const trace = traceRequest(RESUMED, 'r2')
+    expect(trace.requestEntries.map(({ event }) => event)).to.deep.equal(['stream-version-resolved', 'request-refused'])
+    expect(trace.relatedEntries.map(({ event }) => event)).to.deep.equal(['software-versions', 'attempt-cut', 'instance-started'])
+    expect(trace.cause).to.include('begin the stream anew')
+  })
+})
+
 describe('the operators\' guide', () => {
   it('explains every reason', () => {
     const guide = readFileSync('docs/OPERATIONS.md', 'utf8')
