--- a/packages/magnoliabay/src/node/logTrace.ts
+++ b/packages/magnoliabay/src/node/logTrace.ts
@@ -84,7 +84,7 @@
   }
 }
 
-/** Whether a line belongs to the attempt that began the stream which the request takes up, or to another that took it up. */
+/** Whether a line belongs to the attempt that began the stream that the request resumes, or to another that resumed it. */
 function isOfStream ({ fields }: LogEntry, streams: ReadonlySet<string>): boolean {
   return ['request', 'resumes', 'stream'].some(field => streams.has(fields.get(field) ?? ''))
 }
--- a/packages/magnoliabay/src/node/platform/requestHeaders.ts
+++ b/packages/magnoliabay/src/node/platform/requestHeaders.ts
@@ -56,7 +56,7 @@
   return prompt === undefined || output === undefined ? undefined : { prompt, output }
 }
 
-/** A caller takes a stream up if it names an attempt, or an event that it has received. */
+/** A request resumes a stream if it names an attempt, or an event that it has received. */
 function decodeResumption (headers: IncomingHttpHeaders): StreamResumption | undefined {
   const named = firstValueOf(headers[RESUMES])?.trim() ?? ''
   const stated = firstValueOf(headers[LAST_EVENT_ID])?.trim() ?? ''
--- a/packages/magnoliabay/src/node/serving/refusalReasons.ts
+++ b/packages/magnoliabay/src/node/serving/refusalReasons.ts
@@ -9,7 +9,7 @@
   'no-server': 'No server of the service was usable: none was listed, all were leaving, none could be reached, or the model is not in the configuration.',
   'model-not-in-time': 'No engine had the model, and it could not be loaded before the caller would have given up. retryAfterMs is when it was expected to be loaded.',
   'no-orderer': 'No engine had the model, and there was no leader to order a load: leadership was changing, or this instance was cut off.',
-  'stream-version-unknown': 'The caller took up a stream, servers have several software versions, and no instance that was asked knows at which one the stream began: it was not named, or the record was lost with the instances that had it. stream-version-resolved tells who was asked. The caller has to begin the stream anew.',
+  'stream-version-unknown': 'The caller resumed a stream, servers have several software versions, and no instance that was asked knows at which one the stream began: it was not named, or the record was lost with the instances that had it. stream-version-resolved tells who was asked. The caller has to begin the stream anew.',
   'stream-version-absent': 'No server of the software version at which the stream began takes requests now; one crashed recently and may be back.',
   'stream-version-gone': 'All servers of the software version at which the stream began have left. The caller has to begin the stream anew.',
   'server-full': 'Servers rejected the request, without running it, each time it was sent; or they are brittle and had no place for it.',
--- a/packages/magnoliabay/src/node/serving/requestCompletion.ts
+++ b/packages/magnoliabay/src/node/serving/requestCompletion.ts
@@ -15,7 +15,7 @@
   recordAnswered (run: RequestRun, outcome: string): void
 }
 
-/** Reasons after which the stream cannot be taken up again. */
+/** Reasons after which the stream cannot be resumed. */
 const NEEDS_NEW_STREAM: ReadonlySet<EndReason> = new Set(['stream-version-unknown', 'stream-version-gone'])
 const NEW_STREAM_MESSAGE = 'The stream cannot go on. Drop its events and send the request again as a new one, without Last-Event-Id and Resumes.'
 
--- a/packages/magnoliabay/src/node/serving/serverSearch.ts
+++ b/packages/magnoliabay/src/node/serving/serverSearch.ts
@@ -72,7 +72,7 @@
       const refusal = streamVersions.refusalOf(run)
       if (refusal === undefined && hasServerOfVersion(run)) return undefined
       if (refusal !== undefined && refusal.retryAfterMs === undefined) return refusal
-      streamVersions.confirmServers(run)
+      streamVersions.verifyServers(run)
       if (run.stop.signal.aborted || maxWaitMs(run) <= VERSION_CHECK_INTERVAL_MS) return refusal
       await ctx.pause(VERSION_CHECK_INTERVAL_MS)
       run.waitedMs += VERSION_CHECK_INTERVAL_MS
--- a/packages/magnoliabay/src/node/serving/types.ts
+++ b/packages/magnoliabay/src/node/serving/types.ts
@@ -148,7 +148,7 @@
   return `${server.id}@${server.bornMs}`
 }
 
-/** A stream that a caller takes up again after its connection broke. */
+/** A stream that a caller resumes after its connection broke. */
 export interface StreamResumption {
   /** Client attempt that brought the stream's first event; undefined if the caller names none, or not a valid one. */
   firstAttemptId: string | undefined
--- a/packages/magnoliabay/src/node/serving/versions/__tests__/support/versionedFleet.ts
+++ b/packages/magnoliabay/src/node/serving/versions/__tests__/support/versionedFleet.ts
@@ -1,4 +1,4 @@
-/** Instances and engines of several software versions without a network, and callers that take up streams, in virtual time. */
+/** Instances and engines of several software versions without a network, and callers that resume streams, in virtual time. */
 import { createRandom } from '@magnoliabay/standins'
 import type { VirtualClock } from '../../../../clock/virtual'
 import { createStreamRig } from '../../../streams/__tests__/support/streamRig'
@@ -19,9 +19,9 @@
   softwareVersions (): ReadonlySet<string>
   /** Ids of the events that the caller has, over all tries. */
   eventIds (): number[]
-  /** Whether the caller has taken it up after at least one event. */
-  isTakenUp (): boolean
-  /** Whether it has gone on after its caller took it up: another event has come, or its end. */
+  /** Whether the caller has resumed it after at least one event. */
+  isResumed (): boolean
+  /** Whether it has gone on after its caller resumed it: another event has come, or its end. */
   hasContinued (): boolean
   isComplete (): boolean
   /** The caller's connection breaks, and it comes back elsewhere. */
@@ -33,7 +33,7 @@
   rig (instance: string): StreamRig
   live (): readonly string[]
   streams: CallerStream[]
-  /** Starts a stream at an instance; its caller takes it up at the instances in `next`, in order, then at random ones. */
+  /** Starts a stream at an instance; its caller resumes it at the instances in `next`, in order, then at random ones. */
   open (instance: string, next?: readonly string[], headers?: Record<string, string>): CallerStream
   /** Lets time pass while callers act. */
   advance (ms: number): Promise<void>
@@ -107,8 +107,8 @@
       tries,
       eventIds,
       softwareVersions: () => new Set(tries.flatMap(each => [...each.softwareVersions()])),
-      isTakenUp: () => tries.length > 1 && tries.slice(0, -1).some(each => each.eventIds().length > 0),
-      hasContinued: () => stream.isTakenUp() && tries.slice(tries.findIndex(each => each.eventIds().length > 0) + 1).some(each => each.status() === 200),
+      isResumed: () => tries.length > 1 && tries.slice(0, -1).some(each => each.eventIds().length > 0),
+      hasContinued: () => stream.isResumed() && tries.slice(tries.findIndex(each => each.eventIds().length > 0) + 1).some(each => each.status() === 200),
       isComplete: () => tries.at(-1)!.end() === 'complete' && tries.at(-1)!.status() === 200,
       breakConnection: () => tries.at(-1)!.leave(),
       act: () => {
--- a/packages/magnoliabay/src/node/serving/versions/continuations.ts
+++ b/packages/magnoliabay/src/node/serving/versions/continuations.ts
@@ -8,7 +8,7 @@
 
 /**
  * How a stream came to a second run. `response`: within one response, after an attempt had ended. `caller`: its caller has
- * taken it up again. `move`: with the memory of its run.
+ * resumed it. `move`: with the memory of its run.
  */
 export type ContinuationKind = 'response' | 'caller' | 'move'
 
--- a/packages/magnoliabay/src/node/serving/versions/index.ts
+++ b/packages/magnoliabay/src/node/serving/versions/index.ts
@@ -9,7 +9,7 @@
 import type { EngineCalls } from '../engineCalls'
 import type { ServerList } from '../serverList'
 import type { ServingConfigProvider } from '../servingConfigProvider'
-import { createProcessDoubts } from './processDoubts'
+import { createProcessIdentity } from './processIdentity'
 import { createSoftwareVersions } from './softwareVersions'
 import { createStreamOrigins } from './streamOrigins'
 import { createStreamVersions } from './streamVersions'
@@ -34,7 +34,7 @@
   return createStreamVersions({
     versions,
     origins: createStreamOrigins({ peers, versions, clock, logger }),
-    doubts: createProcessDoubts({ fetchReport, isListCurrent, isEntryHeld: ({ id }) => servers.isHeld(id), clock }),
+    identity: createProcessIdentity({ fetchReport, isListCurrent, isEntryHeld: ({ id }) => servers.isHeld(id), clock }),
     servers,
     isListCurrent,
     hasPeers: () => peers.members().length > 1,
--- a/packages/magnoliabay/src/node/serving/versions/processDoubts.ts
+++ b/packages/magnoliabay/src/node/serving/versions/processIdentity.ts
@@ -22,20 +22,20 @@
 /** `same`: the listed process answers. `other`: another one does, or may. `unanswered`: none has said which it is. */
 export type Identity = 'same' | 'other' | 'unanswered'
 
-export interface ProcessDoubts {
+export interface ProcessIdentity {
   /** Records that a connection to the server broke, or was refused. */
   recordBreak (server: BackendServer): void
   /** Records that the server took a connection right after one broke: a process that has died refuses them until another starts. */
   recordAccepting (server: BackendServer): void
   /** Whether a connection to the server broke so lately that the entry of another process may not have arrived. */
   hasBrokenLately (server: BackendServer): boolean
-  /** Whether another process may answer in the place of the one that is listed. */
-  isDoubtful (server: BackendServer): boolean
+  /** Whether another process may answer in the place of the one that is listed, and the server has not said which it is. */
+  isUnverified (server: BackendServer): boolean
   /** Asks the server which process it is, unless it has said so a moment ago. */
-  identify (server: BackendServer): Promise<Identity>
+  verify (server: BackendServer): Promise<Identity>
 }
 
-export interface ProcessDoubtsOptions {
+export interface ProcessIdentityOptions {
   fetchReport: (server: BackendServer) => Promise<Result<EngineReport, string>>
   /** Whether changes of the list of servers reach this instance. */
   isListCurrent: () => boolean
@@ -44,7 +44,7 @@
   clock: Clock
 }
 
-export function createProcessDoubts ({ fetchReport, isListCurrent, isEntryHeld, clock }: ProcessDoubtsOptions): ProcessDoubts {
+export function createProcessIdentity ({ fetchReport, isListCurrent, isEntryHeld, clock }: ProcessIdentityOptions): ProcessIdentity {
   /** When a connection to the process last broke, and when it was last confirmed, monotonic milliseconds. */
   const brokeMs = new Map<string, number>()
   const confirmedMs = new Map<string, number>()
@@ -61,7 +61,7 @@
     const process = serverProcessId(server)
     const report = await Promise.race([fetchReport(server), sleep(clock, ANSWER_TIMEOUT_MS)])
     if (report === undefined || report.err) return 'unanswered'
-    // Reports of some servers do not name their process. One that answers and has not broken a connection has not restarted here.
+    // Some reports do not name the process. A server that answers and has not broken a connection here has not restarted.
     const isSame = report.val.bornMs === undefined ? !hasBrokenLately(process) : report.val.bornMs === server.bornMs
     const hasBrokenMeanwhile = (brokeMs.get(process) ?? -Infinity) > askedMs
     if (!isSame || hasBrokenMeanwhile) return 'other'
@@ -74,11 +74,11 @@
     recordBreak: server => set(brokeMs, serverProcessId(server)),
     recordAccepting: server => { brokeMs.delete(serverProcessId(server)) },
     hasBrokenLately: server => hasBrokenLately(serverProcessId(server)),
-    isDoubtful: server => {
+    isUnverified: server => {
       const process = serverProcessId(server)
       return (hasBrokenLately(process) || isEntryHeld(server) || !isListCurrent()) && !isConfirmed(process)
     },
-    identify: async server => {
+    verify: async server => {
       const process = serverProcessId(server)
       if (isConfirmed(process)) return 'same'
       const asked = pending.get(process) ?? ask(server).finally(() => pending.delete(process))
--- a/packages/magnoliabay/src/node/serving/versions/softwareVersions.ts
+++ b/packages/magnoliabay/src/node/serving/versions/softwareVersions.ts
@@ -8,7 +8,7 @@
 import { serverProcessId } from '../types'
 import type { BackendServer } from '../types'
 
-/** Versions of servers that are no longer listed are kept for this long, milliseconds: longer than any stream is taken up. */
+/** Versions of servers that are no longer listed are kept for this long, milliseconds: longer than any stream may be resumed. */
 const RETENTION_MS = 600_000
 /** A server that crashed is back within some seconds, mostly at its version; after this time without one it is not expected, milliseconds. */
 const RETURN_MS = 10_000
--- a/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps where streams began, so that any instance can continue one that it never saw. The instance that relays a stream
- * records it with the first event. While the service's servers have several software versions, it also sends the record to
- * some other instances, its keepers; whoever takes the stream up asks these. With one version nothing is sent.
+ * records it with the first event. While the service's servers have several software versions, it also sends replicas of the
+ * record to some other instances; the one at which the stream is resumed asks these. With one version nothing is sent.
  */
 import type { Clock } from '../../clock'
 import type { Logger } from '../../logger'
@@ -11,12 +11,12 @@
 import type { SoftwareVersions } from './softwareVersions'
 
 /** Instances that get a record beside the one that relays the stream: three of nine may be killed at once, and it with them. */
-const KEEPERS = 4
+const REPLICAS = 4
 /** Instances that are asked, more than have a record: those ranked first may have joined since. */
 const ASKED = 6
-/** Streams with the same bucket have the same keepers, which bounds the links of an instance in a fleet of hundreds. */
+/** Streams with the same bucket have the same replica holders, which bounds the links of an instance in a fleet of hundreds. */
 const BUCKETS = 32
-/** A keeper replies within a round trip. */
+/** Another instance replies within a round trip. */
 const CALL_TIMEOUT_MS = 300
 /** Records that an instance keeps, its own and those of others; the oldest are dropped first. */
 const MAX_RECORDS = 20_000
@@ -34,7 +34,7 @@
 export interface OriginRecord extends StreamOrigin {
   /** Names the stream, see {@link streamKey}. */
   key: string
-  /** Time for which its caller may still take the stream up, milliseconds. */
+  /** Time for which its caller may still resume the stream, milliseconds. */
   keepMs: number
 }
 
@@ -79,7 +79,7 @@
   record (record: OwnOriginRecord): void
   /** Returns the record of a stream if this instance has it. */
   find (key: string): StreamOrigin | undefined
-  /** Asks the keepers of a stream. */
+  /** Asks the instances that may have a replica of the record. */
   ask (query: OriginQuery): Promise<FoundOrigin>
 }
 
@@ -100,7 +100,7 @@
 export function createStreamOrigins ({ peers, versions, clock, logger }: StreamOriginsOptions): StreamOrigins {
   const self = peers.self.id
   const records = new Map<string, KeptRecord>()
-  /** Other members in the order in which they keep records, by bucket, until members change. */
+  /** Other members in the order in which they hold replicas, by bucket, until members change. */
   const rankings = new Map<number, readonly string[]>()
   peers.onMembersChanged(() => rankings.clear())
 
@@ -117,7 +117,7 @@
     const isFirstOfDomain = (member: string, index: number): boolean => ranking.findIndex(other => domains.get(other) === domains.get(member)) === index
     return [...ranking.filter(isFirstOfDomain), ...ranking.filter((member, index) => !isFirstOfDomain(member, index))].slice(0, ASKED)
   }
-  const keepersOf = (key: string): string[] => rankingOf(key).filter(peers.isConnected).slice(0, KEEPERS)
+  const replicaHoldersOf = (key: string): string[] => rankingOf(key).filter(peers.isConnected).slice(0, REPLICAS)
 
   const dropExpired = (): void => {
     const now = clock.monotonic()
@@ -146,7 +146,7 @@
     for (let from = 0; from < sent.length; from += MAX_RECORDS_PER_CALL) send(member, sent.slice(from, from + MAX_RECORDS_PER_CALL))
   }
   const haveSeveralVersions = (services: readonly string[], withinMs: number): boolean => services.some(service => versions.seenWithin(service, withinMs).size > 1)
-  /** Returns the records of streams that this instance relays or has relayed, that may still be taken up, and whose version matters. */
+  /** Returns the records of streams that this instance relays or has relayed, that may still be resumed, and whose version matters. */
   const ownRecords = (): OwnOriginRecord[] => {
     const now = clock.monotonic()
     return [...records].flatMap(([key, { service, softwareVersion, untilMs, services }]) => {
@@ -155,10 +155,10 @@
     })
   }
   const toRecord = ({ key, service, softwareVersion, keepMs }: OwnOriginRecord): OriginRecord => ({ key, service, softwareVersion, keepMs })
-  /** Sends own records to those of their keepers that `receivers` selects. */
-  const sendOwn = (receivers: (record: OwnOriginRecord, keepers: readonly string[]) => readonly string[]): void => {
+  /** Sends own records to those of their replica holders that `receivers` selects. */
+  const sendOwn = (receivers: (record: OwnOriginRecord, holders: readonly string[]) => readonly string[]): void => {
     const byMember = new Map<string, OriginRecord[]>()
-    ownRecords().forEach(record => receivers(record, keepersOf(record.key)).forEach(member => {
+    ownRecords().forEach(record => receivers(record, replicaHoldersOf(record.key)).forEach(member => {
       const sent = byMember.get(member) ?? []
       byMember.set(member, sent)
       sent.push(toRecord(record))
@@ -172,15 +172,15 @@
   })
   peers.serve(findCall, ({ key, services, withinMs }) => ({ origin: find(key), versions: services.map(service => [...versions.seenWithin(service, withinMs)]) }))
   // Streams that began while there was one version: nobody else knows where.
-  versions.onAdded(service => sendOwn(({ services }, keepers) => services.includes(service) ? keepers : []))
-  // A keeper that has restarted has lost its records, and one that was cut off has missed some.
-  peers.onConnected(({ id }) => sendOwn((_record, keepers) => keepers.filter(keeper => keeper === id)))
+  versions.onAdded(service => sendOwn(({ services }, holders) => services.includes(service) ? holders : []))
+  // An instance that has restarted has lost its replicas, and one that was cut off has missed some.
+  peers.onConnected(({ id }) => sendOwn((_record, holders) => holders.filter(holder => holder === id)))
 
   return {
     find,
     record: record => {
       keep(record, record.services)
-      if (haveSeveralVersions(record.services, record.keepMs)) keepersOf(record.key).forEach(member => send(member, [toRecord(record)]))
+      if (haveSeveralVersions(record.services, record.keepMs)) replicaHoldersOf(record.key).forEach(member => send(member, [toRecord(record)]))
     },
     ask: query => new Promise(resolve => {
       const members = rankingOf(query.key).filter(peers.isConnected)
--- a/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
@@ -5,31 +5,31 @@
 import type { ServerList } from '../serverList'
 import { serverProcessId } from '../types'
 import type { BackendServer, Service } from '../types'
-import type { ProcessDoubts } from './processDoubts'
+import type { ProcessIdentity } from './processIdentity'
 import { UNSTATED_VERSION, versionOf } from './softwareVersions'
 import type { SoftwareVersions } from './softwareVersions'
 import { streamKey } from './streamOrigins'
 import type { FoundOrigin, StreamOrigin, StreamOrigins } from './streamOrigins'
 
-/** Time after its route's timeout for which a caller may take a stream up again, milliseconds. */
-const TAKE_UP_MS = 30_000
-/** A record that is still on its way to its keepers arrives within this time, milliseconds. */
+/** Time after its route's timeout for which a caller may resume a stream, milliseconds. */
+const RESUME_MS = 30_000
+/** A record that is still on its way to other instances arrives within this time, milliseconds. */
 const RECORD_DELAY_MS = 150
 /** Servers that a request asks at a time which process they are, those that have its model first. */
-const MAX_IDENTIFIED = 3
+const MAX_VERIFIED = 3
 /** Stated where a server of the version may be back soon, milliseconds. */
 const VERSION_ABSENT_RETRY_AFTER_MS = 1000
 /** Stated where the instances that may know the version were not reached, milliseconds: another instance may reach them. */
 const UNREACHED_RETRY_AFTER_MS = 500
 
 /**
- * How an instance knows where a stream began that is taken up. `record`: it has a record. `peer`: another instance has one.
+ * How an instance knows where a stream began that its caller resumes. `record`: it has a record. `peer`: another instance has one.
  * `only-version`: all servers have had the same version. `none`: it does not know.
  */
 export type OriginSource = 'record' | 'peer' | 'only-version' | 'none'
 
 export interface StreamVersions {
-  /** Finds out where the stream of a request began that its caller takes up; returns a refusal if that stays unknown. */
+  /** Finds out where the stream began that the request resumes; returns a refusal if that stays unknown. */
   resolve (run: RequestRun): Promise<Refusal | undefined>
   /** Whether the request may run at the server. */
   mayServe (run: RequestRun, server: BackendServer): boolean
@@ -41,8 +41,8 @@
   mayMove (source: BackendServer, target: BackendServer): boolean
   /** Whether the server that was chosen to continue a stream is the listed process; beside other versions it is asked. */
   isListedProcess (run: RequestRun, server: BackendServer): Promise<boolean>
-  /** Asks servers of the stream's version that may have been replaced which process they are. */
-  confirmServers (run: RequestRun): void
+  /** Asks servers of the stream's version that are not verified which process they are. */
+  verifyServers (run: RequestRun): void
   /** Records the server that sent the first event of an attempt. */
   recordFirstEvent (run: RequestRun, server: BackendServer): void
   /** Records that a connection to the server broke, or was refused. */
@@ -54,7 +54,7 @@
 export interface StreamVersionsOptions {
   versions: SoftwareVersions
   origins: StreamOrigins
-  doubts: ProcessDoubts
+  identity: ProcessIdentity
   servers: Pick<ServerList, 'usable'>
   /** Whether changes of the list of servers reach this instance. */
   isListCurrent: () => boolean
@@ -70,10 +70,10 @@
 }
 
 export function createStreamVersions (options: StreamVersionsOptions): StreamVersions {
-  const { versions, origins, doubts, servers, isListCurrent, hasPeers, findService, pause, logger } = options
+  const { versions, origins, identity, servers, isListCurrent, hasPeers, findService, pause, logger } = options
   const usable = ({ admitted }: RequestRun): readonly BackendServer[] => servers.usable(admitted.service.name)
 
-  const keepMs = ({ admitted }: RequestRun): number => admitted.route.timeoutMs + TAKE_UP_MS
+  const keepMs = ({ admitted }: RequestRun): number => admitted.route.timeoutMs + RESUME_MS
   const keyOf = ({ admitted, caller }: RequestRun, attemptId: string): string => streamKey(admitted.team?.name, attemptId)
   const currentProcessOf = ({ server }: RequestRun): string | undefined => server === undefined ? undefined : serverProcessId(server)
   const servicesOf = ({ admitted }: RequestRun): string[] => admitted.route.services.map(({ service }) => service)
@@ -86,7 +86,7 @@
     const [softwareVersion] = seen[servicesOf(run).indexOf(service)] ?? []
     return softwareVersion !== undefined && hasOneVersionEach(seen) ? { service, softwareVersion } : undefined
   }
-  /** Whether this instance has seen all versions that servers had while a stream may have begun that is taken up now. */
+  /** Whether this instance has seen all versions that servers had while a stream may have begun that is resumed now. */
   const hasSeenAll = (run: RequestRun): boolean => !hasPeers() || (versions.observedMs() >= keepMs(run) && isListCurrent())
 
   const resolveLocally = (run: RequestRun, key: string | undefined): Resolution | undefined => {
@@ -119,11 +119,11 @@
     if (service !== undefined) run.admitted = { ...run.admitted, service }
   }
   /**
-   * Whether the server may have another version than the list says. Where all have had one version, the list being out of
-   * date is no reason to doubt each of them: streams could not go on while the store is away.
+   * Whether the server may have another version than the list says. Where all have had one version, a list that is out of
+   * date does not make each of them uncertain: streams could not go on while the store is away.
    */
   const isUncertain = (run: RequestRun, server: BackendServer): boolean =>
-    isSafeWithoutVersion(run) ? !isListCurrent() && doubts.hasBrokenLately(server) : doubts.isDoubtful(server)
+    isSafeWithoutVersion(run) ? !isListCurrent() && identity.hasBrokenLately(server) : identity.isUnverified(server)
   const mayServe: StreamVersions['mayServe'] = (run, server) => {
     const { origin } = run
     if (origin === undefined) return true
@@ -138,10 +138,10 @@
   /** Beside other versions an entry that is late would name a wrong one, so the server itself says which process it is. */
   const isListedProcess = async (run: RequestRun, server: BackendServer): Promise<boolean> => {
     // Plain services have no reports.
-    const identity = run.admitted.service.engine === undefined ? 'unanswered' : await doubts.identify(server)
-    return identity === 'same' || (identity === 'unanswered' && !doubts.isDoubtful(server))
+    const answer = run.admitted.service.engine === undefined ? 'unanswered' : await identity.verify(server)
+    return answer === 'same' || (answer === 'unanswered' && !identity.isUnverified(server))
   }
-  const recordOnceIdentified = async (run: RequestRun, server: BackendServer): Promise<void> => {
+  const recordOnceVerified = async (run: RequestRun, server: BackendServer): Promise<void> => {
     const isListed = await isListedProcess(run, server)
     // While the stream's connection is open, the process that answers now is the one that began it.
     const isOpen = currentProcessOf(run) === serverProcessId(server) && run.attempt !== undefined
@@ -184,7 +184,7 @@
       return availability === 'gone' && isListCurrent() ? { reason: 'stream-version-gone' } : { reason: 'stream-version-absent', retryAfterMs: VERSION_ABSENT_RETRY_AFTER_MS }
     },
     hasOtherServer: run => run.origin === undefined || usable(run).some(server => serverProcessId(server) !== currentProcessOf(run) && mayServe(run, server)),
-    mayMove: (source, target) => versionOf(source) === versionOf(target) && !doubts.isDoubtful(source) && !doubts.isDoubtful(target),
+    mayMove: (source, target) => versionOf(source) === versionOf(target) && !identity.isUnverified(source) && !identity.isUnverified(target),
     recordFirstEvent: (run, server) => {
       if (run.origin !== undefined && !isUnstated(run.origin)) return recordOrigin(run, run.origin)
       if (run.origin !== undefined || versionOf(server) === UNSTATED_VERSION) {
@@ -194,17 +194,17 @@
       const isCertain = isSafeWithoutVersion(run) && !isUncertain(run, server)
       run.origin = { service: server.service, softwareVersion: isCertain ? versionOf(server) : UNSTATED_VERSION }
       if (isCertain) recordOrigin(run, run.origin)
-      else if (!isSafeWithoutVersion(run)) recordOnceIdentified(run, server)
+      else if (!isSafeWithoutVersion(run)) recordOnceVerified(run, server)
     },
     isListedProcess: async (run, server) => run.origin === undefined || isSafeWithoutVersion(run) || await isListedProcess(run, server),
-    confirmServers: run => {
+    verifyServers: run => {
       const { origin } = run
       if (origin === undefined || isUnstated(origin)) return
-      const doubtful = usable(run).filter(server => versionOf(server) === origin.softwareVersion && doubts.isDoubtful(server))
+      const unverified = usable(run).filter(server => versionOf(server) === origin.softwareVersion && identity.isUnverified(server))
       const hasModel = (server: BackendServer): boolean => server.models.some(({ name }) => name === run.caller.model)
-      ;[...doubtful.filter(hasModel), ...doubtful.filter(server => !hasModel(server))].slice(0, MAX_IDENTIFIED).forEach(doubts.identify)
+      ;[...unverified.filter(hasModel), ...unverified.filter(server => !hasModel(server))].slice(0, MAX_VERIFIED).forEach(identity.verify)
     },
-    recordBreak: doubts.recordBreak,
-    recordAccepting: doubts.recordAccepting
+    recordBreak: identity.recordBreak,
+    recordAccepting: identity.recordAccepting
   }
 }
--- a/packages/standins/src/node/streamCaller/index.ts
+++ b/packages/standins/src/node/streamCaller/index.ts
@@ -1,4 +1,4 @@
-/** A caller of streams by the users' platform's protocol: it takes a stream up at another instance when its connection breaks. */
+/** A caller of streams by the users' platform's protocol: it resumes a stream at another instance when its connection breaks. */
 import { request } from 'node:http'
 import type { IncomingMessage } from 'node:http'
 
@@ -24,8 +24,8 @@
   eventIds: readonly number[]
   /** Status of each try; 0 for one without an answer. */
   statuses: readonly number[]
-  /** Whether the caller has taken the stream up after at least one event. */
-  isTakenUp: boolean
+  /** Whether the caller has resumed the stream after at least one event. */
+  isResumed: boolean
   /** Whether it went on after that. */
   hasContinued: boolean
   isComplete: boolean
@@ -75,7 +75,7 @@
   })
 }
 
-/** Calls a stream, and takes it up until it is complete or no try is left. */
+/** Calls a stream, and resumes it until it is complete or no try is left. */
 export async function callStream (options: StreamCallOptions): Promise<StreamCall> {
   const { path, addressFor, nextAttemptId, maxTries = DEFAULT_TRIES, returnDelayMs = DEFAULT_RETURN_DELAY_MS, breakAfterEvent = Infinity } = options
   const tries: Try[] = []
@@ -97,7 +97,7 @@
     softwareVersions: new Set([...received().matchAll(/^data: (.*)$/gm)].map(([, version]) => version!)),
     eventIds: idsIn(received()),
     statuses: tries.map(({ status }) => status),
-    isTakenUp: later.length > 0,
+    isResumed: later.length > 0,
     hasContinued: later.some(({ status }) => status === 200),
     isComplete: tries.at(-1)!.isComplete,
     refusal
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -11,7 +11,7 @@
 import { createLogger } from '../packages/magnoliabay/src/node/logger'
 import { TCP_TRANSPORT } from '../packages/magnoliabay/src/node/members/transport'
 import { DialError, createSocketPrimitives } from '../packages/magnoliabay/src/node/paths'
-import { takeUpStreams } from './demoStreams'
+import { resumeStreams } from './demoStreams'
 import type { DialPrimitives } from '../packages/magnoliabay/src/node/paths'
 
 const BURST_PER_ENTRY = 4
@@ -142,12 +142,12 @@
   check('a withdrawn key is refused at every instance', responses.every(answer => answer.status === 401), responses.map(codeOf).join(', '))
 }
 
-async function checkTakenUpStreams (): Promise<void> {
-  const calls = await takeUpStreams()
-  const whole = calls.filter(({ isComplete, isTakenUp }) => isComplete && isTakenUp)
+async function checkResumedStreams (): Promise<void> {
+  const calls = await resumeStreams()
+  const whole = calls.filter(({ isComplete, isResumed }) => isComplete && isResumed)
   const mixed = calls.filter(({ softwareVersions }) => softwareVersions.size > 1)
   const versions = new Set(calls.flatMap(({ softwareVersions }) => [...softwareVersions]))
-  check('streams taken up at another instance go on at the software version that began them', whole.length === calls.length && mixed.length === 0, `${whole.length} of ${calls.length} complete, ${mixed.length} of two versions; versions ${[...versions].join(', ')}`)
+  check('streams resumed at another instance go on at the software version that began them', whole.length === calls.length && mixed.length === 0, `${whole.length} of ${calls.length} complete, ${mixed.length} of two versions; versions ${[...versions].join(', ')}`)
 }
 
 function checkKeyNotForwarded ({ standIns, callerKey }: EmbeddedFleet): void {
@@ -162,7 +162,7 @@
   await checkStatedLimit(embedded)
   await checkBrittleEngine(embedded)
   await checkPartitionedInstance(embedded)
-  await checkTakenUpStreams()
+  await checkResumedStreams()
   await checkOverAllowance(embedded)
   await checkWithdrawnKey(embedded)
   checkKeyNotForwarded(embedded)
--- a/scripts/demoStreams.ts
+++ b/scripts/demoStreams.ts
@@ -1,4 +1,4 @@
-/** The demo's part on the users' platform: a caller takes a stream up at another instance, beside engines of another version. */
+/** The demo's part on the users' platform: a caller resumes a stream at another instance, beside engines of another version. */
 import { callStream } from '@magnoliabay/standins'
 import type { StreamCall } from '@magnoliabay/standins'
 import { createSystemClock } from '../packages/magnoliabay/src/node/clock'
@@ -36,8 +36,8 @@
   return { instance, entryAddress }
 }
 
-/** Streams that began at the first instance, and were taken up at the second by their callers. */
-export async function takeUpStreams (): Promise<readonly StreamCall[]> {
+/** Streams that began at the first instance, and were resumed at the second by their callers. */
+export async function resumeStreams (): Promise<readonly StreamCall[]> {
   const site = await createPlatformSite()
   const instances = await Promise.all(Array.from({ length: INSTANCES }, (_, index) => startInstance(site, index)))
   await pause(SETTLE_MS)
--- a/scripts/fleet/streamVersions.ts
+++ b/scripts/fleet/streamVersions.ts
@@ -1,6 +1,6 @@
 /**
  * Streams on the users' platform while engines of two software versions serve: real processes are killed, engines crash and come
- * back at another version, connections break, and callers take their streams up at other instances.
+ * back at another version, connections break, and callers resume their streams at other instances.
  */
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
@@ -21,7 +21,7 @@
 
 /** Values of the platform's rules. */
 const MAX_MIXED_STREAMS = 2
-const MIN_TAKEN_UP = 12
+const MIN_RESUMED = 12
 const MIN_CONTINUED_RATIO = 0.5
 
 const PROGRAM = 'dist/magnoliabay.cjs'
@@ -87,14 +87,14 @@
   const mixed = calls.filter(call => call.softwareVersions.size > 1)
   const outOfOrder = calls.filter(({ eventIds }) => eventIds.some((id, index) => id !== index + 1))
   const began = calls.filter(call => call.eventIds.length > 0)
-  const takenUp = calls.filter(call => call.isTakenUp)
-  const continued = takenUp.filter(call => call.hasContinued)
-  const enoughContinue = takenUp.length < MIN_TAKEN_UP || continued.length / takenUp.length >= MIN_CONTINUED_RATIO * began.length / calls.length
+  const resumed = calls.filter(call => call.isResumed)
+  const continued = resumed.filter(call => call.hasContinued)
+  const enoughContinue = resumed.length < MIN_RESUMED || continued.length / resumed.length >= MIN_CONTINUED_RATIO * began.length / calls.length
   const describe = (call: StreamCall): string => `a stream over ${call.statuses.join(', ')} has events of ${[...call.softwareVersions].join(' and ')}`
   return [
     { promise: 'streams keep their version', checked: calls.length, violations: mixed.length > MAX_MIXED_STREAMS ? mixed.map(describe) : [], isSafety: true },
     { promise: 'no event lost or repeated', checked: calls.length, violations: outOfOrder.map(({ eventIds }) => `events ${eventIds.join(' ')}`), isSafety: true },
-    { promise: 'streams taken up go on', checked: takenUp.length, violations: enoughContinue ? [] : [`${continued.length} of ${takenUp.length} went on, ${began.length} of ${calls.length} began`], isSafety: false }
+    { promise: 'streams resumed go on', checked: resumed.length, violations: enoughContinue ? [] : [`${continued.length} of ${resumed.length} went on, ${began.length} of ${calls.length} began`], isSafety: false }
   ]
 }
 
