--- a/packages/magnoliabay/src/node/serving/streams/__tests__/streamMoves.spec.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/streamMoves.spec.ts
@@ -44,6 +44,20 @@
 const outcomesOf = (rig: StreamRig): string[] => rig.logs('stream-move').map(line => / outcome=(\S+)/.exec(line)![1]!)
 
 describe('a stream whose engine ends soon', () => {
+  /** Guards against streams that end with their engine because the list of servers is out of date, where all have one version. */
+  it('continues at another engine of the only version while no changes of the list arrive', async () => {
+    const rig = createStreamRig({ engines: { a1: LONG, a2: LONG }, hasMoves: true })
+    const caller = rig.call('/single/1', USAGE)
+    await rig.clock.advance(700)
+    rig.setListCurrent(false)
+    rig.giveNotice('a1', 2000)
+    await rig.clock.advance(2000)
+    rig.remove('a1')
+    await rig.clock.advance(6000)
+    expectWhole({ rig, caller })
+    expect(outcomesOf(rig)).to.deep.equal(['continued'])
+  })
+
   /** Guards against the memory of a run that is read by another software version than the one that wrote it. */
   it('continues only at an engine with the same software version, also before its first event', async () => {
     const moving = await startMove({}, { softwareVersion: 'v1.1' }, { b1: LONG })
--- a/packages/magnoliabay/src/node/serving/streams/streamMover.ts
+++ b/packages/magnoliabay/src/node/serving/streams/streamMover.ts
@@ -59,7 +59,7 @@
     if (model === undefined) return undefined
     const eligible = placement.serversWithModel(run.admitted.service.name, model, adapter)
       .filter(server => server.address !== source.address && !stream.history.fullTargets.has(server.address) && !run.tried.has(serverProcessId(server)))
-      .filter(server => mayTake(server) && ctx.streamVersions.mayMove(source, server))
+      .filter(server => mayTake(server) && ctx.streamVersions.mayMove(run, source, server))
     const candidates = eligible.map(server => {
       const id = serverProcessId(server)
       return { address: server.address, load: health.inFlight(id) + fleetView.inFlightElsewhere(id), slots: server.slots, failureDomain: server.failureDomain }
--- a/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
@@ -37,8 +37,8 @@
   refusalOf (run: RequestRun): Refusal | undefined
   /** Whether the stream could go on at a server that the request has not tried. */
   hasOtherServer (run: RequestRun): boolean
-  /** Whether the memory of a run at one server may move to the other. */
-  mayMove (source: BackendServer, target: BackendServer): boolean
+  /** Whether the memory of the request's run at one server may move to the other. */
+  mayMove (run: RequestRun, source: BackendServer, target: BackendServer): boolean
   /** Whether the server that was chosen to continue a stream is the listed process; beside other versions it is asked. */
   isListedProcess (run: RequestRun, server: BackendServer): Promise<boolean>
   /** Asks servers of the stream's version that are not verified which process they are. */
@@ -184,7 +184,7 @@
       return availability === 'gone' && isListCurrent() ? { reason: 'stream-version-gone' } : { reason: 'stream-version-absent', retryAfterMs: VERSION_ABSENT_RETRY_AFTER_MS }
     },
     hasOtherServer: run => run.origin === undefined || usable(run).some(server => serverProcessId(server) !== currentProcessOf(run) && mayServe(run, server)),
-    mayMove: (source, target) => versionOf(source) === versionOf(target) && !identity.isUnverified(source) && !identity.isUnverified(target),
+    mayMove: (run, source, target) => versionOf(source) === versionOf(target) && !isUncertain(run, source) && !isUncertain(run, target),
     recordFirstEvent: (run, server) => {
       if (run.origin !== undefined && !isUnstated(run.origin)) return recordOrigin(run, run.origin)
       if (run.origin !== undefined || versionOf(server) === UNSTATED_VERSION) {
