--- a/packages/magnoliabay/src/node/serving/versions/processIdentity.ts
+++ b/packages/magnoliabay/src/node/serving/versions/processIdentity.ts
@@ -12,8 +12,8 @@
 
 /** A server writes its entry when it starts; it arrives within this time while the list is current, milliseconds. */
 const ENTRY_DELAY_MS = 2000
-/** Time for which a confirmation holds, milliseconds: a server takes longer to restart. */
-const CONFIRMATION_TTL_MS = 500
+/** Time for which a verification holds, milliseconds: a server takes longer to restart. */
+const VERIFICATION_TTL_MS = 500
 /** A server that has not answered by then is asked again by the next request, milliseconds. */
 const ANSWER_TIMEOUT_MS = 300
 /** Above this number of records all are dropped; what they said is then found out anew. */
@@ -45,9 +45,9 @@
 }
 
 export function createProcessIdentity ({ fetchReport, isListCurrent, isEntryHeld, clock }: ProcessIdentityOptions): ProcessIdentity {
-  /** When a connection to the process last broke, and when it was last confirmed, monotonic milliseconds. */
+  /** When a connection to the process last broke, and when it was last verified, monotonic milliseconds. */
   const brokeMs = new Map<string, number>()
-  const confirmedMs = new Map<string, number>()
+  const verifiedMs = new Map<string, number>()
   const pending = new Map<string, Promise<Identity>>()
 
   const since = (times: ReadonlyMap<string, number>, process: string): number => clock.monotonic() - (times.get(process) ?? -Infinity)
@@ -65,10 +65,10 @@
     const isSame = report.val.bornMs === undefined ? !hasBrokenLately(process) : report.val.bornMs === server.bornMs
     const hasBrokenMeanwhile = (brokeMs.get(process) ?? -Infinity) > askedMs
     if (!isSame || hasBrokenMeanwhile) return 'other'
-    set(confirmedMs, process)
+    set(verifiedMs, process)
     return 'same'
   }
-  const isConfirmed = (process: string): boolean => since(confirmedMs, process) < CONFIRMATION_TTL_MS && (confirmedMs.get(process) ?? 0) >= (brokeMs.get(process) ?? 0)
+  const isVerified = (process: string): boolean => since(verifiedMs, process) < VERIFICATION_TTL_MS && (verifiedMs.get(process) ?? 0) >= (brokeMs.get(process) ?? 0)
 
   return {
     recordBreak: server => set(brokeMs, serverProcessId(server)),
@@ -76,11 +76,11 @@
     hasBrokenLately: server => hasBrokenLately(serverProcessId(server)),
     isUnverified: server => {
       const process = serverProcessId(server)
-      return (hasBrokenLately(process) || isEntryHeld(server) || !isListCurrent()) && !isConfirmed(process)
+      return (hasBrokenLately(process) || isEntryHeld(server) || !isListCurrent()) && !isVerified(process)
     },
     verify: async server => {
       const process = serverProcessId(server)
-      if (isConfirmed(process)) return 'same'
+      if (isVerified(process)) return 'same'
       const asked = pending.get(process) ?? ask(server).finally(() => pending.delete(process))
       pending.set(process, asked)
       return await asked
--- a/packages/standins/src/node/streamCaller/index.ts
+++ b/packages/standins/src/node/streamCaller/index.ts
@@ -84,7 +84,7 @@
   const received = (): string => tries.filter(({ status }) => status === 200).map(({ text }) => text).join('')
   while (tries.length < maxTries && tries.at(-1)?.isComplete !== true) {
     const attemptId = nextAttemptId()
-    const resumption: Record<string, string> = firstAttemptId === undefined ? {} : { resumes: firstAttemptId, 'last-event-id': String(idsIn(received()).at(-1)) }
+    const resumption: Record<string, string> = firstAttemptId === undefined ? {} : { Resumes: firstAttemptId, 'Last-Event-Id': String(idsIn(received()).at(-1)) }
     const result = await sendTry(addressFor(tries.length), path, { ...options.headers, 'x-magnoliabay-attempt-id': attemptId, ...resumption }, tries.length === 0 ? breakAfterEvent : Infinity)
     tries.push({ ...result, isComplete: result.isComplete && result.status === 200 })
     if (result.status === 200 && idsIn(result.text).length > 0) firstAttemptId ??= attemptId
--- a/scripts/fleet/platformSite.ts
+++ b/scripts/fleet/platformSite.ts
@@ -1,15 +1,13 @@
 /** The users' platform on loopback: its store with a configuration, engines of two software versions, and settings of instances. */
-import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
 import { createKvState, createMetadataStoreServer, createPlatformEngine } from '@magnoliabay/standins'
 import type { KvState, PlatformEngine } from '@magnoliabay/standins'
 import { createSystemClock } from '../../packages/magnoliabay/src/node/clock'
+import { HOST, freePorts } from './freePorts'
 
 export const STREAM_PATH = '/stream/1'
 export const STREAM_HEADERS: Readonly<Record<string, string>> = { host: 'site.example', 'x-magnoliabay-model': 'm1', 'x-magnoliabay-token-usage': '100,40', 'x-magnoliabay-deadline-ms': '15000' }
 export const FAILURE_DOMAINS = ['zone-a', 'zone-b', 'zone-c']
 
-const HOST = '127.0.0.1'
 const SERVICE = 'llm'
 const MODEL = 'm1'
 /** Two engines of each version: one may be lost. */
@@ -73,13 +71,3 @@
 platform: { address: "${store}", ttl-min-ms: 1000 }
 `
 }
-
-async function freePorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>(resolve => {
-    const server = createServer()
-    server.listen(0, HOST, () => resolve(server))
-  })))
-  const ports = servers.map(server => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
-  return ports
-}
--- a/scripts/fleet/processes.ts
+++ b/scripts/fleet/processes.ts
@@ -3,11 +3,10 @@
 import type { ChildProcess } from 'node:child_process'
 import { createHash } from 'node:crypto'
 import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs'
-import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
 import { request } from 'undici'
 import type { StandInFleet } from '@magnoliabay/standins'
 import { FAILURE_DOMAINS, REGION } from './fleetConfig'
+import { HOST, freePorts } from './freePorts'
 
 export type EndKind = 'killed' | 'shut-down' | 'died'
 
@@ -51,7 +50,6 @@
 }
 
 const PROGRAM = 'dist/magnoliabay.cjs'
-const HOST = '127.0.0.1'
 const READY_POLL_INTERVAL_MS = 100
 const READY_TIMEOUT_MS = 30_000
 const SHUTDOWN_TIMEOUT_MS = 90_000
@@ -185,13 +183,3 @@
 keyDigests = ["${createHash('sha256').update(values.operatorKey).digest('hex')}"]
 `
 }
-
-async function freePorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>(resolve => {
-    const server = createServer()
-    server.listen(0, HOST, () => resolve(server))
-  })))
-  const ports = servers.map(server => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
-  return ports
-}
