--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -27,7 +27,10 @@
 const REJECTED_DELAY_MS = 40
 /** Interval at which requests that may run elsewhere check whether their server has stopped responding, milliseconds. */
 const SILENCE_CHECK_INTERVAL_MS = 400
+const MIN_REDIRECT_STATUS = 300
 const MIN_SERVER_ERROR_STATUS = 500
+/** Bounds a log line; prompts have some parts. */
+const MAX_LOGGED_PARTS = 8
 
 export function createRequestHandler (ctx: ServingContext): (inbound: Inbound) => Promise<void> {
   const { cfg, protocol, clock, logger, servers, health, allowance } = ctx
@@ -65,6 +68,7 @@
     run.server = server
     run.forwarder = undefined
     run.isPathBroken = false
+    run.hasBegun = false
     run.execution.record('send')
     health.recordStart(id, model)
     if (model !== '' && health.inFlightOf(id, model) === 1) ctx.onModelUseChanged()
@@ -109,6 +113,7 @@
       onFirstByte: () => { run.firstMs ??= clock.monotonic() - inbound.arrivedMs },
       holdsEnd: () => streams.holdsEnd(run),
       onEvents: () => {
+        run.hasBegun = true
         recordEvents()
         if (caller.model !== undefined && ctx.choosesByTime !== false) timer.recordEvents()
         supervised?.recordEvents()
@@ -124,6 +129,8 @@
     run.attempt = undefined
     if (attemptEnd.kind === 'rejected') health.rejections.record(id, knownLoad() - 1, server.slots)
     if (attemptEnd.kind === 'relayed') timer.recordEnd()
+    // A stream begins with its first event: one that ends without any may be what a crash left.
+    if (attemptEnd.kind === 'relayed' && run.events === undefined && attemptEnd.status < MIN_REDIRECT_STATUS) run.hasBegun = true
     health.recordEnd(id, model)
     if (model !== '' && health.inFlightOf(id, model) === 0) ctx.onModelUseChanged()
     const ended = await streams.resolveEnd(run, attemptEnd)
@@ -227,13 +234,13 @@
       case 'failed':
         run.execution.record('lose')
         run.lastResponse = ended.response ?? run.lastResponse
-        logger.info('attempt-failed', { request: run.caller.attemptId, server: server.id, softwareVersion: server.softwareVersion, reason: ended.reason, repeatable: canRetry(run) })
+        logger.info('attempt-failed', { request: run.caller.attemptId, server: server.id, softwareVersion: server.softwareVersion, reason: ended.reason, ...toPromptFields(run), repeatable: canRetry(run) })
         recordTried(run, id)
         return retryOrFail(run, 'server-failed')
       case 'cut':
         run.execution.record('lose')
         recordTried(run, id)
-        logger.info('attempt-cut', { request: run.caller.attemptId, server: server.id, softwareVersion: server.softwareVersion, why: ended.reason, lastEvent: run.events?.lastId(), repeatable: canRetry(run) })
+        logger.info('attempt-cut', { request: run.caller.attemptId, server: server.id, softwareVersion: server.softwareVersion, why: ended.reason, lastEvent: run.events?.lastId(), ...toPromptFields(run), repeatable: canRetry(run) })
         return retryOrFail(run, 'answer-cut')
       case 'moved':
         run.execution.record('lose')
@@ -299,6 +306,7 @@
       unitsTaken: 0,
       unitsTakenMs: 0,
       attempt: undefined,
+      hasBegun: false,
       forwarder: undefined,
       isPathBroken: false,
       lastResponse: undefined,
@@ -333,6 +341,11 @@
   }
 }
 
+/** Log fields that tell which parts of a prompt an attempt had, and whether its answer had begun. */
+function toPromptFields ({ caller, hasBegun }: RequestRun): object {
+  return { begun: hasBegun, parts: caller.promptParts.slice(0, MAX_LOGGED_PARTS).join(',') || undefined }
+}
+
 function hostOf (req: IncomingMessage): string {
   return (req.headers.host ?? '').replace(/:\d+$/, '').toLowerCase()
 }
--- a/packages/magnoliabay/src/node/serving/requestRun.ts
+++ b/packages/magnoliabay/src/node/serving/requestRun.ts
@@ -40,6 +40,8 @@
   /** When the units were taken, monotonic milliseconds. */
   unitsTakenMs: number
   attempt: Attempt | undefined
+  /** Whether the answer of the latest attempt has begun: a complete event of its stream, or a whole answer, has arrived. */
+  hasBegun: boolean
   /** Counts what is held of the response; undefined where no budget is set. */
   lease?: BufferLease
   /** Id of the instance through which the latest attempt was sent; undefined if it was sent directly. */
