--- a/packages/magnoliabay/src/node/serving/streams/__tests__/support/fakeEngines.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/support/fakeEngines.ts
@@ -34,6 +34,10 @@
   moveFaults: MoveFault[]
   /** Time for a call for a move, milliseconds. */
   moveMs: number
+  /** Parts of prompts on which it crashes as it begins to write an answer. */
+  crashesOn: ReadonlySet<string>
+  /** Called when it has crashed. */
+  onCrashed: () => void
   /** Runs whose connection is open. */
   running (): number
   crash (): void
@@ -67,6 +71,8 @@
   record (id: string): RunRecord
   /** Requests received, with their decoded headers. */
   received: Array<{ address: string, headers: Record<string, string> }>
+  /** Those of them that came to an engine which ran. */
+  reached: Array<{ address: string, headers: Record<string, string> }>
   moveCalls: Array<{ source: string, target: string, isLast: boolean }>
   freed: string[]
   /** Handles that are neither used nor freed. */
@@ -77,6 +83,8 @@
   id: string
   /** Counts the runs of all engines. */
   number: number
+  /** Parts of its prompt. */
+  parts: readonly string[]
   created: number
   handler: ResponseHandler
   cancelTimer: () => void
@@ -93,11 +101,14 @@
   isStopped: boolean
 }
 
+const partsIn = (prefix: string | undefined): string[] => prefix === undefined ? [] : prefix.split(',').map(part => part.split(':')[0]!)
+
 export function createFakeEngines (clock: Clock): FakeEngines {
   const engines = new Map<string, FakeEngine & { runs: Map<string, EngineRun> }>()
   const records = new Map<string, RunRecord>()
   const copies = new Map<string, Copy>()
   const received: FakeEngines['received'] = []
+  const reached: FakeEngines['reached'] = []
   const moveCalls: FakeEngines['moveCalls'] = []
   const freed: string[] = []
   let handles = 0
@@ -127,6 +138,7 @@
       if (run.created >= engine.silentAfter && run.number % engine.silentEvery === 0) return
       // A run that is resumed after its last event has only its end left.
       if (run.created >= engine.events) return finish(address, run)
+      if (run.parts.some(part => engine.crashesOn.has(part))) return engine.crash()
       run.created += 1
       if (run.isOpen) run.handler.onData(Buffer.from(`id: ${run.created}\ndata: ${engine.softwareVersion}\n\n`))
       if (run.created < engine.events) return generate(address, run, engine.gapMs)
@@ -164,9 +176,10 @@
         handler.onEnd(end, reason)
       }
     }
-    const run: EngineRun = { id, number: received.length, created: Number(headers['last-event-id'] ?? 0), handler: once, cancelTimer: () => {}, isOpen: true }
+    const run: EngineRun = { id, number: received.length, parts: partsIn(headers['x-magnoliabay-prompt-prefix']), created: Number(headers['last-event-id'] ?? 0), handler: once, cancelTimer: () => {}, isOpen: true }
     const accept = (): void => {
       if (engine.isCrashed) return once.onEnd('unsent', 'connection refused')
+      reached.push({ address: req.address, headers })
       const kvFrom = headers['kv-from']
       if (kvFrom !== undefined && (engine.rejectsCopies || useCopy(req.address, kvFrom, id) === undefined)) return reject(once)
       if (kvFrom === undefined && engine.runs.size >= engine.slots) return reject(once)
@@ -222,6 +235,7 @@
 
   return {
     received,
+    reached,
     moveCalls,
     freed,
     record,
@@ -258,15 +272,19 @@
         moveMs: 20,
         runs,
         isCrashed: false,
+        crashesOn: new Set<string>(),
+        onCrashed: () => {},
         pausedUntilMs: -Infinity,
         pauseFor: (ms: number) => { engine.pausedUntilMs = clock.monotonic() + ms },
         running: () => [...runs.values()].filter(({ isOpen }) => isOpen).length,
         crash: () => {
+          if (engine.isCrashed) return
           engine.isCrashed = true;
           [...runs.values()].forEach(run => {
             release(address, run)
             run.handler.onEnd('broken', 'connection reset')
           })
+          engine.onCrashed()
         },
         restart: (softwareVersion: string) => {
           engine.isCrashed = false
--- a/packages/magnoliabay/src/node/serving/versions/__tests__/support/versionedFleet.ts
+++ b/packages/magnoliabay/src/node/serving/versions/__tests__/support/versionedFleet.ts
@@ -55,12 +55,14 @@
   seed?: number
   /** @default '/resumable/1' */
   path?: string
+  /** Whether no two requests have the same path. @default false */
+  hasDistinctPaths?: boolean
   rig?: Partial<StreamRigOptions>
 }
 
 export const instanceAt = (index: number): string => `i${index}`
 
-export function createVersionedFleet ({ engines, instances = 6, seed = 1, path = '/resumable/1', rig: rigOptions = {} }: VersionedFleetOptions): VersionedFleet {
+export function createVersionedFleet ({ engines, instances = 6, seed = 1, path = '/resumable/1', hasDistinctPaths = false, rig: rigOptions = {} }: VersionedFleetOptions): VersionedFleet {
   const random = createRandom(seed)
   const rigs = new Map<string, StreamRig>()
   const streams: Array<CallerStream & { act: () => void }> = []
@@ -90,13 +92,14 @@
 
   const open = (instance: string, next: readonly string[] = [], headers: Record<string, string> = {}): CallerStream => {
     const tries: Array<FakeCaller & { id: string, at: string }> = []
+    const ownPath = hasDistinctPaths ? `${path}/${streams.length}` : path
     const followers = [...next]
     let backAtMs = Infinity
     const eventIds = (): number[] => tries.flatMap(each => each.eventIds())
     const send = (at: string): void => {
       const began = tries.find(each => each.eventIds().length > 0)
       const resumption: Record<string, string> = began === undefined ? {} : { resumes: began.id, 'last-event-id': String(eventIds().at(-1)) }
-      tries.push({ ...rigs.get(at)!.call(path, { ...headers, ...resumption }), at })
+      tries.push({ ...rigs.get(at)!.call(ownPath, { ...headers, ...resumption }), at })
     }
     const isOver = (): boolean => {
       const last = tries.at(-1)!
