--- /dev/null
+++ b/packages/magnoliabay/src/node/crashes/crashStore.ts
@@ -0,0 +1,127 @@
+/**
+ * Keeps blamed suspects in the platform's store, so that they outlive a restart of all instances and reach instances that are
+ * cut off from the others. One instance writes for all: when a suspect is blamed, at each further crash, and when it is freed.
+ */
+import { STORE_KEY_PREFIX } from '../constants'
+import type { Clock } from '../clock'
+import type { Logger } from '../logger'
+import { rankHomeInstances } from '../members'
+import type { Peers } from '../members'
+import type { Store, WriteOperation } from '../store'
+import { parseJson, stableHash } from '../utils'
+import type { Blame } from './attribution'
+import type { CrashNotice, CrashRecord } from './crashRecords'
+import type { Suspect } from './suspects'
+
+const PREFIX = `${STORE_KEY_PREFIX}/crash-suspects/`
+/** Bounds a stored record: the latest crashes are enough to blame the suspect. */
+const MAX_STORED_CRASHES = 6
+const MAX_STORED_SUSPECTS = 64
+
+interface StoredCrash {
+  process: string
+  softwareVersion: string
+  /** Unix milliseconds. */
+  atMs: number
+  teams: readonly string[]
+  isTrial: boolean
+}
+
+interface StoredSuspect {
+  suspect: Suspect
+  service: string
+  crashes: readonly StoredCrash[]
+}
+
+export interface CrashStore {
+  /** Brings the store in line with the suspects that are blamed now, if it is for this instance to write. */
+  sync (blames: readonly Blame[]): void
+  /** Reads and watches what is stored until `signal` aborts. */
+  start (signal: AbortSignal): void
+}
+
+export interface CrashStoreOptions {
+  store: Pick<Store, 'transact' | 'watch'>
+  peers: Pick<Peers, 'self' | 'members' | 'isConnected'>
+  /** Called with the crashes of a stored suspect. */
+  onStored: (crashes: readonly CrashNotice[]) => void
+  /** Called when another instance has removed a suspect. */
+  onRemoved: (suspect: Suspect) => void
+  clock: Clock
+  logger: Logger
+}
+
+const keyOf = (suspect: Suspect): string => `${PREFIX}${stableHash(suspect).toString(36)}`
+
+function isStoredSuspect (value: unknown): value is StoredSuspect {
+  const { suspect, service, crashes } = (value ?? {}) as Partial<StoredSuspect>
+  return typeof suspect === 'string' && typeof service === 'string' && Array.isArray(crashes) && crashes.every(({ process, atMs, teams }) => typeof process === 'string' && Number.isFinite(atMs) && Array.isArray(teams))
+}
+
+export function createCrashStore ({ store, peers, onStored, onRemoved, clock, logger }: CrashStoreOptions): CrashStore {
+  /** Values in the store as known here, by key. */
+  const stored = new Map<string, string>()
+  let blamed: readonly Blame[] = []
+
+  const isWriter = (): boolean => rankHomeInstances(peers, PREFIX).find(member => member === peers.self.id || peers.isConnected(member)) === peers.self.id
+  const toStored = (suspect: Suspect, { process, softwareVersion, atMs, candidates }: CrashRecord): StoredCrash => {
+    const { teams, isTrial } = candidates.get(suspect)!
+    return { process, softwareVersion, atMs: Math.round(clock.now() - (clock.monotonic() - atMs)), teams: [...teams], isTrial }
+  }
+  const valueOf = ({ suspect, service, crashes }: Blame): string => JSON.stringify({ suspect, service, crashes: crashes.slice(-MAX_STORED_CRASHES).map(crash => toStored(suspect, crash)) })
+  const processesIn = (value: string | undefined): string => {
+    const parsed = value === undefined ? undefined : parseJson(value)
+    return isStoredSuspect(parsed) ? parsed.crashes.map(({ process }) => process).join() : ''
+  }
+  const write = async (writes: readonly WriteOperation[]): Promise<void> => {
+    const result = await store.transact({ compares: [], writes }, { priority: 'ownership' })
+    if (result.err) return logger.info('crash-suspects-not-stored', { writes: writes.length, reason: result.val.kind })
+    writes.forEach(operation => {
+      if (operation.kind === 'put') stored.set(operation.key, operation.value)
+      else stored.delete(operation.key)
+    })
+  }
+  const sync = (): void => {
+    if (!isWriter()) return
+    const kept = blamed.slice(0, MAX_STORED_SUSPECTS)
+    const wanted = new Map(kept.map(blame => [keyOf(blame.suspect), valueOf(blame)]))
+    // Times differ slightly between instances; only another crash is a reason to write.
+    const puts = [...wanted].filter(([key, value]) => processesIn(stored.get(key)) !== processesIn(value)).map(([key, value]): WriteOperation => ({ kind: 'put', key, value }))
+    const deletes = [...stored.keys()].filter(key => !wanted.has(key)).map((key): WriteOperation => ({ kind: 'delete', key }))
+    const writes = [...puts, ...deletes]
+    if (writes.length > 0) write(writes)
+  }
+  const read = (key: string, value: string): void => {
+    const parsed = parseJson(value)
+    if (!isStoredSuspect(parsed)) return logger.warn('crash-suspect-unreadable', { key })
+    stored.set(key, value)
+    const { suspect, service, crashes } = parsed
+    onStored(crashes.map(({ process, softwareVersion, atMs, teams, isTrial }) => ({
+      process,
+      service,
+      softwareVersion,
+      ageMs: Math.max(0, clock.now() - atMs),
+      candidates: [{ suspect, teams, sentBeforeMs: 0, isTrial, isCleared: false }]
+    })))
+  }
+  const removed = (key: string): void => {
+    const parsed = parseJson(stored.get(key) ?? '')
+    stored.delete(key)
+    if (isStoredSuspect(parsed)) onRemoved(parsed.suspect)
+  }
+  return {
+    sync: blames => {
+      blamed = blames
+      if (blamed.length > 0 || stored.size > 0) sync()
+    },
+    start: signal => store.watch(PREFIX, {
+      // What is missing from a snapshot may have been lost with a copy of the store, and is written again.
+      onSnapshot: ({ entries }) => {
+        stored.clear()
+        entries.forEach(({ key, value }) => read(key, value))
+        sync()
+      },
+      onEvent: ({ kind, key, value }) => kind === 'put' ? read(key, value) : removed(key)
+    }, signal)
+  }
+}
--- /dev/null
+++ b/packages/magnoliabay/src/node/crashes/index.ts
@@ -0,0 +1,6 @@
+/** Which prompt parts and requests crash servers, and are refused; shared by both front doors. */
+export { createCrashAttribution } from './crashAttribution'
+export type { Accusation, CrashAttribution, CutRequest } from './crashAttribution'
+export { createCrashConfirmation } from './confirmation'
+export { fingerprintOf, suspectsOf } from './suspects'
+export type { RequestSuspects, Suspect } from './suspects'
--- a/packages/magnoliabay/src/node/paths/serverDialer.ts
+++ b/packages/magnoliabay/src/node/paths/serverDialer.ts
@@ -8,7 +8,7 @@
 import type { Forwarders } from './forwarders'
 import type { ServerPaths } from './serverPaths'
 import { DialError, toDialError } from './types'
-import type { DialFailure, DialledConnection } from './types'
+import type { DialFailure, DialledConnection, ProbeResult } from './types'
 
 /** Connecting takes a round trip; the system repeats a lost first packet only after seconds. */
 const CONNECT_TIMEOUT_MS = 800
@@ -71,6 +71,8 @@
   check (address: string): void
   /** Returns whether the server accepts connections of any instance. */
   isAccepting (address: string): Promise<boolean>
+  /** Connects directly, once. */
+  probe (address: string): Promise<ProbeResult>
   /** Ends the checks of broken paths. */
   close (): void
 }
@@ -231,6 +233,12 @@
       primitives.close(forwarded.connection)
       return true
     },
+    probe: async address => {
+      if (paths.isBroken(address)) return 'unknown'
+      const failed = await probe(address, CHECK_TIMEOUT_MS)
+      if (failed === undefined) return 'accepting'
+      return failed.failure === 'refused' ? 'refused' : 'unknown'
+    },
     close: () => stop.abort()
   }
 }
--- a/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
@@ -6,7 +6,8 @@
 import type { MemberRecord, Peers } from '../../../members'
 import { createMemoryNetwork } from '../../../members/memoryNetwork'
 import type { MemoryNetwork } from '../../../members/memoryNetwork'
-import { createRetryBudget, createSuspects } from '../../../outcomes'
+import { createCrashAttribution } from '../../../crashes'
+import { createRetryBudget } from '../../../outcomes'
 import { platformProtocol } from '../../../platform'
 import { DialError, createServerRoutes } from '../../../paths'
 import type { ServerRoutes } from '../../../paths'
@@ -342,7 +343,7 @@
       onReport: (_member, report) => recordStatements(report),
       onSummary: (_member, summary) => recordStatements(summary)
     })
-    const connections: Connections = { exchange: (req, handler) => exchange(id, req, handler), isAccepting: routes.dialer.isAccepting, forget: () => {}, close: () => {} }
+    const connections: Connections = { exchange: (req, handler) => exchange(id, req, handler), isAccepting: routes.dialer.isAccepting, probe: routes.dialer.probe, forget: () => {}, close: () => {} }
     const serve = createRequestHandler({
       cfg: activeConfig,
       protocol: platformProtocol,
@@ -359,7 +360,7 @@
       connections,
       streamVersions: createVersionKeeping({ peers, servers: list, cfg: activeConfig, fetchReport: async () => Err('no reports'), isListCurrent: () => true, clock, logger }),
       coldStarts: { isCold: () => false, admit: async () => true },
-      suspects: createSuspects({ peers, clock, logger, hasCrashed: async () => false }),
+      crashes: createCrashAttribution({ peers, clock, logger, hasCrashed: async () => false }),
       retryBudget: () => createRetryBudget({ retriesPerRequest: 1, burst: () => 1000 }),
       recordDemand: () => {},
       onModelUseChanged: () => {},
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -8,7 +8,7 @@
 import type { Duplex } from 'node:stream'
 import type { Clock } from '../clock'
 import { createDirectRoutes } from '../paths'
-import type { ServerDialer, ServerRoutes } from '../paths'
+import type { ProbeResult, ServerDialer, ServerRoutes } from '../paths'
 import { parseHostPort } from '../utils'
 
 /**
@@ -116,6 +116,8 @@
   exchange (req: OutboundRequest, handler: ResponseHandler): Exchange
   /** Returns whether a server accepts connections. */
   isAccepting (address: string): Promise<boolean>
+  /** Tries once to connect directly. */
+  probe (address: string): Promise<ProbeResult>
   /** Closes the idle connections to an address. */
   forget (address: string): void
   close (): void
@@ -147,6 +149,7 @@
       return runExchange(agentOf(req.address), { dialer, monitor }, req, handler)
     },
     isAccepting: dialer.isAccepting,
+    probe: dialer.probe,
     forget: address => {
       // Connections in use stay open: a server that has left the list still finishes its requests.
       dropIdle(address, () => true)
--- a/packages/magnoliabay/src/node/serving/refusal.ts
+++ b/packages/magnoliabay/src/node/serving/refusal.ts
@@ -25,6 +25,9 @@
   | 'leaving'
   | 'fault'
 
+/** After these a retry cannot end otherwise, so that none is suggested. */
+export const FINAL_REASONS: ReadonlySet<EndReason> = new Set<EndReason>(['crashes-servers'])
+
 /** The end of a request without a response from a backend server. */
 export interface Refusal {
   reason: EndReason
--- a/packages/magnoliabay/src/node/serving/requestCompletion.ts
+++ b/packages/magnoliabay/src/node/serving/requestCompletion.ts
@@ -1,7 +1,8 @@
 /** Ends requests: writes the log line, counts the metrics and sends the response to the caller. */
+import type { Accusation } from '../crashes'
 import { sendCompleteResponse } from './attempt'
 import type { ServingContext } from './servingContext'
-import { statusOf } from './refusal'
+import { FINAL_REASONS, statusOf } from './refusal'
 import type { EndReason, Refusal } from './refusal'
 import type { Inbound, RequestRun } from './requestRun'
 import type { CallerRequest } from './types'
@@ -15,9 +16,18 @@
   recordAnswered (run: RequestRun, outcome: string): void
 }
 
-/** Reasons after which the stream cannot be resumed. */
-const NEEDS_NEW_STREAM: ReadonlySet<EndReason> = new Set(['stream-version-unknown', 'stream-version-gone'])
 const NEW_STREAM_MESSAGE = 'The stream cannot go on. Drop its events and send the request again as a new one, without Last-Event-Id and Resumes.'
+/** Tells the caller what to do, where a retry alone does not help. */
+const MESSAGES: Readonly<Partial<Record<EndReason, string>>> = {
+  'stream-version-unknown': NEW_STREAM_MESSAGE,
+  'stream-version-gone': NEW_STREAM_MESSAGE,
+  'crashes-servers': 'Servers crashed on requests with the same part of a prompt, or on this very request. Change it before you send it again.'
+}
+
+/** Log fields that lead from a refused request to the crashes for which something in it is blamed. */
+export function toAccusationFields (accusation: Accusation | undefined): object {
+  return accusation === undefined ? {} : { suspect: accusation.suspects[0], crashed: accusation.servers.join(',') }
+}
 
 export function createRequestCompletion (ctx: ServingContext): RequestCompletion {
   const { allowance, cfg, clock, logger, metrics, protocol } = ctx
@@ -40,8 +50,8 @@
       res.destroy()
       return
     }
-    const sendsRetryAfter = !mayHaveRun && refusal.retryAfterMs !== undefined
-    const body = JSON.stringify({ error: refusal.reason, ...(NEEDS_NEW_STREAM.has(refusal.reason) ? { message: NEW_STREAM_MESSAGE } : {}) })
+    const sendsRetryAfter = !mayHaveRun && refusal.retryAfterMs !== undefined && !FINAL_REASONS.has(refusal.reason)
+    const body = JSON.stringify({ error: refusal.reason, message: MESSAGES[refusal.reason] })
     res.writeHead(status, {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
@@ -56,6 +66,7 @@
     adapter: run.caller.adapter,
     server: run.server?.id,
     softwareVersion: run.server?.softwareVersion,
+    ...toAccusationFields(ctx.crashes.accusationOf(run.suspects)),
     resumes: run.caller.resumption?.firstAttemptId,
     resumesAfter: run.caller.resumption?.lastEventId,
     through: run.forwarder,
--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -1,13 +1,15 @@
 /** Serves one request from admission to its end: reserves allowance, chooses servers, makes attempts and responds to the caller. */
 import type { IncomingMessage } from 'node:http'
-import { createExecutionTracker, fingerprintOf } from '../outcomes'
+import { fingerprintOf, suspectsOf } from '../crashes'
+import type { Accusation, CutRequest } from '../crashes'
+import { createExecutionTracker } from '../outcomes'
 import { admitRequest, unitsOf } from './requestAdmission'
 import { createPartAsk, toPartLogFields } from './allowance/partAsk'
 import { startAttempt } from './attempt'
 import { startStreamTimer } from './choice/streamTimer'
 import type { Attempt } from './attempt'
 import type { ServingContext } from './servingContext'
-import { createRequestCompletion } from './requestCompletion'
+import { createRequestCompletion, toAccusationFields } from './requestCompletion'
 import { createEventStream } from './eventStream'
 import { LEAVING_RETRY_AFTER_MS, SERVER_FULL_RETRY_AFTER_MS } from './refusal'
 import type { EndReason, Refusal } from './refusal'
@@ -20,6 +22,7 @@
 import type { BackendServer, CallerRequest } from './types'
 import type { RunCopy } from './servingProtocol'
 import { createContinuations } from './versions/continuations'
+import { versionOf } from './versions/softwareVersions'
 
 /** How often a request is sent again after servers rejected it without running it. */
 const MAX_REJECTIONS = 3
@@ -37,6 +40,8 @@
   const search = createServerSearch(ctx)
   const continuations = createContinuations({ onFirstEvent: ctx.streamVersions.recordFirstEvent, logger, registry: ctx.metrics.registry })
   const { refuse, fail, recordAnswered } = createRequestCompletion(ctx)
+  /** Requests that are being served. */
+  const active = new Set<RequestRun>()
   const pathOf = (req: IncomingMessage): string => (req.url ?? '/').split('?')[0]!
 
   const remainingMs = (run: RequestRun): number => run.endMs - clock.monotonic()
@@ -69,6 +74,7 @@
     run.forwarder = undefined
     run.isPathBroken = false
     run.hasBegun = false
+    const sentMs = clock.monotonic()
     run.execution.record('send')
     health.recordStart(id, model)
     if (model !== '' && health.inFlightOf(id, model) === 1) ctx.onModelUseChanged()
@@ -113,7 +119,7 @@
       onFirstByte: () => { run.firstMs ??= clock.monotonic() - inbound.arrivedMs },
       holdsEnd: () => streams.holdsEnd(run),
       onEvents: () => {
-        run.hasBegun = true
+        recordBegun(run, server)
         recordEvents()
         if (caller.model !== undefined && ctx.choosesByTime !== false) timer.recordEvents()
         supervised?.recordEvents()
@@ -130,16 +136,23 @@
     if (attemptEnd.kind === 'rejected') health.rejections.record(id, knownLoad() - 1, server.slots)
     if (attemptEnd.kind === 'relayed') timer.recordEnd()
     // A stream begins with its first event: one that ends without any may be what a crash left.
-    if (attemptEnd.kind === 'relayed' && run.events === undefined && attemptEnd.status < MIN_REDIRECT_STATUS) run.hasBegun = true
+    if (attemptEnd.kind === 'relayed' && run.events === undefined && attemptEnd.status < MIN_REDIRECT_STATUS) recordBegun(run, server)
     health.recordEnd(id, model)
     if (model !== '' && health.inFlightOf(id, model) === 0) ctx.onModelUseChanged()
     const ended = await streams.resolveEnd(run, attemptEnd)
     if (run.isPathBroken) return ended
     recordHealth(id, ended)
     if (ended.kind === 'unsent' || isConnectionBroken(ended)) ctx.streamVersions.recordBreak(server)
-    updateSuspects(run, server, ended)
+    const checked = checkCrash(run, server, ended, { sentMs, brokeMs: clock.monotonic(), trial: run.trial ?? [] })
+    // Otherwise the next attempt would be another trial, before the crash of this one is known.
+    if (run.trial !== undefined) await checked
     return ended
   }
+  const recordBegun = (run: RequestRun, server: BackendServer): void => {
+    if (run.hasBegun) return
+    run.hasBegun = true
+    ctx.crashes.recordBegun(run.suspects, versionOf(server))
+  }
   /**
    * The answer cannot arrive before the path is back. A request that may run again goes over another path; any other waits,
    * since the answer may still come in its time, and its silence says nothing about the server.
@@ -160,13 +173,16 @@
     if (canRetry(run)) cancel = clock.schedule(SILENCE_CHECK_INTERVAL_MS, check)
     return () => cancel()
   }
-  /** Records a crash if the connection broke and the server has crashed, since the request may be the cause; clears a suspect that got a response. */
-  const updateSuspects = async (run: RequestRun, server: BackendServer, ended: AttemptOutcome): Promise<void> => {
-    const { suspects } = ctx
-    if (ended.kind === 'relayed' && suspects.assess(run.fingerprint) === 'suspect') return suspects.clear(run.fingerprint)
+  /**
+   * Records a crash if the connection broke and the server has crashed. A request whose answer had begun is not the cause, and
+   * neither is what it holds.
+   */
+  const checkCrash = async (run: RequestRun, server: BackendServer, ended: AttemptOutcome, times: Pick<CutRequest, 'sentMs' | 'brokeMs' | 'trial'>): Promise<void> => {
     if (!isConnectionBroken(ended)) return
-    if (await suspects.hasCrashed(server.address)) suspects.recordCrash(run.fingerprint, serverProcessId(server))
-    else ctx.streamVersions.recordAccepting(server)
+    const { hasBegun } = run
+    if (await ctx.connections.isAccepting(server.address)) return ctx.streamVersions.recordAccepting(server)
+    if (hasBegun || !await ctx.crashes.hasCrashed(server.address)) return
+    ctx.crashes.recordCrash(run.suspects, { process: serverProcessId(server), softwareVersion: versionOf(server), ...times })
   }
   const isConnectionBroken = (ended: AttemptOutcome): boolean => ended.kind === 'cut' || (ended.kind === 'failed' && ended.response === undefined)
   const recordHealth = (id: string, ended: AttemptOutcome): void => {
@@ -257,19 +273,40 @@
       const server = continuation?.server ?? await search.find(run)
       if (run.stop.signal.aborted) return fail(run, { reason: run.stopReason ?? 'fault', retryAfterMs: SERVER_FULL_RETRY_AFTER_MS })
       if ('reason' in server) return fail(run, server)
+      const accusation = await admit(run)
+      if (accusation !== undefined) return fail(run, { reason: 'crashes-servers' })
       const refusal = await reserveAllowance(run)
       if (run.stop.signal.aborted) return fail(run, { reason: run.stopReason ?? 'fault', retryAfterMs: SERVER_FULL_RETRY_AFTER_MS })
       if (refusal !== undefined) return fail(run, refusal)
       const ended = await send(run, server, continuation?.runCopy)
+      endTrial(run)
       if (!await handleAttemptEnd(run, server, ended, rejections)) return
       if (run.stop.signal.aborted) return fail(run, { reason: run.stopReason ?? 'fault' })
     }
   }
+  /** Returns what is blamed in a request that must not be sent; lets it through as a trial where one may be made. */
+  const admit = async (run: RequestRun): Promise<Accusation | undefined> => {
+    const accusation = ctx.crashes.accusationOf(run.suspects)
+    if (accusation === undefined || accusation.suspects.every(suspect => run.trial?.includes(suspect))) return undefined
+    endTrial(run)
+    const admission = await ctx.crashes.admit(run.suspects, run.caller.attemptId)
+    if (admission.kind === 'trial') run.trial = admission.suspects
+    return admission.kind === 'refused' ? admission.accusation : undefined
+  }
+  const endTrial = (run: RequestRun): void => {
+    if (run.trial === undefined) return
+    ctx.crashes.endTrial(run.suspects, run.trial)
+    run.trial = undefined
+  }
   const serveRun = async (run: RequestRun): Promise<void> => {
     const refusal = run.caller.resumption === undefined ? undefined : await ctx.streamVersions.resolve(run)
     if (refusal !== undefined) return fail(run, refusal)
     await runAttempts(run)
   }
+  /** A request on which servers certainly crash is withdrawn where it waits, also from the queue of a server. */
+  ctx.crashes.onBlamed(() => [...active]
+    .filter(run => !run.hasBegun && run.trial === undefined && ctx.crashes.isProven(run.suspects))
+    .forEach(run => stopRun(run, 'crashes-servers')))
   const stopRun = (run: RequestRun, reason: EndReason): void => {
     run.stopReason ??= reason
     run.stop.abort()
@@ -284,15 +321,21 @@
     if (admitted.err) return refuse(inbound, caller, admitted.val, false, { path: pathOf(req) })
     const { route, service } = admitted.val
     if (ctx.isClosingFor(route.kind)) return refuse(inbound, caller, { reason: 'leaving', retryAfterMs: LEAVING_RETRY_AFTER_MS }, false, { route: route.name })
+    const team = admitted.val.team?.name ?? ''
+    const fingerprint = fingerprintOf(team, `${req.method} ${req.url}`, inbound.body)
+    const suspects = suspectsOf({ service: service.name, team, sharedParts: caller.promptParts.slice(0, -1), fingerprint })
+    // What is refused here counts nowhere: neither as demand for a model, nor in an allowance or a retry budget.
+    const admission = ctx.crashes.accusationOf(suspects) === undefined ? undefined : await ctx.crashes.admit(suspects, caller.attemptId)
+    if (admission?.kind === 'refused') return refuse(inbound, caller, { reason: 'crashes-servers' }, false, { route: route.name, team, ...toAccusationFields(admission.accusation) })
     ctx.recordDemand(modelKey(caller))
     ctx.retryBudget(service.name).recordFirstAttempt()
-    const fingerprint = fingerprintOf(admitted.val.team?.name ?? '', `${req.method} ${req.url}`, inbound.body)
-    if (ctx.suspects.assess(fingerprint) === 'refused') return refuse(inbound, caller, { reason: 'crashes-servers' }, false, { route: route.name, fingerprint })
     const allowedMs = Math.min(route.timeoutMs, caller.deadlineMs ?? Infinity)
     const run: RequestRun = {
       inbound,
       caller,
       fingerprint,
+      suspects,
+      trial: admission?.kind === 'trial' ? admission.suspects : undefined,
       admitted: admitted.val,
       execution: createExecutionTracker(),
       endMs: inbound.arrivedMs + allowedMs,
@@ -334,7 +377,10 @@
       if (!res.writableFinished) stopRun(run, 'caller-gone')
     })
     if (res.destroyed) stopRun(run, 'caller-gone')
+    active.add(run)
     await serveRun(run).finally(() => {
+      active.delete(run)
+      endTrial(run)
       releasePlace(ctx, run, false)
       streams.release(run)
     })
--- a/packages/magnoliabay/src/node/serving/servingContext.ts
+++ b/packages/magnoliabay/src/node/serving/servingContext.ts
@@ -2,7 +2,8 @@
 import type { WakeupCounter } from '../wakeups'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
-import type { RetryBudget, Suspects } from '../outcomes'
+import type { CrashAttribution } from '../crashes'
+import type { RetryBudget } from '../outcomes'
 import type { BrittleServers, BrittleServices, LimitedServers, ServerLimits, ServerBackoffs } from '../statements'
 import type { AnswerBuffers } from './answerBuffers'
 import type { AllowanceLimiter } from './allowance/allowanceLimiter'
@@ -41,8 +42,8 @@
   streamVersions: StreamVersions
   /** The budget for responses that callers have not read. @default each response is limited by itself */
   answerBuffers?: AnswerBuffers
-  /** Requests that were running on servers when these crashed. */
-  suspects: Suspects
+  /** Prompt parts and requests that crash servers. */
+  crashes: CrashAttribution
   /** The budget for sending requests of a service more than once. */
   retryBudget: (service: string) => RetryBudget
   /** Counts a request for a model. */
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -13,7 +13,8 @@
 import type { MemberRecord } from '../members'
 import { contactSeeds } from '../members/seeds'
 import { TCP_TRANSPORT } from '../members/transport'
-import { createRetryBudget, createSuspects } from '../outcomes'
+import { createCrashAttribution, createCrashConfirmation } from '../crashes'
+import { createRetryBudget } from '../outcomes'
 import type { RetryBudget } from '../outcomes'
 import { createForwardingServer, createPathMetrics, createServerRoutes, createSocketPrimitives } from '../paths'
 import type { DialPrimitives } from '../paths'
@@ -57,6 +58,7 @@
 import type { RequestKind } from './types'
 import type { ServingProtocol } from './servingProtocol'
 import { createVersionKeeping } from './versions'
+import { versionOf } from './versions/softwareVersions'
 
 export interface ServingSettings {
   instance: { id: string, failureDomain: string, region: string }
@@ -131,10 +133,6 @@
 const LAST_STREAM_RATIO = 0.3
 /** The same for requests other than streams, as the time before the end of the grace period, milliseconds. */
 const LAST_CALL_MARGIN_MS = 2200
-/** A request that was running on this many servers when they crashed is refused; fewer may be a coincidence on a day with many crashes. */
-const CRASHES_TO_REFUSE = 3
-/** Callers send such a request again within seconds; the same bytes a minute later may be another request. */
-const SUSPECT_RETENTION_MS = 60_000
 /** Time without contact to the store after which an instance may count as isolated, and its list of servers as outdated, milliseconds: longer than a watch takes to respond. */
 const ISOLATED_STORE_AGE_MS = 5500
 /** An instance with links to fewer than this part of the others is in the minority of a network partition. */
@@ -355,13 +353,18 @@
     clock,
     logger
   })
-  const suspects = createSuspects({
+  const crashes = createCrashAttribution({
     peers,
+    store,
+    hasCrashed: createCrashConfirmation({
+      peers,
+      probe: async address => servers.all().some(server => server.address === address) ? await connections.probe(address) : 'unknown',
+      random
+    }),
+    isVersionListed: (service, version) => servers.all().some(server => server.service === service && versionOf(server) === version),
+    registry: metrics.registry,
     clock,
-    logger,
-    hasCrashed: async address => !await connections.isAccepting(address),
-    retentionMs: SUSPECT_RETENTION_MS,
-    refuseAfterCrashes: CRASHES_TO_REFUSE
+    logger
   })
   const coldStarts = createColdStarts({
     peers,
@@ -384,7 +387,7 @@
   const handleRequest = createRequestHandler({
     streamVersions,
     choosesByTime,
-    suspects,
+    crashes,
     cfg,
     protocol,
     servers,
@@ -455,6 +458,7 @@
     start: async () => {
       await peers.start()
       watchStore(watchOptions, stop.signal)
+      crashes.start(stop.signal)
       membership.start(stop.signal)
       leadership.start(stop.signal)
       placementController.start(stop.signal)
--- a/packages/magnoliabay/src/node/serving/streams/__tests__/support/fakeEngines.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/support/fakeEngines.ts
@@ -244,7 +244,7 @@
       return `r${ids}`
     },
     openHandles: () => [...copies].filter(([, each]) => !each.isUsed && !each.isFreed).map(([handle]) => handle),
-    connections: { exchange: serve, isAccepting: async address => !engines.get(address)!.isCrashed, forget: () => {}, close: () => {} },
+    connections: { exchange: serve, isAccepting: async address => !engines.get(address)!.isCrashed, probe: async address => engines.get(address)!.isCrashed ? 'refused' : 'accepting', forget: () => {}, close: () => {} },
     runCalls: {
       moveRun,
       freeRunCopy: async (_server, handle) => {
--- a/packages/magnoliabay/src/node/serving/streams/__tests__/support/streamRig.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/support/streamRig.ts
@@ -5,7 +5,8 @@
 import { createLogger } from '../../../../logger'
 import { createMemoryNetwork } from '../../../../members/memoryNetwork'
 import type { MemoryNetwork } from '../../../../members/memoryNetwork'
-import { createRetryBudget, createSuspects } from '../../../../outcomes'
+import { createCrashAttribution } from '../../../../crashes'
+import { createRetryBudget } from '../../../../outcomes'
 import { platformProtocol } from '../../../../platform'
 import { createLimitedServers, createServerBackoffs, createServerLimits } from '../../../../statements'
 import { sleep } from '../../../../clock'
@@ -21,6 +22,7 @@
 import { createRequestHandler } from '../../../requestHandler'
 import { createServerHealth } from '../../../serverHealth'
 import { createServerList } from '../../../serverList'
+import type { Store } from '../../../../store'
 import type { BackendServer, Route, ServingConfig } from '../../../types'
 import { createVersionKeeping } from '../../../versions'
 import { createFakeEngines } from './fakeEngines'
@@ -57,6 +59,8 @@
   instance?: string
   /** @default 'a' */
   failureDomain?: string
+  /** Where blamed suspects are kept. @default nowhere */
+  crashStore?: Store
   /** Calls over the network to engines at these addresses, by name. @default none */
   network?: Pick<FakeEngines, 'connections' | 'runCalls'> & { addresses: Readonly<Record<string, string>> }
 }
@@ -140,7 +144,7 @@
     streamVersions: createVersionKeeping({ peers, servers, cfg, fetchReport, isListCurrent: () => isListCurrent, clock, logger }),
     runCalls: options.network?.runCalls ?? fakes.runCalls,
     coldStarts: { isCold: () => false, admit: async () => true },
-    suspects: createSuspects({ peers, clock, logger, hasCrashed: async address => options.network === undefined && !await fakes.connections.isAccepting(address), refuseAfterCrashes: 3 }),
+    crashes: createCrashAttribution({ peers, store: options.crashStore, clock, logger, hasCrashed: async address => options.network === undefined && !await fakes.connections.isAccepting(address) }),
     retryBudget: () => budget,
     recordDemand: () => {},
     onModelUseChanged: () => {},
