--- a/packages/magnoliabay/src/node/crashes/attribution.ts
+++ b/packages/magnoliabay/src/node/crashes/attribution.ts
@@ -10,8 +10,6 @@
 export interface Blame {
   suspect: Suspect
   service: string
-  /** Other suspects that would explain some of the same crashes; none where it is the only explanation of one. */
-  rivals: ReadonlySet<Suspect>
   /** The crashes, oldest first. */
   crashes: readonly CrashRecord[]
   /** Teams under whose requests servers crashed. */
@@ -47,50 +45,38 @@
   return groups
 }
 
-/** Returns the suspects with enough crashes, and how many each has. */
-function countCrashes (records: readonly CrashRecord[], crashesToBlame: number): { counts: ReadonlyMap<Suspect, number>, groups: CrashesBySuspect } {
-  const groups = groupBySuspect(records)
-  const counts = new Map<Suspect, number>()
-  groups.forEach((crashes, suspect) => {
-    const count = crashes.length < crashesToBlame ? 0 : countIndependent(suspect, crashes)
-    if (count >= crashesToBlame) counts.set(suspect, count)
-  })
-  return { counts, groups }
-}
-
 const isOpenIn = ({ candidates }: CrashRecord, suspect: Suspect): boolean => candidates.get(suspect)?.isCleared === false
 
-function teamsIn (suspect: Suspect, crashes: readonly CrashRecord[]): ReadonlySet<string> {
-  return new Set(crashes.flatMap(({ candidates }) => [...candidates.get(suspect)!.teams]))
+/** Returns the suspect that alone explains some crash, of several the one with most crashes. */
+function findCulprit (suspects: readonly Suspect[], crashes: readonly CrashRecord[], counts: ReadonlyMap<Suspect, number>): Suspect | undefined {
+  const explainingAlone = crashes.flatMap(crash => {
+    const open = suspects.filter(suspect => isOpenIn(crash, suspect))
+    return open.length === 1 ? open : []
+  })
+  return [...new Set(explainingAlone)].sort((left, right) => counts.get(right)! - counts.get(left)!)[0]
 }
 
 /**
- * Takes one suspect after the other, the one with most crashes first, that alone explains some crash; what else was in its
- * crashes is not blamed for them. Of those that are left, none can be told from its rivals, and all are blamed.
+ * Takes one suspect after the other that alone explains some crash. What is left without a crash of its own only came with
+ * these, and is not blamed; what is left with some cannot be told from each other, and all of it is.
  */
 export function attribute (unordered: readonly CrashRecord[], crashesToBlame: number): ReadonlyMap<Suspect, Blame> {
-  const blamed = new Map<Suspect, Blame>()
-  const blame = (suspect: Suspect, crashes: readonly CrashRecord[], rivals: ReadonlySet<Suspect>): void => {
-    blamed.set(suspect, { suspect, service: crashes[0]!.service, rivals, crashes, teams: teamsIn(suspect, crashes) })
+  const crashes = [...unordered].sort((left, right) => left.atMs - right.atMs)
+  const groups = groupBySuspect(crashes)
+  const counts = new Map([...groups].map(([suspect, group]) => [suspect, group.length < crashesToBlame ? 0 : countIndependent(suspect, group)]))
+  const toBlame = (suspect: Suspect): Blame => {
+    const group = groups.get(suspect)!
+    return { suspect, service: group[0]!.service, crashes: group, teams: new Set(group.flatMap(({ candidates }) => [...candidates.get(suspect)!.teams])) }
   }
-  let records = [...unordered].sort((left, right) => left.atMs - right.atMs)
+  const blamed: Suspect[] = []
+  let suspects = [...counts].filter(([, count]) => count >= crashesToBlame).map(([suspect]) => suspect)
+  let unexplained: readonly CrashRecord[] = crashes
   for (;;) {
-    const { counts, groups } = countCrashes(records, crashesToBlame)
-    if (counts.size === 0) return blamed
-    const soleIn = records.flatMap(record => {
-      const open = [...counts.keys()].filter(suspect => isOpenIn(record, suspect))
-      return open.length === 1 ? open : []
-    })
-    const [culprit] = [...new Set(soleIn)].sort((left, right) => counts.get(right)! - counts.get(left)!)
-    if (culprit === undefined) {
-      counts.forEach((_count, suspect) => {
-        const crashes = groups.get(suspect)!
-        const rivals = [...counts.keys()].filter(other => other !== suspect && crashes.some(record => isOpenIn(record, other)))
-        blame(suspect, crashes, new Set(rivals))
-      })
-      return blamed
-    }
-    blame(culprit, groups.get(culprit)!, new Set())
-    records = records.filter(record => !isOpenIn(record, culprit))
+    const culprit = findCulprit(suspects, unexplained, counts)
+    if (culprit === undefined) break
+    blamed.push(culprit)
+    unexplained = unexplained.filter(crash => !isOpenIn(crash, culprit))
+    suspects = suspects.filter(suspect => suspect !== culprit && unexplained.some(crash => isOpenIn(crash, suspect)))
   }
+  return new Map([...blamed, ...suspects].map(suspect => [suspect, toBlame(suspect)]))
 }
--- a/packages/magnoliabay/src/node/crashes/confirmation.ts
+++ b/packages/magnoliabay/src/node/crashes/confirmation.ts
@@ -4,7 +4,7 @@
  */
 import { definePeerCall } from '../members'
 import type { MemberRecord, Peers } from '../members'
-import type { ProbeResult } from '../paths'
+import type { ProbeResult } from '../probe'
 
 const probeCall = definePeerCall<{ address: string }, { result: ProbeResult }>('crashes.probe-server')
 
@@ -41,14 +41,14 @@
   }
   const ask = async (member: MemberRecord, address: string): Promise<ProbeResult> => {
     const reply = await peers.call(member.id, probeCall, { address }, { timeoutMs: ASK_TIMEOUT_MS })
-    return reply.ok ? reply.val.result : 'unknown'
+    return reply.ok ? reply.val.result : 'silent'
   }
   const confirm = async (address: string): Promise<boolean> => {
     const own = await probe(address)
-    if (own === 'accepting') return false
+    if (own === 'accepted') return false
     const others = pickOthers()
     const results = await Promise.all(others.map(member => ask(member, address)))
-    if (results.includes('accepting')) return false
+    if (results.includes('accepted')) return false
     const refusals = results.filter(result => result === 'refused').length
     if (own === 'refused') return refusals > 0 || others.length === 0
     return refusals >= REFUSALS_OF_OTHERS
--- a/packages/magnoliabay/src/node/crashes/crashAttribution.ts
+++ b/packages/magnoliabay/src/node/crashes/crashAttribution.ts
@@ -71,8 +71,8 @@
   hasCrashed: (address: string) => Promise<boolean>
   /** Where blamed suspects outlive a restart of all instances. @default they do not */
   store?: Pick<Store, 'transact' | 'watch'>
-  /** Whether a server of the service has this software version. @default always */
-  isVersionListed?: (service: string, softwareVersion: string) => boolean
+  /** Whether servers of the service have other software versions, and none this one. @default never */
+  isReplaced?: (service: string, softwareVersion: string) => boolean
   /** Independent crashes after which a suspect is blamed; one or two may be a coincidence. @default 3 */
   crashesToBlame?: number
   /** Time for which a crash is kept, milliseconds. @default 3600000 */
@@ -90,8 +90,8 @@
 
 const DEFAULT_CRASHES_TO_BLAME = 3
 const DEFAULT_RETENTION_MS = 3_600_000
-/** Crashes are collected for this long, milliseconds. */
-const NOTICE_DELAY_MS = 5
+/** A crash may cut many requests; those after the first are told together, at most this often, milliseconds. */
+const NOTICE_INTERVAL_MS = 5
 /** Records in one message: some tens of kilobytes. */
 const MAX_RECORDS_PER_NOTICE = 32
 /** Bounds a log line. */
@@ -102,7 +102,7 @@
 const serverOf = (process: string): string => process.replace(/@\d+$/, '')
 
 export function createCrashAttribution (options: CrashAttributionOptions): CrashAttribution {
-  const { peers, clock, logger, crashesToBlame = DEFAULT_CRASHES_TO_BLAME, retentionMs = DEFAULT_RETENTION_MS, maxCrashes, isVersionListed = () => true } = options
+  const { peers, clock, logger, crashesToBlame = DEFAULT_CRASHES_TO_BLAME, retentionMs = DEFAULT_RETENTION_MS, maxCrashes, isReplaced = () => false } = options
   const records = createCrashRecords({ clock, retentionMs, maxCrashes })
   const grants = createTrialGrants({ peers, clock })
   const metrics = options.registry === undefined ? undefined : createCrashMetrics(options.registry)
@@ -112,9 +112,9 @@
 
   const isNeeded = ({ candidates }: CrashRecord): boolean => [...candidates.keys()].some(suspect => blames.has(suspect))
   const logChanges = (next: ReadonlyMap<Suspect, Blame>): void => {
-    next.forEach(({ suspect, crashes, rivals, teams }) => {
+    next.forEach(({ suspect, crashes, teams }) => {
       if (blames.get(suspect)?.crashes.length === crashes.length) return
-      logger.warn('suspect-blamed', { suspect, crashes: crashes.length, servers: crashes.slice(-MAX_LOGGED).map(({ process }) => serverOf(process)), rivals: rivals.size, teams: teams.size, reason: 'servers crashed before an answer with it began' })
+      logger.warn('suspect-blamed', { suspect, crashes: crashes.length, servers: crashes.slice(-MAX_LOGGED).map(({ process }) => serverOf(process)), teams: teams.size, reason: 'servers crashed before an answer with it began' })
     })
     blames.forEach((_blame, suspect) => { if (!next.has(suspect)) logger.info('suspect-freed', { suspect, reason: records.has(suspect) ? 'another one explains the crashes' : 'an answer with it has begun, or its crashes are long past' }) })
   }
@@ -153,16 +153,21 @@
   })
 
   let untold: CrashNotice[] = []
+  let isCollecting = false
   const tellNow = (): void => {
+    isCollecting = false
     const crashes = untold
     untold = []
-    if (crashes.length > 0) peers.notifyAll(crashNotice, { crashes })
+    if (crashes.length === 0) return
+    peers.notifyAll(crashNotice, { crashes })
+    isCollecting = true
+    clock.schedule(NOTICE_INTERVAL_MS, tellNow)
   }
-  /** A crash may cut many requests; a trial's is told at once, before another one may be granted. */
+  /** What leads to a refusal is told at once, since callers may already be back elsewhere; so is a trial's, before another is granted. */
   const tell = (crash: CrashNotice): void => {
     untold.push(crash)
-    if (untold.length >= MAX_RECORDS_PER_NOTICE || crash.candidates.some(({ isTrial }) => isTrial)) return tellNow()
-    if (untold.length === 1) clock.schedule(NOTICE_DELAY_MS, tellNow)
+    const isUrgent = !isCollecting || untold.length >= MAX_RECORDS_PER_NOTICE || crash.candidates.some(({ suspect, isTrial }) => isTrial || blames.has(suspect))
+    if (isUrgent) tellNow()
   }
   const blamesIn = ({ suspects }: RequestSuspects): Blame[] => blames.size === 0 ? [] : suspects.flatMap(suspect => blames.get(suspect) ?? [])
   /** Frees what is blamed for crashes that are long past. */
@@ -184,7 +189,7 @@
       expire()
       const accused = blamesIn(req)
       if (accused.length === 0) return CLEAR
-      const reason = chooseTrial(accused, req, records.all(), clock.monotonic(), { isVersionListed })
+      const reason = chooseTrial(accused, req, { crashes: records.all(), isBlamed: suspect => blames.has(suspect), isReplaced, nowMs: clock.monotonic() })
       const refused: Admission = { kind: 'refused', accusation: toAccusation(accused) }
       if (reason === undefined) return refused
       const { suspects } = refused.accusation
@@ -207,7 +212,7 @@
       tell(crash)
     },
     recordBegun: ({ suspects }, softwareVersion) => {
-      const cleared = records.clear(suspects, record => record.softwareVersion === softwareVersion || !isVersionListed(record.service, record.softwareVersion))
+      const cleared = records.clear(suspects, record => record.softwareVersion === softwareVersion || isReplaced(record.service, record.softwareVersion))
       if (cleared.length === 0) return
       peers.notifyAll(clearedNotice, { cleared })
       update()
--- a/packages/magnoliabay/src/node/crashes/index.ts
+++ b/packages/magnoliabay/src/node/crashes/index.ts
@@ -2,5 +2,8 @@
 export { createCrashAttribution } from './crashAttribution'
 export type { Accusation, CrashAttribution, CutRequest } from './crashAttribution'
 export { createCrashConfirmation } from './confirmation'
+export { createIncarnationCheck } from './incarnationCheck'
+export { createRequestGuard } from './requestGuard'
+export type { RequestGuard } from './requestGuard'
 export { fingerprintOf, suspectsOf } from './suspects'
 export type { RequestSuspects, Suspect } from './suspects'
--- a/packages/magnoliabay/src/node/serving/__tests__/support/promptPartFleet.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/promptPartFleet.ts
@@ -1,5 +1,7 @@
 /** Instances and engines in virtual time, with callers whose prompts share parts; some parts crash each engine that answers them. */
 import { createRandom } from '@magnoliabay/standins'
+import type { Clock } from '../../../clock'
+import { createVirtualClock } from '../../../clock/virtual'
 import { createVersionedFleet } from '../../versions/__tests__/support/versionedFleet'
 import type { CallerStream, VersionedFleet, VersionedFleetOptions } from '../../versions/__tests__/support/versionedFleet'
 
@@ -10,6 +12,8 @@
   rate: number
   /** Key of the callers' team. @default none */
   key?: string
+  /** Instances that they call. @default all */
+  at?: readonly string[]
   /** Milliseconds. @default from the start */
   fromMs?: number
   /** Milliseconds. @default to the end */
@@ -26,6 +30,13 @@
   /** @default '/resumable/1' */
   path?: string
   rig?: VersionedFleetOptions['rig']
+  /** Options that need the clock. @default none */
+  rigOf?: (clock: Clock) => NonNullable<VersionedFleetOptions['rig']>
+}
+
+interface Crash {
+  atMs: number
+  part: string | undefined
 }
 
 interface Arrival {
@@ -43,9 +54,16 @@
   fleet: VersionedFleet
   /** Each engine crashes as it begins to answer a prompt with one of these parts, from now on. */
   setCrashingParts (parts: readonly string[]): void
+  /** Engines crash at the same moment, and are back after a while. */
+  crash (...names: string[]): void
+  /** Time from a request to its first event, from now on. */
+  setFirstEventMs (ms: number): void
+  /** All engines are replaced by others with this software version. */
+  replaceEngines (softwareVersion: string): Promise<void>
   /** Sends requests of the groups, and lets time pass. */
   run (groups: readonly CallerGroup[], ms: number): Promise<void>
-  crashTimesMs: readonly number[]
+  /** When engines crashed on the part; on any if none is given. */
+  crashTimesMs (part?: string): readonly number[]
   requests: readonly SentRequest[]
   /** Requests with the part that reached engines later than this time. */
   arrivalsAfter (part: string, ms: number): number
@@ -61,13 +79,13 @@
 const MS_PER_SECOND = 1000
 const ENGINES: VersionedFleetOptions['engines'] = { a1: 'v1', a2: 'v1', b1: 'v1', b2: 'v1', c1: 'v1', c2: 'v1' }
 
-export function createPromptPartFleet ({ engines = ENGINES, instances, seed = 1, path, rig }: PromptPartFleetOptions = {}): PromptPartFleet {
-  const fleet = createVersionedFleet({ engines, instances, seed, path, hasDistinctPaths: true, rig: { retries: 10_000, ...rig } })
+export function createPromptPartFleet ({ engines = ENGINES, instances, seed = 1, path, rig, rigOf }: PromptPartFleetOptions = {}): PromptPartFleet {
+  const clock = createVirtualClock()
+  const fleet = createVersionedFleet({ engines, instances, seed, path, hasDistinctPaths: true, rig: { retries: 10_000, clock, ...rig, ...rigOf?.(clock) } })
   const random = createRandom(seed + 1)
   const names = Object.keys(engines)
-  const { clock } = fleet
   const engineOf = (name: string): ReturnType<ReturnType<VersionedFleet['rig']>['engine']> => fleet.rig(fleet.live()[0]!).engine(name)
-  const crashTimesMs: number[] = []
+  const crashes: Crash[] = []
   const arrivals: Arrival[] = []
   const requests: SentRequest[] = []
   const { fakes } = fleet.rig(fleet.live()[0]!)
@@ -75,28 +93,38 @@
   let ownParts = 0
 
   names.forEach(name => {
-    engineOf(name).onCrashed = () => {
-      crashTimesMs.push(clock.monotonic())
+    engineOf(name).onCrashed = part => {
+      crashes.push({ atMs: clock.monotonic(), part })
       fleet.crashEngine(name, LIST_LAG_MS)
-      clock.schedule(RESTART_MS, () => fleet.startEngine(name, engines[name]!, LIST_LAG_MS))
+      clock.schedule(RESTART_MS, () => fleet.startEngine(name, softwareVersion ?? engines[name]!, LIST_LAG_MS))
     }
   })
   const recordArrivals = (): void => {
     fakes.reached.slice(seenArrivals).forEach(({ headers }) => arrivals.push({ atMs: clock.monotonic(), parts: (headers['x-magnoliabay-prompt-prefix'] ?? '').split(',').map(part => part.split(':')[0]!) }))
     seenArrivals = fakes.reached.length
   }
-  const send = ({ parts, key }: CallerGroup): void => {
+  let softwareVersion: string | undefined
+  const send = ({ parts, key, at }: CallerGroup): void => {
     ownParts += 1
     const prefix = [...parts, `own${ownParts}`].map(part => `${part}:100`).join(',')
-    const live = fleet.live()
+    const live = at ?? fleet.live()
     const stream = fleet.open(live[Math.floor(random() * live.length)]!, [], { 'x-magnoliabay-prompt-prefix': prefix, ...(key === undefined ? {} : { authorization: `Token ${key}` }) })
     requests.push({ atMs: clock.monotonic(), parts, stream })
   }
   return {
     fleet,
-    crashTimesMs,
+    crashTimesMs: part => crashes.filter(crash => part === undefined || crash.part === part).map(({ atMs }) => atMs),
     requests,
     setCrashingParts: parts => names.forEach(name => { engineOf(name).crashesOn = new Set(parts) }),
+    crash: (...crashed) => crashed.forEach(name => engineOf(name).crash()),
+    setFirstEventMs: ms => names.forEach(name => { engineOf(name).firstMs = ms }),
+    replaceEngines: async version => {
+      softwareVersion = version
+      for (const name of names) {
+        engineOf(name).crash()
+        await fleet.advance(RESTART_MS + LIST_LAG_MS)
+      }
+    },
     run: async (groups, ms) => {
       for (let passedMs = 0; passedMs < ms; passedMs += TICK_MS) {
         groups
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -8,7 +8,8 @@
 import type { Duplex } from 'node:stream'
 import type { Clock } from '../clock'
 import { createDirectRoutes } from '../paths'
-import type { ProbeResult, ServerDialer, ServerRoutes } from '../paths'
+import type { ServerDialer, ServerRoutes } from '../paths'
+import type { ProbeResult } from '../probe'
 import { parseHostPort } from '../utils'
 
 /**
--- a/packages/magnoliabay/src/node/serving/requestCompletion.ts
+++ b/packages/magnoliabay/src/node/serving/requestCompletion.ts
@@ -66,7 +66,7 @@
     adapter: run.caller.adapter,
     server: run.server?.id,
     softwareVersion: run.server?.softwareVersion,
-    ...toAccusationFields(ctx.crashes.accusationOf(run.suspects)),
+    ...toAccusationFields(run.guard.accusation()),
     resumes: run.caller.resumption?.firstAttemptId,
     resumesAfter: run.caller.resumption?.lastEventId,
     through: run.forwarder,
--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -1,7 +1,7 @@
 /** Serves one request from admission to its end: reserves allowance, chooses servers, makes attempts and responds to the caller. */
 import type { IncomingMessage } from 'node:http'
-import { fingerprintOf, suspectsOf } from '../crashes'
-import type { Accusation, CutRequest } from '../crashes'
+import { createRequestGuard, fingerprintOf, suspectsOf } from '../crashes'
+import type { CutRequest } from '../crashes'
 import { createExecutionTracker } from '../outcomes'
 import { admitRequest, unitsOf } from './requestAdmission'
 import { createPartAsk, toPartLogFields } from './allowance/partAsk'
@@ -143,15 +143,16 @@
     if (run.isPathBroken) return ended
     recordHealth(id, ended)
     if (ended.kind === 'unsent' || isConnectionBroken(ended)) ctx.streamVersions.recordBreak(server)
-    const checked = checkCrash(run, server, ended, { sentMs, brokeMs: clock.monotonic(), trial: run.trial ?? [] })
+    const trial = run.guard.trial()
+    const checked = checkCrash(run, server, ended, { sentMs, brokeMs: clock.monotonic(), trial })
     // Otherwise the next attempt would be another trial, before the crash of this one is known.
-    if (run.trial !== undefined) await checked
+    if (trial.length > 0) await checked
     return ended
   }
   const recordBegun = (run: RequestRun, server: BackendServer): void => {
     if (run.hasBegun) return
     run.hasBegun = true
-    ctx.crashes.recordBegun(run.suspects, versionOf(server))
+    run.guard.recordBegun(versionOf(server))
   }
   /**
    * The answer cannot arrive before the path is back. A request that may run again goes over another path; any other waits,
@@ -182,7 +183,7 @@
     const { hasBegun } = run
     if (await ctx.connections.isAccepting(server.address)) return ctx.streamVersions.recordAccepting(server)
     if (hasBegun || !await ctx.crashes.hasCrashed(server.address)) return
-    ctx.crashes.recordCrash(run.suspects, { process: serverProcessId(server), softwareVersion: versionOf(server), ...times })
+    run.guard.recordCrash({ process: serverProcessId(server), softwareVersion: versionOf(server), ...times })
   }
   const isConnectionBroken = (ended: AttemptOutcome): boolean => ended.kind === 'cut' || (ended.kind === 'failed' && ended.response === undefined)
   const recordHealth = (id: string, ended: AttemptOutcome): void => {
@@ -273,31 +274,17 @@
       const server = continuation?.server ?? await search.find(run)
       if (run.stop.signal.aborted) return fail(run, { reason: run.stopReason ?? 'fault', retryAfterMs: SERVER_FULL_RETRY_AFTER_MS })
       if ('reason' in server) return fail(run, server)
-      const accusation = await admit(run)
+      const accusation = await run.guard.admit()
       if (accusation !== undefined) return fail(run, { reason: 'crashes-servers' })
       const refusal = await reserveAllowance(run)
       if (run.stop.signal.aborted) return fail(run, { reason: run.stopReason ?? 'fault', retryAfterMs: SERVER_FULL_RETRY_AFTER_MS })
       if (refusal !== undefined) return fail(run, refusal)
       const ended = await send(run, server, continuation?.runCopy)
-      endTrial(run)
+      run.guard.endTrial()
       if (!await handleAttemptEnd(run, server, ended, rejections)) return
       if (run.stop.signal.aborted) return fail(run, { reason: run.stopReason ?? 'fault' })
     }
   }
-  /** Returns what is blamed in a request that must not be sent; lets it through as a trial where one may be made. */
-  const admit = async (run: RequestRun): Promise<Accusation | undefined> => {
-    const accusation = ctx.crashes.accusationOf(run.suspects)
-    if (accusation === undefined || accusation.suspects.every(suspect => run.trial?.includes(suspect))) return undefined
-    endTrial(run)
-    const admission = await ctx.crashes.admit(run.suspects, run.caller.attemptId)
-    if (admission.kind === 'trial') run.trial = admission.suspects
-    return admission.kind === 'refused' ? admission.accusation : undefined
-  }
-  const endTrial = (run: RequestRun): void => {
-    if (run.trial === undefined) return
-    ctx.crashes.endTrial(run.suspects, run.trial)
-    run.trial = undefined
-  }
   const serveRun = async (run: RequestRun): Promise<void> => {
     const refusal = run.caller.resumption === undefined ? undefined : await ctx.streamVersions.resolve(run)
     if (refusal !== undefined) return fail(run, refusal)
@@ -305,7 +292,7 @@
   }
   /** A request on which servers certainly crash is withdrawn where it waits, also from the queue of a server. */
   ctx.crashes.onBlamed(() => [...active]
-    .filter(run => !run.hasBegun && run.trial === undefined && ctx.crashes.isProven(run.suspects))
+    .filter(run => !run.hasBegun && run.guard.mustWithdraw())
     .forEach(run => stopRun(run, 'crashes-servers')))
   const stopRun = (run: RequestRun, reason: EndReason): void => {
     run.stopReason ??= reason
@@ -325,8 +312,9 @@
     const fingerprint = fingerprintOf(team, `${req.method} ${req.url}`, inbound.body)
     const suspects = suspectsOf({ service: service.name, team, sharedParts: caller.promptParts.slice(0, -1), fingerprint })
     // What is refused here counts nowhere: neither as demand for a model, nor in an allowance or a retry budget.
-    const admission = ctx.crashes.accusationOf(suspects) === undefined ? undefined : await ctx.crashes.admit(suspects, caller.attemptId)
-    if (admission?.kind === 'refused') return refuse(inbound, caller, { reason: 'crashes-servers' }, false, { route: route.name, team, ...toAccusationFields(admission.accusation) })
+    const guard = createRequestGuard(ctx.crashes, suspects, caller.attemptId)
+    const accusation = guard.accusation() === undefined ? undefined : await guard.admit()
+    if (accusation !== undefined) return refuse(inbound, caller, { reason: 'crashes-servers' }, false, { route: route.name, team, ...toAccusationFields(accusation) })
     ctx.recordDemand(modelKey(caller))
     ctx.retryBudget(service.name).recordFirstAttempt()
     const allowedMs = Math.min(route.timeoutMs, caller.deadlineMs ?? Infinity)
@@ -334,8 +322,7 @@
       inbound,
       caller,
       fingerprint,
-      suspects,
-      trial: admission?.kind === 'trial' ? admission.suspects : undefined,
+      guard,
       admitted: admitted.val,
       execution: createExecutionTracker(),
       endMs: inbound.arrivedMs + allowedMs,
@@ -380,7 +367,7 @@
     active.add(run)
     await serveRun(run).finally(() => {
       active.delete(run)
-      endTrial(run)
+      guard.endTrial()
       releasePlace(ctx, run, false)
       streams.release(run)
     })
--- a/packages/magnoliabay/src/node/serving/requestRun.ts
+++ b/packages/magnoliabay/src/node/serving/requestRun.ts
@@ -1,6 +1,6 @@
 /** The state of one request while it is served: its input, its attempts and their results. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { RequestSuspects, Suspect } from '../crashes'
+import type { RequestGuard } from '../crashes'
 import type { ExecutionTracker } from '../outcomes'
 import type { BufferLease } from './answerBuffers'
 import type { AdmittedRequest } from './requestAdmission'
@@ -22,10 +22,8 @@
   caller: CallerRequest
   /** Identical for the same bytes from the same team, that is, for a request that is sent again. */
   fingerprint: string
-  /** What a crash that cuts the request may be due to. */
-  suspects: RequestSuspects
-  /** Blamed suspects that the next attempt is to try; undefined for any other request. */
-  trial: readonly Suspect[] | undefined
+  /** Keeps it away from servers if they crash on it. */
+  guard: RequestGuard
   admitted: AdmittedRequest
   execution: ExecutionTracker
   /** Monotonic milliseconds by which the request must have ended. */
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -358,10 +358,13 @@
     store,
     hasCrashed: createCrashConfirmation({
       peers,
-      probe: async address => servers.all().some(server => server.address === address) ? await connections.probe(address) : 'unknown',
+      probe: async address => servers.all().some(server => server.address === address) ? await connections.probe(address) : 'silent',
       random
     }),
-    isVersionListed: (service, version) => servers.all().some(server => server.service === service && versionOf(server) === version),
+    isReplaced: (service, version) => {
+      const listed = servers.all().filter(server => server.service === service).map(versionOf)
+      return listed.length > 0 && !listed.includes(version)
+    },
     registry: metrics.registry,
     clock,
     logger
--- a/packages/magnoliabay/src/node/serving/streams/__tests__/support/fakeEngines.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/support/fakeEngines.ts
@@ -36,11 +36,11 @@
   moveMs: number
   /** Parts of prompts on which it crashes as it begins to write an answer. */
   crashesOn: ReadonlySet<string>
-  /** Called when it has crashed. */
-  onCrashed: () => void
+  /** Called when it has crashed, with the part of a prompt that did it. */
+  onCrashed: (part?: string) => void
   /** Runs whose connection is open. */
   running (): number
-  crash (): void
+  crash (part?: string): void
   /** Another process starts at the address after a crash, with this version of the software. */
   restart (softwareVersion: string): void
   /** Breaks the connections of all streams; the runs go on. */
@@ -138,7 +138,8 @@
       if (run.created >= engine.silentAfter && run.number % engine.silentEvery === 0) return
       // A run that is resumed after its last event has only its end left.
       if (run.created >= engine.events) return finish(address, run)
-      if (run.parts.some(part => engine.crashesOn.has(part))) return engine.crash()
+      const crashing = run.parts.find(part => engine.crashesOn.has(part))
+      if (crashing !== undefined) return engine.crash(crashing)
       run.created += 1
       if (run.isOpen) run.handler.onData(Buffer.from(`id: ${run.created}\ndata: ${engine.softwareVersion}\n\n`))
       if (run.created < engine.events) return generate(address, run, engine.gapMs)
@@ -244,7 +245,7 @@
       return `r${ids}`
     },
     openHandles: () => [...copies].filter(([, each]) => !each.isUsed && !each.isFreed).map(([handle]) => handle),
-    connections: { exchange: serve, isAccepting: async address => !engines.get(address)!.isCrashed, probe: async address => engines.get(address)!.isCrashed ? 'refused' : 'accepting', forget: () => {}, close: () => {} },
+    connections: { exchange: serve, isAccepting: async address => !engines.get(address)!.isCrashed, probe: async address => engines.get(address)!.isCrashed ? 'refused' : 'accepted', forget: () => {}, close: () => {} },
     runCalls: {
       moveRun,
       freeRunCopy: async (_server, handle) => {
@@ -277,14 +278,14 @@
         pausedUntilMs: -Infinity,
         pauseFor: (ms: number) => { engine.pausedUntilMs = clock.monotonic() + ms },
         running: () => [...runs.values()].filter(({ isOpen }) => isOpen).length,
-        crash: () => {
+        crash: (part?: string) => {
           if (engine.isCrashed) return
           engine.isCrashed = true;
           [...runs.values()].forEach(run => {
             release(address, run)
             run.handler.onEnd('broken', 'connection reset')
           })
-          engine.onCrashed()
+          engine.onCrashed(part)
         },
         restart: (softwareVersion: string) => {
           engine.isCrashed = false
--- a/packages/magnoliabay/src/node/serving/streams/__tests__/support/streamRig.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/support/streamRig.ts
@@ -59,6 +59,8 @@
   instance?: string
   /** @default 'a' */
   failureDomain?: string
+  /** @default a clock of its own, or that of the instance beside it */
+  clock?: VirtualClock
   /** Where blamed suspects are kept. @default nowhere */
   crashStore?: Store
   /** Calls over the network to engines at these addresses, by name. @default none */
@@ -103,7 +105,7 @@
 const NOBODY_ELSEWHERE = { inFlightElsewhere: () => 0, inFlightElsewhereAtSummary: () => 0, instanceCount: () => 1, speedOf: () => 1 } as unknown as FleetView
 
 export function createStreamRig (options: StreamRigOptions): StreamRig {
-  const clock = options.beside?.clock ?? createVirtualClock()
+  const clock = options.beside?.clock ?? options.clock ?? createVirtualClock()
   const lines: string[] = []
   const logger = createLogger({ write: line => { lines.push(line) } })
   const fakes = options.beside?.fakes ?? createFakeEngines(clock)
@@ -128,6 +130,15 @@
   const metrics = createServingMetrics(createWakeupCounter())
   const budget = createRetryBudget({ burst: options.retries ?? 10 })
   const health = createServerHealth(clock)
+  const crashes = createCrashAttribution({
+    peers,
+    store: options.crashStore,
+    isReplaced: (_service, version) => servers.all().length > 0 && servers.all().every(({ softwareVersion }) => softwareVersion !== version),
+    clock,
+    logger,
+    hasCrashed: async address => options.network === undefined && !await fakes.connections.isAccepting(address)
+  })
+  crashes.start(new AbortController().signal)
   const serve = createRequestHandler({
     cfg,
     protocol: platformProtocol,
@@ -144,7 +155,7 @@
     streamVersions: createVersionKeeping({ peers, servers, cfg, fetchReport, isListCurrent: () => isListCurrent, clock, logger }),
     runCalls: options.network?.runCalls ?? fakes.runCalls,
     coldStarts: { isCold: () => false, admit: async () => true },
-    crashes: createCrashAttribution({ peers, store: options.crashStore, clock, logger, hasCrashed: async address => options.network === undefined && !await fakes.connections.isAccepting(address) }),
+    crashes,
     retryBudget: () => budget,
     recordDemand: () => {},
     onModelUseChanged: () => {},
