--- a/packages/magnoliabay/src/node/entry/__tests__/harness.ts
+++ b/packages/magnoliabay/src/node/entry/__tests__/harness.ts
@@ -18,6 +18,7 @@
 import type { ServiceConfig } from '../../config'
 import { resolveSettings } from '../../config'
 import type { Settings } from '../../config'
+import { createCrashAttribution } from '../../crashes'
 import { createRefusal } from '../../failures'
 import { createSilentLogger } from '../../logger'
 import { createListeners } from '../../members/dispatch'
@@ -175,6 +176,7 @@
     engineClient: engines,
     statements,
     leavingBackends,
+    crashes: createCrashAttribution({ peers, hasCrashed: async address => (await engines.state(address)).err, crashesToBlame: 2, clock, logger }),
     peers,
     clock,
     logger,
--- a/packages/magnoliabay/src/node/entry/attempts.ts
+++ b/packages/magnoliabay/src/node/entry/attempts.ts
@@ -8,8 +8,8 @@
 import type { Failure } from '../failures'
 import type { Logger } from '../logger'
 import type { Metrics } from '../metrics'
-import { fingerprintOf } from '../outcomes'
-import type { RequestOutcome, RetryBudget, Suspects } from '../outcomes'
+import type { CrashAttribution, RequestGuard } from '../crashes'
+import type { RequestOutcome, RetryBudget } from '../outcomes'
 import { WORK_CLASS_HEADER, ENGINE_PRIORITY_BY_CLASS, parseWorkClass } from '../queue'
 import type { AcquiredReplica, ReplicaRouter } from '../routing'
 import { Ok } from '../result'
@@ -19,13 +19,19 @@
 
 const MAX_ATTEMPTS = 3
 const MS_PER_SECOND = 1000
-const CRASHES_BACKEND_FAILURE = createRefusal('crashes_backend', 'Engines died while they ran this request. It is not sent to any more of them; change it before you send it again.')
+/** Its refusal names no time: a retry cannot end otherwise. */
+export const CRASHES_BACKEND_FAILURE = createRefusal('crashes_backend', 'Engines crashed on this request, or on others that share one of its messages. It is not sent to any more of them; change it before you send it again.')
+
+/** Engines state no software version here. */
+const NO_VERSION = ''
+/** An engine takes longer to restart, so that what instances tell of it within this time is one crash, milliseconds. */
+const CRASH_INTERVAL_MS = 5000
 
 export interface AttemptOptions {
   routing: ReplicaRouter
   relay: RelayOptions
   retryBudget: RetryBudget
-  suspects: Suspects
+  crashes: CrashAttribution
   clock: Clock
   logger: Logger
   metrics: Metrics
@@ -35,11 +41,11 @@
 const COLD_START_THRESHOLD_MS = 200
 
 export interface CompletionAttempts {
-  run (req: EntryRequest, res: ServerResponse, completion: CompletionRequest): Promise<RequestOutcome>
+  run (req: EntryRequest, res: ServerResponse, completion: CompletionRequest, guard: RequestGuard): Promise<RequestOutcome>
 }
 
 export function createAttempts (options: AttemptOptions): CompletionAttempts {
-  const { routing, retryBudget, suspects, clock, logger, metrics } = options
+  const { routing, retryBudget, crashes, clock, logger, metrics } = options
 
   /** Acquires a replica whose engine takes the request now; the router leaves out those that have refused it. */
   const acquireAdmitted = async ({ excludedEngines, req, completion }: Attempt): Promise<Result<AdmittedReplica, Failure>> => {
@@ -58,13 +64,21 @@
       route.val.release()
     }
   }
+  /** Names a crash of an engine, for which the platform's list has no id of a process. */
+  const crashOf = (engine: string): string => `${engine}@${Math.floor(clock.now() / CRASH_INTERVAL_MS)}`
   const runAttempt = async (attempt: Attempt): Promise<AttemptResult> => {
-    const { attemptIndex, excludedEngines, req, res, completion, onFirstByte } = attempt
+    const { attemptIndex, excludedEngines, req, res, completion, guard, onFirstByte } = attempt
     const requestedAtMs = clock.monotonic()
     const route = await acquireAdmitted(attempt)
     if (route.err) return { kind: 'no-route', failure: route.val }
     req.observation.wasCold ||= clock.monotonic() - requestedAtMs > COLD_START_THRESHOLD_MS
     const { replica, release, place } = route.val
+    const sentMs = clock.monotonic()
+    let hasBegun = false
+    const recordBegun = (): void => {
+      if (!hasBegun) guard.recordBegun(NO_VERSION)
+      hasBegun = true
+    }
     const result = await relayCompletion(options.relay, {
       address: replica.address,
       path: req.path,
@@ -77,26 +91,21 @@
       signal: req.deadline.signal,
       execution: req.execution,
       tryTakeRetry: retryBudget.tryTake
-    }, res, onFirstByte).finally(release)
+    }, res, () => {
+      recordBegun()
+      onFirstByte()
+    }).finally(release)
     place.release(result.kind === 'not-run' || result.kind === 'refused')
     excludedEngines.add(replica.engine)
     const isConnectionBroken = 'isConnectionBroken' in result && result.isConnectionBroken
-    if (isConnectionBroken && await suspects.hasCrashed(replica.address)) suspects.recordCrash(attempt.fingerprint, `${req.requestId}.${attemptIndex}`)
+    const brokeMs = clock.monotonic()
+    if (isConnectionBroken && !hasBegun && await crashes.hasCrashed(replica.address)) guard.recordCrash({ process: crashOf(replica.engine), softwareVersion: NO_VERSION, sentMs, brokeMs, trial: guard.trial() })
     logger.debug('request-relayed', { request: req.requestId, engine: replica.engine, result: result.kind })
     return result
   }
 
-  /** Runs a suspect while no other suspect runs on this instance, and clears it if it completes. */
-  const runIsolatedAttempt = async (attempt: Attempt): Promise<AttemptResult> => {
-    const release = await suspects.acquireIsolation(attempt.req.deadline.signal)
-    const result = await runAttempt(attempt).finally(release)
-    if (result.kind === 'answered') suspects.clear(attempt.fingerprint)
-    return result
-  }
-
   return {
-    run: async (req, res, completion) => {
-      const fingerprint = fingerprintOf(req.caller.team, completion.model, completion.body)
+    run: async (req, res, completion, guard) => {
       const excludedEngines = new Set<string>()
       const startedMs = clock.monotonic()
       const onFirstByte = (): void => {
@@ -106,14 +115,13 @@
       let lastFailure: Failure = createRefusal('no_capacity', 'No engine could take the request.', 1)
       retryBudget.recordFirstAttempt()
       for (let attemptIndex = 0; attemptIndex < MAX_ATTEMPTS; attemptIndex += 1) {
-        const assessment = suspects.assess(fingerprint)
-        if (assessment === 'refused') return req.execution.conclude(CRASHES_BACKEND_FAILURE)
+        if (await guard.admit() !== undefined) return req.execution.conclude(CRASHES_BACKEND_FAILURE)
         if (attemptIndex > 0 && !retryBudget.tryTake()) {
           logger.info('retry-withheld', { request: req.requestId, reason: 'retry budget spent' })
           break
         }
-        const attempt = { attemptIndex, excludedEngines, req, res, completion, fingerprint, onFirstByte }
-        const result = assessment === 'suspect' ? await runIsolatedAttempt(attempt) : await runAttempt(attempt)
+        const attempt = { attemptIndex, excludedEngines, req, res, completion, guard, onFirstByte }
+        const result = await runAttempt(attempt).finally(guard.endTrial)
         if (result.kind === 'answered') return result
         if (result.kind === 'no-route') return req.execution.conclude(attemptIndex === 0 ? result.failure : lastFailure)
         if (!isRetryable(result)) return req.execution.conclude(result.failure)
@@ -135,7 +143,7 @@
   req: EntryRequest
   res: ServerResponse
   completion: CompletionRequest
-  fingerprint: string
+  guard: RequestGuard
   onFirstByte: () => void
 }
 
--- a/packages/magnoliabay/src/node/entry/completionRequest.ts
+++ b/packages/magnoliabay/src/node/entry/completionRequest.ts
@@ -1,4 +1,5 @@
 /** Parses the fields of an OpenAI-compatible completion request that routing and limits need. */
+import { createHash } from 'node:crypto'
 import * as v from 'valibot'
 import { createRefusal } from '../failures'
 import type { Failure } from '../failures'
@@ -13,6 +14,8 @@
 /** Length of the hashed prompt prefix, characters of JSON: system prompts of one site have about this much in common. */
 const MAX_PREFIX_LENGTH = 512
 const MIN_PREFIX_LENGTH = 128
+/** The first messages of a chat are those that requests share. */
+const MAX_SHARED_MESSAGES = 16
 
 const completionSchema = v.looseObject({
   model: v.string(),
@@ -29,6 +32,8 @@
   reservedTokens: number
   /** Hash of the prompt's prefix; undefined if the prompt is too short for an engine's prefix cache to matter. */
   prefixHash?: string
+  /** Names of the messages of a chat, without the last, which belongs to this request. */
+  sharedParts: readonly string[]
   body: Buffer
 }
 
@@ -49,10 +54,17 @@
     maxTokens,
     reservedTokens: promptTokens + maxTokens,
     prefixHash: hashPromptPrefix(checked.output.messages ?? checked.output.prompt),
+    sharedParts: namesOfSharedMessages(checked.output.messages),
     body: Buffer.from(JSON.stringify({ ...checked.output, max_tokens: maxTokens }))
   })
 }
 
+/** Equal messages have equal names. */
+function namesOfSharedMessages (messages: unknown): string[] {
+  if (!Array.isArray(messages)) return []
+  return messages.slice(0, -1).slice(0, MAX_SHARED_MESSAGES).map(message => createHash('sha256').update(JSON.stringify(message)).digest('base64url'))
+}
+
 function hashPromptPrefix (prompt: unknown): string | undefined {
   const text = JSON.stringify(prompt ?? '').slice(0, MAX_PREFIX_LENGTH)
   return text.length < MIN_PREFIX_LENGTH ? undefined : String(stableHash(text))
--- a/packages/magnoliabay/src/node/entry/completions.ts
+++ b/packages/magnoliabay/src/node/entry/completions.ts
@@ -8,7 +8,9 @@
 import { WORK_CLASS_HEADER, parseWorkClass } from '../queue'
 import type { RequestQueue } from '../queue'
 import { mayCall } from './authorization'
-import { createAttempts } from './attempts'
+import { createRequestGuard, fingerprintOf, suspectsOf } from '../crashes'
+import type { RequestGuard } from '../crashes'
+import { CRASHES_BACKEND_FAILURE, createAttempts } from './attempts'
 import type { AttemptOptions } from './attempts'
 import { parseCompletion } from './completionRequest'
 import type { CompletionRequest } from './completionRequest'
@@ -16,6 +18,9 @@
 import type { ConcludeOptions } from './requestOutcome'
 import type { EntryRequest, Handler } from './types'
 
+/** All engines of the completions run the same service. */
+const SERVICE = 'completions'
+
 export interface CompletionOptions extends ConcludeOptions, AttemptOptions {
   cfg: ConfigProvider
   allowance: Allowance
@@ -39,13 +44,25 @@
     req.observation.model = parsed.val.model
     const failure = validate(req, parsed.val)
     if (failure !== undefined) return conclude(failure)
-    const reservation = await allowance.reserve(req.caller.team, parsed.val.reservedTokens)
+    const guard = guardOf(req, parsed.val)
+    // What is refused here counts neither in an allowance nor in a queue.
+    if (await guard.admit() !== undefined) return conclude(CRASHES_BACKEND_FAILURE)
+    return await runGuarded(req, res, parsed.val, guard).finally(guard.endTrial)
+  }
+  const guardOf = (req: EntryRequest, completion: CompletionRequest): RequestGuard => {
+    const { team } = req.caller
+    const fingerprint = fingerprintOf(team, completion.model, completion.body)
+    return createRequestGuard(options.crashes, suspectsOf({ service: SERVICE, team, sharedParts: completion.sharedParts, fingerprint }), req.requestId)
+  }
+  const runGuarded = async (req: EntryRequest, res: ServerResponse, completion: CompletionRequest, guard: RequestGuard): Promise<RequestOutcome> => {
+    const { conclude } = req.execution
+    const reservation = await allowance.reserve(req.caller.team, completion.reservedTokens)
     if (reservation.err) return conclude(reservation.val)
     const permit = await queue.acquire({
       team: req.caller.team,
-      model: parsed.val.model,
+      model: completion.model,
       workClass: parseWorkClass(req.headers[WORK_CLASS_HEADER]),
-      reservedTokens: parsed.val.reservedTokens,
+      reservedTokens: completion.reservedTokens,
       deadlineMs: req.deadline.atMs,
       signal: req.deadline.signal
     })
@@ -55,7 +72,7 @@
     }
     let usedTokens = reservation.val.tokens
     try {
-      const outcome = await attempts.run(req, res, parsed.val)
+      const outcome = await attempts.run(req, res, completion, guard)
       usedTokens = usedTokensOf(outcome, reservation.val.tokens)
       return outcome
     } finally {
--- a/packages/magnoliabay/src/node/entry/index.ts
+++ b/packages/magnoliabay/src/node/entry/index.ts
@@ -14,7 +14,8 @@
 import type { Peers } from '../members'
 import type { Metrics } from '../metrics'
 import type { IdempotencyClaims } from '../once'
-import { createCrashCheck, createRetryBudget, createSuspects } from '../outcomes'
+import type { CrashAttribution } from '../crashes'
+import { createRetryBudget } from '../outcomes'
 import type { SloTracker } from '../report'
 import type { RequestQueue } from '../queue'
 import type { ReplicaRouter } from '../routing'
@@ -53,6 +54,7 @@
   connectionPools: ConnectionPools
   engineClient: EngineClient
   statements: BackendStatements
+  crashes: CrashAttribution
   leavingBackends: LeavingBackends
   peers: Peers
   clock: Clock
@@ -97,8 +99,7 @@
   })
   const { clock, peers, connectionPools, engineClient, statements } = options
   const openRequests = createOpenRequests(limits)
-  const suspects = createSuspects({ peers, clock, logger: options.logger, hasCrashed: createCrashCheck(engineClient) })
-  const handlerOptions = { ...options, retryBudget: createRetryBudget(), suspects, relay: { connectionPools, engineClient, statements, clock, limits } }
+  const handlerOptions = { ...options, retryBudget: createRetryBudget(), relay: { connectionPools, engineClient, statements, clock, limits } }
   const authentication = [authenticateMiddleware(options.keyring)]
   const requestMiddleware = [
     openRequests.admit,
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -13,6 +13,7 @@
 import type { Clock } from './clock'
 import { createConfigCommitter, createConfigProvider } from './config'
 import type { Manifest, ResolvedSettings } from './config'
+import { createCrashAttribution, createCrashConfirmation, createIncarnationCheck } from './crashes'
 import { createEntryServer } from './entry'
 import type { Logger } from './logger'
 import { createMembership, createPeerNetwork, createTerminationDetector } from './members'
@@ -33,18 +34,23 @@
 import { createBudgetedStore } from './store'
 import { createStatus, createStoreHealthMonitor } from './operators/status'
 import type { InstanceList, PutOperation, Store, StoreCallReport } from './store'
+import { probeAddress } from './probe'
 import { createSloTracker } from './report'
 import { createEngineCapacity, createRequestQueue } from './queue'
 import { createReplicaRouter } from './routing'
 import { createShutdown } from './shutdown'
 import { createInstanceTls } from './tls'
-import { createId } from './utils'
+import { createId, parseHostPort } from './utils'
 
 /**
  * Store calls per second of all instances together, well below the several hundred writes and two thousand reads that the
  * store handles.
  */
 const MAX_FLEET_STORE_CALLS_PER_SECOND = 1000
+/** Longest wait for a connection attempt, milliseconds: a running machine whose process has ended refuses one within a round trip. */
+const ENGINE_PROBE_TIMEOUT_MS = 500
+/** Completions may run again and are sent to three engines by one instance, so that a request is refused before the third. */
+const CRASHES_TO_BLAME = 2
 
 export interface InstanceOptions {
   settings: ResolvedSettings
@@ -115,7 +121,7 @@
   })
   const forwardingServer = createForwardingServer({
     dialForPeer: routes.dialer.dialForPeer,
-    isListed: address => directory.all().some(listed => listed.address === address),
+    isListed: address => isListed(address),
     isLeaving: () => self.leaving,
     clock
   })
@@ -145,7 +151,23 @@
   cells.replicas.onChanged(queue.dispatch)
   const isReady = (): boolean => cfg.active().version > 0 && membership.leaseId() !== undefined && !self.leaving
   const report = createSloTracker({ cfg, peers, registry: metrics.registry, clock })
-  const entry = createEntryServer({ report, certificates: tls.callerCertificates, settings, cfg, keyring, allowance, queue, routing, directory, idempotencyClaims, connectionPools, engineClient: engines, statements, leavingBackends, peers, clock, logger, metrics, isReady })
+  const isListed = (address: string): boolean => directory.all().some(listed => listed.address === address)
+  const confirmCrash = createCrashConfirmation({
+    peers,
+    probe: async address => isListed(address) ? await probeAddress(clock, parseHostPort(address), ENGINE_PROBE_TIMEOUT_MS) : 'silent',
+    random: Math.random
+  })
+  const hasRestarted = createIncarnationCheck(engines)
+  const crashes = createCrashAttribution({
+    peers,
+    store,
+    hasCrashed: async address => await hasRestarted(address) || await confirmCrash(address),
+    crashesToBlame: CRASHES_TO_BLAME,
+    registry: metrics.registry,
+    clock,
+    logger
+  })
+  const entry = createEntryServer({ report, crashes, certificates: tls.callerCertificates, settings, cfg, keyring, allowance, queue, routing, directory, idempotencyClaims, connectionPools, engineClient: engines, statements, leavingBackends, peers, clock, logger, metrics, isReady })
   const audit = (manifest: Manifest): PutOperation => auditWrite({
     atMs: manifest.acceptedAtMs,
     operator: manifest.operator,
@@ -183,6 +205,7 @@
       keyring.start(stop.signal)
       directory.start(stop.signal)
       cells.start(stop.signal)
+      crashes.start(stop.signal)
       allowance.start(stop.signal)
       await entry.start()
       await operators.start()
--- a/packages/magnoliabay/src/node/outcomes/index.ts
+++ b/packages/magnoliabay/src/node/outcomes/index.ts
@@ -1,9 +1,6 @@
-/** Outcomes of requests, execution tracking, retry budgets and requests that crash engines. */
+/** Outcomes of requests, execution tracking and retry budgets. */
 export { createExecutionTracker } from './executionTracker'
 export type { ExecutionTracker } from './executionTracker'
 export type { RequestOutcome } from './outcome'
 export { createRetryBudget } from './retryBudget'
 export type { RetryBudget } from './retryBudget'
-export { createSuspects, fingerprintOf } from './suspects'
-export type { Suspects } from './suspects'
-export { createCrashCheck } from './crashCheck'
--- a/packages/magnoliabay/src/node/paths/serverDialer.ts
+++ b/packages/magnoliabay/src/node/paths/serverDialer.ts
@@ -5,10 +5,11 @@
 import { sleep } from '../clock'
 import type { Clock } from '../clock'
 import type { MemberRecord } from '../members'
+import type { ProbeResult } from '../probe'
 import type { Forwarders } from './forwarders'
 import type { ServerPaths } from './serverPaths'
 import { DialError, toDialError } from './types'
-import type { DialFailure, DialledConnection, ProbeResult } from './types'
+import type { DialFailure, DialledConnection } from './types'
 
 /** Connecting takes a round trip; the system repeats a lost first packet only after seconds. */
 const CONNECT_TIMEOUT_MS = 800
@@ -71,7 +72,7 @@
   check (address: string): void
   /** Returns whether the server accepts connections of any instance. */
   isAccepting (address: string): Promise<boolean>
-  /** Connects directly, once. */
+  /** Connects directly, once; `silent` too where this instance is known to have no path. */
   probe (address: string): Promise<ProbeResult>
   /** Ends the checks of broken paths. */
   close (): void
@@ -234,10 +235,10 @@
       return true
     },
     probe: async address => {
-      if (paths.isBroken(address)) return 'unknown'
+      if (paths.isBroken(address)) return 'silent'
       const failed = await probe(address, CHECK_TIMEOUT_MS)
-      if (failed === undefined) return 'accepting'
-      return failed.failure === 'refused' ? 'refused' : 'unknown'
+      if (failed === undefined) return 'accepted'
+      return failed.failure === 'refused' ? 'refused' : 'silent'
     },
     close: () => stop.abort()
   }
--- a/packages/magnoliabay/src/node/paths/types.ts
+++ b/packages/magnoliabay/src/node/paths/types.ts
@@ -6,9 +6,6 @@
  */
 export type DialFailure = 'refused' | 'silent' | 'no-forwarder'
 
-/** Result of one direct attempt to connect. `unknown`: neither connected nor refused, or this instance has no path to the server. */
-export type ProbeResult = 'accepting' | 'refused' | 'unknown'
-
 /** A connection to a backend server that could not be made: nothing of a request has left this process. */
 export class DialError extends Error {
   constructor (readonly failure: DialFailure, message: string) {
