--- a/packages/magnoliabay/src/node/commands/embedded.ts
+++ b/packages/magnoliabay/src/node/commands/embedded.ts
@@ -15,6 +15,7 @@
 import { createOperatorClient } from '../operators/client'
 import type { OperatorClient } from '../operators/client'
 import { createEtcdStore, createInstanceListClient } from '../store'
+import type { MemberRecord } from '../members'
 import type { DialPrimitives } from '../paths'
 import { decodeServerStatement } from '../platform'
 import { createId } from '../utils'
@@ -31,7 +32,7 @@
   /** Configuration to apply, in TOML. @default the one in embeddedConfig.ts */
   configToml?: string
   /** How an instance connects to backend servers, by its index; tests and the demo partition instances with it. @default TCP */
-  dialPrimitivesOf?: (index: number, clock: Clock) => DialPrimitives<Socket>
+  dialPrimitivesOf?: (index: number, clock: Clock, self: MemberRecord) => DialPrimitives<Socket>
   /** Speed of the weight store. @default that of its stand-in */
   weights?: StandInFleetOptions['weights']
   logger: Logger
@@ -87,7 +88,7 @@
     store,
     list,
     decodeStatement: decodeServerStatement,
-    dialPrimitives: options.dialPrimitivesOf?.(index, clock),
+    dialPrimitivesOf: options.dialPrimitivesOf === undefined ? undefined : self => options.dialPrimitivesOf!(index, clock, self),
     clock,
     logger
   }))
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -59,7 +59,7 @@
   /** Decodes what a backend server's answer states about the server. */
   decodeStatement: DecodeStatement
   /** How connections to backend servers are made. @default TCP; through other instances over the transport of peers */
-  dialPrimitives?: DialPrimitives<Socket>
+  dialPrimitivesOf?: (self: MemberRecord) => DialPrimitives<Socket>
   clock: Clock
   logger: Logger
 }
@@ -111,7 +111,7 @@
   const keyring = createKeyring({ store, peers, clock, logger })
   const directory = createBackendDirectory({ list: options.list, peers, clock, logger, onRead: proofs.observeInstanceList })
   const routes = createServerRoutes({
-    primitives: options.dialPrimitives ?? createSocketPrimitives(tls.peerTransport ?? TCP_TRANSPORT, clock),
+    primitives: options.dialPrimitivesOf?.(self) ?? createSocketPrimitives(tls.peerTransport ?? TCP_TRANSPORT, clock, self),
     peers,
     addresses: () => directory.all().map(({ address }) => address),
     metrics: createPathMetrics(metrics.registry),
@@ -121,6 +121,7 @@
   })
   const forwardingServer = createForwardingServer({
     dialForPeer: routes.dialer.dialForPeer,
+    members: peers.members,
     isListed: address => isListed(address),
     isLeaving: () => self.leaving,
     clock
--- a/packages/magnoliabay/src/node/paths/forwardingServer.ts
+++ b/packages/magnoliabay/src/node/paths/forwardingServer.ts
@@ -9,12 +9,14 @@
 import type { Duplex } from 'node:stream'
 import { TLSSocket } from 'node:tls'
 import type { Clock } from '../clock'
+import type { MemberRecord } from '../members'
+import { INCARNATION_HEADER, isFromMember } from './memberCheck'
 import { STATUS_BY_FAILURE } from './openTunnel'
 import { DialError, toDialError } from './types'
 
 /** Bounds sockets and memory: two sockets, and the buffers of both, for each. */
 const MAX_TUNNELS = 512
-const NOT_LISTED_STATUS = 403
+const FORBIDDEN_STATUS = 403
 const CONNECTED = 'HTTP/1.1 200 Connection established\r\n\r\n'
 
 export interface ForwardingServer {
@@ -28,6 +30,8 @@
 export interface ForwardingServerOptions {
   /** Opens a direct connection to a server; rejects with a {@link DialError}. */
   dialForPeer: (address: string) => Promise<Socket>
+  /** Known members; nobody else is connected. */
+  members: () => readonly MemberRecord[]
   /** Whether the address is that of a backend server that is listed. Nothing else is connected to. */
   isListed: (address: string) => boolean
   /** Whether this process ends soon. */
@@ -41,7 +45,7 @@
   const tunnels = new Set<Tunnel>()
   let onAllClosed = (): void => {}
   const server = createServer((_req, res) => {
-    res.writeHead(NOT_LISTED_STATUS, { connection: 'close' })
+    res.writeHead(FORBIDDEN_STATUS, { connection: 'close' })
     res.end()
   })
 
@@ -66,7 +70,8 @@
   server.on('connect', async (req: IncomingMessage, downstream: Duplex, head: Buffer) => {
     const address = req.url ?? ''
     downstream.on('error', () => downstream.destroy())
-    if (!options.isListed(address)) return refuse(downstream, NOT_LISTED_STATUS)
+    if (!isFromMember(req.headers[INCARNATION_HEADER], req.socket, options.members())) return refuse(downstream, FORBIDDEN_STATUS)
+    if (!options.isListed(address)) return refuse(downstream, FORBIDDEN_STATUS)
     try {
       const upstream = await connect(address)
       if (downstream.destroyed) upstream.destroy()
--- a/packages/magnoliabay/src/node/paths/openTunnel.ts
+++ b/packages/magnoliabay/src/node/paths/openTunnel.ts
@@ -5,6 +5,7 @@
 import type { MemberRecord } from '../members'
 import type { PeerTransport } from '../members/transport'
 import { parseHostPort } from '../utils'
+import { INCARNATION_HEADER } from './memberCheck'
 import { DialError } from './types'
 import type { DialFailure } from './types'
 
@@ -17,7 +18,7 @@
 const FAILURE_BY_STATUS = new Map(Object.entries(STATUS_BY_FAILURE).map(([failure, status]) => [status, failure as DialFailure]))
 
 /** Rejects with a {@link DialError}. */
-export function openTunnel (transport: PeerTransport, clock: Clock, forwarder: Pick<MemberRecord, 'peerAddress'>, address: string): Promise<Socket> {
+export function openTunnel (transport: PeerTransport, clock: Clock, self: Pick<MemberRecord, 'incarnation'>, forwarder: Pick<MemberRecord, 'peerAddress'>, address: string): Promise<Socket> {
   return new Promise((resolve, reject) => {
     const { host, port } = parseHostPort(forwarder.peerAddress)
     const fail = (failure: DialFailure, message: string): void => {
@@ -28,6 +29,7 @@
     const req = request({
       method: 'CONNECT',
       path: address,
+      headers: { [INCARNATION_HEADER]: self.incarnation },
       host,
       port,
       agent: false,
--- a/packages/magnoliabay/src/node/paths/serverRoutes.ts
+++ b/packages/magnoliabay/src/node/paths/serverRoutes.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '../clock'
 import { createSilentLogger } from '../logger'
 import type { Logger } from '../logger'
-import type { Peers } from '../members'
+import type { MemberRecord, Peers } from '../members'
 import type { PeerTransport } from '../members/transport'
 import { connectDirectly } from './connectDirectly'
 import { createForwarders } from './forwarders'
@@ -48,11 +48,11 @@
   return { paths, dialer, forwarders, monitor: createPathMonitor({ paths, check: dialer.check, clock }) }
 }
 
-/** Primitives over TCP; tunnels go through the transport of peers. */
-export function createSocketPrimitives (transport: PeerTransport, clock: Clock): DialPrimitives<Socket> {
+/** Primitives over TCP; tunnels go through the transport of peers, to which `self` names its process. */
+export function createSocketPrimitives (transport: PeerTransport, clock: Clock, self: Pick<MemberRecord, 'incarnation'>): DialPrimitives<Socket> {
   return {
     connectDirectly: (address, timeoutMs) => connectDirectly(clock, address, timeoutMs),
-    connectThrough: (forwarder, address) => openTunnel(transport, clock, forwarder, address),
+    connectThrough: (forwarder, address) => openTunnel(transport, clock, self, forwarder, address),
     close: socket => { socket.destroy() }
   }
 }
--- a/packages/magnoliabay/src/node/serving/__tests__/support/forwarder.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/forwarder.ts
@@ -25,8 +25,9 @@
 
 export async function startForwarder (clock: Clock, isListed: (address: string) => boolean = () => true): Promise<Forwarder> {
   const sockets = new Set<Socket>()
+  const self = memberRecord('self', { peerAddress: '127.0.0.1:1' })
   let isLinked = true
-  const server = createForwardingServer({ dialForPeer: address => connectDirectly(clock, address, DIAL_TIMEOUT_MS), isListed, isLeaving: () => false, clock })
+  const server = createForwardingServer({ dialForPeer: address => connectDirectly(clock, address, DIAL_TIMEOUT_MS), members: () => [self], isListed, isLeaving: () => false, clock })
   const listener = createServer(socket => {
     sockets.add(socket)
     detectProtocol(socket, clock, () => server.accept(socket))
@@ -34,8 +35,8 @@
   await new Promise<void>(resolve => listener.listen(0, '127.0.0.1', resolve))
   const members = [memberRecord(FORWARDER, { peerAddress: `127.0.0.1:${(listener.address() as AddressInfo).port}` })]
   const routes = createServerRoutes({
-    primitives: { ...createSocketPrimitives(TCP_TRANSPORT, clock), connectDirectly: async () => { throw new DialError('silent', 'no path') } },
-    peers: { self: memberRecord('self'), members: () => members, isConnected: () => isLinked },
+    primitives: { ...createSocketPrimitives(TCP_TRANSPORT, clock, self), connectDirectly: async () => { throw new DialError('silent', 'no path') } },
+    peers: { self, members: () => members, isConnected: () => isLinked },
     addresses: () => [],
     clock,
     logger: createSilentLogger(),
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -101,7 +101,7 @@
   store: ServingStore
   engines: EngineCalls
   /** How connections to backend servers are made. @default TCP */
-  dialPrimitives?: DialPrimitives<Socket>
+  dialPrimitivesOf?: (self: MemberRecord) => DialPrimitives<Socket>
   /** Counts wakeups of the process by cause. */
   activity: WakeupCounter
   clock: Clock
@@ -180,7 +180,7 @@
   const brittleServers = createBrittleServers({ peers, reportedInFlight: server => fleetView.inFlightElsewhere(server) + health.inFlight(server), clock, logger, random })
   const pathMetrics = createPathMetrics(metrics.registry)
   const routes = createServerRoutes({
-    primitives: options.dialPrimitives ?? createSocketPrimitives(TCP_TRANSPORT, clock),
+    primitives: options.dialPrimitivesOf?.(self) ?? createSocketPrimitives(TCP_TRANSPORT, clock, self),
     peers,
     addresses: () => servers.all().map(({ address }) => address),
     preferredForwarders: () => fleetView.forwarders(),
@@ -191,6 +191,7 @@
   })
   const forwardingServer = createForwardingServer({
     dialForPeer: routes.dialer.dialForPeer,
+    members: peers.members,
     isListed: address => servers.all().some(server => server.address === address),
     isLeaving: () => self.leaving,
     onOpenChanged: open => pathMetrics.openTunnels.set(open),
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -9,6 +9,7 @@
 import type { EmbeddedFleet } from '../packages/magnoliabay/src/node/commands/embedded'
 import { EMBEDDED_SERVICE, EMBEDDED_SMALL_TEAM } from '../packages/magnoliabay/src/node/commands/embeddedConfig'
 import { createLogger } from '../packages/magnoliabay/src/node/logger'
+import type { MemberRecord } from '../packages/magnoliabay/src/node/members'
 import { TCP_TRANSPORT } from '../packages/magnoliabay/src/node/members/transport'
 import { DialError, createSocketPrimitives } from '../packages/magnoliabay/src/node/paths'
 import { resumeStreams } from './demoStreams'
@@ -32,8 +33,8 @@
 let isPartitioned = false
 
 /** New connections of one instance to backend servers fail while the demo partitions it; other instances still connect. */
-function dialPrimitivesOf (index: number, clock: Clock): DialPrimitives<Socket> {
-  const primitives = createSocketPrimitives(TCP_TRANSPORT, clock)
+function dialPrimitivesOf (index: number, clock: Clock, self: MemberRecord): DialPrimitives<Socket> {
+  const primitives = createSocketPrimitives(TCP_TRANSPORT, clock, self)
   return {
     ...primitives,
     connectDirectly: async (address, timeoutMs) => {
