--- a/packages/magnoliabay/src/node/backend/relayConnection.ts
+++ b/packages/magnoliabay/src/node/backend/relayConnection.ts
@@ -31,7 +31,7 @@
   isConnectionSuspect: boolean
   /** The engine may still be running the request, though its response is no longer read. */
   isLeftRunning: boolean
-  /** The connection broke: the engine's process may have terminated. */
+  /** The connection broke, or ended before the response was whole: the engine's process may have terminated. */
   isConnectionBroken: boolean
 }
 
@@ -120,7 +120,7 @@
   if (head.status !== 0 && head.status !== HTTP_OK && !head.isForOtherRequest) {
     return { ...result, kind: 'refused', isNotRun: head.isNotRun, message: `The engine answered with status ${head.status}: ${head.errorText}` }
   }
-  return { ...result, isConnectionSuspect: true, isLeftRunning: true, isConnectionBroken: end.kind === 'broken' }
+  return { ...result, isConnectionSuspect: true, isLeftRunning: true, isConnectionBroken: end.kind !== 'silent' }
 }
 
 /** Returns the result of a part of which nothing was sent to the caller. */
