--- a/packages/standins/src/node/platformEngine/index.ts
+++ b/packages/standins/src/node/platformEngine/index.ts
@@ -1,6 +1,7 @@
 /**
  * A model engine by the users' platform's protocol, as far as streams need it: an entry in the store with the version of its
  * software, streams that a request may continue after `Last-Event-Id`, and reports. Each event names the version that made it.
+ * It crashes as it begins to write an answer to some parts of prompts, and may end its answers with their connection.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { sleep } from 'magnoliabay/clock/index'
@@ -23,6 +24,16 @@
   events?: number
   /** Time between events, milliseconds. @default 50 */
   gapMs?: number
+  /** Whether its answers have neither a length nor chunks, and end with their connection. @default false */
+  endsWithConnection?: boolean
+}
+
+/** A request that reached the engine. */
+export interface EngineArrival {
+  attemptId: string
+  /** Ids of the parts of its prompt. */
+  parts: readonly string[]
+  atMs: number
 }
 
 export interface PlatformEngine {
@@ -33,6 +44,11 @@
   crash (): Promise<void>
   /** Another process starts under the same id, and writes its entry after `entryDelayMs`. */
   start (softwareVersion: string, entryDelayMs?: number): Promise<void>
+  /** It crashes as it begins to write an answer to a prompt with one of these parts, and is back after some seconds. */
+  setCrashingParts (parts: readonly string[]): void
+  /** When it has crashed by itself, on a part, Unix milliseconds. */
+  crashes (): ReadonlyArray<{ part: string, atMs: number }>
+  arrivals (): readonly EngineArrival[]
   /** Breaks the connections of all streams. */
   cutStreams (): void
   close (): Promise<void>
@@ -42,12 +58,19 @@
 const DEFAULT_GAP_MS = 50
 const SLOTS = 64
 const MISDIRECTED = 421
+/** Time after which an engine that has crashed is back, milliseconds. */
+const RESTART_MS = 2500
+
+const partsIn = (prefix: string): string[] => prefix === '' ? [] : prefix.split(',').map(part => part.split(':')[0]!)
 
 export async function createPlatformEngine (options: PlatformEngineOptions): Promise<PlatformEngine> {
-  const { id, service, models, failureDomain, store, clock, events = DEFAULT_EVENTS, gapMs = DEFAULT_GAP_MS } = options
+  const { id, service, models, failureDomain, store, clock, events = DEFAULT_EVENTS, gapMs = DEFAULT_GAP_MS, endsWithConnection = false } = options
   const key = `servers/${id}`
   let { softwareVersion } = options
   let bornMs = clock.now()
+  let crashingParts: ReadonlySet<string> = new Set()
+  const crashes: Array<{ part: string, atMs: number }> = []
+  const arrivals: EngineArrival[] = []
 
   const loaded = models.map(name => ({ name, version: 1, adapters: [] }))
   const writeEntry = (): void => {
@@ -57,15 +80,39 @@
   const removeEntry = (): void => { store.transact({ compares: [], success: [{ kind: 'delete', range: { key } }], failure: [] }) }
   const headerOf = (req: IncomingMessage, name: string): string => String(req.headers[name] ?? '')
   const report = (res: ServerResponse): void => sendJson(res, 200, { stage: 'prefill_decode', models: loaded, busy: false, sequence: 0, waiting: 0, running: 0, born: bornMs })
+  const crash = async (): Promise<void> => {
+    await listener.refuse()
+    removeEntry()
+  }
+  const start = async (version: string, entryDelayMs = 0): Promise<void> => {
+    softwareVersion = version
+    bornMs = clock.now()
+    await listener.accept()
+    clock.schedule(entryDelayMs, writeEntry)
+  }
+  const crashOn = (part: string): void => {
+    crashes.push({ part, atMs: clock.now() })
+    crash()
+    clock.schedule(RESTART_MS, () => { start(softwareVersion) })
+  }
   const stream = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const parts = partsIn(headerOf(req, 'x-magnoliabay-prompt-prefix'))
+    arrivals.push({ attemptId: headerOf(req, 'x-magnoliabay-attempt-id'), parts, atMs: clock.now() })
+    if (endsWithConnection) {
+      res.useChunkedEncodingByDefault = false
+      res.shouldKeepAlive = false
+    }
     res.writeHead(200, {
       'content-type': 'text/event-stream',
       'x-magnoliabay-attempt-id': headerOf(req, 'x-magnoliabay-attempt-id'),
       'x-magnoliabay-server-signature': `${id}.${bornMs}`
     })
+    res.flushHeaders()
     for (let event = Number(headerOf(req, 'last-event-id')) + 1; event <= events; event += 1) {
       await sleep(clock, gapMs)
       if (res.destroyed) return
+      const crashing = parts.find(part => crashingParts.has(part))
+      if (crashing !== undefined) return crashOn(crashing)
       res.write(`id: ${event}\ndata: ${softwareVersion}\n\n`)
     }
     res.end()
@@ -86,16 +133,11 @@
     id,
     address: listener.address,
     softwareVersion: () => softwareVersion,
-    crash: async () => {
-      await listener.refuse()
-      removeEntry()
-    },
-    start: async (version, entryDelayMs = 0) => {
-      softwareVersion = version
-      bornMs = clock.now()
-      await listener.accept()
-      clock.schedule(entryDelayMs, writeEntry)
-    },
+    crash,
+    start,
+    setCrashingParts: parts => { crashingParts = new Set(parts) },
+    crashes: () => crashes,
+    arrivals: () => arrivals,
     cutStreams: listener.dropConnections,
     close: listener.close
   }
--- a/scripts/fleet.ts
+++ b/scripts/fleet.ts
@@ -10,6 +10,7 @@
 import { formatRuns, writeReports } from './fleet/report'
 import type { FaultRun } from './fleet/report'
 import { createHarness } from './fleet/harness'
+import { runCrashingPromptParts } from './fleet/crashingPromptParts'
 import { runStreamVersions } from './fleet/streamVersions'
 import type { GuaranteeResult } from './fleet/guarantees'
 
@@ -25,8 +26,17 @@
   safety: { type: 'boolean', default: false }
 } as const
 
-/** The run on the users' platform, beside the faults of the fleet. */
-const STREAM_VERSIONS = 'stream-versions'
+interface PlatformRunOptions {
+  seed: number
+  instances: number
+  directory: string
+}
+
+/** The runs on the users' platform, beside the faults of the fleet. */
+const PLATFORM_RUNS: Readonly<Record<string, (options: PlatformRunOptions) => Promise<GuaranteeResult[]>>> = {
+  'stream-versions': runStreamVersions,
+  'crashing-prompt-parts': runCrashingPromptParts
+}
 
 const MAX_PLATFORM_INSTANCES = 5
 
@@ -69,17 +79,17 @@
   }
 }
 
-function printVerdict ({ promise, checked, violations }: GuaranteeResult): void {
-  process.stdout.write(`${STREAM_VERSIONS}: ${promise}: ${violations.length}/${checked}\n${violations.map(violation => `  ${violation}\n`).join('')}`)
+function printVerdict (run: string, { promise, checked, violations }: GuaranteeResult): void {
+  process.stdout.write(`${run}: ${promise}: ${violations.length}/${checked}\n${violations.map(violation => `  ${violation}\n`).join('')}`)
 }
 
 async function main (): Promise<void> {
   const { values } = parseArgs({ options: OPTIONS })
-  const names = values.faults === 'all' ? [...FAULTS.map(fault => fault.name), STREAM_VERSIONS] : values.faults.split(',')
+  const names = values.faults === 'all' ? [...FAULTS.map(fault => fault.name), ...Object.keys(PLATFORM_RUNS)] : values.faults.split(',')
   const selected = FAULTS.filter(fault => names.includes(fault.name))
-  const runsStreamVersions = names.includes(STREAM_VERSIONS)
-  if (selected.length === 0 && !runsStreamVersions) {
-    process.stderr.write(`unknown value of --faults; expected all, or a list of: ${[...FAULTS.map(fault => fault.name), STREAM_VERSIONS].join(', ')}\n`)
+  const platformRuns = Object.entries(PLATFORM_RUNS).filter(([name]) => names.includes(name))
+  if (selected.length === 0 && platformRuns.length === 0) {
+    process.stderr.write(`unknown value of --faults; expected all, or a list of: ${[...FAULTS.map(fault => fault.name), ...Object.keys(PLATFORM_RUNS)].join(', ')}\n`)
     process.exit(2)
   }
   const options: RunOptions = {
@@ -96,9 +106,13 @@
     process.stdout.write(`${fault.name}: completed in ${Math.round(runs.at(-1)!.tookMs / 1000)} s\n`)
   }
   if (runs.length > 0) process.stdout.write(`\n${formatRuns(runs)}\n`)
-  const streamVerdicts = runsStreamVersions ? await runStreamVersions({ seed: options.seed, instances: Math.min(options.instances, MAX_PLATFORM_INSTANCES), directory: `${options.out}/${STREAM_VERSIONS}` }) : []
-  streamVerdicts.forEach(printVerdict)
-  const verdicts = [...runs.flatMap(run => run.verdicts), ...streamVerdicts].filter(verdict => !values.safety || verdict.isSafety)
+  const platformVerdicts: GuaranteeResult[] = []
+  for (const [name, run] of platformRuns) {
+    const verdicts = await run({ seed: options.seed, instances: Math.min(options.instances, MAX_PLATFORM_INSTANCES), directory: `${options.out}/${name}` })
+    verdicts.forEach(verdict => printVerdict(name, verdict))
+    platformVerdicts.push(...verdicts)
+  }
+  const verdicts = [...runs.flatMap(run => run.verdicts), ...platformVerdicts].filter(verdict => !values.safety || verdict.isSafety)
   const failed = verdicts.filter(verdict => verdict.violations.length > 0).length
   process.stdout.write(`\nfleet: ${verdicts.length - failed} passed, ${failed} failed\n`)
   process.exit(failed === 0 ? 0 : 1)
--- a/scripts/fleet/platformSite.ts
+++ b/scripts/fleet/platformSite.ts
@@ -27,13 +27,20 @@
   close (): Promise<void>
 }
 
-export async function createPlatformSite (): Promise<PlatformSite> {
+export interface PlatformSiteOptions {
+  /** Software versions of the engines. @default two engines of each of two versions */
+  softwareVersions?: readonly string[]
+  /** Whether the answers of the engine with this index end with their connection. @default none do */
+  endsWithConnection?: (index: number) => boolean
+}
+
+export async function createPlatformSite ({ softwareVersions = VERSIONS, endsWithConnection = () => false }: PlatformSiteOptions = {}): Promise<PlatformSite> {
   const clock = createSystemClock()
   const state: KvState = createKvState({ clock })
   const store = await createMetadataStoreServer({ state, clock })
   state.transact({ compares: [], success: [{ kind: 'put', key: 'op/config', value: JSON.stringify(CONFIG), leaseId: '0' }], failure: [] })
-  const engines = await Promise.all(VERSIONS.map((softwareVersion, index) =>
-    createPlatformEngine({ id: `engine-${index + 1}`, service: SERVICE, softwareVersion, models: [MODEL], failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!, store: state, clock })))
+  const engines = await Promise.all(softwareVersions.map((softwareVersion, index) =>
+    createPlatformEngine({ id: `engine-${index + 1}`, service: SERVICE, softwareVersion, models: [MODEL], failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!, store: state, clock, endsWithConnection: endsWithConnection(index) })))
   return {
     engines,
     settingsOf: async index => {
--- a/scripts/fleet/streamVersions.ts
+++ b/scripts/fleet/streamVersions.ts
@@ -2,13 +2,12 @@
  * Streams on the users' platform while engines of two software versions serve: real processes are killed, engines crash and come
  * back at another version, connections break, and callers resume their streams at other instances.
  */
-import { spawn } from 'node:child_process'
-import type { ChildProcess } from 'node:child_process'
-import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs'
-import { request } from 'undici'
+import { mkdirSync } from 'node:fs'
 import { callStream } from '@magnoliabay/standins'
 import type { StreamCall } from '@magnoliabay/standins'
 import type { GuaranteeResult } from './guarantees'
+import { pause, startInstance } from './platformInstances'
+import type { Instance } from './platformInstances'
 import { STREAM_HEADERS, STREAM_PATH, createPlatformSite } from './platformSite'
 import type { PlatformSite } from './platformSite'
 import { createRandom } from './random'
@@ -24,40 +23,11 @@
 const MIN_RESUMED = 12
 const MIN_CONTINUED_RATIO = 0.5
 
-const PROGRAM = 'dist/magnoliabay.cjs'
 const STREAM_INTERVAL_MS = 40
 const STEP_MS = 1500
-const READY_TIMEOUT_MS = 30_000
-const READY_POLL_INTERVAL_MS = 100
 /** Part of the callers whose own connection breaks. */
 const BREAK_RATIO = 0.2
 
-interface Instance {
-  entryAddress: string
-  child: ChildProcess
-}
-
-const pause = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms))
-
-async function isReady (url: string): Promise<boolean> {
-  return await request(url).then(async res => {
-    await res.body.dump()
-    return res.statusCode === 200
-  }).catch(() => false)
-}
-
-async function startInstance (site: PlatformSite, index: number, directory: string): Promise<Instance> {
-  const { text, entryAddress, readyUrl } = await site.settingsOf(index)
-  const file = `${directory}/frontend-${index + 1}.yaml`
-  writeFileSync(file, text)
-  const child = spawn(process.execPath, [PROGRAM, 'platform'], { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, MAGNOLIABAY_CONFIG: file } })
-  const log = createWriteStream(`${directory}/frontend-${index + 1}.log`, { flags: 'a' })
-  child.stdout.pipe(log, { end: false })
-  child.stderr.pipe(log, { end: false })
-  for (let waitedMs = 0; waitedMs < READY_TIMEOUT_MS && !await isReady(readyUrl); waitedMs += READY_POLL_INTERVAL_MS) await pause(READY_POLL_INTERVAL_MS)
-  return { entryAddress, child }
-}
-
 /** Faults one after the other; streams begin all the while. */
 async function injectFaults (site: PlatformSite, instances: Instance[], directory: string): Promise<void> {
   const [first, second, third, fourth] = site.engines
