--- a/packages/magnoliabay/src/node/crashes/crashAttribution.ts
+++ b/packages/magnoliabay/src/node/crashes/crashAttribution.ts
@@ -195,7 +195,7 @@
       const { suspects } = refused.accusation
       const isGranted = await grants.ask(req, suspects)
       metrics?.trials.inc({ outcome: isGranted ? 'granted' : 'refused' })
-      if (isGranted) logger.info('suspect-trial', { request: requestId, suspect: suspects[0], suspects: suspects.length, reason })
+      if (isGranted) logger.info('suspect-trial', { request: requestId, suspect: suspects[0], tried: suspects.length, reason })
       return isGranted ? { kind: 'trial', suspects } : refused
     },
     recordCrash: ({ service, team, suspects }, { process, softwareVersion, sentMs, brokeMs, trial }) => {
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -13,7 +13,7 @@
 import type { Clock } from './clock'
 import { createConfigCommitter, createConfigProvider } from './config'
 import type { Manifest, ResolvedSettings } from './config'
-import { createCrashAttribution, createCrashConfirmation, createIncarnationCheck } from './crashes'
+import { createCrashAttribution, createCrashConfirmation, createIncarnationCheck, createRecentAddresses } from './crashes'
 import { createEntryServer } from './entry'
 import type { Logger } from './logger'
 import { createMembership, createPeerNetwork, createTerminationDetector } from './members'
@@ -122,7 +122,7 @@
   const forwardingServer = createForwardingServer({
     dialForPeer: routes.dialer.dialForPeer,
     members: peers.members,
-    isListed: address => isListed(address),
+    isListed: address => directory.all().some(listed => listed.address === address),
     isLeaving: () => self.leaving,
     clock
   })
@@ -152,10 +152,10 @@
   cells.replicas.onChanged(queue.dispatch)
   const isReady = (): boolean => cfg.active().version > 0 && membership.leaseId() !== undefined && !self.leaving
   const report = createSloTracker({ cfg, peers, registry: metrics.registry, clock })
-  const isListed = (address: string): boolean => directory.all().some(listed => listed.address === address)
+  const isServerAddress = createRecentAddresses({ addresses: () => directory.all().map(({ address }) => address), onChanged: directory.onChanged, clock })
   const confirmCrash = createCrashConfirmation({
     peers,
-    probe: async address => isListed(address) ? await probeAddress(clock, parseHostPort(address), ENGINE_PROBE_TIMEOUT_MS) : 'silent',
+    probe: async address => isServerAddress(address) ? await probeAddress(clock, parseHostPort(address), ENGINE_PROBE_TIMEOUT_MS) : 'silent',
     random: Math.random
   })
   const hasRestarted = createIncarnationCheck(engines)
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -13,7 +13,7 @@
 import type { MemberRecord } from '../members'
 import { contactSeeds } from '../members/seeds'
 import { TCP_TRANSPORT } from '../members/transport'
-import { createCrashAttribution, createCrashConfirmation } from '../crashes'
+import { createCrashAttribution, createCrashConfirmation, createRecentAddresses } from '../crashes'
 import { createRetryBudget } from '../outcomes'
 import type { RetryBudget } from '../outcomes'
 import { createForwardingServer, createPathMetrics, createServerRoutes, createSocketPrimitives } from '../paths'
@@ -354,12 +354,13 @@
     clock,
     logger
   })
+  const isServerAddress = createRecentAddresses({ addresses: () => servers.all().map(({ address }) => address), onChanged: servers.onChanged, clock })
   const crashes = createCrashAttribution({
     peers,
     store,
     hasCrashed: createCrashConfirmation({
       peers,
-      probe: async address => servers.all().some(server => server.address === address) ? await connections.probe(address) : 'silent',
+      probe: async address => isServerAddress(address) ? await connections.probe(address) : 'silent',
       random
     }),
     isReplaced: (service, version) => {
