--- a/packages/magnoliabay/src/node/__tests__/logTrace.spec.ts
+++ b/packages/magnoliabay/src/node/__tests__/logTrace.spec.ts
@@ -67,6 +67,28 @@
   })
 })
 
+describe('the trace of a request that is refused for crashes', () => {
+  const at = (minute: number, text: string): string => `time=2026-01-01T00:0${minute}:00.000Z level=info ${text}`
+  const SUSPECT = 'suspect=llm/part:91bd3f06'
+  const CRASHES = [
+    at(0, 'event=server-crashed instance=i1 server=s1 suspects=llm/part:5c1e07a2,llm/part:91bd3f06'),
+    at(1, 'event=server-crashed instance=i2 server=s2 suspects=llm/part:91bd3f06'),
+    at(1, 'event=server-crashed instance=i2 server=s8 suspects=llm/part:77777777'),
+    at(2, `event=suspect-blamed instance=i1 ${SUSPECT} crashes=2 servers=s1,s2`),
+    at(2, 'event=suspect-blamed instance=i1 suspect=llm/part:77777777 crashes=2 servers=s8'),
+    at(3, `event=suspect-trial instance=i2 request=r0 ${SUSPECT} reason=first`),
+    at(5, `event=request-refused instance=i3 request=r1 reason=crashes-servers status=503 tookMs=0 ${SUSPECT} crashed=s1,s2`),
+    at(6, 'event=server-crashed instance=i1 server=s1 suspects=llm/part:91bd3f06')
+  ]
+
+  /** Guards against a refusal whose cause cannot be found: the crashes were minutes before, at other instances. */
+  it('has the crashes and the decisions about its suspect, and no others', () => {
+    const trace = traceRequest(CRASHES, 'r1')
+    expect(trace.relatedEntries.map(({ line: text }) => text)).to.deep.equal([CRASHES[0], CRASHES[1], CRASHES[3], CRASHES[5]])
+    expect(trace.cause).to.include('crashed')
+  })
+})
+
 describe('the operators\' guide', () => {
   it('explains every reason', () => {
     const guide = readFileSync('docs/OPERATIONS.md', 'utf8')
--- a/packages/magnoliabay/src/node/entry/attempts.ts
+++ b/packages/magnoliabay/src/node/entry/attempts.ts
@@ -8,7 +8,7 @@
 import type { Failure } from '../failures'
 import type { Logger } from '../logger'
 import type { Metrics } from '../metrics'
-import type { CrashAttribution, RequestGuard } from '../crashes'
+import type { Accusation, CrashAttribution, RequestGuard } from '../crashes'
 import type { RequestOutcome, RetryBudget } from '../outcomes'
 import { WORK_CLASS_HEADER, ENGINE_PRIORITY_BY_CLASS, parseWorkClass } from '../queue'
 import type { AcquiredReplica, ReplicaRouter } from '../routing'
@@ -20,7 +20,7 @@
 const MAX_ATTEMPTS = 3
 const MS_PER_SECOND = 1000
 /** Its refusal names no time: a retry cannot end otherwise. */
-export const CRASHES_BACKEND_FAILURE = createRefusal('crashes_backend', 'Engines crashed on this request, or on others that share one of its messages. It is not sent to any more of them; change it before you send it again.')
+const CRASHES_BACKEND_FAILURE = createRefusal('crashes_backend', 'Engines crashed on this request, or on others that share one of its messages. It is not sent to any more of them; change it before you send it again.')
 
 /** Engines state no software version here. */
 const NO_VERSION = ''
@@ -115,7 +115,8 @@
       let lastFailure: Failure = createRefusal('no_capacity', 'No engine could take the request.', 1)
       retryBudget.recordFirstAttempt()
       for (let attemptIndex = 0; attemptIndex < MAX_ATTEMPTS; attemptIndex += 1) {
-        if (await guard.admit() !== undefined) return req.execution.conclude(CRASHES_BACKEND_FAILURE)
+        const accusation = await guard.admit()
+        if (accusation !== undefined) return concludeAccused(logger, req, accusation)
         if (attemptIndex > 0 && !retryBudget.tryTake()) {
           logger.info('retry-withheld', { request: req.requestId, reason: 'retry budget spent' })
           break
@@ -149,6 +150,12 @@
 
 type AttemptResult = RelayResult | { kind: 'no-route', failure: Failure }
 
+/** Ends a request on which engines crash; the log leads to the crashes. */
+export function concludeAccused (logger: Logger, req: EntryRequest, { suspects, servers }: Accusation): RequestOutcome {
+  logger.info('suspect-refused', { request: req.requestId, team: req.caller.team, suspect: suspects[0], crashed: servers })
+  return req.execution.conclude(CRASHES_BACKEND_FAILURE)
+}
+
 /** Completions are idempotent, so they are retried until the first byte has reached the caller. */
 function isRetryable (result: AttemptResult): boolean {
   return result.kind === 'not-run' || result.kind === 'failed'
--- a/packages/magnoliabay/src/node/entry/completions.ts
+++ b/packages/magnoliabay/src/node/entry/completions.ts
@@ -10,7 +10,7 @@
 import { mayCall } from './authorization'
 import { createRequestGuard, fingerprintOf, suspectsOf } from '../crashes'
 import type { RequestGuard } from '../crashes'
-import { CRASHES_BACKEND_FAILURE, createAttempts } from './attempts'
+import { concludeAccused, createAttempts } from './attempts'
 import type { AttemptOptions } from './attempts'
 import { parseCompletion } from './completionRequest'
 import type { CompletionRequest } from './completionRequest'
@@ -46,7 +46,8 @@
     if (failure !== undefined) return conclude(failure)
     const guard = guardOf(req, parsed.val)
     // What is refused here counts neither in an allowance nor in a queue.
-    if (await guard.admit() !== undefined) return conclude(CRASHES_BACKEND_FAILURE)
+    const accusation = await guard.admit()
+    if (accusation !== undefined) return concludeAccused(options.logger, req, accusation)
     return await runGuarded(req, res, parsed.val, guard).finally(guard.endTrial)
   }
   const guardOf = (req: EntryRequest, completion: CompletionRequest): RequestGuard => {
--- a/packages/magnoliabay/src/node/logTrace.ts
+++ b/packages/magnoliabay/src/node/logTrace.ts
@@ -48,6 +48,8 @@
   'server-lapsed': ['server'],
   'server-leaving': ['server']
 }
+/** Events on crashes and on what is blamed for them; they are related to a refusal for it, however long before. */
+const CRASH_EVENTS: ReadonlySet<string> = new Set(['server-crashed', 'suspect-blamed', 'suspect-freed', 'suspect-trial'])
 /** Events on the leader; they are related to every request that waits for a model. */
 const LEADER_EVENTS = new Set(['orderer-won', 'orderer-begins', 'orderer-lost', 'orderer-resigned'])
 
@@ -92,6 +94,7 @@
 /** `streamEntries`: lines of other attempts at the same stream; what happened to their instances and servers is related as well. */
 function isRelated (entry: LogEntry, requestEntries: readonly LogEntry[], streamEntries: readonly LogEntry[]): boolean {
   const last = requestEntries.at(-1)!
+  if (isCrashEvent(entry, last)) return true
   const tookMs = Number(last.fields.get('tookMs') ?? 0)
   const ageMs = Date.parse(last.time) - Date.parse(entry.time)
   if (ageMs < 0 || ageMs > tookMs + MAX_EVENT_AGE_MS) return false
@@ -100,6 +103,15 @@
   return (RELATED_EVENT_FIELDS[entry.event] ?? []).some(field => values(field).includes(entry.fields.get(field) ?? '\0'))
 }
 
+/** Whether the entry tells of a crash for which the request was refused, or of what was decided about its suspect. */
+function isCrashEvent ({ event, fields, time }: LogEntry, last: LogEntry): boolean {
+  const suspect = last.fields.get('suspect')
+  if (suspect === undefined || !CRASH_EVENTS.has(event) || time > last.time) return false
+  if (event !== 'server-crashed') return fields.get('suspect') === suspect
+  const hasCrashed = (last.fields.get('crashed') ?? '').split(',').includes(fields.get('server') ?? '')
+  return hasCrashed && (fields.get('suspects') ?? '').split(',').includes(suspect)
+}
+
 function findGaps (entries: readonly LogEntry[], requestEntries: readonly LogEntry[], id: string): string[] {
   if (requestEntries.length === 0) return [`No line names request ${id}: it reached no instance whose log was given, or its lines were left out.`]
   const ended = requestEntries.some(entry => entry.event === 'request-ended' || entry.event === 'request-refused')
--- /dev/null
+++ b/packages/magnoliabay/src/node/operators/__tests__/explain.spec.ts
@@ -0,0 +1,36 @@
+/** What the instances of a fleet decided about one request, asked of one of them. */
+import { expect } from 'chai'
+import { createVirtualClock } from '../../clock/virtual'
+import { createSilentLogger } from '../../logger'
+import type { Logger } from '../../logger'
+import { createMemoryNetwork } from '../../members/memoryNetwork'
+import { createDecisionLog } from '../decisionLog'
+import { createExplainer } from '../explain'
+import type { Explainer } from '../explain'
+
+describe('explain', () => {
+  const clock = createVirtualClock()
+  const network = createMemoryNetwork({ clock })
+  const startInstance = (id: string): { logger: Logger, explainer: Explainer } => {
+    const decisions = createDecisionLog({ instance: id, clock })
+    const peers = network.join({ id, incarnation: id, startedAtMs: 0, region: 'r', failureDomain: 'z', peerAddress: '', entryAddress: '', operatorAddress: '', leaving: false, processorShare: 0 })
+    return { logger: decisions.wrapLogger(createSilentLogger()), explainer: createExplainer({ peers, decisions }) }
+  }
+
+  // A request is refused for crashes that other instances saw, minutes before: its own lines do not show why.
+  it('leads from a request that was refused for crashes to these crashes, wherever they were seen', async () => {
+    const [one, other] = [startInstance('a'), startInstance('b')]
+    const suspect = 'completions/part:p'
+    other.logger.warn('server-crashed', { server: 'e1', suspects: [suspect, 'completions/request:x'] })
+    other.logger.warn('server-crashed', { server: 'e9', suspects: ['completions/part:q'] })
+    one.logger.warn('suspect-blamed', { suspect, servers: ['e1'] })
+    one.logger.info('suspect-refused', { request: 'r6', suspect, crashed: ['e1'] })
+    one.logger.info('suspect-refused', { request: 'r7', suspect, crashed: ['e1'] })
+    const explained = one.explainer.explain('request', 'r7')
+    await clock.advance(100)
+    const { events, unheard } = await explained
+    expect(events.map(({ instance, event, fields }) => `${instance} ${event} ${String(fields.server ?? fields.request ?? '')}`.trim()).sort())
+      .to.deep.equal(['a suspect-blamed', 'a suspect-refused r7', 'b server-crashed e1'])
+    expect(unheard).to.deep.equal([])
+  })
+})
--- a/packages/magnoliabay/src/node/operators/decisionLog.ts
+++ b/packages/magnoliabay/src/node/operators/decisionLog.ts
@@ -1,12 +1,12 @@
 /**
  * Keeps the latest decisions of this instance and their reasons in memory for `explain`. It records the events of the
- * logger that have a field `request`, `model`, `team` or `order`, whichever subsystem logs them.
+ * logger that have a field `request`, `model`, `team`, `order` or `suspect`, whichever subsystem logs them.
  */
 import type { Clock } from '../clock'
 import type { LogFields, LogLevel, Logger } from '../logger'
 
-export type SubjectKind = 'request' | 'model' | 'team' | 'order'
-export const SUBJECT_KINDS: readonly SubjectKind[] = ['request', 'model', 'team', 'order']
+export type SubjectKind = 'request' | 'model' | 'team' | 'order' | 'suspect'
+export const SUBJECT_KINDS: readonly SubjectKind[] = ['request', 'model', 'team', 'order', 'suspect']
 
 export interface DecisionEvent {
   atMs: number
@@ -33,13 +33,16 @@
 /** Maximum number of events in a reply over a peer link; the newest ones are returned. */
 const MAX_EVENTS_RETURNED = 200
 
+/** Whether a crash may be due to the suspect, among others. */
+const isListed = (suspects: LogFields[string], id: string): boolean => Array.isArray(suspects) && suspects.includes(id)
+
 export function createDecisionLog (options: DecisionLogOptions): DecisionLog {
   const capacity = options.capacity ?? DEFAULT_CAPACITY
   const ringBuffer: DecisionEvent[] = []
   let next = 0
 
   const recordEvent = (event: string, fields: LogFields): void => {
-    if (!SUBJECT_KINDS.some(kind => fields[kind] !== undefined)) return
+    if (!SUBJECT_KINDS.some(kind => fields[kind] !== undefined) && fields.suspects === undefined) return
     ringBuffer[next % capacity] = { atMs: options.clock.now(), instance: options.instance, event, fields }
     next += 1
   }
@@ -60,7 +63,7 @@
   return {
     wrapLogger: logger => wrap(logger, {}),
     eventsAbout: (kind, id) => {
-      const matching = eventsInOrder().filter(({ fields }) => fields[kind] === id)
+      const matching = eventsInOrder().filter(({ fields }) => fields[kind] === id || (kind === 'suspect' && isListed(fields.suspects, id)))
       return matching.slice(-MAX_EVENTS_RETURNED)
     }
   }
--- a/packages/magnoliabay/src/node/operators/explain.ts
+++ b/packages/magnoliabay/src/node/operators/explain.ts
@@ -35,9 +35,17 @@
     const events = answers.flatMap(({ answer }) => answer.ok ? answer.val.events : [])
     return { events: sortByTime(events), unheard: answers.filter(({ answer }) => answer.err).map(({ member }) => member) }
   }
+  /** Adds the crashes for which something in a refused request is blamed. */
+  const addCrashes = async (kind: SubjectKind, found: Omit<Explanation, 'kind' | 'id'>): Promise<Omit<Explanation, 'kind' | 'id'>> => {
+    const suspect = found.events.map(({ fields }) => fields.suspect).find(name => typeof name === 'string')
+    if (kind !== 'request' || suspect === undefined) return found
+    const crashes = await queryAllInstances('suspect', String(suspect))
+    const isRequestEvent = ({ event, fields }: DecisionEvent): boolean => fields.request !== undefined && event !== 'suspect-trial'
+    return { events: sortByTime([...found.events, ...crashes.events.filter(event => !isRequestEvent(event))]), unheard: found.unheard }
+  }
   return {
     explain: async (kind, id) => {
-      const found = await queryAllInstances(kind, id)
+      const found = await addCrashes(kind, await queryAllInstances(kind, id))
       const model = found.events.map(({ fields }) => fields.model).find(name => typeof name === 'string')
       if (kind !== 'request' || model === undefined) return { kind, id, ...found }
       const modelEvents = await queryAllInstances('model', String(model))
