--- a/packages/standins/src/node/streamCaller/index.ts
+++ b/packages/standins/src/node/streamCaller/index.ts
@@ -5,6 +5,8 @@
 export interface StreamCallOptions {
   path: string
   headers: Readonly<Record<string, string>>
+  /** @default none */
+  body?: string
   /** Returns the entry address for a try; the first has index 0. */
   addressFor: (index: number) => string
   /** Unique for each try. */
@@ -48,9 +50,9 @@
 const pause = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms))
 const idsIn = (text: string): number[] => [...text.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id))
 /** Events are complete once an empty line has followed. */
-const completeEventsIn = (text: string): string => text.slice(0, text.lastIndexOf('\n\n') + 2)
+const completeEventsIn = (text: string): string => text.includes('\n\n') ? text.slice(0, text.lastIndexOf('\n\n') + 2) : ''
 
-function sendTry (address: string, path: string, headers: Readonly<Record<string, string>>, breakAfterEvent: number): Promise<Try> {
+function sendTry (address: string, path: string, body: string | undefined, headers: Readonly<Record<string, string>>, breakAfterEvent: number): Promise<Try> {
   const [host, port] = address.split(':')
   return new Promise(resolve => {
     let text = ''
@@ -71,7 +73,7 @@
       socket.setTimeout(CONNECT_TIMEOUT_MS, () => { if (socket.connecting) req.destroy() })
     })
     req.on('error', () => end(false))
-    req.end()
+    req.end(body)
   })
 }
 
@@ -85,7 +87,7 @@
   while (tries.length < maxTries && tries.at(-1)?.isComplete !== true) {
     const attemptId = nextAttemptId()
     const resumption: Record<string, string> = firstAttemptId === undefined ? {} : { Resumes: firstAttemptId, 'Last-Event-Id': String(idsIn(received()).at(-1)) }
-    const result = await sendTry(addressFor(tries.length), path, { ...options.headers, 'x-magnoliabay-attempt-id': attemptId, ...resumption }, tries.length === 0 ? breakAfterEvent : Infinity)
+    const result = await sendTry(addressFor(tries.length), path, options.body, { ...options.headers, 'x-magnoliabay-attempt-id': attemptId, ...resumption }, tries.length === 0 ? breakAfterEvent : Infinity)
     tries.push({ ...result, isComplete: result.isComplete && result.status === 200 })
     if (result.status === 200 && idsIn(result.text).length > 0) firstAttemptId ??= attemptId
     if (result.status !== 0 && result.status !== 200) refusal = result.text
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -12,6 +12,7 @@
 import type { MemberRecord } from '../packages/magnoliabay/src/node/members'
 import { TCP_TRANSPORT } from '../packages/magnoliabay/src/node/members/transport'
 import { DialError, createSocketPrimitives } from '../packages/magnoliabay/src/node/paths'
+import { sendCrashingPart } from './demoCrashes'
 import { resumeStreams } from './demoStreams'
 import type { DialPrimitives } from '../packages/magnoliabay/src/node/paths'
 
@@ -28,6 +29,8 @@
 /** Index of the instance that the demo partitions from all backend servers. */
 const PARTITIONED = 1
 const PRESS_PER_ENTRY = 12
+/** Three crashes show a part, and a trial may be needed to tell it from the others. */
+const MAX_CRASHES = 5
 
 let failures = 0
 let isPartitioned = false
@@ -156,6 +159,13 @@
   check('no backend server receives the key of the caller', !engineRecords.includes(callerKey), `${standIns.engines.length} engines`)
 }
 
+async function checkCrashingPart (): Promise<void> {
+  const { crashes, crashing, sound } = await sendCrashingPart()
+  const refused = crashing.filter(({ refusal }) => refusal.includes('crashes-servers')).length
+  const served = sound.filter(({ isComplete }) => isComplete).length
+  check('different requests with a prompt part that crashes engines are refused, and others that share the rest are served', crashes <= MAX_CRASHES && refused > 0 && served === sound.length, `${crashes} crashes, ${refused} of ${crashing.length} refused, ${served} of ${sound.length} others served`)
+}
+
 async function main (): Promise<void> {
   const embedded = await startEmbeddedFleet({ logger: createLogger({ level: 'warn' }), dialPrimitivesOf })
   await checkColdStart(embedded)
@@ -164,6 +174,7 @@
   await checkBrittleEngine(embedded)
   await checkPartitionedInstance(embedded)
   await checkResumedStreams()
+  await checkCrashingPart()
   await checkOverAllowance(embedded)
   await checkWithdrawnKey(embedded)
   checkKeyNotForwarded(embedded)
--- a/scripts/fleet/crashingPromptParts.ts
+++ b/scripts/fleet/crashingPromptParts.ts
@@ -86,6 +86,7 @@
     const own = (attempts++).toString(16)
     return callStream({
       path: STREAM_PATH,
+      body: own,
       headers: { ...STREAM_HEADERS, 'x-magnoliabay-prompt-prefix': prefixOf([...parts, `f${own}`]) },
       addressFor: () => random.pick(instances).entryAddress,
       nextAttemptId: () => `try-${own}-${attempts++}`,
