--- a/packages/magnoliabay/src/node/serving/placement/engineTracker.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineTracker.ts
@@ -72,6 +72,16 @@
       ...withOrderCounted(process, isCertain),
       models: getOrCreate(process).models.map(loaded => loaded.name === model ? { ...loaded, adapters: change(loaded.adapters) } : loaded)
     })
+  /**
+   * Engines write no entry when they load an adapter, so that an entry may lack one that was accepted after it was written: one
+   * more than the engine holds would be ordered in its place. What is known of adapters here is newer.
+   */
+  const withKnownAdapters = ({ models, loadingAdapters }: TrackedEngine, listed: LoadedModel): LoadedModel => {
+    const known = models.find(({ name }) => name === listed.name)
+    if (known !== undefined) return { ...listed, adapters: known.adapters }
+    const accepted = loadingAdapters.filter(each => each.startsWith(`${listed.name}/`)).map(each => each.slice(listed.name.length + 1))
+    return { ...listed, adapters: [...new Set([...listed.adapters, ...accepted])] }
+  }
 
   return {
     get: getOrCreate,
@@ -110,8 +120,13 @@
       })
     },
     recordCopies: (process, copies) => update(process, { copies }),
-    recordDone: (process, models) => update(process, { models, pending: undefined }),
-    recordAdapterLoaded: (process, model, adapter) => changeAdapters(process, model, true, adapters => [...adapters, adapter]),
+    recordDone: (process, models) => update(process, { models: models.map(listed => withKnownAdapters(getOrCreate(process), listed)), pending: undefined }),
+    recordAdapterLoaded: (process, model, adapter) => {
+      changeAdapters(process, model, true, adapters => [...adapters, adapter])
+      const { models, loadingAdapters } = getOrCreate(process)
+      // The engine has accepted it, so it has the model, though no entry or report has shown it yet.
+      if (!models.some(({ name }) => name === model)) update(process, { loadingAdapters: [...loadingAdapters, `${model}/${adapter}`] })
+    },
     recordAdapterUnloaded: (process, model, adapter) => changeAdapters(process, model, false, adapters => adapters.filter(loaded => loaded !== adapter)),
     forgetAcceptedOrders: process => update(process, { acceptedOrders: undefined }),
     hasPending: () => [...trackedEngines.values()].some(engine => engine.pending !== undefined),
