--- a/bench/index.ts
+++ b/bench/index.ts
@@ -10,6 +10,7 @@
   capacity: () => import('./capacity'),
   cold: () => import('./cold'),
   config: () => import('./config'),
+  'crash-attribution': () => import('./crashAttribution'),
   relay: () => import('./relay'),
   'stream-origins': () => import('./streamOrigins'),
   decusum: async () => await import('./decusum')
--- a/packages/magnoliabay/src/node/crashes/attribution.ts
+++ b/packages/magnoliabay/src/node/crashes/attribution.ts
@@ -32,18 +32,7 @@
   }).length
 }
 
-type CrashesBySuspect = ReadonlyMap<Suspect, readonly CrashRecord[]>
-
-function groupBySuspect (records: readonly CrashRecord[]): CrashesBySuspect {
-  const groups = new Map<Suspect, CrashRecord[]>()
-  records.forEach(record => record.candidates.forEach(({ isCleared }, suspect) => {
-    if (isCleared) return
-    const group = groups.get(suspect) ?? []
-    groups.set(suspect, group)
-    group.push(record)
-  }))
-  return groups
-}
+const NOTHING: ReadonlyMap<Suspect, Blame> = new Map()
 
 const isOpenIn = ({ candidates }: CrashRecord, suspect: Suspect): boolean => candidates.get(suspect)?.isCleared === false
 
@@ -58,12 +47,14 @@
 
 /**
  * Takes one suspect after the other that alone explains some crash. What is left without a crash of its own only came with
- * these, and is not blamed; what is left with some cannot be told from each other, and all of it is.
+ * these, and is not blamed; what is left with some cannot be told from each other, and all of it is. `frequent`: suspects to which
+ * enough crashes may be due.
  */
-export function attribute (unordered: readonly CrashRecord[], crashesToBlame: number): ReadonlyMap<Suspect, Blame> {
+export function attribute (unordered: readonly CrashRecord[], frequent: readonly Suspect[], crashesToBlame: number): ReadonlyMap<Suspect, Blame> {
+  if (frequent.length === 0) return NOTHING
   const crashes = [...unordered].sort((left, right) => left.atMs - right.atMs)
-  const groups = groupBySuspect(crashes)
-  const counts = new Map([...groups].map(([suspect, group]) => [suspect, group.length < crashesToBlame ? 0 : countIndependent(suspect, group)]))
+  const groups = new Map(frequent.map(suspect => [suspect, crashes.filter(crash => isOpenIn(crash, suspect))]))
+  const counts = new Map([...groups].map(([suspect, group]) => [suspect, countIndependent(suspect, group)]))
   const toBlame = (suspect: Suspect): Blame => {
     const group = groups.get(suspect)!
     return { suspect, service: group[0]!.service, crashes: group, teams: new Set(group.flatMap(({ candidates }) => [...candidates.get(suspect)!.teams])) }
--- a/packages/magnoliabay/src/node/crashes/crashAttribution.ts
+++ b/packages/magnoliabay/src/node/crashes/crashAttribution.ts
@@ -103,7 +103,7 @@
 
 export function createCrashAttribution (options: CrashAttributionOptions): CrashAttribution {
   const { peers, clock, logger, crashesToBlame = DEFAULT_CRASHES_TO_BLAME, retentionMs = DEFAULT_RETENTION_MS, maxCrashes, isReplaced = () => false } = options
-  const records = createCrashRecords({ clock, retentionMs, maxCrashes })
+  const records = createCrashRecords({ clock, retentionMs, frequentFrom: crashesToBlame, maxCrashes })
   const grants = createTrialGrants({ peers, clock })
   const metrics = options.registry === undefined ? undefined : createCrashMetrics(options.registry)
   const listeners: Array<() => void> = []
@@ -120,7 +120,9 @@
   }
   const update = (): void => {
     records.prune(isNeeded)
-    const next = attribute(records.all(), crashesToBlame)
+    const next = attribute(records.all(), records.frequent(), crashesToBlame)
+    // Most crashes are due to nothing that requests hold.
+    if (next.size === 0 && blames.size === 0) return
     logChanges(next)
     const isChanged = [...next.keys()].join() !== [...blames.keys()].join()
     const provenBefore = proven.size
--- a/packages/magnoliabay/src/node/crashes/crashRecords.ts
+++ b/packages/magnoliabay/src/node/crashes/crashRecords.ts
@@ -62,6 +62,8 @@
   applyCleared (cleared: readonly ClearedNotice[]): boolean
   /** Whether a crash that is kept may be due to the suspect. */
   has (suspect: Suspect): boolean
+  /** Suspects to which enough crashes may be due. */
+  frequent (): readonly Suspect[]
   all (): readonly CrashRecord[]
   notices (): CrashNotice[]
   /** Drops records that are too old, and the oldest beyond the limit, those that are needed last; returns whether there were any. */
@@ -72,6 +74,8 @@
   clock: Clock
   /** Time for which a crash is kept, milliseconds. */
   retentionMs: number
+  /** Number of crashes from which a suspect is frequent. */
+  frequentFrom: number
   /** @default 256 */
   maxCrashes?: number
 }
@@ -82,15 +86,19 @@
 
 const unionOf = <T>(one: ReadonlySet<T>, other: readonly T[]): ReadonlySet<T> => other.every(each => one.has(each)) ? one : new Set([...one, ...other])
 
-export function createCrashRecords ({ clock, retentionMs, maxCrashes = DEFAULT_MAX_CRASHES }: CrashRecordsOptions): CrashRecords {
+export function createCrashRecords ({ clock, retentionMs, frequentFrom, maxCrashes = DEFAULT_MAX_CRASHES }: CrashRecordsOptions): CrashRecords {
   const records = new Map<string, CrashRecord>()
   /** Number of records in which each suspect is not cleared. */
   const openCounts = new Map<Suspect, number>()
+  /** Kept as counts change: a failure domain that loses power leaves thousands of suspects, few of which are in several crashes. */
+  const frequent = new Set<Suspect>()
 
   const countOpen = (suspect: Suspect, change: number): void => {
     const next = (openCounts.get(suspect) ?? 0) + change
     if (next > 0) openCounts.set(suspect, next)
     else openCounts.delete(suspect)
+    if (next >= frequentFrom) frequent.add(suspect)
+    else frequent.delete(suspect)
   }
   const setCandidate = (record: CrashRecord, suspect: Suspect, next: Candidate): void => {
     const before = record.candidates.get(suspect)
@@ -156,6 +164,7 @@
       return applied.some(suspects => suspects.length > 0)
     },
     has: suspect => openCounts.has(suspect),
+    frequent: () => [...frequent],
     all: () => [...records.values()],
     notices: () => [...records.values()].map(toNotice),
     prune: isNeeded => {
