--- a/packages/magnoliabay/src/node/serving/refusalReasons.ts
+++ b/packages/magnoliabay/src/node/serving/refusalReasons.ts
@@ -17,7 +17,7 @@
   'server-limited': 'The servers that could take it state a rate limit and had reached it, and the model could not be loaded elsewhere in time. retryAfterMs is when one has a place again.',
   'server-backoff': 'The servers that could take it have asked this instance for backoff, and the model could not be loaded elsewhere in time. retryAfterMs is when the first of them takes requests again.',
   'retry-budget-spent': 'A server rejected the request without running it, and the retry budget of the service was used up.',
-  'crashes-servers': 'Servers crashed while they ran the same request before. It is not sent again for a minute.',
+  'crashes-servers': 'Servers crashed on requests with the same prompt part, or on this very request, before an answer began. suspect names it, crashed the servers; it is tried again after a while, or with new software.',
   'route-timeout': 'The route\'s timeout or the caller\'s deadline was reached.',
   'server-failed': 'The server closed the connection or sent a response that cannot be passed on, and the request may not be run again.',
   'answer-cut': 'The server closed the connection after a part of its response had been passed on to the caller.',
