--- a/packages/magnoliabay/src/node/crashes/crashRecords.ts
+++ b/packages/magnoliabay/src/node/crashes/crashRecords.ts
@@ -81,7 +81,7 @@
 }
 
 const DEFAULT_MAX_CRASHES = 256
-/** Bounds what a crash of a server with a long queue takes; the requests of one instance come first. */
+/** Bounds what a crash of a server with a long queue takes; what is told first is kept. */
 const MAX_CANDIDATES = 128
 
 const unionOf = <T>(one: ReadonlySet<T>, other: readonly T[]): ReadonlySet<T> => other.every(each => one.has(each)) ? one : new Set([...one, ...other])
@@ -90,7 +90,7 @@
   const records = new Map<string, CrashRecord>()
   /** Number of records in which each suspect is not cleared. */
   const openCounts = new Map<Suspect, number>()
-  /** Kept as counts change: a failure domain that loses power leaves thousands of suspects, few of which are in several crashes. */
+  /** Kept as counts change, since a failure domain that loses power leaves thousands of suspects, most of them in one crash. */
   const frequent = new Set<Suspect>()
 
   const countOpen = (suspect: Suspect, change: number): void => {
--- a/packages/magnoliabay/src/node/crashes/trialPolicy.ts
+++ b/packages/magnoliabay/src/node/crashes/trialPolicy.ts
@@ -50,7 +50,7 @@
   return trialsOf(blame).some(crash => isConclusive(suspect, crash, all))
 }
 
-/** Returns the trials of the suspect; of a request that holds no other, those that tried no other part with it. */
+/** Returns the trials that count for the next one: for a request that holds no other open suspect, those that tried no other part. */
 function relevantTrials (blame: Blame, isAlone: boolean): CrashRecord[] {
   const isTriedWithOthers = ({ candidates }: CrashRecord): boolean => [...candidates].some(([other, { isTrial, isCleared }]) => other !== blame.suspect && isTrial && !isCleared && !isRequest(other))
   return trialsOf(blame).filter(crash => !isAlone || !isTriedWithOthers(crash))
