--- a/packages/magnoliabay/src/node/entry/__tests__/completions.spec.ts
+++ b/packages/magnoliabay/src/node/entry/__tests__/completions.spec.ts
@@ -169,6 +169,23 @@
   })
 })
 
+describe('completions: requests that crash engines', () => {
+  // A request waits in the queue of an engine when it turns out to crash engines, and crashes this one as well.
+  it('are withdrawn from an engine that has not begun to answer them', async () => {
+    const harness = await createEntryHarness({ entries: 2, engines: [{}, {}, {}] })
+    const [first, ...others] = harness.fleet.engines
+    await first!.state.faults.set({ stall: true })
+    const waiting = harness.chat(0, 'poison')
+    await waitUntil(() => first!.state.records().requests.length === 1)
+    await first!.state.faults.set({ refuse: true })
+    await Promise.all(others.map(engine => engine.state.faults.set({ crashOnPrompt: 'poison', restartAfterMs: 0 })))
+    await harness.chat(1, 'poison')
+    const withdrawn = await waiting
+    expect([withdrawn.status, errorOf(withdrawn)?.code, errorOf(withdrawn)?.not_run]).to.deep.equal([422, 'crashes_backend', false])
+    await harness.close()
+  })
+})
+
 describe('completions: engines that state a rate limit', () => {
   let harness: EntryHarness
   afterEach(() => harness.close())
--- a/packages/magnoliabay/src/node/entry/attempts.ts
+++ b/packages/magnoliabay/src/node/entry/attempts.ts
@@ -47,6 +47,11 @@
 export function createAttempts (options: AttemptOptions): CompletionAttempts {
   const { routing, retryBudget, crashes, clock, logger, metrics } = options
 
+  /** Attempts whose answers have not begun. */
+  const waiting = new Set<WaitingAttempt>()
+  // A request on which engines certainly crash is withdrawn from the queue of its engine.
+  crashes.onBlamed(() => [...waiting].filter(({ guard }) => guard.mustWithdraw()).forEach(({ withdrawal }) => withdrawal.abort()))
+
   /** Acquires a replica whose engine takes the request now; the router leaves out those that have refused it. */
   const acquireAdmitted = async ({ excludedEngines, req, completion }: Attempt): Promise<Result<AdmittedReplica, Failure>> => {
     for (;;) {
@@ -74,10 +79,11 @@
     req.observation.wasCold ||= clock.monotonic() - requestedAtMs > COLD_START_THRESHOLD_MS
     const { replica, release, place } = route.val
     const sentMs = clock.monotonic()
-    let hasBegun = false
+    const waitingAttempt: WaitingAttempt = { guard, withdrawal: new AbortController() }
+    waiting.add(waitingAttempt)
+    const hasBegun = (): boolean => !waiting.has(waitingAttempt)
     const recordBegun = (): void => {
-      if (!hasBegun) guard.recordBegun(NO_VERSION)
-      hasBegun = true
+      if (waiting.delete(waitingAttempt)) guard.recordBegun(NO_VERSION)
     }
     const result = await relayCompletion(options.relay, {
       address: replica.address,
@@ -88,7 +94,7 @@
       priority: ENGINE_PRIORITY_BY_CLASS[parseWorkClass(req.headers[WORK_CLASS_HEADER])],
       body: completion.body,
       isStream: completion.isStream,
-      signal: req.deadline.signal,
+      signal: AbortSignal.any([req.deadline.signal, waitingAttempt.withdrawal.signal]),
       execution: req.execution,
       tryTakeRetry: retryBudget.tryTake
     }, res, () => {
@@ -99,9 +105,11 @@
     excludedEngines.add(replica.engine)
     const isConnectionBroken = 'isConnectionBroken' in result && result.isConnectionBroken
     const brokeMs = clock.monotonic()
-    if (isConnectionBroken && !hasBegun && await crashes.hasCrashed(replica.address)) guard.recordCrash({ process: crashOf(replica.engine), softwareVersion: NO_VERSION, sentMs, brokeMs, trial: guard.trial() })
+    const isCutBeforeBegun = isConnectionBroken && !hasBegun()
+    waiting.delete(waitingAttempt)
+    if (isCutBeforeBegun && await crashes.hasCrashed(replica.address)) guard.recordCrash({ process: crashOf(replica.engine), softwareVersion: NO_VERSION, sentMs, brokeMs, trial: guard.trial() })
     logger.debug('request-relayed', { request: req.requestId, engine: replica.engine, result: result.kind })
-    return result
+    return result.kind === 'stopped' && waitingAttempt.withdrawal.signal.aborted ? { ...result, failure: CRASHES_BACKEND_FAILURE } : result
   }
 
   return {
@@ -137,6 +145,12 @@
 /** A replica whose engine takes the request now. */
 type AdmittedReplica = AcquiredReplica & { place: Place }
 
+interface WaitingAttempt {
+  guard: RequestGuard
+  /** Aborted to end the attempt. */
+  withdrawal: AbortController
+}
+
 interface Attempt {
   attemptIndex: number
   /** Engines of earlier attempts. */
