--- a/packages/standins/src/node/http/listener.ts
+++ b/packages/standins/src/node/http/listener.ts
@@ -75,7 +75,9 @@
 
   return {
     address: `${host}:${port}`,
+    // As when a process ends: it stops to listen before its connections close, so that nobody connects after one has closed.
     refuse: () => {
+      server?.close()
       dropConnections()
       return runInOrder(stop)
     },
