--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-node_modules/.bin/esbuild review/lib/store.ts --bundle --platform=node --target=node20 --format=cjs --main-fields=module,main --log-level=warning --outfile=target/review/store.cjs
+node_modules/.bin/esbuild review/lib/store.ts --bundle --platform=node --target=node20 --format=cjs --main-fields=module,main --log-level=warning --log-override:import-is-undefined=silent --outfile=target/review/store.cjs
