--- a/packages/magnoliabay/src/node/serving/attempt.ts
+++ b/packages/magnoliabay/src/node/serving/attempt.ts
@@ -1,5 +1,6 @@
 /** Sends a request to one backend server once, relays the response to the caller, and reports how the attempt ended. */
 import type { ServerResponse } from 'node:http'
+import { hasNoBody } from '../http/responseFraming'
 import type { ServerStatement } from '../statements'
 import type { BufferLease } from './answerBuffers'
 import type { EventStream } from './eventStream'
@@ -228,8 +229,9 @@
 
 /** Sends a complete response of a backend server to the caller. */
 export function sendCompleteResponse (res: ServerResponse, response: CompleteResponse, toCallerHeaders: AttemptOptions['toCallerHeaders']): void {
-  const headers = toCallerHeaders(response.head.rawHeaders)
-  const hasLength = response.head.headers['content-length'] !== undefined
-  res.writeHead(response.head.status, [...headers, ...(hasLength ? [] : ['Content-Length', String(response.body.length)])] as never)
+  const { status, rawHeaders, headers } = response.head
+  // A length beside a status without a body is against the protocol, and to HEAD it would be a wrong one.
+  const mustStateLength = headers['content-length'] === undefined && !hasNoBody(res.req.method ?? 'GET', status)
+  res.writeHead(status, [...toCallerHeaders(rawHeaders), ...(mustStateLength ? ['Content-Length', String(response.body.length)] : [])] as never)
   res.end(response.body)
 }
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -9,6 +9,10 @@
 import type { Clock } from '../clock'
 import { createDirectRoutes } from '../paths'
 import type { ServerDialer, ServerRoutes } from '../paths'
+import { watchConnectionEnd } from '../http/connectionEnd'
+import type { ConnectionEnd } from '../http/connectionEnd'
+import { framingOf } from '../http/responseFraming'
+import type { ResponseFraming } from '../http/responseFraming'
 import type { ProbeResult } from '../probe'
 import { parseHostPort } from '../utils'
 
@@ -164,16 +168,6 @@
   }
 }
 
-/**
- * Returns whether a connection that ended was closed by the server, and not reset. A reset that arrives together with the
- * last bytes looks like a regular end, since libuv reports a hang-up after a short read as one. A write distinguishes the
- * two: it succeeds on a closed connection and fails on a reset one. The write is an empty line, which a server that still
- * reads has to ignore.
- */
-function checkNotReset (socket: Socket): Promise<boolean> {
-  return new Promise(resolve => socket.write('\r\n', err => resolve(err === undefined || err === null)))
-}
-
 function runExchange (agent: Agent, { dialer, monitor }: Pick<ServerRoutes<Socket>, 'dialer' | 'monitor'>, outbound: OutboundRequest, handler: ResponseHandler): Exchange {
   const { host, port } = parseHostPort(outbound.address)
   const watched = monitor.watch(outbound.address, () => handler.onPathBroken?.())
@@ -181,10 +175,10 @@
   let hasEnded = false
   let failure: string | undefined
   let response: IncomingMessage | undefined
+  let framing: ResponseFraming = 'connection'
   let isVerifying = false
   let wasPaused = false
-  const isCompleteByFraming = (): boolean => response !== undefined && response.complete &&
-    (response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined)
+  const isCompleteByFraming = (): boolean => response !== undefined && response.complete && framing !== 'connection'
   /**
    * A response without length is complete only if the connection was closed without an error. A reset is reported as an
    * error; while the request is still being written, the write consumes that error and the response appears to end.
@@ -192,17 +186,19 @@
   const isClosedCleanly = (): boolean => failure === undefined && (req.socket?.writableLength ?? 0) === 0
   /** The connection has closed after the last byte of a response that was paused; the end of the response is still to be read. */
   const isEndUnread = (): boolean => wasPaused && response !== undefined && response.complete && !response.readableEnded && !response.destroyed
-  /** Set when the connection of a response without length ends: whether it was closed, not reset. */
-  let wasNotReset: Promise<boolean> = Promise.resolve(true)
+  /** The connection of a response that ends with it. */
+  let connection: { socket: Socket, end: ConnectionEnd } | undefined
   /**
    * Returns whether a response without length is complete. Such a response ends with its connection, also when the server has
-   * crashed midway, since its operating system closes the connection; the caller would get part of a response as the
-   * complete one. A crashed server refuses new connections until it has restarted.
+   * crashed midway, since its operating system closes the connection; the caller would get part of a response as the complete
+   * one. A crashed server refuses new connections until it has restarted.
    */
-  const verifyComplete = async (): Promise<boolean> => await wasNotReset && await dialer.isAccepting(outbound.address)
+  const verifyComplete = async (): Promise<boolean> => connection !== undefined &&
+    await connection.end.wasClosed() && await dialer.isAccepting(outbound.address)
   const finish = (kind: ExchangeEnd, reason: string): void => {
     if (hasEnded) return
     hasEnded = true
+    connection?.end.stop()
     watched.end()
     handler.onEnd(kind, reason)
   }
@@ -222,8 +218,8 @@
   })
   req.on('response', res => {
     response = res
-    const isFramed = res.headers['content-length'] !== undefined || res.headers['transfer-encoding'] !== undefined
-    if (!isFramed) res.socket.prependOnceListener('end', () => { wasNotReset = checkNotReset(res.socket) })
+    framing = framingOf(outbound.method, res.statusCode ?? 0, res.headers)
+    if (framing === 'connection') connection = { socket: res.socket, end: watchConnectionEnd(res.socket) }
     watched.recordActivity()
     handler.onHead({ status: res.statusCode ?? 0, headers: res.headers, rawHeaders: res.rawHeaders })
     res.on('data', (chunk: Buffer) => {
@@ -235,7 +231,7 @@
       if (isCompleteByFraming()) return finish('whole', 'response ended')
       if (!res.complete || !isClosedCleanly()) return finish('broken', failure ?? 'response cut')
       isVerifying = true
-      verifyComplete().then(isComplete => finish(isComplete ? 'whole' : 'broken', isComplete ? 'connection closed' : 'connection reset, or server has crashed'))
+      verifyComplete().then(isComplete => isComplete ? finish('whole', 'connection closed') : finish('broken', 'connection reset, or server has crashed'))
     })
     res.on('close', () => { if (!isVerifying) finish('broken', failure ?? 'connection closed within the response') })
   })
