--- a/packages/magnoliabay/src/node/serving/__tests__/exchange.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/exchange.spec.ts
@@ -66,6 +66,7 @@
 ]
 
 const IDLE_ENDS: Record<string, (socket: Socket) => void> = {
+  ends: socket => { socket.end() },
   resets: socket => { socket.resetAndDestroy() }
 }
 
@@ -198,6 +199,18 @@
     expect(server.connections()).to.equal(1)
   })
 
+  /** Guards against a request that is lost on a connection whose end the server has already sent: 502, or 504 at the timeout. */
+  it('sends the next request on another connection when the server has ended the idle one', async () => {
+    server = await startRawServer(socket => {
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=60\r\n\r\nok')
+      setImmediate(() => socket.end())
+    })
+    await send(connections, server.address)
+    await new Promise(resolve => setTimeout(resolve, 50))
+    expect((await send(connections, server.address)).end).to.equal('whole')
+    expect(server.connections()).to.equal(2)
+  })
+
   it('sends a body with its exact length, and length 0 without a body', async () => {
     server = await startRawServer(socket => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'))
     await send(connections, server.address, 'abc')
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -79,7 +79,7 @@
   this.destroy()
 }
 
-/** Reuses an idle connection only within its timeout, and drops one that receives unsolicited bytes. */
+/** Reuses an idle connection only within its timeout, and drops one that receives unsolicited bytes or its end. */
 class KeepAliveAgent extends Agent {
   constructor (private readonly address: string, private readonly dialer: ServerDialer<Socket>) {
     // Half-open connections allow a write after the server has ended, which shows whether the connection was reset.
@@ -102,16 +102,20 @@
 
   override keepSocketAlive (socket: Duplex): boolean {
     const connection = socket as Socket & { _httpMessage?: { res?: IncomingMessage } }
+    if (connection.readableEnded) return false
     const keepAlive = connection._httpMessage?.res?.headers['keep-alive']
     connection.setTimeout(reuseTimeoutMs(keepAlive as string | undefined))
     // Bytes on an idle connection belong to no request. Read as the next response they would reach the wrong caller.
     connection.on('data', destroySocket)
+    // A half-open connection stays when the server ends it, and the next request on it would be lost.
+    connection.on('end', destroySocket)
     return true
   }
 
   override reuseSocket (socket: Duplex, req: ClientRequest): void {
     const connection = socket as Socket
     connection.removeListener('data', destroySocket)
+    connection.removeListener('end', destroySocket)
     connection.setTimeout(0)
     super.reuseSocket(socket, req)
   }
@@ -189,9 +193,9 @@
   /** The connection of a response that ends with it. */
   let connection: { socket: Socket, end: ConnectionEnd } | undefined
   /**
-   * Returns whether a response without length is complete. Such a response ends with its connection, also when the server has
-   * crashed midway, since its operating system closes the connection; the caller would get part of a response as the complete
-   * one. A crashed server refuses new connections until it has restarted.
+   * Returns whether a response without length is complete. Such a response ends with its connection, also when the server or
+   * the instance that forwards it has crashed midway, since the operating system closes their connections; the caller would
+   * get part of a response as the complete one.
    */
   const verifyComplete = async (): Promise<boolean> => connection !== undefined &&
     await connection.end.wasClosed() && await dialer.isAccepting(outbound.address)
@@ -231,7 +235,7 @@
       if (isCompleteByFraming()) return finish('whole', 'response ended')
       if (!res.complete || !isClosedCleanly()) return finish('broken', failure ?? 'response cut')
       isVerifying = true
-      verifyComplete().then(isComplete => isComplete ? finish('whole', 'connection closed') : finish('broken', 'connection reset, or server has crashed'))
+      verifyComplete().then(isComplete => isComplete ? finish('whole', 'connection closed') : finish('broken', 'connection reset, or its server or forwarder has crashed'))
     })
     res.on('close', () => { if (!isVerifying) finish('broken', failure ?? 'connection closed within the response') })
   })
