--- a/packages/magnoliabay/src/node/members/firstByte.ts
+++ b/packages/magnoliabay/src/node/members/firstByte.ts
@@ -2,8 +2,8 @@
 import type { Socket } from 'node:net'
 import type { Clock } from '../clock'
 
-/** First byte of `CONNECT`. The length of a frame never begins with it: such a frame would exceed every limit. */
-const TUNNEL_FIRST_BYTE = 'C'.charCodeAt(0)
+/** First bytes of `CONNECT` and `GET`. The length of a frame never begins with them: such a frame would exceed every limit. */
+const TUNNEL_FIRST_BYTES: ReadonlySet<number> = new Set(['C', 'G'].map(letter => letter.charCodeAt(0)))
 /** A peer sends its first byte as soon as it is connected. */
 const FIRST_BYTE_TIMEOUT_MS = 3500
 
@@ -19,7 +19,7 @@
     cancelTimeout()
     socket.pause()
     socket.unshift(chunk)
-    onProtocol(chunk[0] === TUNNEL_FIRST_BYTE ? 'tunnel' : 'link')
+    onProtocol(TUNNEL_FIRST_BYTES.has(chunk[0]!) ? 'tunnel' : 'link')
     socket.removeListener('error', onError)
     process.nextTick(() => socket.resume())
   })
--- a/packages/magnoliabay/src/node/paths/forwardingServer.ts
+++ b/packages/magnoliabay/src/node/paths/forwardingServer.ts
@@ -7,16 +7,19 @@
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { TLSSocket } from 'node:tls'
 import type { Clock } from '../clock'
 import type { MemberRecord } from '../members'
 import { INCARNATION_HEADER, isFromMember } from './memberCheck'
+import { resetSocket } from '../http/resetSocket'
 import { STATUS_BY_FAILURE } from './openTunnel'
+import { TUNNEL_HEADER, createTunnelEnds } from './tunnelEnds'
 import { DialError, toDialError } from './types'
 
 /** Bounds sockets and memory: two sockets, and the buffers of both, for each. */
 const MAX_TUNNELS = 512
 const FORBIDDEN_STATUS = 403
+const OK_STATUS = 200
+const NOT_FOUND_STATUS = 404
 const CONNECTED = 'HTTP/1.1 200 Connection established\r\n\r\n'
 
 export interface ForwardingServer {
@@ -44,8 +47,14 @@
 export function createForwardingServer (options: ForwardingServerOptions): ForwardingServer {
   const tunnels = new Set<Tunnel>()
   let onAllClosed = (): void => {}
-  const server = createServer((_req, res) => {
-    res.writeHead(FORBIDDEN_STATUS, { connection: 'close' })
+  const ends = createTunnelEnds(options.clock)
+  const isMember = (req: IncomingMessage): boolean => isFromMember(req.headers[INCARNATION_HEADER], req.socket, options.members())
+  const statusOf = (req: IncomingMessage): number => {
+    if (!isMember(req)) return FORBIDDEN_STATUS
+    return ends.isEnded(req.url ?? '') ? OK_STATUS : NOT_FOUND_STATUS
+  }
+  const server = createServer((req, res) => {
+    res.writeHead(statusOf(req), { connection: 'close', 'content-length': 0 })
     res.end()
   })
 
@@ -54,12 +63,14 @@
     if (tunnels.size >= MAX_TUNNELS) throw new DialError('no-forwarder', 'the instance forwards too many connections')
     return await options.dialForPeer(address)
   }
-  const forward = (downstream: Duplex, upstream: Socket, head: Buffer): void => {
-    const tunnel = createTunnel(downstream as Socket, upstream, () => {
+  const forward = (downstream: Duplex, upstream: Socket, head: Buffer, id: string): void => {
+    const onClosed = (): void => {
+      ends.release(id)
       tunnels.delete(tunnel)
       options.onOpenChanged?.(tunnels.size)
       if (tunnels.size === 0) onAllClosed()
-    })
+    }
+    const tunnel = createTunnel(downstream as Socket, upstream, { onServerEnd: () => ends.record(id), onClosed })
     tunnels.add(tunnel)
     options.onOpenChanged?.(tunnels.size)
     downstream.write(CONNECTED)
@@ -70,12 +81,12 @@
   server.on('connect', async (req: IncomingMessage, downstream: Duplex, head: Buffer) => {
     const address = req.url ?? ''
     downstream.on('error', () => downstream.destroy())
-    if (!isFromMember(req.headers[INCARNATION_HEADER], req.socket, options.members())) return refuse(downstream, FORBIDDEN_STATUS)
+    if (!isMember(req)) return refuse(downstream, FORBIDDEN_STATUS)
     if (!options.isListed(address)) return refuse(downstream, FORBIDDEN_STATUS)
     try {
       const upstream = await connect(address)
       if (downstream.destroyed) upstream.destroy()
-      else forward(downstream, upstream, head)
+      else forward(downstream, upstream, head, String(req.headers[TUNNEL_HEADER] ?? ''))
     } catch (err) {
       refuse(downstream, STATUS_BY_FAILURE[toDialError(err).failure])
     }
@@ -96,20 +107,19 @@
   }
 }
 
-/** Resets a connection; one with TLS can only be closed. */
-function resetSocket (socket: Socket): void {
-  if (socket.destroyed) return
-  if (socket instanceof TLSSocket) socket.destroy()
-  else socket.resetAndDestroy()
-}
-
 interface Tunnel {
   start (): void
   destroy (): void
 }
 
+interface TunnelHandlers {
+  /** Called when the server has closed its connection, before the other instance sees that. */
+  onServerEnd: () => void
+  onClosed: () => void
+}
+
 /** `downstream`: the connection of the other instance. `upstream`: the connection to the server. */
-function createTunnel (downstream: Socket, upstream: Socket, onClosed: () => void): Tunnel {
+function createTunnel (downstream: Socket, upstream: Socket, { onServerEnd, onClosed }: TunnelHandlers): Tunnel {
   let hasClosed = false
   const close = (end: (socket: Socket) => void): void => {
     if (hasClosed) return
@@ -128,8 +138,9 @@
   const endDownstream = (): void => {
     if (upstream.writableLength > 0) return reset()
     upstream.write('\r\n', err => {
-      if (err === undefined || err === null) downstream.end()
-      else reset()
+      if (err !== undefined && err !== null) return reset()
+      onServerEnd()
+      downstream.end()
     })
   }
   return {
--- a/packages/magnoliabay/src/node/paths/openTunnel.ts
+++ b/packages/magnoliabay/src/node/paths/openTunnel.ts
@@ -4,8 +4,9 @@
 import type { Clock } from '../clock'
 import type { MemberRecord } from '../members'
 import type { PeerTransport } from '../members/transport'
-import { parseHostPort } from '../utils'
+import { createId, parseHostPort } from '../utils'
 import { INCARNATION_HEADER } from './memberCheck'
+import { TUNNEL_HEADER, tunnelEndPath } from './tunnelEnds'
 import { DialError } from './types'
 import type { DialFailure } from './types'
 
@@ -17,9 +18,18 @@
 export const STATUS_BY_FAILURE: Record<DialFailure, number> = { refused: 502, silent: 504, 'no-forwarder': 503 }
 const FAILURE_BY_STATUS = new Map(Object.entries(STATUS_BY_FAILURE).map(([failure, status]) => [status, failure as DialFailure]))
 
+/** A connection through another instance. */
+export interface Tunnel {
+  socket: Socket
+  /** Names it at the forwarding instance. */
+  id: string
+  forwarder: Pick<MemberRecord, 'peerAddress'>
+}
+
 /** Rejects with a {@link DialError}. */
-export function openTunnel (transport: PeerTransport, clock: Clock, self: Pick<MemberRecord, 'incarnation'>, forwarder: Pick<MemberRecord, 'peerAddress'>, address: string): Promise<Socket> {
+export function openTunnel (transport: PeerTransport, clock: Clock, self: Pick<MemberRecord, 'incarnation'>, forwarder: Pick<MemberRecord, 'peerAddress'>, address: string): Promise<Tunnel> {
   return new Promise((resolve, reject) => {
+    const id = createId('tunnel')
     const { host, port } = parseHostPort(forwarder.peerAddress)
     const fail = (failure: DialFailure, message: string): void => {
       cancelTimeout()
@@ -29,7 +39,7 @@
     const req = request({
       method: 'CONNECT',
       path: address,
-      headers: { [INCARNATION_HEADER]: self.incarnation },
+      headers: { [INCARNATION_HEADER]: self.incarnation, [TUNNEL_HEADER]: id },
       host,
       port,
       agent: false,
@@ -52,8 +62,35 @@
       socket.setTimeout(0)
       socket.removeAllListeners('timeout')
       socket.setNoDelay(true)
-      resolve(socket)
+      resolve({ socket, id, forwarder })
     })
     req.end()
   })
 }
+
+/**
+ * Asks the forwarding instance whether the server ended the connection. An instance that has died, or was restarted, knows
+ * nothing of it; one of an earlier version refuses to say.
+ */
+export function confirmTunnelEnd (transport: PeerTransport, clock: Clock, self: Pick<MemberRecord, 'incarnation'>, { id, forwarder }: Tunnel): Promise<boolean> {
+  return new Promise(resolve => {
+    const { host, port } = parseHostPort(forwarder.peerAddress)
+    const req = request({
+      path: tunnelEndPath(id),
+      headers: { [INCARNATION_HEADER]: self.incarnation, connection: 'close' },
+      host,
+      port,
+      agent: false,
+      createConnection: () => transport.dial({ host, port, timeout: TUNNEL_TIMEOUT_MS })
+    })
+    const settle = (isConfirmed: boolean): void => {
+      cancelTimeout()
+      resolve(isConfirmed)
+      req.destroy()
+    }
+    const cancelTimeout = clock.schedule(TUNNEL_TIMEOUT_MS, () => settle(false))
+    req.on('error', () => settle(false))
+    req.once('response', res => settle(res.statusCode === HTTP_OK))
+    req.end()
+  })
+}
--- a/packages/magnoliabay/src/node/paths/serverDialer.ts
+++ b/packages/magnoliabay/src/node/paths/serverDialer.ts
@@ -48,6 +48,12 @@
   /** Opens a connection to the server through the instance. Rejects with a {@link DialError}. */
   connectThrough (forwarder: MemberRecord, address: string): Promise<Connection>
   close (connection: Connection): void
+  /**
+   * Returns whether the far end of a connection that has ended was the server, and not an instance between.
+   *
+   * @default connections go to the server directly
+   */
+  confirmEnd? (connection: Connection): Promise<boolean>
 }
 
 export interface ServerDialerOptions<Connection> {
@@ -72,6 +78,12 @@
   check (address: string): void
   /** Returns whether the server accepts connections of any instance. */
   isAccepting (address: string): Promise<boolean>
+  /**
+   * Returns whether a connection was ended by its server, which still runs. The operating system closes the connections of a
+   * process that has died as well, of the server as of an instance that forwards: a server that has died refuses
+   * connections until it has restarted, and an instance is asked how the connection ended.
+   */
+  isEndedByServer (address: string, connection: Connection): Promise<boolean>
   /** Connects directly, once; `silent` too where this instance is known to have no path. */
   probe (address: string): Promise<ProbeResult>
   /** Ends the checks of broken paths. */
@@ -187,6 +199,13 @@
     }
     isProbing = false
   }
+  const isAccepting = async (address: string): Promise<boolean> => {
+    if (!paths.isBroken(address) && await probe(address, CHECK_TIMEOUT_MS) === undefined) return true
+    const forwarded = await dialThrough(address)
+    if (forwarded instanceof DialError) return false
+    primitives.close(forwarded.connection)
+    return true
+  }
   const recordUnreached = (address: string): void => {
     if (unreachedUntilMs.size > MAX_RECORDS) unreachedUntilMs.clear()
     unreachedUntilMs.set(address, clock.monotonic() + UNREACHED_MS)
@@ -227,13 +246,8 @@
       return direct
     },
     check: address => { check(address) },
-    isAccepting: async address => {
-      if (!paths.isBroken(address) && await probe(address, CHECK_TIMEOUT_MS) === undefined) return true
-      const forwarded = await dialThrough(address)
-      if (forwarded instanceof DialError) return false
-      primitives.close(forwarded.connection)
-      return true
-    },
+    isAccepting,
+    isEndedByServer: async (address, connection) => (await primitives.confirmEnd?.(connection) ?? true) && await isAccepting(address),
     probe: async address => {
       if (paths.isBroken(address)) return 'silent'
       const failed = await probe(address, CHECK_TIMEOUT_MS)
--- a/packages/magnoliabay/src/node/paths/serverRoutes.ts
+++ b/packages/magnoliabay/src/node/paths/serverRoutes.ts
@@ -8,7 +8,8 @@
 import { connectDirectly } from './connectDirectly'
 import { createForwarders } from './forwarders'
 import type { Forwarders } from './forwarders'
-import { openTunnel } from './openTunnel'
+import { confirmTunnelEnd, openTunnel } from './openTunnel'
+import type { Tunnel } from './openTunnel'
 import type { PathMetrics } from './pathMetrics'
 import { createPathMonitor } from './pathMonitor'
 import type { PathMonitor } from './pathMonitor'
@@ -50,9 +51,18 @@
 
 /** Primitives over TCP; tunnels go through the transport of peers, to which `self` names its process. */
 export function createSocketPrimitives (transport: PeerTransport, clock: Clock, self: Pick<MemberRecord, 'incarnation'>): DialPrimitives<Socket> {
+  const tunnels = new WeakMap<Socket, Tunnel>()
   return {
     connectDirectly: (address, timeoutMs) => connectDirectly(clock, address, timeoutMs),
-    connectThrough: (forwarder, address) => openTunnel(transport, clock, self, forwarder, address),
+    connectThrough: async (forwarder, address) => {
+      const tunnel = await openTunnel(transport, clock, self, forwarder, address)
+      tunnels.set(tunnel.socket, tunnel)
+      return tunnel.socket
+    },
+    confirmEnd: async socket => {
+      const tunnel = tunnels.get(socket)
+      return tunnel === undefined || await confirmTunnelEnd(transport, clock, self, tunnel)
+    },
     close: socket => { socket.destroy() }
   }
 }
--- a/packages/magnoliabay/src/node/serving/__tests__/exchange.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/exchange.spec.ts
@@ -281,6 +281,16 @@
     expect((await sent).end).to.equal('broken')
   })
 
+  /** Guards against part of a response as the whole: the end of that instance ends its connections like the server does. */
+  it('is broken when that instance ends within a response without length', async () => {
+    const part = await startRawServer(socket => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\nfirst part')
+      setTimeout(() => forwarder.kill(), 50)
+    })
+    expect(await send(connections, part.address)).to.include({ end: 'broken', body: 'first part' })
+    await part.close()
+  })
+
   /** Guards against an instance that connects its peers to anything they name. */
   it('is unsent for an address that is not that of a listed server', async () => {
     isListed = false
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -198,7 +198,7 @@
    * get part of a response as the complete one.
    */
   const verifyComplete = async (): Promise<boolean> => connection !== undefined &&
-    await connection.end.wasClosed() && await dialer.isAccepting(outbound.address)
+    await connection.end.wasClosed() && await dialer.isEndedByServer(outbound.address, connection.socket)
   const finish = (kind: ExchangeEnd, reason: string): void => {
     if (hasEnded) return
     hasEnded = true
