--- a/packages/magnoliabay/src/node/backend/__tests__/brokenPaths.spec.ts
+++ b/packages/magnoliabay/src/node/backend/__tests__/brokenPaths.spec.ts
@@ -39,6 +39,22 @@
     expect(server.received).to.have.length(1)
   }))
 
+  /** Guards against part of a response as the whole: the end of an instance that forwards ends its connections like a server does. */
+  it('is lost when the instance that forwards it ends within a response without length', async () => {
+    const part = await startRawServer(socket => {
+      socket.write('HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nfirst part')
+      setTimeout(() => forwarder.kill(), 50)
+    })
+    expect((await call(part.address, true)).kind).to.equal('lost')
+    await part.close()
+  })
+
+  it('is answered when its service ends a response without length', async () => {
+    const whole = await startRawServer(socket => socket.end('HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nwhole'))
+    expect((await call(whole.address, true)).kind).to.equal('answered')
+    await whole.close()
+  })
+
   /** Guards against a call that is taken for one that may have run, though no connection could be made. */
   it('certainly has not run when no instance reaches the service', async () => {
     const { address } = server
--- a/packages/magnoliabay/src/node/backend/engineClient.ts
+++ b/packages/magnoliabay/src/node/backend/engineClient.ts
@@ -2,12 +2,13 @@
  * Client for the engines' control API: sends orders and queries state, by their published protocol.
  */
 import type { Socket } from 'node:net'
-import { Client, Pool, buildConnector } from 'undici'
-import type { Dispatcher } from 'undici'
+import { Pool, buildConnector } from 'undici'
+import { TrackedClient } from './trackedClient'
+import type { Dispatcher, Client } from 'undici'
 import type { ServerRoutes } from '../paths'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
-import { addCount, messageOf, parseHostPort } from '../utils'
+import { messageOf, parseHostPort } from '../utils'
 import type { CacheEvents, EngineState, LoadReport, Order, OrderReply } from './protocol'
 
 /**
@@ -33,7 +34,6 @@
 const QUERY_TIMEOUT_MS = 2000
 const MAX_CONTROL_CONNECTIONS = 8
 const CONNECT_TIMEOUT_MS = 2000
-const RESET_ERROR_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE'])
 const NOT_SENT_ERROR_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
 export function createEngineClient (): EngineClient {
@@ -78,10 +78,8 @@
   createUnpooled (address: string): Client
   /** Checks the path to a backend server that was silent. */
   checkPath (address: string): void
-  /** Number of connections to the server that were reset. */
-  resetCount (address: string): number
-  /** Whether the server accepts connections. */
-  isAccepting (address: string): Promise<boolean>
+  /** Whether a connection to the server was ended by it, and the server runs on. */
+  isEndedByServer (address: string, connection: Socket): Promise<boolean>
   close (): Promise<void>
 }
 
@@ -93,30 +91,11 @@
  */
 export function createConnectionPools (connections: number | null, routes?: ServerRoutes<Socket>): ConnectionPools {
   const pools = new Map<string, Pool>()
-  const resetCounts = new Map<string, number>()
   const connectDirectly = buildConnector({ timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true } as buildConnector.BuildOptions)
-  /**
-   * `undici` takes a reset for the end of a response without length, and tells its users nothing of it. A reset that arrives with
-   * the last bytes looks like an end here too: a write, of an empty line, fails then.
-   */
-  const countErrors = (address: string, socket: Socket): void => {
-    const countReset = (err: NodeJS.ErrnoException | null | undefined): void => { if (RESET_ERROR_CODES.has(err?.code ?? '')) addCount(resetCounts, address, 1) }
-    socket.on('error', countReset)
-    socket.once('end', () => socket.write('\r\n', countReset))
-  }
   const connectorOf = (address: string): { connect: buildConnector.connector } => ({
     connect: (options, callback) => {
-      if (routes === undefined) {
-        connectDirectly(options, (...result) => {
-          if (result[0] === null) countErrors(address, result[1])
-          callback(...result)
-        })
-        return
-      }
-      routes.dialer.dial(address).then(({ connection }) => {
-        countErrors(address, connection)
-        callback(null, connection)
-      }, (err: Error) => callback(toConnectError(err), null))
+      if (routes === undefined) return connectDirectly(options, callback)
+      routes.dialer.dial(address).then(({ connection }) => callback(null, connection), (err: Error) => callback(toConnectError(err), null))
     }
   })
   const connectOnce = (address: string): Promise<boolean> => new Promise(resolve => {
@@ -140,14 +119,13 @@
     of: address => {
       const existing = pools.get(address)
       if (existing !== undefined) return existing
-      const created = new Pool(`http://${address}`, { connections, connectTimeout: CONNECT_TIMEOUT_MS, ...connectorOf(address) })
+      const created = new Pool(`http://${address}`, { connections, connectTimeout: CONNECT_TIMEOUT_MS, factory: createClient, ...connectorOf(address) })
       pools.set(address, created)
       return created
     },
-    createUnpooled: address => new Client(`http://${address}`, { connectTimeout: CONNECT_TIMEOUT_MS, ...connectorOf(address) }),
+    createUnpooled: address => new TrackedClient(`http://${address}`, { connectTimeout: CONNECT_TIMEOUT_MS, ...connectorOf(address) }),
     checkPath: address => routes?.dialer.check(address),
-    resetCount: address => resetCounts.get(address) ?? 0,
-    isAccepting: address => routes === undefined ? connectOnce(address) : routes.dialer.isAccepting(address),
+    isEndedByServer: (address, connection) => routes === undefined ? connectOnce(address) : routes.dialer.isEndedByServer(address, connection),
     close: async () => {
       routes?.dialer.close()
       await Promise.all([...pools.values()].map(pool => pool.destroy()))
@@ -156,6 +134,8 @@
   }
 }
 
+const createClient = (origin: URL, options: object): Client => new TrackedClient(origin, options)
+
 /** Nothing was sent, which `undici` and its users tell by the code of the error. */
 function toConnectError (err: Error): Error {
   return Object.assign(err, { code: 'UND_ERR_CONNECT_TIMEOUT' })
--- a/packages/magnoliabay/src/node/backend/httpExchange.ts
+++ b/packages/magnoliabay/src/node/backend/httpExchange.ts
@@ -2,9 +2,15 @@
  * One HTTP exchange with a backend server. Tracks whether any byte of the request has been sent, and detects a
  * connection on which nothing arrives any more.
  */
+import type { Socket } from 'node:net'
 import type { Dispatcher } from 'undici'
 import type { Clock } from '../clock'
+import { watchConnectionEnd } from '../http/connectionEnd'
+import type { ConnectionEnd } from '../http/connectionEnd'
+import { framingOf } from '../http/responseFraming'
+import type { ResponseHeaders } from '../http/responseFraming'
 import { messageOf } from '../utils'
+import type { TrackedDispatchOptions } from './trackedClient'
 
 export type HttpMethod = 'GET' | 'POST' | 'PUT' | 'PATCH' | 'DELETE'
 
@@ -19,7 +25,7 @@
   idleTimeoutMs: number
 }
 
-export type ResponseHeaders = Readonly<Record<string, string | string[] | undefined>>
+export type { ResponseHeaders }
 
 export interface ExchangeHandlers {
   onHead (status: number, headers: ResponseHeaders): void
@@ -37,6 +43,11 @@
   /** False only when certainly no byte of the request left this process. */
   isSent: boolean
   message: string
+  /**
+   * Connection of a complete response that ended with it and was closed, not reset: whether its server closed it is to be
+   * checked. Undefined for every other response.
+   */
+  connection?: Socket
 }
 
 export interface HttpExchange {
@@ -58,12 +69,28 @@
   let resolveEnded: (end: HttpExchangeEnd) => void = () => {}
   const ended = new Promise<HttpExchangeEnd>(resolve => { resolveEnded = resolve })
 
+  let connectionOf: () => Socket | undefined = () => undefined
+  /** The connection of a response that ends with it. */
+  let watched: { socket: Socket, end: ConnectionEnd } | undefined
+  let isUnmarked = false
+
   const finish = (kind: ExchangeEndKind, message: string): void => {
     if (hasEnded) return
     hasEnded = true
     cancelIdleCheck()
+    watched?.end.stop()
     resolveEnded({ kind, isSent, message })
   }
+  /** `undici` takes a reset for the end of a response that ends with its connection, and tells its users nothing of it. */
+  const finishAtConnectionEnd = async (): Promise<void> => {
+    const wasClosed = await watched?.end.wasClosed() ?? false
+    if (hasEnded) return
+    if (!wasClosed) return finish('broken', 'The connection was reset within a response without length.')
+    hasEnded = true
+    cancelIdleCheck()
+    watched!.end.stop()
+    resolveEnded({ kind: 'complete', isSent, message: '', connection: watched!.socket })
+  }
   const abort = (kind: ExchangeEndKind, message: string): void => {
     if (hasEnded) return
     finish(kind, message)
@@ -96,6 +123,9 @@
     onResponseStart: (_controller, status, headers) => {
       if (hasEnded || status < 200) return
       lastActivityMs = clock.monotonic()
+      isUnmarked = framingOf(req.method, status, headers) === 'connection'
+      const socket = isUnmarked ? connectionOf() : undefined
+      if (socket !== undefined) watched = { socket, end: watchConnectionEnd(socket) }
       handlers.onHead(status, headers)
     },
     onResponseData: (_controller, chunk) => {
@@ -104,11 +134,20 @@
       currentTimeoutMs = req.idleTimeoutMs
       handlers.onData(chunk)
     },
-    onResponseEnd: () => finish('complete', ''),
+    onResponseEnd: () => { isUnmarked ? finishAtConnectionEnd() : finish('complete', '') },
     onResponseError: (_controller, err) => finish('broken', messageOf(err))
   }
+  const options: TrackedDispatchOptions = {
+    method: req.method,
+    path: req.path,
+    headers: { ...req.headers },
+    body: req.body,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    onClient: connection => { connectionOf = connection }
+  }
   try {
-    dispatcher.dispatch({ method: req.method, path: req.path, headers: { ...req.headers }, body: req.body, headersTimeout: 0, bodyTimeout: 0 }, handler)
+    dispatcher.dispatch(options, handler)
   } catch (err) {
     // undici throws for a request that it does not send, such as one with an invalid header or path.
     finish('broken', messageOf(err))
--- a/packages/magnoliabay/src/node/backend/serviceCall.ts
+++ b/packages/magnoliabay/src/node/backend/serviceCall.ts
@@ -3,7 +3,7 @@
 import type { BackendStatements } from './backendStatements'
 import type { ConnectionPools } from './engineClient'
 import { startExchange } from './httpExchange'
-import type { ExchangeRequest, HttpMethod, ResponseHeaders } from './httpExchange'
+import type { ExchangeRequest, HttpExchangeEnd, HttpMethod, ResponseHeaders } from './httpExchange'
 import { NOT_RUN_HEADER, REQUEST_ID_HEADER } from './protocol'
 import { waitForEnd } from './relayConnection'
 
@@ -46,7 +46,6 @@
 const MAX_RESPONSE_BYTES = 16 * 1_048_576
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream'
 const HTTP_UNAVAILABLE = 503
-const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304])
 
 export async function callService (options: ServiceCallOptions, req: ServiceCallRequest): Promise<ServiceCallResult> {
   if (req.isIdempotent) return await sendCall(options, req, options.connectionPools.of(req.address))
@@ -83,16 +82,14 @@
     }
   })
   const { connectionPools } = options
-  const resetsBefore = connectionPools.resetCount(req.address)
   /**
-   * A response without length ends with its connection, also when the service has crashed midway or the connection was reset:
-   * the caller would get part of a response as the whole, and so would each repeat of its call.
+   * A response without length ends with its connection, also when the service or an instance between has crashed midway: the
+   * caller would get part of a response as the whole, and so would each repeat of its call.
    */
-  const isWhole = async (): Promise<boolean> => isFramed(status, headers) ||
-    (await connectionPools.isAccepting(req.address) && connectionPools.resetCount(req.address) === resetsBefore)
+  const isWhole = async ({ connection }: HttpExchangeEnd): Promise<boolean> => connection === undefined || await connectionPools.isEndedByServer(req.address, connection)
   const end = await waitForEnd(exchange, req.signal)
   if (end.kind === 'silent') options.connectionPools.checkPath(req.address)
-  if (end.kind === 'complete' && !await isWhole()) return { kind: 'lost', message: 'The response without length may have been cut.' }
+  if (end.kind === 'complete' && !await isWhole(end)) return { kind: 'lost', message: 'The response without length may have been cut.' }
   if (end.kind === 'complete') {
     const isNotRun = headers[NOT_RUN_HEADER] === 'true' && headers[REQUEST_ID_HEADER] === req.requestId
     if (isNotRun) return { kind: 'not-run', message: `The service refused with status ${status}.`, isLeaving: status === HTTP_UNAVAILABLE }
@@ -104,11 +101,6 @@
   return { kind: 'lost', message: problem || end.message }
 }
 
-/** Whether the end of a response is marked in the response itself. */
-function isFramed (status: number, headers: ResponseHeaders): boolean {
-  return STATUSES_WITHOUT_BODY.has(status) || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-}
-
 function exchangeRequestOf (req: ServiceCallRequest): ExchangeRequest {
   const { method, path, body, responseTimeoutMs } = req
   return {
