--- a/packages/magnoliabay/src/node/backend/callerStream.ts
+++ b/packages/magnoliabay/src/node/backend/callerStream.ts
@@ -4,6 +4,7 @@
  */
 import type { ServerResponse } from 'node:http'
 import type { Clock } from '../clock'
+import { cutResponse } from '../http/cutResponse'
 import { REQUEST_ID_HEADER } from './protocol'
 
 export interface CallerStream {
@@ -33,7 +34,7 @@
    * meanwhile, so the buffered data is bounded by the buffers of the two sockets.
    */
   const waitForDrain = (): void => {
-    const cancel = clock.schedule(stallTimeoutMs, () => res.destroy())
+    const cancel = clock.schedule(stallTimeoutMs, () => cutResponse(res, clock))
     res.once('close', cancel)
     res.once('drain', () => {
       cancel()
--- a/packages/magnoliabay/src/node/entry/index.ts
+++ b/packages/magnoliabay/src/node/entry/index.ts
@@ -132,7 +132,10 @@
       // A caller that never reads, or an engine that never finishes, would keep the process running forever.
       options.logger.warn('requests-ended-by-shutdown', { open: openRequests.count() })
       openRequests.abortAll('shutting-down')
-      if (await withTimeout(clock, ABORT_RESPONSE_TIMEOUT_MS, closed) === TIMED_OUT) server.closeAllConnections()
+      if (await withTimeout(clock, ABORT_RESPONSE_TIMEOUT_MS, closed) === TIMED_OUT) {
+        openRequests.cutAll()
+        server.closeAllConnections()
+      }
       await closed
     }
   }
--- a/packages/magnoliabay/src/node/entry/openRequests.ts
+++ b/packages/magnoliabay/src/node/entry/openRequests.ts
@@ -3,6 +3,7 @@
  * overload is refused early; a shutdown aborts those that do not end in time.
  */
 import type { ServerResponse } from 'node:http'
+import { cutResponse } from '../http/cutResponse'
 import { createRefusal } from '../failures'
 import type { Failure } from '../failures'
 import type { Handler } from './types'
@@ -23,6 +24,8 @@
   reserveBodyBytes (res: ServerResponse, bytes: number): boolean
   track (res: ServerResponse, deadline: AbortableDeadline): void
   abortAll (reason: AbortReason): void
+  /** Cuts the responses of requests that have not ended after all. */
+  cutAll (): void
 }
 
 const RETRY_AFTER_SECONDS = 1
@@ -61,6 +64,7 @@
       deadlines.set(res, deadline)
       res.once('close', () => deadlines.delete(res))
     },
+    cutAll: () => [...deadlines.keys()].forEach(res => cutResponse(res)),
     abortAll: reason => [...deadlines.values()].forEach(deadline => deadline.abort(reason))
   }
 }
--- a/packages/magnoliabay/src/node/entry/requestOutcome.ts
+++ b/packages/magnoliabay/src/node/entry/requestOutcome.ts
@@ -57,7 +57,7 @@
     const outcome = applyAbortReason(req, await runSafely(req, res))
     metrics.openRequests.dec()
     const code = outcome.kind === 'answered' ? 'ok' : outcome.failure.code
-    if (outcome.kind !== 'answered') sendFailure(res, outcome.failure, req.requestId)
+    if (outcome.kind !== 'answered') sendFailure(res, outcome.failure, req.requestId, clock)
     options.report.recordRequest({ ...req.observation, team: req.caller.team, outcome: outcome.kind, code })
     metrics.requests.inc({ outcome: outcome.kind, code, team: req.caller.team })
     logger.info('request-ended', {
--- a/packages/magnoliabay/src/node/entry/respond.ts
+++ b/packages/magnoliabay/src/node/entry/respond.ts
@@ -1,6 +1,8 @@
 /** Response helpers shared by all handlers. */
 import type { OutgoingHttpHeaders, ServerResponse } from 'node:http'
 import { REQUEST_ID_HEADER } from '../backend/protocol'
+import type { Clock } from '../clock'
+import { cutResponse } from '../http/cutResponse'
 import { failureBody, httpStatusOf } from '../failures'
 import type { Failure } from '../failures'
 
@@ -10,12 +12,12 @@
 
 /**
  * Sends a failure to the caller: as the response if no headers have been sent, otherwise as a typed event
- * after which the connection is destroyed, so that no client takes the stream for complete.
+ * after which the connection is cut, so that no client takes the stream for complete: `clock` as for {@link cutResponse}.
  */
-export function sendFailure (res: ServerResponse, failure: Failure, requestId: string): void {
+export function sendFailure (res: ServerResponse, failure: Failure, requestId: string, clock?: Clock): void {
   if (res.destroyed) return
   if (res.headersSent) {
-    res.write(`event: error\ndata: ${JSON.stringify(failureBody(failure, requestId))}\n\n`, () => res.destroy())
+    res.write(`event: error\ndata: ${JSON.stringify(failureBody(failure, requestId))}\n\n`, () => cutResponse(res, clock))
     return
   }
   const retryAfter = failure.retryAfterSeconds === undefined ? {} : { 'retry-after': String(failure.retryAfterSeconds) }
--- a/packages/magnoliabay/src/node/serving/__tests__/requestHandler.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/requestHandler.spec.ts
@@ -2,6 +2,8 @@
 import { expect } from 'chai'
 import { request } from 'node:http'
 import type { IncomingHttpHeaders } from 'node:http'
+import { connect } from 'node:net'
+import { parseHostPort } from '../../utils'
 import { createWakeupCounter } from '../../wakeups'
 import { createSystemClock } from '../../clock'
 import { createSilentLogger } from '../../logger'
@@ -178,6 +180,42 @@
   { name: 'a resumable stream that fails before its first event is sent to the other server', path: '/resumable/1', responses: [incompleteStream('part'), stream(EVENT_1)], expected: { status: 200, body: EVENT_1, sends: 2 } }
 ]
 
+interface CutCase {
+  name: string
+  path: string
+  responses: [string, string]
+  sends: number
+}
+
+/** More than is held back of a response until it is complete. */
+const LONG_PART = 'part'.repeat(100_000)
+const SECOND = responseOf(200, SIGNED, 'second'.repeat(100_000))
+const OTHER_STATUS = responseOf(201, SIGNED, 'second')
+const CUT_CASES: CutCase[] = [
+  { name: 'a long read that is broken off', path: '/read/1', responses: [`HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 600000\r\n\r\n${LONG_PART}`, SECOND], sends: 1 },
+  { name: 'a long read that is broken off, where the other server would answer with another status', path: '/read/1', responses: [`HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 600000\r\n\r\n${LONG_PART}`, OTHER_STATUS], sends: 1 },
+  { name: 'a long chunked read that is broken off', path: '/read/1', responses: [incompleteStream(LONG_PART), SECOND], sends: 1 },
+  { name: 'a long failure on a resumable route that is broken off', path: '/resumable/1', responses: [`HTTP/1.1 404 X\r\n${SIGNED}Content-Length: 600000\r\n\r\n${LONG_PART}`, stream(EVENT_2.replace('two', 'second'))], sends: 1 },
+  { name: 'a resumable stream that the other server would end without any event and with another status', path: '/resumable/1', responses: [incompleteStream(`${EVENT_1}part`), `HTTP/1.1 204 X\r\n${SIGNED}\r\n`], sends: 2 },
+  { name: 'a resumable stream that the other server would end with another kind of body', path: '/resumable/1', responses: [incompleteStream(`${EVENT_1}part`), responseOf(200, `${SIGNED}Content-Type: text/html\r\n`, '')], sends: 2 },
+  { name: 'a stream that may not be resumed', path: '/stream/1', responses: [incompleteStream(`${EVENT_1}part`), stream(EVENT_2)], sends: 1 }
+]
+
+/** Calls with a given version of HTTP, and returns what arrives and whether it ends like a whole response. */
+function callRaw (address: string, path: string, version: string): Promise<{ text: string, isWhole: boolean }> {
+  const { host, port } = parseHostPort(address)
+  return new Promise(resolve => {
+    let text = ''
+    let hasEnded = false
+    const socket = connect(port, host, () => socket.write(`POST ${path} HTTP/${version}\r\nHost: site.example\r\nAuthorization: Token ${KEY}\r\nX-Magnoliabay-Attempt-Id: try-1\r\nX-Magnoliabay-Deadline-Ms: 4000\r\nContent-Length: 5\r\n\r\norder`))
+    socket.on('data', chunk => { text += String(chunk) })
+    socket.on('error', () => {})
+    socket.on('end', () => { hasEnded = true })
+    // With HTTP/1.1 the end of a response is its length or its last chunk, with HTTP/1.0 also any regular end of the connection.
+    socket.on('close', () => resolve({ text, isWhole: version === '1.0' ? hasEnded : text.endsWith('\r\n0\r\n\r\n') }))
+  })
+}
+
 describe('a request at the entry server', () => {
   let entry: TestEntry | undefined
   afterEach(async () => {
@@ -201,6 +239,32 @@
     expect(answer.isComplete).to.equal(expected.isComplete ?? true)
   }))
 
+  CUT_CASES.forEach(({ name, path, responses, sends }) => ['1.1', '1.0'].forEach(version =>
+    it(`cuts ${name}, so that a caller with HTTP/${version} sees no end`, async () => {
+      const servers = await Promise.all(responses.map(startServer))
+      entry = await startEntry(servers)
+      const received = await callRaw(entry.address, path, version)
+      expect(received.isWhole).to.equal(false)
+      expect(received.text).not.to.include('second')
+      expect(servers.reduce((sum, server) => sum + server.received.length, 0)).to.equal(sends)
+    })))
+
+  /** Guards against a refusal where a retry helps: nothing of an answer that was broken off early has reached the caller. */
+  it('serves a read of which too little arrived to be passed on from the other server', async () => {
+    const servers = await Promise.all([`HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: 600000\r\n\r\n${'part'.repeat(50_000)}`, GOOD].map(startServer))
+    entry = await startEntry(servers)
+    expect(await call(entry.address, '/read/1')).to.include({ status: 200, body: 'done', isComplete: true })
+  })
+
+  /** Guards against a stream whose second part exceeds the length that its first server stated. */
+  it('passes on a stream with a length in chunks, so that it can go on at the other server', async () => {
+    const servers = await Promise.all([`HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: ${EVENT_1.length + 12}\r\n\r\n${EVENT_1}part`, stream(EVENT_2)].map(startServer))
+    entry = await startEntry(servers)
+    const answer = await call(entry.address, '/resumable/1')
+    expect(answer).to.include({ body: EVENT_1 + EVENT_2, isComplete: true })
+    expect(answer.headers).not.to.have.property('content-length')
+  })
+
   it('passes on the caller\'s headers, except those that only the system may set', async () => {
     const server = await startServer(GOOD)
     entry = await startEntry([server])
--- a/packages/magnoliabay/src/node/serving/entryServer.ts
+++ b/packages/magnoliabay/src/node/serving/entryServer.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo } from 'node:net'
 import type { Clock } from '../clock'
 import { TIMED_OUT, withTimeout } from '../clock'
+import { cutResponse } from '../http/cutResponse'
 import { handleClientErrors } from '../entry/clientErrors'
 import { bodyMiddleware } from '../entry/middleware/body'
 import type { EntryRequest, Handler } from '../entry/types'
@@ -39,20 +40,20 @@
 export function createEntryServer (options: EntryServerOptions): EntryServer {
   const { clock, logger, serve } = options
   let readBody: Handler
-  let openRequests = 0
+  const open = new Set<ServerResponse>()
 
   const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
     const arrivedMs = clock.monotonic()
     const entryReq = req as EntryRequest
     entryReq.requestId = createId('req')
-    openRequests += 1
-    res.once('close', () => { openRequests -= 1 })
+    open.add(res)
+    res.once('close', () => open.delete(res))
     // Otherwise the caller would reuse the connection and send its next request to a process that is about to end.
     if (options.isLeaving()) res.setHeader('connection', 'close')
     readBody(entryReq, res, () => {
       serve({ req, res, body: entryReq.rawBody, arrivedMs }).catch((err: unknown) => {
         logger.error('request-fault', { reason: messageOf(err), stack: err instanceof Error ? err.stack : undefined })
-        res.destroy()
+        cutResponse(res, clock)
       })
     })
   }
@@ -77,7 +78,8 @@
       const closed = new Promise<void>(resolve => { server.close(() => resolve()) })
       server.closeIdleConnections()
       if (await withTimeout(clock, drainMs, closed) !== TIMED_OUT) return
-      logger.warn('requests-cut-by-shutdown', { open: openRequests })
+      logger.warn('requests-cut-by-shutdown', { open: open.size })
+      open.forEach(res => cutResponse(res))
       server.closeAllConnections()
     }
   }
--- a/packages/magnoliabay/src/node/serving/eventStream.ts
+++ b/packages/magnoliabay/src/node/serving/eventStream.ts
@@ -29,6 +29,9 @@
   isInEvent (): boolean
   /** Size of the buffered part of an event, bytes. */
   pendingBytes (): number
+  /** Records the content type that the caller has been told. */
+  start (contentType: string | undefined): void
+  contentType (): string | undefined
   /** Prepares for another server that continues after the last event; discards the buffered part of the next one. */
   resume (): void
 }
@@ -37,6 +40,7 @@
   let partial: Buffer = Buffer.alloc(0)
   let previousId: number | undefined
   let isResuming = false
+  let statedType: string | undefined
 
   const checkEvent = (event: Buffer): StreamProblem | undefined => {
     const text = event.toString('latin1')
@@ -69,6 +73,8 @@
     lastId: () => previousId,
     isInEvent: () => partial.length > 0,
     pendingBytes: () => partial.length,
+    start: contentType => { statedType = contentType },
+    contentType: () => statedType,
     resume: () => {
       partial = Buffer.alloc(0)
       isResuming = true
--- a/packages/magnoliabay/src/node/serving/requestCompletion.ts
+++ b/packages/magnoliabay/src/node/serving/requestCompletion.ts
@@ -1,5 +1,6 @@
 /** Ends requests: writes the log line, counts the metrics and sends the response to the caller. */
 import type { Accusation } from '../crashes'
+import { cutResponse } from '../http/cutResponse'
 import { sendCompleteResponse } from './attempt'
 import type { ServingContext } from './servingContext'
 import { FINAL_REASONS, statusOf } from './refusal'
@@ -46,10 +47,7 @@
       config: cfg.version(),
       ...logFields
     })
-    if (res.headersSent || res.destroyed) {
-      res.destroy()
-      return
-    }
+    if (res.headersSent || res.destroyed) return cutResponse(res, clock)
     const sendsRetryAfter = !mayHaveRun && refusal.retryAfterMs !== undefined && !FINAL_REASONS.has(refusal.reason)
     const body = JSON.stringify({ error: refusal.reason, message: MESSAGES[refusal.reason] })
     res.writeHead(status, {
--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -1,10 +1,11 @@
 /** Serves one request from admission to its end: reserves allowance, chooses servers, makes attempts and responds to the caller. */
 import type { IncomingMessage } from 'node:http'
 import { createRequestGuard, fingerprintOf, suspectsOf } from '../crashes'
+import { cutResponse } from '../http/cutResponse'
 import { createExecutionTracker } from '../outcomes'
 import { admitRequest, unitsOf } from './requestAdmission'
 import { createPartAsk, toPartLogFields } from './allowance/partAsk'
-import { startAttempt } from './attempt'
+import { isSuccess, startAttempt } from './attempt'
 import { startStreamTimer } from './choice/streamTimer'
 import type { Attempt } from './attempt'
 import type { ServingContext } from './servingContext'
@@ -181,10 +182,15 @@
     if (ended.kind === 'failed' || ended.kind === 'cut') return health.recordFailure(id)
     if (ended.kind === 'relayed' || ended.kind === 'rejected') health.recordActivity(id)
   }
+  /**
+   * Whether another response may follow what the caller has of this one. Only a stream goes on, after its last event; any
+   * other response would be made of two servers' parts and look complete.
+   */
+  const canFollow = ({ inbound: { res }, events }: RequestRun): boolean => !res.headersSent || (events !== undefined && isSuccess(res.statusCode))
   /** Returns whether the request may run once more, at another server. */
   const canRetry = (run: RequestRun): boolean => {
     const { kind, isResumable, maxAttempts } = run.admitted.route
-    return (kind === 'idempotent' || (kind === 'stream' && isResumable)) && run.possibleRuns < maxAttempts
+    return (kind === 'idempotent' || (kind === 'stream' && isResumable)) && run.possibleRuns < maxAttempts && canFollow(run)
   }
   /** An attempt that is cancelled without another server of the stream's version could not be replaced. */
   const canContinueElsewhere = (run: RequestRun): boolean => canRetry(run) && ctx.streamVersions.hasOtherServer(run)
@@ -342,7 +348,7 @@
     }
     run.lease = ctx.answerBuffers?.open(caller.attemptId, () => {
       stopRun(run, 'caller-gone')
-      if (res.headersSent) res.destroy()
+      if (res.headersSent) cutResponse(res)
     })
     const cancelTimeout = clock.schedule(Math.max(0, remainingMs(run)), () => {
       // A response that is complete by then is delivered late; the budget bounds what it holds until the caller reads or leaves.
