--- a/packages/magnoliabay/src/node/http/cutResponse.ts
+++ b/packages/magnoliabay/src/node/http/cutResponse.ts
@@ -15,7 +15,7 @@
  */
 export function cutResponse (res: ServerResponse, clock?: Clock): void {
   const { socket } = res
-  if (socket === null || !res.headersSent || res.chunkedEncoding) {
+  if (!socket || !res.headersSent || res.chunkedEncoding) {
     res.destroy()
     return
   }
--- a/packages/magnoliabay/src/node/serving/__tests__/support/callerResponse.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/callerResponse.ts
@@ -11,6 +11,9 @@
 }
 
 class MemoryResponse extends EventEmitter {
+  readonly req = { method: 'POST' }
+  readonly socket = null
+  statusCode = 200
   headersSent = false
   writableFinished = false
   destroyed = false
@@ -22,6 +25,7 @@
 
   writeHead (status: number, headers: Record<string, string> | string[]): void {
     this.headersSent = true
+    this.statusCode = status
     this.onHead(status, headers)
   }
 
--- a/packages/magnoliabay/src/node/serving/streams/__tests__/support/fakeResponse.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/support/fakeResponse.ts
@@ -39,12 +39,16 @@
   let end: 'open' | 'complete' | 'cut' = 'open'
   const times: number[] = []
   const res = Object.assign(new EventEmitter(), {
+    req: { method: 'POST' },
+    socket: null,
+    statusCode: 200,
     headersSent: false,
     destroyed: false,
     writableFinished: false,
     writableLength: 0,
     writeHead: (code: number, sent: string[] | Record<string, string>) => {
       status = code
+      res.statusCode = code
       res.headersSent = true
       responseHeaders = Array.isArray(sent) ? Object.fromEntries(sent.flatMap((name, index) => index % 2 === 0 ? [[name.toLowerCase(), sent[index + 1]!]] : [])) : sent
     },
