--- a/packages/magnoliabay/src/node/tls/__tests__/tls.spec.ts
+++ b/packages/magnoliabay/src/node/tls/__tests__/tls.spec.ts
@@ -1,4 +1,4 @@
-import { copyFile, mkdtemp, rm } from 'node:fs/promises'
+import { copyFile, mkdtemp, rm, writeFile } from 'node:fs/promises'
 import type { Server as HttpServer } from 'node:http'
 import { connect as connectPlain } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
@@ -63,6 +63,10 @@
     }
     lines.length = 0
     certificates.start(stop.signal)
+    // Guards against a server without a certificate: a file that is being written is empty at first.
+    await writeFile(join(directory, 'cert.pem'), '')
+    await untilLogged('certificate-not-read')
+    expect(await serverCertificateName(port)).to.equal('one')
     await put('two.pem', 'cert.pem')
     await untilLogged('certificate-not-read')
     expect(await serverCertificateName(port)).to.equal('one')
--- a/packages/magnoliabay/src/node/tls/certificates.ts
+++ b/packages/magnoliabay/src/node/tls/certificates.ts
@@ -2,6 +2,7 @@
  * Certificates from files, which are reloaded while the process runs: a certificate is renewed by overwriting its
  * files, without closing any connection.
  */
+import { inBackground } from '../background'
 import { readFile, stat } from 'node:fs/promises'
 import { createSecureContext } from 'node:tls'
 import type { Clock } from '../clock'
@@ -61,6 +62,8 @@
     if (nextFingerprint === fingerprint) return
     const read = await Promise.all(paths.map(async ({ name, path }) => [name, await readFile(path, 'utf8')] as const))
     const next = Object.fromEntries(read) as CertificateContents
+    // A file that is being written may be empty; the runtime takes that for no certificate at all.
+    read.filter(([, text]) => text.trim() === '').forEach(([name]) => { throw new Error(`${name} is empty`) })
     createSecureContext(next)
     contents = next
     fingerprint = nextFingerprint
@@ -82,6 +85,6 @@
     current: () => contents,
     onChanged: changeListeners.add,
     load,
-    start: signal => { repeat(clock, options.intervalMs ?? DEFAULT_INTERVAL_MS, signal, reload) }
+    start: signal => { inBackground('certificates-loop', repeat(clock, options.intervalMs ?? DEFAULT_INTERVAL_MS, signal, reload)) }
   }
 }
