--- a/eslint.config.js
+++ b/eslint.config.js
@@ -11,6 +11,13 @@
       'import-x/no-duplicates': 'off'
     }
   },
+  {
+    // The runtime ends the process for a rejection without a handler.
+    files: ['packages/magnoliabay/src/**/*.ts'],
+    ignores: ['**/__tests__/**'],
+    languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+    rules: { '@typescript-eslint/no-floating-promises': ['error', { ignoreVoid: false }] }
+  },
   {
     files: ['**/*.spec.ts'],
     rules: {
--- a/packages/magnoliabay/src/node/admission/persistWithdrawals.ts
+++ b/packages/magnoliabay/src/node/admission/persistWithdrawals.ts
@@ -3,6 +3,7 @@
  * to the store once it answers again. Otherwise a withdrawal would be lost when the last instance that knows it is
  * replaced.
  */
+import { inBackground } from '../background'
 import type { Clock } from '../clock'
 import { repeat } from '../clock'
 import type { Logger } from '../logger'
@@ -48,9 +49,9 @@
     }, { priority: 'config' })
     if (written.ok && written.val.succeeded) logger.info('withdrawal-written', { key: keyId, reason: 'known to peers only' })
   }
-  repeat(clock, PERSIST_INTERVAL_MS, signal, async () => {
+  inBackground('persist-withdrawals-loop', repeat(clock, PERSIST_INTERVAL_MS, signal, async () => {
     const unwritten = withdrawals.all().filter(({ keyId }) => isUnwritten(keyId))
     const mine = unwritten.filter(({ keyId }) => isMyTurn(keyId))
     await Promise.all(mine.map(({ keyId, atMs }) => write(keyId, atMs)))
-  })
+  }))
 }
--- a/packages/magnoliabay/src/node/admission/withdrawalFreshness.ts
+++ b/packages/magnoliabay/src/node/admission/withdrawalFreshness.ts
@@ -6,6 +6,7 @@
  * callers when its last sync is older than {@link MAX_SYNC_AGE_MS}, and admits them again once a peer or the store has
  * sent everything that it missed.
  */
+import { inBackground } from '../background'
 import type { Clock } from '../clock'
 import { repeat } from '../clock'
 import type { Peers } from '../members'
@@ -52,6 +53,6 @@
   return {
     isRecent: () => clock.monotonic() - syncedAtMs <= MAX_SYNC_AGE_MS,
     recordSync: () => { syncedAtMs = clock.monotonic() },
-    start: signal => { repeat(clock, SYNC_INTERVAL_MS, signal, syncWithAny) }
+    start: signal => { inBackground('withdrawal-freshness-loop', repeat(clock, SYNC_INTERVAL_MS, signal, syncWithAny)) }
   }
 }
--- a/packages/magnoliabay/src/node/admission/withdrawals.ts
+++ b/packages/magnoliabay/src/node/admission/withdrawals.ts
@@ -2,6 +2,7 @@
  * The withdrawn keys that this instance knows from the store or its peers. Keys are only ever added, so sets can be
  * merged in any order, and withdrawals spread while the store is unavailable.
  */
+import { inBackground } from '../background'
 import { createListeners } from '../members/dispatch'
 import { definePeerCall, definePeerNotice } from '../members'
 import type { Peers } from '../members'
@@ -64,7 +65,7 @@
   peers.listen(keyWithdrawn, addWithdrawal)
   peers.serve(syncCall, req => ({ withdrawals: req.digest === digest() ? [] : [...known.values()] }))
   // A member that was unreachable while a key was withdrawn has missed the notice.
-  peers.onConnected(member => { syncWith(member.id) })
+  peers.onConnected(member => { inBackground('sync-with', syncWith(member.id)) })
 
   return {
     record: addWithdrawal,
--- a/packages/magnoliabay/src/node/allowance/allowance.ts
+++ b/packages/magnoliabay/src/node/allowance/allowance.ts
@@ -2,6 +2,7 @@
  * Counts teams' allowances over the fleet. Members hold shares of each allowance and transfer them to each other.
  * `docs/design/allowance.md` explains why the limit is strict without a central coordinator.
  */
+import { inBackground } from '../background'
 import type { Clock } from '../clock'
 import { repeat, sleep } from '../clock'
 import { createRefusal } from '../failures'
@@ -157,8 +158,8 @@
       shares.of(team)?.share.settle(held.ticket, usedTokens, monotonic())
     },
     start: signal => {
-      cfg.onChanged(() => { if (!signal.aborted) ensureLedgers() })
-      repeat(clock, MAINTENANCE_INTERVAL_MS, signal, maintain)
+      cfg.onChanged(() => { if (!signal.aborted) inBackground('ensure-ledgers', ensureLedgers()) })
+      inBackground('allowance-loop', repeat(clock, MAINTENANCE_INTERVAL_MS, signal, maintain))
     },
     handOver: async () => {
       const endMs = monotonic() + HAND_OVER_TIMEOUT_MS
--- a/packages/magnoliabay/src/node/allowance/shareExchange.ts
+++ b/packages/magnoliabay/src/node/allowance/shareExchange.ts
@@ -2,6 +2,7 @@
  * Moves shares between members: fetches tokens before a request is refused, collects tokens spread over the fleet, and
  * responds to other members that ask for them.
  */
+import { inBackground } from '../background'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import type { MemberRecord, Peers } from '../members'
@@ -165,7 +166,7 @@
   }
   peers.listen(holdingNotice, (notice, from) => {
     stateOf(notice.team).holdings.set(from.id, notice.units)
-    if (notice.isIdle && !peers.self.leaving) collectIdle(notice.team, from.id)
+    if (notice.isIdle && !peers.self.leaving) inBackground('collect-idle', collectIdle(notice.team, from.id))
   })
 
   return {
--- a/packages/magnoliabay/src/node/backend/directory.ts
+++ b/packages/magnoliabay/src/node/backend/directory.ts
@@ -2,6 +2,7 @@
  * The backend servers in the platform's instance list. The list is polled, or updated by notices from other members
  * that poll it.
  */
+import { inBackground } from '../background'
 import type { Clock } from '../clock'
 import { repeat } from '../clock'
 import type { Logger } from '../logger'
@@ -86,7 +87,7 @@
     services: name => index.services.get(name) ?? [],
     all: () => listed,
     onChanged: changed.add,
-    start: signal => { repeat(clock, POLL_INTERVAL_MS, signal, readList) }
+    start: signal => { inBackground('directory-loop', repeat(clock, POLL_INTERVAL_MS, signal, readList)) }
   }
 }
 
--- a/packages/magnoliabay/src/node/backend/httpExchange.ts
+++ b/packages/magnoliabay/src/node/backend/httpExchange.ts
@@ -2,6 +2,7 @@
  * One HTTP exchange with a backend server. Tracks whether any byte of the request has been sent, and detects a
  * connection on which nothing arrives any more.
  */
+import { inBackground } from '../background'
 import type { Socket } from 'node:net'
 import type { Dispatcher } from 'undici'
 import type { Clock } from '../clock'
@@ -134,7 +135,10 @@
       currentTimeoutMs = req.idleTimeoutMs
       handlers.onData(chunk)
     },
-    onResponseEnd: () => { isUnmarked ? finishAtConnectionEnd() : finish('complete', '') },
+    onResponseEnd: () => {
+      if (isUnmarked) inBackground('verify-response', finishAtConnectionEnd())
+      else finish('complete', '')
+    },
     onResponseError: (_controller, err) => finish('broken', messageOf(err))
   }
   const options: TrackedDispatchOptions = {
--- a/packages/magnoliabay/src/node/backend/relay.ts
+++ b/packages/magnoliabay/src/node/backend/relay.ts
@@ -1,6 +1,7 @@
 /**
  * Sends a completion to an engine and relays the response, either complete or marked as cut off.
  */
+import { inBackground } from '../background'
 import type { ServerResponse } from 'node:http'
 import type { Dispatcher } from 'undici'
 import { createIndeterminateFailure } from '../failures'
@@ -46,7 +47,7 @@
     ? await relayStreamed(options, dispatcher, attemptRequest, res, onFirstByte)
     : await relayBuffered(options, dispatcher, attemptRequest, exchangeRequestOf(options, attemptRequest), res, onFirstByte)
   tracker.record(relayAttempt.result.kind === 'not-run' || relayAttempt.result.kind === 'refused' ? 'disclaim' : 'lose')
-  if (relayAttempt.part.isLeftRunning) options.engineClient.cancel(req.address, engineRequestId)
+  if (relayAttempt.part.isLeftRunning) inBackground('cancel', options.engineClient.cancel(req.address, engineRequestId))
   return { kind: relayAttempt.result.kind, result: relayAttempt.result, isConnectionSuspect: relayAttempt.part.isConnectionSuspect }
 }
 
--- a/packages/magnoliabay/src/node/cells/adapterLoader.ts
+++ b/packages/magnoliabay/src/node/cells/adapterLoader.ts
@@ -1,4 +1,5 @@
 /** Loads adapters that requests wait for on engines that have their model, within the cell's limit of loads in flight. */
+import { inBackground } from '../background'
 import type { AdapterConfig } from '../config/fleet'
 import { freeMiB } from './engineAccount'
 import type { AdapterCharge, EngineAccount } from './engineAccount'
@@ -39,12 +40,12 @@
     const account = pickEngine(adapter)
     if (account === undefined || isOnAnyEngine(adapter.name) || !loadLimiter.hasCapacity()) return
     if (freeMiB(account) >= adapter.memoryMiB) {
-      load(account, adapter)
+      inBackground('load', load(account, adapter))
       return
     }
     // The unload frees memory once it is confirmed; the demand is still pending and is tried again then.
     const victim = leastRecentlyUsed(account)
-    if (victim !== undefined) ops.unloadAdapter(account, victim.adapter).then(reconcile)
+    if (victim !== undefined) inBackground('unload-adapter', ops.unloadAdapter(account, victim.adapter).then(reconcile))
   }
   const reconcile = (): void => {
     if (ctx.isStopped()) return
--- a/packages/magnoliabay/src/node/cells/autoscaler.ts
+++ b/packages/magnoliabay/src/node/cells/autoscaler.ts
@@ -2,6 +2,7 @@
  * Reads the load reports of the engines periodically, publishes the loads, and computes how many replicas each model
  * needs. The reports lag behind the current load.
  */
+import { inBackground } from '../background'
 import { loadedReplicas } from './engineAccount'
 import type { EngineAccount } from './engineAccount'
 import type { CellLeaderContext } from './context'
@@ -70,7 +71,7 @@
     maintain: () => {
       if (clock.monotonic() < nextReadAtMs) return
       nextReadAtMs = clock.monotonic() + LOAD_READ_INTERVAL_MS
-      readLoads()
+      inBackground('read-loads', readLoads())
     }
   }
 }
--- a/packages/magnoliabay/src/node/cells/cellLeader.ts
+++ b/packages/magnoliabay/src/node/cells/cellLeader.ts
@@ -1,6 +1,7 @@
 /**
  * The leader of a cell. Only it decides the cell's replicas, keeps its memory accounts and sends orders to its engines.
  */
+import { inBackground } from '../background'
 import type { BackendDirectory } from '../backend/directory'
 import type { EngineClient } from '../backend/engineClient'
 import type { Clock } from '../clock'
@@ -187,7 +188,7 @@
   }
   const applyConfiguredVersions = (): void => [...accounts.values()].forEach(account => loadedReplicas(account)
     .filter(replica => !replica.hasOpenOrder && replica.version !== (cfg.model(replica.model)?.version ?? replica.version))
-    .forEach(replica => { ops.setVersion(account, replica, cfg.model(replica.model)!.version) }))
+    .forEach(replica => { inBackground('set-version', ops.setVersion(account, replica, cfg.model(replica.model)!.version)) }))
   const statusOf = (model: string): DemandReply => {
     const replicas = [...accounts.values()].flatMap(account => account.replicas.get(model) ?? [])
     if (replicas.some(replica => replica.lifecycle.state() === 'loaded')) return { status: 'loaded', reason: 'already loaded', table: table() }
@@ -195,7 +196,7 @@
     return { status: 'queued', reason: scheduler.blockedReason(model) ?? 'waits for its turn', table: table() }
   }
   const inheritedReplicas = createInheritedReplicas(options.previousTable, clock)
-  restoreHistory()
+  inBackground('restore-history', restoreHistory())
 
   return {
     cell,
@@ -228,7 +229,7 @@
     maintain: () => {
       if (stopped) return
       if (inheritedIntents === undefined) {
-        readInheritedIntents()
+        inBackground('read-inherited-intents', readInheritedIntents())
         return
       }
       engineReconciler.reconcile()
@@ -238,8 +239,8 @@
       applyConfiguredVersions()
       scheduler.run()
       adapterLoader.reconcile()
-      intents.flushDeletes()
-      if (clock.monotonic() >= nextSaveMs) saveHistory()
+      inBackground('flush-deletes', intents.flushDeletes())
+      if (clock.monotonic() >= nextSaveMs) inBackground('save-history', saveHistory())
     },
     stop: () => { stopped = true }
   }
--- a/packages/magnoliabay/src/node/cells/cells.ts
+++ b/packages/magnoliabay/src/node/cells/cells.ts
@@ -2,6 +2,7 @@
  * The cells as seen by this instance: claims the leadership of cells, runs their leaders, and sends demand to the
  * leaders on other members.
  */
+import { inBackground } from '../background'
 import type { BackendDirectory } from '../backend/directory'
 import type { EngineClient } from '../backend/engineClient'
 import type { Clock } from '../clock'
@@ -167,14 +168,14 @@
   /** Asks former leaders for a release: one that was only paused confirms that it sends no more orders. */
   const requestUnprovenReleases = (cell: string): void => (leaderships.get(cell)?.record?.unproven ?? [])
     .filter(former => !isInactive(cell, former))
-    .forEach(former => { requestRelease(cell, former) })
+    .forEach(former => { inBackground('request-release', requestRelease(cell, former)) })
   const maintain = (): void => {
     if (isResigning || cfg.active().version === 0) return
     if (hasSnapshot && membership.leaseId() !== undefined && !peers.self.leaving) {
       const others = cellNames(cellCount()).filter(cell => !localLeaders.has(cell) && !claimsInProgress.has(cell))
       others.forEach(cell => {
         claimsInProgress.add(cell)
-        tryClaim(cell).finally(() => claimsInProgress.delete(cell))
+        inBackground('try-claim', tryClaim(cell).finally(() => claimsInProgress.delete(cell)))
       })
     }
     localLeaders.forEach(leader => {
@@ -268,8 +269,8 @@
         onEvent: event => { if (event.kind === 'put') applyEntry(event) }
       }, signal)
       signal.addEventListener('abort', () => localLeaders.forEach(leader => leader.stop()), { once: true })
-      repeat(clock, MAINTENANCE_INTERVAL_MS, signal, maintain)
-      repeat(clock, USAGE_REPORT_INTERVAL_MS, signal, () => usageReporter.report([...localLeaders.values()]))
+      inBackground('cells-loop', repeat(clock, MAINTENANCE_INTERVAL_MS, signal, maintain))
+      inBackground('cells-loop', repeat(clock, USAGE_REPORT_INTERVAL_MS, signal, () => usageReporter.report([...localLeaders.values()])))
     },
     resign: async () => {
       isResigning = true
--- a/packages/magnoliabay/src/node/cells/engineReconciler.ts
+++ b/packages/magnoliabay/src/node/cells/engineReconciler.ts
@@ -2,6 +2,7 @@
  * Reconciles the accounts of a cell's engines with the engines: takes over listed engines, reads the state of each
  * periodically, and drops engines that were reclaimed.
  */
+import { inBackground } from '../background'
 import type { EngineState } from '../backend/protocol'
 import type { ListedInstance } from '../store'
 import { dropIfGone } from './engineAccount'
@@ -61,7 +62,7 @@
     ctx.publish()
     // The engine now refuses all orders of former leaders, so their intents are settled.
     if (takeover.account.checksFence) forgetInheritedIntents(listed.id)
-    takeover.unresolved.forEach(intent => { ops.resolveIntent(takeover.account, intent) })
+    takeover.unresolved.forEach(intent => { inBackground('resolve-intent', ops.resolveIntent(takeover.account, intent)) })
   }
   const forgetInheritedIntents = (engine: string): void =>
     options.inheritedIntentsOf(engine).forEach(intent => ctx.intents.forget(intent.orderId))
@@ -134,9 +135,9 @@
       const ids = new Set(listed.map(engine => engine.id))
       const known = [...accounts.values()]
       known.forEach(account => dropIfMissing(account, ids.has(account.engine)))
-      listed.filter(engine => !accounts.has(engine.id)).forEach(engine => { runExclusive(engine.id, () => takeOver(engine)) })
+      listed.filter(engine => !accounts.has(engine.id)).forEach(engine => { inBackground('run-exclusive', runExclusive(engine.id, () => takeOver(engine))) })
       known.filter(account => accounts.has(account.engine)).forEach(account => {
-        runExclusive(account.engine, () => readState(account, addresses.get(account.engine)!))
+        inBackground('run-exclusive', runExclusive(account.engine, () => readState(account, addresses.get(account.engine)!)))
       })
     }
   }
--- a/packages/magnoliabay/src/node/cells/idleEviction.ts
+++ b/packages/magnoliabay/src/node/cells/idleEviction.ts
@@ -1,4 +1,5 @@
 /** Unloads idle replicas and adapters, and preloads models whose next use is expected soon. */
+import { inBackground } from '../background'
 import type { ModelConfig } from '../config/fleet'
 import { freeMiB, loadedReplicas } from './engineAccount'
 import type { EngineAccount, Replica } from './engineAccount'
@@ -67,14 +68,14 @@
     const idle = all.filter(({ replica }) => isIdle(replica))
     idle.forEach(({ account, replica }) => {
       const idleSeconds = Math.round((clock.monotonic() - replica.lastUsedMs) / 1000)
-      ops.unload(account, replica, `unused for ${idleSeconds} s`)
+      inBackground('unload', ops.unload(account, replica, `unused for ${idleSeconds} s`))
     })
     const surplus = findSurplus(all.filter(({ replica }) => replica.lifecycle.state() === 'loaded'))
-    surplus.forEach(({ account, replica }) => { ops.unload(account, replica, 'more replicas than its load needs') })
+    surplus.forEach(({ account, replica }) => { inBackground('unload', ops.unload(account, replica, 'more replicas than its load needs')) })
   }
   const unloadAdapters = (): void => [...accounts.values()].forEach(account => {
     const idle = [...account.adapters.values()].filter(adapter => adapter.isLoaded && clock.monotonic() - adapter.lastUsedMs > ADAPTER_IDLE_TIMEOUT_MS)
-    idle.forEach(adapter => { ops.unloadAdapter(account, adapter.adapter) })
+    idle.forEach(adapter => { inBackground('unload-adapter', ops.unloadAdapter(account, adapter.adapter)) })
   })
   /** Adds demand for a model that is expected to be used soon, if it fits into free memory: evicts nothing for a prediction. */
   const preload = (model: ModelConfig): void => {
--- a/packages/magnoliabay/src/node/cells/scheduler.ts
+++ b/packages/magnoliabay/src/node/cells/scheduler.ts
@@ -2,6 +2,7 @@
  * Starts loads for pending demand: most urgent first, within the cell's share of the weight store, and within the
  * cell's quota of replicas of each model.
  */
+import { inBackground } from '../background'
 import type { ModelConfig } from '../config/fleet'
 import type { ListedInstance } from '../store'
 import type { EngineAccount, Replica } from './engineAccount'
@@ -120,7 +121,7 @@
     const needsSlot = placement.tier === 'remote'
     if (needsSlot) options.storeLoadLimiter.acquire()
     blocked.delete(demand.model)
-    load(demand, cfg, placement, needsSlot)
+    inBackground('load', load(demand, cfg, placement, needsSlot))
   }
   const run = (): void => {
     if (ctx.isStopped()) return
--- a/packages/magnoliabay/src/node/cells/weightStoreShare.ts
+++ b/packages/magnoliabay/src/node/cells/weightStoreShare.ts
@@ -3,6 +3,7 @@
  * the moment, and allocates an equal share to each of them; a cell that loads alone gets all. Exceeding the capacity
  * breaks nothing, it only slows all loads, so shares need neither agreement nor proof, only an expiry.
  */
+import { inBackground } from '../background'
 import type { Clock } from '../clock'
 import { definePeerCall } from '../members'
 
@@ -69,7 +70,7 @@
       return granted !== undefined && clock.monotonic() - grantedAtMs <= SHARE_TTL_MS ? granted : fallbackShare()
     },
     recordDemand: () => {
-      if (cells > 1 && clock.monotonic() >= nextRequestMs) refresh()
+      if (cells > 1 && clock.monotonic() >= nextRequestMs) inBackground('refresh-store-share', refresh())
     }
   }
 }
--- a/packages/magnoliabay/src/node/clock/index.ts
+++ b/packages/magnoliabay/src/node/clock/index.ts
@@ -1,6 +1,7 @@
 /**
  * Interface for time and timers, so that tests can run all code under a clock that they advance themselves.
  */
+import { runStep } from '../background'
 
 /** Cancels a pending callback. Calling it twice is harmless. */
 export type CancelTimer = () => void
@@ -71,10 +72,10 @@
   return remainingMs > MAX_TIMER_EARLY_MS ? remainingMs : remainingMs + periodMs
 }
 
-/** Runs `task` once every `periodMs` milliseconds, never twice at the same time, until `signal` aborts. */
+/** Runs `task` once every `periodMs` milliseconds, never twice at the same time, until `signal` aborts. Reports its faults. */
 export async function repeat (clock: Clock, periodMs: number, signal: AbortSignal, task: () => unknown): Promise<void> {
   while (!signal.aborted) {
-    await task()
+    await runStep(task.name || 'repeated-task', task)
     await sleep(clock, delayToNextPeriod(clock, periodMs), signal)
   }
 }
--- a/packages/magnoliabay/src/node/commands/serve.ts
+++ b/packages/magnoliabay/src/node/commands/serve.ts
@@ -1,5 +1,6 @@
 /** `magnoliabay serve`: runs one instance in its own process. */
 import { readFile } from 'node:fs/promises'
+import { setFaultReporter } from '../background'
 import { createSystemClock } from '../clock'
 import { formatProblem, parseSettings } from '../config'
 import { createInstance } from '../instance'
@@ -36,6 +37,7 @@
     }
     const clock = createSystemClock()
     const logger = createLogger({ level: settings.val.log.level })
+    setFaultReporter((task, err) => logger.error('task-fault', { task, reason: messageOf(err), stack: err instanceof Error ? err.stack : undefined }))
     const certificates = createCertificates({ use: 'store', files: settings.val.tls.store ?? {}, intervalMs: settings.val.tls.reloadSeconds * 1000, clock, logger })
     const stop = new AbortController()
     await certificates.load()
--- a/packages/magnoliabay/src/node/config/configCommitter.ts
+++ b/packages/magnoliabay/src/node/config/configCommitter.ts
@@ -2,6 +2,7 @@
  * Accepts a change by one compare-and-swap against the version that the operator saw, and against
  * every document that the change was checked with.
  */
+import { inBackground } from '../background'
 import type { Clock } from '../clock'
 import { sleep } from '../clock'
 import { MAX_STORE_VALUE_BYTES } from '../constants'
@@ -169,7 +170,7 @@
     if (!written.val.succeeded) return retryAttempt({ kind: 'unavailable', message: 'The configuration changed meanwhile.' }, false)
     logger.info('config-accepted', { document: req.document, version: manifest.version, change: req.changeId, operator: req.operator })
     configProvider.publish(head)
-    dropOldVersions({ store, logger }, req.document)
+    inBackground('drop-old-versions', dropOldVersions({ store, logger }, req.document))
     return settledAttempt(Ok(manifest))
   }
 
--- a/packages/magnoliabay/src/node/config/configProvider.ts
+++ b/packages/magnoliabay/src/node/config/configProvider.ts
@@ -2,6 +2,7 @@
  * The active configuration of this instance: the newest accepted version that it received from the store's watch or
  * from a peer, whichever came first. It never returns to an older version.
  */
+import { inBackground } from '../background'
 import type { Clock } from '../clock'
 import { repeat, sleep } from '../clock'
 import type { Logger } from '../logger'
@@ -98,7 +99,7 @@
     if (version < known) logger.debug('config-older-ignored', { document, version, known, source: source.kind })
     if (version <= known) return
     pendingVersions.set(document, { head, source })
-    if (!fetching.has(document)) fetchPendingVersions(document)
+    if (!fetching.has(document)) inBackground('fetch-pending-versions', fetchPendingVersions(document))
   }
   const fetchPendingVersions = async (document: string): Promise<void> => {
     fetching.add(document)
@@ -178,7 +179,7 @@
     const head = checkHead(body)
     if (head !== undefined) applyHead(head, { kind: 'peer', id: from.id })
   })
-  peers.listen(configVersionsNotice, (body, from) => { compareVersions(body.versions, from.id) })
+  peers.listen(configVersionsNotice, (body, from) => { inBackground('compare-versions', compareVersions(body.versions, from.id)) })
   peers.serve(configHeadCall, ({ document }) => ({ head: loadedHead(document) }))
   peers.serve(configChunksCall, ({ digests }) => ({
     contents: pickContents(digests, digest => loadedContent(loaded, digest), MAX_CHUNK_RESPONSE_BYTES)
@@ -202,7 +203,7 @@
         onSnapshot: snapshot => snapshot.entries.forEach(applyRecord),
         onEvent: event => { if (event.kind === 'put') applyRecord(event) }
       }, signal)
-      repeat(clock, VERSIONS_INTERVAL_MS, signal, sendVersions)
+      inBackground('config-provider-loop', repeat(clock, VERSIONS_INTERVAL_MS, signal, sendVersions))
     }
   }
 }
--- a/packages/magnoliabay/src/node/crashes/crashStore.ts
+++ b/packages/magnoliabay/src/node/crashes/crashStore.ts
@@ -2,6 +2,7 @@
  * Keeps blamed suspects in the platform's store, so that they outlive a restart of all instances and reach instances that are
  * cut off from the others. One instance writes for all: when a suspect is blamed, at each further crash, and when it is freed.
  */
+import { inBackground } from '../background'
 import { STORE_KEY_PREFIX } from '../constants'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
@@ -89,7 +90,7 @@
     const puts = [...wanted].filter(([key, value]) => processesIn(stored.get(key)) !== processesIn(value)).map(([key, value]): WriteOperation => ({ kind: 'put', key, value }))
     const deletes = [...stored.keys()].filter(key => !wanted.has(key)).map((key): WriteOperation => ({ kind: 'delete', key }))
     const writes = [...puts, ...deletes]
-    if (writes.length > 0) write(writes)
+    if (writes.length > 0) inBackground('store-crash-suspects', write(writes))
   }
   const read = (key: string, value: string): void => {
     const parsed = parseJson(value)
--- a/packages/magnoliabay/src/node/members/dialer.ts
+++ b/packages/magnoliabay/src/node/members/dialer.ts
@@ -1,4 +1,5 @@
 /** Dials the members that this one has to connect to, again after each failure, until they are no longer targets. */
+import { inBackground } from '../background'
 import { setMaxListeners } from 'node:events'
 import type { Socket } from 'node:net'
 import { sleep } from '../clock'
@@ -64,7 +65,7 @@
       members.filter(member => !targets.has(keyOf(member))).forEach(member => {
         const controller = new AbortController()
         targets.set(keyOf(member), controller)
-        dialRepeatedly(member, controller.signal)
+        inBackground('dial-repeatedly', dialRepeatedly(member, controller.signal))
       })
     },
     dialOnce: member => dial(member, closed.signal),
--- a/packages/magnoliabay/src/node/members/link.ts
+++ b/packages/magnoliabay/src/node/members/link.ts
@@ -1,6 +1,7 @@
 /**
  * One TCP link to a peer, from hello to end: calls and notices in both directions, and heartbeats.
  */
+import { inBackground } from '../background'
 import type { Socket } from 'node:net'
 import type { Clock } from '../clock'
 import type { Ticker } from '../clock/ticker'
@@ -180,7 +181,7 @@
   const handlers: { [Type in Frame['type']]: (frame: Extract<Frame, { type: Type }>, from: MemberRecord) => void } = {
     hello: () => {},
     beat: handleHeartbeat,
-    call: (frame, from) => { answerCall(frame, from) },
+    call: (frame, from) => { inBackground('answer-call', answerCall(frame, from)) },
     reply: frame => pending.get(frame.id)?.settle(frame.ok ? Ok(frame.body) : Err(frame.body as PeerError)),
     notice: handleNotice,
     goodbye: (_frame, from) => linkOptions.onGoodbye(from)
--- a/packages/magnoliabay/src/node/members/membership.ts
+++ b/packages/magnoliabay/src/node/members/membership.ts
@@ -1,6 +1,7 @@
 /**
  * Keeps this instance's record in the store under one lease, and the network's members up to date.
  */
+import { inBackground } from '../background'
 import type { Clock } from '../clock'
 import { repeat } from '../clock'
 import { createListeners } from './dispatch'
@@ -179,8 +180,8 @@
           updateMembers()
         }
       }, signal)
-      repeat(clock, RENEW_INTERVAL_MS, signal, renewOrRegister)
-      repeat(clock, RENEW_INTERVAL_MS, signal, () => { if (expiredRecords.size > 0) updateMembers() })
+      inBackground('membership-loop', repeat(clock, RENEW_INTERVAL_MS, signal, renewOrRegister))
+      inBackground('membership-loop', repeat(clock, RENEW_INTERVAL_MS, signal, () => { if (expiredRecords.size > 0) updateMembers() }))
     },
     announceLeaving: async () => {
       self.leaving = true
--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -2,6 +2,7 @@
  * Links to peers over TCP. In a small fleet all members hold links to one another; in a large one each holds links to
  * its neighbours, and dials other members on demand. Of two neighbours, the one with the lesser id dials.
  */
+import { inBackground } from '../background'
 import type { Socket } from 'node:net'
 import type { Clock } from '../clock'
 import { createTicker } from '../clock/ticker'
@@ -143,7 +144,7 @@
       resolve(link)
     }
     const dispose = connected.add(up => { if (up.id === member.id) settle() })
-    dialer.dialOnce(member).then(settle)
+    inBackground('dial-once', dialer.dialOnce(member).then(settle))
   })
   const linkTo = async (memberId: string): Promise<Link | undefined> => {
     const openLink = links.get(memberId)
--- a/packages/magnoliabay/src/node/members/seeds.ts
+++ b/packages/magnoliabay/src/node/members/seeds.ts
@@ -2,6 +2,7 @@
  * Finds peers while the store, which lists them, is unavailable. An instance that starts then would know no peer and
  * could not get the configuration, although every other instance has it.
  */
+import { inBackground } from '../background'
 import type { Clock } from '../clock'
 import { repeat } from '../clock'
 import type { PeerNetwork } from './network'
@@ -24,7 +25,7 @@
   let next = 0
   const contactNext = (): void => {
     if (!isNeeded()) return found.abort()
-    network.connectOnce(seeds[next++ % seeds.length]!)
+    inBackground('connect-once', network.connectOnce(seeds[next++ % seeds.length]!))
   }
-  repeat(clock, CONTACT_INTERVAL_MS, AbortSignal.any([signal, found.signal]), contactNext)
+  inBackground('seeds-loop', repeat(clock, CONTACT_INTERVAL_MS, AbortSignal.any([signal, found.signal]), contactNext))
 }
--- a/packages/magnoliabay/src/node/once/batchWriter.ts
+++ b/packages/magnoliabay/src/node/once/batchWriter.ts
@@ -4,6 +4,7 @@
  * A transaction is atomic, so one conflicting write fails its whole batch. Conflicting writes are then found
  * by reading their keys, and the others are written again: repeats are rare, and reads are cheap.
  */
+import { inBackground } from '../background'
 import type { Clock } from '../clock'
 import type { Store, StoreError } from '../store'
 import type { Compare, Transaction, WriteOperation } from '../store/store'
@@ -62,7 +63,7 @@
     isWindowOpen = queue.length > 0
     if (!isWindowOpen) return
     clock.schedule(batchWindowMs, flush)
-    commitBatch(takeBatch(), MAX_BATCH_RETRIES)
+    inBackground('commit-batch', commitBatch(takeBatch(), MAX_BATCH_RETRIES))
   }
   const commitBatch = async (batch: readonly QueuedWrite[], retriesLeft: number): Promise<void> => {
     if (batch.length === 0) return
@@ -112,7 +113,7 @@
     queue.push(queued)
     // A full batch is sent at once: one batch per window was too slow for 1,200 requests per second, and
     // callers were refused.
-    if (queue.length >= maxWrites) commitBatch(takeBatch(), MAX_BATCH_RETRIES)
+    if (queue.length >= maxWrites) inBackground('commit-batch', commitBatch(takeBatch(), MAX_BATCH_RETRIES))
     if (isWindowOpen) return
     isWindowOpen = true
     // The first write after an idle time is not delayed; only writes that follow within the window are batched.
--- a/packages/magnoliabay/src/node/operators/commands.ts
+++ b/packages/magnoliabay/src/node/operators/commands.ts
@@ -1,4 +1,5 @@
 /** Operator calls that change state. Calls that only read are in `queries.ts`. */
+import { inBackground } from '../background'
 import { createCallerKey, KEY_RECORDS_PREFIX } from '../admission'
 import type { CallerKeyRecord, Keyring, CreatedCallerKey } from '../admission'
 import type { Clock } from '../clock'
@@ -67,7 +68,7 @@
       writes: [{ kind: 'put', key: KEY_RECORDS_PREFIX + key.id, value: JSON.stringify(key) }, audit]
     }, { priority: 'config' })
     if (written.err) return Err({ kind: 'store', cause: written.val })
-    deleteOldAuditRecords(store)
+    inBackground('delete-old-audit-records', deleteOldAuditRecords(store))
     return Ok(key)
   }
   /** Returns whether the team is active, and first waits for it: another instance may just have accepted it. */
@@ -105,7 +106,7 @@
     },
     applyConfig: async req => {
       const applied = await options.configCommitter.apply(req)
-      if (applied.ok) deleteOldAuditRecords(store)
+      if (applied.ok) inBackground('delete-old-audit-records', deleteOldAuditRecords(store))
       return applied
     }
   }
--- a/packages/magnoliabay/src/node/paths/serverDialer.ts
+++ b/packages/magnoliabay/src/node/paths/serverDialer.ts
@@ -2,6 +2,7 @@
  * Makes connections to backend servers: directly, or through another instance where this one has no path. Which of the two
  * is tried first follows from what is known of the path; both are tried before a server counts as unreachable.
  */
+import { inBackground } from '../background'
 import { sleep } from '../clock'
 import type { Clock } from '../clock'
 import type { MemberRecord } from '../members'
@@ -152,8 +153,8 @@
     confirming.delete(address)
     if (failed === undefined) return
     paths.recordBroken(address, failed.failure)
-    startProbing()
-    survey(failed.failure)
+    inBackground('start-probing', startProbing())
+    inBackground('survey', survey(failed.failure))
   }
   /** After a direct connection has failed: whether another instance reaches the server, and this one still does not. */
   const compareWithOthers = async (address: string): Promise<void> => {
@@ -185,7 +186,7 @@
     isSurveying = false
     const unreached = results.filter(({ failed }) => failed !== undefined)
     if (unreached.length === others.length) paths.recordPartition(failure)
-    else unreached.forEach(({ other }) => { compareWithOthers(other) })
+    else unreached.forEach(({ other }) => { inBackground('compare-with-others', compareWithOthers(other)) })
   }
   /** Checks broken paths until none is left; without any, nothing runs. */
   const startProbing = async (): Promise<void> => {
@@ -221,7 +222,7 @@
     if (!hasForwarders) throw direct
     const forwarded = await dialThrough(address)
     if (!(forwarded instanceof DialError)) {
-      confirmBroken(address)
+      inBackground('confirm-broken', confirmBroken(address))
       return forwarded
     }
     if (direct.failure === 'silent') recordUnreached(address)
@@ -245,7 +246,7 @@
       if (direct instanceof DialError) throw direct
       return direct
     },
-    check: address => { check(address) },
+    check: address => { inBackground('check-path', check(address)) },
     isAccepting,
     isEndedByServer: async (address, connection) => (await primitives.confirmEnd?.(connection) ?? true) && await isAccepting(address),
     probe: async address => {
--- a/packages/magnoliabay/src/node/routing/replicaWait.ts
+++ b/packages/magnoliabay/src/node/routing/replicaWait.ts
@@ -2,6 +2,7 @@
  * Requests that wait for a replica. Each has one deadline and one timer and settles exactly once; those that wait for
  * the same model send one demand together.
  */
+import { inBackground } from '../background'
 import type { Cells } from '../cells'
 import { sleep } from '../clock'
 import type { CancelTimer, Clock } from '../clock'
@@ -85,7 +86,7 @@
     modelWait.isDemandScheduled = true
     clock.schedule(BATCH_DELAY_MS, () => {
       modelWait.isDemandScheduled = false
-      sendDemand(model, modelWait)
+      inBackground('send-demand', sendDemand(model, modelWait))
     })
   }
   const add = (waiter: Waiter): void => {
@@ -93,7 +94,7 @@
     if (modelWait === undefined) {
       const newWait: ModelWait = { waiters: new Set([waiter]), requestedAdapters: new Set(), isDemandScheduled: false }
       modelWaits.set(waiter.model, newWait)
-      repeatDemand(waiter.model, newWait)
+      inBackground('repeat-demand', repeatDemand(waiter.model, newWait))
       return
     }
     modelWait.waiters.add(waiter)
--- a/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
@@ -9,6 +9,7 @@
  * from an older copy since: then the whole limit counts as spent. Two homes at once, as members change, exclude each
  * other: records change by compare-and-swap, and the one that is too late starts again from the other's record.
  */
+import { inBackground } from '../../background'
 import type { Clock } from '../../clock'
 import { TIMED_OUT, withTimeout } from '../../clock'
 import type { Logger } from '../../logger'
@@ -294,16 +295,16 @@
     if (loading === undefined) {
       loading = loadSpending()
       // The next home has to find what this one counts, even if it grants nothing.
-      loading.then(() => writeRecord())
+      inBackground('write-record', loading.then(() => writeRecord()))
       scheduleRecording()
     }
     const ownLoading = loading
     await ownLoading
-    if (!isRecordingFailed && isRecordOutdated()) writeRecord()
+    if (!isRecordingFailed && isRecordOutdated()) inBackground('write-record', writeRecord())
     const decision = spend(amount, ask)
     if (decision.waitMs > 0) return decision
     scheduleRecording()
-    if (!isRecordingFailed && remainingCoverage() < currentReserve * RECORD_AHEAD_RATIO) writeRecord()
+    if (!isRecordingFailed && remainingCoverage() < currentReserve * RECORD_AHEAD_RATIO) inBackground('write-record', writeRecord())
     if (remainingCoverage() < 0) await awaitCoverage()
     return loading === ownLoading ? { ...decision, waitMs: refundUncovered(amount, ask.part) } : 'superseded'
   }
--- a/packages/magnoliabay/src/node/serving/dissemination.ts
+++ b/packages/magnoliabay/src/node/serving/dissemination.ts
@@ -3,6 +3,7 @@
  * and sends changes to those that report to it; each of them forwards the changes to its own reporters. An instance that
  * reaches neither the leader nor the store asks a peer.
  */
+import { inBackground } from '../background'
 import type { Clock } from '../clock'
 import { repeat } from '../clock'
 import type { Logger } from '../logger'
@@ -195,15 +196,15 @@
       return
     }
     behindSinceMs ??= clock.monotonic()
-    if (cfg.version() === 0 || clock.monotonic() - behindSinceMs >= CONFIG_NOTICE_TIMEOUT_MS) fetchConfig(member)
+    if (cfg.version() === 0 || clock.monotonic() - behindSinceMs >= CONFIG_NOTICE_TIMEOUT_MS) inBackground('fetch-config', fetchConfig(member))
   }
 
   return {
     start: signal => repeat(clock, STATUS_POLL_INTERVAL_MS, signal, pollPeerStatus),
     sendChanges,
     syncFromProxy: member => {
-      fetchServers(member)
-      fetchMembers(member)
+      inBackground('fetch-servers', fetchServers(member))
+      inBackground('fetch-members', fetchMembers(member))
     },
     applySummary: (member, summary) => {
       options.onLeaderLearned(summary.leading)
@@ -211,8 +212,8 @@
       options.evacuations.applyFromPeer(summary.evacuation)
       observeConfigVersion(member, summary.configVersion)
       if (!options.isFollowing()) return
-      if (summary.listDigest !== servers.digest()) fetchServers(member)
-      if (summary.membersDigest !== members.digest()) fetchMembers(member)
+      if (summary.listDigest !== servers.digest()) inBackground('fetch-servers', fetchServers(member))
+      if (summary.membersDigest !== members.digest()) inBackground('fetch-members', fetchMembers(member))
     }
   }
 }
--- a/packages/magnoliabay/src/node/serving/entryServer.ts
+++ b/packages/magnoliabay/src/node/serving/entryServer.ts
@@ -1,4 +1,5 @@
 /** HTTP server for callers: reads requests within the configured limits and passes them to `serve`. */
+import { inBackground } from '../background'
 import { createServer } from 'node:http'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
@@ -50,12 +51,12 @@
     res.once('close', () => open.delete(res))
     // Otherwise the caller would reuse the connection and send its next request to a process that is about to end.
     if (options.isLeaving()) res.setHeader('connection', 'close')
-    readBody(entryReq, res, () => {
+    inBackground('read-body', readBody(entryReq, res, () => {
       serve({ req, res, body: entryReq.rawBody, arrivedMs }).catch((err: unknown) => {
         logger.error('request-fault', { reason: messageOf(err), stack: err instanceof Error ? err.stack : undefined })
         cutResponse(res, clock)
       })
-    })
+    }))
   }
   const server = createServer({ keepAlive: true, noDelay: true, maxHeaderSize: DEFAULT_LIMITS.maxHeaderBytes }, handle)
   handleClientErrors(server, clock)
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -14,7 +14,7 @@
 import { framingOf } from '../http/responseFraming'
 import type { ResponseFraming } from '../http/responseFraming'
 import type { ProbeResult } from '../probe'
-import { parseHostPort } from '../utils'
+import { messageOf, parseHostPort } from '../utils'
 
 /**
  * A server that states no timeout may close an idle connection within a second. A request sent at that moment is lost, or
@@ -235,7 +235,10 @@
       if (isCompleteByFraming()) return finish('whole', 'response ended')
       if (!res.complete || !isClosedCleanly()) return finish('broken', failure ?? 'response cut')
       isVerifying = true
-      verifyComplete().then(isComplete => isComplete ? finish('whole', 'connection closed') : finish('broken', 'connection reset, or its server or forwarder has crashed'))
+      verifyComplete().then(
+        isComplete => isComplete ? finish('whole', 'connection closed') : finish('broken', 'connection reset, or its server or forwarder has crashed'),
+        (err: unknown) => finish('broken', messageOf(err))
+      )
     })
     res.on('close', () => { if (!isVerifying) finish('broken', failure ?? 'connection closed within the response') })
   })
--- a/packages/magnoliabay/src/node/serving/placement/leaderElection.ts
+++ b/packages/magnoliabay/src/node/serving/placement/leaderElection.ts
@@ -3,6 +3,7 @@
  * fencing tokens, so orders of two machines are separated in time instead: a machine that was not the last to order
  * waits before its first order.
  */
+import { inBackground, runStep } from '../../background'
 import type { Clock } from '../../clock'
 import { TIMED_OUT, sleep, delayToNextPeriod, withTimeout } from '../../clock'
 import type { Logger } from '../../logger'
@@ -279,8 +280,10 @@
   const run = async (signal: AbortSignal): Promise<void> => {
     while (!signal.aborted) {
       wake = new AbortController()
-      await step()
-      if (term !== undefined && !term.isLastToOrder && clock.monotonic() >= term.firstOrderMs) await beginOrdering(term)
+      await runStep('leader-election', async () => {
+        await step()
+        if (term !== undefined && !term.isLastToOrder && clock.monotonic() >= term.firstOrderMs) await beginOrdering(term)
+      })
       await sleep(clock, delayToNextStepMs(), signal, wake.signal)
     }
   }
@@ -331,7 +334,7 @@
         onSnapshot: ({ entries }) => applyLastOrder(versionedOf(entries.find(entry => entry.key === LAST_ORDER_KEY))),
         onEvent: event => { if (event.kind === 'put' && event.key === LAST_ORDER_KEY) applyLastOrder(versionedOf(event)) }
       }, signal)
-      run(signal)
+      inBackground('leader-election', run(signal))
     },
     stepDown: async reason => {
       if (term === undefined) return
--- a/packages/magnoliabay/src/node/serving/placement/placementController.ts
+++ b/packages/magnoliabay/src/node/serving/placement/placementController.ts
@@ -1,6 +1,7 @@
 /**
  * Runs on the leader: takes placement requests, plans which models are loaded on which engines, and sends the orders.
  */
+import { inBackground, runStep } from '../../background'
 import type { Clock } from '../../clock'
 import { sleep, delayToNextPeriod } from '../../clock'
 import type { Logger } from '../../logger'
@@ -185,10 +186,10 @@
 
   const load = (engine: Engine, model: string): void => {
     const tier = tierOf(engine.tracked, model)
-    orders.load(engine.process, model, tier, expectedLoadMs(model, tier))
+    inBackground('load', orders.load(engine.process, model, tier, expectedLoadMs(model, tier)))
   }
   const unload = ({ process }: Engine, model: string): void => {
-    orders.unload(process, model, usesSchedule() ? scheduler.expectedUnloadMs(fleetView.inFlight(process, model)) : undefined)
+    inBackground('unload', orders.unload(process, model, usesSchedule() ? scheduler.expectedUnloadMs(fleetView.inFlight(process, model)) : undefined))
   }
   const stepHandlers: Record<PlanStep['kind'], (step: PlanStep, engine: Engine) => void> = {
     load: (step, engine) => {
@@ -434,7 +435,7 @@
     const idleEngines = orders.listEngines().filter(isIdle)
     const adaptersOf = (model: string): readonly string[] => orders.specOf(model)?.adapters ?? []
     planAdapterPreloads(orders.listEngines().map(engineAdaptersOf), idleEngines.map(engine => engine.process), adaptersOf)
-      .forEach(({ id, model, adapter }) => { orders.loadAdapter(id, model, adapter) })
+      .forEach(({ id, model, adapter }) => { inBackground('load-adapter', orders.loadAdapter(id, model, adapter)) })
   }
   const requestAdapter = async (model: string, adapter: string, unavailable: ReadonlySet<string>): Promise<PlacementReply> => {
     const enginesWithModel = orders.listEngines().filter(engine => !unavailable.has(engine.process) && engine.tracked.models.some(loaded => loaded.name === model))
@@ -499,11 +500,11 @@
     start: signal => {
       const loop = async (): Promise<void> => {
         while (!signal.aborted) {
-          plan()
+          await runStep('plan', plan)
           await sleep(clock, leadership.isLeaseHolder() ? Math.max(PLAN_INTERVAL_MS, minPlanIntervalMs()) : delayToNextPeriod(clock, LEASE_CHECK_INTERVAL_MS), signal)
         }
       }
-      loop()
+      inBackground('placement', loop())
     }
   }
 }
--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -1,4 +1,5 @@
 /** Serves one request from admission to its end: reserves allowance, chooses servers, makes attempts and responds to the caller. */
+import { inBackground } from '../background'
 import type { IncomingMessage } from 'node:http'
 import { createRequestGuard, fingerprintOf, suspectsOf } from '../crashes'
 import { cutResponse } from '../http/cutResponse'
@@ -164,7 +165,7 @@
     run.isPathBroken = true
     if (canRetry(run)) return run.attempt?.fail('path to the server is broken')
     health.recordPause(id, true)
-    run.attempt?.end.then(() => health.recordPause(id, false))
+    inBackground('resume-after-path', run.attempt?.end.then(() => health.recordPause(id, false)))
   }
   /** Ends an attempt at a server that has stopped responding, if the request may be retried at another. */
   const checkSilence = (run: RequestRun, attempt: Attempt, id: string): () => void => {
--- a/packages/magnoliabay/src/node/serving/streams/streamMover.ts
+++ b/packages/magnoliabay/src/node/serving/streams/streamMover.ts
@@ -1,4 +1,5 @@
 /** Moves the run of a stream to another engine: makes the calls, and reports when the run has stopped. */
+import { inBackground } from '../../background'
 import type { ServingContext } from '../servingContext'
 import { serverProcessId } from '../types'
 import type { BackendServer, EngineSpec } from '../types'
@@ -82,7 +83,7 @@
   const free = (move: ActiveMove): void => {
     const handle = move.machine.unusedHandle()
     move.machine.abandon()
-    if (handle !== undefined) calls.freeRunCopy(move.source, handle)
+    if (handle !== undefined) inBackground('free-run-copy', calls.freeRunCopy(move.source, handle))
   }
   const call = async (stream: ActiveStream, move: ActiveMove, isLast: boolean): Promise<MoveReply> => {
     const isOtherDomain = move.source.failureDomain !== move.target.failureDomain
@@ -151,7 +152,7 @@
       if (target === undefined) return false
       stream.history.count += 1
       stream.move = { machine: createRunMove(), cause, source: stream.server, target, startedMs: clock.monotonic(), stopReply: undefined, stopOutcome: 'run-ended', isRunUntouched: false, unconfirmedSinceMs: undefined }
-      perform(stream, stream.move)
+      inBackground('move-run', perform(stream, stream.move))
       return true
     }
   }
--- a/packages/magnoliabay/src/node/serving/streams/streamSupervision.ts
+++ b/packages/magnoliabay/src/node/serving/streams/streamSupervision.ts
@@ -2,6 +2,7 @@
  * Supervises the streams of an instance. A silent stream goes on at another engine where its request may run again; where
  * it may not, and for engines that end soon, its run is moved.
  */
+import { inBackground } from '../../background'
 import type { Attempt, AttemptEnd } from '../attempt'
 import type { RequestRun } from '../requestRun'
 import type { ServingContext } from '../servingContext'
@@ -125,7 +126,7 @@
     return cutOrFailed(stream.run, 'no engine continued the moved run')
   }
   const resolveLeft = (stream: ActiveStream, move: ActiveMove): AttemptOutcome => {
-    move.stopReply?.then(() => mover!.free(move))
+    inBackground('free-run-copy', move.stopReply?.then(() => mover!.free(move)))
     mover!.recordOutcome(stream, move, 'caller-left')
     return { kind: 'stopped' }
   }
@@ -198,7 +199,7 @@
       pending.delete(run)
       continuing.delete(run)
       histories.delete(run)
-      if (found !== undefined) ctx.runCalls?.freeRunCopy(found.move.source, found.continuation.handle)
+      if (found !== undefined) inBackground('free-run-copy', ctx.runCalls?.freeRunCopy(found.move.source, found.continuation.handle))
     }
   }
 }
--- a/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
@@ -3,6 +3,7 @@
  * records it with the first event. While the service's servers have several software versions, it also sends replicas of the
  * record to some other instances; the one at which the stream is resumed asks these. With one version nothing is sent.
  */
+import { inBackground } from '../../background'
 import type { Clock } from '../../clock'
 import type { Logger } from '../../logger'
 import { definePeerCall, rankHomeInstances } from '../../members'
@@ -143,7 +144,7 @@
     if (reply.err) logger.debug('stream-origins-not-kept', { member, records: sent.length, reason: reply.val.kind })
   }
   const sendAll = (member: string, sent: readonly OriginRecord[]): void => {
-    for (let from = 0; from < sent.length; from += MAX_RECORDS_PER_CALL) send(member, sent.slice(from, from + MAX_RECORDS_PER_CALL))
+    for (let from = 0; from < sent.length; from += MAX_RECORDS_PER_CALL) inBackground('send-stream-origins', send(member, sent.slice(from, from + MAX_RECORDS_PER_CALL)))
   }
   const haveSeveralVersions = (services: readonly string[], withinMs: number): boolean => services.some(service => versions.seenWithin(service, withinMs).size > 1)
   /** Returns the records of streams that this instance relays or has relayed, that may still be resumed, and whose version matters. */
--- a/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
@@ -1,4 +1,5 @@
 /** Decides at which software versions a request may run: a stream goes on only at the version that sent its first event. */
+import { inBackground } from '../../background'
 import type { Logger } from '../../logger'
 import type { RequestRun } from '../requestRun'
 import type { Refusal } from '../refusal'
@@ -194,7 +195,7 @@
       const isCertain = isSafeWithoutVersion(run) && !isUncertain(run, server)
       run.origin = { service: server.service, softwareVersion: isCertain ? versionOf(server) : UNSTATED_VERSION }
       if (isCertain) recordOrigin(run, run.origin)
-      else if (!isSafeWithoutVersion(run)) recordOnceVerified(run, server)
+      else if (!isSafeWithoutVersion(run)) inBackground('record-once-verified', recordOnceVerified(run, server))
     },
     isListedProcess: async (run, server) => run.origin === undefined || isSafeWithoutVersion(run) || await isListedProcess(run, server),
     verifyServers: run => {
--- a/packages/magnoliabay/src/node/store/etcd.ts
+++ b/packages/magnoliabay/src/node/store/etcd.ts
@@ -1,4 +1,5 @@
 /** Client of the platform's key-value service through the etcd v3 HTTP/JSON gateway. */
+import { inBackground } from '../background'
 import { Pool, buildConnector } from 'undici'
 import type { Clock } from '../clock'
 import { sleep } from '../clock'
@@ -63,7 +64,7 @@
     if (pools[endpoint] !== stalePool) return
     pools[endpoint] = openPool(options.endpoints[endpoint]!)
     closingPools.add(stalePool)
-    stalePool.close().finally(() => closingPools.delete(stalePool))
+    inBackground('close-pool', stalePool.close().finally(() => closingPools.delete(stalePool)))
   }
 
   const call = async <T>(path: string, body: object): Promise<Result<T, StoreError>> => {
@@ -125,7 +126,7 @@
     },
     watch: (prefix, handlers, signal) => {
       const currentPool = (): Pool => watchPools[currentEndpoint]!
-      maintainWatch(options, signal, () => runWatch({ store, pool: currentPool(), prefix, handlers, signal, clock, logger: options.logger }))
+      inBackground('maintain-watch', maintainWatch(options, signal, () => runWatch({ store, pool: currentPool(), prefix, handlers, signal, clock, logger: options.logger })))
     }
   }
   const close = async (): Promise<void> => {
