--- a/packages/magnoliabay/src/node/commands/platform.ts
+++ b/packages/magnoliabay/src/node/commands/platform.ts
@@ -1,7 +1,9 @@
 /** `magnoliabay platform`: runs one instance on the users' platform, which provides its settings file. */
 import { readFile } from 'node:fs/promises'
+import { inBackground, setFaultReporter } from '../background'
 import { createWakeupCounter, eventLoopIterations } from '../wakeups'
 import { createSystemClock, repeat } from '../clock'
+import { createInputMonitor } from '../inputs'
 import { createLogger } from '../logger'
 import { createLogSink } from '../logSink'
 import { SETTINGS_PATH_VARIABLE, createDiscovery, createEngineCalls, createMetadataStore, platformProtocol, readPlatformSettings } from '../platform'
@@ -41,8 +43,10 @@
     const clock = createSystemClock(() => activity.note('timer'))
     const sink = createLogSink({ clock })
     const logger = createLogger({ write: sink.write })
-    const store = createMetadataStore({ address: settings.val.store.address, clock, logger })
-    const instance = createServingInstance({ settings: settings.val, protocol: platformProtocol, store, engines: createEngineCalls(clock), activity, clock, logger, random: Math.random })
+    setFaultReporter((task, err) => logger.error('task-fault', { task, reason: messageOf(err), stack: err instanceof Error ? err.stack : undefined }))
+    const inputs = createInputMonitor(logger)
+    const store = createMetadataStore({ address: settings.val.store.address, inputs, clock, logger })
+    const instance = createServingInstance({ settings: settings.val, protocol: platformProtocol, store, engines: createEngineCalls({ clock, inputs }), inputs, activity, clock, logger, random: Math.random })
     const discovery = createDiscovery({
       readinessAddress: settings.val.listen.readiness,
       resolutionAddress: settings.val.listen.resolution,
@@ -55,7 +59,7 @@
       const { user, system } = process.cpuUsage()
       logger.info('process-activity', { turns: eventLoopIterations(), processorMs: Math.round((user + system) / MICROSECONDS_PER_MS), causes: [...activity.counts()].map(([cause, count]) => `${cause}: ${count}`) })
     }
-    repeat(clock, ACTIVITY_LOG_INTERVAL_MS, new AbortController().signal, logActivity)
+    inBackground('log-activity', repeat(clock, ACTIVITY_LOG_INTERVAL_MS, new AbortController().signal, logActivity))
     await discovery.start()
     await instance.start()
     await waitForShutdownSignal()
--- a/packages/magnoliabay/src/node/platform/engineCalls.ts
+++ b/packages/magnoliabay/src/node/platform/engineCalls.ts
@@ -1,7 +1,11 @@
 /** Fetches reports from engines and sends orders to them. */
+import { inBackground } from '../background'
 import type { Pool } from 'undici'
+import * as v from 'valibot'
 import type { Clock } from '../clock'
-import type { EngineCalls, EngineOrder, EngineReport, OrderOutcome } from '../serving/engineCalls'
+import { count, createInputMonitor, listOf } from '../inputs'
+import type { InputMonitor } from '../inputs'
+import type { EngineCalls, EngineOrder, EngineReport, OrderOutcome, ReportError } from '../serving/engineCalls'
 import type { BackendServer } from '../serving/types'
 import type { ServerStatement } from '../statements'
 import { Err, Ok } from '../result'
@@ -16,16 +20,17 @@
 /** Another process has the engine's former address. */
 const MISDIRECTED = 421
 
-interface WireReport {
-  models?: Array<{ name: string, version?: number, adapters?: string[] | null }>
-  busy?: boolean
-  sequence?: number
-  waiting?: number
-  running?: number
-  pending?: string[]
-  born?: number
-  available?: { 'in-memory'?: string[], 'on-disk'?: string[] }
-}
+/** Without the models or the number of orders, an engine would look empty, and be ordered to load more than it can hold. */
+const wireReport = v.object({
+  models: v.nullable(v.array(v.object({ name: v.string(), version: v.nullish(v.number(), 0), adapters: listOf(v.string()) }))),
+  busy: v.boolean(),
+  sequence: count,
+  waiting: v.nullish(count, 0),
+  running: v.nullish(count, 0),
+  pending: listOf(v.string()),
+  born: v.nullish(count),
+  available: v.nullish(v.object({ 'in-memory': listOf(v.string()), 'on-disk': listOf(v.string()) }))
+})
 
 const ORDER_OUTCOMES: Record<number, OrderOutcome> = {
   200: 'holds-already',
@@ -36,9 +41,15 @@
   421: 'other-server'
 }
 
-export function createEngineCalls (clock: Clock): EngineCalls {
+export interface EngineCallsOptions {
+  clock: Clock
+  /** @default refused answers are neither logged nor counted */
+  inputs?: InputMonitor
+}
+
+export function createEngineCalls ({ clock, inputs = createInputMonitor() }: EngineCallsOptions): EngineCalls {
   const pools = new Map<string, Pool>()
-  const runs = createRunCalls(clock)
+  const runs = createRunCalls({ clock, inputs })
   const listeners: Array<(server: BackendServer, statement: ServerStatement) => void> = []
   const poolOf = (address: string): Pool => {
     const pool = pools.get(address) ?? createPool(`http://${address}`, { connections: 2, pipelining: 1, connect: { timeout: CALL_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: 0 })
@@ -69,9 +80,10 @@
     runs,
     fetchReport: async server => {
       const res = await call(server, 'GET', '/-/report')
-      if (res.err) return res
-      if (res.val.status !== 200) return Err(`status ${res.val.status}`)
-      return Ok(toReport(res.val.body as WireReport))
+      if (res.err) return Err<ReportError>({ kind: 'unanswered', message: res.val })
+      if (res.val.status !== 200) return Err<ReportError>({ kind: 'refused', message: `status ${res.val.status}` })
+      const report = inputs.check('engine-report', { server: server.id }, wireReport, res.val.body)
+      return report.err ? report : Ok(toReport(report.val))
     },
     sendOrder: async (server, order) => {
       const res = await call(server, 'POST', '/-/order', toWire(order))
@@ -80,7 +92,7 @@
     },
     onStatement: listener => { listeners.push(listener) },
     closeConnections: address => {
-      pools.get(address)?.destroy()
+      inBackground('close-pool', pools.get(address)?.destroy())
       pools.delete(address)
       runs.closeConnections(address)
     }
@@ -98,15 +110,15 @@
   }
 }
 
-function toReport (wire: WireReport): EngineReport {
+function toReport (wire: v.InferOutput<typeof wireReport>): EngineReport {
   return {
-    bornMs: wire.born,
-    isOrderPending: wire.busy ?? false,
-    acceptedOrders: wire.sequence ?? 0,
-    waiting: wire.waiting ?? 0,
-    running: wire.running ?? 0,
-    models: (wire.models ?? []).map(model => ({ name: model.name, version: model.version ?? 0, adapters: model.adapters ?? [] })),
-    loadingAdapters: (wire.pending ?? []).map(name => name.split('@')[0]!),
+    bornMs: wire.born ?? undefined,
+    isOrderPending: wire.busy,
+    acceptedOrders: wire.sequence,
+    waiting: wire.waiting,
+    running: wire.running,
+    models: (wire.models ?? []).map(model => ({ name: model.name, version: model.version, adapters: model.adapters })),
+    loadingAdapters: wire.pending.map(name => name.split('@')[0]!),
     copies: { memory: wire.available?.['in-memory'] ?? [], disk: wire.available?.['on-disk'] ?? [] }
   }
 }
--- a/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
@@ -358,7 +358,7 @@
       placement: createPlacementClient({ peers, servers: list, leader: () => LEADER, isServerResponding: process => !health.isSilent(process), isIsolated: () => false, clock, logger }),
       allowance: createAllowanceLimiter({ peers, findTeam: () => undefined, windowMs: 8000, isFirstStart: true, store, era: () => 0, tolerance: { ratio: 0, slack: 0 }, clock, logger }),
       connections,
-      streamVersions: createVersionKeeping({ peers, servers: list, cfg: activeConfig, fetchReport: async () => Err('no reports'), isListCurrent: () => true, clock, logger }),
+      streamVersions: createVersionKeeping({ peers, servers: list, cfg: activeConfig, fetchReport: async () => Err({ kind: 'unanswered', message: 'no reports' }), isListCurrent: () => true, clock, logger }),
       coldStarts: { isCold: () => false, admit: async () => true },
       crashes: createCrashAttribution({ peers, clock, logger, hasCrashed: async () => false }),
       retryBudget: () => createRetryBudget({ retriesPerRequest: 1, burst: () => 1000 }),
--- a/packages/magnoliabay/src/node/serving/engineCalls.ts
+++ b/packages/magnoliabay/src/node/serving/engineCalls.ts
@@ -19,6 +19,12 @@
   copies: { memory: readonly string[], disk: readonly string[] }
 }
 
+/** `unanswered`: no answer in time. `refused`: answered without a report. `malformed`: answered with something else. */
+export interface ReportError {
+  kind: 'unanswered' | 'refused' | 'malformed'
+  message: string
+}
+
 export interface EngineOrder {
   operation: 'load' | 'unload'
   model: string
@@ -40,7 +46,7 @@
 export interface EngineCalls {
   /** Calls that move runs; absent if engines cannot move any. */
   runs?: RunCalls
-  fetchReport (server: BackendServer): Promise<Result<EngineReport, string>>
+  fetchReport (server: BackendServer): Promise<Result<EngineReport, ReportError>>
   sendOrder (server: BackendServer, engineOrder: EngineOrder): Promise<OrderOutcome>
   /** The listener is called with what each answer to a report or an order states about the engine. */
   onStatement (listener: (server: BackendServer, statement: ServerStatement) => void): void
--- a/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
+++ b/packages/magnoliabay/src/node/serving/placement/engineOrders.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../../clock'
 import { sleep } from '../../clock'
 import type { Logger } from '../../logger'
-import { addCount } from '../../utils'
+import { addCount, messageOf } from '../../utils'
 import type { ServingConfigProvider } from '../servingConfigProvider'
 import type { EngineCalls, EngineOrder, OrderOutcome } from '../engineCalls'
 import type { ServerList } from '../serverList'
@@ -95,6 +95,8 @@
   /** Number of orders to each engine that are queued or in flight. */
   const ordersInFlight = new Map<string, number>()
   const reportsInFlight = new Set<string>()
+  /** When each engine was last asked; one that answers with no report is not asked again at once. */
+  const askedMs = new Map<string, number>()
   const lastTryMs = new Map<string, number>()
   /** Last queued order of each engine: orders to one engine are sent one after the other. */
   const queues = new Map<string, Promise<unknown>>()
@@ -128,9 +130,9 @@
     const { server, process } = engine
     if (reportsInFlight.has(process)) return
     reportsInFlight.add(process)
-    const report = await engines.fetchReport(server)
-    reportsInFlight.delete(process)
-    if (report.err) return logger.debug('engine-report-missing', { server: server.id, reason: report.val })
+    askedMs.set(process, clock.monotonic())
+    const report = await engines.fetchReport(server).finally(() => reportsInFlight.delete(process))
+    if (report.err) return logger.debug('engine-report-missing', { server: server.id, reason: report.val.kind, detail: report.val.message })
     if (report.val.bornMs !== undefined && report.val.bornMs !== server.bornMs) return
     const pending = tracker.get(process).pending
     if (!tracker.applyReport(process, report.val, clock.monotonic())) return
@@ -139,7 +141,7 @@
   const isReportDue = ({ tracked, process }: Engine): boolean => {
     const now = clock.monotonic()
     if (options.backoffMs(process) > 0) return false
-    if (now - tracked.reportedMs < REPORT_INTERVAL_MS) return false
+    if (now - Math.max(tracked.reportedMs, askedMs.get(process) ?? -Infinity) < REPORT_INTERVAL_MS) return false
     if (tracked.acceptedOrders === undefined) return true
     return tracked.pending !== undefined && now - tracked.pending.sentMs >= tracked.pending.expectedMs
   }
@@ -242,8 +244,12 @@
     hasPendingOrders: () => mayOrder() && (ordersInFlight.size > 0 || tracker.hasPending()),
     requestReports: () => {
       const listed = listEngines()
-      tracker.retainOnly(listed.map(engine => engine.process))
-      listed.filter(isReportDue).forEach(engine => { requestReport(engine) })
+      const processes = new Set(listed.map(engine => engine.process))
+      tracker.retainOnly([...processes])
+      askedMs.forEach((_, process) => { if (!processes.has(process)) askedMs.delete(process) })
+      listed.filter(isReportDue).forEach(engine => {
+        requestReport(engine).catch((err: unknown) => logger.error('engine-report-fault', { server: engine.server.id, reason: messageOf(err) }))
+      })
     }
   }
 }
--- a/packages/magnoliabay/src/node/serving/placement/schedule/__tests__/support/engineFleet.ts
+++ b/packages/magnoliabay/src/node/serving/placement/schedule/__tests__/support/engineFleet.ts
@@ -167,7 +167,7 @@
     engines: {
       fetchReport: server => after(RESPONSE_MS, () => {
         const engine = byId.get(server.id)!
-        if (engine.isUnreachable) return Err('unreachable')
+        if (engine.isUnreachable) return Err({ kind: 'unanswered' as const, message: 'unreachable' })
         return Ok({ bornMs: undefined, isOrderPending: engine.pending !== undefined, acceptedOrders: engine.accepted.length, waiting: 0, running: 0, models: engine.models.map(name => ({ name, version: 1, adapters: [] })), loadingAdapters: [], copies: engine.copies })
       }),
       sendOrder: (server, order) => after(RESPONSE_MS, () => {
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -1,4 +1,5 @@
 /** Creates one instance from all its parts, for a platform with a store, engines and plain services. */
+import { inBackground } from '../background'
 import { createServer } from 'node:http'
 import { setMaxListeners } from 'node:events'
 import type { Socket } from 'node:net'
@@ -8,6 +9,8 @@
 import { sleep } from '../clock'
 import { createDecayingRate } from '../decayingRate'
 import type { DecayingRate } from '../decayingRate'
+import { createInputMonitor } from '../inputs'
+import type { InputMonitor } from '../inputs'
 import type { Logger } from '../logger'
 import { createMembership, createPeerNetwork } from '../members'
 import type { MemberRecord } from '../members'
@@ -104,6 +107,8 @@
   dialPrimitivesOf?: (self: MemberRecord) => DialPrimitives<Socket>
   /** Counts wakeups of the process by cause. */
   activity: WakeupCounter
+  /** Checks what arrives from outside. @default one that only counts */
+  inputs?: InputMonitor
   clock: Clock
   logger: Logger
   /** Returns a number from 0 to below 1. */
@@ -167,6 +172,8 @@
   const stop = new AbortController()
   setMaxListeners(0, stop.signal)
   const metrics = createServingMetrics(activity)
+  const inputs = options.inputs ?? createInputMonitor(logger)
+  inputs.register(metrics.registry)
   const peers = createPeerNetwork({ self, clock, logger, onFrame: kind => activity.note(`peer ${kind}`), onTunnel: socket => forwardingServer.accept(socket) })
   const membership = createMembership({ store, network: peers, clock, logger })
   const cfg = createServingConfigProvider({ decode: protocol.decodeConfig, clock, logger })
@@ -437,7 +444,7 @@
   routes.paths.onChanged(change => {
     recordReachedServers(servers, health, change)
     if (change.address === undefined) fleetView.reportSoon()
-    if (!reachesEngines()) leadership.stepDown('most engines are out of reach')
+    if (!reachesEngines()) inBackground('step-down', leadership.stepDown('most engines are out of reach'))
   })
   evacuations.onChanged(servers.notifyChanged)
   cfg.onChanged(() => {
--- a/packages/magnoliabay/src/node/serving/streams/__tests__/support/streamRig.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/support/streamRig.ts
@@ -123,7 +123,7 @@
   const fetchReport: EngineCalls['fetchReport'] = async ({ id }) => {
     const { reports = 'process' } = options
     const { isCrashed, bornMs } = engines.get(id)!
-    if (isCrashed || reports === 'none') return Err('no answer in time')
+    if (isCrashed || reports === 'none') return Err({ kind: 'unanswered', message: 'no answer in time' })
     return Ok({ bornMs: reports === 'process' ? bornMs : undefined, isOrderPending: false, acceptedOrders: 0, waiting: 0, running: 0, models: [], loadingAdapters: [], copies: { memory: [], disk: [] } })
   }
   const serverLimits = createServerLimits({ clock, logger, onChanged: () => {} })
--- a/packages/magnoliabay/src/node/serving/versions/processIdentity.ts
+++ b/packages/magnoliabay/src/node/serving/versions/processIdentity.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from '../../clock'
 import { sleep } from '../../clock'
-import type { EngineReport } from '../engineCalls'
+import type { EngineReport, ReportError } from '../engineCalls'
 import type { Result } from '../../result'
 import { serverProcessId } from '../types'
 import type { BackendServer } from '../types'
@@ -36,7 +36,7 @@
 }
 
 export interface ProcessIdentityOptions {
-  fetchReport: (server: BackendServer) => Promise<Result<EngineReport, string>>
+  fetchReport: (server: BackendServer) => Promise<Result<EngineReport, ReportError>>
   /** Whether changes of the list of servers reach this instance. */
   isListCurrent: () => boolean
   /** Whether the server's entry has expired and is kept for a while, since the store was away. */
--- a/scripts/demoInstances.ts
+++ b/scripts/demoInstances.ts
@@ -23,7 +23,7 @@
   const clock = createSystemClock()
   const logger = createLogger({ level: 'error' })
   const store = createMetadataStore({ address: settings.store.address, clock, logger })
-  const instance = createServingInstance({ settings, protocol: platformProtocol, store, engines: createEngineCalls(clock), activity: createWakeupCounter(), clock, logger, random: Math.random })
+  const instance = createServingInstance({ settings, protocol: platformProtocol, store, engines: createEngineCalls({ clock }), activity: createWakeupCounter(), clock, logger, random: Math.random })
   await instance.start()
   while (!instance.isReady()) await pause(READY_POLL_INTERVAL_MS)
   return { instance, entryAddress }
