--- a/packages/magnoliabay/src/node/platform/__tests__/kvStore.spec.ts
+++ b/packages/magnoliabay/src/node/platform/__tests__/kvStore.spec.ts
@@ -3,6 +3,7 @@
 import { expect } from 'chai'
 import { createSystemClock } from '../../clock'
 import { createSilentLogger } from '../../logger'
+import { startRawServer } from '../../serving/__tests__/rawServer'
 import type { Transaction, WatchEvent, PrefixWatch } from '../../store'
 import { createMetadataStore } from '../metadataStore'
 import type { MetadataStore } from '../metadataStore'
@@ -53,6 +54,37 @@
     expect((await store.get('a/2')).unwrap()).to.equal(undefined)
   })
 
+  const CALLS: Record<string, (wrongStore: MetadataStore) => Promise<{ err: boolean }>> = {
+    'a read': wrongStore => wrongStore.get('a/1'),
+    'a range': wrongStore => wrongStore.range('a/'),
+    'a write': wrongStore => wrongStore.transact(put('a/1', 'x')),
+    'a lease': wrongStore => wrongStore.grantLease(10),
+    'a renewal': wrongStore => wrongStore.renewLease('7')
+  }
+  const WRONG_BODIES = ['null', '', '[]', '{}', '\u0001{', '{"items":[null],"at":1}', '{"items":7,"at":"x"}', '{"key":1,"revision":{}}', '{"revision":"9","lease":"9","ttl-ms":null}']
+  /** Guards against a process that ends, or takes the store for empty, for an answer of the wrong form: its outcome is unknown. */
+  Object.entries(CALLS).forEach(([name, call]) => it(`takes the outcome of ${name} for unknown when the answer has the wrong form`, async () => {
+    for (const body of WRONG_BODIES) {
+      const wrong = await startRawServer(socket => socket.end(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`))
+      const wrongStore = createMetadataStore({ address: wrong.address, clock, logger: createSilentLogger() })
+      const result = await call(wrongStore) as { err: boolean, val: { kind: string } }
+      expect(result.err && result.val.kind, body).to.equal('unknown')
+      await wrongStore.close()
+      await wrong.close()
+    }
+  }))
+
+  /** Guards against a watch that ends, and with it the changes of everything else, for a value that one subscriber cannot use. */
+  it('goes on watching after a subscriber fails on a value', async () => {
+    store.watch('a/', { onEvent: () => { throw new TypeError('wrong value') }, onSnapshot: () => { throw new TypeError('wrong value') } }, stop.signal)
+    const seen = watchUntil('a/', ({ events }) => events.length === 2)
+    store.start(stop.signal, [WATCH_ALL])
+    await new Promise(resolve => setTimeout(resolve, 50))
+    await store.transact(put('a/1', '1'))
+    await store.transact(put('a/2', '2'))
+    await seen
+  })
+
   it('reads a range that spans several pages', async () => {
     await Promise.all(['a/1', 'a/2', 'a/3', 'a/4', 'a/5', 'b/1'].map(key => store.transact(put(key, key))))
     expect((await store.range('a/')).unwrap().entries.map(entry => entry.key)).to.deep.equal(['a/1', 'a/2', 'a/3', 'a/4', 'a/5'])
--- a/packages/magnoliabay/src/node/platform/metadataStore.ts
+++ b/packages/magnoliabay/src/node/platform/metadataStore.ts
@@ -4,8 +4,12 @@
  * (`store/eras.ts`): conditions, leases and watches of an earlier era are never sent, and the outcome of a call that was
  * sent in one era and answered in another counts as unknown.
  */
+import { inBackground } from '../background'
+import * as v from 'valibot'
 import type { Clock } from '../clock'
 import { repeat } from '../clock'
+import { count, createInputMonitor } from '../inputs'
+import type { InputMonitor } from '../inputs'
 import type { Logger } from '../logger'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
@@ -25,6 +29,8 @@
 export interface MetadataStoreOptions {
   /** `ip:port` */
   address: string
+  /** Checks what the store answers. @default refused answers are neither logged nor counted */
+  inputs?: InputMonitor
   clock: Clock
   logger: Logger
 }
@@ -37,14 +43,22 @@
   close (): Promise<void>
 }
 
-interface WireItem {
-  key: string
-  value?: string
-  revision: number
-  created?: number
-  lease?: number
-  deleted?: boolean
-}
+const wireItem = v.object({
+  key: v.string(),
+  value: v.nullish(v.string(), ''),
+  revision: count,
+  created: v.nullish(count, 0),
+  lease: v.nullish(count, 0),
+  deleted: v.nullish(v.boolean(), false)
+})
+type WireItem = v.InferOutput<typeof wireItem>
+
+/** An empty list is stated; a body without one would look like a store without entries. */
+const wirePage = v.object({ items: v.array(wireItem), 'has-more': v.nullish(v.boolean(), false), at: count })
+const wireEvents = v.object({ events: v.array(wireItem), at: count })
+const wireRevision = v.object({ revision: count })
+const wireLease = v.object({ lease: v.pipe(count, v.minValue(1)) })
+const wireTtl = v.object({ 'ttl-ms': count })
 
 interface StoreResponse {
   status: number
@@ -72,14 +86,14 @@
 }
 
 const encode = (text: string): string => Buffer.from(text, 'utf8').toString('base64')
-const decode = (value: string | undefined): string => Buffer.from(value ?? '', 'base64').toString('utf8')
+const decode = (value: string): string => Buffer.from(value, 'base64').toString('utf8')
 
 function toKeyValue (item: WireItem, era: number): KeyValue {
-  return { key: item.key, value: decode(item.value), createRevision: toRevision(era, item.created ?? 0), modRevision: toRevision(era, item.revision), leaseId: toLeaseId(era, item.lease ?? 0) }
+  return { key: item.key, value: decode(item.value), createRevision: toRevision(era, item.created), modRevision: toRevision(era, item.revision), leaseId: toLeaseId(era, item.lease) }
 }
 
 function toEvent (item: WireItem, era: number): WatchEvent {
-  return { kind: item.deleted === true ? 'delete' : 'put', key: item.key, value: decode(item.value), createRevision: toRevision(era, item.created ?? 0), modRevision: toRevision(era, item.revision) }
+  return { kind: item.deleted ? 'delete' : 'put', key: item.key, value: decode(item.value), createRevision: toRevision(era, item.created), modRevision: toRevision(era, item.revision) }
 }
 
 /** Returns the eras that a transaction depends on: those of its conditions and of the leases that it writes under. */
@@ -104,7 +118,7 @@
 }
 
 export function createMetadataStore (options: MetadataStoreOptions): MetadataStore {
-  const { address, clock, logger } = options
+  const { address, inputs = createInputMonitor(), clock, logger } = options
   const pool = createPool(`http://${address}`, { connections: MAX_CONNECTIONS, pipelining: 1, connect: { timeout: CALL_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: 0 })
   const subscribers: Subscriber[] = []
   const connectivity = createStoreConnectivity({ address, clock, logger })
@@ -165,11 +179,19 @@
   const isLeaseOfEarlierEra = (leaseId: string | undefined): boolean => leaseId !== undefined && eraOfLease(leaseId) < era
   const invalidError = (response: Pick<StoreResponse, 'status'>): StoreError => ({ kind: 'invalid', message: `The store answered ${response.status}.` })
 
+  /** Returns the body of a success. Without the expected form it says nothing of the outcome of the call. */
+  const readBody = <Schema extends v.GenericSchema>(name: string, schema: Schema, { status, body }: StoreResponse): Result<v.InferOutput<Schema>, StoreError> => {
+    if (status !== 200) return Err(invalidError({ status }))
+    const checked = inputs.check('store-response', { call: name }, schema, body)
+    return checked.ok ? checked : Err<StoreError>({ kind: 'unknown', message: `${name}: ${checked.val.message}` })
+  }
+
   const get = async (key: string): Promise<Result<KeyValue | undefined, StoreError>> => {
     const res = await call('GET', `/-/kv-key?key=${encodeURIComponent(key)}`)
     if (res.err) return res
     if (res.val.status === 404) return Ok(undefined)
-    return res.val.status === 200 ? Ok(toKeyValue(res.val.body as WireItem, res.val.era)) : Err(invalidError(res.val))
+    const item = readBody('kv-key', wireItem, res.val)
+    return item.ok ? Ok(toKeyValue(item.val, res.val.era)) : item
   }
   const range = async (prefix: string): Promise<Result<RangeResult, StoreError>> => {
     const entries: KeyValue[] = []
@@ -179,14 +201,15 @@
     for (;;) {
       const res = await call('GET', `/-/kv-range?prefix=${encodeURIComponent(prefix)}${after === '' ? '' : `&after=${encodeURIComponent(after)}`}`)
       if (res.err) return res
-      if (res.val.status !== 200) return Err(invalidError(res.val))
+      const read = readBody('kv-range', wirePage, res.val)
+      if (read.err) return read
       firstEra ??= res.val.era
       if (res.val.era !== firstEra) return Err(eraChangedError)
-      const page = res.val.body as { items: WireItem[], 'has-more'?: boolean, at: number }
+      const page = read.val
       entries.push(...page.items.map(item => toKeyValue(item, res.val.era)))
       // Pages are not a snapshot: a watch from the first page's revision repeats changes that later pages contain, and misses none.
       revision = Math.min(revision, toRevision(res.val.era, page.at))
-      if (page['has-more'] !== true || page.items.length === 0) return Ok({ entries, revision })
+      if (!page['has-more'] || page.items.length === 0) return Ok({ entries, revision })
       after = page.items.at(-1)!.key
     }
   }
@@ -205,16 +228,20 @@
       }
     })
     if (res.err) return res
-    const { status, body } = res.val
+    const { status } = res.val
     if (erasOf(transaction).some(each => each !== res.val.era)) return Err(eraChangedError)
-    if (status === 200) return Ok({ succeeded: true, revision: toRevision(res.val.era, (body as { revision: number }).revision) })
+    if (status === 200) {
+      const written = readBody('kv-txn', wireRevision, res.val)
+      return written.ok ? Ok({ succeeded: true, revision: toRevision(res.val.era, written.val.revision) }) : written
+    }
     if (status === 412) return Ok({ succeeded: false, revision: 0 })
     return Err(status === 404 ? { kind: 'lease-lost', message: 'The lease does not exist any more.' } : invalidError(res.val))
   }
   const grantLease = async (ttlSeconds: number): Promise<Result<string, StoreError>> => {
     const res = await call('POST', '/-/kv-lease', { body: { 'ttl-ms': Math.round(ttlSeconds * 1000) } })
     if (res.err) return res
-    return res.val.status === 200 ? Ok(toLeaseId(res.val.era, (res.val.body as { lease: number }).lease)) : Err(invalidError(res.val))
+    const granted = readBody('kv-lease', wireLease, res.val)
+    return granted.ok ? Ok(toLeaseId(res.val.era, granted.val.lease)) : granted
   }
   const renewLease = async (leaseId: string): Promise<Result<number, StoreError>> => {
     if (isLeaseOfEarlierEra(leaseId)) return Err(leaseLostError)
@@ -222,7 +249,8 @@
     if (res.err) return res
     if (res.val.status === 404) return Err({ kind: 'lease-lost', message: `Lease ${leaseId} has ended.` })
     if (res.val.era !== eraOfLease(leaseId)) return Err(leaseLostError)
-    return res.val.status === 200 ? Ok((res.val.body as { 'ttl-ms': number })['ttl-ms'] / 1000) : Err(invalidError(res.val))
+    const renewed = readBody('kv-keep', wireTtl, res.val)
+    return renewed.ok ? Ok(renewed.val['ttl-ms'] / 1000) : renewed
   }
   const revokeLease = async (leaseId: string): Promise<Result<void, StoreError>> => {
     if (isLeaseOfEarlierEra(leaseId)) return Ok(undefined)
@@ -237,18 +265,28 @@
     const { entries, revision } = read.val
     subscribers
       .filter(({ prefix }) => prefix.startsWith(prefixWatch.prefix))
-      .forEach(({ prefix, handlers }) => handlers.onSnapshot({ revision, entries: entries.filter(entry => entry.key.startsWith(prefix)) }))
+      .forEach(({ prefix, handlers }) => deliverTo(prefix, () => handlers.onSnapshot({ revision, entries: entries.filter(entry => entry.key.startsWith(prefix)) })))
     return revision
   }
+  /** A value that one subscriber cannot use must not end the watch, which brings the values of all others. */
+  const deliverTo = (key: string, handle: () => void): void => {
+    try {
+      handle()
+    } catch (err) {
+      inputs.recordRefused('store-value', { key }, messageOf(err))
+    }
+  }
   const deliver = (items: readonly WireItem[], responseEra: number): void => items.forEach(item =>
-    subscribers.filter(({ prefix }) => item.key.startsWith(prefix)).forEach(({ handlers }) => handlers.onEvent(toEvent(item, responseEra))))
+    subscribers.filter(({ prefix }) => item.key.startsWith(prefix)).forEach(({ handlers }) => deliverTo(item.key, () => handlers.onEvent(toEvent(item, responseEra)))))
   const watch = async (prefixWatch: PrefixWatch, { after, waitMs, timeoutMs, signal }: WatchRequest): Promise<WatchOutcome> => {
     // The new history may have passed that revision: a watch from there would never report the new changes before it.
     if (eraOfRevision(after) < era) return { kind: 'history-gone' }
     const res = await call('GET', `/-/kv-watch?prefix=${encodeURIComponent(prefixWatch.prefix)}&after=${toStoredRevision(after)}&wait-ms=${waitMs}`, { timeoutMs, signal })
     if (res.err) return res.val.kind === 'given-up' ? { kind: 'cut' } : { kind: 'failed', err: res.val }
     if (res.val.status !== 200 || res.val.era !== eraOfRevision(after)) return { kind: 'history-gone' }
-    const { events, at } = res.val.body as { events: WireItem[], at: number }
+    const read = readBody('kv-watch', wireEvents, res.val)
+    if (read.err) return { kind: 'failed', err: read.val }
+    const { events, at } = read.val
     deliver(events, res.val.era)
     return { kind: 'answered', revision: toRevision(res.val.era, at), hadEvents: events.length > 0 }
   }
@@ -266,7 +304,7 @@
     reachableSinceMs: connectivity.reachableSinceMs,
     start: (signal, prefixWatches) => {
       runPrefixWatches({ client: { readAll, watch }, connectivity, clock, logger }, prefixWatches, signal)
-      repeat(clock, LOG_CALLS_INTERVAL_MS, signal, logCalls)
+      inBackground('metadata-store-loop', repeat(clock, LOG_CALLS_INTERVAL_MS, signal, logCalls))
     },
     close: () => pool.destroy()
   }
--- a/packages/magnoliabay/src/node/store/prefixWatches.ts
+++ b/packages/magnoliabay/src/node/store/prefixWatches.ts
@@ -3,11 +3,13 @@
  * is aborted and restarted when it may no longer get a response: a store that stops responding never answers the calls
  * that were waiting there, and a connection that the network dropped silently stays open.
  */
+import { inBackground } from '../background'
 import type { Clock } from '../clock'
 import { repeat, sleep, delayToNextPeriod } from '../clock'
 import type { Logger } from '../logger'
 import type { StoreConnectivity } from './connectivity'
 import type { StoreError, PrefixWatch } from './store'
+import { messageOf } from '../utils'
 
 /** How long after the requested wait a response may still arrive, in milliseconds. */
 const WATCH_GRACE_MS = 1000
@@ -85,8 +87,11 @@
   // continues from the last known revision and receives the events missed in the outage.
   options.connectivity.onChanged(() => abortAll('sent before the store was lost or reachable again'))
   signal.addEventListener('abort', () => abortAll('stopped'), { once: true })
-  repeat(options.clock, OVERDUE_CHECK_INTERVAL_MS, signal, abortOverdue)
-  prefixWatches.forEach((prefixWatch, index) => { runPrefixWatch({ ...options, openWatches }, prefixWatch, index === 0, signal) })
+  inBackground('prefix-watches-loop', repeat(options.clock, OVERDUE_CHECK_INTERVAL_MS, signal, abortOverdue))
+  prefixWatches.forEach((prefixWatch, index) => {
+    runPrefixWatch({ ...options, openWatches }, prefixWatch, index === 0, signal)
+      .catch((err: unknown) => options.logger.error('store-watch-fault', { prefix: prefixWatch.prefix, reason: messageOf(err) }))
+  })
 }
 
 async function runPrefixWatch (context: RunContext, prefixWatch: PrefixWatch, isProbing: boolean, signal: AbortSignal): Promise<void> {
