--- a/packages/magnoliabay/src/node/platform/configDocument.ts
+++ b/packages/magnoliabay/src/node/platform/configDocument.ts
@@ -1,5 +1,6 @@
 /** Decodes the configuration that the operator writes to the store. */
 import * as v from 'valibot'
+import { count, finite } from '../inputs'
 import type { ModelSpec, RequestKind, Route, Service, ServingConfig, Team } from '../serving/types'
 import { parseJson } from '../utils'
 
@@ -13,6 +14,8 @@
 const REQUEST_KINDS: Record<string, RequestKind> = { idempotent: 'idempotent', non_idempotent: 'non-idempotent', streaming: 'stream' }
 const DEFAULT_TIMEOUT_MS = 30_000
 const MS_PER_SECOND = 1000
+/** Adapters of one model: their names are made from this number. */
+const MAX_ADAPTERS = 1_000_000
 /** Time for which engines keep the copy of a run that is being moved. */
 const DEFAULT_HANDLE_SECONDS = 5
 
@@ -21,43 +24,43 @@
   hostname: v.string(),
   prefix: v.string(),
   'route-kind': v.optional(v.string(), 'non_idempotent'),
-  'timeout-ms': v.optional(v.number(), DEFAULT_TIMEOUT_MS),
-  'target-latency-ms': v.optional(v.number(), 0),
-  'gap-target-ms': v.optional(v.number(), 0),
-  priority: v.optional(v.number(), 0),
-  'max-attempts': v.optional(v.number(), 1),
+  'timeout-ms': v.optional(finite, DEFAULT_TIMEOUT_MS),
+  'target-latency-ms': v.optional(finite, 0),
+  'gap-target-ms': v.optional(finite, 0),
+  priority: v.optional(finite, 0),
+  'max-attempts': v.optional(finite, 1),
   anonymous: v.optional(v.boolean(), false),
   resumable: v.optional(v.boolean(), false),
   service: v.optional(v.nullable(v.string())),
-  'traffic-split': v.optional(v.nullable(v.array(v.object({ service: v.string(), weight: v.number() }))))
+  'traffic-split': v.optional(v.nullable(v.array(v.object({ service: v.string(), weight: finite }))))
 })
 
 const wireModel = v.object({
   name: v.string(),
-  'weights-mb': v.number(),
-  'load-time-s': v.number(),
-  adapters: v.optional(v.number(), 0),
-  'adapter-size-mb': v.optional(v.number(), 0),
-  'warmup-s': v.optional(v.number()),
-  'disk-load-s': v.optional(v.number())
+  'weights-mb': finite,
+  'load-time-s': finite,
+  adapters: v.optional(v.pipe(count, v.maxValue(MAX_ADAPTERS)), 0),
+  'adapter-size-mb': v.optional(finite, 0),
+  'warmup-s': v.optional(finite),
+  'disk-load-s': v.optional(finite)
 })
 
 const wireService = v.object({
   name: v.string(),
-  'connection-limit': v.optional(v.number(), 100),
-  'cold-start-s': v.optional(v.number(), 0),
+  'connection-limit': v.optional(finite, 100),
+  'cold-start-s': v.optional(finite, 0),
   // 0 means no limit.
-  'cold-per-s': v.optional(v.number(), 0),
+  'cold-per-s': v.optional(finite, 0),
   engine: v.optional(v.nullable(v.object({
-    slots: v.number(),
-    'kv-cache-tokens': v.optional(v.number(), 0),
-    'weights-mb': v.optional(v.number(), 0),
-    'adapter-capacity': v.optional(v.number(), 0),
-    'loads-per-s': v.optional(v.number(), 1),
+    slots: finite,
+    'kv-cache-tokens': v.optional(finite, 0),
+    'weights-mb': v.optional(finite, 0),
+    'adapter-capacity': v.optional(finite, 0),
+    'loads-per-s': v.optional(finite, 1),
     moves: v.optional(v.nullable(v.boolean())),
-    'kv-token-bytes': v.optional(v.number(), 0),
-    'bandwidth-mbps': v.optional(v.number(), 0),
-    handle_s: v.optional(v.number(), DEFAULT_HANDLE_SECONDS),
+    'kv-token-bytes': v.optional(finite, 0),
+    'bandwidth-mbps': v.optional(finite, 0),
+    handle_s: v.optional(finite, DEFAULT_HANDLE_SECONDS),
     models: v.optional(v.array(wireModel), [])
   })))
 })
@@ -65,23 +68,23 @@
 const wireTeam = v.object({
   name: v.string(),
   'api-keys': v.optional(v.array(v.string()), []),
-  priority: v.optional(v.nullable(v.number())),
+  priority: v.optional(v.nullable(finite)),
   unit: v.optional(v.string(), ''),
-  'plain-tokens': v.optional(v.number(), 0),
-  'rate-per-s': v.optional(v.number(), 0),
-  burst: v.optional(v.number(), 0)
+  'plain-tokens': v.optional(finite, 0),
+  'rate-per-s': v.optional(finite, 0),
+  burst: v.optional(finite, 0)
 })
 
 const wireConfig = v.object({
-  version: v.number(),
+  version: finite,
   routes: v.array(wireRoute),
   services: v.array(wireService),
   tenants: v.optional(v.nullable(v.array(wireTeam))),
   limits: v.optional(v.object({
-    'max-header-bytes': v.optional(v.number(), 16_384),
-    'max-body-bytes': v.optional(v.number(), 4_194_304),
-    'header-timeout-ms': v.optional(v.number(), 5000),
-    'idle-timeout-ms': v.optional(v.number(), 15_000)
+    'max-header-bytes': v.optional(finite, 16_384),
+    'max-body-bytes': v.optional(finite, 4_194_304),
+    'header-timeout-ms': v.optional(finite, 5000),
+    'idle-timeout-ms': v.optional(finite, 15_000)
   }), {})
 })
 
--- a/packages/magnoliabay/src/node/platform/serverEntry.ts
+++ b/packages/magnoliabay/src/node/platform/serverEntry.ts
@@ -1,5 +1,6 @@
 /** Decodes the entries that backend servers write about themselves. */
 import * as v from 'valibot'
+import { finite } from '../inputs'
 import type { BackendServer } from '../serving/types'
 import { parseJson } from '../utils'
 
@@ -11,14 +12,14 @@
   address: v.pipe(v.string(), v.regex(/^\d+\.\d+\.\d+\.\d+:\d+$/)),
   zone: v.string(),
   version: v.optional(v.nullable(v.string())),
-  slots: v.number(),
+  slots: finite,
   state: v.picklist(['ready', 'draining']),
-  born: v.optional(v.number(), 0),
-  'remaining-ms': v.optional(v.nullable(v.number())),
-  'cold-remaining-ms': v.optional(v.nullable(v.number())),
+  born: v.optional(finite, 0),
+  'remaining-ms': v.optional(v.nullable(finite)),
+  'cold-remaining-ms': v.optional(v.nullable(finite)),
   models: v.optional(v.nullable(v.array(v.object({
     name: v.string(),
-    version: v.optional(v.number(), 0),
+    version: v.optional(finite, 0),
     adapters: v.optional(v.nullable(v.array(v.string())))
   })))),
   available: v.optional(v.nullable(v.object({
--- a/packages/magnoliabay/src/node/serving/placement/__tests__/weightLoadLimiter.spec.ts
+++ b/packages/magnoliabay/src/node/serving/placement/__tests__/weightLoadLimiter.spec.ts
@@ -75,4 +75,13 @@
     loads.assumeEarlierLoads(0)
     expect(loads.remaining(0)).to.equal(1)
   })
+
+  /** Guards against the end of the leading process, again and again, with a configuration without engines: RangeError. */
+  it('counts earlier loads where no rate is known, or none is allowed', () => {
+    for (const rate of [Infinity, 1e12, 0]) {
+      const limiter = createWeightLoadLimiter({ windowMs: 5000, loadsPerSecond: () => rate })
+      limiter.assumeEarlierLoads(0)
+      expect(limiter.remaining(0)).to.be.at.most(3)
+    }
+  })
 })
--- a/packages/magnoliabay/src/node/serving/placement/placementController.ts
+++ b/packages/magnoliabay/src/node/serving/placement/placementController.ts
@@ -145,7 +145,7 @@
   }
   const storeLoads = createWeightLoadLimiter({
     windowMs: options.loadWindowMs,
-    loadsPerSecond: () => Math.min(...engineSpecs().map(spec => spec.storeLoadsPerSecond))
+    loadsPerSecond: () => lowestStoreLoads(engineSpecs())
   })
   const scheduler = createLoadScheduler({ clock, logger, reservations: options.reservations })
   const isScheduleFeasibleForAll = (): boolean => {
@@ -508,3 +508,8 @@
     }
   }
 }
+
+/** Loads that the weight store allows a second; none without a service of engines, whose minimum would be infinite. */
+function lowestStoreLoads (specs: readonly EngineSpec[]): number {
+  return specs.length === 0 ? 0 : Math.min(...specs.map(spec => spec.storeLoadsPerSecond))
+}
--- a/packages/magnoliabay/src/node/serving/placement/weightLoadLimiter.ts
+++ b/packages/magnoliabay/src/node/serving/placement/weightLoadLimiter.ts
@@ -41,6 +41,9 @@
 /** Ratio to the uncontended duration above which a load was slowed down by others. */
 const CONTENTION_RATIO = 1.2
 
+/** A rate that is not limited, or not known, would else make a list without end. */
+const MAX_ASSUMED_STARTS = 1000
+
 interface RunningLoad {
   sinceMs: number
   /** Highest number of loads that ran at the same time, including this one. */
@@ -79,7 +82,7 @@
     isLoading: engine => runningLoads.has(engine),
     slowdownFactor: loadsAhead => Math.max(1, (runningLoads.size + loadsAhead + 1) / concurrency),
     assumeEarlierLoads: nowMs => {
-      const assumedStarts = Math.floor(loadsPerSecond() * windowMs / 2000)
+      const assumedStarts = Math.min(MAX_ASSUMED_STARTS, Math.floor(loadsPerSecond() * windowMs / 2000))
       startTimesMs = Array.from({ length: assumedStarts }, () => nowMs)
       runningLoads.clear()
       const assumedRunning = Math.min(assumedStarts, concurrency - 1)
