--- a/packages/magnoliabay/src/node/backend/httpExchange.ts
+++ b/packages/magnoliabay/src/node/backend/httpExchange.ts
@@ -122,7 +122,9 @@
       isSent = true
     },
     onResponseStart: (_controller, status, headers) => {
-      if (hasEnded || status < 200) return
+      if (hasEnded || (status >= 100 && status < 200)) return
+      const problem = status < 100 ? `status ${status} is none of HTTP` : undefined
+      if (problem !== undefined) return abort('broken', problem)
       lastActivityMs = clock.monotonic()
       isUnmarked = framingOf(req.method, status, headers) === 'connection'
       const socket = isUnmarked ? connectionOf() : undefined
--- a/packages/magnoliabay/src/node/platform/requestHeaders.ts
+++ b/packages/magnoliabay/src/node/platform/requestHeaders.ts
@@ -44,7 +44,8 @@
 
 function parseNonNegativeInteger (text: string | undefined): number | undefined {
   if (text === undefined || !/^\d+$/.test(text.trim())) return undefined
-  return Number(text)
+  const value = Number(text)
+  return Number.isSafeInteger(value) ? value : undefined
 }
 
 function firstValueOf (value: string | string[] | undefined): string | undefined {
--- a/packages/magnoliabay/src/node/platform/serverStatement.ts
+++ b/packages/magnoliabay/src/node/platform/serverStatement.ts
@@ -12,10 +12,11 @@
 
 export const NO_STATEMENT: ServerStatement = { requestsPerSecond: undefined, maxRejectionsPerSecond: undefined, isLeaving: false, backoffMs: 0 }
 
-/** Returns undefined for a value that is missing or no decimal number. */
-function parseDecimal (value: string | string[] | undefined): number | undefined {
-  const text = typeof value === 'string' ? value.trim() : ''
-  return DECIMAL_PATTERN.test(text) ? Number(text) : undefined
+/** Returns undefined for a value that is missing or no decimal number that can be counted with. */
+function parseDecimal (header: string | string[] | undefined): number | undefined {
+  const text = typeof header === 'string' ? header.trim() : ''
+  const value = DECIMAL_PATTERN.test(text) ? Number(text) : Infinity
+  return value <= Number.MAX_SAFE_INTEGER ? value : undefined
 }
 
 export function decodeServerStatement (status: number, headers: Readonly<Record<string, string | string[] | undefined>>): ServerStatement {
--- a/packages/magnoliabay/src/node/serving/__tests__/exchange.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/exchange.spec.ts
@@ -50,6 +50,9 @@
   { name: 'bytes that are not a response', respond: socket => socket.write('what is this\r\n\r\n'), end: 'broken' },
   { name: 'a closed connection without a response', respond: socket => socket.end(), end: 'broken' },
   { name: 'a reset without a response', respond: socket => socket.resetAndDestroy(), end: 'broken' },
+  { name: 'a status that is none of HTTP', respond: socket => socket.write('HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\nfine'), end: 'broken' },
+  { name: 'a status below those of final responses', respond: socket => socket.write('HTTP/1.1 099 X\r\nContent-Length: 4\r\n\r\nfine'), end: 'broken' },
+  { name: 'a keep-alive timeout with hundreds of digits', respond: socket => socket.write(`HTTP/1.1 200 OK\r\nKeep-Alive: timeout=${'9'.repeat(400)}\r\nContent-Length: 4\r\n\r\nfine`), end: 'whole', body: 'fine' },
   { name: 'bytes after a complete response', respond: socket => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfineand more'), end: 'whole', body: 'fine' }
 ]
 
--- a/packages/magnoliabay/src/node/serving/__tests__/requestHandler.spec.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/requestHandler.spec.ts
@@ -256,6 +256,20 @@
     expect(await call(entry.address, '/read/1')).to.include({ status: 200, body: 'done', isComplete: true })
   })
 
+  /** Guards against the end of the process for a status that the runtime refuses to write. */
+  it('serves a read from the other server when one answers with a status that is none of HTTP', async () => {
+    const servers = await Promise.all([responseOf(0, SIGNED, 'done').replace(' 0 ', ' 000 '), GOOD].map(startServer))
+    entry = await startEntry(servers)
+    expect(await call(entry.address, '/read/1')).to.include({ status: 200, body: 'done', isComplete: true })
+  })
+
+  /** Guards against a process that runs out of memory for a failure without end, which is held back for a retry. */
+  it('gives up a failure that is too long to be held back', async () => {
+    const servers = await Promise.all([`HTTP/1.1 500 X\r\n${SIGNED}Content-Length: 600000\r\n\r\n${'x'.repeat(400_000)}`, GOOD].map(startServer))
+    entry = await startEntry(servers)
+    expect(await call(entry.address, '/read/1')).to.include({ status: 200, body: 'done', isComplete: true })
+  })
+
   /** Guards against a stream whose second part exceeds the length that its first server stated. */
   it('passes on a stream with a length in chunks, so that it can go on at the other server', async () => {
     const servers = await Promise.all([`HTTP/1.1 200 OK\r\n${SIGNED}Content-Length: ${EVENT_1.length + 12}\r\n\r\n${EVENT_1}part`, stream(EVENT_2)].map(startServer))
--- a/packages/magnoliabay/src/node/serving/attempt.ts
+++ b/packages/magnoliabay/src/node/serving/attempt.ts
@@ -62,6 +62,8 @@
   onServerStatement?: (metadata: ResponseMetadata) => void
   /** Called with the head and with each chunk of the response. */
   onActivity?: () => void
+  /** Called when the bytes that the server sends are no response. */
+  onMalformed?: (reason: string) => void
   /** Whether the end of a stream is held back, since its run may have been stopped for a move. @default () => false */
   holdsEnd?: () => boolean
   /** Called when complete events of a stream have been forwarded. */
@@ -190,9 +192,14 @@
   const receive = (chunk: Buffer): void => {
     if (!isRejected && isOk() && events !== undefined) return forwardEvents(events, chunk)
     if (isForwarding) return forward(chunk)
+    // Nothing of a rejection goes to the caller.
+    if (isRejected) return
     buffered.push(chunk)
     bufferedBytes += chunk.length
-    if (!isRejected && !options.isRetryableStatus(head!.status) && bufferedBytes > MAX_BUFFERED_BYTES) startForwarding()
+    if (bufferedBytes <= MAX_BUFFERED_BYTES) return
+    if (!options.isRetryableStatus(head!.status)) return startForwarding()
+    // Held back until it is whole, a failure without end would use up the memory.
+    fail(`failure with more than ${MAX_BUFFERED_BYTES} bytes`)
   }
   const concludeComplete = (): AttemptEnd => {
     if (isRejected) return { kind: 'rejected', status: head!.status }
@@ -219,6 +226,7 @@
   const exchange: Exchange = options.connections.exchange({ address: server.address, method: options.method, path: options.path, headers: options.headers, body: options.body }, {
     onSent: options.onSent,
     onPathBroken: options.onPathBroken,
+    onMalformed: options.onMalformed,
     onHead,
     onData,
     onEnd: (exchangeEnd, reason) => {
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -11,6 +11,7 @@
 import type { ServerDialer, ServerRoutes } from '../paths'
 import { watchConnectionEnd } from '../http/connectionEnd'
 import type { ConnectionEnd } from '../http/connectionEnd'
+import { findHeadProblem } from '../http/responseHead'
 import { framingOf } from '../http/responseFraming'
 import type { ResponseFraming } from '../http/responseFraming'
 import type { ProbeResult } from '../probe'
@@ -23,6 +24,8 @@
 const DEFAULT_REUSE_TIMEOUT_MS = 300
 /** Fraction of the stated idle timeout for which a connection is reused: requests must arrive before the server closes. */
 const REUSE_TIMEOUT_RATIO = 0.6
+/** Timers of the runtime refuse a time that is not finite, as of a header with hundreds of digits. */
+const MAX_REUSE_TIMEOUT_MS = 3_600_000
 
 export interface OutboundRequest {
   address: string
@@ -52,6 +55,8 @@
   onSent? (forwarder: string | undefined): void
   /** Called when this instance has lost its path to the server on a connection of its own, while others still have one. */
   onPathBroken? (): void
+  /** Called with the reason when the bytes that arrive are no response. */
+  onMalformed? (reason: string): void
   /** Called exactly once, after all other calls. */
   onEnd (end: ExchangeEnd, reason: string): void
 }
@@ -69,7 +74,8 @@
 
 function reuseTimeoutMs (keepAlive: string | undefined): number {
   const statedSeconds = /timeout=(\d+)/.exec(keepAlive ?? '')?.[1]
-  return statedSeconds === undefined ? DEFAULT_REUSE_TIMEOUT_MS : Math.max(DEFAULT_REUSE_TIMEOUT_MS, Number(statedSeconds) * 1000 * REUSE_TIMEOUT_RATIO)
+  if (statedSeconds === undefined) return DEFAULT_REUSE_TIMEOUT_MS
+  return Math.min(MAX_REUSE_TIMEOUT_MS, Math.max(DEFAULT_REUSE_TIMEOUT_MS, Number(statedSeconds) * 1000 * REUSE_TIMEOUT_RATIO))
 }
 
 /** Instances through which connections go; direct ones have none. */
@@ -172,6 +178,10 @@
   }
 }
 
+function isParseError (err: NodeJS.ErrnoException): boolean {
+  return err.code?.startsWith('HPE_') ?? false
+}
+
 function runExchange (agent: Agent, { dialer, monitor }: Pick<ServerRoutes<Socket>, 'dialer' | 'monitor'>, outbound: OutboundRequest, handler: ResponseHandler): Exchange {
   const { host, port } = parseHostPort(outbound.address)
   const watched = monitor.watch(outbound.address, () => handler.onPathBroken?.())
@@ -216,12 +226,20 @@
   })
   req.on('error', err => {
     failure = err.message
+    if (isParseError(err) && !hasEnded) handler.onMalformed?.(err.message)
     // Bytes after a complete response make the connection unusable but leave the response valid: its framing marks its end.
     if (isCompleteByFraming()) return
     finish(isSent ? 'broken' : 'unsent', err.message)
   })
   req.on('response', res => {
     response = res
+    const problem = findHeadProblem(res.statusCode ?? 0, res.rawHeaders)
+    if (problem !== undefined) {
+      handler.onMalformed?.(problem)
+      finish('broken', problem)
+      req.destroy()
+      return
+    }
     framing = framingOf(outbound.method, res.statusCode ?? 0, res.headers)
     if (framing === 'connection') connection = { socket: res.socket, end: watchConnectionEnd(res.socket) }
     watched.recordActivity()
--- a/packages/magnoliabay/src/node/serving/requestHandler.ts
+++ b/packages/magnoliabay/src/node/serving/requestHandler.ts
@@ -105,6 +105,7 @@
       onPauseChanged: isPaused => health.recordPause(id, isPaused),
       onSent: forwarder => { run.forwarder = forwarder },
       onPathBroken: () => recordPathBroken(run, id),
+      onMalformed: reason => ctx.inputs?.recordRefused('server-response', { server: server.id, request: caller.attemptId }, reason),
       decodeResponseHead: protocol.decodeResponseHead,
       toCallerHeaders: protocol.toCallerHeaders,
       isRetryableStatus: status => status >= MIN_SERVER_ERROR_STATUS && canRetry(run),
--- a/packages/magnoliabay/src/node/serving/servingContext.ts
+++ b/packages/magnoliabay/src/node/serving/servingContext.ts
@@ -17,6 +17,7 @@
 import type { ServerList } from './serverList'
 import type { RequestKind } from './types'
 import type { ServingProtocol } from './servingProtocol'
+import type { InputMonitor } from '../inputs'
 import type { RunCalls } from './streams/runCalls'
 import type { StreamVersions } from './versions'
 
@@ -36,6 +37,8 @@
   placement: PlacementClient
   allowance: AllowanceLimiter
   connections: Connections
+  /** Logs and counts responses that are none. @default they end their attempts only */
+  inputs?: Pick<InputMonitor, 'recordRefused'>
   /** Undefined if the engines of no service can move runs. */
   runCalls?: RunCalls
   coldStarts: ColdStarts
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -397,6 +397,7 @@
     logger
   })
   const handleRequest = createRequestHandler({
+    inputs,
     streamVersions,
     choosesByTime,
     crashes,
