--- a/packages/magnoliabay/src/node/crashes/confirmation.ts
+++ b/packages/magnoliabay/src/node/crashes/confirmation.ts
@@ -2,11 +2,12 @@
  * Tells whether a server has crashed after connections to it broke. Nothing listens at the address of a process that has died,
  * for anyone; an instance that is partitioned from the server may be refused too, while others connect.
  */
+import * as v from 'valibot'
 import { definePeerCall } from '../members'
 import type { MemberRecord, Peers } from '../members'
 import type { ProbeResult } from '../probe'
 
-const probeCall = definePeerCall<{ address: string }, { result: ProbeResult }>('crashes.probe-server')
+const probeCall = definePeerCall<{ address: string }, { result: ProbeResult }>('crashes.probe-server', { req: v.object({ address: v.string() }), res: v.object({ result: v.string() }) })
 
 /** Other instances that are asked, of several failure domains. */
 const ASKED = 3
--- a/packages/magnoliabay/src/node/crashes/crashAttribution.ts
+++ b/packages/magnoliabay/src/node/crashes/crashAttribution.ts
@@ -2,6 +2,7 @@
  * Keeps requests away from servers that crash on them. Each instance tells the others which suspects a crash may be due to, and
  * what an answer has cleared; all decide alike from the same records. Without crashes, nothing is sent and little is done.
  */
+import * as v from 'valibot'
 import type { Registry } from 'prom-client'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
@@ -85,8 +86,10 @@
   logger: Logger
 }
 
-const crashNotice = definePeerNotice<{ crashes: readonly CrashNotice[] }>('crashes.crashed')
-const clearedNotice = definePeerNotice<{ cleared: readonly ClearedNotice[] }>('crashes.cleared')
+const candidateSchema = v.object({ suspect: v.string(), teams: v.array(v.string()), sentBeforeMs: v.number(), isTrial: v.boolean(), isCleared: v.boolean() })
+const crashSchema = v.object({ process: v.string(), service: v.string(), softwareVersion: v.string(), ageMs: v.number(), candidates: v.array(candidateSchema) })
+const crashNotice = definePeerNotice<{ crashes: readonly CrashNotice[] }>('crashes.crashed', v.object({ crashes: v.array(crashSchema) }))
+const clearedNotice = definePeerNotice<{ cleared: readonly ClearedNotice[] }>('crashes.cleared', v.object({ cleared: v.array(v.object({ process: v.string(), suspects: v.array(v.string()) })) }))
 
 const DEFAULT_CRASHES_TO_BLAME = 3
 const DEFAULT_RETENTION_MS = 3_600_000
--- a/packages/magnoliabay/src/node/crashes/trialGrants.ts
+++ b/packages/magnoliabay/src/node/crashes/trialGrants.ts
@@ -2,6 +2,7 @@
  * Lets one request of the fleet at a time try a suspect. One instance, the service's home, grants trials for all; another does
  * while the home is not reached. Without either there are no trials.
  */
+import * as v from 'valibot'
 import type { Clock } from '../clock'
 import { definePeerCall, definePeerNotice, rankHomeInstances } from '../members'
 import type { Peers } from '../members'
@@ -11,8 +12,9 @@
   suspects: readonly Suspect[]
 }
 
-const trialCall = definePeerCall<TrialBody, { isGranted: boolean }>('crashes.trial')
-const trialEndedNotice = definePeerNotice<TrialBody>('crashes.trial-ended')
+const trialSchema = v.object({ suspects: v.array(v.string()) })
+const trialCall = definePeerCall<TrialBody, { isGranted: boolean }>('crashes.trial', { req: trialSchema, res: v.object({ isGranted: v.boolean() }) })
+const trialEndedNotice = definePeerNotice<TrialBody>('crashes.trial-ended', trialSchema)
 
 /** The home and the one in its place. */
 const GRANTING_INSTANCES = 2
--- a/packages/magnoliabay/src/node/members/dispatch.ts
+++ b/packages/magnoliabay/src/node/members/dispatch.ts
@@ -1,4 +1,7 @@
 /** Handlers of calls and notices by kind, and listeners; shared by every implementation of {@link Peers}. */
+import type { GenericSchema } from 'valibot'
+import { checkInput } from '../inputs'
+import type { InputMonitor } from '../inputs'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
 import { messageOf } from '../utils'
@@ -12,20 +15,35 @@
   handleNotice (kind: string, body: unknown, from: MemberRecord): void
 }
 
-export function createDispatch (): Dispatch {
+/** `inputs`: logs and counts messages of the wrong form. @default they are refused only */
+export function createDispatch (inputs?: Pick<InputMonitor, 'recordRefused'>): Dispatch {
   const calls = new Map<string, PeerCallHandler<unknown, unknown>>()
   const notices = new Map<string, PeerNoticeHandler<unknown>[]>()
+  const schemas = new Map<string, GenericSchema>()
+  const setSchema = (kind: string, schema: GenericSchema | undefined): void => { if (schema !== undefined) schemas.set(kind, schema) }
+  /** Returns why the body has not the form of its kind; undefined if it has. */
+  const findProblem = (kind: string, body: unknown, from: MemberRecord): string | undefined => {
+    const schema = schemas.get(kind)
+    const checked = schema === undefined ? undefined : checkInput(schema, body)
+    if (checked === undefined || checked.ok) return undefined
+    inputs?.recordRefused('peer-message', { peer: from.id, call: kind }, checked.val.message)
+    return checked.val.message
+  }
   return {
     serve: (call, handler) => {
+      setSchema(call.kind, call.schemas.req)
       calls.set(call.kind, handler as PeerCallHandler<unknown, unknown>)
     },
     listen: (notice, handler) => {
+      setSchema(notice.kind, notice.schema)
       const handlers = notices.get(notice.kind) ?? []
       notices.set(notice.kind, [...handlers, handler as PeerNoticeHandler<unknown>])
     },
     handleCall: async (kind, body, from) => {
       const handler = calls.get(kind)
       if (handler === undefined) return Err({ kind: 'no-handler', message: `No handler for calls of kind ${kind}.` })
+      const problem = findProblem(kind, body, from)
+      if (problem !== undefined) return Err({ kind: 'handler-failed', message: problem })
       try {
         return Ok(await handler(body, from))
       } catch (err) {
@@ -33,6 +51,7 @@
       }
     },
     handleNotice: (kind, body, from) => {
+      if (findProblem(kind, body, from) !== undefined) return
       const handlers = notices.get(kind) ?? []
       handlers.forEach(handler => handler(body, from))
     }
--- a/packages/magnoliabay/src/node/members/gossip.ts
+++ b/packages/magnoliabay/src/node/members/gossip.ts
@@ -3,7 +3,10 @@
  * neighbours the first time that it receives it. A notice reaches all members as long as the remaining links connect
  * them, whichever single member or link is lost.
  */
+import * as v from 'valibot'
 import type { Clock } from '../clock'
+import { definePeerNotice } from './peers'
+import { memberRecordSchema } from './record'
 import type { MemberRecord } from './record'
 
 export interface GossipMessage {
@@ -14,7 +17,7 @@
   body: unknown
 }
 
-export const GOSSIP_KIND = 'members.gossip'
+export const gossipNotice = definePeerNotice<GossipMessage>('members.gossip', v.object({ id: v.string(), origin: memberRecordSchema, kind: v.string(), body: v.unknown() }))
 
 export interface Gossip {
   /** Wraps a notice of this member, to be sent to all neighbours. */
--- a/packages/magnoliabay/src/node/members/link.ts
+++ b/packages/magnoliabay/src/node/members/link.ts
@@ -3,6 +3,7 @@
  */
 import { inBackground } from '../background'
 import type { Socket } from 'node:net'
+import * as v from 'valibot'
 import type { Clock } from '../clock'
 import type { Ticker } from '../clock/ticker'
 import { Err, Ok } from '../result'
@@ -66,6 +67,12 @@
   onGoodbye: (member: MemberRecord) => void
 }
 
+const peerErrorSchema = v.object({ kind: v.picklist(['not-connected', 'timeout', 'link-lost', 'no-handler', 'handler-failed', 'too-large']), message: v.string() })
+
+function toPeerError (body: unknown): PeerError {
+  return v.is(peerErrorSchema, body) ? body : { kind: 'handler-failed', message: 'The peer answered with an error without its form.' }
+}
+
 /** Runs a link until it ends and resolves to the reason. Never rejects. */
 export async function runLink (linkOptions: LinkOptions): Promise<string> {
   const { socket, clock, logger } = linkOptions
@@ -182,7 +189,7 @@
     hello: () => {},
     beat: handleHeartbeat,
     call: (frame, from) => { inBackground('answer-call', answerCall(frame, from)) },
-    reply: frame => pending.get(frame.id)?.settle(frame.ok ? Ok(frame.body) : Err(frame.body as PeerError)),
+    reply: frame => pending.get(frame.id)?.settle(frame.ok ? Ok(frame.body) : Err(toPeerError(frame.body))),
     notice: handleNotice,
     goodbye: (_frame, from) => linkOptions.onGoodbye(from)
   }
--- a/packages/magnoliabay/src/node/members/membership.ts
+++ b/packages/magnoliabay/src/node/members/membership.ts
@@ -8,7 +8,8 @@
 import type { Logger } from '../logger'
 import type { KeyValue, Store } from '../store'
 import type { PeerNetwork } from './network'
-import { MEMBERS_PREFIX, memberKey } from './record'
+import { checkInput } from '../inputs'
+import { MEMBERS_PREFIX, memberKey, memberRecordSchema } from './record'
 import type { MemberRecord } from './record'
 import { parseJson, stableHash } from '../utils'
 
@@ -126,9 +127,9 @@
   }
   const applyEntry = (entry: Pick<KeyValue, 'key' | 'value'>): void => {
     // A damaged record must not prevent the rest of a snapshot from being applied.
-    const record = parseJson(entry.value) as MemberRecord | undefined
-    if (record?.id === undefined) return logger.warn('member-record-refused', { key: entry.key })
-    updateRecord(record)
+    const record = checkInput(memberRecordSchema, parseJson(entry.value))
+    if (record.err) return logger.warn('member-record-refused', { key: entry.key, reason: record.val.message })
+    updateRecord(record.val)
   }
   const updateRecord = (record: MemberRecord): void => {
     const known = records.get(record.id)
--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -14,8 +14,10 @@
 import { createDispatch, createListeners } from './dispatch'
 import { detectProtocol } from './firstByte'
 import type { PeerProtocol } from './firstByte'
+import { checkInput } from '../inputs'
+import type { InputMonitor } from '../inputs'
 import { encodeFrame } from './frames'
-import { GOSSIP_KIND, createGossip } from './gossip'
+import { createGossip, gossipNotice } from './gossip'
 import type { GossipMessage } from './gossip'
 import { HEARTBEAT_INTERVAL_MS, runLink } from './link'
 import type { Link } from './link'
@@ -34,6 +36,8 @@
 
 export interface PeerNetworkOptions {
   self: MemberRecord
+  /** Logs and counts messages of the wrong form. @default they are refused only */
+  inputs?: Pick<InputMonitor, 'recordRefused'>
   clock: Clock
   logger: Logger
   /** @default TCP in plain text */
@@ -68,7 +72,7 @@
 
 export function createPeerNetwork (options: PeerNetworkOptions): PeerNetwork {
   const { self, clock, logger, transport = TCP_TRANSPORT } = options
-  const dispatch = createDispatch()
+  const dispatch = createDispatch(options.inputs)
   const ticker = createTicker(clock, HEARTBEAT_INTERVAL_MS)
   const changed = createListeners<[]>()
   const connected = createListeners<[MemberRecord]>()
@@ -170,8 +174,8 @@
     .forEach(({ link }) => link.close('idle'))
   const forwardToNeighbours = (message: GossipMessage, except?: string): void => [...links.values()]
     .filter(({ link }) => neighbours.has(link.member.id) && link.member.id !== except)
-    .forEach(({ link }) => link.notify(GOSSIP_KIND, message))
-  dispatch.listen<GossipMessage>({ kind: GOSSIP_KIND }, (message, from) => {
+    .forEach(({ link }) => link.notify(gossipNotice.kind, message))
+  dispatch.listen(gossipNotice, (message, from) => {
     if (message.origin.incarnation === self.incarnation || !gossip.isNew(message)) return
     forwardToNeighbours(message, from.id)
     dispatch.handleNotice(message.kind, message.body, message.origin)
@@ -197,7 +201,12 @@
     if (memberId === self.id) return await dispatch.handleCall(peerCall.kind, body, self) as Answer
     const link = await linkTo(memberId)
     if (link === undefined) return Err({ kind: 'not-connected', message: `No link to ${memberId}.` })
-    return await link.call(peerCall.kind, body, callOptions) as Answer
+    const answer = await link.call(peerCall.kind, body, callOptions)
+    const { res } = peerCall.schemas
+    const checked = answer.err || res === undefined ? undefined : checkInput(res, answer.val)
+    if (checked === undefined || checked.ok) return answer as Answer
+    options.inputs?.recordRefused('peer-message', { peer: memberId, call: peerCall.kind }, checked.val.message)
+    return Err<PeerError>({ kind: 'handler-failed', message: checked.val.message })
   }
   const notify: Peers['notify'] = async (memberId, notice, body) => {
     const link = await linkTo(memberId)
--- a/packages/magnoliabay/src/node/members/peers.ts
+++ b/packages/magnoliabay/src/node/members/peers.ts
@@ -2,27 +2,38 @@
  * Interface for messages between members: calls, which are answered, and notices, which are not. `members/network.ts`
  * implements it over TCP, `members/memoryNetwork.ts` in memory for tests.
  */
+import type { GenericSchema } from 'valibot'
 import type { Result } from '../result'
 import type { MemberRecord } from './record'
 
+/** The forms of a request and of its answer, checked where they arrive. Fields that they do not name are passed on. */
+export interface CallSchemas {
+  /** @default its handler checks it */
+  req?: GenericSchema
+  /** @default its caller checks it */
+  res?: GenericSchema
+}
+
 /** A typed call between members. Created with {@link definePeerCall}. */
 export interface PeerCall<Req, Res> {
   readonly kind: string
+  readonly schemas: CallSchemas
   readonly types?: { req: Req, res: Res }
 }
 
 /** A typed notice between members: sent once, possibly lost, never answered. */
 export interface PeerNotice<Body> {
   readonly kind: string
+  readonly schema: GenericSchema | undefined
   readonly types?: { body: Body }
 }
 
-export function definePeerCall<Req, Res> (kind: string): PeerCall<Req, Res> {
-  return { kind }
+export function definePeerCall<Req, Res> (kind: string, schemas: CallSchemas = {}): PeerCall<Req, Res> {
+  return { kind, schemas }
 }
 
-export function definePeerNotice<Body> (kind: string): PeerNotice<Body> {
-  return { kind }
+export function definePeerNotice<Body> (kind: string, schema?: GenericSchema): PeerNotice<Body> {
+  return { kind, schema }
 }
 
 /**
--- a/packages/magnoliabay/src/node/members/reachabilityProbe.ts
+++ b/packages/magnoliabay/src/node/members/reachabilityProbe.ts
@@ -3,6 +3,7 @@
  * paused, or cut off. It is a reason to act early only where acting early is safe, as on engines that refuse orders
  * with an older fencing token.
  */
+import * as v from 'valibot'
 import { definePeerCall } from './peers'
 import type { Peers } from './peers'
 
@@ -16,7 +17,7 @@
 }
 
 const pingCall = definePeerCall<null, true>('members.ping')
-const witnessCall = definePeerCall<{ member: string }, { isReached: boolean }>('members.witness')
+const witnessCall = definePeerCall<{ member: string }, { isReached: boolean }>('members.witness', { req: v.object({ member: v.string() }), res: v.object({ isReached: v.boolean() }) })
 
 const PING_TIMEOUT_MS = 1000
 /** Longer than a ping, so that a witness whose ping times out can still answer. */
--- a/packages/magnoliabay/src/node/members/record.ts
+++ b/packages/magnoliabay/src/node/members/record.ts
@@ -1,4 +1,5 @@
 /** Description of a member, which it stores under its lease for the other members. */
+import * as v from 'valibot'
 import { STORE_KEY_PREFIX } from '../constants'
 
 export interface MemberRecord {
@@ -27,3 +28,17 @@
 export function memberKey (id: string): string {
   return `${MEMBERS_PREFIX}${id}`
 }
+
+/** The form of a record, as it arrives from the store and from other members. */
+export const memberRecordSchema = v.object({
+  id: v.pipe(v.string(), v.minLength(1)),
+  incarnation: v.string(),
+  startedAtMs: v.number(),
+  region: v.string(),
+  failureDomain: v.string(),
+  peerAddress: v.string(),
+  entryAddress: v.string(),
+  operatorAddress: v.string(),
+  leaving: v.boolean(),
+  processorShare: v.number()
+})
--- a/packages/magnoliabay/src/node/members/terminationDetector.ts
+++ b/packages/magnoliabay/src/node/members/terminationDetector.ts
@@ -2,6 +2,7 @@
  * Collects proofs that processes have ended. Silence, an expired lease and a refused connection are no proof: a paused
  * process resumes and continues to use the leases and shares that it held before.
  */
+import * as v from 'valibot'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import type { ListedInstance } from '../store'
@@ -56,8 +57,9 @@
   proof: TerminationProofKind
 }
 
-const proofNotice = definePeerNotice<ProofMessage>('members.gone')
-const proofsCall = definePeerCall<null, readonly ProofMessage[]>('members.proofs')
+const proofSchema = v.object({ process: v.object({ member: v.string(), incarnation: v.string() }), proof: v.string() })
+const proofNotice = definePeerNotice<ProofMessage>('members.gone', proofSchema)
+const proofsCall = definePeerCall<null, readonly ProofMessage[]>('members.proofs', { res: v.array(proofSchema) })
 
 interface ObservedProcess {
   record: MemberRecord
--- a/packages/magnoliabay/src/node/serving/allowance/allowanceLimiter.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/allowanceLimiter.ts
@@ -4,6 +4,7 @@
  * recorded in the store (`homeLedger.ts`). Every instance also reports its own spending, so that a home learns of
  * spending that it has not counted.
  */
+import * as v from 'valibot'
 import { TIMED_OUT, withTimeout } from '../../clock'
 import type { Clock } from '../../clock'
 import type { Logger } from '../../logger'
@@ -64,8 +65,13 @@
   part?: string
 }
 
-const takeCall = definePeerCall<TakeRequest, TakeReply>('allowance.take')
-const refundNotice = definePeerNotice<RefundNotice>('allowance.give-back')
+const askSchema = v.object({ part: v.string(), session: v.optional(v.string()), caller: v.optional(v.string()), patienceMs: v.optional(v.number()) })
+const decisionSchema = v.object({ waitMs: v.number(), partClass: v.picklist(['within', 'lent']), guarantee: v.number(), partSpent: v.number() })
+const takeCall = definePeerCall<TakeRequest, TakeReply>('allowance.take', {
+  req: v.object({ team: v.string(), amount: v.number(), apart: v.number(), ask: v.optional(askSchema) }),
+  res: v.object({ waitMs: v.optional(v.number()), part: v.optional(decisionSchema) })
+})
+const refundNotice = definePeerNotice<RefundNotice>('allowance.give-back', v.object({ team: v.string(), amount: v.number(), part: v.optional(v.string()) }))
 
 /** The outcome for a request, decided by the `home` or from the `share` of this instance alone. */
 export interface AllowanceDecision {
--- a/packages/magnoliabay/src/node/serving/allowance/peerFallbackStore.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/peerFallbackStore.ts
@@ -4,16 +4,27 @@
  * covers for as long as that lasts. Records change by compare-and-swap, so a write whose response was lost here and that
  * a peer repeats takes effect once.
  */
+import * as v from 'valibot'
 import { definePeerCall } from '../../members'
 import type { Peers } from '../../members'
 import { Err, Ok } from '../../result'
 import type { Result } from '../../result'
+import { storeErrorSchema } from '../../store'
 import type { KeyValue, Store, StoreError, Transaction, TransactionResult } from '../../store'
 
 type StoreOutcome<T> = { kind: 'done', value: T } | { kind: 'failed', err: StoreError }
 
-const readCall = definePeerCall<{ key: string }, StoreOutcome<KeyValue | undefined>>('allowance.read-record')
-const writeCall = definePeerCall<Transaction, StoreOutcome<TransactionResult>>('allowance.write-record')
+const outcomeSchema = <Value extends v.GenericSchema>(value: Value): v.GenericSchema => v.variant('kind', [v.object({ kind: v.literal('done'), value }), v.object({ kind: v.literal('failed'), err: storeErrorSchema })])
+const entrySchema = v.object({ key: v.string(), value: v.string(), createRevision: v.number(), modRevision: v.number(), leaseId: v.string() })
+const transactionSchema = v.object({
+  compares: v.array(v.object({ key: v.string(), target: v.picklist(['create', 'mod', 'value']), equals: v.union([v.number(), v.string()]) })),
+  writes: v.array(v.variant('kind', [
+    v.object({ kind: v.literal('put'), key: v.string(), value: v.string(), leaseId: v.optional(v.string()) }),
+    v.object({ kind: v.literal('delete'), key: v.string() })
+  ]))
+})
+const readCall = definePeerCall<{ key: string }, StoreOutcome<KeyValue | undefined>>('allowance.read-record', { req: v.object({ key: v.string() }), res: outcomeSchema(v.optional(entrySchema)) })
+const writeCall = definePeerCall<Transaction, StoreOutcome<TransactionResult>>('allowance.write-record', { req: transactionSchema, res: outcomeSchema(v.object({ succeeded: v.boolean(), revision: v.number() })) })
 
 /** A peer that reaches the store replies in milliseconds, or in some tenths of a second while the store is slow. */
 const PEER_TIMEOUT_MS = 700
--- a/packages/magnoliabay/src/node/serving/coldStarts.ts
+++ b/packages/magnoliabay/src/node/serving/coldStarts.ts
@@ -5,6 +5,7 @@
  * While members change, two home instances may count at once, and a new one does not know what the previous one
  * granted, so each grants half of the limit. An instance that cannot ask sends nothing to a cold server.
  */
+import * as v from 'valibot'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import { definePeerCall, homeInstanceOf } from '../members'
@@ -12,7 +13,7 @@
 import { serverProcessId } from './types'
 import type { BackendServer, ColdStart } from './types'
 
-const admitCall = definePeerCall<{ process: string, most: number }, { isAdmitted: boolean }>('serving.admit-cold')
+const admitCall = definePeerCall<{ process: string, most: number }, { isAdmitted: boolean }>('serving.admit-cold', { req: v.object({ process: v.string(), most: v.number() }), res: v.object({ isAdmitted: v.boolean() }) })
 
 const WINDOW_MS = 1000
 /** Part of the limit that one home instance grants: two may count for one server at once. */
--- a/packages/magnoliabay/src/node/serving/dissemination.ts
+++ b/packages/magnoliabay/src/node/serving/dissemination.ts
@@ -3,14 +3,15 @@
  * and sends changes to those that report to it; each of them forwards the changes to its own reporters. An instance that
  * reaches neither the leader nor the store asks a peer.
  */
+import * as v from 'valibot'
 import { inBackground } from '../background'
 import type { Clock } from '../clock'
 import { repeat } from '../clock'
 import type { Logger } from '../logger'
-import { definePeerCall } from '../members'
+import { definePeerCall, memberRecordSchema } from '../members'
 import type { MemberList, MemberRecord, PeerCall, Peers } from '../members'
 import type { ServingConfigProvider } from './servingConfigProvider'
-import { configNotice, evacuationNotice, membersNotice, serversNotice } from './fleetMessages'
+import { configNotice, evacuationNotice, membersNotice, serversNotice, evacuationSchema, leadershipSchema, listedServerSchema, packedSchema } from './fleetMessages'
 import type { FleetSummary, LeadershipTerm, ListedServer } from './fleetMessages'
 import { compressText, decompressText } from './compressedText'
 import type { EvacuationState, Evacuations } from './evacuations'
@@ -28,10 +29,11 @@
   evacuation: EvacuationState
 }
 
-const configCall = definePeerCall<Record<string, never>, { packed: Uint8Array | undefined }>('serving.config')
-const serversCall = definePeerCall<Record<string, never>, { servers: readonly ListedServer[] }>('serving.servers')
-const membersCall = definePeerCall<Record<string, never>, { members: readonly MemberRecord[] }>('serving.members')
-const statusCall = definePeerCall<Record<string, never>, PeerStatus>('serving.news')
+const statusSchema = v.object({ configVersion: v.number(), storeAgeMs: v.number(), leading: v.optional(leadershipSchema), leavingServers: v.array(v.string()), isListKnown: v.boolean(), evacuation: evacuationSchema })
+const configCall = definePeerCall<Record<string, never>, { packed: Uint8Array | undefined }>('serving.config', { res: v.object({ packed: v.optional(packedSchema) }) })
+const serversCall = definePeerCall<Record<string, never>, { servers: readonly ListedServer[] }>('serving.servers', { res: v.object({ servers: v.array(listedServerSchema) }) })
+const membersCall = definePeerCall<Record<string, never>, { members: readonly MemberRecord[] }>('serving.members', { res: v.object({ members: v.array(memberRecordSchema) }) })
+const statusCall = definePeerCall<Record<string, never>, PeerStatus>('serving.news', { res: statusSchema })
 
 /** Changes of a list are batched for this long for each follower, and at least for the minimum below, milliseconds. */
 const BATCH_DELAY_PER_FOLLOWER_MS = 0.5
--- a/packages/magnoliabay/src/node/serving/fleetMessages.ts
+++ b/packages/magnoliabay/src/node/serving/fleetMessages.ts
@@ -1,10 +1,12 @@
 /** Messages between instances and the leader: relays aggregate reports and forward summaries and notices. */
-import { definePeerNotice } from '../members'
+import * as v from 'valibot'
+import { definePeerNotice, memberRecordSchema } from '../members'
 import type { MemberChanges } from '../members'
 import type { StatedBrittleness, StatedLimit } from '../statements'
 import type { EvacuationState } from './evacuations'
 import type { TeamSpending } from './allowance/allowanceLimiter'
 import type { SpeedSample } from './choice/engineSpeeds'
+import { leaderClaimSchema } from './placement/leaderRecords'
 import type { LeaderClaim } from './placement/leaderRecords'
 import type { BackendServer } from './types'
 
@@ -124,9 +126,67 @@
   packed: Uint8Array
 }
 
-export const reportNotice = definePeerNotice<InstanceReport>('serving.report')
-export const summaryNotice = definePeerNotice<FleetSummary>('serving.summary')
-export const serversNotice = definePeerNotice<ServersNotice>('serving.servers-changed')
-export const membersNotice = definePeerNotice<MemberChanges>('serving.members-changed')
-export const evacuationNotice = definePeerNotice<EvacuationState>('serving.evacuation-changed')
-export const configNotice = definePeerNotice<ConfigNotice>('serving.config-changed')
+const texts = v.array(v.string())
+const limits = v.array(v.object({ server: v.string(), requestsPerSecond: v.optional(v.number()), ageMs: v.number() }))
+const brittle = v.optional(v.array(v.object({ service: v.string(), maxRejectionsPerSecond: v.optional(v.number()), ageMs: v.number() })))
+const spent = v.array(v.object({ team: v.string(), units: v.number() }))
+const models = v.array(v.object({ name: v.string(), version: v.number(), adapters: texts }))
+
+const reportSchema = v.object({
+  configVersion: v.number(),
+  storeAgeMs: v.number(),
+  inFlight: v.array(v.object({ server: v.string(), model: v.string(), count: v.number() })),
+  demand: v.array(v.object({ model: v.string(), rate: v.number(), waiting: v.number() })),
+  leavingServers: texts,
+  silentServers: v.array(v.object({ server: v.string(), tellers: v.number() })),
+  limits,
+  brittle,
+  spent,
+  isReady: v.boolean(),
+  reachesServers: v.optional(v.boolean()),
+  below: v.array(v.object({ id: v.string(), isReady: v.boolean(), reachesServers: v.optional(v.boolean()) })),
+  isUrgent: v.boolean(),
+  speeds: v.optional(v.array(v.object({ server: v.string(), logSum: v.number(), count: v.number() })))
+})
+export const leadershipSchema = v.object({ claim: leaderClaimSchema, revision: v.number() })
+export const evacuationSchema = v.object({ domains: texts, revision: v.number() })
+const summarySchema = v.object({
+  leading: leadershipSchema,
+  count: v.number(),
+  configVersion: v.number(),
+  storeAgeMs: v.number(),
+  storeSteadyMs: v.number(),
+  loads: v.array(v.object({ server: v.string(), count: v.number(), speed: v.optional(v.number()) })),
+  unavailable: texts,
+  forwarders: v.optional(texts),
+  leavingServers: texts,
+  limits,
+  brittle,
+  spent,
+  evacuation: evacuationSchema,
+  listDigest: v.string(),
+  membersDigest: v.string()
+})
+export const listedServerSchema = v.object({
+  id: v.string(),
+  bornMs: v.number(),
+  service: v.string(),
+  address: v.string(),
+  failureDomain: v.string(),
+  slots: v.number(),
+  softwareVersion: v.optional(v.string()),
+  state: v.picklist(['ready', 'draining']),
+  coldMs: v.number(),
+  models,
+  remainingMs: v.optional(v.number())
+})
+const serversSchema = v.object({ changed: v.array(listedServerSchema), holding: v.array(v.object({ id: v.string(), bornMs: v.number(), models })), gone: texts })
+const membersSchema = v.object({ put: v.array(memberRecordSchema), gone: texts })
+export const packedSchema = v.instance(Uint8Array)
+
+export const reportNotice = definePeerNotice<InstanceReport>('serving.report', reportSchema)
+export const summaryNotice = definePeerNotice<FleetSummary>('serving.summary', summarySchema)
+export const serversNotice = definePeerNotice<ServersNotice>('serving.servers-changed', serversSchema)
+export const membersNotice = definePeerNotice<MemberChanges>('serving.members-changed', membersSchema)
+export const evacuationNotice = definePeerNotice<EvacuationState>('serving.evacuation-changed', evacuationSchema)
+export const configNotice = definePeerNotice<ConfigNotice>('serving.config-changed', v.object({ packed: packedSchema }))
--- a/packages/magnoliabay/src/node/serving/placement/leaderElection.ts
+++ b/packages/magnoliabay/src/node/serving/placement/leaderElection.ts
@@ -10,7 +10,7 @@
 import type { Result } from '../../result'
 import type { Store, StoreError } from '../../store'
 import type { LeadershipTerm } from '../fleetMessages'
-import { LAST_ORDER_KEY, LEADER_KEY, createLeaderClaim, readLeaderRecords, versionedOf, writeLeaderClaim, writeLastOrderRecord } from './leaderRecords'
+import { LAST_ORDER_KEY, LEADER_KEY, createLeaderClaim, readLeaderRecords, toLastOrder, toLeaderClaim, writeLeaderClaim, writeLastOrderRecord } from './leaderRecords'
 import type { LastOrderRecord, LeaderClaim, LeaderRecords, Versioned } from './leaderRecords'
 
 export { LEADER_KEY }
@@ -135,10 +135,10 @@
   let confirmedAt: Timestamp | undefined
   /** Whether a first snapshot has arrived; until then it is unknown whether there is a lease holder. */
   let hasSnapshot = false
-  let leader: Versioned<LeaderClaim> = versionedOf(undefined)
+  let leader: Versioned<LeaderClaim> = toLeaderClaim(undefined)
   /** Latest known revision of a claim or of its end; claims from peers may be older. */
   let latestRevision = 0
-  let lastOrder: Versioned<LastOrderRecord> = versionedOf(undefined)
+  let lastOrder: Versioned<LastOrderRecord> = toLastOrder(undefined)
   let leaseRelease: LeaseRelease | undefined
   let hasResigned = false
   let wake = new AbortController()
@@ -324,15 +324,15 @@
           if (!hasSnapshot) firstEra = options.era()
           hasSnapshot = true
           const found = entries.find(entry => entry.key === LEADER_KEY)
-          applyLeader(versionedOf(found), found?.modRevision ?? 0)
+          applyLeader(toLeaderClaim(found), found?.modRevision ?? 0)
         },
         onEvent: event => {
-          if (event.key === LEADER_KEY) applyLeader(versionedOf(event.kind === 'put' ? event : undefined), event.modRevision)
+          if (event.key === LEADER_KEY) applyLeader(toLeaderClaim(event.kind === 'put' ? event : undefined), event.modRevision)
         }
       }, signal)
       store.watch(LAST_ORDER_KEY, {
-        onSnapshot: ({ entries }) => applyLastOrder(versionedOf(entries.find(entry => entry.key === LAST_ORDER_KEY))),
-        onEvent: event => { if (event.kind === 'put' && event.key === LAST_ORDER_KEY) applyLastOrder(versionedOf(event)) }
+        onSnapshot: ({ entries }) => applyLastOrder(toLastOrder(entries.find(entry => entry.key === LAST_ORDER_KEY))),
+        onEvent: event => { if (event.kind === 'put' && event.key === LAST_ORDER_KEY) applyLastOrder(toLastOrder(event)) }
       }, signal)
       inBackground('leader-election', run(signal))
     },
--- a/packages/magnoliabay/src/node/serving/placement/leaderRecords.ts
+++ b/packages/magnoliabay/src/node/serving/placement/leaderRecords.ts
@@ -4,7 +4,9 @@
  * record only after the time that must separate the orders of two machines. Both records change by compare-and-swap, so
  * a machine that finds itself named knows that no other has ordered since, and need not wait.
  */
+import * as v from 'valibot'
 import { STORE_KEY_PREFIX } from '../../constants'
+import { checkInput } from '../../inputs'
 import { Ok } from '../../result'
 import type { Result } from '../../result'
 import type { Compare, KeyValue, Store, StoreError, StoreErrorKind, WriteOperation } from '../../store'
@@ -23,6 +25,9 @@
   claim: string
 }
 
+export const leaderClaimSchema = v.object({ holder: v.string(), machine: v.string(), claim: v.string() })
+const lastOrderSchema = v.object({ machine: v.string(), era: v.number(), mark: v.string() })
+
 /** The machine that may have sent the last order. */
 export interface LastOrderRecord {
   machine: string
@@ -53,18 +58,25 @@
 /** Errors after which the write may have taken effect. */
 const AMBIGUOUS_ERRORS: readonly StoreErrorKind[] = ['unknown', 'unavailable']
 
-export function versionedOf<T> (entry: Pick<KeyValue, 'value' | 'modRevision'> & { leaseId?: string } | undefined): Versioned<T> {
+type StoredEntry = Pick<KeyValue, 'value' | 'modRevision'> & { leaseId?: string } | undefined
+
+/** A value without the form of a record counts as no record, of its revision. */
+function versionedOf<Schema extends v.GenericSchema> (schema: Schema, entry: StoredEntry): Versioned<v.InferOutput<Schema>> {
   if (entry === undefined) return { revision: 0, leaseId: undefined, value: undefined }
-  return { revision: entry.modRevision, leaseId: entry.leaseId, value: parseJson(entry.value) as T | undefined }
+  const checked = checkInput(schema, parseJson(entry.value))
+  return { revision: entry.modRevision, leaseId: entry.leaseId, value: checked.ok ? checked.val : undefined }
 }
 
-async function read<T> (store: Store, key: string): Promise<Result<Versioned<T>, StoreError>> {
+export const toLeaderClaim = (entry: StoredEntry): Versioned<LeaderClaim> => versionedOf(leaderClaimSchema, entry)
+export const toLastOrder = (entry: StoredEntry): Versioned<LastOrderRecord> => versionedOf(lastOrderSchema, entry)
+
+async function read<T> (store: Store, key: string, decode: (entry: StoredEntry) => Versioned<T>): Promise<Result<Versioned<T>, StoreError>> {
   const entry = await store.get(key, { priority: 'ownership' })
-  return entry.err ? entry : Ok(versionedOf<T>(entry.val))
+  return entry.err ? entry : Ok(decode(entry.val))
 }
 
 export async function readLeaderRecords (store: Store): Promise<Result<LeaderRecords, StoreError>> {
-  const [leader, last] = await Promise.all([read<LeaderClaim>(store, LEADER_KEY), read<LastOrderRecord>(store, LAST_ORDER_KEY)])
+  const [leader, last] = await Promise.all([read(store, LEADER_KEY, toLeaderClaim), read(store, LAST_ORDER_KEY, toLastOrder)])
   if (leader.err) return leader
   return last.err ? last : Ok({ leader: leader.val, lastOrder: last.val })
 }
--- a/packages/magnoliabay/src/node/serving/placement/messages.ts
+++ b/packages/magnoliabay/src/node/serving/placement/messages.ts
@@ -1,4 +1,5 @@
 /** Peer messages between instances and the leader about the placement of models. */
+import * as v from 'valibot'
 import { definePeerCall } from '../../members'
 import type { WaitingGroup } from './schedule/waitingGroups'
 
@@ -26,4 +27,19 @@
   | { kind: 'coming', inMs: number }
   | { kind: 'unavailable' }
 
-export const placementCall = definePeerCall<PlacementRequest, PlacementReply>('placement.want')
+const requestSchema = v.object({
+  model: v.string(),
+  adapter: v.optional(v.string()),
+  waitedMs: v.number(),
+  patienceMs: v.number(),
+  unavailable: v.optional(v.array(v.string())),
+  softwareVersion: v.optional(v.string()),
+  waiting: v.optional(v.array(v.object({ inTimeMs: v.number(), giveUpMs: v.number(), count: v.number() })))
+})
+const replySchema = v.variant('kind', [
+  v.object({ kind: v.literal('ready'), server: v.string() }),
+  v.object({ kind: v.literal('coming'), inMs: v.number() }),
+  v.object({ kind: v.literal('unavailable') })
+])
+
+export const placementCall = definePeerCall<PlacementRequest, PlacementReply>('placement.want', { req: requestSchema, res: replySchema })
--- a/packages/magnoliabay/src/node/serving/placement/peerLeaseRenewal.ts
+++ b/packages/magnoliabay/src/node/serving/placement/peerLeaseRenewal.ts
@@ -3,10 +3,12 @@
  * expire, and no orders would be given for three seconds or more. The store renews a lease by its id for any caller, so
  * the leader continues while any peer reaches the store.
  */
+import * as v from 'valibot'
 import { definePeerCall } from '../../members'
 import type { Peers } from '../../members'
 import { Err, Ok } from '../../result'
 import type { Result } from '../../result'
+import { storeErrorSchema } from '../../store'
 import type { Store, StoreError } from '../../store'
 
 export interface RenewRequest {
@@ -15,7 +17,10 @@
 
 export type RenewReply = { kind: 'renewed', secondsLeft: number } | { kind: 'failed', error: StoreError }
 
-export const renewCall = definePeerCall<RenewRequest, RenewReply>('placement.renew-lease')
+export const renewCall = definePeerCall<RenewRequest, RenewReply>('placement.renew-lease', {
+  req: v.object({ leaseId: v.string() }),
+  res: v.variant('kind', [v.object({ kind: v.literal('renewed'), secondsLeft: v.number() }), v.object({ kind: v.literal('failed'), error: storeErrorSchema })])
+})
 
 /** A peer that reaches the store responds in milliseconds, or in tenths of a second while the store is slow. */
 const RENEW_TIMEOUT_MS = 700
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -174,7 +174,7 @@
   const metrics = createServingMetrics(activity)
   const inputs = options.inputs ?? createInputMonitor(logger)
   inputs.register(metrics.registry)
-  const peers = createPeerNetwork({ self, clock, logger, onFrame: kind => activity.note(`peer ${kind}`), onTunnel: socket => forwardingServer.accept(socket) })
+  const peers = createPeerNetwork({ inputs, self, clock, logger, onFrame: kind => activity.note(`peer ${kind}`), onTunnel: socket => forwardingServer.accept(socket) })
   const membership = createMembership({ store, network: peers, clock, logger })
   const cfg = createServingConfigProvider({ decode: protocol.decodeConfig, clock, logger })
   const evacuations = createEvacuations({ storeReachableSinceMs: store.reachableSinceMs, clock, logger })
--- a/packages/magnoliabay/src/node/serving/storeProxy.ts
+++ b/packages/magnoliabay/src/node/serving/storeProxy.ts
@@ -5,6 +5,7 @@
  * The leader therefore asks a peer that reaches the store to watch it, uses what that peer sends, and states the age of
  * that information in its summaries.
  */
+import * as v from 'valibot'
 import type { Clock } from '../clock'
 import { sleep, delayToNextPeriod } from '../clock'
 import type { Logger } from '../logger'
@@ -20,7 +21,7 @@
   steadyMs: number
 }
 
-const watchCall = definePeerCall<Record<string, never>, StoreContact>('serving.watch-for-me')
+const watchCall = definePeerCall<Record<string, never>, StoreContact>('serving.watch-for-me', { res: v.object({ ageMs: v.number(), steadyMs: v.number() }) })
 
 /** Interval at which a proxy is asked for its contact to the store, milliseconds. */
 const ASK_INTERVAL_MS = 250
--- a/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
@@ -3,6 +3,7 @@
  * records it with the first event. While the service's servers have several software versions, it also sends replicas of the
  * record to some other instances; the one at which the stream is resumed asks these. With one version nothing is sent.
  */
+import * as v from 'valibot'
 import { inBackground } from '../../background'
 import type { Clock } from '../../clock'
 import type { Logger } from '../../logger'
@@ -67,8 +68,11 @@
   replied: number
 }
 
-const recordCall = definePeerCall<{ records: readonly OriginRecord[] }, object>('serving.record-stream-origins')
-const findCall = definePeerCall<OriginQuery, OriginReply>('serving.find-stream-origin')
+const recordCall = definePeerCall<{ records: readonly OriginRecord[] }, object>('serving.record-stream-origins', { req: v.object({ records: v.array(v.object({ service: v.string(), softwareVersion: v.string(), key: v.string(), keepMs: v.number() })) }) })
+const findCall = definePeerCall<OriginQuery, OriginReply>('serving.find-stream-origin', {
+  req: v.object({ key: v.string(), services: v.array(v.string()), withinMs: v.number() }),
+  res: v.object({ origin: v.optional(v.object({ service: v.string(), softwareVersion: v.string() })), versions: v.array(v.array(v.string())) })
+})
 
 /** Names a stream by its team and the client attempt that brought its first event: another team's streams cannot be named. */
 export function streamKey (team: string | undefined, attemptId: string): string {
--- a/packages/magnoliabay/src/node/statements/brittleServers.ts
+++ b/packages/magnoliabay/src/node/statements/brittleServers.ts
@@ -5,6 +5,7 @@
  * nothing there. What instances hold counts as they last told. At first it counts as not less than the sums of their reports,
  * which lag: a new home has not heard of the requests that are in flight already.
  */
+import * as v from 'valibot'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import { definePeerCall, definePeerNotice, rankHomeInstances } from '../members'
@@ -46,8 +47,11 @@
   isRejected: boolean
 }
 
-const placeCall = definePeerCall<PlaceRequest, { isGranted: boolean }>('serving.take-place')
-const placeUseNotice = definePeerNotice<PlaceUse>('serving.place-used')
+const placeCall = definePeerCall<PlaceRequest, { isGranted: boolean }>('serving.take-place', {
+  req: v.object({ process: v.string(), slots: v.number(), maxRejectionsPerSecond: v.number(), held: v.number(), role: v.string() }),
+  res: v.object({ isGranted: v.boolean() })
+})
+const placeUseNotice = definePeerNotice<PlaceUse>('serving.place-used', v.object({ process: v.string(), held: v.number(), isRejected: v.boolean() }))
 
 export interface BrittleServers {
   /**
--- a/packages/magnoliabay/src/node/statements/limitedServers.ts
+++ b/packages/magnoliabay/src/node/statements/limitedServers.ts
@@ -5,6 +5,7 @@
  * three together stay within one and a half times the limit, also while members change and two instances take themselves
  * for the home for a moment.
  */
+import * as v from 'valibot'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import { definePeerCall, rankHomeInstances } from '../members'
@@ -23,7 +24,10 @@
   requestsPerSecond: number
 }
 
-const admitCall = definePeerCall<AdmitRequest, Grant>('serving.admit-limited')
+const admitCall = definePeerCall<AdmitRequest, Grant>('serving.admit-limited', {
+  req: v.object({ process: v.string(), reserve: v.number(), role: v.picklist(['home', 'deputy', 'apart']), requestsPerSecond: v.number() }),
+  res: v.object({ freeInMs: v.number(), retryInMs: v.number() })
+})
 
 /**
  * What an instance grants in each role: its part of the limit (for `apart` divided by the number of members), the burst, and
--- a/packages/magnoliabay/src/node/store/store.ts
+++ b/packages/magnoliabay/src/node/store/store.ts
@@ -2,6 +2,7 @@
  * Interface of the platform's key-value service: compare-and-swap, leases and watches.
  * `etcd.ts` implements it for etcd, `platform/` for the users' store; tests use the stand-in's state directly.
  */
+import * as v from 'valibot'
 import type { Result } from '../result'
 
 export interface KeyValue {
@@ -71,6 +72,9 @@
   message: string
 }
 
+/** The form of an error, as peers pass it on. */
+export const storeErrorSchema = v.object({ kind: v.picklist(['unavailable', 'unknown', 'over-budget', 'lease-lost', 'invalid', 'given-up']), message: v.string() })
+
 export type StoreResult<T> = Promise<Result<T, StoreError>>
 
 export interface WatchEvent {
