--- a/packages/magnoliabay/src/node/allowance/ledger.ts
+++ b/packages/magnoliabay/src/node/allowance/ledger.ts
@@ -65,7 +65,7 @@
 export function parseLedger (text: string): Result<Ledger, LedgerError> {
   try {
     const ledger = JSON.parse(text) as Ledger
-    const hasValidCounts = ledger.entries.every(entry => Number.isSafeInteger(entry.base) && Number.isSafeInteger(entry.granted))
+    const hasValidCounts = Array.isArray(ledger.entries) && ledger.entries.every(entry => Number.isSafeInteger(entry.base) && Number.isSafeInteger(entry.granted))
     if (!hasValidCounts || !Array.isArray(ledger.settled)) return Err({ kind: 'malformed', message: 'An entry of the ledger has a count that is not an integer, or the list of settled processes is missing.' })
     return isBalanced(ledger) ? Ok(ledger) : Err({ kind: 'unbalanced', message: `The ledger sums to ${sumOfUnits(ledger)} units.` })
   } catch (err) {
--- a/packages/magnoliabay/src/node/allowance/reclaim.ts
+++ b/packages/magnoliabay/src/node/allowance/reclaim.ts
@@ -9,6 +9,8 @@
  * A live process that can't be reached stops the round: it may hold units that a terminated one gave it, and no other
  * process knows. Until it responds, that part of the allowance is unused, and is never held twice.
  */
+import * as v from 'valibot'
+import { checkInput } from '../inputs'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import type { Peers } from '../members'
@@ -170,9 +172,12 @@
   return processes.map(process => process.id.incarnation)
 }
 
+const processSchema = v.object({ member: v.string(), incarnation: v.string() })
+
 /** An unreadable entry still names its process by its key. Its member is unknown, so no member can report for it. */
 function processOf (entry: KeyValue): RegisteredProcess {
   const incarnation = entry.key.slice(PROCESSES_PREFIX.length)
-  const id = (parseJson(entry.value) as ProcessId | undefined) ?? { member: incarnation, incarnation }
+  const read = checkInput(processSchema, parseJson(entry.value))
+  const id: ProcessId = read.ok ? read.val : { member: incarnation, incarnation }
   return { id: { member: id.member, incarnation }, modRevision: entry.modRevision }
 }
--- a/packages/magnoliabay/src/node/backend/engineClient.ts
+++ b/packages/magnoliabay/src/node/backend/engineClient.ts
@@ -1,14 +1,19 @@
 /**
  * Client for the engines' control API: sends orders and queries state, by their published protocol.
  */
+import * as v from 'valibot'
+import type { GenericSchema, InferOutput } from 'valibot'
 import type { Socket } from 'node:net'
 import { Pool, buildConnector } from 'undici'
 import { TrackedClient } from './trackedClient'
 import type { Dispatcher, Client } from 'undici'
 import type { ServerRoutes } from '../paths'
-import { Err, Ok } from '../result'
+import { createInputMonitor } from '../inputs'
+import type { InputMonitor } from '../inputs'
+import { Err } from '../result'
 import type { Result } from '../result'
 import { messageOf, parseHostPort } from '../utils'
+import { cacheEventsSchema, engineStateSchema, loadReportSchema, orderReplySchema } from './protocolSchemas'
 import type { CacheEvents, EngineState, LoadReport, Order, OrderReply } from './protocol'
 
 /**
@@ -36,9 +41,16 @@
 const CONNECT_TIMEOUT_MS = 2000
 const NOT_SENT_ERROR_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
-export function createEngineClient (): EngineClient {
+export interface EngineClientOptions {
+  /** Checks what engines answer. @default refused answers are neither logged nor counted */
+  inputs?: InputMonitor
+  /** Names the engine at an address, for logs. @default the address */
+  idOf?: (address: string) => string
+}
+
+export function createEngineClient ({ inputs = createInputMonitor(), idOf = address => address }: EngineClientOptions = {}): EngineClient {
   const pools = createConnectionPools(MAX_CONTROL_CONNECTIONS)
-  const send = async <T>(address: string, options: Pick<Dispatcher.RequestOptions, 'method' | 'path'>, body: object | undefined, timeoutMs: number): Promise<Result<T, EngineError>> => {
+  const send = async <Schema extends GenericSchema>(address: string, options: Pick<Dispatcher.RequestOptions, 'method' | 'path'>, schema: Schema, body: object | undefined, timeoutMs: number): Promise<Result<InferOutput<Schema>, EngineError>> => {
     try {
       const res = await pools.of(address).request({
         ...options,
@@ -48,20 +60,20 @@
         bodyTimeout: timeoutMs
       })
       const responseBody = await res.body.json()
-      return res.statusCode < 300
-        ? Ok(responseBody as T)
-        : Err({ kind: 'refused', message: `The engine answered with status ${res.statusCode}.` })
+      if (res.statusCode >= 300) return Err({ kind: 'refused', message: `The engine answered with status ${res.statusCode}.` })
+      // What the engine did is unknown, as without an answer.
+      return inputs.check('engine-answer', { server: idOf(address), call: options.path }, schema, responseBody).mapErr((err): EngineError => ({ kind: 'no-answer', message: err.message }))
     } catch (err) {
       return Err(engineErrorOf(err))
     }
   }
   return {
-    order: (address, order, timeoutMs) => send(address, { method: 'POST', path: '/control/orders' }, order, timeoutMs),
-    state: address => send(address, { method: 'GET', path: '/control/state' }, undefined, QUERY_TIMEOUT_MS),
-    loadReport: address => send(address, { method: 'GET', path: '/control/load' }, undefined, QUERY_TIMEOUT_MS),
-    cacheEvents: (address, after) => send(address, { method: 'GET', path: `/control/events?after=${after}` }, undefined, QUERY_TIMEOUT_MS),
+    order: (address, order, timeoutMs) => send(address, { method: 'POST', path: '/control/orders' }, orderReplySchema, order, timeoutMs),
+    state: address => send(address, { method: 'GET', path: '/control/state' }, engineStateSchema, undefined, QUERY_TIMEOUT_MS),
+    loadReport: address => send(address, { method: 'GET', path: '/control/load' }, loadReportSchema, undefined, QUERY_TIMEOUT_MS),
+    cacheEvents: (address, after) => send(address, { method: 'GET', path: `/control/events?after=${after}` }, cacheEventsSchema, undefined, QUERY_TIMEOUT_MS),
     cancel: async (address, requestId) => {
-      await send(address, { method: 'POST', path: '/control/cancel' }, { requestId }, QUERY_TIMEOUT_MS)
+      await send(address, { method: 'POST', path: '/control/cancel' }, v.unknown(), { requestId }, QUERY_TIMEOUT_MS)
     },
     close: pools.close
   }
--- a/packages/magnoliabay/src/node/cells/cellLeader.ts
+++ b/packages/magnoliabay/src/node/cells/cellLeader.ts
@@ -13,8 +13,9 @@
 import { createAdapterLoader } from './adapterLoader'
 import type { CellsConfig, CellLeaderContext } from './context'
 import { createEngineReconciler, isUsable } from './engineReconciler'
-import { createGapHistory } from './keepAlivePolicy'
-import type { SavedHistory } from './keepAlivePolicy'
+import { createGapHistory, savedHistoriesSchema } from './keepAlivePolicy'
+import { checkInput } from '../inputs'
+import { parseJson } from '../utils'
 import { createIdleEviction } from './idleEviction'
 import { createIntents } from './intents'
 import { createAutoscaler } from './autoscaler'
@@ -179,7 +180,9 @@
   const wallOffsetMs = (): number => clock.now() - clock.monotonic()
   const restoreHistory = async (): Promise<void> => {
     const saved = await store.get(historyKey(cell))
-    if (saved.ok && saved.val !== undefined) history.restore(JSON.parse(saved.val.value) as Record<string, SavedHistory>, wallOffsetMs())
+    const read = saved.ok && saved.val !== undefined ? checkInput(savedHistoriesSchema, parseJson(saved.val.value)) : undefined
+    if (read?.ok === true) history.restore(read.val, wallOffsetMs())
+    else if (read !== undefined) logger.warn('history-refused', { cell, reason: read.val.message })
   }
   const saveHistory = async (): Promise<void> => {
     nextSaveMs = clock.monotonic() + HISTORY_SAVE_INTERVAL_MS
--- a/packages/magnoliabay/src/node/cells/cells.ts
+++ b/packages/magnoliabay/src/node/cells/cells.ts
@@ -2,6 +2,7 @@
  * The cells as seen by this instance: claims the leadership of cells, runs their leaders, and sends demand to the
  * leaders on other members.
  */
+import { checkInput } from '../inputs'
 import { inBackground } from '../background'
 import type { BackendDirectory } from '../backend/directory'
 import type { EngineClient } from '../backend/engineClient'
@@ -18,8 +19,8 @@
 import type { CellsConfig } from './context'
 import { createHeldIntents } from './intents'
 import { cellsOfModel, quotaOfCell } from './quota'
-import { CELLS_PREFIX, cellNames, cellOf, demandCall, loadNotice, releaseCall, tableNotice, tablesCall, usageNotice } from './records'
-import type { Demand, DemandReply, FormerLeader, ReleaseReply, ReleaseRequest, CellLeaderRecord } from './records'
+import { CELLS_PREFIX, cellLeaderSchema, cellNames, cellOf, demandCall, loadNotice, releaseCall, tableNotice, tablesCall, usageNotice } from './records'
+import type { Demand, DemandReply, FormerLeader, ReleaseReply, ReleaseRequest } from './records'
 import { createReplicaRegistry } from './replicaRegistry'
 import type { ReplicaRegistry } from './replicaRegistry'
 import { createCellLeader, weightStoreCapacity } from './cellLeader'
@@ -201,9 +202,9 @@
   const applyEntry = (entry: { key: string, value: string, modRevision: number }): void => {
     const [cell, kind] = entry.key.slice(CELLS_PREFIX.length).split('/')
     if (cell === undefined || kind !== 'steward') return
-    const record = parseJson(entry.value) as CellLeaderRecord | undefined
-    if (record === undefined) return logger.error('steward-record-refused', { cell })
-    setLeadership(cell, { record, modRevision: entry.modRevision })
+    const record = checkInput(cellLeaderSchema, parseJson(entry.value))
+    if (record.err) return logger.error('steward-record-refused', { cell, reason: record.val.message })
+    setLeadership(cell, { record: record.val, modRevision: entry.modRevision })
   }
   const sendDemand = async (req: LocalDemand): Promise<DemandReply> => {
     const model = cfg.model(req.model)
--- a/packages/magnoliabay/src/node/cells/claim.ts
+++ b/packages/magnoliabay/src/node/cells/claim.ts
@@ -2,10 +2,12 @@
  * Decides whether this member may claim the leadership of a cell, and claims it. An expired lease alone is not enough:
  * its leader may be paused, and resume in the belief that it still leads the cell.
  */
+import { checkInput } from '../inputs'
+import { parseJson } from '../utils'
 import type { TerminationProofs, MemberRecord, ProcessId } from '../members'
 import type { Store } from '../store'
 import { createId } from '../utils'
-import { cellLeaderKey } from './records'
+import { cellLeaderKey, cellLeaderSchema } from './records'
 import type { FormerLeader, CellLeaderRecord } from './records'
 
 /** Last known value of the leader key. The revision is 0 when the key does not exist. */
@@ -86,8 +88,8 @@
       // The response was lost. The claim id shows whether the current record is from this claim.
       const found = await store.get(cellLeaderKey(cell), { priority: 'ownership' })
       if (found.err || found.val === undefined) return undefined
-      const current = JSON.parse(found.val.value) as CellLeaderRecord
-      return current.claimId === record.claimId ? { record, modRevision: found.val.modRevision } : undefined
+      const current = checkInput(cellLeaderSchema, parseJson(found.val.value))
+      return current.ok && current.val.claimId === record.claimId ? { record, modRevision: found.val.modRevision } : undefined
     },
     release: async (cell, fence, unproven) => {
       const record: CellLeaderRecord = { claimId: createId('claim'), unproven }
--- a/packages/magnoliabay/src/node/cells/intents.ts
+++ b/packages/magnoliabay/src/node/cells/intents.ts
@@ -2,10 +2,12 @@
  * Intents: each order is recorded before it is sent, in the store or, while that is unreachable, on peers in two
  * other failure domains. The next leader of the cell reads them, and charges the orders that may still arrive.
  */
+import { checkInput } from '../inputs'
+import { parseJson } from '../utils'
 import type { Logger } from '../logger'
 import type { MemberRecord, Peers } from '../members'
 import type { Store } from '../store'
-import { dropIntentsNotice, heldIntentsCall, holdIntentCall, intentKey, intentsPrefix, cellLeaderKey } from './records'
+import { dropIntentsNotice, heldIntentsCall, holdIntentCall, intentKey, intentSchema, intentsPrefix, cellLeaderKey } from './records'
 import type { Intent } from './records'
 
 /** `superseded`: another member leads the cell now. `nowhere`: neither the store nor enough peers recorded it. */
@@ -103,9 +105,11 @@
       const answers = await Promise.all(others.map(async member => ({ member, reply: await peers.call(member.id, heldIntentsCall, cell) })))
       const silentDomains = new Set(answers.filter(({ reply }) => reply.err).map(({ member }) => member.failureDomain))
       if (silentDomains.size > MAX_SILENT_DOMAINS) return undefined
-      const stored = range.val.entries.map(entry => JSON.parse(entry.value) as Intent)
+      const stored = range.val.entries.map(entry => checkInput(intentSchema, parseJson(entry.value)))
+      // An order that cannot be read may have been sent: the cell is not taken over without it.
+      if (stored.some(intent => intent.err)) return undefined
       const held = answers.flatMap(({ reply }) => reply.ok ? reply.val : [])
-      const byOrder = new Map([...held, ...stored].map(intent => [intent.orderId, intent]))
+      const byOrder = new Map([...held, ...stored.flatMap(intent => intent.ok ? [intent.val] : [])].map(intent => [intent.orderId, intent]))
       return [...byOrder.values()].filter(intent => intent.fence < fence)
     },
     openIntents: () => [...recorded.values()]
--- a/packages/magnoliabay/src/node/cells/keepAlivePolicy.ts
+++ b/packages/magnoliabay/src/node/cells/keepAlivePolicy.ts
@@ -5,6 +5,7 @@
  * history, it is kept for as long as one cold start is worth: at most twice the cost of the optimum with known future
  * requests (ski rental). With a history, the time with the lowest cost over the recorded gaps is taken.
  */
+import * as v from 'valibot'
 
 export interface KeepAliveOptions {
   /** Accelerator time that is worth one avoided cold start, milliseconds. */
@@ -61,6 +62,8 @@
   gaps: readonly number[]
 }
 
+export const savedHistoriesSchema = v.record(v.string(), v.object({ lastUseAtMs: v.number(), gaps: v.array(v.number()) }))
+
 export interface GapHistory {
   recordUse (model: string, nowMs: number): void
   gaps (model: string): readonly number[]
--- a/packages/magnoliabay/src/node/cells/records.ts
+++ b/packages/magnoliabay/src/node/cells/records.ts
@@ -1,8 +1,9 @@
 /** Records that cell leaders keep in the store, and messages between members about cells. */
+import * as v from 'valibot'
 import { STORE_KEY_PREFIX } from '../constants'
 import type { OrderAction } from '../backend/protocol'
 import { stableHash } from '../utils'
-import { definePeerCall, definePeerNotice } from '../members'
+import { definePeerCall, definePeerNotice, memberRecordSchema } from '../members'
 import type { MemberRecord, ProcessId } from '../members'
 
 const CELL_NAME = 'cell-'
@@ -77,6 +78,26 @@
   replicas: readonly ReplicaEntry[]
 }
 
+const processSchema = v.object({ member: v.string(), incarnation: v.string() })
+
+export const cellLeaderSchema = v.object({
+  holder: v.optional(memberRecordSchema),
+  claimId: v.string(),
+  unproven: v.array(v.object({ ...processSchema.entries, fence: v.number() }))
+})
+
+export const intentSchema = v.object({
+  orderId: v.string(),
+  cell: v.string(),
+  fence: v.number(),
+  engine: v.string(),
+  action: v.picklist(['raise-fence', 'load', 'unload', 'load-adapter', 'unload-adapter', 'set-version', 'set-role']),
+  model: v.string(),
+  adapter: v.optional(v.string()),
+  version: v.optional(v.string()),
+  memoryMiB: v.number()
+})
+
 /** Requests for one model that wait at the sender. */
 export interface Demand {
   cell: string
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -1,6 +1,7 @@
 /**
  * Creates one instance and connects its subsystems.
  */
+import { createInputMonitor } from './inputs'
 import { setMaxListeners } from 'node:events'
 import type { Socket } from 'node:net'
 import { createKeyring } from './admission'
@@ -102,8 +103,10 @@
   const store = createBudgetedStore(options.store, { callsPerSecond: () => Math.min(callsPerSecond, MAX_FLEET_STORE_CALLS_PER_SECOND / fleetSize()), burstCalls, clock, onCall })
   const fleetSize = (): number => peers.members().length
   const tls = createInstanceTls({ settings, clock, logger })
-  const engines = createEngineClient()
-  const peers = createPeerNetwork({ self, transport: tls.peerTransport, clock, logger, onGoodbye: member => proofs.recordGoodbye(member), onTunnel: socket => forwardingServer.accept(socket) })
+  const inputs = createInputMonitor(logger)
+  inputs.register(metrics.registry)
+  const engines = createEngineClient({ inputs, idOf: address => directory.all().find(listed => listed.address === address)?.id ?? address })
+  const peers = createPeerNetwork({ inputs, self, transport: tls.peerTransport, clock, logger, onGoodbye: member => proofs.recordGoodbye(member), onTunnel: socket => forwardingServer.accept(socket) })
   const proofs = createTerminationDetector({ peers, clock, logger })
   const membership = createMembership({ store, network: peers, clock, logger })
   const cfg = createConfigProvider({ store, peers, site: settings.instance.site, clock, logger })
--- a/packages/magnoliabay/src/node/once/claimRecord.ts
+++ b/packages/magnoliabay/src/node/once/claimRecord.ts
@@ -1,4 +1,5 @@
 /** Stored form of claims, and their keys. */
+import * as v from 'valibot'
 import { createHash } from 'node:crypto'
 import { STORE_KEY_PREFIX } from '../constants'
 
@@ -34,6 +35,14 @@
   answer?: ResponseRecord
 }
 
+export const claimRecordSchema = v.object({
+  claimId: v.string(),
+  holder: v.string(),
+  digest: v.string(),
+  claimedAtMs: v.number(),
+  answer: v.optional(v.object({ status: v.pipe(v.number(), v.integer(), v.minValue(100), v.maxValue(999)), contentType: v.string(), body: v.string(), parts: v.array(v.string()) }))
+})
+
 export function claimKeyOf (req: ClaimRequest): string {
   return `${ONCE_PREFIX}${req.team}/${req.service}/${digestOf([req.idempotencyKey])}`
 }
--- a/packages/magnoliabay/src/node/once/index.ts
+++ b/packages/magnoliabay/src/node/once/index.ts
@@ -3,6 +3,8 @@
  * stored response. Only the owner ever sends under a claim, and a claim never gets another owner: if its owner
  * terminates, the request stays *may have run* until the claim's retention expires.
  */
+import { checkInput } from '../inputs'
+import { parseJson } from '../utils'
 import type { ServiceResponse } from '../backend/serviceCall'
 import type { Clock } from '../clock'
 import { sleep } from '../clock'
@@ -15,7 +17,7 @@
 import { createId } from '../utils'
 import { readResponse, writeResponse } from './storedResponses'
 import type { StoredClaim } from './storedResponses'
-import { claimKeyOf, requestDigestOf } from './claimRecord'
+import { claimKeyOf, claimRecordSchema, requestDigestOf } from './claimRecord'
 import type { ClaimRecord, ClaimRequest } from './claimRecord'
 import type { ClaimWriter } from './claimWriter'
 
@@ -76,7 +78,9 @@
   const readExistingClaim = async (key: string, ownRecord: ClaimRecord): Promise<Result<ClaimOutcome, Failure>> => {
     const found = await store.get(key, READ_OPTIONS)
     if (found.err || found.val === undefined) return Err(createStoreUnavailableFailure())
-    const record = JSON.parse(found.val.value) as ClaimRecord
+    const read = checkInput(claimRecordSchema, parseJson(found.val.value))
+    if (read.err) return Err(createResponseUnreadableFailure())
+    const record: ClaimRecord = read.val
     if (record.claimId === ownRecord.claimId) return Ok({ kind: 'claimed', claim: { key, record: ownRecord } })
     if (record.digest !== ownRecord.digest) {
       return Err(createRefusal('idempotency_conflict', 'This Idempotency-Key was used before with another request. Use a new key for a new request.'))
--- a/packages/magnoliabay/src/node/store/etcd.ts
+++ b/packages/magnoliabay/src/node/store/etcd.ts
@@ -1,4 +1,7 @@
 /** Client of the platform's key-value service through the etcd v3 HTTP/JSON gateway. */
+import * as v from 'valibot'
+import type { GenericSchema, InferOutput } from 'valibot'
+import { checkInput } from '../inputs'
 import { inBackground } from '../background'
 import { Pool, buildConnector } from 'undici'
 import type { Clock } from '../clock'
@@ -6,10 +9,8 @@
 import type { Logger } from '../logger'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
-import { decodeKeyValue, encodeRange, encodeTransaction } from './etcdCodec'
-import type { EtcdHeader, EtcdRangeResponse, EtcdTxnResponse } from './etcdCodec'
+import { decodeKeyValue, encodeRange, encodeTransaction, errorResponse, keepAliveResponse, leaseResponse, rangeResponse, txnResponse } from './etcdCodec'
 import { errorOfResponse, errorOfThrown } from './etcdErrors'
-import type { EtcdErrorBody } from './etcdErrors'
 import { runWatch } from './etcdWatch'
 import type { Store, StoreError } from './store'
 
@@ -67,7 +68,7 @@
     inBackground('close-pool', stalePool.close().finally(() => closingPools.delete(stalePool)))
   }
 
-  const call = async <T>(path: string, body: object): Promise<Result<T, StoreError>> => {
+  const call = async <Schema extends GenericSchema>(path: string, schema: Schema, body: object): Promise<Result<InferOutput<Schema>, StoreError>> => {
     const endpoint = currentEndpoint
     const pool = pools[endpoint]!
     const timeout = new AbortController()
@@ -82,9 +83,10 @@
         signal: timeout.signal
       })
       const response = await res.body.json()
-      if (res.statusCode === 200) return Ok(response as T)
+      if (res.statusCode === 200) return checkInput(schema, response).mapErr((err): StoreError => ({ kind: 'unknown', message: err.message }))
       if (res.statusCode >= 500) useNextEndpoint(endpoint)
-      return Err(errorOfResponse(res.statusCode, response as EtcdErrorBody))
+      const problem = checkInput(errorResponse, response)
+      return Err(errorOfResponse(res.statusCode, problem.ok ? problem.val : {}))
     } catch (err) {
       if (timeout.signal.aborted) replacePool(endpoint, pool)
       useNextEndpoint(endpoint)
@@ -96,32 +98,32 @@
 
   const store: Store = {
     get: async key => {
-      const response = await call<EtcdRangeResponse>('/v3/kv/range', encodeRange(key, false))
+      const response = await call('/v3/kv/range', rangeResponse, encodeRange(key, false))
       return response.map(range => (range.kvs ?? []).map(decodeKeyValue)[0])
     },
     range: async prefix => {
-      const response = await call<EtcdRangeResponse>('/v3/kv/range', encodeRange(prefix, true))
+      const response = await call('/v3/kv/range', rangeResponse, encodeRange(prefix, true))
       return response.map(range => ({
         entries: (range.kvs ?? []).map(decodeKeyValue),
         revision: Number(range.header.revision)
       }))
     },
     transact: async transaction => {
-      const response = await call<EtcdTxnResponse>('/v3/kv/txn', encodeTransaction(transaction))
+      const response = await call('/v3/kv/txn', txnResponse, encodeTransaction(transaction))
       return response.map(txn => ({ succeeded: txn.succeeded === true, revision: Number(txn.header.revision) }))
     },
     grantLease: async ttlSeconds => {
-      const response = await call<{ ID: string }>('/v3/lease/grant', { TTL: String(ttlSeconds) })
+      const response = await call('/v3/lease/grant', leaseResponse, { TTL: String(ttlSeconds) })
       return response.map(lease => lease.ID)
     },
     renewLease: async leaseId => {
-      const response = await call<{ result: { TTL?: string, header: EtcdHeader } }>('/v3/lease/keepalive', { ID: leaseId })
+      const response = await call('/v3/lease/keepalive', keepAliveResponse, { ID: leaseId })
       if (response.err) return response
       const secondsLeft = Number(response.val.result.TTL ?? 0)
       return secondsLeft > 0 ? Ok(secondsLeft) : Err({ kind: 'lease-lost', message: `Lease ${leaseId} has lapsed.` })
     },
     revokeLease: async leaseId => {
-      const response = await call<object>('/v3/lease/revoke', { ID: leaseId })
+      const response = await call('/v3/lease/revoke', v.unknown(), { ID: leaseId })
       return response.map(() => undefined)
     },
     watch: (prefix, handlers, signal) => {
--- a/packages/magnoliabay/src/node/store/etcdCodec.ts
+++ b/packages/magnoliabay/src/node/store/etcdCodec.ts
@@ -1,43 +1,28 @@
 /** Encodes and decodes the JSON of the etcd v3 gateway: keys and values in base64, 64-bit numbers as strings. */
+import * as v from 'valibot'
 import type { Compare, KeyValue, Transaction, WatchEvent, WriteOperation } from './store'
 
-export interface EtcdHeader {
-  revision: string
-}
-
-export interface EtcdKeyValue {
-  key: string
-  value?: string
-  create_revision?: string
-  mod_revision?: string
-  lease?: string
-}
-
-export interface EtcdRangeResponse {
-  header: EtcdHeader
-  kvs?: EtcdKeyValue[]
-}
-
-export interface EtcdTxnResponse {
-  header: EtcdHeader
-  succeeded?: boolean
-}
-
-export interface EtcdEvent {
-  type?: 'PUT' | 'DELETE'
-  kv: EtcdKeyValue
-}
-
-export interface EtcdWatchMessage {
-  result?: {
-    header?: EtcdHeader
-    created?: boolean
-    canceled?: boolean
-    compact_revision?: string
-    events?: EtcdEvent[]
-  }
-  error?: { message?: string }
-}
+/** A 64-bit number; the gateway writes it as a string. */
+const int64 = v.pipe(v.union([v.string(), v.number()]), v.transform(String), v.regex(/^-?\d+$/))
+const header = v.object({ revision: int64 })
+const keyValue = v.object({ key: v.string(), value: v.optional(v.string()), create_revision: v.optional(int64), mod_revision: v.optional(int64), lease: v.optional(int64) })
+
+export const rangeResponse = v.object({ header, kvs: v.optional(v.array(keyValue)) })
+export const txnResponse = v.object({ header, succeeded: v.optional(v.boolean()) })
+export const leaseResponse = v.object({ ID: int64 })
+export const keepAliveResponse = v.object({ result: v.object({ TTL: v.optional(int64) }) })
+export const errorResponse = v.object({ code: v.optional(v.number()), message: v.optional(v.string()) })
+export const watchMessage = v.object({
+  result: v.optional(v.object({
+    canceled: v.optional(v.boolean()),
+    events: v.optional(v.array(v.object({ type: v.optional(v.string()), kv: keyValue })))
+  })),
+  error: v.optional(v.object({ message: v.optional(v.string()) }))
+})
+
+export type EtcdKeyValue = v.InferOutput<typeof keyValue>
+export type EtcdWatchMessage = v.InferOutput<typeof watchMessage>
+export type EtcdEvent = { type?: string, kv: EtcdKeyValue }
 
 export function toBase64 (text: string): string {
   return Buffer.from(text, 'utf8').toString('base64')
--- a/packages/magnoliabay/src/node/store/etcdWatch.ts
+++ b/packages/magnoliabay/src/node/store/etcdWatch.ts
@@ -1,9 +1,10 @@
 /** One watch on the gateway: a snapshot of the prefix, then events from the next revision on. */
+import { checkInput } from '../inputs'
 import type { Pool } from 'undici'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import { messageOf, parseJson } from '../utils'
-import { decodeEvent, prefixEnd, toBase64 } from './etcdCodec'
+import { decodeEvent, prefixEnd, toBase64, watchMessage } from './etcdCodec'
 import type { EtcdWatchMessage } from './etcdCodec'
 import type { Store, WatchHandlers } from './store'
 
@@ -37,10 +38,11 @@
   const onLine = (line: string): void => {
     cancelIdleTimer()
     cancelIdleTimer = startIdleTimer()
-    const message = parseJson(line) as EtcdWatchMessage | undefined
-    const endReason = message === undefined ? 'not JSON' : endReasonOf(message)
+    const message = checkInput(watchMessage, parseJson(line))
+    if (message.err) return ended.abort(`malformed message: ${message.val.message}`)
+    const endReason = endReasonOf(message.val)
     if (endReason !== undefined) return ended.abort(endReason)
-    deliverEvents(run, message!)
+    deliverEvents(run, message.val)
   }
   try {
     await readWatch(run, snapshot.val.revision + 1, AbortSignal.any([run.signal, ended.signal]), onLine)
--- a/packages/magnoliabay/src/node/store/instanceListClient.ts
+++ b/packages/magnoliabay/src/node/store/instanceListClient.ts
@@ -1,20 +1,37 @@
 /** Client of the platform's instance list: `GET` of its URL returns `{ "instances": [...] }`. */
+import * as v from 'valibot'
 import { request } from 'undici'
 import { Err, Ok } from '../result'
 import { messageOf } from '../utils'
-import type { InstanceList, ListedInstance } from './instanceList'
+import { checkInput } from '../inputs'
+import type { InstanceList } from './instanceList'
 
 const READ_TIMEOUT_MS = 2000
 
+const listSchema = v.object({
+  instances: v.array(v.object({
+    id: v.string(),
+    role: v.picklist(['entry', 'engine', 'service']),
+    address: v.pipe(v.string(), v.regex(/^.+:\d+$/)),
+    failureDomain: v.string(),
+    region: v.string(),
+    status: v.picklist(['live', 'leaving']),
+    service: v.optional(v.string()),
+    checksFence: v.optional(v.boolean()),
+    memoryMiB: v.optional(v.number()),
+    accelerators: v.optional(v.number())
+  }))
+})
+
 export function createInstanceListClient (url: string): InstanceList {
   return {
     read: async () => {
       try {
         const res = await request(url, { headersTimeout: READ_TIMEOUT_MS, bodyTimeout: READ_TIMEOUT_MS })
-        const body = await res.body.json() as { instances?: ListedInstance[] }
+        const body = checkInput(listSchema, await res.body.json())
         if (res.statusCode !== 200) return Err({ kind: 'unavailable', message: `The instance list answered with status ${res.statusCode}.` })
-        if (!Array.isArray(body.instances)) return Err({ kind: 'invalid', message: 'The instance list has no `instances` array.' })
-        return Ok(body.instances)
+        if (body.err) return Err({ kind: 'invalid', message: `The instance list is malformed: ${body.val.message}` })
+        return Ok(body.val.instances)
       } catch (err) {
         return Err({ kind: 'unavailable', message: messageOf(err) })
       }
