--- a/packages/magnoliabay/src/node/logTrace.ts
+++ b/packages/magnoliabay/src/node/logTrace.ts
@@ -43,6 +43,8 @@
   'order-sent': ['model'],
   'order-done': ['model'],
   'software-versions': ['instance'],
+  'input-refused': ['server'],
+  'task-fault': ['instance'],
   'server-listed': ['server'],
   'server-gone': ['server'],
   'server-lapsed': ['server'],
--- a/packages/magnoliabay/src/node/operators/__tests__/explain.spec.ts
+++ b/packages/magnoliabay/src/node/operators/__tests__/explain.spec.ts
@@ -34,4 +34,17 @@
       .to.deep.equal(['a suspect-blamed', 'a suspect-refused r7', 'b server-crashed e1'])
     expect(unheard).to.deep.equal([])
   })
+
+  // A request fails for what a server sent; the instance that refused that does not name the request.
+  it('leads from a request that failed to what its server sent and was refused', async () => {
+    const one = startInstance('c')
+    one.logger.info('service-call-failed', { request: 'r8', server: 'e2', reason: 'lost' })
+    one.logger.warn('input-refused', { source: 'engine-answer', server: 'e2', reason: 'models: wrong type' })
+    one.logger.warn('input-refused', { source: 'engine-answer', server: 'e3', reason: 'models: wrong type' })
+    one.logger.info('request-ended', { request: 'r8', tookMs: 10 })
+    const explained = one.explainer.explain('request', 'r8')
+    await clock.advance(100)
+    expect((await explained).events.map(({ event, fields }) => `${event} ${String(fields.server ?? '')}`.trim()).sort())
+      .to.deep.equal(['input-refused e2', 'request-ended', 'service-call-failed e2'])
+  })
 })
--- a/packages/magnoliabay/src/node/operators/decisionLog.ts
+++ b/packages/magnoliabay/src/node/operators/decisionLog.ts
@@ -1,12 +1,12 @@
 /**
  * Keeps the latest decisions of this instance and their reasons in memory for `explain`. It records the events of the
- * logger that have a field `request`, `model`, `team`, `order` or `suspect`, whichever subsystem logs them.
+ * logger that have a field `request`, `model`, `team`, `order`, `suspect` or `server`, whichever subsystem logs them.
  */
 import type { Clock } from '../clock'
 import type { LogFields, LogLevel, Logger } from '../logger'
 
-export type SubjectKind = 'request' | 'model' | 'team' | 'order' | 'suspect'
-export const SUBJECT_KINDS: readonly SubjectKind[] = ['request', 'model', 'team', 'order', 'suspect']
+export type SubjectKind = 'request' | 'model' | 'team' | 'order' | 'suspect' | 'server'
+export const SUBJECT_KINDS: readonly SubjectKind[] = ['request', 'model', 'team', 'order', 'suspect', 'server']
 
 export interface DecisionEvent {
   atMs: number
--- a/packages/magnoliabay/src/node/operators/explain.ts
+++ b/packages/magnoliabay/src/node/operators/explain.ts
@@ -43,9 +43,17 @@
     const isRequestEvent = ({ event, fields }: DecisionEvent): boolean => fields.request !== undefined && event !== 'suspect-trial'
     return { events: sortByTime([...found.events, ...crashes.events.filter(event => !isRequestEvent(event))]), unheard: found.unheard }
   }
+  /** Adds what servers of the request sent meanwhile and was refused. */
+  const addRefusedInputs = async (kind: SubjectKind, found: Omit<Explanation, 'kind' | 'id'>): Promise<Omit<Explanation, 'kind' | 'id'>> => {
+    const servers = new Set(found.events.map(({ fields }) => fields.server).filter(server => typeof server === 'string'))
+    if (kind !== 'request' || servers.size === 0) return found
+    const answers = await Promise.all([...servers].map(server => queryAllInstances('server', server)))
+    const refused = answers.flatMap(({ events }) => events).filter(({ event }) => event === 'input-refused')
+    return { events: sortByTime([...found.events, ...eventsDuring(refused, found.events)]), unheard: found.unheard }
+  }
   return {
     explain: async (kind, id) => {
-      const found = await addCrashes(kind, await queryAllInstances(kind, id))
+      const found = await addRefusedInputs(kind, await addCrashes(kind, await queryAllInstances(kind, id)))
       const model = found.events.map(({ fields }) => fields.model).find(name => typeof name === 'string')
       if (kind !== 'request' || model === undefined) return { kind, id, ...found }
       const modelEvents = await queryAllInstances('model', String(model))
