--- a/scripts/fleet.ts
+++ b/scripts/fleet.ts
@@ -11,6 +11,7 @@
 import type { FaultRun } from './fleet/report'
 import { createHarness } from './fleet/harness'
 import { runCrashingPromptParts } from './fleet/crashingPromptParts'
+import { runOddAnswers } from './fleet/oddAnswers'
 import { runStreamVersions } from './fleet/streamVersions'
 import type { GuaranteeResult } from './fleet/guarantees'
 
@@ -35,7 +36,8 @@
 /** The runs on the users' platform, beside the faults of the fleet. */
 const PLATFORM_RUNS: Readonly<Record<string, (options: PlatformRunOptions) => Promise<GuaranteeResult[]>>> = {
   'stream-versions': runStreamVersions,
-  'crashing-prompt-parts': runCrashingPromptParts
+  'crashing-prompt-parts': runCrashingPromptParts,
+  'odd-answers': runOddAnswers
 }
 
 const MAX_PLATFORM_INSTANCES = 5
--- a/scripts/fleet/platformSite.ts
+++ b/scripts/fleet/platformSite.ts
@@ -13,14 +13,22 @@
 /** Two engines of each version: one may be lost. */
 const VERSIONS = ['v1', 'v1', 'v1.1', 'v1.1']
 
+/** A plain service, whose servers the run adds. */
+export const PLAIN_SERVICE = 'desk'
+export const READ_PATH = '/read/1'
+export const WRITE_PATH = '/write/1'
+
+const plainRoute = (name: string, kind: string): object => ({ name, hostname: 'site.example', prefix: `/${name}/`, 'route-kind': kind, 'timeout-ms': 5000, 'target-latency-ms': 500, priority: 0, service: PLAIN_SERVICE, 'max-attempts': 2, anonymous: true })
+
 const CONFIG = {
   version: 1,
-  routes: [{ name: 'r1', hostname: 'site.example', prefix: '/stream/', 'route-kind': 'streaming', 'timeout-ms': 15_000, 'target-latency-ms': 1000, priority: 0, service: SERVICE, 'max-attempts': 2, anonymous: true, resumable: true, 'gap-target-ms': 300 }],
-  services: [{ name: SERVICE, 'connection-limit': 300, engine: { slots: 64, 'kv-cache-tokens': 100_000, 'weights-mb': 1000, 'adapter-capacity': 0, 'loads-per-s': 2, models: [{ name: MODEL, 'weights-mb': 100, 'load-time-s': 1 }] } }],
+  routes: [plainRoute('read', 'idempotent'), plainRoute('write', 'non_idempotent'), { name: 'r1', hostname: 'site.example', prefix: '/stream/', 'route-kind': 'streaming', 'timeout-ms': 15_000, 'target-latency-ms': 1000, priority: 0, service: SERVICE, 'max-attempts': 2, anonymous: true, resumable: true, 'gap-target-ms': 300 }],
+  services: [{ name: PLAIN_SERVICE, 'connection-limit': 300 }, { name: SERVICE, 'connection-limit': 300, engine: { slots: 64, 'kv-cache-tokens': 100_000, 'weights-mb': 1000, 'adapter-capacity': 0, 'loads-per-s': 2, models: [{ name: MODEL, 'weights-mb': 100, 'load-time-s': 1 }] } }],
   limits: { 'max-header-bytes': 16_384, 'max-body-bytes': 1_048_576, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000 }
 }
 
 export interface PlatformSite {
+  store: KvState
   engines: readonly PlatformEngine[]
   /** Returns the settings file of an instance, with ports that are free now. */
   settingsOf (index: number): Promise<{ text: string, entryAddress: string, readyUrl: string }>
@@ -32,16 +40,19 @@
   softwareVersions?: readonly string[]
   /** Whether the answers of the engine with this index end with their connection. @default none do */
   endsWithConnection?: (index: number) => boolean
+  /** Returns the body of a report in place of the sound one. @default reports are sound */
+  spoilReport?: (sound: string) => string | undefined
 }
 
-export async function createPlatformSite ({ softwareVersions = VERSIONS, endsWithConnection = () => false }: PlatformSiteOptions = {}): Promise<PlatformSite> {
+export async function createPlatformSite ({ softwareVersions = VERSIONS, endsWithConnection = () => false, spoilReport }: PlatformSiteOptions = {}): Promise<PlatformSite> {
   const clock = createSystemClock()
   const state: KvState = createKvState({ clock })
   const store = await createMetadataStoreServer({ state, clock })
   state.transact({ compares: [], success: [{ kind: 'put', key: 'op/config', value: JSON.stringify(CONFIG), leaseId: '0' }], failure: [] })
   const engines = await Promise.all(softwareVersions.map((softwareVersion, index) =>
-    createPlatformEngine({ id: `engine-${index + 1}`, service: SERVICE, softwareVersion, models: [MODEL], failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!, store: state, clock, endsWithConnection: endsWithConnection(index) })))
+    createPlatformEngine({ id: `engine-${index + 1}`, service: SERVICE, softwareVersion, models: [MODEL], failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!, store: state, clock, endsWithConnection: endsWithConnection(index), spoilReport })))
   return {
+    store: state,
     engines,
     settingsOf: async index => {
       const [entry, ready, peers, resolution, metrics] = await freePorts(5)
