--- a/packages/magnoliabay/src/node/backend/httpExchange.ts
+++ b/packages/magnoliabay/src/node/backend/httpExchange.ts
@@ -75,22 +75,17 @@
   let watched: { socket: Socket, end: ConnectionEnd } | undefined
   let isUnmarked = false
 
-  const finish = (kind: ExchangeEndKind, message: string): void => {
+  const finish = (kind: ExchangeEndKind, message: string, connection?: Socket): void => {
     if (hasEnded) return
     hasEnded = true
     cancelIdleCheck()
     watched?.end.stop()
-    resolveEnded({ kind, isSent, message })
+    resolveEnded({ kind, isSent, message, connection })
   }
   /** `undici` takes a reset for the end of a response that ends with its connection, and tells its users nothing of it. */
   const finishAtConnectionEnd = async (): Promise<void> => {
-    const wasClosed = await watched?.end.wasClosed() ?? false
-    if (hasEnded) return
-    if (!wasClosed) return finish('broken', 'The connection was reset within a response without length.')
-    hasEnded = true
-    cancelIdleCheck()
-    watched!.end.stop()
-    resolveEnded({ kind: 'complete', isSent, message: '', connection: watched!.socket })
+    if (await watched?.end.wasClosed() === true) finish('complete', '', watched!.socket)
+    else finish('broken', 'The connection was reset within a response without length.')
   }
   const abort = (kind: ExchangeEndKind, message: string): void => {
     if (hasEnded) return
@@ -123,8 +118,7 @@
     },
     onResponseStart: (_controller, status, headers) => {
       if (hasEnded || (status >= 100 && status < 200)) return
-      const problem = status < 100 ? `status ${status} is none of HTTP` : undefined
-      if (problem !== undefined) return abort('broken', problem)
+      if (status < 100) return abort('broken', `status ${status} is none of HTTP`)
       lastActivityMs = clock.monotonic()
       isUnmarked = framingOf(req.method, status, headers) === 'connection'
       const socket = isUnmarked ? connectionOf() : undefined
--- a/packages/magnoliabay/src/node/entry/services.ts
+++ b/packages/magnoliabay/src/node/entry/services.ts
@@ -8,6 +8,7 @@
 import type { IdempotencyClaim, IdempotencyClaims } from '../once'
 import type { RequestOutcome } from '../outcomes'
 import { REQUEST_ID_HEADER } from '../backend/protocol'
+import { hasNoBody } from '../http/responseFraming'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
 import { mayCall } from './authorization'
@@ -80,7 +81,7 @@
       : await attempts.run(req, call.val, req.deadline.signal)
     if (response.err) return conclude(response.val)
     if (res.destroyed) return conclude(createIndeterminateFailure('caller_gone', 'The caller closed its connection.'))
-    sendResponse(res, response.val, req.requestId)
+    sendResponse(res, response.val, req)
     return { kind: 'answered' }
   }
   return concludeHandler(options, run)
@@ -94,11 +95,9 @@
   })
 }
 
-function sendResponse (res: ServerResponse, response: ServiceResponse, requestId: string): void {
-  res.writeHead(response.status, {
-    'content-type': response.contentType,
-    'content-length': response.body.length,
-    [REQUEST_ID_HEADER]: requestId
-  })
-  res.end(response.body)
+function sendResponse (res: ServerResponse, { status, contentType, body }: ServiceResponse, { method, requestId }: EntryRequest): void {
+  // A length beside a status without a body is against the protocol, and to HEAD it would be a wrong one.
+  const describedBody = hasNoBody(method ?? 'GET', status) ? {} : { 'content-type': contentType, 'content-length': body.length }
+  res.writeHead(status, { ...describedBody, [REQUEST_ID_HEADER]: requestId })
+  res.end(body)
 }
