--- a/packages/standins/src/node/oddServer/index.ts
+++ b/packages/standins/src/node/oddServer/index.ts
@@ -95,6 +95,8 @@
       given.push({ attemptId: req.attemptId, kind, body: answer.body })
       answer.write(socket)
       const idleEnd = chooseIdleEnd()
+      // An answer that is broken off later leaves no idle connection: ended regularly before that, it would be whole.
+      if (answer.body === undefined) return
       cancelIdle = clock.schedule(IDLE_MS, () => { if (!socket.destroyed) IDLE_ENDS[idleEnd](socket) })
     })
   }
