--- a/packages/magnoliabay/src/node/clock/index.ts
+++ b/packages/magnoliabay/src/node/clock/index.ts
@@ -15,18 +15,35 @@
   schedule (delayMs: number, callback: () => void): CancelTimer
 }
 
+/** Longest delay of the runtime's timers; one above it fires at once. */
+export const MAX_TIMER_DELAY_MS = 2_147_483_647
+
+/**
+ * Sets a timer for any delay, as several in turn where one of the runtime cannot hold it. Delays come from configurations, servers
+ * and callers: a request with a timeout of a month would else end as it arrives, and a repeated task run without pause.
+ *
+ * @param setTimer sets one timer of the runtime
+ */
+export function scheduleAnyDelay (setTimer: Clock['schedule'], delayMs: number, callback: () => void): CancelTimer {
+  const stepMs = Math.min(delayMs, MAX_TIMER_DELAY_MS)
+  if (stepMs === delayMs) return setTimer(delayMs, callback)
+  let cancel = setTimer(stepMs, () => { cancel = scheduleAnyDelay(setTimer, delayMs - stepMs, callback) })
+  return () => cancel()
+}
+
 /** Creates the clock of the running process; `onTimer` is called whenever a timer fires. */
 export function createSystemClock (onTimer: () => void = () => {}): Clock {
+  const setTimer: Clock['schedule'] = (delayMs, callback) => {
+    const timer = setTimeout(() => {
+      onTimer()
+      callback()
+    }, delayMs)
+    return () => clearTimeout(timer)
+  }
   return {
     now: () => Date.now(),
     monotonic: () => performance.now(),
-    schedule: (delayMs, callback) => {
-      const timer = setTimeout(() => {
-        onTimer()
-        callback()
-      }, delayMs)
-      return () => clearTimeout(timer)
-    }
+    schedule: (delayMs, callback) => scheduleAnyDelay(setTimer, delayMs, callback)
   }
 }
 
--- a/packages/magnoliabay/src/node/clock/virtual.ts
+++ b/packages/magnoliabay/src/node/clock/virtual.ts
@@ -3,6 +3,7 @@
  * The timers are those of `@sinonjs/fake-timers`; this file adapts them to {@link Clock}.
  */
 import { createClock } from '@sinonjs/fake-timers'
+import { scheduleAnyDelay } from '.'
 import type { Clock } from '.'
 
 export interface VirtualClock extends Clock {
@@ -20,13 +21,14 @@
 export function createVirtualClock (startMs = 1_700_000_000_000): VirtualClock {
   const timers = createClock(startMs)
   let wallClockOffsetMs = 0
+  const setTimer: Clock['schedule'] = (delayMs, callback) => {
+    const timer = timers.setTimeout(callback, Math.max(0, delayMs))
+    return () => timers.clearTimeout(timer)
+  }
   return {
     now: () => timers.now + wallClockOffsetMs,
     monotonic: () => timers.now - startMs,
-    schedule: (delayMs, callback) => {
-      const timer = timers.setTimeout(callback, Math.max(0, delayMs))
-      return () => timers.clearTimeout(timer)
-    },
+    schedule: (delayMs, callback) => scheduleAnyDelay(setTimer, delayMs, callback),
     advance: async ms => { await timers.tickAsync(ms) },
     next: async () => { await timers.nextAsync() },
     settle: async () => { await timers.tickAsync(0) },
