--- a/packages/magnoliabay/src/node/inputs/index.ts
+++ b/packages/magnoliabay/src/node/inputs/index.ts
@@ -69,6 +69,8 @@
 export const count = v.pipe(v.number(), v.safeInteger(), v.minValue(0))
 /** A finite number. */
 export const finite = v.pipe(v.number(), v.finite())
+/** A duration or a limit: finite, and not negative. */
+export const nonNegative = v.pipe(v.number(), v.finite(), v.minValue(0))
 /** A list that some senders write as null where it is empty. */
 export function listOf<Item extends v.GenericSchema> (item: Item): v.NullishSchema<v.ArraySchema<Item, undefined>, () => Array<v.InferInput<Item>>> {
   return v.nullish(v.array(item), () => [])
--- a/packages/magnoliabay/src/node/platform/configDocument.ts
+++ b/packages/magnoliabay/src/node/platform/configDocument.ts
@@ -1,6 +1,6 @@
 /** Decodes the configuration that the operator writes to the store. */
 import * as v from 'valibot'
-import { count, finite } from '../inputs'
+import { count, finite, nonNegative } from '../inputs'
 import type { ModelSpec, RequestKind, Route, Service, ServingConfig, Team } from '../serving/types'
 import { parseJson } from '../utils'
 
@@ -24,7 +24,7 @@
   hostname: v.string(),
   prefix: v.string(),
   'route-kind': v.optional(v.string(), 'non_idempotent'),
-  'timeout-ms': v.optional(finite, DEFAULT_TIMEOUT_MS),
+  'timeout-ms': v.optional(nonNegative, DEFAULT_TIMEOUT_MS),
   'target-latency-ms': v.optional(finite, 0),
   'gap-target-ms': v.optional(finite, 0),
   priority: v.optional(finite, 0),
@@ -80,11 +80,12 @@
   routes: v.array(wireRoute),
   services: v.array(wireService),
   tenants: v.optional(v.nullable(v.array(wireTeam))),
+  // The runtime throws for a negative timeout of a connection, in a listener, where an exception ends the process.
   limits: v.optional(v.object({
-    'max-header-bytes': v.optional(finite, 16_384),
-    'max-body-bytes': v.optional(finite, 4_194_304),
-    'header-timeout-ms': v.optional(finite, 5000),
-    'idle-timeout-ms': v.optional(finite, 15_000)
+    'max-header-bytes': v.optional(nonNegative, 16_384),
+    'max-body-bytes': v.optional(nonNegative, 4_194_304),
+    'header-timeout-ms': v.optional(nonNegative, 5000),
+    'idle-timeout-ms': v.optional(nonNegative, 15_000)
   }), {})
 })
 
--- a/packages/magnoliabay/src/node/serving/entryServer.ts
+++ b/packages/magnoliabay/src/node/serving/entryServer.ts
@@ -18,6 +18,8 @@
 const DEFAULT_LIMITS: CallerLimits = { maxHeaderBytes: 65_536, maxBodyBytes: 4_194_304, headerTimeoutMs: 10_000, idleTimeoutMs: 15_000 }
 /** Idle connections are kept this much longer than callers reuse them, so that none is closed as a request arrives. */
 const KEEP_ALIVE_MARGIN_MS = 2000
+/** Timers of the runtime hold no more than 24 days. */
+const MAX_IDLE_TIMEOUT_MS = 86_400_000
 /** Longest time for receiving a body, milliseconds. */
 const BODY_TIMEOUT_MS = 30_000
 
@@ -63,7 +65,7 @@
   const setLimits = (limits: CallerLimits): void => {
     server.headersTimeout = limits.headerTimeoutMs
     server.requestTimeout = limits.headerTimeoutMs + BODY_TIMEOUT_MS
-    server.keepAliveTimeout = limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS
+    server.keepAliveTimeout = Math.min(MAX_IDLE_TIMEOUT_MS, limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS)
     readBody = bodyMiddleware(clock, { maxBodyBytes: limits.maxBodyBytes, bodyTimeoutMs: BODY_TIMEOUT_MS })
   }
   setLimits(DEFAULT_LIMITS)
