--- a/packages/magnoliabay/src/node/platform/__tests__/outOfRangeValues.spec.ts
+++ b/packages/magnoliabay/src/node/platform/__tests__/outOfRangeValues.spec.ts
@@ -43,3 +43,17 @@
     expect(accepted).to.be.at.least(20)
   })
 })
+
+const modelsWith = (count: number, adapters: number): object[] => Array.from({ length: count }, (_, index) => ({ name: `m${index}`, 'weights-mb': 1, 'load-time-s': 1, adapters }))
+
+/** Guards against a process whose memory is exhausted by the names of adapters of which a configuration only states the number. */
+describe('adapters of a configuration', () => {
+  it('are refused in numbers that no fleet holds, counted over all models', () => {
+    expect(decodeConfig(documentWith({}, modelsWith(40, 10_000)))).to.equal(undefined)
+    expect(decodeConfig(documentWith({}, modelsWith(1, 1e15)))).to.equal(undefined)
+  })
+
+  it('are accepted in the number that the system is built for', () => {
+    expect(decodeConfig(documentWith({}, modelsWith(8, 10_000)))?.services.get('llm')?.engine?.models.size).to.equal(8)
+  })
+})
--- a/packages/magnoliabay/src/node/platform/configDocument.ts
+++ b/packages/magnoliabay/src/node/platform/configDocument.ts
@@ -14,8 +14,8 @@
 const REQUEST_KINDS: Record<string, RequestKind> = { idempotent: 'idempotent', non_idempotent: 'non-idempotent', streaming: 'stream' }
 const DEFAULT_TIMEOUT_MS = 30_000
 const MS_PER_SECOND = 1000
-/** Adapters of one model: their names are made from this number. */
-const MAX_ADAPTERS = 1_000_000
+/** Adapters of all models together. Their names are made from the numbers, so that a short document could exhaust the memory. */
+const MAX_ADAPTERS = 200_000
 /** Time for which engines keep the copy of a run that is being moved. */
 const DEFAULT_HANDLE_SECONDS = 5
 
@@ -39,7 +39,7 @@
   name: v.string(),
   'weights-mb': finite,
   'load-time-s': finite,
-  adapters: v.optional(v.pipe(count, v.maxValue(MAX_ADAPTERS)), 0),
+  adapters: v.optional(count, 0),
   'adapter-size-mb': v.optional(finite, 0),
   'warmup-s': v.optional(finite),
   'disk-load-s': v.optional(finite)
@@ -89,11 +89,16 @@
   }), {})
 })
 
+function adapterCountOf (services: ReadonlyArray<v.InferOutput<typeof wireService>>): number {
+  return services.flatMap(({ engine }) => engine?.models ?? []).reduce((sum, { adapters }) => sum + adapters, 0)
+}
+
 /** Decodes the document; returns undefined when it is invalid. */
 export function decodeConfig (text: string): ServingConfig | undefined {
   const checked = v.safeParse(wireConfig, parseJson(text))
   if (!checked.success) return undefined
   const { version, routes, services, tenants, limits } = checked.output
+  if (adapterCountOf(services) > MAX_ADAPTERS) return undefined
   return {
     version,
     routes: routes.map(toRoute),
