--- a/packages/magnoliabay/src/node/members/__tests__/frames.spec.ts
+++ b/packages/magnoliabay/src/node/members/__tests__/frames.spec.ts
@@ -114,4 +114,21 @@
     expect((await read(largest, [65_536])).frames).to.have.length(1)
     expect(() => encodeFrame(noticeOf(MAX_FRAME_BYTES - overhead + 1))).to.throw(FrameError).with.property('kind', 'too-long')
   })
+
+  const TAGGED: ReadonlyArray<[string, unknown]> = [
+    ['a number of any length', 2n ** 80n],
+    ['a negative one', -(2n ** 80n)],
+    ['a date', new Date(0)],
+    ['a regular expression', /x/],
+    ['a set', new Set([1])]
+  ]
+  /** Guards against an event loop that is held for minutes by a number of four megabytes. */
+  TAGGED.forEach(([name, value]) => it(`are refused with ${name}`, async () => {
+    expect(await read(encoded({ type: 'notice', kind: 'note', body: [value] }))).to.deep.equal({ frames: [], err: 'not-cbor' })
+  }))
+
+  it('may hold bytes', async () => {
+    const { frames: [received] } = await read(encodeFrame({ type: 'notice', kind: 'note', body: { packed: new Uint8Array([1, 2]) } }))
+    expect(received).to.deep.nested.property('body.packed[1]', 2)
+  })
 })
--- a/packages/magnoliabay/src/node/members/frames.ts
+++ b/packages/magnoliabay/src/node/members/frames.ts
@@ -1,7 +1,7 @@
 /**
  * Frames between members: four bytes of length, then one CBOR value.
  */
-import { Decoder, Encoder } from 'cbor-x'
+import { Decoder, Encoder, addExtension } from 'cbor-x'
 import type { Readable } from 'node:stream'
 import { createByteQueue } from './byteQueue'
 import type { MemberRecord } from './record'
@@ -21,6 +21,26 @@
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true })
 const decoder = new Decoder({ useRecords: false, mapsAsObjects: true })
 
+/**
+ * Tags of CBOR that members never send: dates, numbers of any length, shared and packed values, objects and sets. A number of
+ * a few hundred kilobytes would hold the event loop for seconds, and one of a whole frame for minutes.
+ */
+const REFUSED_TAGS = [0, 1, 2, 3, 4, 5, 6, 14, 15, 27, 28, 29, 51, 105, 258, 259]
+
+class RefusedTagError extends Error {
+  constructor (tag: number) {
+    super(`members send no values with tag ${tag}`)
+  }
+}
+
+REFUSED_TAGS.forEach(tag => addExtension({
+  // The decoder alone is replaced: no value that members send is of a class of its own.
+  Class: RefusedTagError,
+  tag,
+  encode: () => new Uint8Array(),
+  decode: () => { throw new RefusedTagError(tag) }
+}))
+
 export type FrameErrorKind = 'too-long' | 'not-cbor' | 'not-a-frame'
 
 export class FrameError extends Error {
