--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,7 +16,10 @@
     files: ['packages/magnoliabay/src/**/*.ts'],
     ignores: ['**/__tests__/**'],
     languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
-    rules: { '@typescript-eslint/no-floating-promises': ['error', { ignoreVoid: false }] }
+    rules: {
+      '@typescript-eslint/no-floating-promises': ['error', { ignoreVoid: false }],
+      '@typescript-eslint/no-misused-promises': 'error'
+    }
   },
   {
     files: ['**/*.spec.ts'],
--- a/packages/magnoliabay/src/node/cells/cells.ts
+++ b/packages/magnoliabay/src/node/cells/cells.ts
@@ -249,10 +249,11 @@
     if (leader !== undefined) loadSubscribers.subscribe(report.cell, from.id)
     if (leader !== undefined && !leader.recordUsage(report)) peers.notify(from.id, tableNotice, leader.table())
   })
-  peers.onConnected(async member => {
-    const tables = await peers.call(member.id, tablesCall, null)
+  const fetchTables = async (memberId: string): Promise<void> => {
+    const tables = await peers.call(memberId, tablesCall, null)
     if (tables.ok) tables.val.forEach(replicas.applyTable)
-  })
+  }
+  peers.onConnected(member => { inBackground('fetch-tables', fetchTables(member.id)) })
 
   return {
     replicas,
--- a/packages/magnoliabay/src/node/members/memoryNetwork.ts
+++ b/packages/magnoliabay/src/node/members/memoryNetwork.ts
@@ -2,6 +2,7 @@
  * Implements {@link Peers} in memory, for tests and benchmarks in virtual time. Every message is delayed; a policy
  * decides whether it is lost or duplicated.
  */
+import { inBackground } from '../background'
 import type { Clock } from '../clock'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
@@ -79,15 +80,16 @@
   const sendCall = (sender: Node, to: string, kind: string, body: unknown, timeoutMs: number): Promise<Result<unknown, PeerError>> => new Promise(resolve => {
     if (!isConnected(sender.member.id, to)) return resolve(Err({ kind: 'not-connected', message: `No link to ${to}.` }))
     const cancel = clock.schedule(timeoutMs, () => resolve(Err({ kind: 'timeout', message: `No answer to ${kind} in time.` })))
-    transmit({ from: sender.member.id, to, kind, type: 'call', body }, sender, async (receiver, received) => {
+    const answer = async (receiver: Node, received: unknown): Promise<void> => {
       const result = await receiver.dispatch.handleCall(kind, received, sender.member)
       const reply: Message = { from: to, to: sender.member.id, kind, type: 'reply', body: { ok: result.ok, value: result.val } }
-      transmit(reply, receiver, (_sender, answer) => {
+      transmit(reply, receiver, (_sender, arrived) => {
         cancel()
-        const { ok, value } = answer as { ok: boolean, value: unknown }
+        const { ok, value } = arrived as { ok: boolean, value: unknown }
         resolve(ok ? Ok(value) : Err(value as PeerError))
       })
-    })
+    }
+    transmit({ from: sender.member.id, to, kind, type: 'call', body }, sender, (receiver, received) => { inBackground('answer-call', answer(receiver, received)) })
   })
   const peersOf = (node: Node): Peers => {
     const self = node.member
--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -208,10 +208,11 @@
     options.inputs?.recordRefused('peer-message', { peer: memberId, call: peerCall.kind }, checked.val.message)
     return Err<PeerError>({ kind: 'handler-failed', message: checked.val.message })
   }
-  const notify: Peers['notify'] = async (memberId, notice, body) => {
+  const notifyOnce = async (memberId: string, kind: string, body: unknown): Promise<void> => {
     const link = await linkTo(memberId)
-    link?.notify(notice.kind, body)
+    link?.notify(kind, body)
   }
+  const notify: Peers['notify'] = (memberId, notice, body) => { inBackground('notify', notifyOnce(memberId, notice.kind, body)) }
 
   const accept: Record<PeerProtocol, (socket: Socket) => unknown> = {
     link: socket => runSocket(socket, false),
--- a/packages/magnoliabay/src/node/members/terminationDetector.ts
+++ b/packages/magnoliabay/src/node/members/terminationDetector.ts
@@ -3,6 +3,7 @@
  * process resumes and continues to use the leases and shares that it held before.
  */
 import * as v from 'valibot'
+import { inBackground } from '../background'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import type { ListedInstance } from '../store'
@@ -118,10 +119,13 @@
   const observeMembers = (): void => peers.members().forEach(observeProcess)
 
   peers.onMembersChanged(observeMembers)
-  peers.onConnected(async member => {
-    observeProcess(member)
-    const known = await peers.call(member.id, proofsCall, null)
+  const fetchProofs = async (memberId: string): Promise<void> => {
+    const known = await peers.call(memberId, proofsCall, null)
     if (known.ok) known.val.forEach(({ process, proof }) => acceptProof(process, proof))
+  }
+  peers.onConnected(member => {
+    observeProcess(member)
+    inBackground('fetch-proofs', fetchProofs(member.id))
   })
   peers.serve(proofsCall, () => [...proofs.values()])
   peers.listen(proofNotice, ({ process, proof }) => { acceptProof(process, proof) })
--- a/packages/magnoliabay/src/node/once/batchWriter.ts
+++ b/packages/magnoliabay/src/node/once/batchWriter.ts
@@ -129,7 +129,7 @@
     write: write => new Promise(resolve => {
       const queued = { write, settle: resolve }
       if (write.kind !== 'claim') return enqueue(queued)
-      if (recentClaimKeys.has(write.key)) return enqueueUnlessResolved(queued)
+      if (recentClaimKeys.has(write.key)) return inBackground('enqueue-claim', enqueueUnlessResolved(queued))
       recentClaimKeys.add(write.key)
       enqueue(queued)
     })
--- a/packages/magnoliabay/src/node/paths/forwardingServer.ts
+++ b/packages/magnoliabay/src/node/paths/forwardingServer.ts
@@ -3,6 +3,7 @@
  * both directions, with the back-pressure of the two sockets; an end, or a reset, of one side ends the other in the same way.
  * Connections are made directly, never through a third instance, so that there are no loops.
  */
+import { inBackground } from '../background'
 import { createServer } from 'node:http'
 import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
@@ -78,9 +79,8 @@
     tunnel.start()
   }
   const refuse = (downstream: Duplex, status: number): void => { downstream.end(`HTTP/1.1 ${status} \r\nConnection: close\r\n\r\n`) }
-  server.on('connect', async (req: IncomingMessage, downstream: Duplex, head: Buffer) => {
+  const openTunnel = async (req: IncomingMessage, downstream: Duplex, head: Buffer): Promise<void> => {
     const address = req.url ?? ''
-    downstream.on('error', () => downstream.destroy())
     if (!isMember(req)) return refuse(downstream, FORBIDDEN_STATUS)
     if (!options.isListed(address)) return refuse(downstream, FORBIDDEN_STATUS)
     try {
@@ -90,6 +90,10 @@
     } catch (err) {
       refuse(downstream, STATUS_BY_FAILURE[toDialError(err).failure])
     }
+  }
+  server.on('connect', (req: IncomingMessage, downstream: Duplex, head: Buffer) => {
+    downstream.on('error', () => downstream.destroy())
+    inBackground('open-tunnel', openTunnel(req, downstream, head))
   })
 
   return {
--- a/packages/magnoliabay/src/node/serving/allowance/allowanceLimiter.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/allowanceLimiter.ts
@@ -4,6 +4,7 @@
  * recorded in the store (`homeLedger.ts`). Every instance also reports its own spending, so that a home learns of
  * spending that it has not counted.
  */
+import { inBackground } from '../../background'
 import * as v from 'valibot'
 import { TIMED_OUT, withTimeout } from '../../clock'
 import type { Clock } from '../../clock'
@@ -287,7 +288,7 @@
   }
   peers.onConnected(member => [...uncountedUnits.keys()]
     .filter(team => homeInstanceOf(peers, team) === member.id)
-    .forEach(team => askHome(member.id, team, 0, COMMON_ASK)))
+    .forEach(team => inBackground('ask-home', askHome(member.id, team, 0, COMMON_ASK))))
   const isWaiting = (untilMs: ReadonlyMap<string, number>, home: string): boolean => (untilMs.get(home) ?? 0) > clock.monotonic()
   const pauseAsking = (pauses: Map<string, number>, team: string, home: string, reason: string): void => {
     pauses.set(home, clock.monotonic() + HOME_RETRY_DELAY_MS)
--- a/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
@@ -9,7 +9,7 @@
  * from an older copy since: then the whole limit counts as spent. Two homes at once, as members change, exclude each
  * other: records change by compare-and-swap, and the one that is too late starts again from the other's record.
  */
-import { inBackground } from '../../background'
+import { inBackground, runStep } from '../../background'
 import type { Clock } from '../../clock'
 import { TIMED_OUT, withTimeout } from '../../clock'
 import type { Logger } from '../../logger'
@@ -254,11 +254,12 @@
   const scheduleRecording = (): void => {
     if (isCheckScheduled || isClosed) return
     isCheckScheduled = true
-    clock.schedule(RECORD_CHECK_INTERVAL_MS, async () => {
-      if (isRecordOutdated() && !isClosed && loading !== undefined) await writeRecord()
-      isCheckScheduled = false
-      if (spending.spent(clock.monotonic()) > 0) scheduleRecording()
-    })
+    clock.schedule(RECORD_CHECK_INTERVAL_MS, () => { inBackground('record-spending', recordIfOutdated()) })
+  }
+  const recordIfOutdated = async (): Promise<void> => {
+    if (isRecordOutdated() && !isClosed && loading !== undefined) await runStep('write-record', writeRecord)
+    isCheckScheduled = false
+    if (spending.spent(clock.monotonic()) > 0) scheduleRecording()
   }
   const needsRecordFirst = (): boolean => remainingCoverage() < 0 && !isRecordingFailed && loading !== undefined
   /** Waits for the record that has to be written before the amount just counted may be granted. */
--- a/packages/magnoliabay/src/node/serving/dissemination.ts
+++ b/packages/magnoliabay/src/node/serving/dissemination.ts
@@ -202,7 +202,7 @@
   }
 
   return {
-    start: signal => repeat(clock, STATUS_POLL_INTERVAL_MS, signal, pollPeerStatus),
+    start: signal => { inBackground('poll-peer-status', repeat(clock, STATUS_POLL_INTERVAL_MS, signal, pollPeerStatus)) },
     sendChanges,
     syncFromProxy: member => {
       inBackground('fetch-servers', fetchServers(member))
--- a/packages/magnoliabay/src/node/serving/entryServer.ts
+++ b/packages/magnoliabay/src/node/serving/entryServer.ts
@@ -45,7 +45,7 @@
   let readBody: Handler
   const open = new Set<ServerResponse>()
 
-  const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+  const handle = (req: IncomingMessage, res: ServerResponse): void => {
     const arrivedMs = clock.monotonic()
     const entryReq = req as EntryRequest
     entryReq.requestId = createId('req')
--- a/packages/magnoliabay/src/node/serving/storeProxy.ts
+++ b/packages/magnoliabay/src/node/serving/storeProxy.ts
@@ -5,6 +5,7 @@
  * The leader therefore asks a peer that reaches the store to watch it, uses what that peer sends, and states the age of
  * that information in its summaries.
  */
+import { inBackground, runStep } from '../background'
 import * as v from 'valibot'
 import type { Clock } from '../clock'
 import { sleep, delayToNextPeriod } from '../clock'
@@ -109,6 +110,13 @@
     onProxyAnswered(member)
   }
 
+  const askRepeatedly = async (signal: AbortSignal): Promise<void> => {
+    while (!signal.aborted) {
+      await runStep('ask-proxy', ask)
+      await sleep(clock, delayToNextPeriod(clock, isLeading() ? ASK_INTERVAL_MS : LEADERSHIP_CHECK_INTERVAL_MS), signal)
+    }
+  }
+
   return {
     contact: () => {
       const direct = ownContact()
@@ -118,11 +126,6 @@
     },
     current: () => proxy?.member,
     clients,
-    start: async signal => {
-      while (!signal.aborted) {
-        await ask()
-        await sleep(clock, delayToNextPeriod(clock, isLeading() ? ASK_INTERVAL_MS : LEADERSHIP_CHECK_INTERVAL_MS), signal)
-      }
-    }
+    start: signal => { inBackground('ask-proxy', askRepeatedly(signal)) }
   }
 }
--- a/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
@@ -185,7 +185,7 @@
     find,
     record: record => {
       keep(record, record.services)
-      if (haveSeveralVersions(record.services, record.keepMs)) replicaHoldersOf(record.key).forEach(member => send(member, [toRecord(record)]))
+      if (haveSeveralVersions(record.services, record.keepMs)) replicaHoldersOf(record.key).forEach(member => inBackground('send-origin', send(member, [toRecord(record)])))
     },
     ask: query => new Promise(resolve => {
       const members = rankingOf(query.key).filter(peers.isConnected)
@@ -194,7 +194,7 @@
       let pending = members.length
       const settle = (origin: StreamOrigin | undefined): void => resolve({ origin, versions: seen, asked: members.length, replied })
       if (pending === 0) settle(undefined)
-      members.forEach(async member => {
+      const askMember = async (member: string): Promise<void> => {
         const reply = await peers.call(member, findCall, query, { timeoutMs: CALL_TIMEOUT_MS })
         pending -= 1
         if (reply.ok) {
@@ -203,7 +203,8 @@
           if (reply.val.origin !== undefined) settle(reply.val.origin)
         }
         if (pending === 0) settle(undefined)
-      })
+      }
+      members.forEach(member => inBackground('ask-member', askMember(member)))
     })
   }
 }
--- a/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
@@ -203,7 +203,7 @@
       if (origin === undefined || isUnstated(origin)) return
       const unverified = usable(run).filter(server => versionOf(server) === origin.softwareVersion && identity.isUnverified(server))
       const hasModel = (server: BackendServer): boolean => server.models.some(({ name }) => name === run.caller.model)
-      ;[...unverified.filter(hasModel), ...unverified.filter(server => !hasModel(server))].slice(0, MAX_VERIFIED).forEach(identity.verify)
+      ;[...unverified.filter(hasModel), ...unverified.filter(server => !hasModel(server))].slice(0, MAX_VERIFIED).forEach(server => inBackground('verify-identity', identity.verify(server)))
     },
     recordBreak: identity.recordBreak,
     recordAccepting: identity.recordAccepting
