--- a/packages/magnoliabay/src/node/admission/withdrawals.ts
+++ b/packages/magnoliabay/src/node/admission/withdrawals.ts
@@ -2,6 +2,7 @@
  * The withdrawn keys that this instance knows from the store or its peers. Keys are only ever added, so sets can be
  * merged in any order, and withdrawals spread while the store is unavailable.
  */
+import * as v from 'valibot'
 import { inBackground } from '../background'
 import { createListeners } from '../members/dispatch'
 import { definePeerCall, definePeerNotice } from '../members'
@@ -24,8 +25,9 @@
   withdrawals: readonly Withdrawal[]
 }
 
-const keyWithdrawn = definePeerNotice<Withdrawal>('admission.key-withdrawn')
-const syncCall = definePeerCall<SyncRequest, SyncReply>('admission.withdrawals')
+const withdrawalSchema = v.object({ keyId: v.string(), atMs: v.number() })
+const keyWithdrawn = definePeerNotice<Withdrawal>('admission.key-withdrawn', withdrawalSchema)
+const syncCall = definePeerCall<SyncRequest, SyncReply>('admission.withdrawals', { req: v.object({ digest: v.string() }), res: v.object({ withdrawals: v.array(withdrawalSchema) }) })
 
 const SYNC_TIMEOUT_MS = 1000
 /** Digests are sums of key hashes modulo this, so that the order of the keys doesn't matter. */
--- a/packages/magnoliabay/src/node/allowance/messages.ts
+++ b/packages/magnoliabay/src/node/allowance/messages.ts
@@ -1,4 +1,6 @@
 /** Peer messages about allowances. */
+import * as v from 'valibot'
+import { finite } from '../inputs'
 import { definePeerCall, definePeerNotice } from '../members'
 import type { PairReport, Transfer } from './transferCounters'
 
@@ -70,8 +72,20 @@
   reports: readonly PairReport[]
 }
 
-export const askCall = definePeerCall<AskRequest, AskReply>('allowance.ask')
-export const reserveCall = definePeerCall<ReserveRequest, ReserveReply>('allowance.reserve')
-export const settleNotice = definePeerNotice<SettleNotice>('allowance.settle')
-export const holdingNotice = definePeerNotice<HoldingNotice>('allowance.holding')
-export const closeCall = definePeerCall<CloseRequest, CloseReply>('allowance.close')
+const transferSchema = v.object({ team: v.string(), from: v.string(), to: v.string(), given: finite, tokens: finite })
+const pairReportSchema = v.object({ team: v.string(), dead: v.string(), given: finite, received: finite })
+
+export const askCall = definePeerCall<AskRequest, AskReply>('allowance.ask', {
+  req: v.object({ number: finite, team: v.string(), mode: v.picklist(['collect', 'rebalance', 'even', 'return', 'heal']), tokens: finite, demand: finite, units: finite }),
+  res: v.object({ transfer: transferSchema, unitsLeft: finite, tokensLeft: finite })
+})
+export const reserveCall = definePeerCall<ReserveRequest, ReserveReply>('allowance.reserve', {
+  req: v.object({ number: finite, team: v.string(), tokens: finite }),
+  res: v.object({ isGranted: v.boolean(), waitMs: v.number() })
+})
+export const settleNotice = definePeerNotice<SettleNotice>('allowance.settle', v.object({ number: finite, used: finite }))
+export const holdingNotice = definePeerNotice<HoldingNotice>('allowance.holding', v.object({ team: v.string(), units: finite, isIdle: v.boolean() }))
+export const closeCall = definePeerCall<CloseRequest, CloseReply>('allowance.close', {
+  req: v.object({ dead: v.array(v.string()) }),
+  res: v.object({ process: v.string(), reports: v.array(pairReportSchema) })
+})
--- a/packages/magnoliabay/src/node/backend/backendStatements.ts
+++ b/packages/magnoliabay/src/node/backend/backendStatements.ts
@@ -1,9 +1,10 @@
 /** What backend servers state about themselves in their answers, by address, and what follows for requests to them. */
+import * as v from 'valibot'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import { definePeerNotice } from '../members'
 import type { Peers } from '../members'
-import { createBrittleServers, createBrittleServices, createLimitedServers, createServerLimits, createServerBackoffs } from '../statements'
+import { createBrittleServers, createBrittleServices, createLimitedServers, createServerLimits, createServerBackoffs, statedBrittlenessSchema, statedLimitSchema } from '../statements'
 import type { ServerStatement, StatedBrittleness, StatedLimit } from '../statements'
 import type { ResponseHeaders } from './httpExchange'
 import type { LeavingBackends } from './leavingBackends'
@@ -15,7 +16,7 @@
 /** Time after which a brittle backend server without a free place may have one, milliseconds. */
 const NO_PLACE_MS = 300
 
-const statedLimitsNotice = definePeerNotice<{ stated: readonly StatedLimit[], brittle?: readonly StatedBrittleness[] }>('backend.stated-limits')
+const statedLimitsNotice = definePeerNotice<{ stated: readonly StatedLimit[], brittle?: readonly StatedBrittleness[] }>('backend.stated-limits', v.object({ stated: v.array(statedLimitSchema), brittle: v.optional(v.array(statedBrittlenessSchema)) }))
 
 /** A place at a backend server, held until its request has ended. */
 export interface Place {
--- a/packages/magnoliabay/src/node/backend/leavingBackends.ts
+++ b/packages/magnoliabay/src/node/backend/leavingBackends.ts
@@ -2,6 +2,7 @@
  * Backend servers that have announced that they are leaving. The platform's list lags by seconds; until it has
  * caught up, the announcement keeps new requests away from them, here and at every peer.
  */
+import * as v from 'valibot'
 import type { Clock } from '../clock'
 import { definePeerNotice } from '../members'
 import type { Peers } from '../members'
@@ -10,7 +11,7 @@
   address: string
 }
 
-export const backendLeavingNotice = definePeerNotice<BackendLeavingNotice>('backend.leaving')
+export const backendLeavingNotice = definePeerNotice<BackendLeavingNotice>('backend.leaving', v.object({ address: v.string() }))
 
 export interface LeavingBackends {
   /** Records that the server states that it is leaving, or refused a request for that, and notifies all peers. */
--- a/packages/magnoliabay/src/node/backend/listPolling.ts
+++ b/packages/magnoliabay/src/node/backend/listPolling.ts
@@ -4,8 +4,10 @@
  * engines. In a large fleet the members take turns, a few in each second, and notify the others of changes. The
  * number of calls then doesn't grow with the fleet, and each member's own turn makes up for lost notices.
  */
+import * as v from 'valibot'
 import { definePeerNotice } from '../members'
 import type { MemberRecord } from '../members'
+import { listedInstanceSchema } from '../store/instanceList'
 import type { ListedInstance } from '../store'
 
 /** Up to this many members, each polls for itself every second. */
@@ -25,7 +27,7 @@
   gone: readonly string[]
 }
 
-export const listChangedNotice = definePeerNotice<ListChange>('backend.list-changed')
+export const listChangedNotice = definePeerNotice<ListChange>('backend.list-changed', v.object({ readAtMs: v.number(), changed: v.array(listedInstanceSchema), gone: v.array(v.string()) }))
 
 /** Returns whether it is the member's turn to poll in the interval that contains `nowMs` (wall clock). */
 export function isTurnToPoll (memberId: string, members: readonly MemberRecord[], nowMs: number): boolean {
--- a/packages/magnoliabay/src/node/cells/records.ts
+++ b/packages/magnoliabay/src/node/cells/records.ts
@@ -3,7 +3,7 @@
 import { STORE_KEY_PREFIX } from '../constants'
 import type { OrderAction } from '../backend/protocol'
 import { stableHash } from '../utils'
-import { definePeerCall, definePeerNotice, memberRecordSchema } from '../members'
+import { NO_BODY, definePeerCall, definePeerNotice, memberRecordSchema } from '../members'
 import type { MemberRecord, ProcessId } from '../members'
 
 const CELL_NAME = 'cell-'
@@ -150,15 +150,33 @@
   open: readonly Intent[]
 }
 
-export const demandCall = definePeerCall<Demand, DemandReply>('cells.demand')
-export const tablesCall = definePeerCall<null, readonly ReplicaTable[]>('cells.tables')
-export const tableNotice = definePeerNotice<ReplicaTable>('cells.table')
-export const holdIntentCall = definePeerCall<Intent, HoldIntentReply>('cells.hold-intent')
-export const dropIntentsNotice = definePeerNotice<readonly string[]>('cells.drop-intents')
-export const heldIntentsCall = definePeerCall<string, readonly Intent[]>('cells.held-intents')
-export const releaseCall = definePeerCall<ReleaseRequest, ReleaseReply>('cells.release')
-export const loadNotice = definePeerNotice<LoadNotice>('cells.load')
-export const usageNotice = definePeerNotice<UsageReport>('cells.usage')
+const texts = v.array(v.string())
+const countsByName = v.record(v.string(), v.number())
+const replicaTableSchema = v.object({
+  cell: v.string(),
+  fence: v.number(),
+  version: v.number(),
+  replicas: v.array(v.object({ engine: v.string(), address: v.string(), failureDomain: v.string(), model: v.string(), version: v.string(), adapters: texts }))
+})
+const demandSchema = v.object({ cell: v.string(), model: v.string(), adapters: texts, waiting: v.number(), patienceMs: v.number(), weight: v.number() })
+const demandReplySchema = v.object({
+  status: v.picklist(['loading', 'loaded', 'queued', 'no-room', 'not-steward', 'unknown-model']),
+  reason: v.string(),
+  table: v.optional(replicaTableSchema)
+})
+
+export const demandCall = definePeerCall<Demand, DemandReply>('cells.demand', { req: demandSchema, res: demandReplySchema })
+export const tablesCall = definePeerCall<null, readonly ReplicaTable[]>('cells.tables', { req: NO_BODY, res: v.array(replicaTableSchema) })
+export const tableNotice = definePeerNotice<ReplicaTable>('cells.table', replicaTableSchema)
+export const holdIntentCall = definePeerCall<Intent, HoldIntentReply>('cells.hold-intent', { req: intentSchema, res: v.object({ held: v.boolean() }) })
+export const dropIntentsNotice = definePeerNotice<readonly string[]>('cells.drop-intents', texts)
+export const heldIntentsCall = definePeerCall<string, readonly Intent[]>('cells.held-intents', { req: v.string(), res: v.array(intentSchema) })
+export const releaseCall = definePeerCall<ReleaseRequest, ReleaseReply>('cells.release', {
+  req: v.object({ cell: v.string(), incarnation: v.string(), fence: v.number() }),
+  res: v.object({ released: v.boolean(), open: v.array(intentSchema) })
+})
+export const loadNotice = definePeerNotice<LoadNotice>('cells.load', v.object({ cell: v.string(), loads: countsByName }))
+export const usageNotice = definePeerNotice<UsageReport>('cells.usage', v.object({ cell: v.string(), models: countsByName, adapters: countsByName }))
 
 /** Cell of an engine. Depends on the id alone, so it is the same on every instance. */
 export function cellOf (engineId: string, cellCount: number): string {
--- a/packages/magnoliabay/src/node/cells/weightStoreShare.ts
+++ b/packages/magnoliabay/src/node/cells/weightStoreShare.ts
@@ -3,6 +3,7 @@
  * the moment, and allocates an equal share to each of them; a cell that loads alone gets all. Exceeding the capacity
  * breaks nothing, it only slows all loads, so shares need neither agreement nor proof, only an expiry.
  */
+import * as v from 'valibot'
 import { inBackground } from '../background'
 import type { Clock } from '../clock'
 import { definePeerCall } from '../members'
@@ -14,7 +15,7 @@
   perSecond: number
 }
 
-export const storeShareCall = definePeerCall<string, StoreShare>('cells.store-share')
+export const storeShareCall = definePeerCall<string, StoreShare>('cells.store-share', { req: v.string(), res: v.object({ slots: v.number(), perSecond: v.number() }) })
 
 /** A share expires after this time. A cell without a request for this long counts as not loading. */
 const SHARE_TTL_MS = 5000
--- a/packages/magnoliabay/src/node/config/documents.ts
+++ b/packages/magnoliabay/src/node/config/documents.ts
@@ -44,7 +44,7 @@
 
 export type Manifest = v.InferOutput<typeof manifestSchema>
 
-const headSchema = v.strictObject({
+export const headSchema = v.strictObject({
   manifest: manifestSchema,
   /** Small new chunks, by digest, so that a receiver of the head need not request them. */
   inline: v.record(v.string(), v.string())
--- a/packages/magnoliabay/src/node/members/dispatch.ts
+++ b/packages/magnoliabay/src/node/members/dispatch.ts
@@ -20,22 +20,22 @@
   const calls = new Map<string, PeerCallHandler<unknown, unknown>>()
   const notices = new Map<string, PeerNoticeHandler<unknown>[]>()
   const schemas = new Map<string, GenericSchema>()
-  const setSchema = (kind: string, schema: GenericSchema | undefined): void => { if (schema !== undefined) schemas.set(kind, schema) }
   /** Returns why the body has not the form of its kind; undefined if it has. */
   const findProblem = (kind: string, body: unknown, from: MemberRecord): string | undefined => {
     const schema = schemas.get(kind)
-    const checked = schema === undefined ? undefined : checkInput(schema, body)
-    if (checked === undefined || checked.ok) return undefined
+    if (schema === undefined) return undefined
+    const checked = checkInput(schema, body)
+    if (checked.ok) return undefined
     inputs?.recordRefused('peer-message', { peer: from.id, call: kind }, checked.val.message)
     return checked.val.message
   }
   return {
     serve: (call, handler) => {
-      setSchema(call.kind, call.schemas.req)
+      schemas.set(call.kind, call.schemas.req)
       calls.set(call.kind, handler as PeerCallHandler<unknown, unknown>)
     },
     listen: (notice, handler) => {
-      setSchema(notice.kind, notice.schema)
+      schemas.set(notice.kind, notice.schema)
       const handlers = notices.get(notice.kind) ?? []
       notices.set(notice.kind, [...handlers, handler as PeerNoticeHandler<unknown>])
     },
@@ -58,6 +58,15 @@
   }
 }
 
+/** Returns an answer whose form is that of the call, or an error that has been logged and counted. */
+export function checkAnswer<Req, Res> (call: PeerCall<Req, Res>, answer: Result<unknown, PeerError>, peer: string, inputs?: Pick<InputMonitor, 'recordRefused'>): Result<Res, PeerError> {
+  if (answer.err) return answer
+  const checked = checkInput(call.schemas.res, answer.val)
+  if (checked.ok) return answer as Result<Res, PeerError>
+  inputs?.recordRefused('peer-message', { peer, call: call.kind }, checked.val.message)
+  return Err({ kind: 'handler-failed', message: checked.val.message })
+}
+
 export interface Listeners<Args extends unknown[]> {
   add (listener: (...args: Args) => void): Disposer
   emit (...args: Args): void
--- a/packages/magnoliabay/src/node/members/memoryNetwork.ts
+++ b/packages/magnoliabay/src/node/members/memoryNetwork.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '../clock'
 import { Err, Ok } from '../result'
 import type { Result } from '../result'
-import { createDispatch, createListeners } from './dispatch'
+import { checkAnswer, createDispatch, createListeners } from './dispatch'
 import type { Dispatch, Listeners } from './dispatch'
 import type { PeerError, Peers } from './peers'
 import type { MemberRecord } from './record'
@@ -102,7 +102,7 @@
       isConnected: memberId => isConnected(self.id, memberId),
       call: async (to, call, body, callOptions) => {
         if (to === self.id) return await node.dispatch.handleCall(call.kind, body, self) as Answer
-        return await sendCall(node, to, call.kind, body, callOptions?.timeoutMs ?? DEFAULT_CALL_TIMEOUT_MS) as Answer
+        return checkAnswer(call, await sendCall(node, to, call.kind, body, callOptions?.timeoutMs ?? DEFAULT_CALL_TIMEOUT_MS), to)
       },
       notify,
       notifyLinked: (memberIds, notice, body) => memberIds.forEach(to => notify(to, notice, body)),
--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -2,6 +2,7 @@
  * Links to peers over TCP. In a small fleet all members hold links to one another; in a large one each holds links to
  * its neighbours, and dials other members on demand. Of two neighbours, the one with the lesser id dials.
  */
+import { listenOn } from '../utils'
 import { inBackground } from '../background'
 import type { Socket } from 'node:net'
 import type { Clock } from '../clock'
@@ -9,12 +10,11 @@
 import type { Logger } from '../logger'
 import { Err } from '../result'
 import type { Result } from '../result'
-import { listenOn } from '../utils'
+
 import { createDialer } from './dialer'
-import { createDispatch, createListeners } from './dispatch'
+import { checkAnswer, createDispatch, createListeners } from './dispatch'
 import { detectProtocol } from './firstByte'
 import type { PeerProtocol } from './firstByte'
-import { checkInput } from '../inputs'
 import type { InputMonitor } from '../inputs'
 import { encodeFrame } from './frames'
 import { createGossip, gossipNotice } from './gossip'
@@ -202,11 +202,7 @@
     const link = await linkTo(memberId)
     if (link === undefined) return Err({ kind: 'not-connected', message: `No link to ${memberId}.` })
     const answer = await link.call(peerCall.kind, body, callOptions)
-    const { res } = peerCall.schemas
-    const checked = answer.err || res === undefined ? undefined : checkInput(res, answer.val)
-    if (checked === undefined || checked.ok) return answer as Answer
-    options.inputs?.recordRefused('peer-message', { peer: memberId, call: peerCall.kind }, checked.val.message)
-    return Err<PeerError>({ kind: 'handler-failed', message: checked.val.message })
+    return checkAnswer(peerCall, answer, memberId, options.inputs)
   }
   const notifyOnce = async (memberId: string, kind: string, body: unknown): Promise<void> => {
     const link = await linkTo(memberId)
--- a/packages/magnoliabay/src/node/members/peers.ts
+++ b/packages/magnoliabay/src/node/members/peers.ts
@@ -2,18 +2,23 @@
  * Interface for messages between members: calls, which are answered, and notices, which are not. `members/network.ts`
  * implements it over TCP, `members/memoryNetwork.ts` in memory for tests.
  */
+import * as v from 'valibot'
 import type { GenericSchema } from 'valibot'
 import type { Result } from '../result'
 import type { MemberRecord } from './record'
 
-/** The forms of a request and of its answer, checked where they arrive. Fields that they do not name are passed on. */
+/**
+ * The forms of a request and of its answer, checked where they arrive. Fields that they do not name are passed on. A message
+ * without a form could leave values behind on which a timer, or the request of a caller, fails later.
+ */
 export interface CallSchemas {
-  /** @default its handler checks it */
-  req?: GenericSchema
-  /** @default its caller checks it */
-  res?: GenericSchema
+  req: GenericSchema
+  res: GenericSchema
 }
 
+/** The form of a request that asks for nothing in particular: whatever it holds is not read. */
+export const NO_BODY: GenericSchema = v.unknown()
+
 /** A typed call between members. Created with {@link definePeerCall}. */
 export interface PeerCall<Req, Res> {
   readonly kind: string
@@ -24,15 +29,15 @@
 /** A typed notice between members: sent once, possibly lost, never answered. */
 export interface PeerNotice<Body> {
   readonly kind: string
-  readonly schema: GenericSchema | undefined
+  readonly schema: GenericSchema
   readonly types?: { body: Body }
 }
 
-export function definePeerCall<Req, Res> (kind: string, schemas: CallSchemas = {}): PeerCall<Req, Res> {
+export function definePeerCall<Req, Res> (kind: string, schemas: CallSchemas): PeerCall<Req, Res> {
   return { kind, schemas }
 }
 
-export function definePeerNotice<Body> (kind: string, schema?: GenericSchema): PeerNotice<Body> {
+export function definePeerNotice<Body> (kind: string, schema: GenericSchema): PeerNotice<Body> {
   return { kind, schema }
 }
 
--- a/packages/magnoliabay/src/node/members/reachabilityProbe.ts
+++ b/packages/magnoliabay/src/node/members/reachabilityProbe.ts
@@ -4,7 +4,7 @@
  * with an older fencing token.
  */
 import * as v from 'valibot'
-import { definePeerCall } from './peers'
+import { NO_BODY, definePeerCall } from './peers'
 import type { Peers } from './peers'
 
 export interface ReachabilityProbe {
@@ -16,7 +16,7 @@
   isUnreachable (memberId: string): Promise<boolean>
 }
 
-const pingCall = definePeerCall<null, true>('members.ping')
+const pingCall = definePeerCall<null, true>('members.ping', { req: NO_BODY, res: v.literal(true) })
 const witnessCall = definePeerCall<{ member: string }, { isReached: boolean }>('members.witness', { req: v.object({ member: v.string() }), res: v.object({ isReached: v.boolean() }) })
 
 const PING_TIMEOUT_MS = 1000
--- a/packages/magnoliabay/src/node/members/terminationDetector.ts
+++ b/packages/magnoliabay/src/node/members/terminationDetector.ts
@@ -9,7 +9,7 @@
 import type { ListedInstance } from '../store'
 import { createListeners } from './dispatch'
 import type { Disposer, Peers } from './peers'
-import { definePeerCall, definePeerNotice } from './peers'
+import { NO_BODY, definePeerCall, definePeerNotice } from './peers'
 import type { MemberRecord } from './record'
 
 export interface ProcessId {
@@ -60,7 +60,7 @@
 
 const proofSchema = v.object({ process: v.object({ member: v.string(), incarnation: v.string() }), proof: v.string() })
 const proofNotice = definePeerNotice<ProofMessage>('members.gone', proofSchema)
-const proofsCall = definePeerCall<null, readonly ProofMessage[]>('members.proofs', { res: v.array(proofSchema) })
+const proofsCall = definePeerCall<null, readonly ProofMessage[]>('members.proofs', { req: NO_BODY, res: v.array(proofSchema) })
 
 interface ObservedProcess {
   record: MemberRecord
--- a/packages/magnoliabay/src/node/once/claimWriter.ts
+++ b/packages/magnoliabay/src/node/once/claimWriter.ts
@@ -1,4 +1,5 @@
 /** Write operations on claims and their outcomes. */
+import * as v from 'valibot'
 
 /**
  * `claim`: creates the claim if the key is free. `replace`, `remove`: change the claim if its value is `expected`.
@@ -16,6 +17,17 @@
  */
 export type WriteOutcome = 'done' | 'lost' | 'unavailable' | 'unknown'
 
+const key = v.string()
+const value = v.string()
+const expected = v.string()
+export const claimWriteSchema = v.variant('kind', [
+  v.object({ kind: v.literal('claim'), key, value }),
+  v.object({ kind: v.literal('replace'), key, value, expected }),
+  v.object({ kind: v.literal('remove'), key, expected }),
+  v.object({ kind: v.literal('part'), key, value })
+])
+export const writeOutcomeSchema = v.picklist(['done', 'lost', 'unavailable', 'unknown'])
+
 export interface ClaimWriter {
   write (write: ClaimWrite): Promise<WriteOutcome>
 }
--- a/packages/magnoliabay/src/node/once/forwardingWriter.ts
+++ b/packages/magnoliabay/src/node/once/forwardingWriter.ts
@@ -6,10 +6,10 @@
 import { definePeerCall } from '../members'
 import type { MemberRecord, Peers } from '../members'
 import { rankByRendezvous } from '../utils'
-import { sizeOf } from './claimWriter'
+import { claimWriteSchema, sizeOf, writeOutcomeSchema } from './claimWriter'
 import type { ClaimWrite, ClaimWriter, WriteOutcome } from './claimWriter'
 
-const writeClaim = definePeerCall<ClaimWrite, WriteOutcome>('once.write')
+const writeClaim = definePeerCall<ClaimWrite, WriteOutcome>('once.write', { req: claimWriteSchema, res: writeOutcomeSchema })
 
 const RANKING_KEY = 'once-writer'
 const CALL_TIMEOUT_MS = 2000
--- a/packages/magnoliabay/src/node/operators/drain.ts
+++ b/packages/magnoliabay/src/node/operators/drain.ts
@@ -1,4 +1,5 @@
 /** Takes one instance out of service without stopping it: callers and its cells move to others. */
+import * as v from 'valibot'
 import type { Logger } from '../logger'
 import { definePeerCall } from '../members'
 import type { PeerError, Peers } from '../members'
@@ -15,7 +16,7 @@
   drain (instance: string, operator: string): Promise<Result<{ instance: string }, PeerError>>
 }
 
-const drainCall = definePeerCall<{ operator: string }, { instance: string }>('operators.drain')
+const drainCall = definePeerCall<{ operator: string }, { instance: string }>('operators.drain', { req: v.object({ operator: v.string() }), res: v.object({ instance: v.string() }) })
 const DRAIN_TIMEOUT_MS = 15_000
 
 export function createDrainer ({ peers, logger, leave }: DrainOptions): Drainer {
--- a/packages/magnoliabay/src/node/operators/explain.ts
+++ b/packages/magnoliabay/src/node/operators/explain.ts
@@ -1,4 +1,5 @@
 /** Collects from all instances their decisions about a subject and the reasons. */
+import * as v from 'valibot'
 import { definePeerCall } from '../members'
 import type { Peers } from '../members'
 import { SUBJECT_KINDS } from './decisionLog'
@@ -17,7 +18,10 @@
   explain (kind: SubjectKind, id: string): Promise<Explanation>
 }
 
-const decisionsCall = definePeerCall<{ kind: SubjectKind, id: string }, { events: DecisionEvent[] }>('operators.decisions')
+const decisionsCall = definePeerCall<{ kind: SubjectKind, id: string }, { events: DecisionEvent[] }>('operators.decisions', {
+  req: v.object({ kind: v.picklist(SUBJECT_KINDS), id: v.string() }),
+  res: v.object({ events: v.array(v.object({ atMs: v.number(), instance: v.string(), event: v.string(), fields: v.record(v.string(), v.unknown()) })) })
+})
 const DECISIONS_TIMEOUT_MS = 2000
 /** Largest difference assumed between the clocks of two instances. */
 const MAX_CLOCK_DIFFERENCE_MS = 500
--- a/packages/magnoliabay/src/node/report/counts.ts
+++ b/packages/magnoliabay/src/node/report/counts.ts
@@ -2,6 +2,8 @@
  * Counts good and bad requests in time buckets for each team and objective: by minute for six hours, by half
  * hour for three days. Takes 8 KB for each pair ever counted, independent of the load.
  */
+import * as v from 'valibot'
+import { OBJECTIVE_NAMES } from './objectives'
 import type { ObjectiveName } from './objectives'
 
 export const MINUTE_MS = 60_000
@@ -26,6 +28,9 @@
   coarse: BucketTally[]
 }
 
+const bucketsSchema = v.array(v.tuple([v.number(), v.number(), v.number()]))
+export const seriesCountsSchema = v.object({ team: v.string(), objective: v.picklist(OBJECTIVE_NAMES), fine: bucketsSchema, coarse: bucketsSchema })
+
 export interface Counts {
   add (team: string, objective: ObjectiveName, isGood: boolean): void
   /** Adds the counts of another instance. */
--- a/packages/magnoliabay/src/node/report/index.ts
+++ b/packages/magnoliabay/src/node/report/index.ts
@@ -1,13 +1,14 @@
 /** Report on error-budget burn, from the counts of this instance and of all instances. */
+import * as v from 'valibot'
 import { Counter, Gauge } from 'prom-client'
 import type { Registry } from 'prom-client'
 import type { Clock } from '../clock'
 import type { ConfigProvider } from '../config'
-import { definePeerCall, definePeerNotice } from '../members'
+import { NO_BODY, definePeerCall, definePeerNotice } from '../members'
 import type { Peers } from '../members'
 import { WINDOW_MS, burnRate, burnRates, firingRule } from './burnRate'
 import type { AlertRule, BurnRates, WindowName } from './burnRate'
-import { createCounts } from './counts'
+import { createCounts, seriesCountsSchema } from './counts'
 import type { BucketTally, Counts, SeriesCounts, Tally } from './counts'
 import { OBJECTIVE_NAMES, evaluateRequest, objectiveOf, targetOf } from './objectives'
 import type { ObjectiveName, Observation } from './objectives'
@@ -51,8 +52,9 @@
   clock: Clock
 }
 
-const reportCounts = definePeerCall<Record<string, never>, { series: SeriesCounts[] }>('report.counts')
-const reportHandover = definePeerNotice<{ series: SeriesCounts[] }>('report.handover')
+const seriesSchema = v.object({ series: v.array(seriesCountsSchema) })
+const reportCounts = definePeerCall<Record<string, never>, { series: SeriesCounts[] }>('report.counts', { req: NO_BODY, res: seriesSchema })
+const reportHandover = definePeerNotice<{ series: SeriesCounts[] }>('report.handover', seriesSchema)
 const COLLECT_TIMEOUT_MS = 3000
 /** Windows exported on `/metrics`; recording rules derive the others from the counters. */
 const METRIC_WINDOWS: readonly WindowName[] = ['5m', '1h', '6h', '3d']
--- a/packages/magnoliabay/src/node/serving/dissemination.ts
+++ b/packages/magnoliabay/src/node/serving/dissemination.ts
@@ -8,7 +8,7 @@
 import type { Clock } from '../clock'
 import { repeat } from '../clock'
 import type { Logger } from '../logger'
-import { definePeerCall, memberRecordSchema } from '../members'
+import { NO_BODY, definePeerCall, memberRecordSchema } from '../members'
 import type { MemberList, MemberRecord, PeerCall, Peers } from '../members'
 import type { ServingConfigProvider } from './servingConfigProvider'
 import { configNotice, evacuationNotice, membersNotice, serversNotice, evacuationSchema, leadershipSchema, listedServerSchema, packedSchema } from './fleetMessages'
@@ -30,10 +30,10 @@
 }
 
 const statusSchema = v.object({ configVersion: v.number(), storeAgeMs: v.number(), leading: v.optional(leadershipSchema), leavingServers: v.array(v.string()), isListKnown: v.boolean(), evacuation: evacuationSchema })
-const configCall = definePeerCall<Record<string, never>, { packed: Uint8Array | undefined }>('serving.config', { res: v.object({ packed: v.optional(packedSchema) }) })
-const serversCall = definePeerCall<Record<string, never>, { servers: readonly ListedServer[] }>('serving.servers', { res: v.object({ servers: v.array(listedServerSchema) }) })
-const membersCall = definePeerCall<Record<string, never>, { members: readonly MemberRecord[] }>('serving.members', { res: v.object({ members: v.array(memberRecordSchema) }) })
-const statusCall = definePeerCall<Record<string, never>, PeerStatus>('serving.news', { res: statusSchema })
+const configCall = definePeerCall<Record<string, never>, { packed: Uint8Array | undefined }>('serving.config', { req: NO_BODY, res: v.object({ packed: v.optional(packedSchema) }) })
+const serversCall = definePeerCall<Record<string, never>, { servers: readonly ListedServer[] }>('serving.servers', { req: NO_BODY, res: v.object({ servers: v.array(listedServerSchema) }) })
+const membersCall = definePeerCall<Record<string, never>, { members: readonly MemberRecord[] }>('serving.members', { req: NO_BODY, res: v.object({ members: v.array(memberRecordSchema) }) })
+const statusCall = definePeerCall<Record<string, never>, PeerStatus>('serving.news', { req: NO_BODY, res: statusSchema })
 
 /** Changes of a list are batched for this long for each follower, and at least for the minimum below, milliseconds. */
 const BATCH_DELAY_PER_FOLLOWER_MS = 0.5
--- a/packages/magnoliabay/src/node/serving/fleetMessages.ts
+++ b/packages/magnoliabay/src/node/serving/fleetMessages.ts
@@ -2,6 +2,7 @@
 import * as v from 'valibot'
 import { definePeerNotice, memberRecordSchema } from '../members'
 import type { MemberChanges } from '../members'
+import { statedBrittlenessSchema, statedLimitSchema } from '../statements'
 import type { StatedBrittleness, StatedLimit } from '../statements'
 import type { EvacuationState } from './evacuations'
 import type { TeamSpending } from './allowance/allowanceLimiter'
@@ -127,8 +128,8 @@
 }
 
 const texts = v.array(v.string())
-const limits = v.array(v.object({ server: v.string(), requestsPerSecond: v.optional(v.number()), ageMs: v.number() }))
-const brittle = v.optional(v.array(v.object({ service: v.string(), maxRejectionsPerSecond: v.optional(v.number()), ageMs: v.number() })))
+const limits = v.array(statedLimitSchema)
+const brittle = v.optional(v.array(statedBrittlenessSchema))
 const spent = v.array(v.object({ team: v.string(), units: v.number() }))
 const models = v.array(v.object({ name: v.string(), version: v.number(), adapters: texts }))
 
--- a/packages/magnoliabay/src/node/serving/storeProxy.ts
+++ b/packages/magnoliabay/src/node/serving/storeProxy.ts
@@ -10,7 +10,7 @@
 import type { Clock } from '../clock'
 import { sleep, delayToNextPeriod } from '../clock'
 import type { Logger } from '../logger'
-import { definePeerCall } from '../members'
+import { NO_BODY, definePeerCall } from '../members'
 import type { Peers } from '../members'
 import { STORE_RECOVERY_MS } from './serverList'
 
@@ -22,7 +22,7 @@
   steadyMs: number
 }
 
-const watchCall = definePeerCall<Record<string, never>, StoreContact>('serving.watch-for-me', { res: v.object({ ageMs: v.number(), steadyMs: v.number() }) })
+const watchCall = definePeerCall<Record<string, never>, StoreContact>('serving.watch-for-me', { req: NO_BODY, res: v.object({ ageMs: v.number(), steadyMs: v.number() }) })
 
 /** Interval at which a proxy is asked for its contact to the store, milliseconds. */
 const ASK_INTERVAL_MS = 250
--- a/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
@@ -7,7 +7,7 @@
 import { inBackground } from '../../background'
 import type { Clock } from '../../clock'
 import type { Logger } from '../../logger'
-import { definePeerCall, rankHomeInstances } from '../../members'
+import { NO_BODY, definePeerCall, rankHomeInstances } from '../../members'
 import type { Peers } from '../../members'
 import { stableHash } from '../../utils'
 import type { SoftwareVersions } from './softwareVersions'
@@ -68,7 +68,7 @@
   replied: number
 }
 
-const recordCall = definePeerCall<{ records: readonly OriginRecord[] }, object>('serving.record-stream-origins', { req: v.object({ records: v.array(v.object({ service: v.string(), softwareVersion: v.string(), key: v.string(), keepMs: v.number() })) }) })
+const recordCall = definePeerCall<{ records: readonly OriginRecord[] }, object>('serving.record-stream-origins', { req: v.object({ records: v.array(v.object({ service: v.string(), softwareVersion: v.string(), key: v.string(), keepMs: v.number() })) }), res: NO_BODY })
 const findCall = definePeerCall<OriginQuery, OriginReply>('serving.find-stream-origin', {
   req: v.object({ key: v.string(), services: v.array(v.string()), withinMs: v.number() }),
   res: v.object({ origin: v.optional(v.object({ service: v.string(), softwareVersion: v.string() })), versions: v.array(v.array(v.string())) })
--- a/packages/magnoliabay/src/node/statements/brittleServices.ts
+++ b/packages/magnoliabay/src/node/statements/brittleServices.ts
@@ -3,6 +3,7 @@
  * number of requests in a second. All servers of a service are brittle at the same time, so one answer, to any instance,
  * holds for all of them; of two statements the later one holds.
  */
+import * as v from 'valibot'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import type { ServerStatement } from './types'
@@ -16,6 +17,8 @@
   ageMs: number
 }
 
+export const statedBrittlenessSchema = v.object({ service: v.string(), maxRejectionsPerSecond: v.optional(v.number()), ageMs: v.number() })
+
 export interface BrittleServices {
   /** Records what an answer of a server of the service states. `hasRun`: it answers a request that the server has run; no other answer ends the state. */
   record (service: string, statement: Pick<ServerStatement, 'maxRejectionsPerSecond'>, hasRun: boolean): void
--- a/packages/magnoliabay/src/node/statements/index.ts
+++ b/packages/magnoliabay/src/node/statements/index.ts
@@ -4,11 +4,11 @@
  */
 export { createBrittleServers } from './brittleServers'
 export type { BrittleServers } from './brittleServers'
-export { createBrittleServices } from './brittleServices'
+export { createBrittleServices, statedBrittlenessSchema } from './brittleServices'
 export type { BrittleServices, StatedBrittleness } from './brittleServices'
 export { createLimitedServers } from './limitedServers'
 export type { LimitedServers } from './limitedServers'
-export { createServerLimits } from './serverLimits'
+export { createServerLimits, statedLimitSchema } from './serverLimits'
 export type { ServerLimits, StatedLimit } from './serverLimits'
 export { createServerBackoffs } from './serverBackoffs'
 export type { ServerBackoffs } from './serverBackoffs'
--- a/packages/magnoliabay/src/node/statements/serverLimits.ts
+++ b/packages/magnoliabay/src/node/statements/serverLimits.ts
@@ -2,6 +2,7 @@
  * Keeps the rate limits that backend servers state in their answers. An instance hears of a limit by its own requests, and
  * from the others through reports and summaries; of two statements the later one holds.
  */
+import * as v from 'valibot'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import type { ServerStatement } from './types'
@@ -15,6 +16,8 @@
   ageMs: number
 }
 
+export const statedLimitSchema = v.object({ server: v.string(), requestsPerSecond: v.optional(v.number()), ageMs: v.number() })
+
 export interface ServerLimits {
   /**
    * Records what an answer of the server process states. `hasRun`: it answers a request that the process has run; any
--- a/packages/magnoliabay/src/node/store/instanceList.ts
+++ b/packages/magnoliabay/src/node/store/instanceList.ts
@@ -1,4 +1,5 @@
 /** The platform's list of live and leaving instances. It lags: an instance that has ended may still be listed. */
+import * as v from 'valibot'
 import type { Result } from '../result'
 
 export type InstanceRole = 'entry' | 'engine' | 'service'
@@ -30,3 +31,17 @@
 export interface InstanceList {
   read (): Promise<Result<readonly ListedInstance[], InstanceListError>>
 }
+
+/** The form of an instance, as it arrives from the platform and from other members. */
+export const listedInstanceSchema = v.object({
+  id: v.string(),
+  role: v.picklist(['entry', 'engine', 'service']),
+  address: v.pipe(v.string(), v.regex(/^.+:\d+$/)),
+  failureDomain: v.string(),
+  region: v.string(),
+  status: v.picklist(['live', 'leaving']),
+  service: v.optional(v.string()),
+  checksFence: v.optional(v.boolean()),
+  memoryMiB: v.optional(v.number()),
+  accelerators: v.optional(v.number())
+})
--- a/packages/magnoliabay/src/node/store/instanceListClient.ts
+++ b/packages/magnoliabay/src/node/store/instanceListClient.ts
@@ -6,26 +6,14 @@
 import { Err, Ok } from '../result'
 import { messageOf } from '../utils'
 import { checkInput } from '../inputs'
+import { listedInstanceSchema } from './instanceList'
 import type { InstanceList } from './instanceList'
 
 const READ_TIMEOUT_MS = 2000
 /** A list of some thousand instances. */
 const MAX_ANSWER_BYTES = 8_388_608
 
-const listSchema = v.object({
-  instances: v.array(v.object({
-    id: v.string(),
-    role: v.picklist(['entry', 'engine', 'service']),
-    address: v.pipe(v.string(), v.regex(/^.+:\d+$/)),
-    failureDomain: v.string(),
-    region: v.string(),
-    status: v.picklist(['live', 'leaving']),
-    service: v.optional(v.string()),
-    checksFence: v.optional(v.boolean()),
-    memoryMiB: v.optional(v.number()),
-    accelerators: v.optional(v.number())
-  }))
-})
+const listSchema = v.object({ instances: v.array(listedInstanceSchema) })
 
 export function createInstanceListClient (url: string, clock: Clock): InstanceList {
   return {
