--- a/packages/magnoliabay/src/node/commands/platform.ts
+++ b/packages/magnoliabay/src/node/commands/platform.ts
@@ -48,6 +48,7 @@
     const store = createMetadataStore({ address: settings.val.store.address, inputs, clock, logger })
     const instance = createServingInstance({ settings: settings.val, protocol: platformProtocol, store, engines: createEngineCalls({ clock, inputs }), inputs, activity, clock, logger, random: Math.random })
     const discovery = createDiscovery({
+      clock,
       readinessAddress: settings.val.listen.readiness,
       resolutionAddress: settings.val.listen.resolution,
       isReady: instance.isReady,
--- a/packages/magnoliabay/src/node/entry/index.ts
+++ b/packages/magnoliabay/src/node/entry/index.ts
@@ -1,5 +1,6 @@
 /** HTTP server for callers. */
-import type { Server, ServerResponse } from 'node:http'
+import { listenOn } from '../http/listen'
+import type { RequestListener, ServerResponse } from 'node:http'
 import polka from 'polka'
 import type { Keyring } from '../admission'
 import type { Allowance } from '../allowance'
@@ -21,7 +22,7 @@
 import type { ReplicaRouter } from '../routing'
 import { createHttpServer } from '../tls'
 import type { Certificates } from '../tls'
-import { messageOf, parseHostPort } from '../utils'
+import { messageOf } from '../utils'
 import { handleClientErrors } from './clientErrors'
 import { completionHandler } from './completions'
 import { authenticateMiddleware } from './middleware/authenticate'
@@ -122,9 +123,10 @@
   ]
   app.use(requestIdMiddleware() as never, leavingMiddleware(() => peers.self.leaving) as never)
   routes.forEach(route => app.add(route.method, route.path, ...route.handlers as never[]))
+  server.on('request', app.handler as RequestListener)
 
   return {
-    start: () => startServer(server, app, settings.instance.entryAddress),
+    start: () => listenOn(server, settings.instance.entryAddress, clock),
     close: async drainMs => {
       const closed = new Promise<void>(resolve => { server.close(() => resolve()) })
       server.closeIdleConnections()
@@ -157,11 +159,3 @@
     res.end(await metrics.registry.metrics())
   }
 }
-
-function startServer (server: Server, app: polka.Polka, address: string): Promise<void> {
-  const { host, port } = parseHostPort(address)
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    app.listen(port, host, () => resolve())
-  })
-}
--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -2,7 +2,7 @@
  * Links to peers over TCP. In a small fleet all members hold links to one another; in a large one each holds links to
  * its neighbours, and dials other members on demand. Of two neighbours, the one with the lesser id dials.
  */
-import { listenOn } from '../utils'
+import { listenOn } from '../http/listen'
 import { inBackground } from '../background'
 import type { Socket } from 'node:net'
 import type { Clock } from '../clock'
@@ -233,7 +233,7 @@
       return neighbours.has(memberId) ? 'unlinked' : 'none'
     },
     connectOnce: peerAddress => dialer.dialOnce({ peerAddress }),
-    start: () => listenOn(server, self.peerAddress),
+    start: () => listenOn(server, self.peerAddress, clock),
     close: async () => {
       dialer.close()
       const open = [...[...links.values()].map(({ link }) => link), ...lingering]
--- a/packages/magnoliabay/src/node/operators/index.ts
+++ b/packages/magnoliabay/src/node/operators/index.ts
@@ -1,5 +1,6 @@
 /** HTTP server of the operators' interface, which has its own address and keys, separate from those of callers. */
-import type { ServerResponse } from 'node:http'
+import { listenOn } from '../http/listen'
+import type { RequestListener, ServerResponse } from 'node:http'
 import polka from 'polka'
 import type { Clock } from '../clock'
 import type { ResolvedSettings } from '../config'
@@ -11,7 +12,7 @@
 import type { Logger } from '../logger'
 import { createHttpServer } from '../tls'
 import type { Certificates } from '../tls'
-import { messageOf, parseHostPort } from '../utils'
+import { messageOf } from '../utils'
 import { operatorMiddleware } from './authenticate'
 import type { OperatorRequest } from './authenticate'
 import { operatorRoutes } from './routes'
@@ -52,13 +53,10 @@
     logger.info('operator-call', { operator: req.operator, method: route.method, path: req.path, status: res.statusCode })
   }
   operatorRoutes(options).forEach(route => app.add(route.method, route.path, ...[...guards, logged(route)] as never[]))
+  server.on('request', app.handler as RequestListener)
 
   return {
-    start: () => new Promise((resolve, reject) => {
-      const { host, port } = parseHostPort(settings.instance.operatorAddress)
-      server.once('error', reject)
-      app.listen(port, host, () => resolve())
-    }),
+    start: () => listenOn(server, settings.instance.operatorAddress, options.clock),
     close: () => new Promise(resolve => {
       server.close(() => resolve())
       server.closeAllConnections()
--- a/packages/magnoliabay/src/node/platform/discovery.ts
+++ b/packages/magnoliabay/src/node/platform/discovery.ts
@@ -1,14 +1,16 @@
 /** HTTP endpoints for the readiness check of the platform and for address resolution by callers. */
+import type { Clock } from '../clock'
+import { listenOn } from '../http/listen'
 import { createServer } from 'node:http'
 import type { RequestListener, ServerResponse } from 'node:http'
 import polka from 'polka'
-import { listenOn } from '../utils'
 
 /** How long callers may cache a resolution, seconds: short, so that callers soon stop using an instance that leaves. */
 const RESOLUTION_TTL_SECONDS = 2
 const MAX_ADDRESSES = 64
 
 export interface DiscoveryOptions {
+  clock: Clock
   readinessAddress: string
   resolutionAddress: string
   isReady: () => boolean
@@ -40,7 +42,7 @@
   const resolution = createServer(resolutionApp.handler as RequestListener)
   return {
     start: async () => {
-      await Promise.all([listenOn(readiness, options.readinessAddress), listenOn(resolution, options.resolutionAddress)])
+      await Promise.all([listenOn(readiness, options.readinessAddress, options.clock), listenOn(resolution, options.resolutionAddress, options.clock)])
     },
     close: () => {
       [readiness, resolution].forEach(server => {
--- a/packages/magnoliabay/src/node/serving/entryServer.ts
+++ b/packages/magnoliabay/src/node/serving/entryServer.ts
@@ -1,4 +1,5 @@
 /** HTTP server for callers: reads requests within the configured limits and passes them to `serve`. */
+import { listenOn } from '../http/listen'
 import { inBackground } from '../background'
 import { createServer } from 'node:http'
 import type { IncomingMessage, ServerResponse } from 'node:http'
@@ -10,7 +11,7 @@
 import { bodyMiddleware } from '../entry/middleware/body'
 import type { EntryRequest, Handler } from '../entry/types'
 import type { Logger } from '../logger'
-import { createId, listenOn, messageOf } from '../utils'
+import { createId, messageOf } from '../utils'
 import type { Inbound } from './requestRun'
 import type { CallerLimits } from './types'
 
@@ -76,7 +77,7 @@
       const bound = server.address() as AddressInfo
       return `${bound.address}:${bound.port}`
     },
-    start: () => listenOn(server, options.address),
+    start: () => listenOn(server, options.address, clock),
     close: async drainMs => {
       const closed = new Promise<void>(resolve => { server.close(() => resolve()) })
       server.closeIdleConnections()
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -1,4 +1,5 @@
 /** Creates one instance from all its parts, for a platform with a store, engines and plain services. */
+import { listenOn } from '../http/listen'
 import { inBackground } from '../background'
 import { createServer } from 'node:http'
 import { setMaxListeners } from 'node:events'
@@ -25,7 +26,7 @@
 import { createShutdown } from '../shutdown'
 import { createBrittleServers, createBrittleServices, createLimitedServers, createServerLimits, createServerBackoffs } from '../statements'
 import type { Store, PrefixWatch } from '../store'
-import { closeServer, createId, listenOn, parseHostPort } from '../utils'
+import { closeServer, createId, parseHostPort } from '../utils'
 import { createPeerFallbackStore } from './allowance/peerFallbackStore'
 import { createAllowanceLimiter } from './allowance/allowanceLimiter'
 import type { AllowanceTolerance } from './allowance/allowanceLimiter'
@@ -481,7 +482,7 @@
       storeProxy.start(stop.signal)
       contactSeeds({ network: peers, seeds: settings.seeds, isNeeded: needsSeeds, clock }, stop.signal)
       await entryServer.start()
-      await listenOn(metricsServer, settings.listen.metrics)
+      await listenOn(metricsServer, settings.listen.metrics, clock)
       logger.info('instance-started', { incarnation: self.incarnation, entry: settings.listen.entry, peers: settings.listen.peers, leaderKey: LEADER_KEY })
     },
     shutdown: createShutdown({
--- a/packages/magnoliabay/src/node/utils.ts
+++ b/packages/magnoliabay/src/node/utils.ts
@@ -38,15 +38,6 @@
   return { host, port: Number(address.slice(split + 1)) }
 }
 
-/** Listens on `ip:port`; rejects if the address cannot be bound. */
-export function listenOn (server: Server, address: string): Promise<void> {
-  const { host, port } = parseHostPort(address)
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, host, () => resolve())
-  })
-}
-
 /** Stops listening and closes all connections. */
 export function closeServer (server: Server & Pick<HttpServer, 'closeAllConnections'>): Promise<void> {
   return new Promise(resolve => {
