--- a/scripts/fleet/oddAnswers.ts
+++ b/scripts/fleet/oddAnswers.ts
@@ -1,9 +1,11 @@
 /**
  * Odd answers of servers, on the users' platform, as real processes: sound servers that answer with 204, 304, without a length or
- * at length, and close their idle connections; a faulty one whose answers are cut or none; engines whose reports are wrong; and a
- * sound server that crashes and comes back.
+ * at length, and close their idle connections; a faulty one whose answers are cut or none; engines whose reports and answers to
+ * orders are wrong; configurations, entries of servers and messages between members that are generated; and a sound server that
+ * crashes and comes back.
  */
-import { mkdirSync } from 'node:fs'
+import { createWriteStream, mkdirSync } from 'node:fs'
+import { request } from 'undici'
 import { FAULTY_ANSWERS, SOUND_ANSWERS, createOddServer } from '@magnoliabay/standins'
 import type { IdleEnd, OddServer } from '@magnoliabay/standins'
 import { createSystemClock } from '../../packages/magnoliabay/src/node/clock'
@@ -12,7 +14,8 @@
 import type { CallMethod, OddCall } from './oddCallers'
 import { pause, startInstance } from './platformInstances'
 import type { Instance } from './platformInstances'
-import { FAILURE_DOMAINS, PLAIN_SERVICE, READ_PATH, WRITE_PATH, createPlatformSite } from './platformSite'
+import { FAILURE_DOMAINS, PLAIN_SERVICE, RARE_MODEL, READ_PATH, STREAM_HEADERS, STREAM_PATH, WRITE_PATH, createPlatformSite } from './platformSite'
+import { sendOddFrames, toOddText, writeOddValue } from './oddInputs'
 import { createRandom } from './random'
 import type { Random } from './random'
 
@@ -32,6 +35,7 @@
 const HTTP_10_EVERY = 4
 const CALM_MS = 3000
 const CRASH_MS = 2500
+const RARE_PATIENCE_MS = 100
 const IDLE_ENDS: readonly IdleEnd[] = ['kept', 'ended', 'reset']
 const METHODS: readonly CallMethod[] = ['GET', 'GET', 'HEAD', 'POST']
 const WRONG_REPORTS: ReadonlyArray<(sound: string) => string | undefined> = [
@@ -86,11 +90,19 @@
   ]
 }
 
+/** A request for a model that no engine has, given up after a moment. */
+async function askForRareModel (address: string): Promise<void> {
+  const headers = { ...STREAM_HEADERS, 'x-magnoliabay-model': RARE_MODEL, 'x-magnoliabay-attempt-id': `rare-${Date.now()}` }
+  await request(`http://${address}${STREAM_PATH}`, { headers, signal: AbortSignal.timeout(RARE_PATIENCE_MS) }).then(res => res.body.dump()).catch(() => {})
+}
+
 /** Runs the instances, the servers and the callers, and returns what was kept. */
 export async function runOddAnswers ({ seed, instances: count, directory }: OddAnswersOptions): Promise<GuaranteeResult[]> {
   mkdirSync(directory, { recursive: true })
   const random = createRandom(seed)
-  const site = await createPlatformSite({ spoilReport: sound => random.pick(WRONG_REPORTS)(sound) })
+  /** Drawn apart, so that the answers of servers are the same with and without odd input. */
+  const inputRandom = createRandom(seed + 1)
+  const site = await createPlatformSite({ spoilReport: sound => random.below(2) === 0 ? random.pick(WRONG_REPORTS)(sound) : toOddText(inputRandom, sound), spoilOrderAnswer: sound => toOddText(inputRandom, sound) })
   const servers = await createServers(site.store, random)
   const instances: Instance[] = await Promise.all(Array.from({ length: count }, (_, index) => startInstance(site, index, directory)))
   const ended: string[] = []
@@ -108,15 +120,24 @@
     }
     kept.close()
   }
+  const inputs = createWriteStream(`${directory}/odd-inputs.log`)
+  const sendOddInputs = async (): Promise<void> => {
+    while (!run.isOver) {
+      inputs.write(`${writeOddValue({ store: site.store, random: inputRandom, restoreConfig: site.changeConfig })}\n`)
+      await Promise.all(instances.map(({ peersAddress }) => sendOddFrames(peersAddress, inputRandom)))
+      await askForRareModel(instances[0]!.entryAddress)
+    }
+  }
   const callers = instances.flatMap((_, instance) => Array.from({ length: CALLERS_PER_INSTANCE }, (_, caller) => callOn(instance, caller)))
   try {
+    const oddInputs = sendOddInputs()
     await pause(CALM_MS)
     servers[0]!.crash()
     await pause(CRASH_MS)
     await servers[0]!.restart()
     await pause(CALM_MS)
     run.isOver = true
-    await Promise.all(callers)
+    await Promise.all([...callers, oddInputs])
     const steady = new Set(servers.slice(1, SOUND_SERVERS).map(({ id }) => id))
     return verdictsOf({ calls, servers, ended, instances: count, steady })
   } finally {
--- a/scripts/fleet/platformInstances.ts
+++ b/scripts/fleet/platformInstances.ts
@@ -11,6 +11,7 @@
 
 export interface Instance {
   entryAddress: string
+  peersAddress: string
   child: ChildProcess
 }
 
@@ -25,7 +26,7 @@
 
 /** Starts an instance and waits until it is ready. */
 export async function startInstance (site: PlatformSite, index: number, directory: string): Promise<Instance> {
-  const { text, entryAddress, readyUrl } = await site.settingsOf(index)
+  const { text, entryAddress, peersAddress, readyUrl } = await site.settingsOf(index)
   const file = `${directory}/frontend-${index + 1}.yaml`
   writeFileSync(file, text)
   const child = spawn(process.execPath, [PROGRAM, 'platform'], { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, MAGNOLIABAY_CONFIG: file } })
@@ -33,5 +34,5 @@
   child.stdout.pipe(log, { end: false })
   child.stderr.pipe(log, { end: false })
   for (let waitedMs = 0; waitedMs < READY_TIMEOUT_MS && !await isReady(readyUrl); waitedMs += READY_POLL_INTERVAL_MS) await pause(READY_POLL_INTERVAL_MS)
-  return { entryAddress, child }
+  return { entryAddress, peersAddress, child }
 }
--- a/scripts/fleet/platformSite.ts
+++ b/scripts/fleet/platformSite.ts
@@ -10,6 +10,8 @@
 
 const SERVICE = 'llm'
 const MODEL = 'm1'
+/** A model that no engine has: requests for it make the leader give orders. */
+export const RARE_MODEL = 'm2'
 /** Two engines of each version: one may be lost. */
 const VERSIONS = ['v1', 'v1', 'v1.1', 'v1.1']
 
@@ -25,7 +27,7 @@
 const CONFIG = {
   version: 1,
   routes: [plainRoute('read', 'idempotent'), plainRoute('write', 'non_idempotent'), { ...plainRoute('tell', 'streaming'), 'gap-target-ms': 300 }, { name: 'r1', hostname: 'site.example', prefix: '/stream/', 'route-kind': 'streaming', 'timeout-ms': 15_000, 'target-latency-ms': 1000, priority: 0, service: SERVICE, 'max-attempts': 2, anonymous: true, resumable: true, 'gap-target-ms': 300 }],
-  services: [{ name: PLAIN_SERVICE, 'connection-limit': 300 }, { name: SERVICE, 'connection-limit': 300, engine: { slots: 64, 'kv-cache-tokens': 100_000, 'weights-mb': 1000, 'adapter-capacity': 0, 'loads-per-s': 2, models: [{ name: MODEL, 'weights-mb': 100, 'load-time-s': 1 }] } }],
+  services: [{ name: PLAIN_SERVICE, 'connection-limit': 300 }, { name: SERVICE, 'connection-limit': 300, engine: { slots: 64, 'kv-cache-tokens': 100_000, 'weights-mb': 1000, 'adapter-capacity': 0, 'loads-per-s': 2, models: [MODEL, RARE_MODEL].map(name => ({ name, 'weights-mb': 100, 'load-time-s': 1 })) } }],
   limits: { 'max-header-bytes': 16_384, 'max-body-bytes': 1_048_576, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000 }
 }
 
@@ -33,7 +35,7 @@
   store: KvState
   engines: readonly PlatformEngine[]
   /** Returns the settings file of an instance, with ports that are free now. */
-  settingsOf (index: number): Promise<{ text: string, entryAddress: string, readyUrl: string }>
+  settingsOf (index: number): Promise<{ text: string, entryAddress: string, peersAddress: string, readyUrl: string }>
   /** Writes the next version of the configuration. */
   changeConfig (): void
   close (): Promise<void>
@@ -46,9 +48,11 @@
   endsWithConnection?: (index: number) => boolean
   /** Returns the body of a report in place of the sound one. @default reports are sound */
   spoilReport?: (sound: string) => string | undefined
+  /** Returns the body of an answer to an order in place of the sound one. @default they are sound */
+  spoilOrderAnswer?: (sound: string) => string | undefined
 }
 
-export async function createPlatformSite ({ softwareVersions = VERSIONS, endsWithConnection = () => false, spoilReport }: PlatformSiteOptions = {}): Promise<PlatformSite> {
+export async function createPlatformSite ({ softwareVersions = VERSIONS, endsWithConnection = () => false, spoilReport, spoilOrderAnswer }: PlatformSiteOptions = {}): Promise<PlatformSite> {
   const clock = createSystemClock()
   const state: KvState = createKvState({ clock })
   const store = await createMetadataStoreServer({ state, clock })
@@ -56,14 +60,14 @@
   const writeConfig = (): void => { state.transact({ compares: [], success: [{ kind: 'put', key: 'op/config', value: JSON.stringify({ ...CONFIG, version }), leaseId: '0' }], failure: [] }) }
   writeConfig()
   const engines = await Promise.all(softwareVersions.map((softwareVersion, index) =>
-    createPlatformEngine({ id: `engine-${index + 1}`, service: SERVICE, softwareVersion, models: [MODEL], failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!, store: state, clock, endsWithConnection: endsWithConnection(index), spoilReport })))
+    createPlatformEngine({ id: `engine-${index + 1}`, service: SERVICE, softwareVersion, models: [MODEL], failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!, store: state, clock, endsWithConnection: endsWithConnection(index), spoilReport, spoilOrderAnswer })))
   return {
     store: state,
     engines,
     settingsOf: async index => {
       const [entry, ready, peers, resolution, metrics] = await freePorts(5)
       const text = settingsText({ index, entry: entry!, ready: ready!, peers: peers!, resolution: resolution!, metrics: metrics!, store: store.address })
-      return { text, entryAddress: `${HOST}:${entry}`, readyUrl: `http://${HOST}:${ready}/-/readiness` }
+      return { text, entryAddress: `${HOST}:${entry}`, peersAddress: `${HOST}:${peers}`, readyUrl: `http://${HOST}:${ready}/-/readiness` }
     },
     changeConfig: () => {
       version += 1
