--- a/packages/magnoliabay/src/node/background.ts
+++ b/packages/magnoliabay/src/node/background.ts
@@ -27,6 +27,15 @@
   }
 }
 
+/** Runs a listener or the callback of a timer, which the runtime calls: an exception that left it would end the process. */
+export function runGuarded (task: string, callback: () => void): void {
+  try {
+    callback()
+  } catch (err) {
+    reportFault(task, err)
+  }
+}
+
 /** Reports the fault of a task that nobody awaits. */
 export function inBackground (task: string, promise: PromiseLike<unknown> | void): void {
   promise?.then(undefined, (err: unknown) => reportFault(task, err))
--- a/packages/magnoliabay/src/node/clock/index.ts
+++ b/packages/magnoliabay/src/node/clock/index.ts
@@ -1,7 +1,7 @@
 /**
  * Interface for time and timers, so that tests can run all code under a clock that they advance themselves.
  */
-import { runStep } from '../background'
+import { runGuarded, runStep } from '../background'
 
 /** Cancels a pending callback. Calling it twice is harmless. */
 export type CancelTimer = () => void
@@ -36,7 +36,7 @@
   const setTimer: Clock['schedule'] = (delayMs, callback) => {
     const timer = setTimeout(() => {
       onTimer()
-      callback()
+      runGuarded('timer', callback)
     }, delayMs)
     return () => clearTimeout(timer)
   }
--- a/packages/magnoliabay/src/node/clock/ticker.ts
+++ b/packages/magnoliabay/src/node/clock/ticker.ts
@@ -3,6 +3,7 @@
  * would wake the process separately, which makes hundreds of wake-ups a second over an idle fleet. The tickers of all
  * processes fire at the same moments, so that the messages that they send to each other arrive together as well.
  */
+import { runGuarded } from '../background'
 import { delayToNextWallClockPeriod } from '.'
 import type { CancelTimer, Clock } from '.'
 
@@ -18,7 +19,8 @@
   const tick = (): void => {
     cancel = clock.schedule(delayToNextWallClockPeriod(clock, periodMs), tick)
     const current = [...listeners]
-    current.forEach(listener => listener())
+    // One that fails must not keep the others from being called.
+    current.forEach(listener => runGuarded('ticker', listener))
   }
   return {
     add: listener => {
--- a/packages/magnoliabay/src/node/members/dispatch.ts
+++ b/packages/magnoliabay/src/node/members/dispatch.ts
@@ -1,4 +1,5 @@
 /** Handlers of calls and notices by kind, and listeners; shared by every implementation of {@link Peers}. */
+import { runGuarded } from '../background'
 import type { GenericSchema } from 'valibot'
 import { checkInput } from '../inputs'
 import type { InputMonitor } from '../inputs'
@@ -79,6 +80,7 @@
       listeners.add(listener)
       return () => listeners.delete(listener)
     },
-    emit: (...args) => [...listeners].forEach(listener => listener(...args))
+    // One that fails must not keep the others from being called.
+    emit: (...args) => [...listeners].forEach(listener => runGuarded('listener', () => listener(...args)))
   }
 }
--- a/packages/magnoliabay/src/node/serving/exchange.ts
+++ b/packages/magnoliabay/src/node/serving/exchange.ts
@@ -6,6 +6,7 @@
 import type { AgentOptions, ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
+import { reportFault, runGuarded } from '../background'
 import type { Clock } from '../clock'
 import { createDirectRoutes } from '../paths'
 import type { ServerDialer, ServerRoutes } from '../paths'
@@ -241,34 +242,44 @@
     hasEnded = true
     connection?.end.stop()
     watched.end()
-    handler.onEnd(kind, reason)
+    runGuarded('exchange', () => handler.onEnd(kind, reason))
+  }
+  /** A fault in handling what a server sends ends its exchange: an exception in an event listener would end the process. */
+  const guarded = <Args extends unknown[]>(listener: (...args: Args) => void) => (...args: Args): void => {
+    try {
+      listener(...args)
+    } catch (err) {
+      reportFault('exchange', err)
+      finish('broken', messageOf(err))
+      req.destroy()
+    }
   }
   const hasBody = outbound.body.length > 0
   const headers = [...outbound.headers, ...(hasBody || outbound.method !== 'GET' ? ['Content-Length', String(outbound.body.length)] : [])]
   const req = request({ host, port, agent, method: outbound.method, path: outbound.path, headers: headers as never, setHost: false })
   let bytesBefore = 0
-  req.on('socket', socket => {
+  req.on('socket', guarded((socket: Socket) => {
     isSent = true
     bytesBefore = socket.bytesRead
     watched.recordSent(!forwarderBySocket.has(socket))
     handler.onSent?.({ forwarder: forwarderBySocket.get(socket), ...recordRequest(socket) })
-  })
-  req.on('error', err => {
+  }))
+  req.on('error', guarded((err: NodeJS.ErrnoException) => {
     failure = err.message
     if (isParseError(err) && !hasEnded) handler.onMalformed?.(err.message)
     // Bytes after a complete response make the connection unusable but leave the response valid: its framing marks its end.
     if (isCompleteByFraming()) return
     finish(isSent ? 'broken' : 'unsent', err.message)
-  })
+  }))
   const failMalformed = (problem: string): void => {
     handler.onMalformed?.(problem)
     finish('broken', problem)
     req.destroy()
   }
-  req.on('information', () => {
+  req.on('information', guarded(() => {
     if (!hasEnded && (req.socket?.bytesRead ?? 0) - bytesBefore > MAX_HINT_BYTES) failMalformed('informational responses without end')
-  })
-  req.on('response', res => {
+  }))
+  req.on('response', guarded((res: IncomingMessage) => {
     response = res
     const problem = findHeadProblem(res.statusCode ?? 0, res.rawHeaders)
     if (problem !== undefined) return failMalformed(problem)
@@ -276,12 +287,12 @@
     if (framing === 'connection') connection = { socket: res.socket, end: watchConnectionEnd(res.socket) }
     watched.recordActivity()
     handler.onHead({ status: res.statusCode ?? 0, headers: res.headers, rawHeaders: res.rawHeaders })
-    res.on('data', (chunk: Buffer) => {
+    res.on('data', guarded((chunk: Buffer) => {
       watched.recordActivity()
       if (!hasEnded) handler.onData(chunk)
-    })
+    }))
     res.on('error', err => finish('broken', err.message))
-    res.on('end', () => {
+    res.on('end', guarded(() => {
       if (isCompleteByFraming()) return finish('whole', 'response ended')
       if (!res.complete || !isClosedCleanly()) return finish('broken', failure ?? 'response cut')
       isVerifying = true
@@ -289,12 +300,12 @@
         isComplete => isComplete ? finish('whole', 'connection closed') : finish('broken', 'connection reset, or its server or forwarder has crashed'),
         (err: unknown) => finish('broken', messageOf(err))
       )
-    })
+    }))
     res.on('close', () => { if (!isVerifying) finish('broken', failure ?? 'connection closed within the response') })
-  })
-  req.on('close', () => {
+  }))
+  req.on('close', guarded(() => {
     if (!isCompleteByFraming() && !isVerifying && !isEndUnread()) finish(isSent ? 'broken' : 'unsent', failure ?? 'connection closed')
-  })
+  }))
   req.end(hasBody ? outbound.body : undefined)
   return {
     pause: () => {
