--- a/packages/magnoliabay/src/node/cells/cells.ts
+++ b/packages/magnoliabay/src/node/cells/cells.ts
@@ -3,6 +3,7 @@
  * leaders on other members.
  */
 import { checkInput } from '../inputs'
+import type { InputMonitor } from '../inputs'
 import { inBackground } from '../background'
 import type { BackendDirectory } from '../backend/directory'
 import type { EngineClient } from '../backend/engineClient'
@@ -37,6 +38,8 @@
 const PROBING_RANKS = 2
 
 export interface CellsOptions {
+  /** Logs and counts records that cannot be read. @default those of leaders are logged only */
+  inputs?: Pick<InputMonitor, 'countRefused' | 'recordRefused'>
   store: Store
   peers: Peers
   membership: Pick<Membership, 'leaseId' | 'isRegistered'>
@@ -81,7 +84,7 @@
    */
   const releasedFences = new Map<string, number>()
   const loads = new Map<string, Readonly<Record<string, number>>>()
-  const claimer = createClaimer(store, peers.self)
+  const claimer = createClaimer(store, peers.self, options.inputs)
   const heldIntents = createHeldIntents(peers)
   const loadSubscribers = createLoadSubscribers(peers, clock)
   /** Cells with a claim under way. A probe through other members takes longer than one maintenance interval. */
@@ -203,7 +206,10 @@
     const [cell, kind] = entry.key.slice(CELLS_PREFIX.length).split('/')
     if (cell === undefined || kind !== 'steward') return
     const record = checkInput(cellLeaderSchema, parseJson(entry.value))
-    if (record.err) return logger.error('steward-record-refused', { cell, reason: record.val.message })
+    if (record.err) {
+      options.inputs?.countRefused('store-value')
+      return logger.error('steward-record-refused', { cell, reason: record.val.message })
+    }
     setLeadership(cell, { record: record.val, modRevision: entry.modRevision })
   }
   const sendDemand = async (req: LocalDemand): Promise<DemandReply> => {
--- a/packages/magnoliabay/src/node/cells/claim.ts
+++ b/packages/magnoliabay/src/node/cells/claim.ts
@@ -3,6 +3,7 @@
  * its leader may be paused, and resume in the belief that it still leads the cell.
  */
 import { checkInput } from '../inputs'
+import type { InputMonitor } from '../inputs'
 import { parseJson } from '../utils'
 import type { TerminationProofs, MemberRecord, ProcessId } from '../members'
 import type { Store } from '../store'
@@ -72,7 +73,8 @@
   release (cell: string, fence: number, unproven: readonly FormerLeader[]): Promise<void>
 }
 
-export function createClaimer (store: Store, self: MemberRecord): Claimer {
+/** `inputs`: logs and counts a record that cannot be read. @default it counts as that of another member only */
+export function createClaimer (store: Store, self: MemberRecord, inputs?: Pick<InputMonitor, 'recordRefused'>): Claimer {
   const pendingClaimIds = new Set<string>()
   return {
     isOwn: record => pendingClaimIds.has(record.claimId),
@@ -89,6 +91,7 @@
       const found = await store.get(cellLeaderKey(cell), { priority: 'ownership' })
       if (found.err || found.val === undefined) return undefined
       const current = checkInput(cellLeaderSchema, parseJson(found.val.value))
+      if (current.err) inputs?.recordRefused('store-value', { key: cellLeaderKey(cell) }, current.val.message)
       return current.ok && current.val.claimId === record.claimId ? { record, modRevision: found.val.modRevision } : undefined
     },
     release: async (cell, fence, unproven) => {
--- a/packages/magnoliabay/src/node/inputs/index.ts
+++ b/packages/magnoliabay/src/node/inputs/index.ts
@@ -31,6 +31,8 @@
 export interface InputMonitor {
   /** Returns the checked value, or an error that has been logged and counted. */
   check<Schema extends v.GenericSchema> (source: InputSource, sender: InputSender, schema: Schema, value: unknown): Result<v.InferOutput<Schema>, InputError>
+  /** Counts input whose refusal has an event of its own. */
+  countRefused (source: InputSource): void
   /** Logs and counts input that was refused elsewhere. */
   recordRefused (source: InputSource, sender: InputSender, reason: string): void
   register (registry: Registry): void
@@ -50,11 +52,13 @@
 
 export function createInputMonitor (logger: Logger = createSilentLogger()): InputMonitor {
   const refused = new Counter({ name: 'magnoliabay_refused_inputs_total', help: 'Input from outside without the expected form, by where it came from.', labelNames: ['source'], registers: [] })
+  const countRefused: InputMonitor['countRefused'] = source => { refused.inc({ source }) }
   const recordRefused: InputMonitor['recordRefused'] = (source, sender, reason) => {
-    refused.inc({ source })
+    countRefused(source)
     logger.warn('input-refused', { source, ...sender, reason: reason.slice(0, MAX_REASON_LENGTH) })
   }
   return {
+    countRefused,
     recordRefused,
     check: (source, sender, schema, value) => {
       const checked = checkInput(schema, value)
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -108,7 +108,7 @@
   const engines = createEngineClient({ inputs, clock, idOf: address => directory.all().find(listed => listed.address === address)?.id ?? address })
   const peers = createPeerNetwork({ inputs, self, transport: tls.peerTransport, clock, logger, onGoodbye: member => proofs.recordGoodbye(member), onTunnel: socket => forwardingServer.accept(socket) })
   const proofs = createTerminationDetector({ peers, clock, logger })
-  const membership = createMembership({ store, network: peers, clock, logger })
+  const membership = createMembership({ inputs, store, network: peers, clock, logger })
   const cfg = createConfigProvider({ store, peers, site: settings.instance.site, clock, logger })
   cfg.onChanged(() => cfg.active().documents.forEach(({ document, version }) => metrics.configVersion.set({ document }, version)))
   const keyring = createKeyring({ store, peers, clock, logger })
@@ -135,7 +135,7 @@
   const writer = createForwardingWriter({ peers, localWriter: createBatchWriter({ store, lease: retentionLease, clock }) })
   const inProgressTimeoutMs = settings.limits.deadlineMs + settings.limits.serviceAnswerMs
   const idempotencyClaims = createIdempotencyClaims({ store, writer, owner: self.incarnation, clock, logger, inProgressTimeoutMs })
-  const cells = createCells({ store, peers, membership, proofs, directory, engines, cfg, clock, logger })
+  const cells = createCells({ inputs, store, peers, membership, proofs, directory, engines, cfg, clock, logger })
   const leavingBackends = createLeavingBackends({ peers, clock })
   const statements = createBackendStatements({ peers, leavingBackends, decode: options.decodeStatement, clock, logger })
   const routing = createReplicaRouter({ cells, cfg, directory, isLeaving: leavingBackends.isLeaving, refusedForMs: statements.refusedForMs, clock })
--- a/packages/magnoliabay/src/node/members/membership.ts
+++ b/packages/magnoliabay/src/node/members/membership.ts
@@ -9,6 +9,7 @@
 import type { KeyValue, Store } from '../store'
 import type { PeerNetwork } from './network'
 import { checkInput } from '../inputs'
+import type { InputMonitor } from '../inputs'
 import { MEMBERS_PREFIX, memberKey, memberRecordSchema } from './record'
 import type { MemberRecord } from './record'
 import { parseJson, stableHash } from '../utils'
@@ -30,6 +31,8 @@
 }
 
 export interface MembershipOptions {
+  /** Counts values that cannot be read. @default they are logged only */
+  inputs?: Pick<InputMonitor, 'countRefused'>
   store: Store
   network: PeerNetwork
   clock: Clock
@@ -128,7 +131,10 @@
   const applyEntry = (entry: Pick<KeyValue, 'key' | 'value'>): void => {
     // A damaged record must not prevent the rest of a snapshot from being applied.
     const record = checkInput(memberRecordSchema, parseJson(entry.value))
-    if (record.err) return logger.warn('member-record-refused', { key: entry.key, reason: record.val.message })
+    if (record.err) {
+      options.inputs?.countRefused('store-value')
+      return logger.warn('member-record-refused', { key: entry.key, reason: record.val.message })
+    }
     updateRecord(record.val)
   }
   const updateRecord = (record: MemberRecord): void => {
--- a/packages/magnoliabay/src/node/serving/placement/leaderElection.ts
+++ b/packages/magnoliabay/src/node/serving/placement/leaderElection.ts
@@ -11,7 +11,7 @@
 import type { Store, StoreError } from '../../store'
 import type { LeadershipTerm } from '../fleetMessages'
 import { LAST_ORDER_KEY, LEADER_KEY, createLeaderClaim, readLeaderRecords, toLastOrder, toLeaderClaim, writeLeaderClaim, writeLastOrderRecord } from './leaderRecords'
-import type { LastOrderRecord, LeaderClaim, LeaderRecords, Versioned } from './leaderRecords'
+import type { LastOrderRecord, LeaderClaim, LeaderRecords, RecordMonitor, Versioned } from './leaderRecords'
 
 export { LEADER_KEY }
 
@@ -71,6 +71,8 @@
 }
 
 export interface LeaderElectionOptions {
+  /** Logs and counts records that cannot be read. @default they count as none only */
+  inputs?: RecordMonitor
   store: Store
   self: string
   /** Id of the machine: orders from any of its processes count as those of one lease holder. */
@@ -188,7 +190,7 @@
   }
   const tryClaim = async (): Promise<void> => {
     const sentAt = currentTimestamp()
-    const records = await readLeaderRecords(store)
+    const records = await readLeaderRecords(store, options.inputs)
     if (records.err) return
     const era = options.era()
     leader = records.val.leader
@@ -249,7 +251,7 @@
   const revokeEndedLeaderLease = async (): Promise<void> => {
     const holder = leader.value?.holder
     if (holder === undefined || holder === self || !await options.hasProcessEnded(holder)) return
-    const records = await readLeaderRecords(store)
+    const records = await readLeaderRecords(store, options.inputs)
     if (records.err || records.val.leader.value?.claim !== leader.value?.claim || records.val.leader.leaseId === undefined) return
     logger.info('orderer-ended', { holder, lease: records.val.leader.leaseId })
     await store.revokeLease(records.val.leader.leaseId)
@@ -324,15 +326,15 @@
           if (!hasSnapshot) firstEra = options.era()
           hasSnapshot = true
           const found = entries.find(entry => entry.key === LEADER_KEY)
-          applyLeader(toLeaderClaim(found), found?.modRevision ?? 0)
+          applyLeader(toLeaderClaim(found, options.inputs), found?.modRevision ?? 0)
         },
         onEvent: event => {
-          if (event.key === LEADER_KEY) applyLeader(toLeaderClaim(event.kind === 'put' ? event : undefined), event.modRevision)
+          if (event.key === LEADER_KEY) applyLeader(toLeaderClaim(event.kind === 'put' ? event : undefined, options.inputs), event.modRevision)
         }
       }, signal)
       store.watch(LAST_ORDER_KEY, {
-        onSnapshot: ({ entries }) => applyLastOrder(toLastOrder(entries.find(entry => entry.key === LAST_ORDER_KEY))),
-        onEvent: event => { if (event.kind === 'put' && event.key === LAST_ORDER_KEY) applyLastOrder(toLastOrder(event)) }
+        onSnapshot: ({ entries }) => applyLastOrder(toLastOrder(entries.find(entry => entry.key === LAST_ORDER_KEY), options.inputs)),
+        onEvent: event => { if (event.kind === 'put' && event.key === LAST_ORDER_KEY) applyLastOrder(toLastOrder(event, options.inputs)) }
       }, signal)
       inBackground('leader-election', run(signal))
     },
--- a/packages/magnoliabay/src/node/serving/placement/leaderRecords.ts
+++ b/packages/magnoliabay/src/node/serving/placement/leaderRecords.ts
@@ -7,6 +7,7 @@
 import * as v from 'valibot'
 import { STORE_KEY_PREFIX } from '../../constants'
 import { checkInput } from '../../inputs'
+import type { InputMonitor } from '../../inputs'
 import { Ok } from '../../result'
 import type { Result } from '../../result'
 import type { Compare, KeyValue, Store, StoreError, StoreErrorKind, WriteOperation } from '../../store'
@@ -60,23 +61,27 @@
 
 type StoredEntry = Pick<KeyValue, 'value' | 'modRevision'> & { leaseId?: string } | undefined
 
+/** Logs and counts records that cannot be read. */
+export type RecordMonitor = Pick<InputMonitor, 'recordRefused'>
+
 /** A value without the form of a record counts as no record, of its revision. */
-function versionedOf<Schema extends v.GenericSchema> (schema: Schema, entry: StoredEntry): Versioned<v.InferOutput<Schema>> {
+function versionedOf<Schema extends v.GenericSchema> (schema: Schema, key: string, entry: StoredEntry, inputs: RecordMonitor | undefined): Versioned<v.InferOutput<Schema>> {
   if (entry === undefined) return { revision: 0, leaseId: undefined, value: undefined }
   const checked = checkInput(schema, parseJson(entry.value))
+  if (checked.err) inputs?.recordRefused('store-value', { key }, checked.val.message)
   return { revision: entry.modRevision, leaseId: entry.leaseId, value: checked.ok ? checked.val : undefined }
 }
 
-export const toLeaderClaim = (entry: StoredEntry): Versioned<LeaderClaim> => versionedOf(leaderClaimSchema, entry)
-export const toLastOrder = (entry: StoredEntry): Versioned<LastOrderRecord> => versionedOf(lastOrderSchema, entry)
+export const toLeaderClaim = (entry: StoredEntry, inputs?: RecordMonitor): Versioned<LeaderClaim> => versionedOf(leaderClaimSchema, LEADER_KEY, entry, inputs)
+export const toLastOrder = (entry: StoredEntry, inputs?: RecordMonitor): Versioned<LastOrderRecord> => versionedOf(lastOrderSchema, LAST_ORDER_KEY, entry, inputs)
 
 async function read<T> (store: Store, key: string, decode: (entry: StoredEntry) => Versioned<T>): Promise<Result<Versioned<T>, StoreError>> {
   const entry = await store.get(key, { priority: 'ownership' })
   return entry.err ? entry : Ok(decode(entry.val))
 }
 
-export async function readLeaderRecords (store: Store): Promise<Result<LeaderRecords, StoreError>> {
-  const [leader, last] = await Promise.all([read(store, LEADER_KEY, toLeaderClaim), read(store, LAST_ORDER_KEY, toLastOrder)])
+export async function readLeaderRecords (store: Store, inputs?: RecordMonitor): Promise<Result<LeaderRecords, StoreError>> {
+  const [leader, last] = await Promise.all([read(store, LEADER_KEY, entry => toLeaderClaim(entry, inputs)), read(store, LAST_ORDER_KEY, entry => toLastOrder(entry, inputs))])
   if (leader.err) return leader
   return last.err ? last : Ok({ leader: leader.val, lastOrder: last.val })
 }
--- a/packages/magnoliabay/src/node/serving/serverList.ts
+++ b/packages/magnoliabay/src/node/serving/serverList.ts
@@ -1,4 +1,5 @@
 /** Maintains the list of backend servers from the store's entries and from what peers send, and selects those that may be used. */
+import type { InputMonitor } from '../inputs'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import { stableHash } from '../utils'
@@ -71,6 +72,8 @@
 }
 
 export interface ServerListOptions {
+  /** Counts values that cannot be read. @default they are logged only */
+  inputs?: Pick<InputMonitor, 'countRefused'>
   decode: (key: string, text: string) => BackendServer | undefined
   idOf: (key: string) => string
   /** Whether servers of the failure domain get no new requests. */
@@ -193,6 +196,7 @@
   const applyEntry = ({ key, value }: StoreEntry): boolean => {
     const server = decode(key, value)
     if (server === undefined) {
+      options.inputs?.countRefused('store-value')
       logger.warn('server-entry-unreadable', { key })
       return false
     }
--- a/packages/magnoliabay/src/node/serving/servingConfigProvider.ts
+++ b/packages/magnoliabay/src/node/serving/servingConfigProvider.ts
@@ -1,4 +1,5 @@
 /** Holds the active serving configuration of this process, and looks up routes, teams and services in it. Its version only increases. */
+import type { InputMonitor } from '../inputs'
 import type { Clock } from '../clock'
 import type { Logger } from '../logger'
 import type { Route, Service, ServingConfig, Team } from './types'
@@ -19,6 +20,8 @@
 }
 
 export interface ServingConfigProviderOptions {
+  /** Counts values that cannot be read. @default they are logged only */
+  inputs?: Pick<InputMonitor, 'countRefused'>
   decode: (text: string) => ServingConfig | undefined
   clock: Clock
   logger: Logger
@@ -31,7 +34,7 @@
 
 const EMPTY: Index = { routes: new Map(), teams: new Map() }
 
-export function createServingConfigProvider ({ decode, clock, logger }: ServingConfigProviderOptions): ServingConfigProvider {
+export function createServingConfigProvider ({ decode, inputs, clock, logger }: ServingConfigProviderOptions): ServingConfigProvider {
   const listeners: Array<() => void> = []
   let current: ServingConfig | undefined
   let currentText: string | undefined
@@ -52,6 +55,7 @@
     applyIfNewer: (text, source) => {
       const next = decode(text)
       if (next === undefined) {
+        inputs?.countRefused(source === 'store' ? 'store-value' : 'peer-message')
         logger.warn('config-unreadable', { source, bytes: text.length, inForce: current?.version })
         return false
       }
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -176,10 +176,10 @@
   const inputs = options.inputs ?? createInputMonitor(logger)
   inputs.register(metrics.registry)
   const peers = createPeerNetwork({ inputs, self, clock, logger, onFrame: kind => activity.note(`peer ${kind}`), onTunnel: socket => forwardingServer.accept(socket) })
-  const membership = createMembership({ store, network: peers, clock, logger })
-  const cfg = createServingConfigProvider({ decode: protocol.decodeConfig, clock, logger })
+  const membership = createMembership({ inputs, store, network: peers, clock, logger })
+  const cfg = createServingConfigProvider({ inputs, decode: protocol.decodeConfig, clock, logger })
   const evacuations = createEvacuations({ storeReachableSinceMs: store.reachableSinceMs, clock, logger })
-  const servers = createServerList({ decode: protocol.decodeServer, idOf: protocol.serverIdOf, isEvacuated: evacuations.isEvacuated, storeReachableSinceMs: store.reachableSinceMs, clock, logger })
+  const servers = createServerList({ inputs, decode: protocol.decodeServer, idOf: protocol.serverIdOf, isEvacuated: evacuations.isEvacuated, storeReachableSinceMs: store.reachableSinceMs, clock, logger })
   const health = createServerHealth(clock)
   const serverLimits = createServerLimits({ clock, logger, onChanged: count => metrics.limitedServers.set(count) })
   const limitedServers = createLimitedServers({ peers, limits: serverLimits, clock, logger, random })
@@ -318,6 +318,7 @@
     return record !== undefined && shouldProbe && await probeAddress(clock, parseHostPort(record.peerAddress), PROCESS_PROBE_TIMEOUT_MS) === 'refused'
   }
   const leadership = createLeaderElection({
+    inputs,
     store,
     self: id,
     machine: `${id} at ${settings.listen.peers}`,
