--- a/packages/magnoliabay/src/node/constants.ts
+++ b/packages/magnoliabay/src/node/constants.ts
@@ -13,3 +13,6 @@
 
 /** Largest value that the platform's key-value service accepts, in bytes. */
 export const MAX_STORE_VALUE_BYTES = 1_000_000
+
+/** The commit from which the program was bundled, set by `scripts/bundle.ts`; `source` when it runs from its source files. */
+export const BUILD_NAME = process.env.MAGNOLIABAY_BUILD ?? 'source'
--- a/packages/magnoliabay/src/node/instance.ts
+++ b/packages/magnoliabay/src/node/instance.ts
@@ -1,6 +1,7 @@
 /**
  * Creates one instance and connects its subsystems.
  */
+import { BUILD_NAME } from './constants'
 import { createInputMonitor } from './inputs'
 import { setMaxListeners } from 'node:events'
 import type { Socket } from 'node:net'
@@ -213,7 +214,7 @@
       allowance.start(stop.signal)
       await entry.start()
       await operators.start()
-      logger.info('instance-started', { entry: entryAddress, peer: peerAddress, operator: operatorAddress })
+      logger.info('instance-started', { build: BUILD_NAME, entry: entryAddress, peer: peerAddress, operator: operatorAddress })
     },
     shutdown: createShutdown({
       clock,
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -1,4 +1,5 @@
 /** Creates one instance from all its parts, for a platform with a store, engines and plain services. */
+import { BUILD_NAME } from '../constants'
 import { listenOn } from '../http/listen'
 import { inBackground } from '../background'
 import { createServer } from 'node:http'
@@ -484,7 +485,7 @@
       contactSeeds({ network: peers, seeds: settings.seeds, isNeeded: needsSeeds, clock }, stop.signal)
       await entryServer.start()
       await listenOn(metricsServer, settings.listen.metrics, clock)
-      logger.info('instance-started', { incarnation: self.incarnation, entry: settings.listen.entry, peers: settings.listen.peers, leaderKey: LEADER_KEY })
+      logger.info('instance-started', { build: BUILD_NAME, incarnation: self.incarnation, entry: settings.listen.entry, peers: settings.listen.peers, leaderKey: LEADER_KEY })
     },
     shutdown: createShutdown({
       clock,
