--- a/packages/magnoliabay/src/node/clock/__tests__/longDelays.spec.ts
+++ b/packages/magnoliabay/src/node/clock/__tests__/longDelays.spec.ts
@@ -24,6 +24,12 @@
     expect(hasFired).to.equal(false)
   })))
 
+  /** Guards against a callback that never runs, and a timer that is set again without end. */
+  it('is not one that is no number: it ends at once', async () => {
+    const clock = createSystemClock()
+    await new Promise<void>(resolve => { clock.schedule(NaN, resolve) })
+  })
+
   it('ends when it is over, and not after it was cancelled', async () => {
     const clock = createVirtualClock()
     const firedMs: number[] = []
--- a/packages/magnoliabay/src/node/clock/index.ts
+++ b/packages/magnoliabay/src/node/clock/index.ts
@@ -25,9 +25,9 @@
  * @param setTimer sets one timer of the runtime
  */
 export function scheduleAnyDelay (setTimer: Clock['schedule'], delayMs: number, callback: () => void): CancelTimer {
-  const stepMs = Math.min(delayMs, MAX_TIMER_DELAY_MS)
-  if (stepMs === delayMs) return setTimer(delayMs, callback)
-  let cancel = setTimer(stepMs, () => { cancel = scheduleAnyDelay(setTimer, delayMs - stepMs, callback) })
+  // Also true for NaN, for which the runtime fires at once.
+  if (!(delayMs > MAX_TIMER_DELAY_MS)) return setTimer(delayMs, callback)
+  let cancel = setTimer(MAX_TIMER_DELAY_MS, () => { cancel = scheduleAnyDelay(setTimer, delayMs - MAX_TIMER_DELAY_MS, callback) })
   return () => cancel()
 }
 
--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -2,15 +2,14 @@
  * Links to peers over TCP. In a small fleet all members hold links to one another; in a large one each holds links to
  * its neighbours, and dials other members on demand. Of two neighbours, the one with the lesser id dials.
  */
-import { listenOn } from '../http/listen'
 import { inBackground } from '../background'
 import type { Socket } from 'node:net'
 import type { Clock } from '../clock'
 import { createTicker } from '../clock/ticker'
+import { listenOn } from '../http/listen'
 import type { Logger } from '../logger'
 import { Err } from '../result'
 import type { Result } from '../result'
-
 import { createDialer } from './dialer'
 import { checkAnswer, createDispatch, createListeners } from './dispatch'
 import { detectProtocol } from './firstByte'
