--- a/packages/magnoliabay/src/node/commands/platform.ts
+++ b/packages/magnoliabay/src/node/commands/platform.ts
@@ -49,6 +49,7 @@
     const instance = createServingInstance({ settings: settings.val, protocol: platformProtocol, store, engines: createEngineCalls({ clock, inputs }), inputs, activity, clock, logger, random: Math.random })
     const discovery = createDiscovery({
       clock,
+      logger,
       readinessAddress: settings.val.listen.readiness,
       resolutionAddress: settings.val.listen.resolution,
       isReady: instance.isReady,
--- a/packages/magnoliabay/src/node/entry/index.ts
+++ b/packages/magnoliabay/src/node/entry/index.ts
@@ -126,7 +126,7 @@
   server.on('request', app.handler as RequestListener)
 
   return {
-    start: () => listenOn(server, settings.instance.entryAddress, clock),
+    start: () => listenOn(server, settings.instance.entryAddress, clock, options.logger),
     close: async drainMs => {
       const closed = new Promise<void>(resolve => { server.close(() => resolve()) })
       server.closeIdleConnections()
--- a/packages/magnoliabay/src/node/http/listen.ts
+++ b/packages/magnoliabay/src/node/http/listen.ts
@@ -3,6 +3,7 @@
 import { reportFault } from '../background'
 import { sleep } from '../clock'
 import type { Clock } from '../clock'
+import type { Logger } from '../logger'
 import { parseHostPort } from '../utils'
 
 /** Another process may hold an address for a moment: one that ends, or a connection that was given the port. */
@@ -34,8 +35,9 @@
  * An error of a socket that listens, such as a connection that cannot be accepted for want of descriptors, is reported: without a
  * listener the runtime would end the process, and the connections that are open with it.
  */
-export async function listenOn (server: Server, address: string, clock: Clock): Promise<void> {
+export async function listenOn (server: Server, address: string, clock: Clock, logger: Logger): Promise<void> {
   const startedMs = clock.monotonic()
+  let isWaiting = false
   for (;;) {
     try {
       await listenOnce(server, address)
@@ -43,6 +45,8 @@
       return
     } catch (err) {
       if (!isInUse(err) || clock.monotonic() - startedMs >= ADDRESS_IN_USE_TIMEOUT_MS) throw err
+      if (!isWaiting) logger.warn('address-in-use', { address, waitMs: ADDRESS_IN_USE_TIMEOUT_MS })
+      isWaiting = true
       await sleep(clock, ADDRESS_IN_USE_RETRY_MS)
     }
   }
--- a/packages/magnoliabay/src/node/members/network.ts
+++ b/packages/magnoliabay/src/node/members/network.ts
@@ -232,7 +232,7 @@
       return neighbours.has(memberId) ? 'unlinked' : 'none'
     },
     connectOnce: peerAddress => dialer.dialOnce({ peerAddress }),
-    start: () => listenOn(server, self.peerAddress, clock),
+    start: () => listenOn(server, self.peerAddress, clock, logger),
     close: async () => {
       dialer.close()
       const open = [...[...links.values()].map(({ link }) => link), ...lingering]
--- a/packages/magnoliabay/src/node/operators/index.ts
+++ b/packages/magnoliabay/src/node/operators/index.ts
@@ -56,7 +56,7 @@
   server.on('request', app.handler as RequestListener)
 
   return {
-    start: () => listenOn(server, settings.instance.operatorAddress, options.clock),
+    start: () => listenOn(server, settings.instance.operatorAddress, options.clock, logger),
     close: () => new Promise(resolve => {
       server.close(() => resolve())
       server.closeAllConnections()
--- a/packages/magnoliabay/src/node/platform/discovery.ts
+++ b/packages/magnoliabay/src/node/platform/discovery.ts
@@ -1,5 +1,6 @@
 /** HTTP endpoints for the readiness check of the platform and for address resolution by callers. */
 import type { Clock } from '../clock'
+import type { Logger } from '../logger'
 import { listenOn } from '../http/listen'
 import { createServer } from 'node:http'
 import type { RequestListener, ServerResponse } from 'node:http'
@@ -11,6 +12,7 @@
 
 export interface DiscoveryOptions {
   clock: Clock
+  logger: Logger
   readinessAddress: string
   resolutionAddress: string
   isReady: () => boolean
@@ -30,7 +32,7 @@
 }
 
 export function createDiscovery (options: DiscoveryOptions): Discovery {
-  const { isReady, addressesFor } = options
+  const { clock, logger, isReady, addressesFor } = options
   const ttlSeconds = Math.min(RESOLUTION_TTL_SECONDS, options.maxResolutionTtlMs / 1000)
   const readinessApp = polka().get('/-/readiness', (_req, res) => sendJson(res, isReady() ? 200 : 503, {}))
   const resolutionApp = polka().get('/-/resolution', (req, res) => {
@@ -42,7 +44,7 @@
   const resolution = createServer(resolutionApp.handler as RequestListener)
   return {
     start: async () => {
-      await Promise.all([listenOn(readiness, options.readinessAddress, options.clock), listenOn(resolution, options.resolutionAddress, options.clock)])
+      await Promise.all([listenOn(readiness, options.readinessAddress, clock, logger), listenOn(resolution, options.resolutionAddress, clock, logger)])
     },
     close: () => {
       [readiness, resolution].forEach(server => {
--- a/packages/magnoliabay/src/node/serving/entryServer.ts
+++ b/packages/magnoliabay/src/node/serving/entryServer.ts
@@ -77,7 +77,7 @@
       const bound = server.address() as AddressInfo
       return `${bound.address}:${bound.port}`
     },
-    start: () => listenOn(server, options.address, clock),
+    start: () => listenOn(server, options.address, clock, logger),
     close: async drainMs => {
       const closed = new Promise<void>(resolve => { server.close(() => resolve()) })
       server.closeIdleConnections()
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -484,7 +484,7 @@
       storeProxy.start(stop.signal)
       contactSeeds({ network: peers, seeds: settings.seeds, isNeeded: needsSeeds, clock }, stop.signal)
       await entryServer.start()
-      await listenOn(metricsServer, settings.listen.metrics, clock)
+      await listenOn(metricsServer, settings.listen.metrics, clock, logger)
       logger.info('instance-started', { build: BUILD_NAME, incarnation: self.incarnation, entry: settings.listen.entry, peers: settings.listen.peers, leaderKey: LEADER_KEY })
     },
     shutdown: createShutdown({
