--- a/packages/magnoliabay/src/node/clock/index.ts
+++ b/packages/magnoliabay/src/node/clock/index.ts
@@ -19,8 +19,9 @@
 export const MAX_TIMER_DELAY_MS = 2_147_483_647
 
 /**
- * Sets a timer for any delay, as several in turn where one of the runtime cannot hold it. Delays come from configurations, servers
- * and callers: a request with a timeout of a month would else end as it arrives, and a repeated task run without pause.
+ * Runs a callback after a delay of any length: one that a timer of the runtime cannot hold is split over several. Delays come from
+ * configurations, servers and callers. The runtime takes one that is too long for 1 ms, so that a request with a timeout of a
+ * month would end as it arrives.
  *
  * @param setTimer sets one timer of the runtime
  */
--- a/packages/magnoliabay/src/node/members/frames.ts
+++ b/packages/magnoliabay/src/node/members/frames.ts
@@ -22,8 +22,8 @@
 const decoder = new Decoder({ useRecords: false, mapsAsObjects: true })
 
 /**
- * Tags of CBOR that members never send: dates, numbers of any length, shared and packed values, objects and sets. A number of
- * a few hundred kilobytes would hold the event loop for seconds, and one of a whole frame for minutes.
+ * Tags of CBOR that members never send: dates, bignums, shared and packed values, objects and sets. A bignum is decoded in
+ * quadratic time: one of a hundred kilobytes would hold the event loop for seconds, and one of a whole frame for many minutes.
  */
 const REFUSED_TAGS = [0, 1, 2, 3, 4, 5, 6, 14, 15, 27, 28, 29, 51, 105, 258, 259]
 
@@ -34,7 +34,7 @@
 }
 
 REFUSED_TAGS.forEach(tag => addExtension({
-  // The decoder alone is replaced: no value that members send is of a class of its own.
+  // The library has one table of tags for the process. Only decoding changes: nothing is encoded by this class.
   Class: RefusedTagError,
   tag,
   encode: () => new Uint8Array(),
--- a/scripts/fleet/oddAnswers.ts
+++ b/scripts/fleet/oddAnswers.ts
@@ -35,7 +35,7 @@
 const HTTP_10_EVERY = 4
 const CALM_MS = 3000
 const CRASH_MS = 2500
-const RARE_PATIENCE_MS = 100
+const RARE_MODEL_TIMEOUT_MS = 100
 const IDLE_ENDS: readonly IdleEnd[] = ['kept', 'ended', 'reset']
 const METHODS: readonly CallMethod[] = ['GET', 'GET', 'HEAD', 'POST']
 const WRONG_REPORTS: ReadonlyArray<(sound: string) => string | undefined> = [
@@ -93,14 +93,14 @@
 /** A request for a model that no engine has, given up after a moment. */
 async function askForRareModel (address: string): Promise<void> {
   const headers = { ...STREAM_HEADERS, 'x-magnoliabay-model': RARE_MODEL, 'x-magnoliabay-attempt-id': `rare-${Date.now()}` }
-  await request(`http://${address}${STREAM_PATH}`, { headers, signal: AbortSignal.timeout(RARE_PATIENCE_MS) }).then(res => res.body.dump()).catch(() => {})
+  await request(`http://${address}${STREAM_PATH}`, { headers, signal: AbortSignal.timeout(RARE_MODEL_TIMEOUT_MS) }).then(res => res.body.dump()).catch(() => {})
 }
 
 /** Runs the instances, the servers and the callers, and returns what was kept. */
 export async function runOddAnswers ({ seed, instances: count, directory }: OddAnswersOptions): Promise<GuaranteeResult[]> {
   mkdirSync(directory, { recursive: true })
   const random = createRandom(seed)
-  /** Drawn apart, so that the answers of servers are the same with and without odd input. */
+  /** Drawn apart from the choices of servers and callers. */
   const inputRandom = createRandom(seed + 1)
   const site = await createPlatformSite({ spoilReport: sound => random.below(2) === 0 ? random.pick(WRONG_REPORTS)(sound) : toOddText(inputRandom, sound), spoilOrderAnswer: sound => toOddText(inputRandom, sound) })
   const servers = await createServers(site.store, random)
--- a/scripts/fleet/oddInputs.ts
+++ b/scripts/fleet/oddInputs.ts
@@ -11,8 +11,8 @@
 const ODD_VALUES: readonly unknown[] = [
   null, true, '', 'x', '9'.repeat(400), '127.0.0.1:99999', '999.1.1.1:80', [], [null], {}, -1, 0, 0.5, 1, 65_536, 2 ** 31, 2 ** 53, 1e15, 1e300, -1e300, 'x'.repeat(100_000)
 ]
-/** An array within an array, so often: what reads it by recursion exhausts the stack. */
-const DEEP_LEVELS = 20_000
+/** Nested arrays: a recursive reader exhausts its stack. */
+const NESTING_LEVELS = 20_000
 const MAX_CHANGES = 2
 const FRAME_LENGTH_BYTES = 4
 /** The link ends itself when a frame is refused, and is closed after this time otherwise. */
@@ -41,7 +41,7 @@
 export function toOddText (random: Random, sound: string, kept: object = {}): string {
   const kind = random.below(12)
   if (kind === 0) return sound.slice(0, random.below(sound.length))
-  if (kind === 1) return `${'['.repeat(DEEP_LEVELS)}${']'.repeat(DEEP_LEVELS)}`
+  if (kind === 1) return `${'['.repeat(NESTING_LEVELS)}${']'.repeat(NESTING_LEVELS)}`
   if (kind === 2) return '\u0000\u0001{oops'
   return JSON.stringify({ ...change(random, JSON.parse(sound) as Json) as object, ...kept })
 }
@@ -112,8 +112,8 @@
   return Buffer.concat([length, payload])
 }
 
-/** A number of 400 kilobytes: the decoder of a library would take seconds for it. */
-const LONG_NUMBER = Buffer.concat([Buffer.from([0xc2, 0x5a, 0, 6, 0x40, 0]), Buffer.alloc(0x64000, 0xff)])
+/** A bignum of 400 kilobytes: a process that decodes it answers nothing for the rest of the run. */
+const BIGNUM = Buffer.concat([Buffer.from([0xc2, 0x5a, 0, 6, 0x40, 0]), Buffer.alloc(0x64000, 0xff)])
 
 function oddFrame (random: Random): Buffer {
   const kind = random.pick(Object.keys(BODIES))
@@ -122,7 +122,7 @@
   const frame = { type, id: random.below(100), ok: true, kind, body }
   const choice = random.below(12)
   if (choice === 0) return toFrame(change(random, frame))
-  if (choice === 1) return Buffer.concat([Buffer.from([0, 6, 0x40, 6]), LONG_NUMBER])
+  if (choice === 1) return Buffer.concat([Buffer.from([0, 6, 0x40, 6]), BIGNUM])
   if (choice === 2) return Buffer.from(Array.from({ length: 40 }, () => random.below(256)))
   return toFrame(frame)
 }
