--- a/packages/magnoliabay/src/node/platform/__tests__/engineCalls.spec.ts
+++ b/packages/magnoliabay/src/node/platform/__tests__/engineCalls.spec.ts
@@ -71,6 +71,14 @@
     expect(await registry.metrics()).to.include('magnoliabay_refused_inputs_total{source="engine-report"} 1')
   }))
 
+  /** Guards against streams that stand still for seconds while a report of megabytes is parsed. */
+  it('are refused before they are parsed when they are longer than any engine needs', async () => {
+    await start(withLength(`${'['.repeat(200_000)}${']'.repeat(200_000)}`))
+    expect((await calls.fetchReport(serverOf('e1', { address: server.address }))).err).to.equal(true)
+    expect(lines).to.have.length(1)
+    expect(lines[0]).to.match(/event=input-refused/).and.match(/server=e1/).and.match(/the body has more than/)
+  })
+
   /** Guards against a report without length that was cut. */
   it('are refused when a report without length breaks off', async () => {
     await start(`HTTP/1.1 200 OK\r\n\r\n${JSON.stringify(SOUND).slice(0, 40)}`)
--- a/packages/magnoliabay/src/node/platform/engineCalls.ts
+++ b/packages/magnoliabay/src/node/platform/engineCalls.ts
@@ -18,8 +18,8 @@
 
 /** Engines answer within milliseconds; on a timeout the engine is unreachable, or its response is lost. */
 const CALL_TIMEOUT_MS = 1000
-/** A report lists some hundred adapters and runs at most. */
-const MAX_ANSWER_BYTES = 4_194_304
+/** A report lists some hundred adapters and runs at most. Nested JSON of megabytes would hold the event loop for seconds as it is parsed. */
+const MAX_ANSWER_BYTES = 262_144
 /** Another process has the engine's former address. */
 const MISDIRECTED = 421
 
