--- a/packages/magnoliabay/src/node/backend/relayBuffered.ts
+++ b/packages/magnoliabay/src/node/backend/relayBuffered.ts
@@ -1,10 +1,9 @@
 /** Relays a response with a single body: checks that it is complete before sending any of it to the caller. */
 import type { ServerResponse } from 'node:http'
 import type { Dispatcher } from 'undici'
-import { startExchange } from './httpExchange'
 import type { ExchangeRequest } from './httpExchange'
 import { REQUEST_ID_HEADER } from './protocol'
-import { appendErrorText, createResponseHead, toPartResult, toFailedResult, readResponseHead, waitForEnd } from './relayConnection'
+import { createResponseHead, startRelayExchange, toPartResult, toFailedResult, waitForEnd } from './relayConnection'
 import type { RelayOptions, RelayRequest, RelayAttempt } from './relayTypes'
 import { parseJsonObject, parseUsedTokens } from './tokenUsage'
 
@@ -17,21 +16,12 @@
   const chunks: Buffer[] = []
   let size = 0
   let problem = ''
-  const exchange = startExchange(dispatcher, options.clock, exchangeReq, {
-    onHead: (status, headers, use) => {
-      readResponseHead(head, req.engineRequestId, status, headers, use)
-      if (head.unattributed !== undefined) return exchange.stop(`The engine's answer is not used: ${head.unattributed}.`)
-      options.statements.record(req.address, status, headers, status === HTTP_OK)
-      if (status !== HTTP_OK) exchange.limitRest()
-    },
-    onData: chunk => {
-      if (head.status !== HTTP_OK) return appendErrorText(head, chunk)
-      chunks.push(chunk)
-      size += chunk.length
-      if (size <= MAX_RESPONSE_BYTES) return
-      problem = `The engine's answer has more than ${MAX_RESPONSE_BYTES} bytes.`
-      exchange.stop(problem)
-    }
+  const exchange = startRelayExchange(options, dispatcher, req, exchangeReq, head, chunk => {
+    chunks.push(chunk)
+    size += chunk.length
+    if (size <= MAX_RESPONSE_BYTES) return
+    problem = `The engine's answer has more than ${MAX_RESPONSE_BYTES} bytes.`
+    exchange.stop(problem)
   })
   const end = await waitForEnd(exchange, req.signal)
   if (end.kind === 'silent') options.connectionPools.checkPath(req.address)
--- a/packages/magnoliabay/src/node/backend/relayConnection.ts
+++ b/packages/magnoliabay/src/node/backend/relayConnection.ts
@@ -5,7 +5,7 @@
 import type { Disclaimer } from '../answers'
 import type { ConnectionUse } from '../http/connectionUse'
 import { startExchange } from './httpExchange'
-import type { HttpExchangeEnd, ExchangeRequest, ResponseHeaders } from './httpExchange'
+import type { ExchangeRequest, HttpExchange, HttpExchangeEnd, ResponseHeaders } from './httpExchange'
 import { attributeResponse } from './responseAttribution'
 import type { StreamState } from './relayStreamState'
 import type { NotRunBasis, RelayOptions, RelayRequest, RelayResult } from './relayTypes'
@@ -55,7 +55,7 @@
 }
 
 /** Reads the head of a response to the request with the id. Engines name it in each completion. */
-export function readResponseHead (head: ResponseHead, requestId: string, status: number, headers: ResponseHeaders, use: ConnectionUse): void {
+function readResponseHead (head: ResponseHead, requestId: string, status: number, headers: ResponseHeaders, use: ConnectionUse): void {
   const attribution = attributeResponse(requestId, status, headers, use, status === HTTP_OK)
   head.status = status
   head.connection = use.connection
@@ -63,11 +63,11 @@
   else head.unattributed = attribution.reason
 }
 
-export async function runPart (options: RelayOptions, dispatcher: Dispatcher, req: RelayRequest, exchangeReq: ExchangeRequest, stream: StreamState): Promise<PartResult> {
-  const head = createResponseHead()
-  let isDone = false
-  let problem = ''
-  let cancelCloseTimer = (): void => {}
+/**
+ * Starts the exchange of a request, reads its response head into `head` and the text of a refusal. A response that nothing
+ * ties to the request ends it.
+ */
+export function startRelayExchange (options: RelayOptions, dispatcher: Dispatcher, req: RelayRequest, exchangeReq: ExchangeRequest, head: ResponseHead, onBody: (chunk: Buffer) => void): HttpExchange {
   const exchange = startExchange(dispatcher, options.clock, exchangeReq, {
     onHead: (status, headers, use) => {
       readResponseHead(head, req.engineRequestId, status, headers, use)
@@ -77,19 +77,30 @@
     },
     onData: chunk => {
       if (head.status !== HTTP_OK) return appendErrorText(head, chunk)
-      if (isDone) return exchange.stop('The engine went on after the end of its answer.')
-      const pushResult = stream.push(chunk)
-      isDone = pushResult.isDone
-      if (isDone) {
-        stream.end()
-        cancelCloseTimer = options.clock.schedule(CLOSE_TIMEOUT_MS, () => exchange.stop('The engine kept its connection open after the end.'))
-      }
-      if (pushResult.problem !== undefined) {
-        problem = `The engine sent a ${pushResult.problem} event.`
-        exchange.stop(problem)
-      } else if (!pushResult.isWritable && !isDone) {
-        exchange.pause()
-      }
+      onBody(chunk)
+    }
+  })
+  return exchange
+}
+
+export async function runPart (options: RelayOptions, dispatcher: Dispatcher, req: RelayRequest, exchangeReq: ExchangeRequest, stream: StreamState): Promise<PartResult> {
+  const head = createResponseHead()
+  let isDone = false
+  let problem = ''
+  let cancelCloseTimer = (): void => {}
+  const exchange = startRelayExchange(options, dispatcher, req, exchangeReq, head, chunk => {
+    if (isDone) return exchange.stop('The engine went on after the end of its answer.')
+    const pushResult = stream.push(chunk)
+    isDone = pushResult.isDone
+    if (isDone) {
+      stream.end()
+      cancelCloseTimer = options.clock.schedule(CLOSE_TIMEOUT_MS, () => exchange.stop('The engine kept its connection open after the end.'))
+    }
+    if (pushResult.problem !== undefined) {
+      problem = `The engine sent a ${pushResult.problem} event.`
+      exchange.stop(problem)
+    } else if (!pushResult.isWritable && !isDone) {
+      exchange.pause()
     }
   })
   stream.setOnDrain(() => exchange.resume())
@@ -109,7 +120,7 @@
   return end
 }
 
-export function appendErrorText (head: ResponseHead, chunk: Buffer): void {
+function appendErrorText (head: ResponseHead, chunk: Buffer): void {
   if (head.errorText.length < MAX_ERROR_TEXT_BYTES) head.errorText += chunk.toString('utf8').slice(0, MAX_ERROR_TEXT_BYTES)
 }
 
