--- a/packages/magnoliabay/src/node/crashes/crashStore.ts
+++ b/packages/magnoliabay/src/node/crashes/crashStore.ts
@@ -1,10 +1,12 @@
 /**
  * Keeps blamed suspects in the platform's store, so that they outlive a restart of all instances and reach instances that are
- * cut off from the others. One instance writes for all: when a suspect is blamed, at each further crash, and when it is freed.
+ * cut off from the others. One instance writes for all: when a suspect is blamed, at each further crash, and when it is freed;
+ * what the store has not taken is written again until it has, since a blamed suspect has no further crash that would do it.
  */
 import { inBackground } from '../background'
 import { STORE_KEY_PREFIX } from '../constants'
 import type { Clock } from '../clock'
+import { sleep } from '../clock'
 import type { Logger } from '../logger'
 import { rankHomeInstances } from '../members'
 import type { Peers } from '../members'
@@ -18,6 +20,10 @@
 /** Bounds a stored record: the latest crashes are enough to blame the suspect. */
 const MAX_STORED_CRASHES = 6
 const MAX_STORED_SUSPECTS = 64
+/** The platform's store accepts this many entries in a transaction. */
+const MAX_WRITES = 32
+/** Delay after a write that failed, milliseconds; each call of the store is priced. */
+const RETRY_DELAY_MS = 2000
 
 interface StoredCrash {
   process: string
@@ -43,7 +49,7 @@
 
 export interface CrashStoreOptions {
   store: Pick<Store, 'transact' | 'watch'>
-  peers: Pick<Peers, 'self' | 'members' | 'isConnected'>
+  peers: Pick<Peers, 'self' | 'members' | 'isConnected' | 'onMembersChanged'>
   /** Called with the crashes of a stored suspect. */
   onStored: (crashes: readonly CrashNotice[]) => void
   /** Called when another instance has removed a suspect. */
@@ -63,6 +69,8 @@
   /** Values in the store as known here, by key. */
   const stored = new Map<string, string>()
   let blamed: readonly Blame[] = []
+  /** While a write is under way, or delayed after one that failed. */
+  let isBusy = false
 
   const isWriter = (): boolean => rankHomeInstances(peers, PREFIX).find(member => member === peers.self.id || peers.isConnected(member)) === peers.self.id
   const toStored = (suspect: Suspect, { process, softwareVersion, atMs, candidates }: CrashRecord): StoredCrash => {
@@ -74,24 +82,44 @@
     const parsed = value === undefined ? undefined : parseJson(value)
     return isStoredSuspect(parsed) ? parsed.crashes.map(({ process }) => process).join() : ''
   }
-  const write = async (writes: readonly WriteOperation[]): Promise<void> => {
+  /** Returns whether the store has taken the writes. */
+  const write = async (writes: readonly WriteOperation[]): Promise<boolean> => {
     const result = await store.transact({ compares: [], writes }, { priority: 'ownership' })
-    if (result.err) return logger.info('crash-suspects-not-stored', { writes: writes.length, reason: result.val.kind })
+    if (result.err) {
+      logger.info('crash-suspects-not-stored', { writes: writes.length, reason: result.val.kind })
+      // A write without a response may yet be done, so that it has to be removed in case the suspect is freed.
+      if (result.val.kind === 'unknown') writes.forEach(({ kind, key }) => { if (kind === 'put') stored.set(key, '') })
+      return false
+    }
     writes.forEach(operation => {
       if (operation.kind === 'put') stored.set(operation.key, operation.value)
       else stored.delete(operation.key)
     })
+    return true
   }
-  const sync = (): void => {
-    if (!isWriter()) return
+  const missingWrites = (): WriteOperation[] => {
     const kept = blamed.slice(0, MAX_STORED_SUSPECTS)
     const wanted = new Map(kept.map(blame => [keyOf(blame.suspect), valueOf(blame)]))
     // Times differ slightly between instances; only another crash is a reason to write.
     const puts = [...wanted].filter(([key, value]) => processesIn(stored.get(key)) !== processesIn(value)).map(([key, value]): WriteOperation => ({ kind: 'put', key, value }))
     const deletes = [...stored.keys()].filter(key => !wanted.has(key)).map((key): WriteOperation => ({ kind: 'delete', key }))
-    const writes = [...puts, ...deletes]
-    if (writes.length > 0) inBackground('store-crash-suspects', write(writes))
+    return [...puts, ...deletes]
+  }
+  const writeMissing = async (writes: readonly WriteOperation[]): Promise<void> => {
+    isBusy = true
+    if (!await write(writes)) await sleep(clock, RETRY_DELAY_MS)
+    isBusy = false
+    sync()
   }
+  const sync = (): void => {
+    const isIdle = blamed.length === 0 && stored.size === 0
+    if (isBusy || isIdle || !isWriter()) return
+    const writes = missingWrites().slice(0, MAX_WRITES)
+    if (writes.length > 0) inBackground('store-crash-suspects', writeMissing(writes))
+  }
+  // The instance that wrote for all may have ended before it had written.
+  peers.onMembersChanged(sync)
+
   const read = (key: string, value: string): void => {
     const parsed = parseJson(value)
     if (!isStoredSuspect(parsed)) return logger.warn('crash-suspect-unreadable', { key })
@@ -113,7 +141,7 @@
   return {
     sync: blames => {
       blamed = blames
-      if (blamed.length > 0 || stored.size > 0) sync()
+      sync()
     },
     start: signal => store.watch(PREFIX, {
       // What is missing from a snapshot may have been lost with a copy of the store, and is written again.
