--- a/packages/magnoliabay/src/node/crashes/__tests__/crashAttribution.spec.ts
+++ b/packages/magnoliabay/src/node/crashes/__tests__/crashAttribution.spec.ts
@@ -252,6 +252,24 @@
       expect(writes.length, 'writes').to.be.at.most(6)
     })
 
+    // A server crashes on a trial and on another request with the part, which is told first. Without the trial in the store,
+    // a restart of all instances lets a further one through at once.
+    it('knows the trials that were made after all instances have restarted', async () => {
+      const first = fixture.join('a', { store })
+      await blameAt(first)
+      const trial = await first.admit(part, 'trial')
+      expect(trial.kind).to.equal('trial')
+      const nowMs = fixture.clock.monotonic()
+      const cut = { process: 'server-3@1', softwareVersion: VERSION, sentMs: nowMs - 1, brokeMs: nowMs }
+      first.recordCrash(requestWith(['part'], 'queued'), { ...cut, trial: [] })
+      await fixture.clock.advance(100)
+      first.recordCrash(part, { ...cut, trial: ['s/part:part'] })
+      await fixture.clock.advance(100)
+      expect((await first.admit(requestWith(['part'], 'next'), 'next')).kind).to.equal('refused')
+      const restarted = await restartAll(['a'])
+      expect((await restarted.admit(requestWith(['part'], 'other'), 'other')).kind).to.equal('refused')
+    })
+
     // An instance that is cut off from the others misses notices.
     it('tells an instance that reaches the store but no other instance, and frees a part there too', async () => {
       const [one, apart] = [fixture.join('a', { store }), fixture.join('b', { store })]
--- a/packages/magnoliabay/src/node/crashes/crashStore.ts
+++ b/packages/magnoliabay/src/node/crashes/crashStore.ts
@@ -78,9 +78,10 @@
     return { process, softwareVersion, atMs: Math.round(clock.now() - (clock.monotonic() - atMs)), teams: [...teams], isTrial }
   }
   const valueOf = ({ suspect, service, crashes }: Blame): string => JSON.stringify({ suspect, service, crashes: crashes.slice(-MAX_STORED_CRASHES).map(crash => toStored(suspect, crash)) })
-  const processesIn = (value: string | undefined): string => {
+  /** Returns the crashes of a stored value, and which of them were trials, without their times. */
+  const crashesIn = (value: string | undefined): string => {
     const parsed = value === undefined ? undefined : parseJson(value)
-    return isStoredSuspect(parsed) ? parsed.crashes.map(({ process }) => process).join() : ''
+    return isStoredSuspect(parsed) ? parsed.crashes.map(({ process, isTrial }) => isTrial ? `trial ${process}` : process).join() : ''
   }
   /** Returns whether the store has taken the writes. */
   const write = async (writes: readonly WriteOperation[]): Promise<boolean> => {
@@ -100,8 +101,8 @@
   const missingWrites = (): WriteOperation[] => {
     const kept = blamed.slice(0, MAX_STORED_SUSPECTS)
     const wanted = new Map(kept.map(blame => [keyOf(blame.suspect), valueOf(blame)]))
-    // Times differ slightly between instances; only another crash is a reason to write.
-    const puts = [...wanted].filter(([key, value]) => processesIn(stored.get(key)) !== processesIn(value)).map(([key, value]): WriteOperation => ({ kind: 'put', key, value }))
+    // Times differ slightly between instances; only another crash, or one that turns out to be a trial's, is a reason to write.
+    const puts = [...wanted].filter(([key, value]) => crashesIn(stored.get(key)) !== crashesIn(value)).map(([key, value]): WriteOperation => ({ kind: 'put', key, value }))
     const deletes = [...stored.keys()].filter(key => !wanted.has(key)).map((key): WriteOperation => ({ kind: 'delete', key }))
     return [...puts, ...deletes]
   }
