--- a/packages/magnoliabay/src/node/crashes/__tests__/crashAttribution.spec.ts
+++ b/packages/magnoliabay/src/node/crashes/__tests__/crashAttribution.spec.ts
@@ -270,6 +270,16 @@
       expect((await restarted.admit(requestWith(['part'], 'other'), 'other')).kind).to.equal('refused')
     })
 
+    // The wall clock of the machines jumps ahead. All that is stored then looks too old to count, and is removed.
+    it('knows what is blamed after a restart of all instances with clocks that have jumped', async () => {
+      await blameAt(fixture.join('a', { store }))
+      const jumped: VirtualClock = { ...fixture.clock, now: () => fixture.clock.now() + 2 * RETENTION_MS }
+      fixture.network.kill('a')
+      const restarted = fixture.join('restarted', { store, clock: jumped })
+      await fixture.clock.advance(100)
+      expect(restarted.accusationOf(part)?.suspects).to.deep.equal(['s/part:part'])
+    })
+
     // An instance that is cut off from the others misses notices.
     it('tells an instance that reaches the store but no other instance, and frees a part there too', async () => {
       const [one, apart] = [fixture.join('a', { store }), fixture.join('b', { store })]
--- a/packages/magnoliabay/src/node/crashes/crashAttribution.ts
+++ b/packages/magnoliabay/src/node/crashes/crashAttribution.ts
@@ -93,6 +93,11 @@
 
 const DEFAULT_CRASHES_TO_BLAME = 3
 const DEFAULT_RETENTION_MS = 3_600_000
+/**
+ * Stored crashes count as no older than this part of the retention. Their age is told by wall clocks, which jump; one that jumped ahead
+ * would make an instance forget what is blamed, and remove it from the store.
+ */
+const MAX_STORED_AGE_RATIO = 0.5
 /** A crash may cut many requests; those after the first are told together, at most this often, milliseconds. */
 const NOTICE_INTERVAL_MS = 5
 /** Records in one message: some tens of kilobytes. */
@@ -144,7 +149,7 @@
     : createCrashStore({
       store: options.store,
       peers,
-      onStored: merge,
+      onStored: crashes => merge(crashes.map(crash => ({ ...crash, ageMs: Math.min(crash.ageMs, retentionMs * MAX_STORED_AGE_RATIO) }))),
       onRemoved: suspect => { if (records.clear([suspect], () => true).length > 0) update() },
       clock,
       logger
