--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/versions/__tests__/versionHistory.spec.ts
@@ -0,0 +1,264 @@
+import { createDirectStore, createKvCallCounter, createKvFaults, createKvState } from '@magnoliabay/standins'
+import { expect } from 'chai'
+import { inBackground } from '../../../background'
+import { createVirtualClock } from '../../../clock/virtual'
+import { STORE_KEY_PREFIX } from '../../../constants'
+import { createInputMonitor } from '../../../inputs'
+import { createLogger } from '../../../logger'
+import { createMemoryNetwork } from '../../../members/memoryNetwork'
+import { configOf, memberRecord, routeOf, serverOf } from '../../__tests__/fixtures'
+import { LAST_ORDER_KEY } from '../../placement/leaderRecords'
+import { createServerList } from '../../serverList'
+import type { ServerList } from '../../serverList'
+import type { BackendServer } from '../../types'
+import { createSoftwareVersions } from '../softwareVersions'
+import { createVersionHistory } from '../versionHistory'
+import type { VersionHistory } from '../versionHistory'
+
+/** A stream may be resumed for 40 s. */
+const ROUTE = routeOf('/resumable/', { kind: 'stream', isResumable: true, timeoutMs: 10_000 })
+const KEEP_MS = 40_000
+const PREFIX = `${STORE_KEY_PREFIX}/software-versions/`
+const START_MS = 1_700_000_000_000
+
+interface Instance {
+  history: VersionHistory
+  servers: ServerList
+  faults: ReturnType<typeof createKvFaults>
+  list (name: string, softwareVersion: string, bornMs?: number): void
+  unlist (name: string): void
+  mayBegin (name: string): boolean
+  kill (): void
+  /** Number of input messages that were refused. */
+  refused (): number
+}
+
+/** Instances that share a store and a list of servers; each gets changes of the list on its own. */
+function createRig () {
+  const clock = createVirtualClock(START_MS)
+  const kvState = createKvState({ clock })
+  const counter = createKvCallCounter()
+  const network = createMemoryNetwork({ clock })
+
+  const start = (id: string, listed: Readonly<Record<string, string>> = {}, isFirstStart = true): Instance => {
+    const lines: string[] = []
+    const logger = createLogger({ write: line => { lines.push(line) } })
+    const faults = createKvFaults()
+    const store = createDirectStore(kvState, { clock, faults, counter })
+    const peers = network.join(memberRecord(id, { incarnation: `${id} ${clock.monotonic()}` }))
+    const entries = new Map<string, BackendServer>()
+    const servers = createServerList({ decode: key => entries.get(key), idOf: key => key, isEvacuated: () => false, storeReachableSinceMs: () => -Infinity, clock, logger })
+    const add = (name: string, softwareVersion: string, bornMs = clock.now()): void => { entries.set(name, serverOf(name, { softwareVersion, bornMs })) }
+    Object.entries(listed).forEach(([name, softwareVersion]) => add(name, softwareVersion))
+    servers.snapshot([...entries.keys()].map(key => ({ key, value: '' })))
+    const versions = createSoftwareVersions({ servers, clock, logger })
+    const stop = new AbortController()
+    const history = createVersionHistory({ store: { ...store, era: kvState.era }, recordStore: store, peers, versions, servers, cfg: { current: () => configOf(1, { routes: [ROUTE] }) }, isFirstStart, isListCurrent: () => true, inputs: createInputMonitor(logger), clock, logger, random: () => 0.5 })
+    history.start(stop.signal)
+    return {
+      history,
+      servers,
+      faults,
+      list: (name, softwareVersion, bornMs) => {
+        add(name, softwareVersion, bornMs)
+        servers.put({ key: name, value: '' })
+      },
+      unlist: name => servers.remove(name),
+      mayBegin: name => history.mayBegin(servers.get(name)!),
+      kill: () => {
+        stop.abort()
+        inBackground('stop-store', faults.set({ down: 'refused' }))
+        network.kill(id)
+      },
+      refused: () => lines.filter(line => line.includes(' event=input-refused ')).length
+    }
+  }
+  const entries = () => kvState.range({ key: PREFIX, end: `${PREFIX}~` })
+  const recorded = (): string[] => entries().filter(({ key }) => key.startsWith(`${PREFIX}of/`)).map(({ value }) => (JSON.parse(value) as { softwareVersion: string }).softwareVersion).sort()
+  const put = (key: string, value: string): void => { kvState.transact({ compares: [], success: [{ kind: 'put', key, value }], failure: [] }) }
+  return { clock, kvState, counter, start, entries, recorded, put }
+}
+
+const serviceOf = ({ servers }: Instance): string => servers.all()[0]!.service
+
+describe('the history of software versions', () => {
+  /** Guards against a price for days with one version: a write for the version and one for the beginning, and no more. */
+  it('is written once for each version', async () => {
+    const { clock, counter, start, recorded } = createRig()
+    const instances = ['i0', 'i1', 'i2'].map(id => start(id, { a: 'v1' }))
+    await clock.advance(120_000)
+    expect(recorded()).to.deep.equal(['v1'])
+    expect(counter.total().writes).to.equal(2)
+    const { reads } = counter.total()
+    await clock.advance(600_000)
+    expect(counter.total().reads).to.equal(reads)
+    expect(instances.every(({ history }) => history.coversAll(KEEP_MS))).to.equal(true)
+  })
+
+  /** Guards against streams that begin at a version that no instance would know of after a restart. */
+  it('lets streams begin at a further version only once the store has it', async () => {
+    const { clock, start, recorded } = createRig()
+    const instance = start('i0', { a: 'v1' })
+    await clock.advance(1000)
+    instance.list('b', 'v2')
+    expect(instance.mayBegin('b')).to.equal(false)
+    expect(instance.mayBegin('a')).to.equal(true)
+    await clock.advance(400)
+    expect(instance.mayBegin('b')).to.equal(false)
+    expect(recorded()).to.deep.equal(['v1'])
+    await clock.advance(200)
+    expect(recorded()).to.deep.equal(['v1', 'v2'])
+    expect(instance.mayBegin('b')).to.equal(true)
+  })
+
+  /** Guards against servers that get no streams at all, where they have replaced all others or the store takes no writes. */
+  it('lets streams begin where no server of a recorded version is there, or the store does not take the version', async () => {
+    const { clock, start } = createRig()
+    const instance = start('i0', { a: 'v1' })
+    await clock.advance(1000)
+    await instance.faults.set({ down: 'refused' })
+    instance.list('b', 'v2')
+    expect(instance.mayBegin('b')).to.equal(false)
+    instance.unlist('a')
+    expect(instance.mayBegin('b')).to.equal(true)
+    instance.list('a', 'v1')
+    await clock.advance(16_000)
+    expect(instance.mayBegin('b')).to.equal(true)
+  })
+
+  /** Guards against a store that keeps versions for ever, and one that drops them while their streams may be resumed. */
+  it('drops a version that has left once its streams cannot be resumed any more', async () => {
+    const { clock, start, recorded } = createRig()
+    const instance = start('i0', { a: 'v1', b: 'v2' })
+    await clock.advance(1000)
+    instance.unlist('a')
+    await clock.advance(KEEP_MS)
+    expect(recorded()).to.deep.equal(['v1', 'v2'])
+    await clock.advance(60_000)
+    expect(recorded()).to.deep.equal(['v2'])
+  })
+
+  /** Guards against a version that is dropped while it is listed, since it had left before. */
+  it('keeps a version that is listed again', async () => {
+    const { clock, start, recorded } = createRig()
+    const instance = start('i0', { a: 'v1', b: 'v2' })
+    await clock.advance(1000)
+    instance.unlist('a')
+    await clock.advance(30_000)
+    instance.list('a', 'v1')
+    await clock.advance(600_000)
+    expect(recorded()).to.deep.equal(['v1', 'v2'])
+  })
+
+  /** Guards against conclusions from the history of a program that kept none. */
+  it('is incomplete where an earlier program kept none, until all streams of that time are over', async () => {
+    const { clock, put, start, entries } = createRig()
+    put(LAST_ORDER_KEY, '{}')
+    const first = start('i0', { a: 'v1' }, false)
+    await clock.advance(20_000)
+    expect(first.history.coversAll(KEEP_MS)).to.equal(false)
+    first.kill()
+    const second = start('i0', { a: 'v1' }, false)
+    await clock.advance(1000)
+    expect(second.history.coversAll(KEEP_MS)).to.equal(false)
+    await clock.advance(KEEP_MS + 20_000)
+    expect(second.history.coversAll(KEEP_MS)).to.equal(true)
+    expect(entries().some(({ key }) => key.endsWith('begun'))).to.equal(true)
+    second.kill()
+    const third = start('i0', { a: 'v1' }, false)
+    await clock.advance(100)
+    expect(third.history.coversAll(KEEP_MS)).to.equal(true)
+  })
+
+  /** Guards against a history that is complete only at a system's first start: it may be killed before its second start counts as one. */
+  it('is complete from the beginning of a system, whether or not it is said to be the first start', async () => {
+    const { clock, put, start } = createRig()
+    const first = start('i0', { a: 'v1' }, false)
+    await clock.advance(300)
+    put(LAST_ORDER_KEY, '{}')
+    expect(first.history.coversAll(KEEP_MS)).to.equal(true)
+    first.kill()
+    const second = start('i0', { a: 'v1' }, false)
+    await clock.advance(100)
+    expect(second.history.coversAll(KEEP_MS)).to.equal(true)
+  })
+
+  /** Guards against conclusions from entries that cannot be read, and against entries that keep the history incomplete for ever. */
+  it('is incomplete while it has entries that cannot be read; they are counted, and removed', async () => {
+    const { clock, put, start, entries } = createRig()
+    start('i0', { a: 'v1' }).kill()
+    put(`${PREFIX}begun`, '{"era":0}')
+    put(`${PREFIX}of/x/y`, '{"service":')
+    const instance = start('i0', { a: 'v1' })
+    await clock.advance(1000)
+    expect(instance.history.coversAll(KEEP_MS)).to.equal(false)
+    expect(instance.refused()).to.be.at.least(1)
+    await clock.advance(KEEP_MS + 20_000)
+    expect(entries().some(({ key }) => key.endsWith('x/y'))).to.equal(false)
+  })
+
+  /** Guards against a history that stays without versions which a store restored from an older copy has lost. */
+  it('is written again when the store has been restored from an older copy', async () => {
+    const { clock, kvState, start, recorded } = createRig()
+    const instance = start('i0', { a: 'v1' })
+    await clock.advance(1000)
+    const copy = kvState.snapshot()
+    instance.list('b', 'v2')
+    await clock.advance(1000)
+    kvState.restore(copy)
+    await clock.advance(5000)
+    expect(recorded()).to.deep.equal(['v1', 'v2'])
+    instance.kill()
+    const next = start('i0', { a: 'v1', b: 'v2' })
+    await clock.advance(100)
+    expect(next.history.priorOf(serviceOf(next))).to.deep.equal({ kind: 'none' })
+  })
+
+  /** Guards against streams of a version that the store lost while no instance watched: the one before counts as their version. */
+  it('names no prior version after the store was restored from an older copy while no instance watched', async () => {
+    const { clock, kvState, start } = createRig()
+    const instance = start('i0', { a: 'v1' })
+    await clock.advance(1000)
+    const copy = kvState.snapshot()
+    instance.list('b', 'v2')
+    await clock.advance(1000)
+    instance.kill()
+    kvState.restore(copy)
+    const next = start('i0', { a: 'v1', b: 'v2' })
+    await clock.advance(5000)
+    expect(next.history.priorOf(serviceOf(next))).to.deep.equal({ kind: 'none' })
+    next.kill()
+    const second = start('i0', { a: 'v1', b: 'v2' })
+    await clock.advance(100)
+    expect(second.history.priorOf(serviceOf(second))).to.deep.equal({ kind: 'none' })
+  })
+
+  /** Guards against streams that cannot go on since a further version was listed around a restart of all. */
+  it('names the version before one that is listed after the start, unless an instance is lost since', async () => {
+    const { clock, start } = createRig()
+    start('i0', { a: 'v1' }).kill()
+    await clock.advance(100)
+    const first = start('i0', { a: 'v1' })
+    await clock.advance(1000)
+    const other = start('i1', { a: 'v1' })
+    await clock.advance(1000)
+    first.list('b', 'v2')
+    expect(first.history.priorOf(serviceOf(first))).to.deep.equal({ kind: 'known', softwareVersion: 'v1' })
+    await clock.advance(1000)
+    other.kill()
+    expect(first.history.priorOf(serviceOf(first))).to.deep.equal({ kind: 'lost' })
+  })
+
+  /** Guards against a history that lacks a version whose servers have run for long: streams may have begun there. */
+  it('names no prior version where servers of the further one have run for longer than streams may be resumed', async () => {
+    const { clock, start } = createRig()
+    const instance = start('i0', { a: 'v1' })
+    await clock.advance(1000)
+    instance.kill()
+    await clock.advance(1000)
+    const next = start('i0', { a: 'v1' })
+    next.list('b', 'v2', START_MS - 2 * KEEP_MS)
+    await clock.advance(100)
+    expect(next.history.priorOf(serviceOf(next))).to.deep.equal({ kind: 'none' })
+  })
+})
--- a/packages/magnoliabay/src/node/serving/versions/softwareVersions.ts
+++ b/packages/magnoliabay/src/node/serving/versions/softwareVersions.ts
@@ -6,12 +6,14 @@
 import type { Logger } from '../../logger'
 import type { ServerList } from '../serverList'
 import { serverProcessId } from '../types'
-import type { BackendServer } from '../types'
+import type { BackendServer, Route } from '../types'
 
 /** Versions of servers that are no longer listed are kept for this long, milliseconds: longer than any stream may be resumed. */
 const RETENTION_MS = 600_000
 /** A server that crashed is back within some seconds, mostly at its version; after this time without one it is not expected, milliseconds. */
-const RETURN_MS = 10_000
+export const RETURN_MS = 10_000
+/** Time after its route's timeout for which a caller may resume a stream, milliseconds. */
+const RESUME_MS = 30_000
 /** Stands for the version of servers that state none. */
 export const UNSTATED_VERSION = ''
 
@@ -21,9 +23,24 @@
  */
 export type VersionAvailability = 'usable' | 'absent' | 'gone'
 
+export interface ServiceVersion {
+  service: string
+  softwareVersion: string
+}
+
+/** A version that servers have, or have had lately. */
+export interface KnownVersion extends ServiceVersion {
+  /** Time since a server of the version was last listed, milliseconds; 0 while one is. */
+  unlistedMs: number
+}
+
 export interface SoftwareVersions {
   /** Versions of servers of the service that are listed, or were within this time, milliseconds. */
   seenWithin (service: string, withinMs: number): ReadonlySet<string>
+  /** All versions that are listed or have been lately. */
+  all (): readonly KnownVersion[]
+  /** Adds versions that servers had before this instance started, as if they had been listed until now. */
+  addEarlier (earlier: readonly ServiceVersion[]): void
   /** Time for which this instance has known the list of servers, milliseconds. */
   observedMs (): number
   availabilityOf (service: string, version: string): VersionAvailability
@@ -45,6 +62,9 @@
   wasLeaving: boolean
 }
 
+/** Time for which a stream of the route may be resumed after its first event, milliseconds. */
+export const keepMsOf = ({ timeoutMs }: Pick<Route, 'timeoutMs'>): number => timeoutMs + RESUME_MS
+
 export const versionOf = ({ softwareVersion }: Pick<BackendServer, 'softwareVersion'>): string => softwareVersion ?? UNSTATED_VERSION
 
 export function createSoftwareVersions ({ servers, clock, logger }: SoftwareVersionsOptions): SoftwareVersions {
@@ -79,12 +99,15 @@
     unlistAll()
     servers.all().forEach(server => list(server, leaving.has(serverProcessId(server))))
     listedVersions().forEach((versions, service) => {
-      const seen = seenOf(service)
-      if (seen.size < 2 || [...versions].every(version => before.get(service)?.has(version))) return
-      logger.info('software-versions', { service, versions: [...seen.keys()] })
-      listeners.forEach(listener => listener(service))
+      if ([...versions].some(version => before.get(service)?.has(version) !== true)) notifyAdded(service)
     })
   }
+  const notifyAdded = (service: string): void => {
+    const seen = seenOf(service)
+    if (seen.size < 2) return
+    logger.info('software-versions', { service, versions: [...seen.keys()] })
+    listeners.forEach(listener => listener(service))
+  }
   const observedMs = (): number => knownSinceMs === undefined ? 0 : clock.monotonic() - knownSinceMs
   servers.onChanged(update)
   update()
@@ -95,6 +118,13 @@
       const recent = [...seenByService.get(service) ?? []].filter(([, { isListed, lastListedMs }]) => isListed || now - lastListedMs < withinMs)
       return new Set(recent.map(([version]) => version))
     },
+    all: () => [...seenByService].flatMap(([service, seen]) => [...seen].map(([softwareVersion, { isListed, lastListedMs }]) =>
+      ({ service, softwareVersion, unlistedMs: isListed ? 0 : clock.monotonic() - lastListedMs }))),
+    addEarlier: earlier => {
+      const added = earlier.filter(({ service, softwareVersion }) => !seenOf(service).has(softwareVersion))
+      added.forEach(({ service, softwareVersion }) => seenOf(service).set(softwareVersion, { isListed: false, lastListedMs: clock.monotonic(), wasLeaving: false }))
+      new Set(added.map(({ service }) => service)).forEach(notifyAdded)
+    },
     observedMs,
     availabilityOf: (service, version) => {
       if (servers.usable(service).some(server => versionOf(server) === version)) return 'usable'
--- /dev/null
+++ b/packages/magnoliabay/src/node/serving/versions/versionHistory.ts
@@ -0,0 +1,312 @@
+/**
+ * Keeps which software versions the servers of each service have had in the platform's store, so that the history outlives a
+ * restart of all instances. A version is recorded before streams begin at its servers beside another one, and stays recorded
+ * for as long as its streams may be resumed.
+ */
+import * as v from 'valibot'
+import { inBackground } from '../../background'
+import { sleep } from '../../clock'
+import type { Clock } from '../../clock'
+import { STORE_KEY_PREFIX } from '../../constants'
+import { checkInput, count } from '../../inputs'
+import type { InputMonitor } from '../../inputs'
+import type { Logger } from '../../logger'
+import { rankHomeInstances } from '../../members'
+import type { Peers } from '../../members'
+import type { KeyValue, RangeResult, Store, WatchEvent, WriteOperation } from '../../store'
+import { parseJson, stableHash } from '../../utils'
+import { LAST_ORDER_KEY } from '../placement/leaderRecords'
+import type { ServerList } from '../serverList'
+import type { ServingConfigProvider } from '../servingConfigProvider'
+import type { BackendServer } from '../types'
+import { createLostMembers } from './lostMembers'
+import { createPriorVersions } from './priorVersions'
+import type { PriorVersion } from './priorVersions'
+import { RETURN_MS, keepMsOf, versionOf } from './softwareVersions'
+import type { KnownVersion, ServiceVersion, SoftwareVersions } from './softwareVersions'
+
+const PREFIX = `${STORE_KEY_PREFIX}/software-versions/`
+/** Present once the history covers all streams that may be resumed. */
+const MARKER_KEY = `${PREFIX}begun`
+const VERSIONS_PREFIX = `${PREFIX}of/`
+/** Open streams of the earlier version are recorded within this time of a further one being listed, milliseconds. */
+const RECORD_DELAY_MS = 500
+/** Random delay for each member before a write that one of them has to make, and its maximum, milliseconds. */
+const DELAY_PER_MEMBER_MS = 5
+const MAX_RANDOM_DELAY_MS = 2000
+/** Delay after a write that failed, milliseconds; doubled after each further one. */
+const MIN_RETRY_DELAY_MS = 500
+const MAX_RETRY_DELAY_MS = 8000
+/** Streams begin at a version that the store does not take after this time, milliseconds: its servers would stay idle. */
+const MAX_GATE_MS = 15_000
+/** A stream is resumed before the history has been read only if that takes longer than this after the start, milliseconds. */
+const READ_TIMEOUT_MS = 1500
+/** A version that is not listed stays recorded for longer than its streams may be resumed by this, milliseconds. */
+const LEASE_MARGIN_MS = 30_000
+const MAX_LEASE_MS = 600_000
+const CHECK_INTERVAL_MS = RETURN_MS
+
+const versionSchema = v.object({ service: v.string(), softwareVersion: v.string(), isListed: v.boolean() })
+const markerSchema = v.object({ era: count })
+
+type StoredVersion = v.InferOutput<typeof versionSchema>
+
+export interface VersionHistory {
+  /** Resolves once the history has been read, or this instance has waited long enough for it. */
+  whenRead (): Promise<void>
+  /** Whether this instance knows all versions that servers have had within this time, by the history or since it was there itself. */
+  coversAll (withinMs: number): boolean
+  /** Whether streams that may be resumed may begin at the server: its version is recorded, or no usable server has a recorded one. */
+  mayBegin (server: BackendServer): boolean
+  /** The only version at which streams of the service began before another was listed. */
+  priorOf (service: string): PriorVersion
+  /** Reads and writes the history until `signal` aborts. */
+  start (signal: AbortSignal): void
+}
+
+export interface VersionHistoryOptions {
+  store: Pick<Store, 'watch' | 'grantLease'> & {
+    /** Rises whenever the store has been restored from an older copy. */
+    era (): number
+  }
+  /** Reads and writes records, through a peer where the store does not respond here. */
+  recordStore: Pick<Store, 'get' | 'transact'>
+  peers: Pick<Peers, 'self' | 'members' | 'isConnected' | 'onMembersChanged' | 'onConnected'>
+  versions: SoftwareVersions
+  servers: Pick<ServerList, 'all' | 'usable' | 'isKnown' | 'onChanged' | 'notifyChanged'>
+  cfg: Pick<ServingConfigProvider, 'current'>
+  /** Whether the whole system starts for the first time. */
+  isFirstStart: boolean
+  /** Whether changes of the list of servers reach this instance. */
+  isListCurrent: () => boolean
+  /** @default refused entries are logged only */
+  inputs?: Pick<InputMonitor, 'recordRefused'>
+  clock: Clock
+  logger: Logger
+  /** Returns a number from 0 to below 1. */
+  random: () => number
+}
+
+/** What the first snapshot of the history has told. */
+interface FirstRead {
+  /** Whether it names all versions that servers had while a stream began that may be resumed. */
+  isComplete: boolean
+  /** Whether the store has not been restored from an older copy since. */
+  isCurrent: boolean
+}
+
+interface PendingWrite {
+  sinceMs: number
+}
+
+interface WriteRequest {
+  valueOf: () => string
+  /** Whether the store drops the value after a while. */
+  isLeased: boolean
+  delayMs: number
+  /** Whether the store still lacks the value. */
+  isDue: () => boolean
+}
+
+const hashOf = (text: string): string => stableHash(text).toString(36)
+const keyOf = ({ service, softwareVersion }: ServiceVersion): string => `${VERSIONS_PREFIX}${hashOf(service)}/${hashOf(softwareVersion)}`
+
+export function createVersionHistory (options: VersionHistoryOptions): VersionHistory {
+  const { store, recordStore, peers, versions, servers, cfg, isListCurrent, clock, logger, random } = options
+  const startedMs = clock.monotonic()
+  const startedUnixMs = clock.now()
+  const lostMembers = createLostMembers({ peers, clock })
+  /** Versions in the store as known here, by key. */
+  const stored = new Map<string, StoredVersion>()
+  /** Keys without the expected form. */
+  const unreadable = new Set<string>()
+  /** Writes that are due or under way, by key. */
+  const pending = new Map<string, PendingWrite>()
+  let first: FirstRead | undefined
+  let marker: { era: number } | undefined
+  /** Era of the last snapshot. */
+  let readEra = 0
+  let signal = AbortSignal.abort()
+  let cancelCheck: (() => void) | undefined
+  let resolveRead: () => void = () => {}
+  const firstRead = new Promise<void>(resolve => { resolveRead = resolve })
+
+  /** Longest time for which a stream may be resumed; infinite while the routes are not known. */
+  const longestKeepMs = (): number => cfg.current() === undefined ? Infinity : Math.max(0, ...cfg.current()!.routes.filter(({ isResumable }) => isResumable).map(keepMsOf))
+  const hasObserved = (withinMs: number): boolean => versions.observedMs() >= withinMs
+  const coversAll = (withinMs: number): boolean => first?.isComplete === true || hasObserved(withinMs)
+  /** Whether this instance may vouch for the history as the store has it. */
+  const isSure = (): boolean => (first?.isComplete === true && first.isCurrent) || hasObserved(longestKeepMs())
+  const priors = createPriorVersions({ versions, longestKeepMs, isSure, lostSince: lostMembers.since, clock })
+
+  const isRecorded = (version: ServiceVersion): boolean => stored.get(keyOf(version))?.isListed === true
+  const isRecordedVersionOf = (server: BackendServer): boolean => isRecorded({ service: server.service, softwareVersion: versionOf(server) })
+  const hasRecordedServer = (service: string): boolean => servers.usable(service).some(isRecordedVersionOf)
+  /** Whether it is for this instance to write what any instance could. */
+  const isWriter = (): boolean => rankHomeInstances(peers, PREFIX).find(member => member === peers.self.id || peers.isConnected(member)) === peers.self.id
+  const randomDelayMs = (): number => isWriter() ? 0 : random() * Math.min(MAX_RANDOM_DELAY_MS, peers.members().length * DELAY_PER_MEMBER_MS)
+
+  const parse = <Schema extends v.GenericSchema>(schema: Schema, { key, value }: Pick<KeyValue, 'key' | 'value'>): v.InferOutput<Schema> | undefined => {
+    const checked = checkInput(schema, parseJson(value))
+    if (checked.ok) return checked.val
+    unreadable.add(key)
+    options.inputs?.recordRefused('store-value', { key }, checked.val.message)
+    return undefined
+  }
+  const read = (entry: Pick<KeyValue, 'key' | 'value'>): void => {
+    unreadable.delete(entry.key)
+    if (entry.key === MARKER_KEY) marker = parse(markerSchema, entry)
+    if (!entry.key.startsWith(VERSIONS_PREFIX)) return
+    const version = parse(versionSchema, entry)
+    if (version === undefined) stored.delete(entry.key)
+    else stored.set(entry.key, version)
+  }
+  const remove = (key: string): void => {
+    if (key === MARKER_KEY) marker = undefined
+    unreadable.delete(key)
+    stored.delete(key)
+  }
+
+  /** Writes the value unless the store has an equal one, and returns whether the store has it. */
+  const write = async (key: string, value: string, isLeased: boolean): Promise<boolean> => {
+    const found = await recordStore.get(key, { priority: 'ownership' })
+    if (found.err) return false
+    if (found.val?.value === value) return true
+    const lease = isLeased ? await store.grantLease(Math.min(MAX_LEASE_MS, longestKeepMs() + LEASE_MARGIN_MS) / 1000) : undefined
+    if (lease?.err === true) return false
+    const put: WriteOperation = { kind: 'put', key, value, ...(lease === undefined ? {} : { leaseId: lease.val }) }
+    const result = await recordStore.transact({ compares: [{ key, target: 'mod', equals: found.val?.modRevision ?? 0 }], writes: [put] }, { priority: 'ownership' })
+    return result.ok && result.val.succeeded
+  }
+  const writeUntilDone = async (key: string, { valueOf, isLeased, delayMs, isDue }: WriteRequest): Promise<void> => {
+    const sinceMs = clock.monotonic()
+    let waitMs = delayMs
+    let retryMs = MIN_RETRY_DELAY_MS
+    let outcome: 'stored' | 'not-due' | undefined
+    while (outcome === undefined && !signal.aborted) {
+      if (waitMs > 0) await sleep(clock, waitMs, signal)
+      waitMs = retryMs
+      retryMs = Math.min(MAX_RETRY_DELAY_MS, retryMs * 2)
+      const value = valueOf()
+      if (!isDue()) outcome = 'not-due'
+      else if (await write(key, value, isLeased)) {
+        outcome = 'stored'
+        read({ key, value })
+      }
+    }
+    pending.delete(key)
+    logger.info('software-version-written', { key, outcome, isLeased, afterMs: Math.round(clock.monotonic() - sinceMs) })
+    // Requests may wait for servers of the version.
+    if (outcome === 'stored' && !isLeased) servers.notifyChanged()
+    update()
+  }
+  const startWrite = (key: string, request: WriteRequest): void => {
+    if (pending.has(key)) return
+    pending.set(key, { sinceMs: clock.monotonic() })
+    inBackground('write-software-version', writeUntilDone(key, request))
+  }
+  const writeVersion = ({ service, softwareVersion }: ServiceVersion, isListed: boolean): void => {
+    const key = keyOf({ service, softwareVersion })
+    const isFurther = isListed && hasRecordedServer(service)
+    startWrite(key, {
+      valueOf: () => JSON.stringify({ service, softwareVersion, isListed }),
+      isLeased: !isListed,
+      delayMs: (isFurther ? RECORD_DELAY_MS : 0) + randomDelayMs(),
+      isDue: () => needsWrite(key, isListed) && versions.all().some(each => keyOf(each) === key && (each.unlistedMs === 0) === isListed)
+    })
+  }
+  const needsWrite = (key: string, isListed: boolean): boolean => stored.get(key)?.isListed !== isListed
+  /** The marker follows the versions: with it the history counts as whole. */
+  const writeMarkerIfDue = (): void => {
+    const isDue = (): boolean => marker?.era !== store.era() && readEra === store.era() && isSure()
+    if (pending.size > 0 || !isDue()) return
+    startWrite(MARKER_KEY, { valueOf: () => JSON.stringify({ era: store.era() }), isLeased: false, delayMs: randomDelayMs(), isDue })
+  }
+  const isGone = ({ unlistedMs }: KnownVersion): boolean => unlistedMs >= RETURN_MS
+  const update = (): void => {
+    if (first === undefined || signal.aborted || !servers.isKnown()) return
+    priors.update()
+    const known = versions.all()
+    known.filter(each => each.unlistedMs === 0 && needsWrite(keyOf(each), true)).forEach(each => writeVersion(each, true))
+    writeMarkerIfDue()
+    if (known.some(({ unlistedMs }) => unlistedMs > 0) || marker?.era !== store.era() || unreadable.size > 0) scheduleCheck()
+  }
+  /** Lets the store drop versions that have left, once no stream of theirs can be resumed. */
+  const check = (): void => {
+    cancelCheck = undefined
+    const keepMs = longestKeepMs()
+    const gone = versions.all().filter(each => isGone(each) && (isRecorded(each) || (each.unlistedMs < keepMs && !stored.has(keyOf(each)))))
+    if (isWriter() && isListCurrent()) gone.forEach(each => writeVersion(each, false))
+    // The writer does the same; a version that is listed again is written again.
+    else gone.forEach(each => { if (stored.has(keyOf(each))) stored.set(keyOf(each), { ...each, isListed: false }) })
+    if (isWriter() && isSure()) removeUnreadable()
+    update()
+  }
+  const removeUnreadable = (): void => {
+    if (unreadable.size === 0) return
+    const writes = [...unreadable].map((key): WriteOperation => ({ kind: 'delete', key }))
+    unreadable.clear()
+    inBackground('remove-unreadable-versions', recordStore.transact({ compares: [], writes }, { priority: 'ownership' }))
+  }
+  const scheduleCheck = (): void => {
+    if (signal.aborted) return
+    cancelCheck ??= clock.schedule(CHECK_INTERVAL_MS, check)
+  }
+
+  const begin = (entries: RangeResult['entries']): FirstRead => {
+    const hasEntries = marker !== undefined || stored.size > 0 || unreadable.size > 0
+    // A program that kept no history may have served before.
+    const hasEarlierLife = entries.some(({ key }) => key === LAST_ORDER_KEY) && !options.isFirstStart
+    const isNew = !hasEntries && !hasEarlierLife
+    return { isComplete: isNew || (marker !== undefined && unreadable.size === 0), isCurrent: isNew || marker?.era === store.era() }
+  }
+  /** Whether servers run that the history should name: their version was listed while it was kept. */
+  const isContradicted = (): boolean => {
+    const services = new Set([...stored.values()].map(({ service }) => service))
+    return servers.all().some(server => services.has(server.service) && !stored.has(keyOf({ service: server.service, softwareVersion: versionOf(server) })) && server.bornMs < startedUnixMs - longestKeepMs())
+  }
+  const applyFirst = (entries: RangeResult['entries']): void => {
+    first = begin(entries)
+    const earlier = [...stored.values()]
+    logger.info('software-versions-read', { ...first, versions: earlier.map(({ service, softwareVersion }) => `${service} ${softwareVersion}`), afterMs: Math.round(clock.monotonic() - startedMs) })
+    versions.addEarlier(earlier)
+    priors.begin({ earlier, startedMs, isContradicted })
+    resolveRead()
+  }
+  const onSnapshot = ({ entries }: RangeResult): void => {
+    stored.clear()
+    unreadable.clear()
+    marker = undefined
+    readEra = store.era()
+    entries.filter(({ key }) => key.startsWith(PREFIX)).forEach(read)
+    if (first === undefined) applyFirst(entries)
+    update()
+  }
+  const onEvent = ({ kind, key, value }: WatchEvent): void => {
+    if (!key.startsWith(PREFIX)) return
+    if (kind === 'put') read({ key, value })
+    else remove(key)
+    update()
+  }
+  servers.onChanged(update)
+
+  return {
+    coversAll,
+    priorOf: priors.of,
+    whenRead: async () => {
+      const waitMs = startedMs + READ_TIMEOUT_MS - clock.monotonic()
+      if (first === undefined && waitMs > 0) await Promise.race([firstRead, sleep(clock, waitMs)])
+    },
+    mayBegin: server => {
+      if (first === undefined || isRecordedVersionOf(server)) return true
+      const since = pending.get(keyOf({ service: server.service, softwareVersion: versionOf(server) }))?.sinceMs
+      if (since !== undefined && clock.monotonic() - since > MAX_GATE_MS) return true
+      return !hasRecordedServer(server.service)
+    },
+    start: startSignal => {
+      signal = startSignal
+      signal.addEventListener('abort', () => cancelCheck?.(), { once: true })
+      store.watch(STORE_KEY_PREFIX, { onSnapshot, onEvent }, signal)
+    }
+  }
+}
