--- a/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
@@ -27,6 +27,7 @@
 import type { Connections, OutboundRequest, ResponseHandler } from '../../exchange'
 import type { BackendServer, ServingConfig } from '../../types'
 import { createVersionKeeping } from '../../versions'
+import { NO_STORED_ORIGINS } from '../../versions/storedOrigins'
 import { NO_EVACUATION, configOf, leadingOf, memberRecord, reportOf, routeOf } from '../fixtures'
 import { createCall } from './callerResponse'
 import type { CallerResponse } from './callerResponse'
@@ -367,6 +368,8 @@
       onSummary: (_member, summary) => recordStatements(summary)
     })
     const connections: Connections = { exchange: (req, handler) => exchange(id, req, handler), isAccepting: routes.dialer.isAccepting, probe: routes.dialer.probe, forget: () => {}, close: () => {} }
+    const streamVersions = createVersionKeeping({ peers, servers: list, cfg: activeConfig, store: { ...store, era: () => 0 }, recordStore: store, storedOrigins: NO_STORED_ORIGINS, isFirstStart: true, random, fetchReport: async () => Err({ kind: 'unanswered', message: 'no reports' }), isListCurrent: () => true, clock, logger })
+    streamVersions.start(stop.signal)
     const { serve } = createRequestHandler({
       cfg: activeConfig,
       protocol: platformProtocol,
@@ -381,7 +384,7 @@
       placement: createPlacementClient({ peers, servers: list, leader: () => LEADER, isServerResponding: process => !health.isSilent(process), isIsolated: () => false, clock, logger }),
       allowance: createAllowanceLimiter({ peers, findTeam: () => undefined, windowMs: 8000, isFirstStart: true, store, era: () => 0, tolerance: { ratio: 0, slack: 0 }, clock, logger }),
       connections,
-      streamVersions: createVersionKeeping({ peers, servers: list, cfg: activeConfig, fetchReport: async () => Err({ kind: 'unanswered', message: 'no reports' }), isListCurrent: () => true, clock, logger }),
+      streamVersions,
       coldStarts: { isCold: () => false, admit: async () => true },
       crashes: createCrashAttribution({ peers, clock, logger, hasCrashed: async () => false }),
       retryBudget: () => createRetryBudget({ retriesPerRequest: 1, burst: () => 1000 }),
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -64,6 +64,7 @@
 import type { ServingProtocol } from './servingProtocol'
 import { createVersionKeeping } from './versions'
 import { versionOf } from './versions/softwareVersions'
+import { NO_STORED_ORIGINS } from './versions/storedOrigins'
 
 export interface ServingSettings {
   instance: { id: string, failureDomain: string, region: string }
@@ -379,10 +380,16 @@
     peers,
     servers,
     cfg,
+    store,
+    recordStore,
+    storedOrigins: NO_STORED_ORIGINS,
+    isFirstStart: settings.isFirstStart,
+    inputs,
     fetchReport: engines.fetchReport,
     isListCurrent: () => storeAgeMs() < ISOLATED_STORE_AGE_MS || fleetView.isFollowing(),
     clock,
-    logger
+    logger,
+    random
   })
   const requests = createRequestHandler({
     inputs,
@@ -460,6 +467,7 @@
       await peers.start()
       watchStore(watchOptions, stop.signal)
       crashes.start(stop.signal)
+      streamVersions.start(stop.signal)
       membership.start(stop.signal)
       leadership.start(stop.signal)
       placementController.start(stop.signal)
--- a/packages/magnoliabay/src/node/serving/streams/__tests__/support/streamRig.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/support/streamRig.ts
@@ -1,7 +1,9 @@
 /** A request handler with engines that have no network, under a virtual clock. */
-import { createDirectStore, createKvState } from '@magnoliabay/standins'
+import { createDirectStore, createKvFaults, createKvState } from '@magnoliabay/standins'
+import type { KvState } from '@magnoliabay/standins'
 import { createVirtualClock } from '../../../../clock/virtual'
 import type { VirtualClock } from '../../../../clock/virtual'
+import { inBackground } from '../../../../background'
 import { createLogger } from '../../../../logger'
 import { createMemoryNetwork } from '../../../../members/memoryNetwork'
 import type { MemoryNetwork } from '../../../../members/memoryNetwork'
@@ -26,6 +28,7 @@
 import type { Store } from '../../../../store'
 import type { BackendServer, Route, ServingConfig } from '../../../types'
 import { createVersionKeeping } from '../../../versions'
+import type { StoredOrigins } from '../../../versions/storedOrigins'
 import { createFakeEngines } from './fakeEngines'
 import type { FakeEngine, FakeEngines } from './fakeEngines'
 import { createFakeCaller } from './fakeResponse'
@@ -64,6 +67,12 @@
   clock?: VirtualClock
   /** Where blamed suspects are kept. @default nowhere */
   crashStore?: Store
+  /** Engines that are not listed when the instance starts. @default none */
+  unlisted?: ReadonlySet<string>
+  /** Whether this is the first start of the whole system, by the settings. @default true */
+  isFirstStart?: boolean
+  /** Where streams began, as the platform's store has it. @default the store names no stream */
+  storedOrigins?: StoredOrigins
   /** Calls over the network to engines at these addresses, by name. @default none */
   network?: Pick<FakeEngines, 'connections' | 'runCalls'> & { addresses: Readonly<Record<string, string>> }
 }
@@ -72,6 +81,12 @@
   clock: VirtualClock
   fakes: FakeEngines
   network: MemoryNetwork
+  /** The platform's store, which outlives instances. */
+  kvState: KvState
+  /** Faults of the store as this instance meets it. */
+  storeFaults: ReturnType<typeof createKvFaults>
+  /** The instance is killed: it reaches the store no more. */
+  stop (): void
   engine (name: string): FakeEngine
   /** Sends a request; the first sent gets the first id. */
   call (path: string, headers?: Record<string, string>): FakeCaller & { id: string }
@@ -111,6 +126,10 @@
 
 export function createStreamRig (options: StreamRigOptions): StreamRig {
   const clock = options.beside?.clock ?? options.clock ?? createVirtualClock()
+  const stop = new AbortController()
+  const kvState = options.beside?.kvState ?? createKvState({ clock })
+  const storeFaults = createKvFaults()
+  const store = createDirectStore(kvState, { clock, faults: storeFaults })
   const lines: string[] = []
   const logger = createLogger({ write: line => { lines.push(line) } })
   const fakes = options.beside?.fakes ?? createFakeEngines(clock)
@@ -123,7 +142,7 @@
   const entries = new Map<string, BackendServer>([...engines].map(([name, engine]) =>
     [name, serverOf(name, { address: options.network?.addresses[name] ?? engine.address, slots: 16, bornMs: engine.bornMs, softwareVersion: engine.softwareVersion, failureDomain: name[0]!, models: [{ name: MODEL, version: 1, adapters: [] }] })]))
   const servers = createServerList({ decode: key => entries.get(key), idOf: key => key, isEvacuated: () => false, storeReachableSinceMs: () => 0, clock, logger })
-  servers.snapshot([...entries.keys()].map(key => ({ key, value: '' })))
+  servers.snapshot([...entries.keys()].filter(key => options.unlisted?.has(key) !== true).map(key => ({ key, value: '' })))
   let isListCurrent = true
   const fetchReport: EngineCalls['fetchReport'] = async ({ id }) => {
     const { reports = 'process' } = options
@@ -144,6 +163,21 @@
     hasCrashed: async address => options.network === undefined && !await fakes.connections.isAccepting(address)
   })
   crashes.start(new AbortController().signal)
+  const streamVersions = createVersionKeeping({
+    peers,
+    servers,
+    cfg,
+    store: { ...store, era: kvState.era },
+    recordStore: store,
+    storedOrigins: options.storedOrigins ?? { add: () => {}, find: async () => ({ kind: 'absent' }) },
+    isFirstStart: options.isFirstStart ?? true,
+    fetchReport,
+    isListCurrent: () => isListCurrent,
+    clock,
+    logger,
+    random: options.random ?? (() => 0)
+  })
+  streamVersions.start(stop.signal)
   const { serve, drain } = createRequestHandler({
     cfg,
     protocol: platformProtocol,
@@ -157,7 +191,7 @@
     placement: createPlacementClient({ peers, servers, leader: () => undefined, isServerResponding: process => !health.isSilent(process), isIsolated: () => false, clock, logger }),
     allowance: createAllowanceLimiter({ peers, findTeam: () => undefined, windowMs: 8000, isFirstStart: true, store: createDirectStore(createKvState({ clock }), { clock }), era: () => 0, tolerance: { ratio: 0, slack: 0 }, clock, logger }),
     connections: options.network?.connections ?? fakes.connections,
-    streamVersions: createVersionKeeping({ peers, servers, cfg, fetchReport, isListCurrent: () => isListCurrent, clock, logger }),
+    streamVersions,
     runCalls: options.network?.runCalls ?? fakes.runCalls,
     coldStarts: { isCold: () => false, admit: async () => true },
     crashes,
@@ -181,6 +215,12 @@
     clock,
     fakes,
     network,
+    kvState,
+    storeFaults,
+    stop: () => {
+      stop.abort()
+      inBackground('stop-store', storeFaults.set({ down: 'refused' }))
+    },
     engine: name => engines.get(name)!,
     call: (path, headers = {}) => {
       const id = fakes.nextId()
--- a/packages/magnoliabay/src/node/serving/versions/__tests__/support/versionedFleet.ts
+++ b/packages/magnoliabay/src/node/serving/versions/__tests__/support/versionedFleet.ts
@@ -10,6 +10,8 @@
 /** Time until a caller whose connection broke is back, milliseconds. */
 const RETURN_DELAY_MS = 5
 const TICK_MS = 5
+/** Start of engines' processes, Unix milliseconds: that of the virtual clock. */
+const BORN_MS = 1_700_000_000_000
 const FAILURE_DOMAINS = ['a', 'b', 'c']
 
 /** One stream over all tries of its caller. */
@@ -38,6 +40,8 @@
   /** Lets time pass while callers act. */
   advance (ms: number): Promise<void>
   kill (instance: string): void
+  /** All instances are killed, one after the other with `gapMs` between, and start again after `downMs`. */
+  restartAll (options: { downMs: number, gapMs?: number }): void
   start (instance: string): void
   /** An engine crashes; instances hear of it after up to `lagMs`, at random. */
   crashEngine (name: string, lagMs?: number): void
@@ -49,6 +53,8 @@
 export interface VersionedFleetOptions {
   /** Software versions of engines, by name; the first letter of a name is the failure domain. */
   engines: Readonly<Record<string, string>>
+  /** Engines that do not run at the start. @default none */
+  down?: readonly string[]
   /** @default 6 */
   instances?: number
   /** @default 1 */
@@ -62,28 +68,28 @@
 
 export const instanceAt = (index: number): string => `i${index}`
 
-export function createVersionedFleet ({ engines, instances = 6, seed = 1, path = '/resumable/1', hasDistinctPaths = false, rig: rigOptions = {} }: VersionedFleetOptions): VersionedFleet {
+export function createVersionedFleet ({ engines, down: initiallyDown = [], instances = 6, seed = 1, path = '/resumable/1', hasDistinctPaths = false, rig: rigOptions = {} }: VersionedFleetOptions): VersionedFleet {
   const random = createRandom(seed)
   const rigs = new Map<string, StreamRig>()
   const streams: Array<CallerStream & { act: () => void }> = []
   /** Engines that have crashed and not been started again. */
-  const down = new Set<string>()
+  const down = new Set<string>(initiallyDown)
   let first: StreamRig | undefined
 
   const start = (instance: string): void => {
     const failureDomain = FAILURE_DOMAINS[Number(instance.slice(1)) % FAILURE_DOMAINS.length]!
     const rig = createStreamRig({
-      engines: Object.fromEntries(Object.entries(engines).map(([name, softwareVersion]) => [name, { softwareVersion }])),
+      engines: Object.fromEntries(Object.entries(engines).map(([name, softwareVersion]) => [name, { softwareVersion, bornMs: BORN_MS }])),
       retries: 100,
       random,
       ...rigOptions,
       beside: first,
+      unlisted: down,
       instance,
       failureDomain
     })
     first ??= rig
     rigs.set(instance, rig)
-    down.forEach(name => rig.unlist(name))
   }
   Array.from({ length: instances }, (_, index) => start(instanceAt(index)))
   const { clock } = first!
@@ -117,7 +123,7 @@
       act: () => {
         if (!isOver() || tries.length >= MAX_TRIES) return
         if (backAtMs === Infinity) backAtMs = clock.monotonic() + RETURN_DELAY_MS
-        if (clock.monotonic() < backAtMs) return
+        if (clock.monotonic() < backAtMs || live().length === 0) return
         backAtMs = Infinity
         const wanted = followers.shift()
         send(wanted !== undefined && rigs.has(wanted) ? wanted : pickInstance())
@@ -128,6 +134,16 @@
     return stream
   }
   const tellAll = (lagMs: number, tell: (rig: StreamRig) => void): void => rigs.forEach(rig => { clock.schedule(Math.floor(random() * lagMs), () => tell(rig)) })
+  const kill = (instance: string): void => {
+    rigs.get(instance)?.stop()
+    rigs.delete(instance)
+    first!.network.kill(instance)
+    streams.filter(stream => stream.tries.at(-1)!.at === instance && stream.tries.at(-1)!.end() === 'open').forEach(stream => stream.breakConnection())
+  }
+  const restartAll: VersionedFleet['restartAll'] = ({ downMs, gapMs = 0 }) => live().forEach((instance, index) => {
+    clock.schedule(index * gapMs, () => kill(instance))
+    clock.schedule(index * gapMs + downMs, () => start(instance))
+  })
   const forEachRig = (act: (rig: StreamRig) => void): void => rigs.forEach(act)
 
   return {
@@ -144,11 +160,8 @@
         streams.forEach(stream => stream.act())
       }
     },
-    kill: instance => {
-      rigs.delete(instance)
-      first!.network.kill(instance)
-      streams.filter(stream => stream.tries.at(-1)!.at === instance && stream.tries.at(-1)!.end() === 'open').forEach(stream => stream.breakConnection())
-    },
+    kill,
+    restartAll,
     crashEngine: (name, lagMs = 0) => {
       down.add(name)
       first!.engine(name).crash()
--- a/packages/magnoliabay/src/node/serving/versions/index.ts
+++ b/packages/magnoliabay/src/node/serving/versions/index.ts
@@ -14,26 +14,40 @@
 import { createStreamOrigins } from './streamOrigins'
 import { createStreamVersions } from './streamVersions'
 import type { StreamVersions } from './streamVersions'
+import type { StoredOrigins } from './storedOrigins'
+import { createVersionHistory } from './versionHistory'
+import type { VersionHistoryOptions } from './versionHistory'
 
 export type { StreamVersions } from './streamVersions'
 export type { StreamOrigin } from './streamOrigins'
 
-export interface StreamVersionsParts {
+export interface StreamVersionsParts extends Pick<VersionHistoryOptions, 'store' | 'recordStore' | 'isFirstStart' | 'inputs' | 'random'> {
   peers: Peers
   servers: ServerList
-  cfg: Pick<ServingConfigProvider, 'findService'>
+  cfg: Pick<ServingConfigProvider, 'current' | 'findService'>
   fetchReport: EngineCalls['fetchReport']
+  /** Where streams began, as the platform's store has it. */
+  storedOrigins: StoredOrigins
   /** Whether changes of the list of servers reach this instance. */
   isListCurrent: () => boolean
   clock: Clock
   logger: Logger
 }
 
-export function createVersionKeeping ({ peers, servers, cfg, fetchReport, isListCurrent, clock, logger }: StreamVersionsParts): StreamVersions {
+export interface VersionKeeping extends StreamVersions {
+  /** Reads and writes the history of versions until `signal` aborts. */
+  start (signal: AbortSignal): void
+}
+
+export function createVersionKeeping (parts: StreamVersionsParts): VersionKeeping {
+  const { peers, servers, cfg, fetchReport, storedOrigins, isListCurrent, clock, logger } = parts
   const versions = createSoftwareVersions({ servers, clock, logger })
-  return createStreamVersions({
+  const history = createVersionHistory({ ...parts, versions })
+  const streamVersions = createStreamVersions({
     versions,
-    origins: createStreamOrigins({ peers, versions, clock, logger }),
+    history,
+    origins: createStreamOrigins({ peers, versions, history, clock, logger }),
+    storedOrigins,
     identity: createProcessIdentity({ fetchReport, isListCurrent, isEntryHeld: ({ id }) => servers.isHeld(id), clock }),
     servers,
     isListCurrent,
@@ -42,4 +56,5 @@
     pause: ms => sleep(clock, ms),
     logger
   })
+  return { ...streamVersions, start: history.start }
 }
--- a/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
@@ -11,6 +11,7 @@
 import type { Peers } from '../../members'
 import { stableHash } from '../../utils'
 import type { SoftwareVersions } from './softwareVersions'
+import type { VersionHistory } from './versionHistory'
 
 /** Instances that get a record beside the one that relays the stream: three of nine may be killed at once, and it with them. */
 const REPLICAS = 4
@@ -57,6 +58,8 @@
   origin?: StreamOrigin
   /** Versions that the replying instance has seen, by service in the order of the query. */
   versions: ReadonlyArray<readonly string[]>
+  /** Whether these are all versions that servers had within the time asked for. Instances of older programs do not state it. */
+  isComplete?: boolean
 }
 
 export interface FoundOrigin {
@@ -66,12 +69,14 @@
   versions: ReadonlyArray<ReadonlySet<string>>
   asked: number
   replied: number
+  /** Whether an instance that replied knows all versions that servers had within the time asked for. */
+  isComplete: boolean
 }
 
 const recordCall = definePeerCall<{ records: readonly OriginRecord[] }, object>('serving.record-stream-origins', { req: v.object({ records: v.array(v.object({ service: v.string(), softwareVersion: v.string(), key: v.string(), keepMs: v.number() })) }), res: NO_BODY })
 const findCall = definePeerCall<OriginQuery, OriginReply>('serving.find-stream-origin', {
   req: v.object({ key: v.string(), services: v.array(v.string()), withinMs: v.number() }),
-  res: v.object({ origin: v.optional(v.object({ service: v.string(), softwareVersion: v.string() })), versions: v.array(v.array(v.string())) })
+  res: v.object({ origin: v.optional(v.object({ service: v.string(), softwareVersion: v.string() })), versions: v.array(v.array(v.string())), isComplete: v.optional(v.boolean()) })
 })
 
 /** Names a stream by its team and the client attempt that brought its first event: another team's streams cannot be named. */
@@ -91,6 +96,7 @@
 export interface StreamOriginsOptions {
   peers: Peers
   versions: Pick<SoftwareVersions, 'seenWithin' | 'onAdded'>
+  history: Pick<VersionHistory, 'coversAll'>
   clock: Clock
   logger: Logger
 }
@@ -102,7 +108,7 @@
   services: readonly string[] | undefined
 }
 
-export function createStreamOrigins ({ peers, versions, clock, logger }: StreamOriginsOptions): StreamOrigins {
+export function createStreamOrigins ({ peers, versions, history, clock, logger }: StreamOriginsOptions): StreamOrigins {
   const self = peers.self.id
   const records = new Map<string, KeptRecord>()
   /** Other members in the order in which they hold replicas, by bucket, until members change. */
@@ -175,7 +181,11 @@
     received.forEach(record => keep(record, records.get(record.key)?.services))
     return {}
   })
-  peers.serve(findCall, ({ key, services, withinMs }) => ({ origin: find(key), versions: services.map(service => [...versions.seenWithin(service, withinMs)]) }))
+  peers.serve(findCall, ({ key, services, withinMs }) => ({
+    origin: find(key),
+    versions: services.map(service => [...versions.seenWithin(service, withinMs)]),
+    isComplete: history.coversAll(withinMs)
+  }))
   // Streams that began while there was one version: nobody else knows where.
   versions.onAdded(service => sendOwn(({ services }, holders) => services.includes(service) ? holders : []))
   // An instance that has restarted has lost its replicas, and one that was cut off has missed some.
@@ -191,14 +201,16 @@
       const members = rankingOf(query.key).filter(peers.isConnected)
       const seen = query.services.map(() => new Set<string>())
       let replied = 0
+      let isComplete = false
       let pending = members.length
-      const settle = (origin: StreamOrigin | undefined): void => resolve({ origin, versions: seen, asked: members.length, replied })
+      const settle = (origin: StreamOrigin | undefined): void => resolve({ origin, versions: seen, asked: members.length, replied, isComplete })
       if (pending === 0) settle(undefined)
       const askMember = async (member: string): Promise<void> => {
         const reply = await peers.call(member, findCall, query, { timeoutMs: CALL_TIMEOUT_MS })
         pending -= 1
         if (reply.ok) {
           replied += 1
+          isComplete ||= reply.val.isComplete === true
           reply.val.versions.forEach((each, index) => each.forEach(version => seen[index]?.add(version)))
           if (reply.val.origin !== undefined) settle(reply.val.origin)
         }
--- a/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
@@ -7,13 +7,13 @@
 import { serverProcessId } from '../types'
 import type { BackendServer, Service } from '../types'
 import type { ProcessIdentity } from './processIdentity'
-import { UNSTATED_VERSION, versionOf } from './softwareVersions'
+import { UNSTATED_VERSION, keepMsOf, versionOf } from './softwareVersions'
 import type { SoftwareVersions } from './softwareVersions'
 import { streamKey } from './streamOrigins'
-import type { FoundOrigin, StreamOrigin, StreamOrigins } from './streamOrigins'
+import type { StoredOrigins } from './storedOrigins'
+import type { StreamOrigin, StreamOrigins } from './streamOrigins'
+import type { VersionHistory } from './versionHistory'
 
-/** Time after its route's timeout for which a caller may resume a stream, milliseconds. */
-const RESUME_MS = 30_000
 /** A record that is still on its way to other instances arrives within this time, milliseconds. */
 const RECORD_DELAY_MS = 150
 /** Servers that a request asks at a time which process they are, those that have its model first. */
@@ -25,9 +25,9 @@
 
 /**
  * How an instance knows where a stream began that its caller resumes. `record`: it has a record. `peer`: another instance has one.
- * `only-version`: all servers have had the same version. `none`: it does not know.
+ * `store`: the platform's store has one. `only-version`: all servers have had the same version. `none`: it does not know.
  */
-export type OriginSource = 'record' | 'peer' | 'only-version' | 'none'
+export type OriginSource = 'record' | 'peer' | 'store' | 'only-version' | 'none'
 
 export interface StreamVersions {
   /** Finds out where the stream began that the request resumes; returns a refusal if that stays unknown. */
@@ -52,7 +52,10 @@
 
 export interface StreamVersionsOptions {
   versions: SoftwareVersions
+  history: Pick<VersionHistory, 'whenRead' | 'coversAll' | 'mayBegin'>
   origins: StreamOrigins
+  /** Asked where neither this instance nor others have a record. */
+  storedOrigins: Pick<StoredOrigins, 'find'>
   identity: ProcessIdentity
   servers: Pick<ServerList, 'usable'>
   /** Whether changes of the list of servers reach this instance. */
@@ -64,15 +67,18 @@
   logger: Logger
 }
 
-interface Resolution extends Omit<FoundOrigin, 'versions'> {
+interface Resolution {
+  origin: StreamOrigin | undefined
   source: OriginSource
+  asked: number
+  replied: number
 }
 
 export function createStreamVersions (options: StreamVersionsOptions): StreamVersions {
-  const { versions, origins, identity, servers, isListCurrent, hasPeers, findService, pause, logger } = options
+  const { versions, history, origins, storedOrigins, identity, servers, isListCurrent, hasPeers, findService, pause, logger } = options
   const usable = ({ admitted }: RequestRun): readonly BackendServer[] => servers.usable(admitted.service.name)
 
-  const keepMs = ({ admitted }: RequestRun): number => admitted.route.timeoutMs + RESUME_MS
+  const keepMs = ({ admitted }: RequestRun): number => keepMsOf(admitted.route)
   const keyOf = ({ admitted, caller }: RequestRun, attemptId: string): string => streamKey(admitted.team?.name, attemptId)
   const currentProcessOf = ({ server }: RequestRun): string | undefined => server === undefined ? undefined : serverProcessId(server)
   const servicesOf = ({ admitted }: RequestRun): string[] => admitted.route.services.map(({ service }) => service)
@@ -86,7 +92,7 @@
     return softwareVersion !== undefined && hasOneVersionEach(seen) ? { service, softwareVersion } : undefined
   }
   /** Whether this instance has seen all versions that servers had while a stream may have begun that is resumed now. */
-  const hasSeenAll = (run: RequestRun): boolean => !hasPeers() || (versions.observedMs() >= keepMs(run) && isListCurrent())
+  const hasSeenAll = (run: RequestRun): boolean => hasPeers() ? versions.observedMs() >= keepMs(run) && isListCurrent() : history.coversAll(keepMs(run))
 
   const resolveLocally = (run: RequestRun, key: string | undefined): Resolution | undefined => {
     const record = key === undefined ? undefined : origins.find(key)
@@ -95,14 +101,21 @@
     return only === undefined ? undefined : { origin: only, source: 'only-version', asked: 0, replied: 0 }
   }
   const resolveWithPeers = async (run: RequestRun, key: string | undefined): Promise<Resolution> => {
-    const { origin, versions: seenByPeers, asked, replied } = await origins.ask({ key: key ?? '', services: servicesOf(run), withinMs: keepMs(run) })
+    const found = await origins.ask({ key: key ?? '', services: servicesOf(run), withinMs: keepMs(run) })
+    const { origin, asked, replied, isComplete } = found
     if (origin !== undefined) return { origin, source: 'peer', asked, replied }
-    const seen = seenBy(run).map((each, index) => new Set([...each, ...seenByPeers[index] ?? []]))
-    // An instance that is cut off may have missed versions.
-    const only = replied > 0 || isListCurrent() ? onlyVersionOf(run, seen) : undefined
-    return { origin: only, source: only === undefined ? 'none' : 'only-version', asked, replied }
+    const seen = seenBy(run).map((each, index) => new Set([...each, ...found.versions[index] ?? []]))
+    // An instance that is cut off may have missed versions, and one that has just started knows earlier ones by the history only.
+    const mayConclude = (replied > 0 || isListCurrent()) && (isComplete || history.coversAll(keepMs(run)))
+    const only = mayConclude ? onlyVersionOf(run, seen) : undefined
+    if (only !== undefined) return { origin: only, source: 'only-version', asked, replied }
+    if (key === undefined) return { origin: undefined, source: 'none', asked, replied }
+    const stored = await storedOrigins.find(key)
+    if (stored.kind === 'found') return { origin: stored.origin, source: 'store', asked, replied }
+    return { origin: undefined, source: 'none', asked, replied }
   }
   const findOrigin = async (run: RequestRun, key: string | undefined): Promise<Resolution> => {
+    if (!hasSeenAll(run)) await history.whenRead()
     const resolution = resolveLocally(run, key) ?? await resolveWithPeers(run, key)
     if (resolution.origin !== undefined || key === undefined || resolution.asked === 0) return resolution
     await pause(RECORD_DELAY_MS)
@@ -125,7 +138,7 @@
     isSafeWithoutVersion(run) ? !isListCurrent() && identity.hasBrokenLately(server) : identity.isUnverified(server)
   const mayServe: StreamVersions['mayServe'] = (run, server) => {
     const { origin } = run
-    if (origin === undefined) return true
+    if (origin === undefined) return !run.admitted.route.isResumable || history.mayBegin(server)
     if (isUnstated(origin)) return isSafeWithoutVersion(run)
     return versionOf(server) === origin.softwareVersion && !isUncertain(run, server)
   }
