--- a/bench/streamOrigins/index.ts
+++ b/bench/streamOrigins/index.ts
@@ -29,7 +29,7 @@
   const ports = await freePorts(INSTANCES)
   const members: MemberRecord[] = ports.map((port, index) => ({ id: `i${index}`, incarnation: `i${index}`, startedAtMs: 0, region: 'r', failureDomain: 'abc'[index % 3]!, peerAddress: `${HOST}:${port}`, entryAddress: '', operatorAddress: '', leaving: false, processorShare: 1 }))
   const networks = members.map(self => createPeerNetwork({ self, clock, logger }))
-  const origins: StreamOrigins[] = networks.map(peers => createStreamOrigins({ peers, versions: { seenWithin: () => new Set(versions), onAdded: () => {} }, history: { coversAll: () => true }, clock, logger }))
+  const origins: StreamOrigins[] = networks.map(peers => createStreamOrigins({ peers, versions: { seenWithin: () => new Set(versions), onAdded: () => {} }, history: { coversAll: () => true, priorOf: () => ({ kind: 'none' }) }, clock, logger }))
   await Promise.all(networks.map(network => network.start()))
   networks.forEach(network => network.setMembers(members))
   await pause(1500)
--- a/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
@@ -10,6 +10,7 @@
 import { NO_BODY, definePeerCall, rankHomeInstances } from '../../members'
 import type { Peers } from '../../members'
 import { stableHash } from '../../utils'
+import type { PriorVersion } from './priorVersions'
 import type { SoftwareVersions } from './softwareVersions'
 import type { VersionHistory } from './versionHistory'
 
@@ -60,6 +61,8 @@
   versions: ReadonlyArray<readonly string[]>
   /** Whether these are all versions that servers had within the time asked for. Instances of older programs do not state it. */
   isComplete?: boolean
+  /** The version of each service before a further one was listed; empty if there is none, null if another instance has been lost since. */
+  priors?: ReadonlyArray<string | null>
 }
 
 export interface FoundOrigin {
@@ -71,12 +74,14 @@
   replied: number
   /** Whether an instance that replied knows all versions that servers had within the time asked for. */
   isComplete: boolean
+  /** The prior versions that instances state, by service in the order of the query; null where one objects or does not say. */
+  priors: ReadonlyArray<ReadonlySet<string | null>>
 }
 
 const recordCall = definePeerCall<{ records: readonly OriginRecord[] }, object>('serving.record-stream-origins', { req: v.object({ records: v.array(v.object({ service: v.string(), softwareVersion: v.string(), key: v.string(), keepMs: v.number() })) }), res: NO_BODY })
 const findCall = definePeerCall<OriginQuery, OriginReply>('serving.find-stream-origin', {
   req: v.object({ key: v.string(), services: v.array(v.string()), withinMs: v.number() }),
-  res: v.object({ origin: v.optional(v.object({ service: v.string(), softwareVersion: v.string() })), versions: v.array(v.array(v.string())), isComplete: v.optional(v.boolean()) })
+  res: v.object({ origin: v.optional(v.object({ service: v.string(), softwareVersion: v.string() })), versions: v.array(v.array(v.string())), isComplete: v.optional(v.boolean()), priors: v.optional(v.array(v.nullable(v.string()))) })
 })
 
 /** Names a stream by its team and the client attempt that brought its first event: another team's streams cannot be named. */
@@ -84,6 +89,13 @@
   return `${team ?? ''} ${attemptId}`
 }
 
+const NO_PRIOR = ''
+
+function toStatedPrior (prior: PriorVersion): string | null {
+  if (prior.kind === 'lost') return null
+  return prior.kind === 'known' ? prior.softwareVersion : NO_PRIOR
+}
+
 export interface StreamOrigins {
   /** Records where a stream began that this instance relays. */
   record (record: OwnOriginRecord): void
@@ -96,7 +108,7 @@
 export interface StreamOriginsOptions {
   peers: Peers
   versions: Pick<SoftwareVersions, 'seenWithin' | 'onAdded'>
-  history: Pick<VersionHistory, 'coversAll'>
+  history: Pick<VersionHistory, 'coversAll' | 'priorOf'>
   clock: Clock
   logger: Logger
 }
@@ -184,7 +196,8 @@
   peers.serve(findCall, ({ key, services, withinMs }) => ({
     origin: find(key),
     versions: services.map(service => [...versions.seenWithin(service, withinMs)]),
-    isComplete: history.coversAll(withinMs)
+    isComplete: history.coversAll(withinMs),
+    priors: services.map(service => toStatedPrior(history.priorOf(service)))
   }))
   // Streams that began while there was one version: nobody else knows where.
   versions.onAdded(service => sendOwn(({ services }, holders) => services.includes(service) ? holders : []))
@@ -200,10 +213,11 @@
     ask: query => new Promise(resolve => {
       const members = rankingOf(query.key).filter(peers.isConnected)
       const seen = query.services.map(() => new Set<string>())
+      const priors = query.services.map(() => new Set<string | null>())
       let replied = 0
       let isComplete = false
       let pending = members.length
-      const settle = (origin: StreamOrigin | undefined): void => resolve({ origin, versions: seen, asked: members.length, replied, isComplete })
+      const settle = (origin: StreamOrigin | undefined): void => resolve({ origin, versions: seen, asked: members.length, replied, isComplete, priors })
       if (pending === 0) settle(undefined)
       const askMember = async (member: string): Promise<void> => {
         const reply = await peers.call(member, findCall, query, { timeoutMs: CALL_TIMEOUT_MS })
@@ -211,6 +225,10 @@
         if (reply.ok) {
           replied += 1
           isComplete ||= reply.val.isComplete === true
+          priors.forEach((each, index) => {
+            const prior = reply.val.priors?.[index] ?? null
+            if (prior !== NO_PRIOR) each.add(prior)
+          })
           reply.val.versions.forEach((each, index) => each.forEach(version => seen[index]?.add(version)))
           if (reply.val.origin !== undefined) settle(reply.val.origin)
         }
--- a/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
@@ -11,11 +11,16 @@
 import type { SoftwareVersions } from './softwareVersions'
 import { streamKey } from './streamOrigins'
 import type { StoredOrigins } from './storedOrigins'
-import type { StreamOrigin, StreamOrigins } from './streamOrigins'
+import type { FoundOrigin, StreamOrigin, StreamOrigins } from './streamOrigins'
 import type { VersionHistory } from './versionHistory'
 
 /** A record that is still on its way to other instances arrives within this time, milliseconds. */
 const RECORD_DELAY_MS = 150
+/** After a restart of all, other instances start and are linked within this time of this one, milliseconds. */
+const START_MS = 3000
+/** Interval at which an instance that has just started asks others again that it does not reach yet, and how often, milliseconds. */
+const ASK_AGAIN_INTERVAL_MS = 200
+const MAX_ASKED_AGAIN = 5
 /** Servers that a request asks at a time which process they are, those that have its model first. */
 const MAX_VERIFIED = 3
 /** Stated where a server of the version may be back soon, milliseconds. */
@@ -25,9 +30,10 @@
 
 /**
  * How an instance knows where a stream began that its caller resumes. `record`: it has a record. `peer`: another instance has one.
- * `store`: the platform's store has one. `only-version`: all servers have had the same version. `none`: it does not know.
+ * `store`: the platform's store has one. `only-version`: all servers have had the same version. `prior-version`: nobody has a
+ * record, so the stream began before a further version was listed. `none`: it does not know.
  */
-export type OriginSource = 'record' | 'peer' | 'store' | 'only-version' | 'none'
+export type OriginSource = 'record' | 'peer' | 'store' | 'only-version' | 'prior-version' | 'none'
 
 export interface StreamVersions {
   /** Finds out where the stream began that the request resumes; returns a refusal if that stays unknown. */
@@ -52,7 +58,7 @@
 
 export interface StreamVersionsOptions {
   versions: SoftwareVersions
-  history: Pick<VersionHistory, 'whenRead' | 'coversAll' | 'mayBegin'>
+  history: Pick<VersionHistory, 'whenRead' | 'coversAll' | 'mayBegin' | 'priorOf'>
   origins: StreamOrigins
   /** Asked where neither this instance nor others have a record. */
   storedOrigins: Pick<StoredOrigins, 'find'>
@@ -100,6 +106,23 @@
     const only = hasSeenAll(run) ? onlyVersionOf(run, seenBy(run)) : undefined
     return only === undefined ? undefined : { origin: only, source: 'only-version', asked: 0, replied: 0 }
   }
+  /**
+   * The version that the stream's service had before others, where all instances that may know of streams that began since have
+   * replied, and none states another.
+   */
+  const priorVersionOf = (run: RequestRun, { asked, replied, priors }: FoundOrigin, seen: ReadonlyArray<ReadonlySet<string>>): StreamOrigin | undefined => {
+    if (replied < asked || !isListCurrent()) return undefined
+    const stated = servicesOf(run).map((service, index): ReadonlySet<string | null> => {
+      if (seen[index]!.size <= 1) return seen[index]!
+      const own = history.priorOf(service)
+      if (own.kind === 'none') return priors[index]!
+      return new Set([...priors[index]!, own.kind === 'lost' ? null : own.softwareVersion])
+    })
+    const service = run.admitted.service.name
+    const [softwareVersion] = stated[servicesOf(run).indexOf(service)] ?? []
+    const areCertain = stated.every(each => each.size === 1 && !each.has(null))
+    return areCertain && softwareVersion !== undefined && softwareVersion !== null ? { service, softwareVersion } : undefined
+  }
   const resolveWithPeers = async (run: RequestRun, key: string | undefined): Promise<Resolution> => {
     const found = await origins.ask({ key: key ?? '', services: servicesOf(run), withinMs: keepMs(run) })
     const { origin, asked, replied, isComplete } = found
@@ -112,14 +135,21 @@
     if (key === undefined) return { origin: undefined, source: 'none', asked, replied }
     const stored = await storedOrigins.find(key)
     if (stored.kind === 'found') return { origin: stored.origin, source: 'store', asked, replied }
-    return { origin: undefined, source: 'none', asked, replied }
+    const prior = stored.kind === 'absent' ? priorVersionOf(run, found, seen) : undefined
+    return { origin: prior, source: prior === undefined ? 'none' : 'prior-version', asked, replied }
   }
+  /** Whether instances that do not reply yet may do so soon. */
+  const mayReplySoon = ({ asked, replied }: Resolution): boolean => replied < asked && versions.observedMs() < START_MS
   const findOrigin = async (run: RequestRun, key: string | undefined): Promise<Resolution> => {
     if (!hasSeenAll(run)) await history.whenRead()
-    const resolution = resolveLocally(run, key) ?? await resolveWithPeers(run, key)
-    if (resolution.origin !== undefined || key === undefined || resolution.asked === 0) return resolution
-    await pause(RECORD_DELAY_MS)
-    return resolveLocally(run, key) ?? await resolveWithPeers(run, key)
+    let resolution = resolveLocally(run, key) ?? await resolveWithPeers(run, key)
+    for (let asked = 0; asked < MAX_ASKED_AGAIN; asked += 1) {
+      const isOver = resolution.origin !== undefined || key === undefined || resolution.asked === 0
+      if (isOver || (asked > 0 && !mayReplySoon(resolution))) break
+      await pause(asked === 0 ? RECORD_DELAY_MS : ASK_AGAIN_INTERVAL_MS)
+      resolution = resolveLocally(run, key) ?? await resolveWithPeers(run, key)
+    }
+    return resolution
   }
   const isUnstated = ({ softwareVersion }: StreamOrigin): boolean => softwareVersion === UNSTATED_VERSION
   /** The stream began at a version that is not known, so it may go on only where there has been no other. */
