--- a/packages/magnoliabay/src/node/serving/versions/__tests__/versionHistory.spec.ts
+++ b/packages/magnoliabay/src/node/serving/versions/__tests__/versionHistory.spec.ts
@@ -138,6 +138,23 @@
     expect(recorded()).to.deep.equal(['v2'])
   })
 
+  /** Guards against a version that stays recorded for ever, since the instance that should have it dropped was killed before. */
+  it('drops a version that has left although the instance that writes is killed', async () => {
+    for (const victim of [0, 1, 2]) {
+      const { clock, start, recorded } = createRig()
+      const instances = ['i0', 'i1', 'i2'].map(id => start(id, { a: 'v1', b: 'v2' }))
+      await clock.advance(1000)
+      instances.forEach(({ unlist }) => unlist('a'))
+      instances.forEach(({ faults }) => inBackground('slow-store', faults.set({ slowMs: 3000 })))
+      // Checks are 10 s apart; the second finds the version gone.
+      await clock.advance(20_000)
+      instances[victim]!.kill()
+      instances.forEach(({ faults }) => inBackground('store-back', faults.set({ slowMs: 0 })))
+      await clock.advance(KEEP_MS + 60_000)
+      expect(recorded(), `instance ${victim} killed`).to.deep.equal(['v2'])
+    }
+  })
+
   /** Guards against a version that is dropped while it is listed, since it had left before. */
   it('keeps a version that is listed again', async () => {
     const { clock, start, recorded } = createRig()
@@ -257,6 +274,7 @@
     instance.kill()
     await clock.advance(1000)
     const next = start('i0', { a: 'v1' })
+    await clock.advance(100)
     next.list('b', 'v2', START_MS - 2 * KEEP_MS)
     await clock.advance(100)
     expect(next.history.priorOf(serviceOf(next))).to.deep.equal({ kind: 'none' })
