--- a/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
@@ -10,7 +10,9 @@
 import { NO_BODY, definePeerCall, rankHomeInstances } from '../../members'
 import type { Peers } from '../../members'
 import { stableHash } from '../../utils'
+import type { PriorVersion } from './priorVersions'
 import type { SoftwareVersions } from './softwareVersions'
+import type { VersionHistory } from './versionHistory'
 
 /** Instances that get a record beside the one that relays the stream: three of nine may be killed at once, and it with them. */
 const REPLICAS = 4
@@ -57,6 +59,10 @@
   origin?: StreamOrigin
   /** Versions that the replying instance has seen, by service in the order of the query. */
   versions: ReadonlyArray<readonly string[]>
+  /** Whether these are all versions that servers had within the time asked for. Instances of older programs do not state it. */
+  isComplete?: boolean
+  /** The version of each service before a further one was listed; empty if there is none, null if another instance has been lost since. */
+  priors?: ReadonlyArray<string | null>
 }
 
 export interface FoundOrigin {
@@ -66,12 +72,16 @@
   versions: ReadonlyArray<ReadonlySet<string>>
   asked: number
   replied: number
+  /** Whether an instance that replied knows all versions that servers had within the time asked for. */
+  isComplete: boolean
+  /** The prior versions that instances state, by service in the order of the query; null where one objects or does not say. */
+  priors: ReadonlyArray<ReadonlySet<string | null>>
 }
 
 const recordCall = definePeerCall<{ records: readonly OriginRecord[] }, object>('serving.record-stream-origins', { req: v.object({ records: v.array(v.object({ service: v.string(), softwareVersion: v.string(), key: v.string(), keepMs: v.number() })) }), res: NO_BODY })
 const findCall = definePeerCall<OriginQuery, OriginReply>('serving.find-stream-origin', {
   req: v.object({ key: v.string(), services: v.array(v.string()), withinMs: v.number() }),
-  res: v.object({ origin: v.optional(v.object({ service: v.string(), softwareVersion: v.string() })), versions: v.array(v.array(v.string())) })
+  res: v.object({ origin: v.optional(v.object({ service: v.string(), softwareVersion: v.string() })), versions: v.array(v.array(v.string())), isComplete: v.optional(v.boolean()), priors: v.optional(v.array(v.nullable(v.string()))) })
 })
 
 /** Names a stream by its team and the client attempt that brought its first event: another team's streams cannot be named. */
@@ -79,6 +89,13 @@
   return `${team ?? ''} ${attemptId}`
 }
 
+const NO_PRIOR = ''
+
+function toStatedPrior (prior: PriorVersion): string | null {
+  if (prior.kind === 'lost') return null
+  return prior.kind === 'known' ? prior.softwareVersion : NO_PRIOR
+}
+
 export interface StreamOrigins {
   /** Records where a stream began that this instance relays. */
   record (record: OwnOriginRecord): void
@@ -91,6 +108,7 @@
 export interface StreamOriginsOptions {
   peers: Peers
   versions: Pick<SoftwareVersions, 'seenWithin' | 'onAdded'>
+  history: Pick<VersionHistory, 'coversAll' | 'priorOf'>
   clock: Clock
   logger: Logger
 }
@@ -102,7 +120,7 @@
   services: readonly string[] | undefined
 }
 
-export function createStreamOrigins ({ peers, versions, clock, logger }: StreamOriginsOptions): StreamOrigins {
+export function createStreamOrigins ({ peers, versions, history, clock, logger }: StreamOriginsOptions): StreamOrigins {
   const self = peers.self.id
   const records = new Map<string, KeptRecord>()
   /** Other members in the order in which they hold replicas, by bucket, until members change. */
@@ -175,7 +193,12 @@
     received.forEach(record => keep(record, records.get(record.key)?.services))
     return {}
   })
-  peers.serve(findCall, ({ key, services, withinMs }) => ({ origin: find(key), versions: services.map(service => [...versions.seenWithin(service, withinMs)]) }))
+  peers.serve(findCall, ({ key, services, withinMs }) => ({
+    origin: find(key),
+    versions: services.map(service => [...versions.seenWithin(service, withinMs)]),
+    isComplete: history.coversAll(withinMs),
+    priors: services.map(service => toStatedPrior(history.priorOf(service)))
+  }))
   // Streams that began while there was one version: nobody else knows where.
   versions.onAdded(service => sendOwn(({ services }, holders) => services.includes(service) ? holders : []))
   // An instance that has restarted has lost its replicas, and one that was cut off has missed some.
@@ -190,15 +213,22 @@
     ask: query => new Promise(resolve => {
       const members = rankingOf(query.key).filter(peers.isConnected)
       const seen = query.services.map(() => new Set<string>())
+      const priors = query.services.map(() => new Set<string | null>())
       let replied = 0
+      let isComplete = false
       let pending = members.length
-      const settle = (origin: StreamOrigin | undefined): void => resolve({ origin, versions: seen, asked: members.length, replied })
+      const settle = (origin: StreamOrigin | undefined): void => resolve({ origin, versions: seen, asked: members.length, replied, isComplete, priors })
       if (pending === 0) settle(undefined)
       const askMember = async (member: string): Promise<void> => {
         const reply = await peers.call(member, findCall, query, { timeoutMs: CALL_TIMEOUT_MS })
         pending -= 1
         if (reply.ok) {
           replied += 1
+          isComplete ||= reply.val.isComplete === true
+          priors.forEach((each, index) => {
+            const prior = reply.val.priors?.[index] ?? null
+            if (prior !== NO_PRIOR) each.add(prior)
+          })
           reply.val.versions.forEach((each, index) => each.forEach(version => seen[index]?.add(version)))
           if (reply.val.origin !== undefined) settle(reply.val.origin)
         }
