--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -376,6 +376,9 @@
     logger
   })
   const streamVersions = createVersionKeeping({
+    store,
+    inputs,
+    registry: metrics.registry,
     peers,
     servers,
     cfg,
--- a/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
@@ -11,6 +11,8 @@
 import type { Peers } from '../../members'
 import { stableHash } from '../../utils'
 import type { SoftwareVersions } from './softwareVersions'
+import { NO_STORED_ORIGINS } from './storedOrigins'
+import type { StoredOrigins } from './storedOrigins'
 
 /** Instances that get a record beside the one that relays the stream: three of nine may be killed at once, and it with them. */
 const REPLICAS = 4
@@ -91,6 +93,8 @@
 export interface StreamOriginsOptions {
   peers: Peers
   versions: Pick<SoftwareVersions, 'seenWithin' | 'onAdded'>
+  /** Where records outlive all instances. @default they are kept in memory only */
+  stored?: Pick<StoredOrigins, 'add'>
   clock: Clock
   logger: Logger
 }
@@ -102,7 +106,7 @@
   services: readonly string[] | undefined
 }
 
-export function createStreamOrigins ({ peers, versions, clock, logger }: StreamOriginsOptions): StreamOrigins {
+export function createStreamOrigins ({ peers, versions, stored = NO_STORED_ORIGINS, clock, logger }: StreamOriginsOptions): StreamOrigins {
   const self = peers.self.id
   const records = new Map<string, KeptRecord>()
   /** Other members in the order in which they hold replicas, by bucket, until members change. */
@@ -177,7 +181,10 @@
   })
   peers.serve(findCall, ({ key, services, withinMs }) => ({ origin: find(key), versions: services.map(service => [...versions.seenWithin(service, withinMs)]) }))
   // Streams that began while there was one version: nobody else knows where.
-  versions.onAdded(service => sendOwn(({ services }, holders) => services.includes(service) ? holders : []))
+  versions.onAdded(service => {
+    sendOwn(({ services }, holders) => services.includes(service) ? holders : [])
+    stored.add(ownRecords().filter(({ services }) => services.includes(service)).map(toRecord), { isUrgent: true })
+  })
   // An instance that has restarted has lost its replicas, and one that was cut off has missed some.
   peers.onConnected(({ id }) => sendOwn((_record, holders) => holders.filter(holder => holder === id)))
 
@@ -185,7 +192,9 @@
     find,
     record: record => {
       keep(record, record.services)
-      if (haveSeveralVersions(record.services, record.keepMs)) replicaHoldersOf(record.key).forEach(member => inBackground('send-origin', send(member, [toRecord(record)])))
+      if (!haveSeveralVersions(record.services, record.keepMs)) return
+      replicaHoldersOf(record.key).forEach(member => inBackground('send-origin', send(member, [toRecord(record)])))
+      stored.add([toRecord(record)], { isUrgent: false })
     },
     ask: query => new Promise(resolve => {
       const members = rankingOf(query.key).filter(peers.isConnected)
