--- a/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
+++ b/packages/magnoliabay/src/node/serving/__tests__/support/simulatedEntries.ts
@@ -27,7 +27,6 @@
 import type { Connections, OutboundRequest, ResponseHandler } from '../../exchange'
 import type { BackendServer, ServingConfig } from '../../types'
 import { createVersionKeeping } from '../../versions'
-import { NO_STORED_ORIGINS } from '../../versions/storedOrigins'
 import { NO_EVACUATION, configOf, leadingOf, memberRecord, reportOf, routeOf } from '../fixtures'
 import { createCall } from './callerResponse'
 import type { CallerResponse } from './callerResponse'
@@ -368,7 +367,7 @@
       onSummary: (_member, summary) => recordStatements(summary)
     })
     const connections: Connections = { exchange: (req, handler) => exchange(id, req, handler), isAccepting: routes.dialer.isAccepting, probe: routes.dialer.probe, forget: () => {}, close: () => {} }
-    const streamVersions = createVersionKeeping({ peers, servers: list, cfg: activeConfig, store: { ...store, era: () => 0 }, recordStore: store, storedOrigins: NO_STORED_ORIGINS, isFirstStart: true, random, fetchReport: async () => Err({ kind: 'unanswered', message: 'no reports' }), isListCurrent: () => true, clock, logger })
+    const streamVersions = createVersionKeeping({ peers, servers: list, cfg: activeConfig, store: { ...store, era: () => 0 }, recordStore: store, isFirstStart: true, random, fetchReport: async () => Err({ kind: 'unanswered', message: 'no reports' }), isListCurrent: () => true, clock, logger })
     streamVersions.start(stop.signal)
     const { serve } = createRequestHandler({
       cfg: activeConfig,
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -64,7 +64,6 @@
 import type { ServingProtocol } from './servingProtocol'
 import { createVersionKeeping } from './versions'
 import { versionOf } from './versions/softwareVersions'
-import { NO_STORED_ORIGINS } from './versions/storedOrigins'
 
 export interface ServingSettings {
   instance: { id: string, failureDomain: string, region: string }
@@ -382,9 +381,9 @@
     cfg,
     store,
     recordStore,
-    storedOrigins: NO_STORED_ORIGINS,
     isFirstStart: settings.isFirstStart,
     inputs,
+    registry: metrics.registry,
     fetchReport: engines.fetchReport,
     isListCurrent: () => storeAgeMs() < ISOLATED_STORE_AGE_MS || fleetView.isFollowing(),
     clock,
--- a/packages/magnoliabay/src/node/serving/streams/__tests__/support/streamRig.ts
+++ b/packages/magnoliabay/src/node/serving/streams/__tests__/support/streamRig.ts
@@ -28,7 +28,6 @@
 import type { Store } from '../../../../store'
 import type { BackendServer, Route, ServingConfig } from '../../../types'
 import { createVersionKeeping } from '../../../versions'
-import type { StoredOrigins } from '../../../versions/storedOrigins'
 import { createFakeEngines } from './fakeEngines'
 import type { FakeEngine, FakeEngines } from './fakeEngines'
 import { createFakeCaller } from './fakeResponse'
@@ -71,8 +70,6 @@
   unlisted?: ReadonlySet<string>
   /** Whether this is the first start of the whole system, by the settings. @default true */
   isFirstStart?: boolean
-  /** Where streams began, as the platform's store has it. @default the store names no stream */
-  storedOrigins?: StoredOrigins
   /** Calls over the network to engines at these addresses, by name. @default none */
   network?: Pick<FakeEngines, 'connections' | 'runCalls'> & { addresses: Readonly<Record<string, string>> }
 }
@@ -169,7 +166,6 @@
     cfg,
     store: { ...store, era: kvState.era },
     recordStore: store,
-    storedOrigins: options.storedOrigins ?? { add: () => {}, find: async () => ({ kind: 'absent' }) },
     isFirstStart: options.isFirstStart ?? true,
     fetchReport,
     isListCurrent: () => isListCurrent,
--- a/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamOrigins.ts
@@ -12,6 +12,8 @@
 import { stableHash } from '../../utils'
 import type { PriorVersion } from './priorVersions'
 import type { SoftwareVersions } from './softwareVersions'
+import { NO_STORED_ORIGINS } from './storedOrigins'
+import type { StoredOrigins } from './storedOrigins'
 import type { VersionHistory } from './versionHistory'
 
 /** Instances that get a record beside the one that relays the stream: three of nine may be killed at once, and it with them. */
@@ -109,6 +111,8 @@
   peers: Peers
   versions: Pick<SoftwareVersions, 'seenWithin' | 'onAdded'>
   history: Pick<VersionHistory, 'coversAll' | 'priorOf'>
+  /** Where records outlive all instances. @default they are kept in memory only */
+  stored?: Pick<StoredOrigins, 'add'>
   clock: Clock
   logger: Logger
 }
@@ -120,7 +124,7 @@
   services: readonly string[] | undefined
 }
 
-export function createStreamOrigins ({ peers, versions, history, clock, logger }: StreamOriginsOptions): StreamOrigins {
+export function createStreamOrigins ({ peers, versions, history, stored = NO_STORED_ORIGINS, clock, logger }: StreamOriginsOptions): StreamOrigins {
   const self = peers.self.id
   const records = new Map<string, KeptRecord>()
   /** Other members in the order in which they hold replicas, by bucket, until members change. */
@@ -200,7 +204,10 @@
     priors: services.map(service => toStatedPrior(history.priorOf(service)))
   }))
   // Streams that began while there was one version: nobody else knows where.
-  versions.onAdded(service => sendOwn(({ services }, holders) => services.includes(service) ? holders : []))
+  versions.onAdded(service => {
+    sendOwn(({ services }, holders) => services.includes(service) ? holders : [])
+    stored.add(ownRecords().filter(({ services }) => services.includes(service)).map(toRecord), { isUrgent: true })
+  })
   // An instance that has restarted has lost its replicas, and one that was cut off has missed some.
   peers.onConnected(({ id }) => sendOwn((_record, holders) => holders.filter(holder => holder === id)))
 
@@ -208,7 +215,9 @@
     find,
     record: record => {
       keep(record, record.services)
-      if (haveSeveralVersions(record.services, record.keepMs)) replicaHoldersOf(record.key).forEach(member => inBackground('send-origin', send(member, [toRecord(record)])))
+      if (!haveSeveralVersions(record.services, record.keepMs)) return
+      replicaHoldersOf(record.key).forEach(member => inBackground('send-origin', send(member, [toRecord(record)])))
+      stored.add([toRecord(record)], { isUrgent: false })
     },
     ask: query => new Promise(resolve => {
       const members = rankingOf(query.key).filter(peers.isConnected)
--- a/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
+++ b/packages/magnoliabay/src/node/serving/versions/streamVersions.ts
@@ -10,7 +10,7 @@
 import { UNSTATED_VERSION, keepMsOf, versionOf } from './softwareVersions'
 import type { SoftwareVersions } from './softwareVersions'
 import { streamKey } from './streamOrigins'
-import type { StoredOrigins } from './storedOrigins'
+import type { StoredLookup, StoredOrigins } from './storedOrigins'
 import type { FoundOrigin, StreamOrigin, StreamOrigins } from './streamOrigins'
 import type { VersionHistory } from './versionHistory'
 
@@ -123,7 +123,7 @@
     const areCertain = stated.every(each => each.size === 1 && !each.has(null))
     return areCertain && softwareVersion !== undefined && softwareVersion !== null ? { service, softwareVersion } : undefined
   }
-  const resolveWithPeers = async (run: RequestRun, key: string | undefined): Promise<Resolution> => {
+  const resolveWithPeers = async (run: RequestRun, key: string | undefined, findStored: () => Promise<StoredLookup>): Promise<Resolution> => {
     const found = await origins.ask({ key: key ?? '', services: servicesOf(run), withinMs: keepMs(run) })
     const { origin, asked, replied, isComplete } = found
     if (origin !== undefined) return { origin, source: 'peer', asked, replied }
@@ -133,7 +133,7 @@
     const only = mayConclude ? onlyVersionOf(run, seen) : undefined
     if (only !== undefined) return { origin: only, source: 'only-version', asked, replied }
     if (key === undefined) return { origin: undefined, source: 'none', asked, replied }
-    const stored = await storedOrigins.find(key)
+    const stored = await findStored()
     if (stored.kind === 'found') return { origin: stored.origin, source: 'store', asked, replied }
     const prior = stored.kind === 'absent' ? priorVersionOf(run, found, seen) : undefined
     return { origin: prior, source: prior === undefined ? 'none' : 'prior-version', asked, replied }
@@ -142,12 +142,19 @@
   const mayReplySoon = ({ asked, replied }: Resolution): boolean => replied < asked && versions.observedMs() < START_MS
   const findOrigin = async (run: RequestRun, key: string | undefined): Promise<Resolution> => {
     if (!hasSeenAll(run)) await history.whenRead()
-    let resolution = resolveLocally(run, key) ?? await resolveWithPeers(run, key)
+    let stored: Promise<StoredLookup> | undefined
+    // Reads of the store are limited, so that each further one would make the caller wait.
+    const findStored = (): Promise<StoredLookup> => {
+      stored ??= storedOrigins.find(key ?? '')
+      return stored
+    }
+    const resolve = async (): Promise<Resolution> => resolveLocally(run, key) ?? await resolveWithPeers(run, key, findStored)
+    let resolution = await resolve()
     for (let asked = 0; asked < MAX_ASKED_AGAIN; asked += 1) {
       const isOver = resolution.origin !== undefined || key === undefined || resolution.asked === 0
       if (isOver || (asked > 0 && !mayReplySoon(resolution))) break
       await pause(asked === 0 ? RECORD_DELAY_MS : ASK_AGAIN_INTERVAL_MS)
-      resolution = resolveLocally(run, key) ?? await resolveWithPeers(run, key)
+      resolution = await resolve()
     }
     return resolution
   }
