--- a/packages/magnoliabay/src/node/serving/placement/__tests__/placementController.spec.ts
+++ b/packages/magnoliabay/src/node/serving/placement/__tests__/placementController.spec.ts
@@ -11,6 +11,7 @@
 import { createFleetView } from '../../fleetView'
 import { createServerList } from '../../serverList'
 import type { BackendServer, LoadedModel } from '../../types'
+import type { PlacementRequest } from '../messages'
 import { createPlacementController } from '../placementController'
 import type { PlacementController } from '../placementController'
 
@@ -191,6 +192,19 @@
     expect(loadedAt).to.include('e3')
   })
 
+  /** Guards against a stream that is refused at once, though its model could be loaded in time: models that are waited for at other versions do not delay it. */
+  it('expects the model of a stream that was broken off before those of new requests', async () => {
+    const expectedMs = async (req: Partial<PlacementRequest>): Promise<number> => {
+      const harness = createHarness({ e1: 'v1', e2: 'v1.1' })
+      harness.provideState()
+      await harness.clock.advance(300)
+      for (let other = 0; other < 20; other += 1) await harness.controller.requestModel({ ...requestForLarge, model: `other${other}` })
+      const reply = await harness.controller.requestModel({ ...requestForLarge, model: 'rare', ...req })
+      return reply.kind === 'coming' ? reply.inMs : Infinity
+    }
+    expect(await expectedMs({ softwareVersion: 'v1' })).to.be.lessThan(await expectedMs({}))
+  })
+
   it('returns a time that no caller waits for where no engine has the software version of a stream', async () => {
     const harness = createHarness({ e1: 'v1' })
     harness.provideState()
--- a/packages/magnoliabay/src/node/serving/placement/__tests__/plan.spec.ts
+++ b/packages/magnoliabay/src/node/serving/placement/__tests__/plan.spec.ts
@@ -48,6 +48,13 @@
     ])
   })
 
+  /** Guards against streams that are lost after a restart of all instances, since new requests for rare models come before them. */
+  it('loads the model of a stream that was broken off, at an engine of its version, before those of new requests', () => {
+    const engines = [engine('other', []), engine('wanted', [])]
+    const needs = [need('rare1', { waiting: 1, waitedMs: 4000, rate: 0.4 }), need('rare2', { waiting: 1, waitedMs: 5000 }), need('rare3', { waiting: 1, awaitsVersion: true, unusableOn: new Set(['other']) })]
+    expect(plan({ engines, needs })[0]).to.include({ kind: 'load', engine: 'wanted', model: 'rare3' })
+  })
+
   it('begins no more loads from the store than allowed', () => {
     const engines = [engine('e', [], { copies: { memory: [], disk: [] } })]
     expect(plan({ engines, needs: [need('rare3', { waiting: 1 })], allowedStoreLoads: 0 })).to.deep.equal([])
--- a/packages/magnoliabay/src/node/serving/placement/placementController.ts
+++ b/packages/magnoliabay/src/node/serving/placement/placementController.ts
@@ -272,7 +272,8 @@
       inFlight,
       averageInFlight: averageInFlightOf(model, inFlight),
       idleMs: now - (lastActiveMs.get(model) ?? -Infinity),
-      unusableOn: unusableEnginesOf(model, limitedEngines)
+      unusableOn: unusableEnginesOf(model, limitedEngines),
+      awaitsVersion: otherVersionsOf(model).length > 0
     }
   }
   const schedulableOf = (engine: Engine, snapshot: EngineSnapshot): SchedulableEngine => {
@@ -354,11 +355,14 @@
     return remainingTimes.length === 0 ? undefined : Math.min(...remainingTimes)
   }
   /** Estimates the time until a model for which nothing is ordered yet could be loaded, milliseconds. */
-  const estimateQueuedLoadMs = (model: string): number => {
-    const engines = orders.listEngines()
+  const estimateQueuedLoadMs = ({ model, softwareVersion }: PlacementRequest): number => {
+    const engines = orders.listEngines().filter(engine => hasVersion(engine, softwareVersion))
+    const hasOtherVersions = engines.length < orders.listEngines().length
     const plannedOrLoaded = new Set(engines.flatMap(plannedModels))
     const tierFor = (name: string): WeightTier => engines.some(({ tracked }) => tierOf(tracked, name) !== 'store') ? 'disk' : 'store'
-    const queued = [...openRequests.keys()].filter(name => name !== model && !plannedOrLoaded.has(name))
+    // Streams that wait for engines of their version come before other requests.
+    const isBefore = (name: string): boolean => !hasOtherVersions || openRequests.get(name)?.softwareVersions.has(softwareVersion!) === true
+    const queued = [...openRequests.keys()].filter(name => name !== model && !plannedOrLoaded.has(name) && isBefore(name))
     if (tierFor(model) === 'store') return expectedLoadMs(model, 'store', queued.filter(name => tierFor(name) === 'store').length)
     return MODEL_SWAP_MS * (1 + queued.length / Math.max(1, engines.length))
   }
@@ -369,7 +373,7 @@
     scheduler.record({ model, sender, groups: waiting ?? [{ inTimeMs: patienceMs, giveUpMs: patienceMs, count: 1 }] })
     if (expectedInMs > patienceMs) scheduler.reserve(model, expectedInMs)
   }
-  const requestLoad = (req: PlacementRequest, sender: string, expectedMs = remainingLoadMs(req) ?? scheduledLoadMs(req.model) ?? estimateQueuedLoadMs(req.model)): PlacementReply => {
+  const requestLoad = (req: PlacementRequest, sender: string, expectedMs = remainingLoadMs(req) ?? scheduledLoadMs(req.model) ?? estimateQueuedLoadMs(req)): PlacementReply => {
     const now = clock.monotonic()
     const previous = openRequests.get(req.model)
     const expectedInMs = Math.round(expectedMs)
--- a/packages/magnoliabay/src/node/serving/placement/plan.ts
+++ b/packages/magnoliabay/src/node/serving/placement/plan.ts
@@ -43,6 +43,8 @@
   idleMs: number
   /** Engines whose replica does not count, and that get none: it could not take the model's requests. */
   unusableOn: ReadonlySet<string>
+  /** Whether streams that were broken off wait for the model at engines of their software version. @default false */
+  awaitsVersion?: boolean
 }
 
 export interface PlacementPlanInput {
@@ -80,6 +82,11 @@
  * Request rate from which a model gets two replicas: when its only engine ends, several callers per second are refused.
  */
 const BUSY_REQUESTS_PER_SECOND = 1.5
+/**
+ * Requests that a stream which was broken off counts for in the order of loads: it has less time left than a new request, only engines
+ * of its version may continue it, and what its caller has received is lost with it.
+ */
+const RESUMED_STREAM_REQUESTS = 3
 /** Approximate duration of an unload with no running requests, milliseconds. */
 const UNLOAD_MS = 100
 /** Approximate time for which a running request delays an unload, milliseconds. */
@@ -189,7 +196,7 @@
     .filter(need => loadsWaiting || replicas(need.model) > 0)
     .map(need => ({ need, urgency: urgencyOf(need) }))
     .filter(({ urgency }) => urgency >= 1)
-    .sort((left, right) => right.urgency - left.urgency || right.need.waitedMs - left.need.waitedMs)
+    .sort((left, right) => rankOf(right) - rankOf(left) || right.need.waitedMs - left.need.waitedMs)
     .forEach(({ need, urgency }) => {
       const option = findBestOption(need, loadGainMs(urgency, need.waitedMs))
       if (option !== undefined) takeOption(option, need.model, replicas(need.model) === 0 ? 'waiting' : 'more-replicas')
@@ -219,6 +226,10 @@
   return need?.unusableOn.has(engine.id) ?? false
 }
 
+function rankOf ({ need, urgency }: { need: ModelNeed, urgency: number }): number {
+  return urgency + (need.awaitsVersion === true ? RESUMED_STREAM_REQUESTS : 0)
+}
+
 function loadGainMs (urgency: number, waitedMs: number): number {
   return urgency * LOAD_GAIN_MS * (1 + waitedMs / GAIN_INCREASE_INTERVAL_MS)
 }
