--- a/packages/magnoliabay/src/node/admission/__tests__/keyring.spec.ts
+++ b/packages/magnoliabay/src/node/admission/__tests__/keyring.spec.ts
@@ -110,6 +110,41 @@
     expect(new Set(codes)).to.deep.equal(new Set(['store_unavailable', 'key_withdrawn']))
   })
 
+  // All instances restart while the store is away. None has the list of keys, but each has synced with another that has none
+  // either: callers were told that their key does not exist, after which they do not try again.
+  it('does not call a key unknown before it has the list of keys, and admits it then', async () => {
+    const { clock, faults, spawn, codeAt } = await setUpWithKey()
+    faults.set({ down: 'refused' })
+    const restarted = ['c', 'd'].map(spawn)
+    await clock.advance(10_000)
+    expect(restarted.map(codeAt)).to.deep.equal(['store_unavailable', 'store_unavailable'])
+    faults.set({ down: 'no' })
+    await clock.advance(5000)
+    expect(restarted.map(codeAt)).to.deep.equal(['team depot', 'team depot'])
+  })
+
+  // An instance is cut off while a key is withdrawn, and the others restart while the store is away. What they know is as young
+  // as they are: a sync with them does not show that no key has been withdrawn.
+  it('does not take a sync with an instance that has just started for proof that no key was withdrawn', async () => {
+    const { clock, network, kv, faults, b, record, spawn, codeAt } = await setUpWithKey()
+    network.kill('a')
+    faults.set({ down: 'refused' })
+    const operator = createDirectStore(kv, { clock })
+    await operator.transact({ compares: [], writes: [{ kind: 'put', key: KEY_RECORDS_PREFIX + record.id, value: JSON.stringify({ ...record, withdrawnAtMs: 7 }) }] })
+    await clock.advance(MAX_SYNC_AGE_MS + 3000)
+    expect(codeAt(b)).to.equal('store_unavailable')
+    spawn('restarted')
+    const codes: string[] = []
+    for (let step = 0; step < 100; step += 1) {
+      codes.push(codeAt(b))
+      await clock.advance(100)
+    }
+    expect(new Set(codes)).to.deep.equal(new Set(['store_unavailable']))
+    faults.set({ down: 'no' })
+    await clock.advance(5000)
+    expect(codeAt(b)).to.equal('key_withdrawn')
+  })
+
   const MALFORMED: readonly string[] = ['', '{', 'null', '[]', '{"id":"x"}', '{"id":"other","team":"t","digest":"00","createdAtMs":1}', '{"id":1,"team":{},"digest":[]}']
   MALFORMED.forEach(value => it(`ignores a malformed record: ${value}`, async () => {
     const { clock, a, keyId, put, codeAt } = await setUpWithKey()
--- a/packages/magnoliabay/src/node/admission/keyring.ts
+++ b/packages/magnoliabay/src/node/admission/keyring.ts
@@ -46,7 +46,9 @@
   const { store, peers, clock, logger } = options
   const records = new Map<string, CallerKeyRecord>()
   const keyInvalidated = createListeners<[string]>()
-  const withdrawals = createWithdrawals(peers)
+  /** Whether the store has sent the list of keys since this instance started; without it no key can be called unknown. */
+  let hasKeys = false
+  const withdrawals = createWithdrawals({ peers, hasKeys: () => hasKeys })
   withdrawals.onRecorded(keyInvalidated.emit)
 
   const applyEntry = (entry: { key: string, value: string }): void => {
@@ -65,6 +67,7 @@
     snapshot.entries.forEach(applyEntry)
     const removed = [...records.keys()].filter(keyId => !present.has(KEY_RECORDS_PREFIX + keyId))
     removed.forEach(dropKey)
+    hasKeys = true
     freshness.recordSync()
   }
   const readStore = async (): Promise<boolean> => {
@@ -77,7 +80,7 @@
   return {
     authenticate: authorization => {
       if (authorization === undefined) return Err(createRefusal('missing_key', 'Send your key as `Authorization: Bearer <key>`.'))
-      if (!freshness.isRecent()) return Err(createRefusal('store_unavailable', 'This instance cannot check keys just now. Use another one.', RETRY_AFTER_SECONDS))
+      if (!hasKeys || !freshness.isRecent()) return Err(createRefusal('store_unavailable', 'This instance cannot check keys just now. Use another one.', RETRY_AFTER_SECONDS))
       const parts = splitKey(BEARER.exec(authorization)?.[1] ?? '')
       const record = parts === undefined ? undefined : records.get(parts.id)
       if (parts === undefined || record === undefined || !secretMatches(record, parts.secret)) {
--- a/packages/magnoliabay/src/node/admission/withdrawalFreshness.ts
+++ b/packages/magnoliabay/src/node/admission/withdrawalFreshness.ts
@@ -19,7 +19,7 @@
 export interface WithdrawalFreshnessOptions {
   peers: Peers
   clock: Clock
-  /** Syncs with a peer; resolves to false if it doesn't answer. */
+  /** Syncs with a peer; resolves to false if it doesn't answer, or cannot know what has been withdrawn. */
   syncWith: (memberId: string) => Promise<boolean>
   /** Reads the store; resolves to false if it doesn't answer. */
   readStore: () => Promise<boolean>
--- a/packages/magnoliabay/src/node/admission/withdrawals.ts
+++ b/packages/magnoliabay/src/node/admission/withdrawals.ts
@@ -23,11 +23,13 @@
 interface SyncReply {
   /** Empty when the digests are the same. */
   withdrawals: readonly Withdrawal[]
+  /** Whether the peer has had the list of keys from the store since it started. Peers of an older version do not say. */
+  hasKeys?: boolean
 }
 
 const withdrawalSchema = v.object({ keyId: v.string(), atMs: v.number() })
 const keyWithdrawn = definePeerNotice<Withdrawal>('admission.key-withdrawn', withdrawalSchema)
-const syncCall = definePeerCall<SyncRequest, SyncReply>('admission.withdrawals', { req: v.object({ digest: v.string() }), res: v.object({ withdrawals: v.array(withdrawalSchema) }) })
+const syncCall = definePeerCall<SyncRequest, SyncReply>('admission.withdrawals', { req: v.object({ digest: v.string() }), res: v.object({ withdrawals: v.array(withdrawalSchema), hasKeys: v.optional(v.boolean()) }) })
 
 const SYNC_TIMEOUT_MS = 1000
 /** Digests are sums of key hashes modulo this, so that the order of the keys doesn't matter. */
@@ -40,13 +42,22 @@
   record (withdrawal: Withdrawal): void
   /** Records a withdrawal made at this instance, and notifies every peer at once. */
   announce (withdrawal: Withdrawal): void
-  /** Fetches the withdrawals that are missing here from a peer. Resolves to false if the peer doesn't answer. */
+  /**
+   * Fetches the withdrawals that are missing here from a peer. Resolves to false if the peer doesn't answer, or has not had the list
+   * of keys: what it doesn't know shows nothing then.
+   */
   syncWith (memberId: string): Promise<boolean>
   /** Calls the listener once for each key that is withdrawn. */
   onRecorded (listener: (keyId: string) => void): Disposer
 }
 
-export function createWithdrawals (peers: Peers): Withdrawals {
+export interface WithdrawalsOptions {
+  peers: Peers
+  /** Whether this instance has had the list of keys from the store since it started. */
+  hasKeys: () => boolean
+}
+
+export function createWithdrawals ({ peers, hasKeys }: WithdrawalsOptions): Withdrawals {
   const known = new Map<string, Withdrawal>()
   const recorded = createListeners<[string]>()
   let keyHashSum = 0
@@ -60,12 +71,13 @@
   }
   const syncWith = async (memberId: string): Promise<boolean> => {
     const reply = await peers.call(memberId, syncCall, { digest: digest() }, { timeoutMs: SYNC_TIMEOUT_MS })
-    if (reply.ok) reply.val.withdrawals.forEach(addWithdrawal)
-    return reply.ok
+    if (reply.err) return false
+    reply.val.withdrawals.forEach(addWithdrawal)
+    return reply.val.hasKeys === true
   }
 
   peers.listen(keyWithdrawn, addWithdrawal)
-  peers.serve(syncCall, req => ({ withdrawals: req.digest === digest() ? [] : [...known.values()] }))
+  peers.serve(syncCall, req => ({ withdrawals: req.digest === digest() ? [] : [...known.values()], hasKeys: hasKeys() }))
   // A member that was unreachable while a key was withdrawn has missed the notice.
   peers.onConnected(member => { inBackground('sync-with', syncWith(member.id)) })
 
