--- a/packages/magnoliabay/src/node/serving/placement/__tests__/weightLoadLimiter.spec.ts
+++ b/packages/magnoliabay/src/node/serving/placement/__tests__/weightLoadLimiter.spec.ts
@@ -76,6 +76,26 @@
     expect(loads.remaining(0)).to.equal(1)
   })
 
+  /**
+   * Guards against more loads in a window than the store allows, while the leader restarts again and again.
+   * 1. Each term begins as many loads as it may at once. 2. Its process is killed, and starts again. 3. It counts half of the window
+   * as used, whatever began in the terms before.
+   */
+  it('allows one load at once after each restart of the leader, so that several within a window keep to the limit', () => {
+    for (const loadsPerSecond of [0.2, 0.4, 0.6, 0.8, 1, 2, 4]) {
+      const allowedInWindow = loadsPerSecond * WINDOW_MS / 1000 * 1.1 + 3
+      const beginTerm = (atMs: number): number => {
+        const loads = createWeightLoadLimiter({ windowMs: WINDOW_MS, loadsPerSecond: () => loadsPerSecond })
+        if (atMs > 0) loads.assumeEarlierLoads(atMs)
+        const begun = loads.remaining(atMs)
+        Array.from({ length: begun }).forEach((_, index) => loads.recordStart(`e${index}`, atMs))
+        return begun
+      }
+      const begun = [0, 1500, 3000, 4500].map(beginTerm).reduce((sum, each) => sum + each, 0)
+      expect(begun, `at ${loadsPerSecond} a second`).to.be.at.most(allowedInWindow)
+    }
+  })
+
   /** Guards against the end of the leading process, again and again, with a configuration without engines: RangeError. */
   it('counts earlier loads where no rate is known, or none is allowed', () => {
     for (const rate of [Infinity, 1e12, 0]) {
--- a/packages/magnoliabay/src/node/serving/placement/weightLoadLimiter.ts
+++ b/packages/magnoliabay/src/node/serving/placement/weightLoadLimiter.ts
@@ -85,7 +85,8 @@
       const assumedStarts = Math.min(MAX_ASSUMED_STARTS, Math.floor(loadsPerSecond() * windowMs / 2000))
       startTimesMs = Array.from({ length: assumedStarts }, () => nowMs)
       runningLoads.clear()
-      const assumedRunning = Math.min(assumedStarts, concurrency - 1)
+      // A process that has just started begins one load at once: two would add up where it restarts several times in a window.
+      const assumedRunning = assumedStarts === 0 ? 0 : Math.min(Math.max(assumedStarts, INITIAL_CONCURRENCY - 1), concurrency - 1)
       Array.from({ length: assumedRunning }).forEach((_, index) => runningLoads.set(`earlier ${index}`, { sinceMs: nowMs - MAX_LOAD_MS + ASSUMED_LOAD_MS, maxConcurrent: 1 }))
     }
   }
