--- a/packages/magnoliabay/src/node/outcomes/__tests__/outcomes.spec.ts
+++ b/packages/magnoliabay/src/node/outcomes/__tests__/outcomes.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { createRefusal } from '../../failures'
-import { createRetryBudget } from '../retryBudget'
+import { createFleetRetryBudget, createRetryBudget } from '../retryBudget'
 import { createExecutionTracker } from '../executionTracker'
 
 const SEED = 20_261_202
@@ -42,6 +42,21 @@
     }), { seed: SEED, numRuns: 200 })
   })
 
+  // Instances are killed twice within the window in which a service's retries are counted, while all its servers fail. Each
+  // process begins with a reserve of its own; whole ones would add up to more retries than the fleet may make.
+  it('keeps to the budget of the fleet while all instances restart twice', () => {
+    const [instances, limit] = [9, { ratio: 0.2, slack: 56 }]
+    const firstsPerLife = 4
+    const countRetries = (firstsBefore: number): number => {
+      const budget = createFleetRetryBudget(limit, () => instances)
+      Array.from({ length: firstsBefore + firstsPerLife }).forEach(() => budget.recordFirstAttempt())
+      return Array.from({ length: 2 * firstsPerLife }, () => budget.tryTake()).filter(Boolean).length
+    }
+    const lives = [1000, 0, 0]
+    const retries = instances * lives.map(countRetries).reduce((sum, each) => sum + each, 0)
+    expect(retries).to.be.at.most(limit.slack + limit.ratio * lives.length * instances * firstsPerLife)
+  })
+
   it('takes back a retry that is not made, and never has more than its burst', () => {
     const budget = createRetryBudget({ retriesPerRequest: 0, burst: 2 })
     budget.tryTake()
--- a/packages/magnoliabay/src/node/outcomes/index.ts
+++ b/packages/magnoliabay/src/node/outcomes/index.ts
@@ -2,5 +2,5 @@
 export { createExecutionTracker } from './executionTracker'
 export type { ExecutionTracker } from './executionTracker'
 export type { RequestOutcome } from './outcome'
-export { createRetryBudget } from './retryBudget'
+export { createFleetRetryBudget, createRetryBudget } from './retryBudget'
 export type { RetryBudget } from './retryBudget'
--- a/packages/magnoliabay/src/node/serving/servingInstance.ts
+++ b/packages/magnoliabay/src/node/serving/servingInstance.ts
@@ -19,7 +19,7 @@
 import { contactSeeds } from '../members/seeds'
 import { TCP_TRANSPORT } from '../members/transport'
 import { createCrashAttribution, createCrashConfirmation, createRecentAddresses } from '../crashes'
-import { createRetryBudget } from '../outcomes'
+import { createFleetRetryBudget } from '../outcomes'
 import type { RetryBudget } from '../outcomes'
 import { createForwardingServer, createPathMetrics, createServerRoutes, createSocketPrimitives } from '../paths'
 import type { DialPrimitives } from '../paths'
@@ -129,8 +129,6 @@
 const DEMAND_AVERAGE_MS = 8000
 /** Rate above which the requests for a model are reported, requests per second. */
 const MIN_REPORTED_RATE = 0.02
-/** Part of the retry budget that is used; the rest covers differences between the counts of two instances. */
-const RETRY_BUDGET_RATIO = 0.5
 /** Time without contact to the store after which an instance may count as isolated, and its list of servers as outdated, milliseconds: longer than a watch takes to respond. */
 const ISOLATED_STORE_AGE_MS = 5500
 /** An instance with links to fewer than this part of the others is in the minority of a network partition. */
@@ -221,9 +219,7 @@
     rate.add(1, clock.monotonic())
   }
   const retryBudget = (service: string): RetryBudget => {
-    const { ratio, slack } = settings.retryBudget
-    const reserve = (): number => slack * RETRY_BUDGET_RATIO / Math.max(1, peers.members().length)
-    const budget = budgets.get(service) ?? createRetryBudget({ retriesPerRequest: ratio * RETRY_BUDGET_RATIO, burst: reserve })
+    const budget = budgets.get(service) ?? createFleetRetryBudget(settings.retryBudget, () => peers.members().length)
     budgets.set(service, budget)
     return budget
   }
