--- a/packages/magnoliabay/src/node/serving/allowance/__tests__/allowanceLimiter.spec.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/__tests__/allowanceLimiter.spec.ts
@@ -321,6 +321,19 @@
     expect(granted).to.be.at.most(TOLERANCE.ratio * LIMIT + TOLERANCE.slack)
   })
 
+  /**
+   * Guards against a second allowance when the store is restored from a copy that is older than a team's first record, and all
+   * processes restart. No record is left, which looks as if nothing had been spent.
+   */
+  it('grants no second allowance after a restart of all processes with a store that was restored without the record', async () => {
+    const simulation = createSimulation()
+    const before = await simulation.drain(IDS, 100)
+    simulation.rollBackStore(60_000)
+    await restartAll(simulation, 300)
+    const after = await simulation.drain(['m1'], 100)
+    expect(before + after).to.be.at.most(MAX_GRANTED)
+  })
+
   /**
    * Guards against a second allowance within a window after a restore of the store. The home grants and records, and the
    * store is restored from an older copy that lacks the record. All processes are killed, and the next home finds the
--- a/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
+++ b/packages/magnoliabay/src/node/serving/allowance/homeLedger.ts
@@ -159,10 +159,13 @@
   }
   /**
    * When a restore of the store may have lost a later record, only a home that counted at the time knows the spending.
-   * Otherwise the whole limit counts as spent.
+   * Otherwise the whole limit counts as spent. Without any record the copy may be older than the team's first one; a process that
+   * has run for a window then relies on what has been reported to it.
    */
-  const maxLostSpending = (record: SpendingRecord | undefined): number =>
-    record !== undefined && record.era < eraNow() && !hasReadRecord ? limit().allowed : 0
+  const maxLostSpending = (record: SpendingRecord | undefined): number => {
+    const mayBeLost = record === undefined ? eraNow() > 0 && options.lacksHistory() : record.era < eraNow()
+    return mayBeLost && !hasReadRecord ? limit().allowed : 0
+  }
   /**
    * Starts from the reported spending, and assumes that the record that the next home will find covers about as much. A
    * recently started process has received too few reports, and counts none.
