--- a/packages/standins/src/node/platformEngine/index.ts
+++ b/packages/standins/src/node/platformEngine/index.ts
@@ -49,6 +49,10 @@
   crash (): Promise<void>
   /** Another process starts under the same id, and writes its entry after `entryDelayMs`. */
   start (softwareVersion: string, entryDelayMs?: number): Promise<void>
+  /** Writes its entry; one that drains will leave. */
+  list (state?: 'ready' | 'draining'): void
+  /** Removes its entry; its process serves on. */
+  unlist (): void
   /** It crashes as it begins to write an answer to a prompt with one of these parts, and is back after some seconds. */
   setCrashingParts (parts: readonly string[]): void
   /** When it has crashed by itself, on a part, Unix milliseconds. */
@@ -83,8 +87,8 @@
   const arrivals: EngineArrival[] = []
 
   const loaded = models.map(name => ({ name, version: 1, adapters: [] }))
-  const writeEntry = (): void => {
-    const value = JSON.stringify({ service, address: listener.address, zone: failureDomain, version: softwareVersion, slots: SLOTS, state: 'ready', born: bornMs, models: loaded, sequence: 0 })
+  const writeEntry = (state: 'ready' | 'draining' = 'ready'): void => {
+    const value = JSON.stringify({ service, address: listener.address, zone: failureDomain, version: softwareVersion, slots: SLOTS, state, born: bornMs, models: loaded, sequence: 0 })
     store.transact({ compares: [], success: [{ kind: 'put', key, value, leaseId: '0' }], failure: [] })
   }
   const removeEntry = (): void => { store.transact({ compares: [], success: [{ kind: 'delete', range: { key } }], failure: [] }) }
@@ -101,7 +105,7 @@
     softwareVersion = version
     bornMs = clock.now()
     await listener.accept()
-    clock.schedule(entryDelayMs, writeEntry)
+    clock.schedule(entryDelayMs, () => writeEntry())
   }
   const crashOn = (part: string): void => {
     crashes.push({ part, atMs: clock.now() })
@@ -149,6 +153,8 @@
     softwareVersion: () => softwareVersion,
     crash,
     start,
+    list: writeEntry,
+    unlist: removeEntry,
     setCrashingParts: parts => { crashingParts = new Set(parts) },
     crashes: () => crashes,
     arrivals: () => arrivals,
--- a/scripts/fleet.ts
+++ b/scripts/fleet.ts
@@ -14,6 +14,7 @@
 import { runOddAnswers } from './fleet/oddAnswers'
 import type { PlatformRunOptions } from './fleet/platformInstances'
 import { runRefusedTwice } from './fleet/refusedTwice'
+import { runFixedRestarts } from './fleet/restartOfAll'
 import { runShutdowns } from './fleet/shutdowns'
 import { runStreamVersions } from './fleet/streamVersions'
 import type { GuaranteeResult } from './fleet/guarantees'
@@ -36,7 +37,8 @@
   'crashing-prompt-parts': runCrashingPromptParts,
   'odd-answers': runOddAnswers,
   'refused-twice': runRefusedTwice,
-  shutdowns: runShutdowns
+  shutdowns: runShutdowns,
+  'restart-cases': runFixedRestarts
 }
 
 const MAX_PLATFORM_INSTANCES = 5
--- a/scripts/fleet/streamVersions.ts
+++ b/scripts/fleet/streamVersions.ts
@@ -20,8 +20,8 @@
 
 /** Values of the platform's rules. */
 const MAX_MIXED_STREAMS = 2
-const MIN_RESUMED = 12
-const MIN_CONTINUED_RATIO = 0.5
+export const MIN_RESUMED = 12
+export const MIN_CONTINUED_RATIO = 0.5
 
 const STREAM_INTERVAL_MS = 40
 const STEP_MS = 1500
@@ -53,17 +53,24 @@
   await pause(STEP_MS)
 }
 
-function verdictsOf (calls: readonly StreamCall[]): GuaranteeResult[] {
+/** Judges what holds at any time, for all instances. */
+export function judgeEvents (calls: readonly StreamCall[], maxMixed: number): GuaranteeResult[] {
   const mixed = calls.filter(call => call.softwareVersions.size > 1)
   const outOfOrder = calls.filter(({ eventIds }) => eventIds.some((id, index) => id !== index + 1))
+  const describe = (call: StreamCall): string => `the stream of ${call.firstAttemptId} over ${call.statuses.join(', ')} has events of ${[...call.softwareVersions].join(' and ')}`
+  return [
+    { promise: 'streams keep their version', checked: calls.length, violations: mixed.length > maxMixed ? mixed.map(describe) : [], isSafety: true },
+    { promise: 'no event lost or repeated', checked: calls.length, violations: outOfOrder.map(({ eventIds }) => `events ${eventIds.join(' ')}`), isSafety: true }
+  ]
+}
+
+function verdictsOf (calls: readonly StreamCall[]): GuaranteeResult[] {
   const began = calls.filter(call => call.eventIds.length > 0)
   const resumed = calls.filter(call => call.isResumed)
   const continued = resumed.filter(call => call.hasContinued)
   const enoughContinue = resumed.length < MIN_RESUMED || continued.length / resumed.length >= MIN_CONTINUED_RATIO * began.length / calls.length
-  const describe = (call: StreamCall): string => `a stream over ${call.statuses.join(', ')} has events of ${[...call.softwareVersions].join(' and ')}`
   return [
-    { promise: 'streams keep their version', checked: calls.length, violations: mixed.length > MAX_MIXED_STREAMS ? mixed.map(describe) : [], isSafety: true },
-    { promise: 'no event lost or repeated', checked: calls.length, violations: outOfOrder.map(({ eventIds }) => `events ${eventIds.join(' ')}`), isSafety: true },
+    ...judgeEvents(calls, MAX_MIXED_STREAMS),
     { promise: 'streams resumed go on', checked: resumed.length, violations: enoughContinue ? [] : [`${continued.length} of ${resumed.length} went on, ${began.length} of ${calls.length} began`], isSafety: false }
   ]
 }
