--- a/scripts/fleet.ts
+++ b/scripts/fleet.ts
@@ -14,7 +14,7 @@
 import { runOddAnswers } from './fleet/oddAnswers'
 import type { PlatformRunOptions } from './fleet/platformInstances'
 import { runRefusedTwice } from './fleet/refusedTwice'
-import { runFixedRestarts } from './fleet/restartOfAll'
+import { runFixedRestarts, runRestarts } from './fleet/restartOfAll'
 import { runShutdowns } from './fleet/shutdowns'
 import { runStreamVersions } from './fleet/streamVersions'
 import type { GuaranteeResult } from './fleet/guarantees'
@@ -38,6 +38,7 @@
   'odd-answers': runOddAnswers,
   'refused-twice': runRefusedTwice,
   shutdowns: runShutdowns,
+  'restart-of-all': runRestarts,
   'restart-cases': runFixedRestarts
 }
 
--- a/scripts/fleet/restartOfAll.ts
+++ b/scripts/fleet/restartOfAll.ts
@@ -11,7 +11,7 @@
 import { STREAM_HEADERS, STREAM_PATH, createPlatformSite } from './platformSite'
 import type { PlatformSite } from './platformSite'
 import { createRandom } from './random'
-import { createFixedCases } from './restartPlans'
+import { createFixedCases, drawPlan } from './restartPlans'
 import type { RestartPlan, Step, StoreTrouble } from './restartPlans'
 import { formatFigures, judgeRestart } from './restartVerdicts'
 import type { Disruption, InstanceLife, RestartRecords, ServingTime } from './restartVerdicts'
@@ -186,6 +186,11 @@
   return judgeRestart(records).map(result => ({ ...result, promise: `${plan.name}: ${result.promise}` }))
 }
 
+/** Runs the plan that the seed draws. */
+export async function runRestarts (options: PlatformRunOptions): Promise<GuaranteeResult[]> {
+  return judgePlan(drawPlan(options.seed, createRandom(options.seed), options.instances), options)
+}
+
 /** Runs the fixed cases one after the other. */
 export async function runFixedRestarts (options: PlatformRunOptions): Promise<GuaranteeResult[]> {
   const results: GuaranteeResult[] = []
--- a/scripts/fleet/restartPlans.ts
+++ b/scripts/fleet/restartPlans.ts
@@ -1,7 +1,9 @@
 /**
- * What happens to instances, engines and the store while all instances are killed.
+ * What happens to instances, engines and the store while all instances are killed: fixed cases, and plans drawn from a seed.
  * Times are milliseconds since the first stream began.
  */
+import type { Random } from './random'
+
 export type StoreTrouble = 'refuses' | 'silent' | 'slow' | 'rejects'
 
 export type Step = { atMs: number } & (
@@ -72,3 +74,79 @@
   ]
   return cases.map(([name, versions, steps]) => ({ name, versions, steps, events: CASE_EVENTS, streamsAtMs: CASE_STREAMS_AT_MS, returnDelaysMs: [1500] }))
 }
+
+const SEED_STREAMS = 130
+const SEED_STREAM_INTERVAL_MS = 180
+const SEED_EVENTS = [70, 100, 150]
+const TROUBLES: readonly StoreTrouble[] = ['refuses', 'silent', 'slow', 'rejects']
+
+function drawKills (random: Random, count: number, atMs: number): Step[] {
+  const all = Array.from({ length: count }, (_, index) => index)
+  const downMs = 1000 + random.below(2000)
+  const atOnce: Step = { kind: 'kill', atMs, instances: all, downMs }
+  const series: ReadonlyArray<() => Step[]> = [
+    () => [atOnce],
+    () => [atOnce],
+    () => killInTurn(count, atMs, 200 + random.below(700), downMs),
+    () => [atOnce, { ...atOnce, atMs: atMs + downMs + 1500 + random.below(5000) }],
+    () => [{ ...atOnce, instances: [random.below(count)] }]
+  ]
+  return random.pick(series)()
+}
+
+/** Draws a change of the versions that serve; one version at least is listed after it. */
+function drawChange (random: Random, atMs: number, listed: string[], next: () => string): Step[] {
+  const version = random.pick(listed)
+  const replace = (): void => { listed.splice(listed.indexOf(version), 1) }
+  const isLast = listed.length === 1
+  const addNext = (): Step => {
+    const added = next()
+    listed.push(added)
+    return { kind: 'add', atMs: atMs + random.below(1000), version: added }
+  }
+  const changes: ReadonlyArray<() => Step[]> = [
+    () => [addNext()],
+    () => {
+      replace()
+      return [{ kind: 'leave', atMs, version }, ...isLast ? [addNext()] : []]
+    },
+    () => {
+      replace()
+      return [{ kind: 'unlist', atMs, version }, ...isLast ? [addNext()] : []]
+    },
+    () => [{ kind: 'unlist', atMs, version }, { kind: 'relist', atMs: atMs + 500 + random.below(6000), version }],
+    () => {
+      replace()
+      const as = next()
+      listed.push(as)
+      return [{ kind: 'return', atMs, version, as, entryDelayMs: random.below(1000) }]
+    }
+  ]
+  return random.pick(changes)()
+}
+
+/** Draws a plan: kills, changes of versions at times around them, and trouble of the store and of clocks in half of the plans. */
+export function drawPlan (seed: number, random: Random, count: number): RestartPlan {
+  const versions = random.pick([['v1'], ['v1', 'v2'], ['v1', 'v2']])
+  const killMs = 5000 + random.below(4000)
+  const listed = [...versions]
+  let known = versions.length
+  const next = (): string => `v${++known}`
+  const changes = timesFrom(killMs - 3000, 2200, random.below(4)).flatMap(atMs => drawChange(random, atMs + random.below(2200), listed, next))
+  const trouble = random.pick(TROUBLES)
+  const affected = Array.from({ length: count }, (_, index) => index).filter(() => trouble !== 'rejects' || random.next() < 0.5)
+  const extras: readonly Step[] = [
+    { kind: 'trouble', trouble, instances: affected, atMs: killMs - 3000 + random.below(6000), forMs: 1000 + random.below(4000) },
+    { kind: 'restore', atMs: killMs - 1000 + random.below(5000), ageMs: 1000 + random.below(3000) },
+    { kind: 'step-clock', instance: random.below(count), atMs: killMs + random.below(8000) }
+  ]
+  const troubles = extras.filter(() => random.next() < 0.25)
+  return {
+    name: `seed-${seed}`,
+    versions,
+    steps: [...drawKills(random, count, killMs), ...changes, ...troubles],
+    events: random.pick(SEED_EVENTS),
+    streamsAtMs: timesFrom(0, SEED_STREAM_INTERVAL_MS, SEED_STREAMS),
+    returnDelaysMs: [50, 1200, 2500, 4000]
+  }
+}
