--- a/packages/magnoliabay/src/node/serving/versions/originSegments/encoding.ts
+++ b/packages/magnoliabay/src/node/serving/versions/originSegments/encoding.ts
@@ -31,9 +31,13 @@
 const segmentSchema = v.object({ origins: v.array(v.object(originEntries)) })
 
 /** Streams of one origin. */
-export interface OriginGroup extends StreamOrigin {
+export interface OriginStreams extends StreamOrigin {
   /** Hashes of the streams, one after the other. */
   streams: string
+}
+
+/** Streams of one origin that may be resumed for about as long. */
+export interface OriginGroup extends OriginStreams {
   /** Time for which they may still be resumed, milliseconds. */
   keepMs: number
 }
@@ -64,12 +68,16 @@
   return JSON.stringify({ origins: joinHashes(records, ({ origin: { service, softwareVersion } }) => ({ service, softwareVersion })) })
 }
 
-/** Returns the origins that a value names, by hash. */
-export function decodeSegment (value: string): Result<Array<[string, StreamOrigin]>, InputError> {
-  return checkInput(segmentSchema, parseJson(value)).map(({ origins }) => origins.flatMap(({ service, softwareVersion, streams }) => {
-    const origin: StreamOrigin = { service, softwareVersion }
-    return splitHashes(streams).map((hash): [string, StreamOrigin] => [hash, origin])
-  }))
+/** Returns the streams that a value names, by origin. */
+export function decodeSegment (value: string): Result<OriginStreams[], InputError> {
+  return checkInput(segmentSchema, parseJson(value)).map(({ origins }) => origins)
+}
+
+/** Whether the hash is one of those. Many more streams are read than looked up, so a search costs less than an index. */
+export function includesHash (streams: string, hash: string): boolean {
+  let position = streams.indexOf(hash)
+  while (position % HASH_LENGTH > 0) position = streams.indexOf(hash, position + 1)
+  return position >= 0
 }
 
 /** Returns records as they are sent to another instance, which has another clock. */
--- a/packages/magnoliabay/src/node/serving/versions/originSegments/reader.ts
+++ b/packages/magnoliabay/src/node/serving/versions/originSegments/reader.ts
@@ -4,9 +4,9 @@
 import type { InputMonitor } from '../../../inputs'
 import type { Logger } from '../../../logger'
 import type { KeyValue, Store } from '../../../store'
-import type { StreamOrigin } from '../streamOrigins'
 import type { StoredLookup } from '../storedOrigins'
-import { decodeSegment } from './encoding'
+import { HASH_LENGTH, decodeSegment, includesHash } from './encoding'
+import type { OriginStreams } from './encoding'
 import { SEGMENTS_PREFIX } from './writer'
 
 /** Least time between the starts of two reads, milliseconds. */
@@ -30,8 +30,8 @@
 }
 
 interface Snapshot {
-  /** Origins by the hash of their stream. */
-  origins: ReadonlyMap<string, StreamOrigin>
+  /** The newest last. */
+  origins: readonly OriginStreams[]
   /** Whether every segment could be read. */
   isComplete: boolean
 }
@@ -46,13 +46,14 @@
   let refused: ReadonlySet<string> = new Set()
 
   const parse = (entries: readonly KeyValue[]): Snapshot => {
-    const origins = new Map<string, StreamOrigin>()
     const unreadable = new Set<string>()
-    entries.forEach(({ key, value }) => {
+    const byAge = [...entries].sort((left, right) => left.modRevision - right.modRevision)
+    const origins = byAge.flatMap(({ key, value }) => {
       const decoded = decodeSegment(value)
-      if (decoded.ok) return decoded.val.forEach(([hash, origin]) => origins.set(hash, origin))
+      if (decoded.ok) return decoded.val
       unreadable.add(key)
       if (!refused.has(key)) inputs?.recordRefused('store-value', { key }, decoded.val.message)
+      return []
     })
     refused = unreadable
     return { origins, isComplete: unreadable.size === 0 }
@@ -67,7 +68,7 @@
       return undefined
     }
     snapshot = parse(entries.val.entries)
-    logger.info('stream-origins-read', { segments: entries.val.entries.length, records: snapshot.origins.size, unreadable: refused.size, tookMs })
+    logger.info('stream-origins-read', { segments: entries.val.entries.length, records: snapshot.origins.reduce((sum, { streams }) => sum + streams.length / HASH_LENGTH, 0), unreadable: refused.size, tookMs })
     cancelDrop()
     cancelDrop = clock.schedule(KEEP_MS, () => { snapshot = undefined })
     return snapshot
@@ -82,8 +83,8 @@
     return next
   }
   const lookUp = (found: Snapshot | undefined, hash: string): StoredLookup => {
-    const origin = found?.origins.get(hash)
-    if (origin !== undefined) return { kind: 'found', origin }
+    const origin = found?.origins.findLast(({ streams }) => includesHash(streams, hash))
+    if (origin !== undefined) return { kind: 'found', origin: { service: origin.service, softwareVersion: origin.softwareVersion } }
     return found?.isComplete === true ? { kind: 'absent' } : { kind: 'unreadable' }
   }
   return {
