--- a/packages/magnoliabay/src/node/serving/versions/originSegments/sender.ts
+++ b/packages/magnoliabay/src/node/serving/versions/originSegments/sender.ts
@@ -9,7 +9,7 @@
 import type { WriteOptions, WriteOutcome } from './writer'
 
 /** Time for which records are collected, milliseconds. */
-const COLLECT_MS = 250
+const COLLECT_MS = 100
 /** Records that wait to be written, and as many that have been; the oldest are dropped first. */
 const MAX_RECORDS = 20_000
 /** Records in one message: 110 KB. */
@@ -39,8 +39,9 @@
   const unwritten = new Map<string, HashedRecord>()
   const written = new Map<string, HashedRecord>()
   let knownEra: number | undefined
+  /** Records that are on their way to a writer. */
+  const inFlight = new Set<HashedRecord>()
   let failures = 0
-  let isSending = false
   let dueMs = Infinity
   let cancelSend: CancelTimer = () => {}
   let addedSinceSweep = 0
@@ -92,17 +93,24 @@
     }
     return false
   }
-  const sendAll = async (options: WriteOptions): Promise<boolean> => {
-    sweep()
-    const records = [...unwritten.values()]
+  const sendBatches = async (records: readonly HashedRecord[], options: WriteOptions): Promise<boolean> => {
     for (let from = 0; from < records.length; from += MAX_RECORDS_PER_CALL) {
       if (!await sendBatch(records.slice(from, from + MAX_RECORDS_PER_CALL), options)) return false
     }
     return true
   }
+  const sendAll = async (options: WriteOptions): Promise<boolean> => {
+    sweep()
+    // Records that came while others are on their way do not wait for them.
+    const records = [...unwritten.values()].filter(record => options.isUrgent || !inFlight.has(record))
+    records.forEach(record => inFlight.add(record))
+    const isWritten = await sendBatches(records, options)
+    records.forEach(record => inFlight.delete(record))
+    return isWritten
+  }
   const schedule = (delayMs: number): void => {
     const nextMs = clock.monotonic() + delayMs
-    if (isSending || nextMs >= dueMs) return
+    if (nextMs >= dueMs) return
     cancelSend()
     dueMs = nextMs
     cancelSend = clock.schedule(delayMs, () => inBackground('send-stream-origins', send()))
@@ -111,14 +119,11 @@
   const recordResult = (isWritten: boolean): void => {
     failures = isWritten ? 0 : failures + 1
     if (!isWritten) logger.info('stream-origins-not-sent', { records: unwritten.size, failures })
-    if (unwritten.size > 0) schedule(Math.max(COLLECT_MS, retryMs()))
+    if ([...unwritten.values()].some(record => !inFlight.has(record))) schedule(Math.max(COLLECT_MS, retryMs()))
   }
   const send = async (): Promise<void> => {
     dueMs = Infinity
-    isSending = true
-    const isWritten = await sendAll({ isUrgent: false })
-    isSending = false
-    recordResult(isWritten)
+    recordResult(await sendAll({ isUrgent: false }))
   }
   /** Does not wait for a message that is on its way: its writer may be gone. */
   const sendUrgently = async (): Promise<void> => recordResult(await sendAll({ isUrgent: true }))
--- a/packages/magnoliabay/src/node/serving/versions/originSegments/writer.ts
+++ b/packages/magnoliabay/src/node/serving/versions/originSegments/writer.ts
@@ -16,8 +16,11 @@
 
 /** Outside the prefix that every instance reads at its start. */
 export const SEGMENTS_PREFIX = `${LEDGERS_PREFIX}/stream-origins/`
-/** Least time between two writes, milliseconds; it bounds the writes a second of an instance. */
+/** Least time between two writes, milliseconds, while few records wait; each call of the store is priced. */
 const WRITE_INTERVAL_MS = 500
+/** The same once so many records wait: the streams of the last batch are refused after a restart of all instances. */
+const BUSY_INTERVAL_MS = 200
+const BUSY_RECORDS = 4
 /** The same while a further software version has just turned up, which is rare. */
 const URGENT_INTERVAL_MS = 100
 /** Instances learn of a further version within some milliseconds of each other: their records fit into one write. */
@@ -181,11 +184,15 @@
     return Ok(undefined)
   }
   const retryAtMs = (): number => failures === 0 ? -Infinity : lastWriteMs + Math.min(MAX_RETRY_MS, MIN_RETRY_MS * 2 ** (failures - 1))
+  const intervalMs = (): number => {
+    if (isUrgentNext) return URGENT_INTERVAL_MS
+    return unwritten.size >= BUSY_RECORDS ? BUSY_INTERVAL_MS : WRITE_INTERVAL_MS
+  }
   const scheduleWrite = (isUrgent: boolean): void => {
     isUrgentNext ||= isUrgent
     if (isWriting) return
     const now = clock.monotonic()
-    const earliestMs = lastWriteMs + (isUrgentNext ? URGENT_INTERVAL_MS : WRITE_INTERVAL_MS)
+    const earliestMs = lastWriteMs + intervalMs()
     const nextMs = Math.max(now + (isUrgentNext ? URGENT_DELAY_MS : 0), earliestMs, retryAtMs())
     if (nextMs >= dueMs) return
     cancelWrite()
