--- a/scripts/fleet/restartVerdicts.ts
+++ b/scripts/fleet/restartVerdicts.ts
@@ -99,17 +99,22 @@
     `sent after the first kill ${late.length}, of which ${late.filter(hasBegun).length} began, refused: ${countReasons(late.filter(call => !hasBegun(call)))}`
 }
 
+/** A violation where fewer of the resumed streams went on than half of the share of new streams that began. */
+function judgeResumed (resumed: readonly StreamCall[], beganRatio: number): string[] {
+  const wentOn = resumed.filter(({ hasContinued }) => hasContinued).length
+  const isLost = resumed.length >= MIN_RESUMED && wentOn / resumed.length < MIN_CONTINUED_RATIO * beganRatio
+  return isLost ? [`${wentOn} of ${resumed.length} went on, ${(beganRatio * 100).toFixed(0)} of 100 new ones began`] : []
+}
+
 export function judgeRestart (records: RestartRecords): GuaranteeResult[] {
-  const { owed, undisturbed, fresh } = computeFigures(records)
-  const refused = owed.filter(({ hasContinued }) => !hasContinued)
+  const { owed, undisturbed, fresh, late } = computeFigures(records)
   const describe = ({ firstAttemptId, statuses, softwareVersions, refusal }: StreamCall): string => `the stream of ${firstAttemptId} at ${[...softwareVersions].join(' and ')} over ${statuses.join(', ')}: ${refusal}`
-  const continuedRatio = 1 - refused.length / owed.length
-  const beganRatio = fresh.filter(hasBegun).length / Math.max(fresh.length, 1)
-  const isLost = owed.length >= MIN_RESUMED && continuedRatio < MIN_CONTINUED_RATIO * beganRatio
+  const beganRatioOf = (calls: readonly StreamCall[]): number => calls.filter(hasBegun).length / Math.max(calls.length, 1)
   const onlyVersion = new Set(records.serving.map(({ version }) => version)).size === 1 ? undisturbed : []
   return [
     ...judgeEvents(records.calls, 0),
-    { promise: 'streams resumed go on', checked: owed.length, violations: isLost ? [`${owed.length - refused.length} of ${owed.length} went on, ${fresh.filter(hasBegun).length} of ${fresh.length} began`] : [], isSafety: false },
+    { promise: 'streams resumed go on', checked: owed.length, violations: judgeResumed(owed, beganRatioOf(fresh)), isSafety: false },
+    { promise: 'streams resumed at instances that have just started go on', checked: undisturbed.length, violations: judgeResumed(undisturbed, beganRatioOf(late)), isSafety: false },
     { promise: 'with one version all go on', checked: onlyVersion.length, violations: onlyVersion.filter(({ hasContinued }) => !hasContinued).map(describe), isSafety: false }
   ]
 }
