--- a/packages/magnoliabay/src/node/serving/versions/__tests__/versionHistory.spec.ts
+++ b/packages/magnoliabay/src/node/serving/versions/__tests__/versionHistory.spec.ts
@@ -231,6 +231,24 @@
     expect(next.history.priorOf(serviceOf(next))).to.deep.equal({ kind: 'none' })
   })
 
+  /** Guards against a restored history that counts as whole without a version that has left and whose streams may be resumed. */
+  it('has versions that have left written again when the store has been restored from an older copy', async () => {
+    const { clock, kvState, start, recorded } = createRig()
+    const instances = ['i0', 'i1', 'i2'].map(id => start(id, { b: 'v2' }))
+    await clock.advance(1000)
+    const copy = kvState.snapshot()
+    instances.forEach(({ list }) => list('a', 'v1'))
+    await clock.advance(2000)
+    instances.forEach(({ unlist }) => unlist('a'))
+    await clock.advance(5000)
+    kvState.restore(copy)
+    await clock.advance(5000)
+    expect(recorded()).to.deep.equal(['v1', 'v2'])
+    // Not for longer than its streams may be resumed.
+    await clock.advance(2 * KEEP_MS + 60_000)
+    expect(recorded()).to.deep.equal(['v2'])
+  })
+
   /** Guards against streams of a version that the store lost while no instance watched: the one before counts as their version. */
   it('names no prior version after the store was restored from an older copy while no instance watched', async () => {
     const { clock, kvState, start } = createRig()
