--- a/packages/magnoliabay/src/node/serving/versions/__tests__/versionHistory.spec.ts
+++ b/packages/magnoliabay/src/node/serving/versions/__tests__/versionHistory.spec.ts
@@ -297,4 +297,22 @@
     await clock.advance(100)
     expect(next.history.priorOf(serviceOf(next))).to.deep.equal({ kind: 'none' })
   })
+
+  /** Guards against streams that began at a version which the store did not take, and that count as those of the version before. */
+  it('names no prior version where streams may have begun at servers of a further one that the store did not take', async () => {
+    const { clock, start } = createRig()
+    const instance = start('i0', { a: 'v1' })
+    await clock.advance(1000)
+    await instance.faults.set({ down: 'refused' })
+    const bornMs = clock.now()
+    instance.list('b', 'v2', bornMs)
+    await clock.advance(17_000)
+    expect(instance.mayBegin('b')).to.equal(true)
+    instance.kill()
+    await clock.advance(1000)
+    const next = start('i0', { a: 'v1' })
+    next.list('b', 'v2', bornMs)
+    await clock.advance(100)
+    expect(next.history.priorOf(serviceOf(next))).to.deep.equal({ kind: 'none' })
+  })
 })
