--- a/packages/magnoliabay/src/node/serving/versions/__tests__/versionHistory.spec.ts
+++ b/packages/magnoliabay/src/node/serving/versions/__tests__/versionHistory.spec.ts
@@ -166,6 +166,20 @@
     expect(recorded()).to.deep.equal(['v2'])
   })
 
+  /** Guards against a version that stays recorded for ever, since nothing changed in the list after it had left. */
+  it('drops a version that has left although the list does not change any more', async () => {
+    const { clock, start, recorded } = createRig()
+    const instances = ['i0', 'i1', 'i2'].map(id => start(id, { a: 'v1' }))
+    await clock.advance(30_000)
+    instances.forEach(({ list }) => list('b', 'v2'))
+    await clock.advance(KEEP_MS)
+    instances.forEach(({ unlist }) => unlist('b'))
+    await clock.advance(KEEP_MS)
+    expect(recorded()).to.deep.equal(['v1', 'v2'])
+    await clock.advance(60_000)
+    expect(recorded()).to.deep.equal(['v1'])
+  })
+
   /** Guards against a version that stays recorded for ever, since the instance that should have it dropped was killed before. */
   it('drops a version that has left although the instance that writes is killed', async () => {
     for (const victim of [0, 1, 2]) {
--- a/packages/magnoliabay/src/node/serving/versions/softwareVersions.ts
+++ b/packages/magnoliabay/src/node/serving/versions/softwareVersions.ts
@@ -30,6 +30,7 @@
 
 /** A version that servers have, or have had lately. */
 export interface KnownVersion extends ServiceVersion {
+  isListed: boolean
   /** Time since a server of the version was last listed, milliseconds; 0 while one is. */
   unlistedMs: number
 }
@@ -119,7 +120,7 @@
       return new Set(recent.map(([version]) => version))
     },
     all: () => [...seenByService].flatMap(([service, seen]) => [...seen].map(([softwareVersion, { isListed, lastListedMs }]) =>
-      ({ service, softwareVersion, unlistedMs: isListed ? 0 : clock.monotonic() - lastListedMs }))),
+      ({ service, softwareVersion, isListed, unlistedMs: isListed ? 0 : clock.monotonic() - lastListedMs }))),
     addEarlier: earlier => {
       const added = earlier.filter(({ service, softwareVersion }) => !seenOf(service).has(softwareVersion))
       added.forEach(({ service, softwareVersion }) => seenOf(service).set(softwareVersion, { isListed: false, lastListedMs: clock.monotonic(), wasLeaving: false }))
