--- a/packages/magnoliabay/src/node/serving/versions/__tests__/versionHistory.spec.ts
+++ b/packages/magnoliabay/src/node/serving/versions/__tests__/versionHistory.spec.ts
@@ -372,6 +372,20 @@
     expect(next.history.priorOf(serviceOf(next))).to.deep.equal({ kind: 'none' })
   })
 
+  /** Guards against refused streams where the entries of servers state no start time: such an entry is no sign of an old server. */
+  it('names the version before one whose servers state no start time', async () => {
+    const { clock, start } = createRig()
+    const instance = start('i0', { a: 'v1' })
+    await clock.advance(1000)
+    instance.kill()
+    await clock.advance(1000)
+    const next = start('i0', { a: 'v1' })
+    await clock.advance(100)
+    next.list('b', 'v2', 0)
+    await clock.advance(100)
+    expect(next.history.priorOf(serviceOf(next))).to.deep.equal({ kind: 'known', softwareVersion: 'v1' })
+  })
+
   /** Guards against streams that began at a version which the store did not take, and that count as those of the version before. */
   it('names no prior version where streams may have begun at servers of a further one that the store did not take', async () => {
     const { clock, start } = createRig()
--- a/packages/magnoliabay/src/node/serving/versions/versionHistory.ts
+++ b/packages/magnoliabay/src/node/serving/versions/versionHistory.ts
@@ -288,7 +288,9 @@
   const isContradicted = (): boolean => {
     const services = new Set([...stored.values()].map(({ service }) => service))
     const isMissing = (server: BackendServer): boolean => services.has(server.service) && !stored.has(keyOf({ service: server.service, softwareVersion: versionOf(server) }))
-    return servers.all().some(server => server.bornMs < startedUnixMs - Math.min(MAX_GATE_MS, longestKeepMs()) && isMissing(server))
+    const latestMs = startedUnixMs - Math.min(MAX_GATE_MS, longestKeepMs())
+    // A server without a start time says nothing of it.
+    return servers.all().some(server => server.bornMs > 0 && server.bornMs < latestMs && isMissing(server))
   }
   const applyFirst = (entries: RangeResult['entries']): void => {
     first = begin(entries)
