--- a/scripts/fleet/shutdownCallers.ts
+++ b/scripts/fleet/shutdownCallers.ts
@@ -18,7 +18,8 @@
   signalsMs: number[]
   /** When it got its first SIGTERM. */
   termMs?: number
-  isKilled: boolean
+  /** When SIGKILL was sent; its exit may be noticed much later. */
+  killedMs?: number
   exitMs?: number
   /** When its links to servers were cut. */
   cuts: Array<{ fromMs: number, toMs: number }>
@@ -46,16 +47,16 @@
 const MAX_BODY_PAUSE_MS = 8000
 
 export function startLife (life: Pick<Life, 'name' | 'child' | 'entryAddress'>): Life {
-  const started: Life = { ...life, agent: new Agent({ keepAlive: true }), signalsMs: [], isKilled: false, cuts: [] }
+  const started: Life = { ...life, agent: new Agent({ keepAlive: true }), signalsMs: [], cuts: [] }
   life.child.once('exit', () => { started.exitMs = Date.now() })
   return started
 }
 
 export function sendSignal (life: Life, signal: NodeJS.Signals): void {
-  if (life.exitMs !== undefined) return
+  if (life.exitMs !== undefined || life.killedMs !== undefined) return
   life.signalsMs.push(Date.now())
   if (signal === 'SIGTERM') life.termMs ??= Date.now()
-  if (signal === 'SIGKILL') life.isKilled = true
+  if (signal === 'SIGKILL') life.killedMs = Date.now()
   life.child.kill(signal)
 }
 
--- a/scripts/fleet/shutdownVerdicts.ts
+++ b/scripts/fleet/shutdownVerdicts.ts
@@ -35,7 +35,7 @@
   const isLost = (call: ShutdownCall): boolean => {
     const { life, status, sentMs, endedMs, wholeMs, body } = call
     if (status !== undefined && call.isComplete) return false
-    const isKilled = life.isKilled && endedMs >= (life.exitMs ?? Infinity) - SLACK_MS
+    const isKilled = endedMs >= (life.killedMs ?? Infinity)
     const isUnread = runsOf(call).length === 0 && endedMs - wholeMs! < UNREAD_MS
     const isWorkGoingOn = begunOf(call).some(run => (run.endedMs ?? Infinity) > endedMs)
     // Its own process, or one through which its connections may have gone.
